--- /dev/null
+++ b/cmd/internal/entry/entry.go
@@ -0,0 +1,300 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/knapweedweir/knapweedweir/control"
+	"github.com/knapweedweir/knapweedweir/control/api"
+	"github.com/knapweedweir/knapweedweir/daemon"
+	"github.com/knapweedweir/knapweedweir/dispatch"
+	"github.com/knapweedweir/knapweedweir/platform"
+)
+
+// Timing and limits of an entry.
+const (
+	expireEvery      = 20 * time.Millisecond
+	watchEvery       = 200 * time.Millisecond
+	watchTimeout     = 2 * time.Second
+	askTimeout       = 8 * time.Second
+	finishTimeout    = 2 * time.Second
+	readHeaderLimit  = 5 * time.Second
+	defaultDrain     = 30 * time.Second
+	drainCheck       = 20 * time.Millisecond
+	balancerNotice   = 300 * time.Millisecond
+	runnerSlots      = 8
+	runnerConns      = 64
+	maxRequestBytes  = 1 << 20
+	maxAnswerBytes   = 32 << 20
+	maxQueue         = 2000
+	retryShare       = 0.1
+	coreEventQueue   = 4096
+	actionsPerWaiter = 8
+)
+
+// Entry is one entry process.
+type Entry struct {
+	process  *daemon.Process
+	settings Settings
+	scheds   *schedulers
+	runners  *http.Client
+	events   chan coreEvent
+	state    atomic.Pointer[api.State]
+	nextID   atomic.Uint64
+	active   atomic.Int64
+	draining atomic.Bool
+	done     chan struct{}
+}
+
+// Run runs an entry with the settings in a file.
+func Run(path string) error {
+	var s Settings
+	if err := daemon.LoadSettings(path, &s); err != nil {
+		return err
+	}
+	l, err := net.Listen("tcp", s.Listen)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	p := daemon.New("kw-entry", s.ID, os.Stderr)
+	e := New(p, s)
+	p.AddLoop(e.coreLoop)
+	p.AddLoop(e.watchLoop)
+	p.AddHTTP(l, &http.Server{Handler: p.Mux(), ReadHeaderTimeout: readHeaderLimit})
+	limit := s.DrainLimit.D()
+	if limit == 0 {
+		limit = defaultDrain
+	}
+	return p.Run(limit, e.drain)
+}
+
+// Check loads a settings file and reports what is wrong with it.
+func Check(path string) error {
+	var s Settings
+	return daemon.LoadSettings(path, &s)
+}
+
+// New returns an entry that serves nothing yet.
+func New(p *daemon.Process, s Settings) *Entry {
+	e := &Entry{process: p, settings: s, scheds: newSchedulers(s.Schedulers),
+		runners: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: runnerSlots, MaxConnsPerHost: runnerSlots, DisableCompression: true}},
+		events:  make(chan coreEvent, coreEventQueue), done: make(chan struct{})}
+	e.state.Store(&api.State{})
+	p.OnDump(e.dump)
+	e.routes(p.Mux())
+	return e
+}
+
+// coreEvent is something the dispatch core has to take in.
+type coreEvent interface {
+	apply(now time.Duration, l *loop) []dispatch.Action
+}
+
+// loop is the state that only the core goroutine touches.
+type loop struct {
+	core    *dispatch.Core
+	waiters map[uint64]chan dispatch.Action
+}
+
+type arrive struct {
+	request dispatch.Request
+	actions chan dispatch.Action
+}
+
+func (a arrive) apply(now time.Duration, l *loop) []dispatch.Action {
+	l.waiters[a.request.ID] = a.actions
+	return l.core.Arrive(now, a.request)
+}
+
+type claimed struct {
+	id        uint64
+	err       error
+	mayBeOurs bool
+}
+
+func (c claimed) apply(now time.Duration, l *loop) []dispatch.Action {
+	return l.core.Claimed(now, c.id, c.err, c.mayBeOurs)
+}
+
+type answered struct {
+	id   uint64
+	took time.Duration
+}
+
+func (a answered) apply(now time.Duration, l *loop) []dispatch.Action {
+	return l.core.Answered(now, a.id, a.took)
+}
+
+type failed struct {
+	id      uint64
+	failure dispatch.Failure
+	why     string
+}
+
+func (f failed) apply(now time.Duration, l *loop) []dispatch.Action {
+	return l.core.Failed(now, f.id, f.failure, f.why)
+}
+
+type expire struct{}
+
+func (expire) apply(now time.Duration, l *loop) []dispatch.Action { return l.core.Expire(now) }
+
+type newState struct{ state api.State }
+
+func (n newState) apply(now time.Duration, l *loop) []dispatch.Action {
+	var entries []string
+	for _, i := range n.state.Instances {
+		if i.Service == control.EntryService && i.State == platform.InstanceLive {
+			entries = append(entries, i.ID)
+		}
+	}
+	return l.core.SetRunners(upstreams(n.state.Instances), entries)
+}
+
+func upstreams(list []platform.Instance) []platform.Instance {
+	var out []platform.Instance
+	for _, i := range list {
+		if i.Service != control.EntryService && i.Service != control.SchedService {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+type statusRequest struct{ reply chan dispatch.Status }
+
+func (s statusRequest) apply(_ time.Duration, l *loop) []dispatch.Action {
+	s.reply <- l.core.Status()
+	return nil
+}
+
+// coreLoop is the one goroutine that owns the dispatch core.
+func (e *Entry) coreLoop(ctx context.Context) error {
+	defer close(e.done)
+	l := &loop{waiters: map[uint64]chan dispatch.Action{}, core: dispatch.New(dispatch.Config{
+		Self: e.settings.ID, SlotsPerRunner: runnerSlots, RetryShare: retryShare, MaxQueue: maxQueue})}
+	tick := time.NewTicker(expireEvery)
+	defer tick.Stop()
+	for {
+		var ev coreEvent
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+			ev = expire{}
+		case ev = <-e.events:
+		}
+		for _, a := range ev.apply(daemon.Clock(), l) {
+			l.deliver(a)
+		}
+	}
+}
+
+// deliver hands an action to the goroutine that serves its request.
+func (l *loop) deliver(a dispatch.Action) {
+	var id uint64
+	final := false
+	switch a := a.(type) {
+	case dispatch.Send:
+		id = a.Request
+	case dispatch.AskClaim:
+		id = a.Request
+	case dispatch.Finished:
+		id, final = a.Request, true
+	}
+	if w, ok := l.waiters[id]; ok {
+		w <- a
+		if final {
+			delete(l.waiters, id)
+		}
+	}
+}
+
+func (e *Entry) post(ev coreEvent) bool {
+	select {
+	case e.events <- ev:
+		return true
+	case <-e.done:
+		return false
+	}
+}
+
+// watchLoop keeps the entry's copy of the cell's state up to date.
+func (e *Entry) watchLoop(ctx context.Context) error {
+	var since uint64
+	var from string
+	tick := time.NewTicker(watchEvery)
+	defer tick.Stop()
+	for {
+		st, err := e.scheds.watch(since, from)
+		switch {
+		case err != nil:
+			e.process.Log.Warn().Err(err).Msg("scheduler.unreachable")
+		case st.Ready && st.Holders != nil && st.Offset >= e.state.Load().Offset:
+			since, from = st.Version, st.Scheduler
+			e.state.Store(&st)
+			e.post(newState{st})
+			e.process.SetReady(!e.draining.Load())
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+	}
+}
+
+// drain waits for the requests in progress. It first stays open for a moment,
+// unready, so that the balancer sends no new ones.
+func (e *Entry) drain(ctx context.Context) error {
+	e.draining.Store(true)
+	wait(ctx, balancerNotice)
+	for e.active.Load() > 0 {
+		if ctx.Err() != nil {
+			return errors.Errorf("%d requests cut off", e.active.Load())
+		}
+		wait(ctx, drainCheck)
+	}
+	return nil
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// Dump is an entry's state for people and tools.
+type Dump struct {
+	DumpVersion int             `json:"dumpVersion"`
+	ID          string          `json:"id"`
+	Scheduler   string          `json:"scheduler"`
+	Offset      platform.Offset `json:"offset"`
+	LogDown     bool            `json:"logDown"`
+	Draining    bool            `json:"draining"`
+	Active      int64           `json:"activeRequests"`
+	Dispatch    dispatch.Status `json:"dispatch"`
+}
+
+func (e *Entry) dump() (any, error) {
+	req := statusRequest{make(chan dispatch.Status, 1)}
+	if !e.post(req) {
+		return nil, errors.New("the entry has stopped")
+	}
+	select {
+	case st := <-req.reply:
+		s := e.state.Load()
+		return Dump{1, e.settings.ID, s.Scheduler, s.Offset, s.LogDown, e.draining.Load(), e.active.Load(), st}, nil
+	case <-e.done:
+		return nil, errors.New("the entry has stopped")
+	}
+}
--- /dev/null
+++ b/cmd/internal/entry/schedulers.go
@@ -0,0 +1,73 @@
+package entry
+
+import (
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/knapweedweir/knapweedweir/cmd/internal/schedclient"
+	"github.com/knapweedweir/knapweedweir/control/api"
+)
+
+// schedulers is the list of schedulers an entry may ask, its own first.
+type schedulers struct {
+	mu      sync.Mutex
+	order   []string
+	clients map[string]*schedclient.Client
+}
+
+func newSchedulers(addrs []string) *schedulers {
+	return &schedulers{order: addrs, clients: map[string]*schedclient.Client{}}
+}
+
+func (s *schedulers) client(addr string) *schedclient.Client {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c, ok := s.clients[addr]
+	if !ok {
+		c = schedclient.New(addr)
+		s.clients[addr] = c
+	}
+	return c
+}
+
+// ask puts a question to the first scheduler that can be reached. Once a
+// question may have left this process it is not put to another one, as it may
+// already have taken effect.
+func (s *schedulers) ask(q api.Question) (api.Answer, error) {
+	var last error
+	for _, addr := range s.order {
+		a, err := s.client(addr).Ask(q, askTimeout)
+		if err == nil {
+			return a, nil
+		}
+		last = err
+		if !errors.Is(err, schedclient.ErrNotSent) {
+			return api.Answer{}, err
+		}
+	}
+	return api.Answer{}, last
+}
+
+// askAt puts a question to one scheduler.
+func (s *schedulers) askAt(addr string, q api.Question, timeout time.Duration) (api.Answer, error) {
+	return s.client(addr).Ask(q, timeout)
+}
+
+// watch returns the cell's state from the first scheduler that answers. Versions
+// are counted by each scheduler for itself, so another one is asked for all.
+func (s *schedulers) watch(since uint64, from string) (api.State, error) {
+	var last error
+	for _, addr := range s.order {
+		st, err := s.client(addr).Watch(since, watchTimeout)
+		if err == nil && st.Scheduler != from && st.Holders == nil {
+			st, err = s.client(addr).Watch(0, watchTimeout)
+		}
+		if err == nil {
+			return st, nil
+		}
+		last = err
+	}
+	return api.State{}, last
+}
--- /dev/null
+++ b/cmd/internal/entry/settings.go
@@ -0,0 +1,48 @@
+// Package entry serves callers and operators over HTTP and sends callers'
+// requests to runners, as the dispatch core decides.
+package entry
+
+import (
+	"fmt"
+	"net"
+
+	"github.com/knapweedweir/knapweedweir/settings/jsonc"
+)
+
+// Settings is the settings file of kw-entry.
+type Settings struct {
+	// ID is this instance's name in the platform's instance list.
+	ID   string `json:"id"`
+	Zone string `json:"zone"`
+	// Listen is the address for callers and operators.
+	Listen string `json:"listen"`
+	// Schedulers are the rpc addresses of schedulers, the one of this instance
+	// first; the others are asked when it can't be reached.
+	Schedulers []string `json:"schedulers"`
+	// DrainLimit bounds how long SIGTERM waits for requests in progress.
+	DrainLimit jsonc.Duration `json:"drainLimit"`
+}
+
+// Validate implements jsonc.Validator.
+func (s *Settings) Validate(report func(path, message string)) {
+	if s.ID == "" {
+		report("id", "must be set")
+	}
+	if s.Zone == "" {
+		report("zone", "must be set")
+	}
+	if _, _, err := net.SplitHostPort(s.Listen); err != nil {
+		report("listen", "must be an address such as \"10.0.0.1:8080\"")
+	}
+	if len(s.Schedulers) == 0 {
+		report("schedulers", "must name at least one scheduler")
+	}
+	for i, a := range s.Schedulers {
+		if _, _, err := net.SplitHostPort(a); err != nil {
+			report(fmt.Sprintf("schedulers.%d", i), "must be an address such as \"10.0.0.1:7000\"")
+		}
+	}
+	if s.DrainLimit < 0 {
+		report("drainLimit", "must not be negative")
+	}
+}
--- /dev/null
+++ b/cmd/internal/sched/rpc.go
@@ -0,0 +1,154 @@
+package sched
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/knapweedweir/knapweedweir/cmd/internal/schedclient"
+	"github.com/knapweedweir/knapweedweir/control"
+	"github.com/knapweedweir/knapweedweir/control/api"
+)
+
+// answerTimeout bounds a question whose answer never comes, for example because
+// the scheduler is stopping.
+const answerTimeout = 10 * time.Second
+
+// service is what net/rpc exposes.
+type service struct{ s *Scheduler }
+
+// Ask puts a question to the control core.
+func (v service) Ask(args api.Ask, reply *api.Answer) error {
+	req := askRequest{question: args.Question, reply: make(chan api.Answer, 1)}
+	timeout := time.NewTimer(answerTimeout)
+	defer timeout.Stop()
+	select {
+	case v.s.events <- req:
+	case <-v.s.done:
+		*reply = api.Answer{Code: api.Unavailable, Message: "the scheduler is stopping", RetryAfter: time.Second}
+		return nil
+	}
+	select {
+	case *reply = <-req.reply:
+	case <-v.s.done:
+		*reply = api.Answer{Code: api.InDoubt, Message: "the scheduler stopped before the log confirmed"}
+	case <-timeout.C:
+		*reply = api.Answer{Code: api.InDoubt, Message: "the scheduler did not answer in time"}
+	}
+	return nil
+}
+
+// Deliver takes in what another scheduler sends.
+func (v service) Deliver(args api.Envelope, _ *api.Ack) error {
+	select {
+	case v.s.events <- control.Delivered{Envelope: args}:
+		return nil
+	case <-v.s.done:
+		return errors.New("stopping")
+	}
+}
+
+// Watch returns the cell's state if it is newer than the given version.
+func (v service) Watch(args api.Watch, reply *api.State) error {
+	st := v.s.state.Load()
+	if st.Version == args.Since {
+		*reply = api.State{Version: st.Version, Scheduler: st.Scheduler, Offset: st.Offset, LogDown: st.LogDown}
+		return nil
+	}
+	*reply = *st
+	return nil
+}
+
+// Dump returns the scheduler's state for people.
+func (v service) Dump(_ api.DumpArgs, reply *api.DumpReply) error {
+	d, err := v.s.dump()
+	if err != nil {
+		return err
+	}
+	reply.JSON, err = json.Marshal(d)
+	return err
+}
+
+// serveRPC accepts connections until the process ends.
+func (s *Scheduler) serveRPC(l net.Listener) {
+	server := rpc.NewServer()
+	if err := server.RegisterName(api.ServiceName, service{s}); err != nil {
+		panic(err) // the methods above have the wrong form
+	}
+	var mu sync.Mutex
+	open := map[net.Conn]bool{}
+	s.process.Add(func() error {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return nil
+			}
+			mu.Lock()
+			open[conn] = true
+			mu.Unlock()
+			go func() {
+				server.ServeConn(conn)
+				mu.Lock()
+				delete(open, conn)
+				mu.Unlock()
+			}()
+		}
+	}, func(error) {
+		_ = l.Close()
+		mu.Lock()
+		defer mu.Unlock()
+		for conn := range open {
+			_ = conn.Close()
+		}
+	})
+}
+
+// peerLink sends envelopes to one scheduler, in order.
+type peerLink struct {
+	addr  string
+	queue chan api.Envelope
+	stop  context.CancelFunc
+}
+
+// link returns the link to a scheduler, a new one if its address has changed.
+func (s *Scheduler) link(ctx context.Context, id, addr string) *peerLink {
+	if l, ok := s.peers[id]; ok {
+		if l.addr == addr {
+			return l
+		}
+		l.stop()
+	}
+	linkCtx, cancel := context.WithCancel(ctx)
+	l := &peerLink{addr: addr, queue: make(chan api.Envelope, peerQueue), stop: cancel}
+	s.peers[id] = l
+	go s.runLink(linkCtx, l)
+	return l
+}
+
+func (l *peerLink) send(e api.Envelope) {
+	select {
+	case l.queue <- e:
+	default:
+		// The peer does not keep up. Messages are repeated by their senders.
+	}
+}
+
+func (s *Scheduler) runLink(ctx context.Context, l *peerLink) {
+	client := schedclient.New(l.addr)
+	defer client.Close()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-l.queue:
+			if err := client.Deliver(e, peerTimeout); err != nil {
+				s.process.Log.Debug().Err(err).Str("peer", l.addr).Msg("peer.send_failed")
+			}
+		}
+	}
+}
--- /dev/null
+++ b/cmd/internal/sched/sched.go
@@ -0,0 +1,338 @@
+package sched
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/knapweedweir/knapweedweir/cmd/internal/schedclient"
+	"github.com/knapweedweir/knapweedweir/control"
+	"github.com/knapweedweir/knapweedweir/control/api"
+	"github.com/knapweedweir/knapweedweir/daemon"
+	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/platform/httpplatform"
+)
+
+// Timing of the loops around the core.
+const (
+	tickEvery        = 50 * time.Millisecond
+	logPollWait      = time.Second
+	logRetryWait     = 200 * time.Millisecond
+	logCallTimeout   = 3 * time.Second
+	listEvery        = 500 * time.Millisecond
+	workersEvery     = 2 * time.Second
+	platformTimeout  = 5 * time.Second
+	peerTimeout      = 2 * time.Second
+	logPageRecords   = 1000
+	eventQueue       = 4096
+	peerQueue        = 256
+	concurrentSyncs  = 64
+	defaultDrain     = 10 * time.Second
+	handOverCheck    = 50 * time.Millisecond
+	controlLogStream = "control"
+)
+
+// dumpRequest asks the control goroutine for a dump.
+type dumpRequest struct{ reply chan control.Dump }
+
+// Scheduler carries out the actions of one control core.
+type Scheduler struct {
+	process *daemon.Process
+	core    *control.Core
+	client  *httpplatform.Client
+	events  chan any
+	state   atomic.Pointer[api.State]
+	appends chan [][]byte
+	syncs   chan control.SyncWorker
+	peers   map[string]*peerLink
+	waiting map[uint64]chan api.Answer
+	tickets atomic.Uint64
+	done    chan struct{}
+}
+
+// askRequest brings a question and the channel for its answer.
+type askRequest struct {
+	question api.Question
+	reply    chan api.Answer
+}
+
+// Run runs a scheduler with the settings in a file.
+func Run(path string) error {
+	var s Settings
+	if err := daemon.LoadSettings(path, &s); err != nil {
+		return err
+	}
+	rpcListener, err := net.Listen("tcp", s.RPC)
+	if err != nil {
+		return errors.Wrap(err, "listen for rpc")
+	}
+	opsListener, err := net.Listen("tcp", s.Ops)
+	if err != nil {
+		return errors.Wrap(err, "listen for operators")
+	}
+	p := daemon.New("kw-sched", s.ID, os.Stderr)
+	sch := New(p, s)
+	p.AddLoop(sch.control)
+	p.AddLoop(sch.followLog)
+	p.AddLoop(sch.appendLoop)
+	p.AddLoop(sch.listInstances)
+	p.AddLoop(sch.listWorkers)
+	p.AddLoop(sch.syncLoop)
+	sch.serveRPC(rpcListener)
+	p.AddHTTP(opsListener, &http.Server{Handler: p.Mux(), ReadHeaderTimeout: platformTimeout})
+	limit := s.DrainLimit.D()
+	if limit == 0 {
+		limit = defaultDrain
+	}
+	return p.Run(limit, sch.drain)
+}
+
+// Check loads a settings file and reports what is wrong with it.
+func Check(path string) error {
+	var s Settings
+	return daemon.LoadSettings(path, &s)
+}
+
+// New returns a scheduler that does nothing yet.
+func New(p *daemon.Process, s Settings) *Scheduler {
+	cfg := control.DefaultConfig(s.ID, p.Incarnation)
+	if s.SyncEvery > 0 {
+		cfg.Shard.SyncEvery = s.SyncEvery.D()
+	}
+	if s.Lease > 0 {
+		cfg.Shard.Lease = s.Lease.D()
+	}
+	sch := &Scheduler{process: p, core: control.New(cfg), client: httpplatform.New(s.Platform),
+		events: make(chan any, eventQueue), appends: make(chan [][]byte, 1), syncs: make(chan control.SyncWorker, eventQueue),
+		peers: map[string]*peerLink{}, waiting: map[uint64]chan api.Answer{}, done: make(chan struct{})}
+	sch.state.Store(&api.State{Scheduler: s.ID})
+	p.OnDump(sch.dump)
+	return sch
+}
+
+// control is the one goroutine that owns the core.
+func (s *Scheduler) control(ctx context.Context) error {
+	defer close(s.done)
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	steps := s.process.Metrics.Counter("control_steps")
+	busy := s.process.Metrics.Histogram("control_step_seconds", nil)
+	for {
+		var ev any
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+			ev = control.Tick{}
+		case ev = <-s.events:
+		}
+		start := time.Now()
+		s.handle(ctx, ev)
+		busy.RecordDuration(time.Since(start))
+		steps.Inc(1)
+	}
+}
+
+func (s *Scheduler) handle(ctx context.Context, ev any) {
+	now := daemon.Clock()
+	switch e := ev.(type) {
+	case dumpRequest:
+		e.reply <- s.core.Dump(now)
+		return
+	case askRequest:
+		ticket := s.tickets.Add(1)
+		s.waiting[ticket] = e.reply
+		ev = control.Asked{Ticket: ticket, Question: e.question}
+	}
+	for _, a := range s.core.Step(now, ev) {
+		s.perform(ctx, a)
+	}
+	if old := s.state.Load(); s.core.Version() != old.Version || s.core.LogDown(now) != old.LogDown {
+		st := s.core.State(now)
+		s.state.Store(&st)
+		s.process.SetReady(st.Ready)
+	}
+}
+
+func (s *Scheduler) perform(ctx context.Context, a control.Action) {
+	switch a := a.(type) {
+	case control.AppendLog:
+		select {
+		case s.appends <- a.Batch:
+		default:
+			// An append is still under way; the committer repeats this one.
+		}
+	case control.SyncWorker:
+		select {
+		case s.syncs <- a:
+		default:
+			// The shard repeats a request that brings no answer.
+		}
+	case control.SendPeer:
+		s.link(ctx, a.To, a.Addr).send(a.Envelope)
+	case control.Answered:
+		if reply, ok := s.waiting[a.Ticket]; ok {
+			delete(s.waiting, a.Ticket)
+			reply <- a.Answer
+		}
+	}
+}
+
+func (s *Scheduler) post(ctx context.Context, ev any) {
+	select {
+	case s.events <- ev:
+	case <-ctx.Done():
+	}
+}
+
+func (s *Scheduler) followLog(ctx context.Context) error {
+	var after platform.Offset
+	// The first read does not wait, so that a scheduler of a quiet cell soon
+	// knows that it has read everything.
+	var poll time.Duration
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, logCallTimeout)
+		page, err := s.client.Read(call, controlLogStream, after, logPageRecords, poll)
+		cancel()
+		s.post(ctx, control.LogRead{Page: page, Err: err})
+		if err != nil {
+			s.process.Log.Warn().Err(err).Msg("log.read_failed")
+			sleep(ctx, logRetryWait)
+			continue
+		}
+		poll = logPollWait
+		if n := len(page.Entries); n > 0 {
+			after = page.Entries[n-1].Offset
+		}
+	}
+	return nil
+}
+
+func (s *Scheduler) appendLoop(ctx context.Context) error {
+	count := s.process.Metrics.Counter("log_appends")
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case batch := <-s.appends:
+			call, cancel := context.WithTimeout(ctx, logCallTimeout)
+			err := s.client.Append(call, controlLogStream, batch)
+			cancel()
+			count.Inc(1)
+			if err != nil {
+				s.process.Log.Warn().Err(err).Int("records", len(batch)).Msg("log.append_failed")
+			}
+			s.post(ctx, control.AppendDone{Err: err})
+		}
+	}
+}
+
+func (s *Scheduler) listInstances(ctx context.Context) error {
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, platformTimeout)
+		list, err := s.client.Instances().List(call)
+		cancel()
+		if err != nil {
+			s.process.Log.Warn().Err(err).Msg("instances.list_failed")
+		} else {
+			s.post(ctx, control.InstancesListed{Instances: list})
+		}
+		sleep(ctx, listEvery)
+	}
+	return nil
+}
+
+func (s *Scheduler) listWorkers(ctx context.Context) error {
+	var version uint64
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, platformTimeout)
+		list, err := s.client.Workers().List(call, version)
+		cancel()
+		if err != nil {
+			s.process.Log.Warn().Err(err).Msg("workers.list_failed")
+		} else if list.Version != version {
+			version = list.Version
+			s.post(ctx, control.WorkersListed{List: list})
+		}
+		sleep(ctx, workersEvery)
+	}
+	return nil
+}
+
+// syncLoop sends requests to workers, a bounded number at a time.
+func (s *Scheduler) syncLoop(ctx context.Context) error {
+	limit := make(chan struct{}, concurrentSyncs)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case a := <-s.syncs:
+			select {
+			case limit <- struct{}{}:
+			case <-ctx.Done():
+				return nil
+			}
+			go func() {
+				defer func() { <-limit }()
+				call, cancel := context.WithTimeout(ctx, platformTimeout)
+				defer cancel()
+				reply, err := s.client.Workers().Sync(call, a.Order.Worker, a.Order.Request)
+				s.post(ctx, control.WorkerSynced{Order: a.Order, Reply: reply, Err: err})
+			}()
+		}
+	}
+}
+
+// drain hands over all that this scheduler owns and waits until the log shows
+// that others have it.
+func (s *Scheduler) drain(ctx context.Context) error {
+	s.post(ctx, control.LeaveNow{})
+	for {
+		if s.owned() == 0 {
+			return nil
+		}
+		sleep(ctx, handOverCheck)
+		if ctx.Err() != nil {
+			return errors.Errorf("%d units not handed over", s.owned())
+		}
+	}
+}
+
+func (s *Scheduler) owned() int {
+	self := 0
+	for _, h := range s.state.Load().Holders {
+		if schedclient.IsMember(h.Owner, s.process.ID, s.process.Incarnation) {
+			self++
+		}
+	}
+	return self
+}
+
+func (s *Scheduler) dump() (any, error) {
+	req := dumpRequest{reply: make(chan control.Dump, 1)}
+	select {
+	case s.events <- req:
+	case <-s.done:
+		return nil, errors.New("the scheduler has stopped")
+	}
+	select {
+	case d := <-req.reply:
+		return d, nil
+	case <-s.done:
+		return nil, errors.New("the scheduler has stopped")
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/control/api/api.go
@@ -0,0 +1,122 @@
+// Package api is the net/rpc interface of kw-sched: what entries ask and what
+// schedulers tell each other.
+package api
+
+import (
+	"encoding/gob"
+	"time"
+
+	"github.com/knapweedweir/knapweedweir/dispatch"
+	"github.com/knapweedweir/knapweedweir/membership"
+	"github.com/knapweedweir/knapweedweir/ownership"
+	"github.com/knapweedweir/knapweedweir/placement"
+	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/settings"
+	"github.com/knapweedweir/knapweedweir/settings/jsonc"
+)
+
+// ServiceName is the name the methods are registered under.
+const ServiceName = "Sched"
+
+// Code says how a question ended.
+type Code string
+
+// The codes of an Answer.
+const (
+	OK Code = "ok"
+	// Invalid: what was asked is wrong; nothing changed.
+	Invalid Code = "invalid"
+	// Conflict: somebody else was first; nothing changed.
+	Conflict Code = "conflict"
+	// Unavailable: nothing changed; come back after RetryAfter.
+	Unavailable Code = "unavailable"
+	// InDoubt: the change was sent to the log and not confirmed.
+	InDoubt Code = "in-doubt"
+	// Elsewhere: the scheduler in Answer.Owner knows.
+	Elsewhere Code = "elsewhere"
+	NotFound  Code = "not-found"
+)
+
+// Question is one of Publish, Submit, Cancel, JobQuery, Claim and Finish.
+type Question any
+
+// Publish proposes a settings change.
+type Publish struct{ Change settings.Change }
+
+// Submit proposes a job.
+type Submit struct{ Job placement.JobSpec }
+
+// Cancel proposes to cancel a job.
+type Cancel struct{ Job, Reason string }
+
+// JobQuery asks for the state of a job.
+type JobQuery struct{ Job string }
+
+// Claim proposes to run a non-idempotent request.
+type Claim struct{ Claim dispatch.Claim }
+
+// Finish records how a claimed request ended.
+type Finish struct{ Finish dispatch.Finish }
+
+// Ask is the argument of the method Ask.
+type Ask struct{ Question Question }
+
+// Answer is the reply of the method Ask.
+type Answer struct {
+	Code       Code
+	Message    string
+	Findings   jsonc.Findings
+	Offset     platform.Offset
+	RetryAfter time.Duration
+	Owner      string
+	Job        *placement.JobStatus
+	Claimed    *dispatch.ClaimedRequest
+}
+
+// Envelope is what one scheduler delivers to another at once.
+type Envelope struct {
+	From      string
+	Heartbeat membership.Heartbeat
+	Messages  []placement.Message
+	Digests   []placement.Digest
+}
+
+// Ack is the empty reply of Deliver.
+type Ack struct{}
+
+// Watch asks for the cell's state if it is newer than a version.
+type Watch struct{ Since uint64 }
+
+// TeamVersion is a team's settings in force.
+type TeamVersion struct {
+	Name    string
+	Version settings.Version
+}
+
+// State is the cell as a scheduler knows it, for its entry.
+type State struct {
+	Version   uint64
+	Scheduler string
+	Offset    platform.Offset
+	LogDown   bool
+	// Ready says that the scheduler has read the log to its end since it
+	// started; before that its state may be long out of date.
+	Ready     bool
+	Teams     []TeamVersion
+	Instances []platform.Instance
+	Holders   map[ownership.Unit]ownership.Holder
+}
+
+// DumpArgs asks for a dump of the process's state.
+type DumpArgs struct{}
+
+// DumpReply is a dump in JSON.
+type DumpReply struct{ JSON []byte }
+
+func init() {
+	for _, v := range []any{Publish{}, Submit{}, Cancel{}, JobQuery{}, Claim{}, Finish{},
+		placement.Place{}, placement.Confirm{}, placement.Release{}, placement.Forget{}, placement.Noted{},
+		placement.Stop{}, placement.Placed{}, placement.Changed{}, placement.Collect{}, placement.Collected{}} {
+		gob.Register(v)
+	}
+}
--- /dev/null
+++ b/control/core.go
@@ -0,0 +1,391 @@
+// Package control joins the decision cores of one scheduler: the log's view,
+// membership, ownership, the job homes and the worker shards. Core is a step
+// machine without I/O: the same events at the same times give the same actions.
+package control
+
+import (
+	"sort"
+	"time"
+
+	"github.com/knapweedweir/knapweedweir/control/api"
+	"github.com/knapweedweir/knapweedweir/dispatch"
+	"github.com/knapweedweir/knapweedweir/logstream"
+	"github.com/knapweedweir/knapweedweir/membership"
+	"github.com/knapweedweir/knapweedweir/ownership"
+	"github.com/knapweedweir/knapweedweir/placement"
+	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/settings"
+)
+
+// Service names of our own processes in the platform's instance list.
+const (
+	SchedService = "kw-sched"
+	EntryService = "kw-entry"
+)
+
+// Config is the timing of a scheduler.
+type Config struct {
+	ID          string
+	Incarnation uint64
+	Heartbeat   time.Duration
+	DownAfter   time.Duration
+	// LogDownAfter is how long the log may be silent before it is taken for
+	// unavailable and proposals are turned away.
+	LogDownAfter time.Duration
+	DigestEvery  time.Duration
+	SweepEvery   time.Duration
+	Shard        placement.ShardConfig
+	Home         placement.HomeConfig
+	Committer    logstream.CommitterConfig
+}
+
+// DefaultConfig returns the timing for a cell on one site.
+func DefaultConfig(id string, incarnation uint64) Config {
+	return Config{
+		ID: id, Incarnation: incarnation,
+		Heartbeat: 300 * time.Millisecond, DownAfter: 1500 * time.Millisecond,
+		LogDownAfter: 3 * time.Second, DigestEvery: 300 * time.Millisecond, SweepEvery: 5 * time.Second,
+		Shard: placement.DefaultShardConfig, Home: placement.DefaultHomeConfig,
+		Committer: logstream.CommitterConfig{Writer: id, Incarnation: incarnation, MaxBatch: 200,
+			MinInterval: 20 * time.Millisecond, RetryAfter: time.Second, GiveUp: 4 * time.Second},
+	}
+}
+
+// claimEvery is the shortest time between two rounds of claims, so that one
+// round is read back before the next is made.
+const claimEvery = 300 * time.Millisecond
+
+// Core is one scheduler's control state.
+type Core struct {
+	cfg       Config
+	self      string
+	view      *logstream.View
+	tree      *settings.Tree
+	table     *ownership.Table
+	registry  *placement.Registry
+	claims    *dispatch.Claims
+	committer *logstream.Committer
+	members   *membership.Core
+	shards    map[ownership.Unit]*placement.Shard
+	homes     map[ownership.Unit]*placement.Home
+
+	workers   map[ownership.Unit][]platform.Worker
+	units     []ownership.Unit
+	shardIDs  []ownership.Unit
+	largest   []platform.Worker
+	listedAt  uint64
+	instances []platform.Instance
+	addrs     map[string]string
+	digests   map[ownership.Unit]placement.Digest
+
+	tickets    map[uint64]api.Question
+	nextTicket uint64
+	logHeardAt time.Duration
+	caughtUp   bool
+	ready      bool
+	claimedAt  time.Duration
+	digestAt   time.Duration
+	sweptAt    time.Duration
+	version    uint64
+	outbox     map[string]*api.Envelope
+	actions    []Action
+}
+
+// ownTickets marks tickets of proposals that this core makes by itself.
+const ownTickets = 1 << 63
+
+// New returns a scheduler that has read nothing yet.
+func New(cfg Config) *Core {
+	c := &Core{cfg: cfg, self: membership.Member(cfg.ID, cfg.Incarnation),
+		tree: settings.NewTree(), table: ownership.NewTable(), registry: placement.NewRegistry(), claims: dispatch.NewClaims(),
+		committer: logstream.NewCommitter(cfg.Committer),
+		members:   membership.New(membership.Config{Self: cfg.ID, Incarnation: cfg.Incarnation, Interval: cfg.Heartbeat, DownAfter: cfg.DownAfter}),
+		shards:    map[ownership.Unit]*placement.Shard{}, homes: map[ownership.Unit]*placement.Home{},
+		workers: map[ownership.Unit][]platform.Worker{}, addrs: map[string]string{},
+		digests: map[ownership.Unit]placement.Digest{}, tickets: map[uint64]api.Question{}, nextTicket: ownTickets}
+	c.view = logstream.NewView(c.tree, c.table, c.registry, c.claims)
+	for i := range ownership.HomeSlots {
+		c.units = append(c.units, ownership.HomeUnit(i))
+	}
+	return c
+}
+
+// Step takes in one event and returns what has to be done.
+func (c *Core) Step(now time.Duration, ev Event) []Action {
+	c.actions, c.outbox = nil, map[string]*api.Envelope{}
+	switch ev := ev.(type) {
+	case Tick:
+		c.tick(now)
+	case LogRead:
+		c.logRead(now, ev)
+	case InstancesListed:
+		c.instancesListed(now, ev)
+	case WorkersListed:
+		c.workersListed(now, ev)
+	case WorkerSynced:
+		if s, ok := c.shards[ev.Order.Shard]; ok {
+			c.route(now, s.Synced(now, ev.Order.Worker, ev.Order.Request, ev.Reply, ev.Err))
+			c.stepShard(now, s)
+		}
+	case Delivered:
+		c.delivered(now, ev.Envelope)
+	case Asked:
+		c.asked(now, ev)
+	case LeaveNow:
+		c.members.Leave()
+		c.claimedAt = 0
+	}
+	c.commit(now)
+	c.flush()
+	return c.actions
+}
+
+func (c *Core) tick(now time.Duration) {
+	down := c.LogDown(now)
+	c.resolve(c.committer.SetDown(down))
+	peers, hb := c.members.Step(now)
+	for _, id := range peers {
+		c.envelope(id).Heartbeat = hb
+	}
+	if !down && c.caughtUp && c.members.Settled(now) && now-c.claimedAt >= claimEvery {
+		c.claimedAt = now
+		c.proposeClaims(now)
+	}
+	if now-c.digestAt >= c.cfg.DigestEvery {
+		c.digestAt = now
+		c.tellDigests(now)
+	}
+	if now-c.sweptAt >= c.cfg.SweepEvery {
+		c.sweptAt = now
+		c.sweep()
+	}
+	for _, u := range c.ownedShards() {
+		c.stepShard(now, c.shards[u])
+	}
+	for _, u := range c.ownedHomes() {
+		c.stepHome(now, c.homes[u])
+	}
+}
+
+// LogDown reports whether the log has been silent for too long.
+func (c *Core) LogDown(now time.Duration) bool { return now-c.logHeardAt >= c.cfg.LogDownAfter }
+
+func (c *Core) stepShard(now time.Duration, s *placement.Shard) {
+	orders, msgs := s.Step(now)
+	for _, o := range orders {
+		c.actions = append(c.actions, SyncWorker{Order: o})
+	}
+	c.route(now, msgs)
+}
+
+func (c *Core) stepHome(now time.Duration, h *placement.Home) {
+	msgs, ends := h.Step(now)
+	c.route(now, msgs)
+	for _, e := range ends {
+		c.propose(now, placement.KindEnd, e)
+	}
+}
+
+func (c *Core) proposeClaims(now time.Duration) {
+	if _, inflight := c.committer.Pending(); inflight > 0 {
+		return
+	}
+	for _, claim := range ownership.Wanted(c.table, c.units, c.self, c.members.Live(now)) {
+		c.propose(now, ownership.KindClaim, claim)
+	}
+}
+
+// propose queues a record of this core's own. What becomes of it is seen in
+// the view, and what did not take effect is proposed again by the next step.
+func (c *Core) propose(now time.Duration, kind logstream.Kind, body any) {
+	c.nextTicket++
+	_ = c.committer.Propose(now, c.nextTicket, kind, body)
+}
+
+func (c *Core) commit(now time.Duration) {
+	batch, res := c.committer.Step(now)
+	c.resolve(res)
+	if batch != nil {
+		c.actions = append(c.actions, AppendLog{Batch: batch})
+	}
+}
+
+func (c *Core) logRead(now time.Duration, ev LogRead) {
+	if ev.Err != nil {
+		return
+	}
+	c.logHeardAt = now
+	changed := false
+	for _, e := range ev.Page.Entries {
+		before := c.view.Offset()
+		out, ok := c.view.Apply(e)
+		changed = changed || c.view.Offset() != before
+		if ok {
+			c.ruled(now, out)
+		}
+	}
+	c.caughtUp = c.view.Offset() >= ev.Page.Tail
+	if c.caughtUp && !c.ready {
+		c.ready, changed = true, true
+	}
+	if changed {
+		c.version++
+		c.takeOver(now)
+	}
+	for _, u := range c.ownedHomes() {
+		c.stepHome(now, c.homes[u])
+	}
+}
+
+// ruled acts on a ruling of the view.
+func (c *Core) ruled(now time.Duration, out logstream.Outcome) {
+	c.resolve(c.committer.ReadBack(out))
+	if out.Err != nil {
+		return
+	}
+	switch out.Record.Kind {
+	case placement.KindAccept:
+		c.jobAccepted(now, out)
+	case placement.KindEnd, placement.KindCancel:
+		c.jobEnded(out)
+	}
+}
+
+// takeOver brings the owned shards and homes in line with the table.
+func (c *Core) takeOver(now time.Duration) {
+	for _, u := range c.units {
+		h := c.table.Holder(u)
+		mine := h.Owner == c.self
+		if s, ok := c.shards[u]; ok && (!mine || s.Epoch() != h.Epoch) {
+			delete(c.shards, u)
+		}
+		if s, ok := c.homes[u]; ok && (!mine || s.Epoch() != h.Epoch) {
+			delete(c.homes, u)
+		}
+		if !mine {
+			continue
+		}
+		if workers, ok := c.workers[u]; ok {
+			c.takeShard(now, u, h.Epoch, workers)
+		} else if u[0] == 'h' {
+			c.takeHome(now, u, h.Epoch)
+		}
+	}
+}
+
+func (c *Core) takeShard(now time.Duration, u ownership.Unit, epoch platform.Offset, workers []platform.Worker) {
+	s, ok := c.shards[u]
+	if !ok {
+		s = placement.NewShard(u, epoch, c.cfg.Shard)
+		c.shards[u] = s
+	}
+	s.SetWorkers(now, workers)
+	for i := range ownership.HomeSlots {
+		home := ownership.HomeUnit(i)
+		s.FenceHome(home, c.table.Holder(home).Epoch)
+	}
+}
+
+func (c *Core) takeHome(now time.Duration, u ownership.Unit, epoch platform.Offset) {
+	if _, ok := c.homes[u]; ok {
+		return
+	}
+	h := placement.NewHome(u, epoch, c.cfg.Home)
+	h.SetShards(c.shardIDs)
+	for _, d := range c.digests {
+		h.SetDigest(d)
+	}
+	var open []placement.Job
+	c.registry.Each(func(j placement.Job) {
+		if j.State == placement.JobOpen && ownership.HomeOf(j.Spec.ID) == u {
+			open = append(open, j)
+		}
+	})
+	sort.Slice(open, func(i, k int) bool { return open[i].Accepted < open[k].Accepted })
+	for _, j := range open {
+		h.AddJob(now, j)
+	}
+	c.homes[u] = h
+}
+
+func (c *Core) jobAccepted(now time.Duration, out logstream.Outcome) {
+	id := jobID(out.Record)
+	if h, ok := c.homes[ownership.HomeOf(id)]; ok {
+		j, _ := c.registry.Job(id)
+		h.AddJob(now, j)
+	}
+}
+
+func (c *Core) jobEnded(out logstream.Outcome) {
+	id := jobID(out.Record)
+	if h, ok := c.homes[ownership.HomeOf(id)]; ok {
+		h.JobEnded(id)
+	}
+	for _, u := range c.ownedShards() {
+		c.shards[u].JobEnded(id)
+	}
+}
+
+// sweep stops tasks whose job has ended: a shard taken over after the job's end
+// has not seen that record go by.
+func (c *Core) sweep() {
+	for _, u := range c.ownedShards() {
+		s := c.shards[u]
+		for _, id := range s.Jobs() {
+			if j, ok := c.registry.Job(id); ok && j.State != placement.JobOpen {
+				s.JobEnded(id)
+			}
+		}
+	}
+}
+
+func (c *Core) instancesListed(now time.Duration, ev InstancesListed) {
+	c.instances = ev.Instances
+	c.version++
+	var ids []string
+	for _, i := range ev.Instances {
+		if i.Service == SchedService {
+			ids = append(ids, i.ID)
+			c.addrs[i.ID] = i.Addr
+		}
+	}
+	c.members.SetListed(now, ids)
+}
+
+func (c *Core) workersListed(now time.Duration, ev WorkersListed) {
+	if ev.List.Version == c.listedAt {
+		return
+	}
+	c.listedAt = ev.List.Version
+	c.workers = map[ownership.Unit][]platform.Worker{}
+	c.largest = ev.List.Workers
+	for _, w := range ev.List.Workers {
+		u := ownership.ShardUnit(w.Rack)
+		c.workers[u] = append(c.workers[u], w)
+	}
+	c.shardIDs, c.units = nil, nil
+	for u := range c.workers {
+		c.shardIDs = append(c.shardIDs, u)
+	}
+	sort.Slice(c.shardIDs, func(i, j int) bool { return c.shardIDs[i] < c.shardIDs[j] })
+	for i := range ownership.HomeSlots {
+		c.units = append(c.units, ownership.HomeUnit(i))
+	}
+	c.units = append(c.units, c.shardIDs...)
+	for _, h := range c.homes {
+		h.SetShards(c.shardIDs)
+	}
+	c.takeOver(now)
+}
+
+func (c *Core) ownedShards() []ownership.Unit { return sortedUnits(c.shards) }
+func (c *Core) ownedHomes() []ownership.Unit  { return sortedUnits(c.homes) }
+
+func sortedUnits[V any](m map[ownership.Unit]V) []ownership.Unit {
+	units := make([]ownership.Unit, 0, len(m))
+	for u := range m {
+		units = append(units, u)
+	}
+	sort.Slice(units, func(i, j int) bool { return units[i] < units[j] })
+	return units
+}
--- /dev/null
+++ b/control/events.go
@@ -0,0 +1,69 @@
+package control
+
+import (
+	"github.com/knapweedweir/knapweedweir/control/api"
+	"github.com/knapweedweir/knapweedweir/placement"
+	"github.com/knapweedweir/knapweedweir/platform"
+)
+
+// Event is something that happened outside the core.
+type Event any
+
+// Tick lets time pass.
+type Tick struct{}
+
+// LogRead is the answer to a read of the log.
+type LogRead struct {
+	Page platform.Page
+	Err  error
+}
+
+// AppendDone is the answer to an Append. It decides nothing: only reading a
+// record back does.
+type AppendDone struct{ Err error }
+
+// InstancesListed is a new instance list of the platform.
+type InstancesListed struct{ Instances []platform.Instance }
+
+// WorkersListed is a new worker list of the platform.
+type WorkersListed struct{ List platform.WorkerList }
+
+// WorkerSynced is the answer to a SyncWorker, or the error instead of one.
+type WorkerSynced struct {
+	Order placement.SyncOrder
+	Reply platform.SyncReply
+	Err   error
+}
+
+// Delivered is what another scheduler sent.
+type Delivered struct{ Envelope api.Envelope }
+
+// Asked is a question that waits for an Answered with the same ticket.
+type Asked struct {
+	Ticket   uint64
+	Question api.Question
+}
+
+// LeaveNow starts the hand-over of all that this scheduler owns.
+type LeaveNow struct{}
+
+// Action is something the core wants done outside.
+type Action any
+
+// AppendLog appends a batch to the log.
+type AppendLog struct{ Batch [][]byte }
+
+// SyncWorker sends a request to a worker.
+type SyncWorker struct{ Order placement.SyncOrder }
+
+// SendPeer delivers an envelope to another scheduler; it may be lost.
+type SendPeer struct {
+	To, Addr string
+	Envelope api.Envelope
+}
+
+// Answered ends a question.
+type Answered struct {
+	Ticket uint64
+	Answer api.Answer
+}
--- /dev/null
+++ b/control/peers.go
@@ -0,0 +1,124 @@
+package control
+
+import (
+	"encoding/json"
+	"sort"
+	"time"
+
+	"github.com/knapweedweir/knapweedweir/control/api"
+	"github.com/knapweedweir/knapweedweir/logstream"
+	"github.com/knapweedweir/knapweedweir/membership"
+	"github.com/knapweedweir/knapweedweir/ownership"
+	"github.com/knapweedweir/knapweedweir/placement"
+)
+
+// route brings messages to the owners of their units: to another scheduler, or
+// straight to this one's own cores, until none is left.
+func (c *Core) route(now time.Duration, msgs []placement.Message) {
+	for len(msgs) > 0 {
+		m := msgs[0]
+		msgs = msgs[1:]
+		owner := c.table.Holder(m.To()).Owner
+		if owner == c.self {
+			msgs = append(msgs, c.local(now, m)...)
+		} else if owner != "" {
+			env := c.envelope(membership.ID(owner))
+			env.Messages = append(env.Messages, m)
+		}
+	}
+}
+
+// local hands a message to the unit it is meant for. A message for a unit that
+// this scheduler does not own is dropped; its sender asks again by its own view.
+func (c *Core) local(now time.Duration, m placement.Message) []placement.Message {
+	if s, ok := c.shards[m.To()]; ok {
+		if p, isPlace := m.(placement.Place); isPlace && c.jobOver(p.Attempt.Job) {
+			return []placement.Message{placement.Placed{Home: p.Home, Shard: p.Shard, Attempt: p.Attempt, Reason: "the job has ended"}}
+		}
+		out := s.Handle(now, m)
+		c.stepShard(now, s)
+		return out
+	}
+	if h, ok := c.homes[m.To()]; ok {
+		return h.Handle(now, m)
+	}
+	return nil
+}
+
+func (c *Core) jobOver(id string) bool {
+	j, ok := c.registry.Job(id)
+	return ok && j.State != placement.JobOpen
+}
+
+func (c *Core) envelope(id string) *api.Envelope {
+	env, ok := c.outbox[id]
+	if !ok {
+		env = &api.Envelope{From: c.cfg.ID}
+		c.outbox[id] = env
+	}
+	return env
+}
+
+func (c *Core) flush() {
+	ids := make([]string, 0, len(c.outbox))
+	for id := range c.outbox {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	for _, id := range ids {
+		if addr, ok := c.addrs[id]; ok {
+			c.actions = append(c.actions, SendPeer{To: id, Addr: addr, Envelope: *c.outbox[id]})
+		}
+	}
+}
+
+func (c *Core) delivered(now time.Duration, env api.Envelope) {
+	if env.Heartbeat.From != "" {
+		c.members.Heard(now, env.Heartbeat)
+	}
+	for _, d := range env.Digests {
+		c.noteDigest(d)
+	}
+	for _, m := range env.Messages {
+		c.route(now, c.local(now, m))
+	}
+	for _, u := range c.ownedHomes() {
+		c.stepHome(now, c.homes[u])
+	}
+}
+
+func (c *Core) noteDigest(d placement.Digest) {
+	c.digests[d.Shard] = d
+	for _, h := range c.homes {
+		h.SetDigest(d)
+	}
+}
+
+func (c *Core) tellDigests(now time.Duration) {
+	var digests []placement.Digest
+	for _, u := range c.ownedShards() {
+		d := c.shards[u].Digest()
+		c.noteDigest(d)
+		digests = append(digests, d)
+	}
+	if len(digests) == 0 {
+		return
+	}
+	for _, m := range c.members.Live(now) {
+		if m != c.self {
+			c.envelope(membership.ID(m)).Digests = digests
+		}
+	}
+}
+
+func jobID(rec logstream.Record) string {
+	var body struct {
+		ID string `json:"id"`
+	}
+	// The reducer has decoded the same body before.
+	_ = json.Unmarshal(rec.Body, &body)
+	return body.ID
+}
+
+// OwnedUnits lists what this scheduler owns.
+func (c *Core) OwnedUnits() []ownership.Unit { return c.table.OwnedBy(c.self) }
--- /dev/null
+++ b/control/state.go
@@ -0,0 +1,79 @@
+package control
+
+import (
+	"time"
+
+	"github.com/knapweedweir/knapweedweir/control/api"
+	"github.com/knapweedweir/knapweedweir/ownership"
+	"github.com/knapweedweir/knapweedweir/placement"
+	"github.com/knapweedweir/knapweedweir/platform"
+)
+
+// Version grows whenever State would return something else.
+func (c *Core) Version() uint64 { return c.version }
+
+// State returns the cell as this scheduler knows it.
+func (c *Core) State(now time.Duration) api.State {
+	s := api.State{Version: c.version, Scheduler: c.cfg.ID, Offset: c.view.Offset(), LogDown: c.LogDown(now),
+		Ready: c.ready, Instances: c.instances, Holders: map[ownership.Unit]ownership.Holder{}}
+	for _, name := range c.tree.Teams() {
+		v, _ := c.tree.Team(name)
+		s.Teams = append(s.Teams, api.TeamVersion{Name: name, Version: v})
+	}
+	for _, u := range c.units {
+		s.Holders[u] = c.table.Holder(u)
+	}
+	return s
+}
+
+// DumpVersion is the version of the dump's layout.
+const DumpVersion = 1
+
+// ShardDump is one owned shard in a dump.
+type ShardDump struct {
+	Unit    ownership.Unit           `json:"unit"`
+	Epoch   platform.Offset          `json:"epoch"`
+	Workers []placement.WorkerStatus `json:"workers"`
+}
+
+// HomeDump is one owned job home in a dump.
+type HomeDump struct {
+	Unit  ownership.Unit  `json:"unit"`
+	Epoch platform.Offset `json:"epoch"`
+	Jobs  []string        `json:"jobs"`
+}
+
+// Dump is a scheduler's whole control state for people and tools.
+type Dump struct {
+	DumpVersion   int             `json:"dumpVersion"`
+	Member        string          `json:"member"`
+	Offset        platform.Offset `json:"offset"`
+	CaughtUp      bool            `json:"caughtUp"`
+	LogDown       bool            `json:"logDown"`
+	Leaving       bool            `json:"leaving"`
+	Live          []string        `json:"live"`
+	Appends       uint64          `json:"appends"`
+	Skipped       uint64          `json:"skippedRecords"`
+	LastSkip      string          `json:"lastSkippedReason,omitempty"`
+	QueuedRecords int             `json:"queuedRecords"`
+	InFlight      int             `json:"inFlightRecords"`
+	Teams         []string        `json:"teams"`
+	Shards        []ShardDump     `json:"shards"`
+	Homes         []HomeDump      `json:"homes"`
+}
+
+// Dump describes the core.
+func (c *Core) Dump(now time.Duration) Dump {
+	d := Dump{DumpVersion: DumpVersion, Member: c.self, Offset: c.view.Offset(), CaughtUp: c.caughtUp,
+		LogDown: c.LogDown(now), Leaving: c.members.Leaving(), Live: c.members.Live(now),
+		Appends: c.committer.Appends(), Teams: c.tree.Teams()}
+	d.Skipped, d.LastSkip = c.view.Skipped()
+	d.QueuedRecords, d.InFlight = c.committer.Pending()
+	for _, u := range c.ownedShards() {
+		d.Shards = append(d.Shards, ShardDump{Unit: u, Epoch: c.shards[u].Epoch(), Workers: c.shards[u].Status()})
+	}
+	for _, u := range c.ownedHomes() {
+		d.Homes = append(d.Homes, HomeDump{Unit: u, Epoch: c.homes[u].Epoch(), Jobs: c.homes[u].Jobs()})
+	}
+	return d
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,192 @@
+// Package daemon is the frame that all long-running knapweedweir processes
+// share: settings, logs, metrics, dumps, readiness and an orderly end.
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+
+	"github.com/knapweedweir/knapweedweir/settings/jsonc"
+)
+
+// ErrStopped is returned by Run after an orderly end.
+var ErrStopped = errors.New("stopped by signal")
+
+// LoadSettings reads a settings file into out and returns all findings
+// together.
+func LoadSettings(path string, out any) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return errors.Wrap(err, "read settings")
+	}
+	return jsonc.Decode(path, data, out).Err()
+}
+
+// Process is one running process.
+type Process struct {
+	Name string
+	ID   string
+	// Incarnation grows with each start of the process under the same ID.
+	Incarnation uint64
+	Log         zerolog.Logger
+	Metrics     tally.Scope
+
+	group    run.Group
+	ready    atomic.Bool
+	dump     func() (any, error)
+	mux      *http.ServeMux
+	closers  []io.Closer
+	stopping chan struct{}
+	now      chan struct{}
+}
+
+// New returns a process that logs JSON lines to w.
+func New(name, id string, w io.Writer) *Process {
+	zerolog.TimeFieldFormat = time.RFC3339Nano
+	incarnation := uint64(time.Now().UnixNano())
+	logger := zerolog.New(w).With().Timestamp().Str("process", name).Str("id", id).Logger()
+	reporter := prometheus.NewReporter(prometheus.Options{})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "kw", CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
+		OmitCardinalityMetrics: true,
+	}, time.Second)
+	p := &Process{Name: name, ID: id, Incarnation: incarnation, Log: logger, Metrics: scope, mux: http.NewServeMux(),
+		closers: []io.Closer{closer}, stopping: make(chan struct{}), now: make(chan struct{})}
+	p.mux.Handle("GET /metrics", reporter.HTTPHandler())
+	p.mux.HandleFunc("GET /dump", p.serveDump)
+	p.mux.HandleFunc("GET /ready", p.serveReady)
+	return p
+}
+
+// Mux is where the process registers its own HTTP paths. /metrics, /dump and
+// /ready are taken.
+func (p *Process) Mux() *http.ServeMux { return p.mux }
+
+// SetReady says whether the balancer may send new work here.
+func (p *Process) SetReady(ready bool) {
+	if p.ready.Swap(ready) != ready {
+		p.Log.Info().Bool("ready", ready).Msg("readiness.changed")
+	}
+}
+
+// OnDump sets what a dump returns.
+func (p *Process) OnDump(f func() (any, error)) { p.dump = f }
+
+// Add adds an actor. All actors end when one of them does.
+func (p *Process) Add(execute func() error, interrupt func(error)) { p.group.Add(execute, interrupt) }
+
+// AddLoop adds an actor that runs until its context ends.
+func (p *Process) AddLoop(f func(ctx context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	p.group.Add(func() error { return f(ctx) }, func(error) { cancel() })
+}
+
+// shutdownGrace is how long an HTTP server may finish what is in progress after
+// the drain; by then only idle connections are left.
+const shutdownGrace = 2 * time.Second
+
+// AddHTTP serves handler on a listener.
+func (p *Process) AddHTTP(l net.Listener, srv *http.Server) {
+	p.group.Add(func() error {
+		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return errors.Wrap(err, "serve http")
+		}
+		return nil
+	}, func(error) {
+		ctx, cancel := context.WithTimeout(context.Background(), shutdownGrace)
+		defer cancel()
+		_ = srv.Shutdown(ctx)
+	})
+}
+
+// Run runs all actors until one fails or a signal asks for the end. At SIGTERM
+// or SIGINT the process turns unready and drain runs; its context ends at the
+// drain limit or at a second signal.
+func (p *Process) Run(limit time.Duration, drain func(ctx context.Context) error) error {
+	done := make(chan struct{})
+	p.group.Add(func() error {
+		defer close(done)
+		return p.awaitSignal(limit, drain)
+	}, func(error) { close(p.now); <-done })
+	p.Log.Info().Uint64("incarnation", p.Incarnation).Msg("process.started")
+	err := p.group.Run()
+	p.Log.Info().AnErr("cause", err).Msg("process.ended")
+	for _, c := range p.closers {
+		_ = c.Close()
+	}
+	if errors.Is(err, ErrStopped) {
+		return nil
+	}
+	return err
+}
+
+func (p *Process) awaitSignal(limit time.Duration, drain func(ctx context.Context) error) error {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
+	select {
+	case s := <-signals:
+		p.Log.Info().Str("signal", s.String()).Msg("drain.started")
+	case <-p.now:
+		return nil
+	}
+	p.SetReady(false)
+	close(p.stopping)
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	go func() {
+		select {
+		case <-signals:
+			p.Log.Warn().Msg("drain.cut_short")
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	if drain != nil {
+		if err := drain(ctx); err != nil {
+			p.Log.Error().Err(err).Msg("drain.incomplete")
+		}
+	}
+	return ErrStopped
+}
+
+// Stopping is closed when the drain starts.
+func (p *Process) Stopping() <-chan struct{} { return p.stopping }
+
+func (p *Process) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !p.ready.Load() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = io.WriteString(w, "ready\n")
+}
+
+func (p *Process) serveDump(w http.ResponseWriter, _ *http.Request) {
+	if p.dump == nil {
+		http.Error(w, "this process has no dump", http.StatusNotFound)
+		return
+	}
+	state, err := p.dump()
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	_ = enc.Encode(state)
+}
--- /dev/null
+++ b/scenario/commands_test.go
@@ -0,0 +1,320 @@
+package scenario
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"regexp"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/standin/cell"
+	"github.com/knapweedweir/knapweedweir/standin/fakeplatform"
+)
+
+// patience bounds every wait for a condition; it is long because machines that
+// run tests may be slow, and no verdict depends on it.
+const patience = 60 * time.Second
+
+type harnessKey struct{}
+
+// harness is the cell of one script.
+type harness struct {
+	cell  *cell.Cell
+	calls map[string]chan string
+}
+
+func (h *harness) close() {
+	if h.cell != nil {
+		h.cell.Close()
+	}
+}
+
+// commands are the words of the scenario language:
+//
+//	cell [pairs=N] [workers=N] [lease=D]      start a cell and wait until it is ready
+//	kwctl ENTRY ARG...                        run kwctl against entry number ENTRY
+//	await REGEXP ENTRY ARG...                 run kwctl until its output matches
+//	call ENTRY TEAM SERVICE ID                send a request; print outcome and body
+//	callbg NAME ENTRY TEAM SERVICE ID         the same in the background
+//	result NAME                               wait for a background call and print it
+//	faults [down] [lose] [delay=D]            set the log's faults; none clears them
+//	worker ID [frozen] [failall]              set a worker's faults
+//	runner ID MODE                            set a runner's mode ("normal" clears it)
+//	leaving ID                                list an instance as leaving
+//	signal PROCESS kill|stop|cont|term        send a signal
+//	start PROCESS                             start a process again
+//	ended PROCESS                             wait until a process has ended
+//	ready ENTRY                               wait until an entry is ready
+//	ran N ID                                  check how often a request ran, over all runners
+//	began ID                                  wait until a runner has begun a request
+//	referee                                   check that no promise was broken
+var commands = map[string]func(ts *testscript.TestScript, neg bool, args []string){
+	"cell": cmdCell, "kwctl": cmdKwctl, "await": cmdAwait, "call": cmdCall, "callbg": cmdCallBackground, "result": cmdResult,
+	"faults": cmdFaults, "worker": cmdWorker, "runner": cmdRunner, "leaving": cmdLeaving, "signal": cmdSignal, "start": cmdStart,
+	"ended": cmdEnded, "ready": cmdReady, "ran": cmdRan, "began": cmdBegan, "referee": cmdReferee,
+}
+
+func of(ts *testscript.TestScript) *harness { return ts.Value(harnessKey{}).(*harness) }
+
+func need(ts *testscript.TestScript, args []string, n int) {
+	if len(args) < n {
+		ts.Fatalf("want at least %d arguments, got %v", n, args)
+	}
+}
+
+// options splits arguments like "pairs=3" and "down".
+func options(args []string) map[string]string {
+	m := map[string]string{}
+	for _, a := range args {
+		k, v, _ := strings.Cut(a, "=")
+		m[k] = v
+	}
+	return m
+}
+
+func number(ts *testscript.TestScript, s string, otherwise int) int {
+	if s == "" {
+		return otherwise
+	}
+	n, err := strconv.Atoi(s)
+	ts.Check(err)
+	return n
+}
+
+func duration(ts *testscript.TestScript, s string) time.Duration {
+	if s == "" {
+		return 0
+	}
+	d, err := time.ParseDuration(s)
+	ts.Check(err)
+	return d
+}
+
+func cmdCell(ts *testscript.TestScript, _ bool, args []string) {
+	o := options(args)
+	workers := cell.Workers("desk", number(ts, o["workers"], 6), 2, 3, platform.Resources{MilliCPU: 16000, MemoryMiB: 32 << 10})
+	workers = append(workers, cell.Workers("bench", 2, 2, 3, platform.Resources{MilliCPU: 64000, MemoryMiB: 256 << 10, Accelerators: 8})...)
+	spec := cell.Spec{Pairs: number(ts, o["pairs"], 3), Zones: 3, Workers: workers, Lease: duration(ts, o["lease"]), Runners: []cell.RunnerGroup{
+		{Service: "order-desk", Count: 3, Work: 5 * time.Millisecond}, {Service: "inspection", Count: 2, Work: 20 * time.Millisecond}}}
+	c, err := cell.Start(bin, ts.MkAbs("."), spec)
+	of(ts).cell, of(ts).calls = c, map[string]chan string{}
+	ts.Check(err)
+	ts.Check(c.AwaitReady(patience))
+}
+
+func entry(ts *testscript.TestScript, n string) string {
+	return of(ts).cell.Pairs[number(ts, n, 1)-1].EntryAddr
+}
+
+// abs makes file arguments absolute, as kwctl runs in another folder.
+func abs(ts *testscript.TestScript, args []string) []string {
+	out := append([]string(nil), args...)
+	for i, a := range out {
+		if strings.HasSuffix(a, ".jsonc") {
+			out[i] = ts.MkAbs(a)
+		}
+	}
+	return out
+}
+
+func cmdKwctl(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, args, 2)
+	out, err := kwctl(entry(ts, args[0]), abs(ts, args[1:])...)
+	_, _ = io.WriteString(ts.Stdout(), out)
+	if neg != (err != nil) {
+		ts.Fatalf("kwctl %v: %v\n%s", args[1:], err, out)
+	}
+}
+
+func cmdAwait(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 3)
+	re, err := regexp.Compile("(?m)" + args[0])
+	ts.Check(err)
+	var out string
+	err = cell.Await(patience, fmt.Sprintf("%q from kwctl %v", args[0], args[2:]), func() bool {
+		out, _ = kwctl(entry(ts, args[1]), abs(ts, args[2:])...)
+		return re.MatchString(out)
+	})
+	_, _ = io.WriteString(ts.Stdout(), out)
+	if err != nil {
+		ts.Fatalf("%v; last output:\n%s", err, out)
+	}
+}
+
+func request(addr, team, service, id string) string {
+	url := fmt.Sprintf("http://%s/v1/teams/%s/services/%s/requests", addr, team, service)
+	req, err := http.NewRequest(http.MethodPost, url, bytes.NewReader([]byte("body of "+id)))
+	if err != nil {
+		return err.Error()
+	}
+	req.Header.Set("Request-Id", id)
+	client := http.Client{Timeout: patience}
+	resp, err := client.Do(req)
+	if err != nil {
+		return "broken connection"
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return "broken transfer"
+	}
+	return fmt.Sprintf("%d %s retry-after=%s request=%s %s", resp.StatusCode, resp.Header.Get("Outcome"), resp.Header.Get("Retry-After"), resp.Header.Get("Request-Id"), body)
+}
+
+func cmdCall(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 4)
+	fmt.Fprintln(ts.Stdout(), request(entry(ts, args[0]), args[1], args[2], args[3]))
+}
+
+func cmdCallBackground(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 5)
+	ch := make(chan string, 1)
+	of(ts).calls[args[0]] = ch
+	addr := entry(ts, args[1])
+	go func() { ch <- request(addr, args[2], args[3], args[4]) }()
+}
+
+func cmdResult(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 1)
+	select {
+	case r := <-of(ts).calls[args[0]]:
+		fmt.Fprintln(ts.Stdout(), r)
+	case <-time.After(patience):
+		ts.Fatalf("call %s has no answer", args[0])
+	}
+}
+
+func cmdFaults(ts *testscript.TestScript, _ bool, args []string) {
+	o := options(args)
+	_, down := o["down"]
+	_, lose := o["lose"]
+	f := fakeplatform.Faults{LogDown: down, LoseAnswers: lose}
+	ts.Check(f.LogDelay.UnmarshalText([]byte(orZero(o["delay"]))))
+	ts.Check(of(ts).cell.SetFaults(f))
+}
+
+func orZero(d string) string {
+	if d == "" {
+		return "0s"
+	}
+	return d
+}
+
+func cmdWorker(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 1)
+	o := options(args[1:])
+	_, frozen := o["frozen"]
+	_, fail := o["failall"]
+	ts.Check(of(ts).cell.SetWorkerFaults(args[0], fakeplatform.WorkerFaults{Frozen: frozen, FailAll: fail}))
+}
+
+func cmdRunner(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 2)
+	mode := args[1]
+	if mode == "normal" {
+		mode = ""
+	}
+	resp, err := http.Post("http://"+of(ts).cell.RunnerAddrs[args[0]]+"/admin/mode?mode="+mode, "", nil)
+	ts.Check(err)
+	ts.Check(resp.Body.Close())
+}
+
+func cmdLeaving(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 1)
+	c := of(ts).cell
+	for i := range c.Instances {
+		if c.Instances[i].ID == args[0] {
+			c.Instances[i].State = platform.InstanceLeaving
+		}
+	}
+	ts.Check(c.SetInstances(c.Instances))
+}
+
+func process(ts *testscript.TestScript, name string) *cell.Proc {
+	c := of(ts).cell
+	procs := append([]*cell.Proc{c.Platform}, c.Runners...)
+	for _, p := range c.Pairs {
+		procs = append(procs, p.Sched, p.Entry)
+	}
+	for _, p := range procs {
+		if p.Name == name {
+			return p
+		}
+	}
+	ts.Fatalf("no process %q", name)
+	return nil
+}
+
+var signals = map[string]syscall.Signal{"kill": syscall.SIGKILL, "stop": syscall.SIGSTOP, "cont": syscall.SIGCONT, "term": syscall.SIGTERM}
+
+func cmdSignal(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 2)
+	p := process(ts, args[0])
+	ts.Check(p.Signal(signals[args[1]]))
+	if args[1] == "kill" && !p.Wait(patience) {
+		ts.Fatalf("%s did not end", args[0])
+	}
+}
+
+func cmdStart(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 1)
+	ts.Check(process(ts, args[0]).Start())
+}
+
+func cmdEnded(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 1)
+	if !process(ts, args[0]).Wait(patience) {
+		ts.Fatalf("%s still runs", args[0])
+	}
+}
+
+func cmdReady(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 1)
+	ts.Check(cell.Await(patience, "entry "+args[0]+" ready", func() bool { return cell.Ready(entry(ts, args[0])) }))
+}
+
+func runs(ts *testscript.TestScript, id string) int {
+	c := of(ts).cell
+	n := 0
+	for r := range c.RunnerAddrs {
+		rep, err := c.RunnerReport(r)
+		ts.Check(err)
+		n += rep.Runs[id]
+	}
+	return n
+}
+
+func cmdRan(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 2)
+	if got, want := runs(ts, args[1]), number(ts, args[0], 0); got != want {
+		ts.Fatalf("request %s ran %d times, want %d", args[1], got, want)
+	}
+}
+
+func cmdBegan(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 1)
+	ts.Check(cell.Await(patience, "request "+args[0]+" began", func() bool { return runs(ts, args[0]) > 0 }))
+}
+
+func cmdReferee(ts *testscript.TestScript, _ bool, _ []string) {
+	c := of(ts).cell
+	rep, err := c.Report()
+	ts.Check(err)
+	if len(rep.Violations) > 0 {
+		ts.Fatalf("broken promises:\n%s", strings.Join(rep.Violations, "\n"))
+	}
+	for id := range c.RunnerAddrs {
+		r, err := c.RunnerReport(id)
+		ts.Check(err)
+		if r.MostBusy > 8 || r.MostConns > 64 {
+			ts.Fatalf("runner %s: %d slots and %d connections in use at once", id, r.MostBusy, r.MostConns)
+		}
+	}
+}
--- /dev/null
+++ b/settings/jsonc/jsonc.go
@@ -0,0 +1,338 @@
+// Package jsonc decodes JSON with comments into Go structs and reports
+// everything that is wrong at once, each finding with its file, line and
+// column.
+package jsonc
+
+import (
+	"encoding"
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/tailscale/hujson"
+)
+
+// Finding is one thing that is wrong in a document.
+type Finding struct {
+	File    string `json:"file"`
+	Line    int    `json:"line"`
+	Column  int    `json:"column"`
+	Path    string `json:"path,omitempty"`
+	Message string `json:"message"`
+}
+
+func (f Finding) String() string {
+	where := fmt.Sprintf("%s:%d:%d", f.File, f.Line, f.Column)
+	if f.Path == "" {
+		return where + ": " + f.Message
+	}
+	return where + ": " + f.Path + ": " + f.Message
+}
+
+// Findings is a list of findings; a non-empty one is an error.
+type Findings []Finding
+
+func (fs Findings) Error() string {
+	lines := make([]string, len(fs))
+	for i, f := range fs {
+		lines[i] = f.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Err returns the findings as an error, or nil when there are none.
+func (fs Findings) Err() error {
+	if len(fs) == 0 {
+		return nil
+	}
+	return fs
+}
+
+// Validator is implemented by settings structs that check their own values.
+// report takes the field's JSON path below the struct and a message.
+type Validator interface {
+	Validate(report func(path, message string))
+}
+
+// Duration is a time.Duration written like "250ms" in JSON.
+type Duration time.Duration
+
+// D returns the duration as the standard library's type.
+func (d Duration) D() time.Duration { return time.Duration(d) }
+
+// MarshalText implements encoding.TextMarshaler.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	if err != nil {
+		return errors.Errorf("%q is not a duration such as \"250ms\" or \"3s\"", text)
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// Decode parses data into out, a pointer to a struct. Keys that out does not
+// know, values of the wrong type and what out's Validator reports are all
+// collected.
+func Decode(file string, data []byte, out any) Findings {
+	d := decoder{file: file, data: data, at: map[string]int{}}
+	root, err := hujson.Parse(data)
+	if err != nil {
+		d.syntax(err)
+		return d.findings
+	}
+	d.value("", root, reflect.ValueOf(out).Elem())
+	if v, ok := out.(Validator); ok {
+		v.Validate(func(path, message string) { d.add(d.position(path), path, message) })
+	}
+	sort.SliceStable(d.findings, func(i, j int) bool {
+		a, b := d.findings[i], d.findings[j]
+		if a.Line != b.Line {
+			return a.Line < b.Line
+		}
+		return a.Column < b.Column
+	})
+	return d.findings
+}
+
+type decoder struct {
+	file     string
+	data     []byte
+	at       map[string]int
+	findings Findings
+}
+
+// syntax reports a parse error. hujson puts the place in the text of its
+// error, so the place is read from there.
+func (d *decoder) syntax(err error) {
+	var line, col int
+	text := strings.TrimPrefix(err.Error(), "hujson: ")
+	if _, scanErr := fmt.Sscanf(text, "line %d, column %d:", &line, &col); scanErr == nil {
+		_, text, _ = strings.Cut(text, ": ")
+	}
+	d.findings = append(d.findings, Finding{File: d.file, Line: max(line, 1), Column: max(col, 1), Message: text})
+}
+
+func (d *decoder) add(offset int, path, message string) {
+	before := string(d.data[:min(offset, len(d.data))])
+	line := strings.Count(before, "\n") + 1
+	col := offset - strings.LastIndex(before, "\n")
+	d.findings = append(d.findings, Finding{File: d.file, Line: line, Column: col, Path: path, Message: message})
+}
+
+// position finds the place of a path, or of its nearest parent in the document.
+func (d *decoder) position(path string) int {
+	for path != "" {
+		if at, ok := d.at[path]; ok {
+			return at
+		}
+		cut := strings.LastIndex(path, ".")
+		if cut < 0 {
+			break
+		}
+		path = path[:cut]
+	}
+	return d.at[""]
+}
+
+func (d *decoder) value(path string, v hujson.Value, out reflect.Value) {
+	d.at[path] = v.StartOffset
+	if _, ok := out.Addr().Interface().(encoding.TextUnmarshaler); ok {
+		d.scalar(path, v, out)
+		return
+	}
+	switch out.Kind() {
+	case reflect.Struct:
+		d.object(path, v, out)
+	case reflect.Map:
+		d.mapping(path, v, out)
+	case reflect.Slice:
+		if out.Type().Elem().Kind() == reflect.Uint8 {
+			d.raw(v, out)
+			return
+		}
+		d.list(path, v, out)
+	case reflect.Pointer:
+		out.Set(reflect.New(out.Type().Elem()))
+		d.value(path, v, out.Elem())
+	default:
+		d.scalar(path, v, out)
+	}
+}
+
+// raw keeps any JSON as it is, for a json.RawMessage.
+func (d *decoder) raw(v hujson.Value, out reflect.Value) {
+	c := v.Clone()
+	c.Standardize()
+	c.Minimize()
+	out.SetBytes(c.Pack())
+}
+
+func (d *decoder) scalar(path string, v hujson.Value, out reflect.Value) {
+	lit, ok := v.Value.(hujson.Literal)
+	if !ok {
+		d.add(v.StartOffset, path, fmt.Sprintf("want %s, found %s", describe(out.Type()), kindOf(v)))
+		return
+	}
+	err := json.Unmarshal(lit, out.Addr().Interface())
+	if err == nil {
+		return
+	}
+	var typeErr *json.UnmarshalTypeError
+	if errors.As(err, &typeErr) {
+		d.add(v.StartOffset, path, fmt.Sprintf("want %s, found %s", describe(out.Type()), kindOf(v)))
+		return
+	}
+	d.add(v.StartOffset, path, err.Error())
+}
+
+func (d *decoder) object(path string, v hujson.Value, out reflect.Value) {
+	obj, ok := v.Value.(*hujson.Object)
+	if !ok {
+		d.add(v.StartOffset, path, "want an object, found "+kindOf(v))
+		return
+	}
+	fields := fieldsOf(out.Type())
+	seen := map[string]bool{}
+	for _, m := range obj.Members {
+		name := m.Name.Value.(hujson.Literal).String()
+		sub := join(path, name)
+		index, known := fields[name]
+		switch {
+		case !known:
+			d.add(m.Name.StartOffset, sub, "unknown setting"+suggest(name, fields))
+		case seen[name]:
+			d.add(m.Name.StartOffset, sub, "given twice")
+		default:
+			d.value(sub, m.Value, out.Field(index))
+		}
+		seen[name] = true
+	}
+}
+
+func (d *decoder) mapping(path string, v hujson.Value, out reflect.Value) {
+	obj, ok := v.Value.(*hujson.Object)
+	if !ok {
+		d.add(v.StartOffset, path, "want an object, found "+kindOf(v))
+		return
+	}
+	out.Set(reflect.MakeMap(out.Type()))
+	for _, m := range obj.Members {
+		name := m.Name.Value.(hujson.Literal).String()
+		key := reflect.ValueOf(name).Convert(out.Type().Key())
+		if out.MapIndex(key).IsValid() {
+			d.add(m.Name.StartOffset, join(path, name), "given twice")
+			continue
+		}
+		elem := reflect.New(out.Type().Elem()).Elem()
+		d.value(join(path, name), m.Value, elem)
+		out.SetMapIndex(key, elem)
+	}
+}
+
+func (d *decoder) list(path string, v hujson.Value, out reflect.Value) {
+	arr, ok := v.Value.(*hujson.Array)
+	if !ok {
+		d.add(v.StartOffset, path, "want a list, found "+kindOf(v))
+		return
+	}
+	out.Set(reflect.MakeSlice(out.Type(), len(arr.Elements), len(arr.Elements)))
+	for i, e := range arr.Elements {
+		d.value(fmt.Sprintf("%s.%d", path, i), e, out.Index(i))
+	}
+}
+
+func fieldsOf(t reflect.Type) map[string]int {
+	fields := map[string]int{}
+	for i := range t.NumField() {
+		name, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
+		if name != "" && name != "-" {
+			fields[name] = i
+		}
+	}
+	return fields
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+func kindOf(v hujson.Value) string {
+	switch v.Value.Kind() {
+	case '{':
+		return "an object"
+	case '[':
+		return "a list"
+	case '"':
+		return "a string"
+	case 't', 'f':
+		return "a boolean"
+	case 'n':
+		return "null"
+	default:
+		return "a number"
+	}
+}
+
+func describe(t reflect.Type) string {
+	switch t.Kind() {
+	case reflect.String:
+		return "a string"
+	case reflect.Bool:
+		return "a boolean"
+	case reflect.Int, reflect.Int64, reflect.Int32:
+		if t == reflect.TypeFor[Duration]() {
+			return "a duration such as \"250ms\""
+		}
+		return "a whole number"
+	default:
+		return "a number"
+	}
+}
+
+// suggest names the known key nearest to the unknown one, if any is near.
+func suggest(name string, fields map[string]int) string {
+	best, bestDistance := "", len(name)/2+1
+	names := make([]string, 0, len(fields))
+	for f := range fields {
+		names = append(names, f)
+	}
+	sort.Strings(names)
+	for _, f := range names {
+		if dist := editDistance(strings.ToLower(name), strings.ToLower(f)); dist < bestDistance {
+			best, bestDistance = f, dist
+		}
+	}
+	if best == "" {
+		return "; known here: " + strings.Join(names, ", ")
+	}
+	return fmt.Sprintf("; did you mean %q?", best)
+}
+
+func editDistance(a, b string) int {
+	row := make([]int, len(b)+1)
+	for j := range row {
+		row[j] = j
+	}
+	for i := 1; i <= len(a); i++ {
+		diagonal := row[0]
+		row[0] = i
+		for j := 1; j <= len(b); j++ {
+			cost := 1
+			if a[i-1] == b[j-1] {
+				cost = 0
+			}
+			diagonal, row[j] = row[j], min(row[j]+1, row[j-1]+1, diagonal+cost)
+		}
+	}
+	return row[len(b)]
+}
--- /dev/null
+++ b/settings/team.go
@@ -0,0 +1,89 @@
+// Package settings holds the operators' settings: a tree in which each team
+// owns its subtree, and the reducer that rules on changes to it.
+package settings
+
+import (
+	"fmt"
+	"sort"
+
+	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/settings/jsonc"
+)
+
+// Team is the subtree a team owns.
+type Team struct {
+	// Quota is what the team's running tasks may use at once. A zero amount
+	// means no limit of its own.
+	Quota platform.Resources `json:"quota"`
+	// Services are the upstream services the team's callers may reach.
+	Services map[string]Service `json:"services"`
+	// Policies say how the team's jobs are treated, by kind of job: "service",
+	// "batch" or "gang".
+	Policies map[string]Policy `json:"policies"`
+}
+
+// Service says how requests to one upstream service are treated.
+type Service struct {
+	// Worth is what one request delivered complete and on time is worth.
+	Worth float64 `json:"worth"`
+	// Deadline is the time a caller waits at most.
+	Deadline jsonc.Duration `json:"deadline"`
+	// Idempotent says that running a request twice does no harm. Requests to
+	// other services run at most once.
+	Idempotent bool `json:"idempotent"`
+}
+
+// Policy says how jobs of one kind are treated.
+type Policy struct {
+	// Priority orders jobs: higher starts first. 0 to 100.
+	Priority int `json:"priority"`
+	// Spread puts a job's tasks on different racks where possible.
+	Spread bool `json:"spread"`
+	// MaxAttempts bounds how often one task is tried; 0 means the default.
+	MaxAttempts int `json:"maxAttempts"`
+}
+
+// Limits of settings values.
+const (
+	MaxPriority    = 100
+	DefaultRetries = 3
+)
+
+var policyKinds = map[string]bool{"service": true, "batch": true, "gang": true}
+
+// Validate implements jsonc.Validator.
+func (t *Team) Validate(report func(path, message string)) {
+	if t.Quota.MilliCPU < 0 || t.Quota.MemoryMiB < 0 || t.Quota.Accelerators < 0 {
+		report("quota", "amounts must not be negative")
+	}
+	for _, name := range sortedKeys(t.Services) {
+		s := t.Services[name]
+		if s.Worth < 0 {
+			report("services."+name+".worth", "must not be negative")
+		}
+		if s.Deadline <= 0 {
+			report("services."+name+".deadline", "must be set and above zero, such as \"2s\"")
+		}
+	}
+	for _, kind := range sortedKeys(t.Policies) {
+		p := t.Policies[kind]
+		if !policyKinds[kind] {
+			report("policies."+kind, "unknown kind of job; known are service, batch and gang")
+		}
+		if p.Priority < 0 || p.Priority > MaxPriority {
+			report("policies."+kind+".priority", fmt.Sprintf("must be between 0 and %d", MaxPriority))
+		}
+		if p.MaxAttempts < 0 {
+			report("policies."+kind+".maxAttempts", "must not be negative")
+		}
+	}
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	return keys
+}
--- /dev/null
+++ b/standin/cell/cell.go
@@ -0,0 +1,356 @@
+// Package cell starts a small cell of separate processes on loopback: the
+// stand-ins, and pairs of scheduler and entry. It is for developers' tools and
+// scenarios; shipped processes start nothing.
+package cell
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/settings/jsonc"
+	"github.com/knapweedweir/knapweedweir/standin/fakeplatform"
+	"github.com/knapweedweir/knapweedweir/standin/fakerunner"
+)
+
+// Spec is the shape of a cell.
+type Spec struct {
+	Pairs     int
+	Zones     int
+	Workers   []platform.Worker
+	Runners   []RunnerGroup
+	Retention int
+	ListLag   time.Duration
+	// Lease is the workers' lease; zero takes the default.
+	Lease time.Duration
+}
+
+// RunnerGroup is the runners of one service; they run in one process.
+type RunnerGroup struct {
+	Service string
+	Count   int
+	Work    time.Duration
+}
+
+// Pair is one scheduler and one entry of the same instance.
+type Pair struct {
+	Sched, Entry *Proc
+	EntryAddr    string
+	SchedAddr    string
+}
+
+// Cell is a running cell.
+type Cell struct {
+	Dir, Bin     string
+	PlatformAddr string
+	Platform     *Proc
+	Runners      []*Proc
+	RunnerAddrs  map[string]string
+	Pairs        []*Pair
+	Instances    []platform.Instance
+}
+
+// Programs are the binaries that a cell needs, by name and package below the
+// repository's root.
+var Programs = map[string]string{
+	"kw-sched": "cmd/kw-sched", "kw-entry": "cmd/kw-entry", "kwctl": "cmd/kwctl",
+	"kw-fakeplatform": "standin/cmd/kw-fakeplatform", "kw-fakerunner": "standin/cmd/kw-fakerunner",
+}
+
+// Build builds the programs into a folder.
+func Build(root, bin string) error {
+	for name, pkg := range Programs {
+		cmd := exec.Command("go", "build", "-o", filepath.Join(bin, name), "./"+pkg)
+		cmd.Dir = root
+		if out, err := cmd.CombinedOutput(); err != nil {
+			return errors.Wrapf(err, "build %s: %s", name, out)
+		}
+	}
+	return nil
+}
+
+// Proc is one process of a cell.
+type Proc struct {
+	Name string
+	Log  string
+	args []string
+	mu   sync.Mutex
+	cmd  *exec.Cmd
+	done chan struct{}
+}
+
+func (c *Cell) start(name, program string, settings any) (*Proc, error) {
+	file := filepath.Join(c.Dir, name+".jsonc")
+	data, err := json.MarshalIndent(settings, "", "  ")
+	if err != nil {
+		return nil, errors.Wrap(err, "encode settings")
+	}
+	if err := os.WriteFile(file, data, 0o600); err != nil {
+		return nil, errors.Wrap(err, "write settings")
+	}
+	args := []string{filepath.Join(c.Bin, program)}
+	if program == "kw-sched" || program == "kw-entry" {
+		args = append(args, "run")
+	}
+	p := &Proc{Name: name, Log: filepath.Join(c.Dir, name+".log"), args: append(args, "-settings", file)}
+	return p, p.Start()
+}
+
+// Start starts the process, again if it has ended.
+func (p *Proc) Start() error {
+	out, err := os.OpenFile(p.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return errors.Wrap(err, "open log")
+	}
+	defer out.Close()
+	cmd := exec.Command(p.args[0], p.args[1:]...)
+	cmd.Stdout, cmd.Stderr = out, out
+	if err := cmd.Start(); err != nil {
+		return errors.Wrapf(err, "start %s", p.Name)
+	}
+	done := make(chan struct{})
+	p.mu.Lock()
+	p.cmd, p.done = cmd, done
+	p.mu.Unlock()
+	go func() {
+		_ = cmd.Wait()
+		close(done)
+	}()
+	return nil
+}
+
+// Signal sends a signal.
+func (p *Proc) Signal(s syscall.Signal) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd.Process.Signal(s)
+}
+
+// Wait waits until the process has ended; false if it takes longer than limit.
+func (p *Proc) Wait(limit time.Duration) bool {
+	p.mu.Lock()
+	done := p.done
+	p.mu.Unlock()
+	select {
+	case <-done:
+		return true
+	case <-time.After(limit):
+		return false
+	}
+}
+
+// PID is the process ID.
+func (p *Proc) PID() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd.Process.Pid
+}
+
+// FreeAddrs returns loopback addresses that nobody listens on.
+func FreeAddrs(n int) ([]string, error) {
+	var addrs []string
+	var open []net.Listener
+	defer func() {
+		for _, l := range open {
+			_ = l.Close()
+		}
+	}()
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, errors.Wrap(err, "find a free port")
+		}
+		open = append(open, l)
+		addrs = append(addrs, l.Addr().String())
+	}
+	return addrs, nil
+}
+
+// Start starts a cell whose programs are in bin and whose files go to dir.
+func Start(bin, dir string, spec Spec) (*Cell, error) {
+	c := &Cell{Dir: dir, Bin: bin, RunnerAddrs: map[string]string{}}
+	total := 1 + 3*spec.Pairs
+	for _, g := range spec.Runners {
+		total += g.Count
+	}
+	addrs, err := FreeAddrs(total)
+	if err != nil {
+		return nil, err
+	}
+	c.PlatformAddr, addrs = addrs[0], addrs[1:]
+	if addrs, err = c.startRunners(spec, addrs); err != nil {
+		return c, err
+	}
+	for i := range spec.Pairs {
+		zone := fmt.Sprintf("zone-%d", i%spec.Zones+1)
+		p := &Pair{SchedAddr: addrs[3*i], EntryAddr: addrs[3*i+1]}
+		c.Pairs = append(c.Pairs, p)
+		c.Instances = append(c.Instances,
+			platform.Instance{ID: fmt.Sprintf("sched-%d", i+1), Service: "kw-sched", Addr: p.SchedAddr, Zone: zone, State: platform.InstanceLive},
+			platform.Instance{ID: fmt.Sprintf("entry-%d", i+1), Service: "kw-entry", Addr: p.EntryAddr, Zone: zone, State: platform.InstanceLive})
+	}
+	c.Platform, err = c.start("platform", "kw-fakeplatform", fakeplatform.Config{Listen: c.PlatformAddr, Instances: c.Instances,
+		Workers: spec.Workers, Retention: spec.Retention, ListLag: jsonc.Duration(spec.ListLag)})
+	if err != nil {
+		return c, err
+	}
+	return c, c.startPairs(spec, addrs)
+}
+
+func (c *Cell) startRunners(spec Spec, addrs []string) ([]string, error) {
+	for _, g := range spec.Runners {
+		var cfg fakerunner.Config
+		for i := range g.Count {
+			id, zone := fmt.Sprintf("%s-%d", g.Service, i+1), fmt.Sprintf("zone-%d", i%spec.Zones+1)
+			cfg.Runners = append(cfg.Runners, fakerunner.RunnerConfig{ID: id, Listen: addrs[0], Work: jsonc.Duration(g.Work)})
+			c.Instances = append(c.Instances, platform.Instance{ID: id, Service: g.Service, Addr: addrs[0], Zone: zone, State: platform.InstanceLive})
+			c.RunnerAddrs[id] = addrs[0]
+			addrs = addrs[1:]
+		}
+		p, err := c.start("runners-"+g.Service, "kw-fakerunner", cfg)
+		if err != nil {
+			return nil, err
+		}
+		c.Runners = append(c.Runners, p)
+	}
+	return addrs, nil
+}
+
+func (c *Cell) startPairs(spec Spec, addrs []string) error {
+	for i, p := range c.Pairs {
+		zone := fmt.Sprintf("zone-%d", i%spec.Zones+1)
+		sched := map[string]any{"id": fmt.Sprintf("sched-%d", i+1), "zone": zone, "rpc": p.SchedAddr, "ops": addrs[3*i+2],
+			"platform": "http://" + c.PlatformAddr, "drainLimit": "10s"}
+		if spec.Lease > 0 {
+			sched["lease"] = spec.Lease.String()
+		}
+		others := []string{p.SchedAddr}
+		for k, q := range c.Pairs {
+			if k != i {
+				others = append(others, q.SchedAddr)
+			}
+		}
+		entry := map[string]any{"id": fmt.Sprintf("entry-%d", i+1), "zone": zone, "listen": p.EntryAddr, "schedulers": others, "drainLimit": "30s"}
+		var err error
+		if p.Sched, err = c.start(fmt.Sprintf("sched-%d", i+1), "kw-sched", sched); err != nil {
+			return err
+		}
+		if p.Entry, err = c.start(fmt.Sprintf("entry-%d", i+1), "kw-entry", entry); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Close kills every process of the cell.
+func (c *Cell) Close() {
+	procs := append([]*Proc{c.Platform}, c.Runners...)
+	for _, p := range c.Pairs {
+		procs = append(procs, p.Sched, p.Entry)
+	}
+	for _, p := range procs {
+		if p != nil && p.cmd != nil {
+			_ = p.Signal(syscall.SIGKILL)
+			p.Wait(5 * time.Second)
+		}
+	}
+}
+
+// pollEvery is the pause between two looks at a condition.
+const pollEvery = 20 * time.Millisecond
+
+// Await waits until a condition holds.
+func Await(limit time.Duration, what string, holds func() bool) error {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(pollEvery) {
+		if holds() {
+			return nil
+		}
+	}
+	return errors.Errorf("not within %s: %s", limit, what)
+}
+
+// AwaitReady waits until all entries are ready.
+func (c *Cell) AwaitReady(limit time.Duration) error {
+	for _, p := range c.Pairs {
+		err := Await(limit, p.Entry.Name+" ready", func() bool { return Ready(p.EntryAddr) })
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Ready asks a process whether it is ready.
+func Ready(addr string) bool {
+	resp, err := http.Get("http://" + addr + "/ready")
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// SetFaults switches the platform's faults.
+func (c *Cell) SetFaults(f fakeplatform.Faults) error { return c.admin("/admin/faults", f) }
+
+// SetInstances changes the platform's instance list.
+func (c *Cell) SetInstances(list []platform.Instance) error { return c.admin("/admin/instances", list) }
+
+// SetWorkerFaults switches the faults of one worker.
+func (c *Cell) SetWorkerFaults(id string, f fakeplatform.WorkerFaults) error {
+	return c.admin("/admin/workers/"+id, f)
+}
+
+func (c *Cell) admin(path string, body any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return errors.Wrap(err, "encode")
+	}
+	resp, err := http.Post("http://"+c.PlatformAddr+path, "application/json", bytes.NewReader(data))
+	if err != nil {
+		return errors.Wrap(err, "platform admin")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return errors.Errorf("platform admin %s: %s", path, resp.Status)
+	}
+	return nil
+}
+
+// Report is what the platform's referee has seen.
+func (c *Cell) Report() (fakeplatform.Report, error) {
+	var r fakeplatform.Report
+	return r, GetJSON("http://"+c.PlatformAddr+"/admin/report", &r)
+}
+
+// RunnerReport is what one runner has seen.
+func (c *Cell) RunnerReport(id string) (fakerunner.Report, error) {
+	var r fakerunner.Report
+	return r, GetJSON("http://"+c.RunnerAddrs[id]+"/admin/report", &r)
+}
+
+// GetJSON reads a JSON document over HTTP.
+func GetJSON(url string, out any) error {
+	resp, err := http.Get(url)
+	if err != nil {
+		return errors.Wrap(err, "get")
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return errors.Wrap(err, "get")
+	}
+	return errors.Wrapf(json.Unmarshal(data, out), "get %s", url)
+}
--- /dev/null
+++ b/standin/cmd/kw-demo/main.go
@@ -0,0 +1,147 @@
+// Command kw-demo runs the main job in small: it builds everything, starts the
+// workshop's cell as separate processes on loopback, sends a sample of an order
+// desk's hour, kills an instance and cuts the log in the middle, and prints
+// what became of it. It is a developer's tool.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/knapweedweir/knapweedweir/standin/cell"
+	"github.com/knapweedweir/knapweedweir/standin/fakeplatform"
+	"github.com/knapweedweir/knapweedweir/standin/load"
+)
+
+// When things go wrong in the sample, counted from its start.
+const (
+	killAt   = 9 * time.Second
+	cutAt    = 14 * time.Second
+	restore  = 20 * time.Second
+	restart  = 21 * time.Second
+	victim   = 2
+	startup  = 20 * time.Second
+	finished = 30 * time.Second
+)
+
+func main() {
+	sample := flag.String("sample", "demo/workshop-hour.jsonc", "sample of the day")
+	team := flag.String("settings", "demo/workshop.jsonc", "settings of the team")
+	keep := flag.Bool("keep", false, "keep the folder with logs and settings")
+	flag.Parse()
+	ok, err := run(*sample, *team, *keep)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+	}
+	if !ok || err != nil {
+		os.Exit(1)
+	}
+}
+
+func run(samplePath, teamPath string, keep bool) (bool, error) {
+	s, err := load.Read(samplePath)
+	if err != nil {
+		return false, err
+	}
+	dir, err := os.MkdirTemp("", "kw-demo-")
+	if err != nil {
+		return false, err
+	}
+	if keep {
+		fmt.Println("logs and settings are kept in", dir)
+	} else {
+		defer os.RemoveAll(dir)
+	}
+	fmt.Println("building")
+	if err := cell.Build(".", dir); err != nil {
+		return false, err
+	}
+	c, err := cell.Start(dir, dir, cell.Workshop())
+	if c != nil {
+		defer c.Close()
+	}
+	if err != nil {
+		return false, err
+	}
+	if err := c.AwaitReady(startup); err != nil {
+		return false, err
+	}
+	fmt.Printf("started %d processes: the platform, runners, and %d pairs of scheduler and entry\n", 1+len(c.Runners)+2*len(c.Pairs), len(c.Pairs))
+	if err := publish(c, teamPath); err != nil {
+		return false, err
+	}
+	return play(c, s)
+}
+
+func kwctl(c *cell.Cell, args ...string) (string, error) {
+	cmd := exec.Command(filepath.Join(c.Bin, "kwctl"), args...)
+	cmd.Env = append(os.Environ(), "KW_ENTRY="+c.Pairs[0].EntryAddr)
+	out, err := cmd.CombinedOutput()
+	return string(out), err
+}
+
+func publish(c *cell.Cell, teamPath string) error {
+	start := time.Now()
+	out, err := kwctl(c, "settings", "publish", "workshop", teamPath)
+	if err != nil {
+		return fmt.Errorf("publish settings: %s", out)
+	}
+	fmt.Print(out)
+	err = cell.Await(startup, "settings in force at all entries", func() bool {
+		out, err := kwctl(c, "settings", "status")
+		return err == nil && strings.Count(out, " workshop ") == len(c.Pairs)
+	})
+	fmt.Printf("in force at all %d entries after %s\n", len(c.Pairs), time.Since(start).Round(time.Millisecond))
+	return err
+}
+
+// play sends the sample while things go wrong, and prints the tables.
+func play(c *cell.Cell, s load.Sample) (bool, error) {
+	var lost atomic.Bool
+	entries := func() []string {
+		var list []string
+		for i, p := range c.Pairs {
+			if i != victim || !lost.Load() {
+				list = append(list, p.EntryAddr)
+			}
+		}
+		return list
+	}
+	start := time.Now()
+	at := func(d time.Duration, what string, f func()) {
+		time.AfterFunc(time.Until(start.Add(d)), func() {
+			fmt.Printf("%5.1fs  %s\n", d.Seconds(), what)
+			f()
+		})
+	}
+	at(killAt, "instance 3 is killed", func() {
+		lost.Store(true)
+		_ = c.Pairs[victim].Entry.Signal(syscall.SIGKILL)
+		_ = c.Pairs[victim].Sched.Signal(syscall.SIGKILL)
+	})
+	at(cutAt, "the log is cut", func() { _ = c.SetFaults(fakeplatform.Faults{LogDown: true}) })
+	at(restore, "the log is back", func() { _ = c.SetFaults(fakeplatform.Faults{}) })
+	at(restart, "instance 3 is replaced", func() {
+		_ = c.Pairs[victim].Sched.Start()
+		_ = c.Pairs[victim].Entry.Start()
+	})
+	watch := watchPacking(c)
+	r := load.Runner{Entries: entries, Client: &http.Client{Timeout: time.Minute}}
+	rows := r.Run(s)
+	elapsed := time.Since(start)
+	fmt.Println()
+	load.Print(os.Stdout, rows)
+	jobsOK := printJobs(c, s)
+	packing := watch()
+	fmt.Printf("\nPACKING  mean %.0f %% of processors used while the sample ran, most %.0f %%\n", packing.mean, packing.most)
+	printCost(c, elapsed)
+	return judge(c, s, rows, jobsOK)
+}
--- /dev/null
+++ b/standin/cmd/kw-demo/report.go
@@ -0,0 +1,157 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/knapweedweir/knapweedweir/placement"
+	"github.com/knapweedweir/knapweedweir/standin/cell"
+	"github.com/knapweedweir/knapweedweir/standin/fakerunner"
+	"github.com/knapweedweir/knapweedweir/standin/load"
+)
+
+type packing struct{ mean, most float64 }
+
+// watchPacking samples how full the workers are until the returned function is
+// called.
+func watchPacking(c *cell.Cell) func() packing {
+	const every = 500 * time.Millisecond
+	stop, result := make(chan struct{}), make(chan packing)
+	go func() {
+		var p packing
+		var sum, n float64
+		tick := time.NewTicker(every)
+		defer tick.Stop()
+		for {
+			select {
+			case <-stop:
+				if n > 0 {
+					p.mean = sum / n
+				}
+				result <- p
+				return
+			case <-tick.C:
+			}
+			if r, err := c.Report(); err == nil {
+				used := 100 * float64(r.Used.MilliCPU) / float64(r.Total.MilliCPU)
+				sum, n, p.most = sum+used, n+1, max(p.most, used)
+			}
+		}
+	}()
+	return func() packing { close(stop); return <-result }
+}
+
+// printJobs waits for the jobs to end and prints each with its explanation.
+func printJobs(c *cell.Cell, s load.Sample) bool {
+	fmt.Println("\nJOBS")
+	ok := true
+	for _, j := range s.Jobs {
+		var st placement.JobStatus
+		var code string
+		err := cell.Await(finished, "job "+j.Spec.ID+" ended", func() bool {
+			st = placement.JobStatus{}
+			if err := cell.GetJSON("http://"+c.Pairs[0].EntryAddr+"/v1/jobs/"+j.Spec.ID, &st); err != nil {
+				return false
+			}
+			code = string(st.State)
+			running := 0
+			for _, t := range st.Tasks {
+				if t.State == "running" {
+					running++
+				}
+			}
+			// A job that was turned away is unknown, and answers without a state.
+			return code == "" || code == string(placement.JobDone) || (j.Spec.Kind == placement.Service && running == j.Spec.Tasks)
+		})
+		if code == "" {
+			fmt.Printf("  %-12s was not accepted\n", j.Spec.ID)
+			continue
+		}
+		ok = ok && err == nil
+		fmt.Printf("  %-12s %-8s %s\n", j.Spec.ID, st.State, st.Explanation)
+	}
+	return ok
+}
+
+// clockTicks is the unit of processor time in /proc.
+const clockTicks = 100
+
+// printCost prints what the scheduler and entry processes consumed.
+func printCost(c *cell.Cell, elapsed time.Duration) {
+	fmt.Println("\nCONTROL COST")
+	tw := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(tw, "PROCESS\tCPU OF ONE CORE\tMEMORY")
+	for _, p := range c.Pairs {
+		for _, proc := range []*cell.Proc{p.Sched, p.Entry} {
+			cpu, rss := usage(proc.PID())
+			fmt.Fprintf(tw, "%s\t%.1f %%\t%d MiB\n", proc.Name, 100*cpu.Seconds()/elapsed.Seconds(), rss>>20)
+		}
+	}
+	_ = tw.Flush()
+}
+
+// usage reads a process's processor time and resident memory, in bytes.
+func usage(pid int) (time.Duration, int64) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0, 0
+	}
+	// The fields after the command's closing parenthesis, counted from 3.
+	fields := strings.Fields(string(data[strings.LastIndexByte(string(data), ')')+1:]))
+	number := func(field int) int64 {
+		n, _ := strconv.ParseInt(fields[field-3], 10, 64)
+		return n
+	}
+	ticks := number(14) + number(15)
+	return time.Duration(ticks) * time.Second / clockTicks, number(24) * int64(os.Getpagesize())
+}
+
+// judge checks every promise that the sample can show and prints the verdicts.
+func judge(c *cell.Cell, s load.Sample, rows []*load.Row, jobsOK bool) (bool, error) {
+	platformReport, err := c.Report()
+	if err != nil {
+		return false, err
+	}
+	runs := map[string]int{}
+	var busiest, mostConns int64
+	for id := range c.RunnerAddrs {
+		r, err := c.RunnerReport(id)
+		if err != nil {
+			return false, err
+		}
+		for req, n := range r.Runs {
+			runs[req] += n
+		}
+		busiest, mostConns = max(busiest, r.MostBusy), max(mostConns, r.MostConns)
+	}
+	twice, broken := 0, 0
+	for req, n := range runs {
+		if strings.HasPrefix(req, "certificate-") && n > 1 {
+			twice++
+		}
+	}
+	for _, r := range rows {
+		broken += len(r.Broken)
+	}
+	fmt.Println("\nPROMISES")
+	ok := true
+	say := func(holds bool, text string, args ...any) {
+		verdict := "held  "
+		if !holds {
+			verdict, ok = "BROKEN", false
+		}
+		fmt.Printf("  %s %s\n", verdict, fmt.Sprintf(text, args...))
+	}
+	say(len(platformReport.Violations) == 0, "no worker overfilled, no task in two places (%d starts, %v)", platformReport.Starts, platformReport.Violations)
+	say(broken == 0, "every answer whole and of its own request (%d broken)", broken)
+	say(twice == 0, "no certificate ran twice (%d did)", twice)
+	say(busiest <= fakerunner.Slots, "at most %d slots in use at any runner (%d)", fakerunner.Slots, busiest)
+	say(mostConns <= fakerunner.Connections, "at most %d connections at any runner (%d)", fakerunner.Connections, mostConns)
+	say(jobsOK, "every accepted job ran to its end")
+	fmt.Printf("  log appends: %d\n", platformReport.Appends)
+	return ok, nil
+}
--- /dev/null
+++ b/standin/fakerunner/runner.go
@@ -0,0 +1,178 @@
+// Package fakerunner is a small stand-in for an upstream runner: eight slots,
+// a count of how often each request ran, and faults that can be switched on.
+package fakerunner
+
+import (
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/knapweedweir/knapweedweir/settings/jsonc"
+)
+
+// Limits of a runner.
+const (
+	Slots       = 8
+	Connections = 64
+)
+
+// Mode is how a runner behaves.
+type Mode string
+
+// The modes of a runner.
+const (
+	// Normal answers after the work time.
+	Normal Mode = ""
+	// Hang runs the request and never answers.
+	Hang Mode = "hang"
+	// Fail answers 500 at once.
+	Fail Mode = "fail"
+	// Late runs the request and answers after the deadline.
+	Late Mode = "late"
+	// Short breaks the connection in the middle of the answer.
+	Short Mode = "short"
+	// Mixed answers with another attempt's ID.
+	Mixed Mode = "mixed"
+)
+
+// Runner is one stand-in runner.
+type Runner struct {
+	ID string
+	// Work is how long a request takes.
+	Work time.Duration
+
+	mode      atomic.Value
+	busy      atomic.Int64
+	conns     atomic.Int64
+	mostBusy  atomic.Int64
+	mostConns atomic.Int64
+	mu        sync.Mutex
+	runs      map[string]int
+}
+
+// New returns a runner whose requests take the given time.
+func New(id string, work time.Duration) *Runner {
+	r := &Runner{ID: id, Work: work, runs: map[string]int{}}
+	r.mode.Store(Normal)
+	return r
+}
+
+// SetMode changes how the runner behaves.
+func (r *Runner) SetMode(m Mode) { r.mode.Store(m) }
+
+// Serve serves the runner's protocol on a listener.
+func (r *Runner) Serve(l net.Listener) error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /run", r.run)
+	mux.HandleFunc("GET /admin/report", func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(r.Report())
+	})
+	mux.HandleFunc("POST /admin/mode", func(_ http.ResponseWriter, q *http.Request) { r.SetMode(Mode(q.URL.Query().Get("mode"))) })
+	srv := &http.Server{Handler: mux, ConnState: func(_ net.Conn, st http.ConnState) {
+		switch st {
+		case http.StateNew:
+			raise(&r.mostConns, r.conns.Add(1))
+		case http.StateClosed, http.StateHijacked:
+			r.conns.Add(-1)
+		}
+	}}
+	return srv.Serve(l)
+}
+
+func raise(most *atomic.Int64, v int64) {
+	for {
+		old := most.Load()
+		if v <= old || most.CompareAndSwap(old, v) {
+			return
+		}
+	}
+}
+
+func (r *Runner) run(w http.ResponseWriter, q *http.Request) {
+	body, err := io.ReadAll(q.Body)
+	if err != nil {
+		return
+	}
+	w.Header().Set("Attempt-Id", q.Header.Get("Attempt-Id"))
+	raise(&r.mostBusy, r.busy.Add(1))
+	defer r.busy.Add(-1)
+	if r.busy.Load() > Slots {
+		w.Header().Set("Not-Run", "true")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	mode := r.mode.Load().(Mode)
+	if mode == Fail {
+		w.Header().Set("Not-Run", "true")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	r.count(q.Header.Get("Request-Id"))
+	pause(q, r.Work)
+	switch mode {
+	case Hang:
+		<-q.Context().Done()
+		return
+	case Late:
+		ms, _ := strconv.ParseInt(q.Header.Get("Deadline-Millis"), 10, 64)
+		time.Sleep(time.Duration(ms+50) * time.Millisecond)
+	case Short:
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)+100))
+		_, _ = w.Write(body)
+		panic(http.ErrAbortHandler)
+	case Mixed:
+		w.Header().Set("Attempt-Id", "somebody-else.1")
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(map[string]string{"runner": r.ID, "request": q.Header.Get("Request-Id"), "echo": string(body)})
+}
+
+func pause(q *http.Request, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-q.Context().Done():
+	}
+}
+
+func (r *Runner) count(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.runs[id]++
+}
+
+// Report is what a runner has seen.
+type Report struct {
+	ID        string         `json:"id"`
+	Runs      map[string]int `json:"runs"`
+	MostBusy  int64          `json:"mostBusy"`
+	MostConns int64          `json:"mostConnections"`
+}
+
+// Report returns how often each request ran and the most slots and connections
+// in use at once.
+func (r *Runner) Report() Report {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	runs := make(map[string]int, len(r.runs))
+	for id, n := range r.runs {
+		runs[id] = n
+	}
+	return Report{r.ID, runs, r.mostBusy.Load(), r.mostConns.Load()}
+}
+
+// Config is the settings file of a process of stand-in runners.
+type Config struct {
+	Runners []RunnerConfig `json:"runners"`
+}
+
+// RunnerConfig is one runner of the process.
+type RunnerConfig struct {
+	ID     string         `json:"id"`
+	Listen string         `json:"listen"`
+	Work   jsonc.Duration `json:"work"`
+}
--- /dev/null
+++ b/standin/load/print.go
@@ -0,0 +1,40 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"text/tabwriter"
+	"time"
+)
+
+// Print prints rows as a table.
+func Print(w io.Writer, rows []*Row) {
+	tw := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(tw, "STREAM\tSENT\tP50\tP99\tMAX\tOUTCOMES")
+	for _, r := range rows {
+		fmt.Fprintf(tw, "%s\t%d\t%s\t%s\t%s\t%s\n", r.Name, r.Sent, quantile(r, 50), quantile(r, 99), micros(r.Waits.Max()), outcomes(r))
+	}
+	_ = tw.Flush()
+	for _, r := range rows {
+		for _, b := range r.Broken {
+			fmt.Fprintln(w, "BROKEN:", b)
+		}
+	}
+}
+
+func quantile(r *Row, q float64) string { return micros(r.Waits.ValueAtQuantile(q)) }
+
+func micros(us int64) string {
+	return (time.Duration(us) * time.Microsecond).Round(100 * time.Microsecond).String()
+}
+
+func outcomes(r *Row) string {
+	parts := make([]string, 0, len(r.Outcomes))
+	for o, n := range r.Outcomes {
+		parts = append(parts, fmt.Sprintf("%s %d", o, n))
+	}
+	sort.Strings(parts)
+	return strings.Join(parts, ", ")
+}
