control: a read of the log lifts the refusal at once

Cause: kw-demo failed on its first call, 'publish settings: the log is unavailable', right after every entry had become ready. The first read makes the scheduler ready, but the committer was told that the log is there only by the next tick, up to 50 ms later; questions in between were turned away. The same window opens after each outage.

Before: TestQuestionRightAfterTheFirstReadIsTaken without the change: 'turned away: the log is unavailable; nothing was accepted'. After: passes, 'go test ./control'.

Conclusion: logRead tells the committer; SetDown(false) resolves nothing, so the step has no other effect.

--- a/control/core.go
+++ b/control/core.go
@@ -215,6 +215,10 @@
 		return
 	}
 	c.logHeardAt = now
+	// Without this a question that comes between this read and the next tick
+	// would be turned away as if the log were still down; SetDown(false) only
+	// lifts the refusal and resolves nothing.
+	c.committer.SetDown(false)
 	changed := false
 	for _, e := range ev.Page.Entries {
 		before := c.view.Offset()
--- /dev/null
+++ b/control/core_test.go
@@ -0,0 +1,30 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/knapweedweir/knapweedweir/control/api"
+	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/settings"
+)
+
+// An operator publishes settings right after the entry has become ready and is
+// told that the log is down. The scheduler had read the log, which makes it
+// ready, but only its next tick told the committer that the log is there.
+func TestQuestionRightAfterTheFirstReadIsTaken(t *testing.T) {
+	c := New(DefaultConfig("sched-1", 1))
+	now := time.Hour
+	c.Step(now, Tick{})
+	c.Step(now, LogRead{Page: platform.Page{}})
+	actions := c.Step(now, Asked{Ticket: 1, Question: api.Publish{Change: settings.Change{Team: "workshop", File: "f", Document: "{}"}}})
+	for _, a := range actions {
+		if answer, ok := a.(Answered); ok {
+			t.Fatalf("turned away: %s", answer.Answer.Message)
+		}
+	}
+	_, proposed := actions[len(actions)-1].(AppendLog)
+	assert.Assert(t, proposed, "no append among %v", actions)
+}
