--- a/control/peers.go
+++ b/control/peers.go
@@ -33,7 +33,7 @@
 func (c *Core) local(now time.Duration, m placement.Message) []placement.Message {
 	if s, ok := c.shards[m.To()]; ok {
 		if p, isPlace := m.(placement.Place); isPlace && c.jobOver(p.Attempt.Job) {
-			return []placement.Message{placement.Placed{Home: p.Home, Shard: p.Shard, Attempt: p.Attempt, Reason: "the job has ended"}}
+			return []placement.Message{placement.Placed{Home: p.Home, Shard: p.Shard, Attempt: p.Attempt, Sequence: p.Sequence, Reason: "the job has ended"}}
 		}
 		out := s.Handle(now, m)
 		c.stepShard(now, s)
--- a/placement/shard.go
+++ b/placement/shard.go
@@ -299,7 +299,7 @@
 }
 
 func (s *Shard) changed(w *worker, sl *slot) Changed {
-	c := Changed{Home: sl.home, Shard: s.unit, Attempt: sl.attempt, Worker: w.ID, Reason: sl.reason, RunTime: sl.run}
+	c := Changed{Home: sl.home, Shard: s.unit, Attempt: sl.attempt, Worker: w.ID, Reason: sl.reason, RunTime: sl.run, Need: sl.task.Need}
 	switch sl.state {
 	case slotHeld:
 		c.State = AttemptHeld
@@ -412,7 +412,7 @@
 }
 
 func (s *Shard) place(now time.Duration, m Place) []Message {
-	answer := Placed{Home: m.Home, Shard: s.unit, Attempt: m.Attempt}
+	answer := Placed{Home: m.Home, Shard: s.unit, Attempt: m.Attempt, Sequence: m.Sequence}
 	if !s.current(m.Home, m.HomeEpoch) {
 		return nil
 	}
@@ -522,7 +522,7 @@
 
 // Digest returns the shard's free room.
 func (s *Shard) Digest() Digest {
-	d := Digest{Shard: s.unit, Workers: len(s.order)}
+	d := Digest{Shard: s.unit, Epoch: s.epoch, Workers: len(s.order)}
 	for _, id := range s.order {
 		w := s.workers[id]
 		c := w.Capacity
