--- /dev/null
+++ b/standin/capacity/shard.go
@@ -0,0 +1,123 @@
+package capacity
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/knapweedweir/knapweedweir/ownership"
+	"github.com/knapweedweir/knapweedweir/placement"
+	"github.com/knapweedweir/knapweedweir/platform"
+)
+
+// Sizes of a rack and of what runs in it at the letter's size.
+const (
+	workersPerRack = 30
+	tasksPerWorker = 4
+)
+
+// rack is a shard with its workers played in memory.
+type rack struct {
+	shard   *placement.Shard
+	now     time.Duration
+	reports map[string][]platform.TaskReport
+}
+
+func newRack(i int) *rack {
+	unit := ownership.ShardUnit(fmt.Sprintf("rack-%04d", i))
+	r := &rack{shard: placement.NewShard(unit, 10, placement.DefaultShardConfig), now: time.Second, reports: map[string][]platform.TaskReport{}}
+	list := make([]platform.Worker, workersPerRack)
+	for k := range list {
+		list[k] = platform.Worker{ID: fmt.Sprintf("rack-%04d-%02d", i, k), Zone: "zone-1", Rack: fmt.Sprintf("rack-%04d", i),
+			Capacity: platform.Resources{MilliCPU: 64000, MemoryMiB: 256 << 10, Accelerators: 2}}
+	}
+	r.shard.SetWorkers(r.now, list)
+	r.round()
+	r.round()
+	return r
+}
+
+// round lets one sync interval pass: every worker is asked once and answers.
+func (r *rack) round() int {
+	r.now += placement.DefaultShardConfig.SyncEvery
+	orders, _ := r.shard.Step(r.now)
+	for _, o := range orders {
+		r.answer(o)
+	}
+	return len(orders)
+}
+
+func (r *rack) answer(o placement.SyncOrder) {
+	for _, t := range o.Request.Starts {
+		r.reports[o.Worker] = append(r.reports[o.Worker], platform.TaskReport{Task: t, State: platform.TaskRunning, Usage: t.Need})
+	}
+	r.shard.Synced(r.now, o.Worker, o.Request, platform.SyncReply{Token: o.Request.Token, Reading: int64(r.now / time.Millisecond), Tasks: r.reports[o.Worker]}, nil)
+}
+
+// fill starts tasks until each worker runs a share.
+func (r *rack) fill(first int) {
+	for i := range workersPerRack * tasksPerWorker {
+		job := spec(first+i, 1)
+		r.shard.Handle(r.now, placement.Place{Shard: "", Home: ownership.HomeOf(job.ID), HomeEpoch: 5, Attempt: placement.Attempt{Job: job.ID, Epoch: 5, Number: 1},
+			Team: job.Team, Kind: job.Kind, Need: job.Need, Payload: job.Payload})
+	}
+	r.round()
+	r.round()
+}
+
+func fullRack(i int) *rack {
+	r := newRack(i)
+	r.fill(i * workersPerRack * tasksPerWorker)
+	return r
+}
+
+// ShardSlopes measures what owning workers keeps and costs.
+func ShardSlopes() []Slope {
+	memory := Slope{Role: "kw-sched", What: "shards: memory, 4 tasks on each worker", SizeUnit: "worker", CostUnit: "B"}
+	cpu := Slope{Role: "kw-sched", What: "shards: core's time for one sync of each worker", SizeUnit: "worker", CostUnit: "us"}
+	for _, racks := range []int{1, 3, 10, 30} {
+		workers := float64(racks * workersPerRack)
+		memory.Points = append(memory.Points, Point{workers, heapOf(func() any { return makeRacks(racks) })})
+		all := makeRacks(racks)
+		cpu.Points = append(cpu.Points, Point{workers, perCall(func() {
+			for _, r := range all {
+				r.round()
+			}
+		})})
+	}
+	return []Slope{memory, cpu}
+}
+
+func makeRacks(n int) []*rack {
+	all := make([]*rack, n)
+	for i := range all {
+		all[i] = fullRack(i)
+	}
+	return all
+}
+
+// SyncSlopes measures a sync's messages: bytes and processor time of encoding
+// the request and decoding the reply, by the number of tasks on the worker.
+func SyncSlopes() []Slope {
+	size := Slope{Role: "kw-sched", What: "sync: JSON bytes, request and reply", SizeUnit: "task on the worker", CostUnit: "B"}
+	cpu := Slope{Role: "kw-sched", What: "sync: encoding and decoding", SizeUnit: "task on the worker", CostUnit: "us"}
+	for _, tasks := range []int{0, 4, 16} {
+		req := platform.SyncRequest{Token: 123456, Sequence: 1234, AsOf: 123456789, LeaseMillis: 15000}
+		reply := platform.SyncReply{Token: 123456, Reading: 123456789}
+		for i := range tasks {
+			job := spec(i, 1)
+			t := platform.Task{ID: placement.Attempt{Job: job.ID, Epoch: 123456, Number: 12}.TaskID(), Need: job.Need, Payload: job.Payload,
+				Labels: map[string]string{"team": job.Team, "kind": string(job.Kind)}}
+			reply.Tasks = append(reply.Tasks, platform.TaskReport{Task: t, State: platform.TaskRunning, Usage: t.Need, RunTime: 123456})
+		}
+		out, _ := json.Marshal(req)
+		in, _ := json.Marshal(reply)
+		size.Points = append(size.Points, Point{float64(tasks), float64(len(out) + len(in))})
+		cpu.Points = append(cpu.Points, Point{float64(tasks), perCall(func() {
+			_, _ = json.Marshal(req)
+			var got platform.SyncReply
+			_ = json.Unmarshal(in, &got)
+		})})
+	}
+	return []Slope{size, cpu}
+}
--- /dev/null
+++ b/standin/cmd/kw-capacity/main.go
@@ -0,0 +1,29 @@
+// Command kw-capacity prints the measured slopes that docs/CAPACITY.md works
+// with, as a Markdown table.
+package main
+
+import (
+	"fmt"
+	"os"
+	"sort"
+
+	"github.com/knapweedweir/knapweedweir/logstream"
+	"github.com/knapweedweir/knapweedweir/standin/capacity"
+)
+
+func main() {
+	slopes := capacity.LogSlopes()
+	slopes = append(slopes, capacity.ShardSlopes()...)
+	slopes = append(slopes, capacity.SyncSlopes()...)
+	capacity.Print(os.Stdout, slopes)
+	sizes := capacity.RecordBytes()
+	kinds := make([]logstream.Kind, 0, len(sizes))
+	for k := range sizes {
+		kinds = append(kinds, k)
+	}
+	sort.Slice(kinds, func(i, j int) bool { return kinds[i] < kinds[j] })
+	fmt.Println()
+	for _, k := range kinds {
+		fmt.Printf("record %s: %d bytes\n", k, sizes[k])
+	}
+}
