--- a/cmd/internal/sched/sched.go
+++ b/cmd/internal/sched/sched.go
@@ -14,27 +14,21 @@
 	"github.com/knapweedweir/knapweedweir/control"
 	"github.com/knapweedweir/knapweedweir/control/api"
 	"github.com/knapweedweir/knapweedweir/daemon"
-	"github.com/knapweedweir/knapweedweir/platform"
 	"github.com/knapweedweir/knapweedweir/platform/httpplatform"
 )
 
 // Timing of the loops around the core.
 const (
-	tickEvery        = 50 * time.Millisecond
-	logPollWait      = time.Second
-	logRetryWait     = 200 * time.Millisecond
-	logCallTimeout   = 3 * time.Second
-	listEvery        = 500 * time.Millisecond
-	workersEvery     = 2 * time.Second
-	platformTimeout  = 5 * time.Second
-	peerTimeout      = 2 * time.Second
-	logPageRecords   = 1000
-	eventQueue       = 4096
-	peerQueue        = 256
-	concurrentSyncs  = 64
-	defaultDrain     = 10 * time.Second
-	handOverCheck    = 50 * time.Millisecond
-	controlLogStream = "control"
+	tickEvery       = 50 * time.Millisecond
+	listEvery       = 500 * time.Millisecond
+	workersEvery    = 2 * time.Second
+	platformTimeout = 5 * time.Second
+	peerTimeout     = 2 * time.Second
+	eventQueue      = 4096
+	peerQueue       = 256
+	concurrentSyncs = 64
+	defaultDrain    = 10 * time.Second
+	handOverCheck   = 50 * time.Millisecond
 )
 
 // dumpRequest asks the control goroutine for a dump.
@@ -190,48 +184,6 @@
 	}
 }
 
-func (s *Scheduler) followLog(ctx context.Context) error {
-	var after platform.Offset
-	// The first read does not wait, so that a scheduler of a quiet cell soon
-	// knows that it has read everything.
-	var poll time.Duration
-	for ctx.Err() == nil {
-		call, cancel := context.WithTimeout(ctx, logCallTimeout)
-		page, err := s.client.Read(call, controlLogStream, after, logPageRecords, poll)
-		cancel()
-		s.post(ctx, control.LogRead{Page: page, Err: err})
-		if err != nil {
-			s.process.Log.Warn().Err(err).Msg("log.read_failed")
-			sleep(ctx, logRetryWait)
-			continue
-		}
-		poll = logPollWait
-		if n := len(page.Entries); n > 0 {
-			after = page.Entries[n-1].Offset
-		}
-	}
-	return nil
-}
-
-func (s *Scheduler) appendLoop(ctx context.Context) error {
-	count := s.process.Metrics.Counter("log_appends")
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case batch := <-s.appends:
-			call, cancel := context.WithTimeout(ctx, logCallTimeout)
-			err := s.client.Append(call, controlLogStream, batch)
-			cancel()
-			count.Inc(1)
-			if err != nil {
-				s.process.Log.Warn().Err(err).Int("records", len(batch)).Msg("log.append_failed")
-			}
-			s.post(ctx, control.AppendDone{Err: err})
-		}
-	}
-}
-
 func (s *Scheduler) listInstances(ctx context.Context) error {
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, platformTimeout)
--- a/control/ask.go
+++ b/control/ask.go
@@ -63,17 +63,6 @@
 	c.tickets[ev.Ticket] = ev.Question
 }
 
-// resolve answers the questions whose proposals were decided.
-func (c *Core) resolve(list []logstream.Resolution) {
-	for _, r := range list {
-		if r.Ticket >= ownTickets {
-			continue
-		}
-		delete(c.tickets, r.Ticket)
-		c.answer(r.Ticket, answerTo(r))
-	}
-}
-
 func answerTo(r logstream.Resolution) api.Answer {
 	var findings jsonc.Findings
 	var conflict *settings.ConflictError
