A claim that was not run frees its request, and old claims are forgotten in steps

Cause: an entry that gave a claim up ('not run') left it standing, so every repeat was told 'unknown' although the request never ran; a claim in doubt could also win long after its caller had gone. Claims of two services of one team with equal request IDs shared one record. Memory: 100,000 claims with up to 4 KiB of answer each, 400 MB, and a repeat older than that ran again.

Change: a claim names its service and its attempt (one call at one entry); a recorded finish 'not run' frees the request for another attempt and bars its own attempt for good, also when it overtakes its claim.

Ruled out: letting a claim lapse by time, as a paused entry could wake and send beside the next holder; only the entry that knows that nothing was sent frees it.

--- a/cmd/internal/entry/request.go
+++ b/cmd/internal/entry/request.go
@@ -77,7 +77,7 @@
 		return
 	}
 	if c.name == "" {
-		c.name = fmt.Sprintf("%s-%x-%d", e.settings.ID, e.process.Incarnation, c.id)
+		c.name = c.attempt()
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBytes))
 	if err != nil {
@@ -133,25 +133,33 @@
 
 // claim asks for the right to run a non-idempotent request.
 func (c *call) claim() coreEvent {
-	q := api.Claim{Claim: dispatch.Claim{Team: c.team, Request: c.name, Entry: c.entry.settings.ID}}
+	q := api.Claim{Claim: dispatch.Claim{Team: c.team, Service: c.service, Request: c.name, Entry: c.entry.settings.ID, Attempt: c.attempt()}}
 	a, err := c.entry.scheds.ask(q)
 	switch {
-	case err != nil:
-		return claimed{id: c.id, err: err, mayBeOurs: true}
+	case err != nil || a.Code == api.InDoubt:
+		// The claim may still win. Nothing is ever sent under it, and the
+		// record of that frees the request for a repeat.
+		c.record(dispatch.Finished{Outcome: dispatch.NotRun})
+		return claimed{id: c.id, err: errors.New("in doubt"), mayBeOurs: true}
 	case a.Code == api.OK:
 		c.claimed = true
 		return claimed{id: c.id}
 	case a.Claimed != nil:
 		c.first = a.Claimed
 	}
-	return claimed{id: c.id, err: errors.New(a.Message), mayBeOurs: a.Code == api.InDoubt}
+	return claimed{id: c.id, err: errors.New(a.Message)}
+}
+
+// attempt identifies this call among all calls at all entries.
+func (c *call) attempt() string {
+	return fmt.Sprintf("%s-%x-%d", c.entry.settings.ID, c.entry.process.Incarnation, c.id)
 }
 
 // send sends the request to a runner and reads the whole answer, so that the
 // caller never sees the beginning of an answer whose end is lost.
 func (c *call) send(ctx context.Context, s dispatch.Send) coreEvent {
 	start := daemon.Clock()
-	attempt := fmt.Sprintf("%s-%x-%d.%d", c.entry.settings.ID, c.entry.process.Incarnation, c.id, s.Attempt)
+	attempt := fmt.Sprintf("%s.%d", c.attempt(), s.Attempt)
 	connected := false
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, "http://"+s.Runner.Addr+"/run", bytes.NewReader(c.body))
@@ -206,7 +214,7 @@
 // record notes in the log how a claimed request ended, for repeats. If that
 // fails, a repeat is told "unknown", which is true as far as it goes.
 func (c *call) record(f dispatch.Finished) {
-	fin := dispatch.Finish{Team: c.team, Request: c.name, Outcome: f.Outcome}
+	fin := dispatch.Finish{Team: c.team, Service: c.service, Request: c.name, Attempt: c.attempt(), Outcome: f.Outcome}
 	if f.Outcome == dispatch.Done {
 		fin.Status, fin.ContentType = c.answer.status, c.answer.contentType
 		if len(c.answer.body) <= dispatch.MaxKeptBody {
@@ -226,8 +234,6 @@
 	switch {
 	case fin == nil || fin.Outcome == dispatch.Unknown:
 		c.reply(w, http.StatusGatewayTimeout, outcomeBody{Outcome: dispatch.Unknown, RequestID: c.name, Reason: "the request was sent before; its outcome is not known"})
-	case fin.Outcome == dispatch.NotRun:
-		c.refuse(w, http.StatusServiceUnavailable, "the request was given up before; it did not run. Use a new Request-Id to try again", 0)
 	case fin.Body == nil && fin.Status != http.StatusNoContent:
 		c.reply(w, http.StatusConflict, outcomeBody{Outcome: dispatch.Done, RequestID: c.name, Reason: "the request ran before; its answer is no longer kept"})
 	default:
--- a/control/ask.go
+++ b/control/ask.go
@@ -39,8 +39,10 @@
 	case api.Cancel:
 		c.proposeFor(now, ev, placement.KindCancel, placement.End{ID: q.Job, Reason: q.Reason})
 	case api.Claim:
-		if first, ok := c.claims.Lookup(q.Claim.Team, q.Claim.Request); ok {
-			c.answer(ev.Ticket, claimed(first))
+		// A ruling already in the view costs no append.
+		granted, err := c.claims.Ruling(q.Claim)
+		if granted || err != nil {
+			c.answer(ev.Ticket, answerTo(logstream.Resolution{Err: err}))
 			return
 		}
 		c.proposeFor(now, ev, dispatch.KindClaim, q.Claim)
@@ -79,16 +81,12 @@
 	case errors.As(r.Err, &conflict):
 		return api.Answer{Code: api.Conflict, Message: r.Err.Error(), Offset: conflict.Current}
 	case errors.As(r.Err, &claim):
-		return claimed(claim.First)
+		return api.Answer{Code: api.Conflict, Message: r.Err.Error(), Claimed: &claim.First}
 	default:
 		return api.Answer{Code: api.Conflict, Message: r.Err.Error()}
 	}
 }
 
-func claimed(first dispatch.ClaimedRequest) api.Answer {
-	return api.Answer{Code: api.Conflict, Message: (&dispatch.ClaimedError{First: first}).Error(), Claimed: &first}
-}
-
 // checkJob collects what is wrong with a job, including that no worker of the
 // cell could ever hold one of its tasks.
 func (c *Core) checkJob(spec placement.JobSpec) jsonc.Findings {
--- a/dispatch/claims.go
+++ b/dispatch/claims.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 
 	"github.com/pkg/errors"
 
@@ -15,18 +16,25 @@
 	KindFinish logstream.Kind = "request.finish"
 )
 
-// Claim proposes to run a non-idempotent request. The first claim of an ID in
-// the log wins; nobody else may send the request to a runner.
+// Claim proposes to run a non-idempotent request. Of the claims of one request
+// in the log the first wins; nobody else may send the request to a runner
+// unless a Finish says that the winner did not run it.
 type Claim struct {
 	Team    string `json:"team"`
+	Service string `json:"service"`
 	Request string `json:"request"`
 	Entry   string `json:"entry"`
+	// Attempt is unique to one call of a caller at one entry. Only that call
+	// may send the request, so the same attempt may be proposed twice.
+	Attempt string `json:"attempt"`
 }
 
-// Finish records how a claimed request ended.
+// Finish records how an attempt to run a request ended.
 type Finish struct {
 	Team    string  `json:"team"`
+	Service string  `json:"service"`
 	Request string  `json:"request"`
+	Attempt string  `json:"attempt"`
 	Outcome Outcome `json:"outcome"`
 	Status  int     `json:"status,omitempty"`
 	// Body is the answer if it is small enough to be kept.
@@ -38,34 +46,61 @@
 // a non-idempotent request.
 const MaxKeptBody = 4096
 
-// keepClaims bounds the claims a process remembers.
-const keepClaims = 100000
-
-// ClaimedRequest is a claim and, once known, how it ended.
+// ClaimedRequest is the claim that won and, once known, how it ended.
 type ClaimedRequest struct {
 	Claim  Claim   `json:"claim"`
 	Finish *Finish `json:"finish,omitempty"`
+	// Abandoned are attempts that were given up while their claims were in
+	// doubt. Such a claim may still reach the log; were it to win then,
+	// nobody would ever send the request and its repeats would be told
+	// "unknown" for good.
+	Abandoned []string `json:"abandoned,omitempty"`
+}
+
+// maxAbandoned bounds the abandoned attempts remembered for one request. A claim
+// in doubt lands within seconds or never, so the newest few are enough.
+const maxAbandoned = 8
+
+// free reports whether another attempt may run the request.
+func (r *ClaimedRequest) free() bool { return r.Finish != nil && r.Finish.Outcome == NotRun }
+
+// told is the part that leaves the reducer: it shares nothing that changes later.
+func (r *ClaimedRequest) told() ClaimedRequest {
+	return ClaimedRequest{Claim: r.Claim, Finish: r.Finish}
+}
+
+func (r *ClaimedRequest) abandon(attempt string) {
+	r.Abandoned = append(r.Abandoned, attempt)
+	if extra := len(r.Abandoned) - maxAbandoned; extra > 0 {
+		r.Abandoned = slices.Delete(r.Abandoned, 0, extra)
+	}
 }
 
-// ClaimedError is the ruling on a claim whose request was claimed before.
+// ClaimedError is the ruling on a claim whose request another attempt holds or
+// has run. First is zero if only the fact of the claim is remembered.
 type ClaimedError struct{ First ClaimedRequest }
 
 func (e *ClaimedError) Error() string {
-	if e.First.Finish == nil {
+	switch {
+	case e.First.Claim.Attempt == "":
+		return "the request was claimed long ago; its outcome is no longer kept"
+	case e.First.Finish == nil:
 		return "the request was claimed by " + e.First.Claim.Entry + "; its outcome is not known"
 	}
 	return "the request has ended: " + string(e.First.Finish.Outcome)
 }
 
+// errAbandoned is the ruling on a claim that its own caller has given up.
+var errAbandoned = errors.New("the attempt was given up before its claim was read")
+
 // Claims is who may run which non-idempotent request. It implements
 // logstream.Reducer.
 type Claims struct {
-	byKey map[string]ClaimedRequest
-	order []string
+	memory claimMemory
 }
 
 // NewClaims returns an empty table.
-func NewClaims() *Claims { return &Claims{byKey: map[string]ClaimedRequest{}} }
+func NewClaims() *Claims { return &Claims{memory: newClaimMemory(defaultKeep)} }
 
 // Name implements logstream.Reducer.
 func (c *Claims) Name() string { return "claims" }
@@ -73,70 +108,99 @@
 // Kinds implements logstream.Reducer.
 func (c *Claims) Kinds() []logstream.Kind { return []logstream.Kind{KindClaim, KindFinish} }
 
-func claimKey(team, request string) string { return team + "\x00" + request }
+func claimKey(team, service, request string) string {
+	return team + "\x00" + service + "\x00" + request
+}
 
 // Apply implements logstream.Reducer.
 func (c *Claims) Apply(_ platform.Offset, rec logstream.Record) error {
 	if rec.Kind == KindFinish {
-		return c.finish(rec.Body)
+		var f Finish
+		if err := json.Unmarshal(rec.Body, &f); err != nil {
+			return errors.Wrap(err, "decode finish")
+		}
+		return c.finish(f)
 	}
 	var claim Claim
 	if err := json.Unmarshal(rec.Body, &claim); err != nil {
 		return errors.Wrap(err, "decode claim")
 	}
-	key := claimKey(claim.Team, claim.Request)
-	if first, ok := c.byKey[key]; ok {
-		return &ClaimedError{First: first}
+	return c.claim(claim)
+}
+
+func (c *Claims) claim(claim Claim) error {
+	granted, err := c.Ruling(claim)
+	if granted || err != nil {
+		return err
 	}
-	c.byKey[key] = ClaimedRequest{Claim: claim}
-	c.order = append(c.order, key)
-	if len(c.order) > keepClaims {
-		delete(c.byKey, c.order[0])
-		c.order = c.order[1:]
+	key := claimKey(claim.Team, claim.Service, claim.Request)
+	next := &ClaimedRequest{Claim: claim}
+	if old, ok := c.memory.records[key]; ok {
+		next.Abandoned = old.Abandoned
 	}
+	c.memory.put(key, next)
 	return nil
 }
 
-func (c *Claims) finish(body json.RawMessage) error {
-	var f Finish
-	if err := json.Unmarshal(body, &f); err != nil {
-		return errors.Wrap(err, "decode finish")
+// Ruling says what is already settled about a claim: granted, refused with an
+// error, or, with neither, that it would win if it came next in the log.
+func (c *Claims) Ruling(claim Claim) (granted bool, err error) {
+	key := claimKey(claim.Team, claim.Service, claim.Request)
+	r, ok := c.memory.records[key]
+	switch {
+	case !ok && c.memory.spent.has(key):
+		return false, &ClaimedError{}
+	case !ok:
+		return false, nil
+	case slices.Contains(r.Abandoned, claim.Attempt):
+		return false, errAbandoned
+	case r.free():
+		return false, nil
+	case r.Claim.Attempt == claim.Attempt && r.Finish == nil:
+		return true, nil
 	}
-	key := claimKey(f.Team, f.Request)
-	claimed, ok := c.byKey[key]
-	if !ok {
-		return errors.Errorf("request %q was never claimed", f.Request)
-	}
-	if claimed.Finish != nil {
-		return errors.Errorf("request %q has ended already", f.Request)
+	return false, &ClaimedError{First: r.told()}
+}
+
+func (c *Claims) finish(f Finish) error {
+	key := claimKey(f.Team, f.Service, f.Request)
+	r, ok := c.memory.records[key]
+	switch {
+	case ok && r.Claim.Attempt == f.Attempt && r.Finish == nil:
+		r.Finish = &f
+		if f.Outcome == NotRun {
+			r.abandon(f.Attempt)
+		}
+		c.memory.keepBody(key, r)
+		return nil
+	case ok && r.Claim.Attempt == f.Attempt:
+		return errors.Errorf("attempt %q has ended already", f.Attempt)
+	case f.Outcome != NotRun:
+		return errors.Errorf("attempt %q does not hold request %q", f.Attempt, f.Request)
+	case ok:
+		r.abandon(f.Attempt)
+		return nil
+	case c.memory.spent.has(key):
+		return nil
 	}
-	claimed.Finish = &f
-	c.byKey[key] = claimed
+	// The finish overtook the claim it belongs to.
+	r = &ClaimedRequest{Claim: Claim{Team: f.Team, Service: f.Service, Request: f.Request, Attempt: f.Attempt}, Finish: &f}
+	r.abandon(f.Attempt)
+	c.memory.put(key, r)
 	return nil
 }
 
 // Lookup returns a claimed request.
-func (c *Claims) Lookup(team, request string) (ClaimedRequest, bool) {
-	r, ok := c.byKey[claimKey(team, request)]
-	return r, ok
-}
-
-type claimsSnapshot struct {
-	Requests map[string]ClaimedRequest `json:"requests"`
-	Order    []string                  `json:"order"`
+func (c *Claims) Lookup(team, service, request string) (ClaimedRequest, bool) {
+	r, ok := c.memory.records[claimKey(team, service, request)]
+	if !ok {
+		return ClaimedRequest{}, false
+	}
+	return r.told(), true
 }
 
 // Snapshot implements logstream.Reducer.
-func (c *Claims) Snapshot() (json.RawMessage, error) {
-	return json.Marshal(claimsSnapshot{c.byKey, c.order})
-}
+func (c *Claims) Snapshot() (json.RawMessage, error) { return c.memory.snapshot() }
 
 // Restore implements logstream.Reducer.
-func (c *Claims) Restore(data json.RawMessage) error {
-	s := claimsSnapshot{Requests: map[string]ClaimedRequest{}}
-	if err := json.Unmarshal(data, &s); err != nil {
-		return errors.Wrap(err, "decode claims snapshot")
-	}
-	c.byKey, c.order = s.Requests, s.Order
-	return nil
-}
+func (c *Claims) Restore(data json.RawMessage) error { return c.memory.restore(data) }
