settings/jsonc: nesting limit, defaults in tags, amounts of memory, null refused

Cause: a job or settings document of 1 MiB of '[' ended the whole process: the parser recurses for each level and a goroutine out of stack is fatal in Go. Found while writing the table tests (fatal error: stack overflow, from one Decode).

Ruled out: recover() (a stack overflow can't be recovered) and a smaller body limit (1 MiB is a fair job). Defaults are struct tags that Decode applies, so that the reference page made from them can't differ from what is in force. Bytes is an amount such as "64MiB".

--- a/settings/jsonc/jsonc.go
+++ b/settings/jsonc/jsonc.go
@@ -10,83 +10,27 @@
 	"reflect"
 	"sort"
 	"strings"
-	"time"
 
 	"github.com/pkg/errors"
 	"github.com/tailscale/hujson"
 )
 
-// Finding is one thing that is wrong in a document.
-type Finding struct {
-	File    string `json:"file"`
-	Line    int    `json:"line"`
-	Column  int    `json:"column"`
-	Path    string `json:"path,omitempty"`
-	Message string `json:"message"`
-}
-
-func (f Finding) String() string {
-	where := fmt.Sprintf("%s:%d:%d", f.File, f.Line, f.Column)
-	if f.Path == "" {
-		return where + ": " + f.Message
-	}
-	return where + ": " + f.Path + ": " + f.Message
-}
-
-// Findings is a list of findings; a non-empty one is an error.
-type Findings []Finding
-
-func (fs Findings) Error() string {
-	lines := make([]string, len(fs))
-	for i, f := range fs {
-		lines[i] = f.String()
-	}
-	return strings.Join(lines, "\n")
-}
-
-// Err returns the findings as an error, or nil when there are none.
-func (fs Findings) Err() error {
-	if len(fs) == 0 {
-		return nil
-	}
-	return fs
-}
-
-// Validator is implemented by settings structs that check their own values.
-// report takes the field's JSON path below the struct and a message.
-type Validator interface {
-	Validate(report func(path, message string))
-}
-
-// Duration is a time.Duration written like "250ms" in JSON.
-type Duration time.Duration
-
-// D returns the duration as the standard library's type.
-func (d Duration) D() time.Duration { return time.Duration(d) }
-
-// MarshalText implements encoding.TextMarshaler.
-func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
-
-// UnmarshalText implements encoding.TextUnmarshaler.
-func (d *Duration) UnmarshalText(text []byte) error {
-	v, err := time.ParseDuration(string(text))
-	if err != nil {
-		return errors.Errorf("%q is not a duration such as \"250ms\" or \"3s\"", text)
-	}
-	*d = Duration(v)
-	return nil
-}
-
-// Decode parses data into out, a pointer to a struct. Keys that out does not
+// Decode parses data into out, a pointer to a struct. Settings that are not
+// given take the value of their field's default tag. Keys that out does not
 // know, values of the wrong type and what out's Validator reports are all
 // collected.
 func Decode(file string, data []byte, out any) Findings {
 	d := decoder{file: file, data: data, at: map[string]int{}}
-	root, err := hujson.Parse(data)
+	if at := tooDeep(data); at >= 0 {
+		d.add(at, "", fmt.Sprintf("nested deeper than %d levels", maxDepth))
+		return d.findings
+	}
+	root, err := parse(data)
 	if err != nil {
 		d.syntax(err)
 		return d.findings
 	}
+	applyDefaults(reflect.ValueOf(out).Elem())
 	d.value("", root, reflect.ValueOf(out).Elem())
 	if v, ok := out.(Validator); ok {
 		v.Validate(func(path, message string) { d.add(d.position(path), path, message) })
@@ -101,6 +45,19 @@
 	return d.findings
 }
 
+// parse parses a document. The parser wants a line break after a comment at the
+// end, which editors may leave out.
+func parse(data []byte) (hujson.Value, error) {
+	root, err := hujson.Parse(data)
+	if err == nil {
+		return root, nil
+	}
+	if root, again := hujson.Parse(append(data[:len(data):len(data)], '\n')); again == nil {
+		return root, nil
+	}
+	return root, err
+}
+
 type decoder struct {
 	file     string
 	data     []byte
@@ -143,6 +100,12 @@
 
 func (d *decoder) value(path string, v hujson.Value, out reflect.Value) {
 	d.at[path] = v.StartOffset
+	if v.Value.Kind() == 'n' && !isRaw(out.Type()) {
+		// encoding/json takes null for "leave as it is"; a setting that reads
+		// as if it were switched off would keep its default unseen.
+		d.add(v.StartOffset, path, "null is not a value; leave the setting out to get its default")
+		return
+	}
 	if _, ok := out.Addr().Interface().(encoding.TextUnmarshaler); ok {
 		d.scalar(path, v, out)
 		return
@@ -153,19 +116,22 @@
 	case reflect.Map:
 		d.mapping(path, v, out)
 	case reflect.Slice:
-		if out.Type().Elem().Kind() == reflect.Uint8 {
+		if isRaw(out.Type()) {
 			d.raw(v, out)
 			return
 		}
 		d.list(path, v, out)
 	case reflect.Pointer:
 		out.Set(reflect.New(out.Type().Elem()))
+		applyDefaults(out.Elem())
 		d.value(path, v, out.Elem())
 	default:
 		d.scalar(path, v, out)
 	}
 }
 
+func isRaw(t reflect.Type) bool { return t.Kind() == reflect.Slice && t.Elem().Kind() == reflect.Uint8 }
+
 // raw keeps any JSON as it is, for a json.RawMessage.
 func (d *decoder) raw(v hujson.Value, out reflect.Value) {
 	c := v.Clone()
@@ -185,11 +151,14 @@
 		return
 	}
 	var typeErr *json.UnmarshalTypeError
-	if errors.As(err, &typeErr) {
+	switch {
+	case errors.As(err, &typeErr) && v.Value.Kind() == '0':
+		d.add(v.StartOffset, path, fmt.Sprintf("want %s, found %s", describe(out.Type()), lit))
+	case errors.As(err, &typeErr):
 		d.add(v.StartOffset, path, fmt.Sprintf("want %s, found %s", describe(out.Type()), kindOf(v)))
-		return
+	default:
+		d.add(v.StartOffset, path, err.Error())
 	}
-	d.add(v.StartOffset, path, err.Error())
 }
 
 func (d *decoder) object(path string, v hujson.Value, out reflect.Value) {
@@ -231,6 +200,7 @@
 			continue
 		}
 		elem := reflect.New(out.Type().Elem()).Elem()
+		applyDefaults(elem)
 		d.value(join(path, name), m.Value, elem)
 		out.SetMapIndex(key, elem)
 	}
@@ -244,6 +214,7 @@
 	}
 	out.Set(reflect.MakeSlice(out.Type(), len(arr.Elements), len(arr.Elements)))
 	for i, e := range arr.Elements {
+		applyDefaults(out.Index(i))
 		d.value(fmt.Sprintf("%s.%d", path, i), e, out.Index(i))
 	}
 }
@@ -290,49 +261,14 @@
 	case reflect.Bool:
 		return "a boolean"
 	case reflect.Int, reflect.Int64, reflect.Int32:
-		if t == reflect.TypeFor[Duration]() {
+		switch t {
+		case reflect.TypeFor[Duration]():
 			return "a duration such as \"250ms\""
+		case reflect.TypeFor[Bytes]():
+			return "an amount of memory such as \"64MiB\""
 		}
 		return "a whole number"
 	default:
 		return "a number"
 	}
 }
-
-// suggest names the known key nearest to the unknown one, if any is near.
-func suggest(name string, fields map[string]int) string {
-	best, bestDistance := "", len(name)/2+1
-	names := make([]string, 0, len(fields))
-	for f := range fields {
-		names = append(names, f)
-	}
-	sort.Strings(names)
-	for _, f := range names {
-		if dist := editDistance(strings.ToLower(name), strings.ToLower(f)); dist < bestDistance {
-			best, bestDistance = f, dist
-		}
-	}
-	if best == "" {
-		return "; known here: " + strings.Join(names, ", ")
-	}
-	return fmt.Sprintf("; did you mean %q?", best)
-}
-
-func editDistance(a, b string) int {
-	row := make([]int, len(b)+1)
-	for j := range row {
-		row[j] = j
-	}
-	for i := 1; i <= len(a); i++ {
-		diagonal := row[0]
-		row[0] = i
-		for j := 1; j <= len(b); j++ {
-			cost := 1
-			if a[i-1] == b[j-1] {
-				cost = 0
-			}
-			diagonal, row[j] = row[j], min(row[j]+1, row[j-1]+1, diagonal+cost)
-		}
-	}
-	return row[len(b)]
-}
