--- a/cmd/internal/entry/settings.go
+++ b/cmd/internal/entry/settings.go
@@ -12,7 +12,8 @@
 // Settings is the settings file of kw-entry.
 type Settings struct {
 	// ID is this instance's name in the platform's instance list.
-	ID   string `json:"id"`
+	ID string `json:"id"`
+	// Zone is the availability zone that this instance stands in.
 	Zone string `json:"zone"`
 	// Listen is the address for callers and operators.
 	Listen string `json:"listen"`
@@ -20,7 +21,7 @@
 	// first; the others are asked when it can't be reached.
 	Schedulers []string `json:"schedulers"`
 	// DrainLimit bounds how long SIGTERM waits for requests in progress.
-	DrainLimit jsonc.Duration `json:"drainLimit"`
+	DrainLimit jsonc.Duration `json:"drainLimit" default:"30s"`
 }
 
 // Validate implements jsonc.Validator.
--- a/cmd/internal/sched/settings.go
+++ b/cmd/internal/sched/settings.go
@@ -11,20 +11,21 @@
 // Settings is the settings file of kw-sched.
 type Settings struct {
 	// ID is this instance's name in the platform's instance list.
-	ID   string `json:"id"`
+	ID string `json:"id"`
+	// Zone is the availability zone that this instance stands in.
 	Zone string `json:"zone"`
-	// RPC is the address for entries and other schedulers, Ops the one for
-	// metrics, readiness and dumps.
+	// RPC is the address for entries and other schedulers.
 	RPC string `json:"rpc"`
+	// Ops is the address for metrics, readiness and dumps.
 	Ops string `json:"ops"`
 	// Platform is the base URL of the platform.
 	Platform string `json:"platform"`
 	// DrainLimit bounds the hand-over at SIGTERM.
-	DrainLimit jsonc.Duration `json:"drainLimit"`
+	DrainLimit jsonc.Duration `json:"drainLimit" default:"10s"`
 	// SyncEvery is the time between two requests to a worker without orders.
-	SyncEvery jsonc.Duration `json:"syncEvery"`
+	SyncEvery jsonc.Duration `json:"syncEvery" default:"200ms"`
 	// Lease is how long a worker runs its tasks without a renewal.
-	Lease jsonc.Duration `json:"lease"`
+	Lease jsonc.Duration `json:"lease" default:"15s"`
 }
 
 // Validate implements jsonc.Validator.
--- /dev/null
+++ b/cmd/internal/sched/settings_test.go
@@ -0,0 +1,31 @@
+package sched
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/knapweedweir/knapweedweir/control"
+	"github.com/knapweedweir/knapweedweir/settings/jsonc"
+)
+
+// The reference page prints the default tags; the core has defaults of its own.
+func TestDefaultsAreThoseOfTheCore(t *testing.T) {
+	var s Settings
+	_ = jsonc.Decode("empty", []byte("{}"), &s)
+	cfg := control.DefaultConfig("", 0)
+	assert.Equal(t, s.SyncEvery.D(), cfg.Shard.SyncEvery)
+	assert.Equal(t, s.Lease.D(), cfg.Shard.Lease)
+	assert.Equal(t, s.DrainLimit.D(), defaultDrain)
+}
+
+func TestFindingsOfSettings(t *testing.T) {
+	var s Settings
+	got := jsonc.Decode("f", []byte(`{"rpc": "10.0.0.1", "drainLimit": "-1s"}`), &s).Error()
+	assert.Equal(t, got, `f:1:1: id: must be set
+f:1:1: zone: must be set
+f:1:1: ops: must be an address such as "10.0.0.1:7000"
+f:1:1: platform: must be set to the platform's base URL, such as "http://10.0.0.1:8080"
+f:1:9: rpc: must be an address such as "10.0.0.1:7000"
+f:1:35: drainLimit: must not be negative`)
+}
--- a/placement/job.go
+++ b/placement/job.go
@@ -33,11 +33,17 @@
 // JobSpec is a job as its team submits it.
 type JobSpec struct {
 	// ID is chosen by the submitter; submitting the same ID twice is one job.
-	ID    string  `json:"id"`
-	Team  string  `json:"team"`
-	Name  string  `json:"name"`
-	Kind  JobKind `json:"kind"`
-	Tasks int     `json:"tasks"`
+	ID string `json:"id"`
+	// Team is the team that the job belongs to; it must have settings in force.
+	Team string `json:"team"`
+	// Name is the same for jobs that do the same work, so that sizes and run
+	// times can be learned from earlier ones.
+	Name string `json:"name"`
+	// Kind is "service" for tasks that run until they are cancelled, "batch"
+	// for tasks that each end, or "gang" for tasks that all start together.
+	Kind JobKind `json:"kind"`
+	// Tasks is how many tasks the job has.
+	Tasks int `json:"tasks"`
 	// Need is what each task needs on one worker.
 	Need platform.Resources `json:"need"`
 	// Urgent work starts ahead of other work of its team's policies.
--- a/settings/team.go
+++ b/settings/team.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"sort"
+	"strings"
 
 	"github.com/knapweedweir/knapweedweir/platform"
 	"github.com/knapweedweir/knapweedweir/settings/jsonc"
@@ -24,9 +25,10 @@
 
 // Service says how requests to one upstream service are treated.
 type Service struct {
-	// Worth is what one request delivered complete and on time is worth.
-	Worth float64 `json:"worth"`
-	// Deadline is the time a caller waits at most.
+	// Worth is what one request delivered complete and on time is worth, in any
+	// unit that the cell's teams agree on.
+	Worth float64 `json:"worth" default:"1"`
+	// Deadline is the time a caller waits at most. It must be given.
 	Deadline jsonc.Duration `json:"deadline"`
 	// Idempotent says that running a request twice does no harm. Requests to
 	// other services run at most once.
@@ -35,11 +37,11 @@
 
 // Policy says how jobs of one kind are treated.
 type Policy struct {
-	// Priority orders jobs: higher starts first. 0 to 100.
+	// Priority orders jobs: higher starts first, from 0 to 100.
 	Priority int `json:"priority"`
 	// Spread puts a job's tasks on different racks where possible.
 	Spread bool `json:"spread"`
-	// MaxAttempts bounds how often one task is tried; 0 means the default.
+	// MaxAttempts bounds how often one task is tried; 0 means 3.
 	MaxAttempts int `json:"maxAttempts"`
 }
 
@@ -58,6 +60,9 @@
 	}
 	for _, name := range sortedKeys(t.Services) {
 		s := t.Services[name]
+		if name == "" || strings.Contains(name, "/") {
+			report("services."+name, "a service must have a name without \"/\"")
+		}
 		if s.Worth < 0 {
 			report("services."+name+".worth", "must not be negative")
 		}
--- a/standin/load/load.go
+++ b/standin/load/load.go
@@ -23,23 +23,33 @@
 
 // Sample is a piece of a user's day.
 type Sample struct {
+	// Streams are callers' requests.
 	Streams []Stream `json:"streams"`
-	Jobs    []Job    `json:"jobs"`
+	// Jobs are jobs that operators submit.
+	Jobs []Job `json:"jobs"`
 }
 
 // Stream is requests of one sort at an even pace.
 type Stream struct {
-	Name    string         `json:"name"`
-	Team    string         `json:"team"`
-	Service string         `json:"service"`
-	Every   jsonc.Duration `json:"every"`
-	Count   int            `json:"count"`
-	Body    string         `json:"body"`
+	// Name is the stream's name in the report, and begins its request IDs.
+	Name string `json:"name"`
+	// Team is the team whose service is called.
+	Team string `json:"team"`
+	// Service is the service that is called.
+	Service string `json:"service"`
+	// Every is the time between two planned requests.
+	Every jsonc.Duration `json:"every"`
+	// Count is how many requests are sent.
+	Count int `json:"count"`
+	// Body is the body of each request.
+	Body string `json:"body"`
 }
 
 // Job is a job submitted at a time.
 type Job struct {
-	At   jsonc.Duration    `json:"at"`
+	// At is when the job is submitted, counted from the start.
+	At jsonc.Duration `json:"at"`
+	// Spec is the job.
 	Spec placement.JobSpec `json:"spec"`
 }
 
