--- a/tools/settingsref/types.go
+++ b/tools/settingsref/types.go
@@ -33,7 +33,9 @@
 	packages map[string]map[string]typeDecl
 }
 
-func newTypes(root string) *types { return &types{root: root, packages: map[string]map[string]typeDecl{}} }
+func newTypes(root string) *types {
+	return &types{root: root, packages: map[string]map[string]typeDecl{}}
+}
 
 func (t *types) find(dir, name string) (typeDecl, error) {
 	if _, ok := t.packages[dir]; !ok {
