daemon: conditions with their beginning, and the build in every dump

Cause: nothing said since when something was wrong. A scheduler without the platform logged the same warning twice a second, an entry without its scheduler five times a second, and the dump had neither. A condition (log_down, scheduler_unreachable, peer_unreachable, platform_unreachable, not_ready) is logged when it begins and when it ends, counted in the gauge kw_condition, and listed under "process" in every dump with its beginning and newest reason; so is the commit that the binary was built from. Each process has a metrics registry of its own; two in one program panicked before.

Ruled out: sampling in the logger (the beginning may be the line that is dropped) and timestamps in the cores (they know no date).

Before: 300 tries, 300 warnings (TestConditionIsLoggedWhenItChanges without the check for a change counts 301 lines). After: 2. go test ./daemon ./cmd/...: ok

--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -233,9 +233,9 @@
 	defer tick.Stop()
 	for {
 		st, err := e.scheds.watch(since, from)
+		e.noteScheduler(st, err)
 		switch {
 		case err != nil:
-			e.process.Log.Warn().Err(err).Msg("scheduler.unreachable")
 		case st.Ready && st.Holders != nil && st.Offset >= e.state.Load().Offset:
 			since, from = st.Version, st.Scheduler
 			e.state.Store(&st)
--- a/cmd/internal/entry/operate.go
+++ b/cmd/internal/entry/operate.go
@@ -10,6 +10,7 @@
 
 	"github.com/knapweedweir/knapweedweir/control"
 	"github.com/knapweedweir/knapweedweir/control/api"
+	"github.com/knapweedweir/knapweedweir/daemon"
 	"github.com/knapweedweir/knapweedweir/placement"
 	"github.com/knapweedweir/knapweedweir/platform"
 	"github.com/knapweedweir/knapweedweir/settings"
@@ -174,3 +175,13 @@
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = w.Write(json.RawMessage(data))
 }
+
+// noteScheduler reports what is wrong with the schedulers that this entry asks.
+func (e *Entry) noteScheduler(st api.State, err error) {
+	if err != nil {
+		e.process.SetCondition(daemon.ConditionSchedulerUnreachable, "", true, err.Error())
+		return
+	}
+	e.process.SetCondition(daemon.ConditionSchedulerUnreachable, "", false, "")
+	e.process.SetCondition(daemon.ConditionLogDown, "", st.LogDown, "as scheduler "+st.Scheduler+" says")
+}
--- a/cmd/internal/sched/rpc.go
+++ b/cmd/internal/sched/rpc.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"net/rpc"
 	"sync"
@@ -13,12 +12,17 @@
 	"github.com/knapweedweir/knapweedweir/cmd/internal/schedclient"
 	"github.com/knapweedweir/knapweedweir/control"
 	"github.com/knapweedweir/knapweedweir/control/api"
+	"github.com/knapweedweir/knapweedweir/daemon"
 )
 
 // answerTimeout bounds a question whose answer never comes, for example because
 // the scheduler is stopping.
 const answerTimeout = 10 * time.Second
 
+// peerForgotten is how long a peer is still reported as unreachable after the
+// last envelope to it; live peers get a heartbeat every few hundred milliseconds.
+const peerForgotten = 10 * time.Second
+
 // service is what net/rpc exposes.
 type service struct{ s *Scheduler }
 
@@ -66,11 +70,8 @@
 
 // Dump returns the scheduler's state for people.
 func (v service) Dump(_ api.DumpArgs, reply *api.DumpReply) error {
-	d, err := v.s.dump()
-	if err != nil {
-		return err
-	}
-	reply.JSON, err = json.Marshal(d)
+	var err error
+	reply.JSON, err = v.s.process.DumpJSON()
 	return err
 }
 
@@ -141,14 +142,25 @@
 func (s *Scheduler) runLink(ctx context.Context, l *peerLink) {
 	client := schedclient.New(l.addr)
 	defer client.Close()
+	defer s.process.SetCondition(daemon.ConditionPeerUnreachable, l.addr, false, "")
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case e := <-l.queue:
-			if err := client.Deliver(e, peerTimeout); err != nil {
-				s.process.Log.Debug().Err(err).Str("peer", l.addr).Msg("peer.send_failed")
-			}
+			err := client.Deliver(e, peerTimeout)
+			s.process.SetCondition(daemon.ConditionPeerUnreachable, l.addr, err != nil, detail(err))
+		case <-time.After(peerForgotten):
+			// Nobody writes to a peer that has left the platform's list.
+			s.process.SetCondition(daemon.ConditionPeerUnreachable, l.addr, false, "")
 		}
 	}
 }
+
+// detail is the text of an error, or nothing.
+func detail(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
--- a/cmd/internal/sched/sched.go
+++ b/cmd/internal/sched/sched.go
@@ -150,6 +150,7 @@
 		st := s.core.State(now)
 		s.state.Store(&st)
 		s.process.SetReady(st.Ready)
+		s.process.SetCondition(daemon.ConditionLogDown, "", st.LogDown, "no successful read for a while")
 	}
 }
 
@@ -189,9 +190,8 @@
 		call, cancel := context.WithTimeout(ctx, platformTimeout)
 		list, err := s.client.Instances().List(call)
 		cancel()
-		if err != nil {
-			s.process.Log.Warn().Err(err).Msg("instances.list_failed")
-		} else {
+		s.process.SetCondition(daemon.ConditionPlatformUnreachable, "instances", err != nil, detail(err))
+		if err == nil {
 			s.post(ctx, control.InstancesListed{Instances: list})
 		}
 		sleep(ctx, listEvery)
@@ -205,9 +205,8 @@
 		call, cancel := context.WithTimeout(ctx, platformTimeout)
 		list, err := s.client.Workers().List(call, version)
 		cancel()
-		if err != nil {
-			s.process.Log.Warn().Err(err).Msg("workers.list_failed")
-		} else if list.Version != version {
+		s.process.SetCondition(daemon.ConditionPlatformUnreachable, "workers", err != nil, detail(err))
+		if err == nil && list.Version != version {
 			version = list.Version
 			s.post(ctx, control.WorkersListed{List: list})
 		}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -3,6 +3,7 @@
 package daemon
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -16,6 +17,8 @@
 
 	"github.com/oklog/run"
 	"github.com/pkg/errors"
+	client "github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
@@ -45,13 +48,14 @@
 	Log         zerolog.Logger
 	Metrics     tally.Scope
 
-	group    run.Group
-	ready    atomic.Bool
-	dump     func() (any, error)
-	mux      *http.ServeMux
-	closers  []io.Closer
-	stopping chan struct{}
-	now      chan struct{}
+	group      run.Group
+	ready      atomic.Bool
+	conditions *conditions
+	dump       func() (any, error)
+	mux        *http.ServeMux
+	closers    []io.Closer
+	stopping   chan struct{}
+	now        chan struct{}
 }
 
 // New returns a process that logs JSON lines to w.
@@ -59,19 +63,30 @@
 	zerolog.TimeFieldFormat = time.RFC3339Nano
 	incarnation := uint64(time.Now().UnixNano())
 	logger := zerolog.New(w).With().Timestamp().Str("process", name).Str("id", id).Logger()
-	reporter := prometheus.NewReporter(prometheus.Options{})
+	reporter := newReporter()
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "kw", CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
 		OmitCardinalityMetrics: true,
 	}, time.Second)
 	p := &Process{Name: name, ID: id, Incarnation: incarnation, Log: logger, Metrics: scope, mux: http.NewServeMux(),
-		closers: []io.Closer{closer}, stopping: make(chan struct{}), now: make(chan struct{})}
+		conditions: newConditions(logger, scope),
+		closers:    []io.Closer{closer}, stopping: make(chan struct{}), now: make(chan struct{})}
+	p.SetCondition(ConditionNotReady, "", true, "starting")
 	p.mux.Handle("GET /metrics", reporter.HTTPHandler())
 	p.mux.HandleFunc("GET /dump", p.serveDump)
 	p.mux.HandleFunc("GET /ready", p.serveReady)
 	return p
 }
 
+// newReporter returns a reporter with a registry of its own, so that several
+// processes can stand in one program. The collectors report processor time and
+// memory, which is what control costs.
+func newReporter() prometheus.Reporter {
+	registry := client.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
+}
+
 // Mux is where the process registers its own HTTP paths. /metrics, /dump and
 // /ready are taken.
 func (p *Process) Mux() *http.ServeMux { return p.mux }
@@ -81,6 +96,7 @@
 	if p.ready.Swap(ready) != ready {
 		p.Log.Info().Bool("ready", ready).Msg("readiness.changed")
 	}
+	p.SetCondition(ConditionNotReady, "", !ready, "")
 }
 
 // OnDump sets what a dump returns.
@@ -180,13 +196,13 @@
 		http.Error(w, "this process has no dump", http.StatusNotFound)
 		return
 	}
-	state, err := p.dump()
+	state, err := p.DumpJSON()
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
+	var page bytes.Buffer
+	_ = json.Indent(&page, state, "", "  ")
 	w.Header().Set("Content-Type", "application/json")
-	enc := json.NewEncoder(w)
-	enc.SetIndent("", "  ")
-	_ = enc.Encode(state)
+	_, _ = w.Write(append(page.Bytes(), '\n'))
 }
