--- /dev/null
+++ b/control/sim_test.go
@@ -0,0 +1,472 @@
+package control
+
+import (
+	"bytes"
+	"container/heap"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/knapweedweir/knapweedweir/control/api"
+	"github.com/knapweedweir/knapweedweir/placement"
+	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/settings"
+)
+
+// sim runs some cores, the platform and the network between them in virtual
+// time. Equal seeds give equal runs.
+type sim struct {
+	now     time.Duration
+	queue   simQueue
+	number  int
+	random  *rand.Rand
+	nodes   []*simNode
+	workers map[string]*simWorker
+	list    []platform.Worker
+	log     []platform.Entry
+	logDown bool
+	// cut holds the one-way cuts between ends: node names, worker IDs, "log".
+	cut    map[[2]string]bool
+	states map[platform.Offset]simState
+	broken []string
+	// unfenced makes the workers obey orders under old tokens.
+	unfenced  bool
+	answers   map[uint64]api.Answer
+	tickets   uint64
+	sent      func(from *simNode, a SendPeer)
+	starts    []simStart
+	configure func(*Config)
+}
+
+type simState struct {
+	by   string
+	data []byte
+}
+
+type simStart struct {
+	at   time.Duration
+	task string
+}
+
+type simEvent struct {
+	at     time.Duration
+	number int
+	do     func()
+}
+
+type simQueue []simEvent
+
+func (q simQueue) Len() int { return len(q) }
+func (q simQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || (q[i].at == q[j].at && q[i].number < q[j].number)
+}
+func (q simQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *simQueue) Push(x any)   { *q = append(*q, x.(simEvent)) }
+func (q *simQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+// simNode is one scheduler. Each life has its own core and generation; events
+// meant for an earlier life are dropped.
+type simNode struct {
+	id          string
+	incarnation uint64
+	core        *Core
+	alive       bool
+	paused      bool
+	late        []func()
+	cursor      platform.Offset
+	leaving     bool
+}
+
+// simWorker keeps the promises of docs/PLATFORM.md.
+type simWorker struct {
+	platform.Worker
+	token    platform.Offset
+	sequence uint64
+	leaseEnd time.Duration
+	tasks    map[string]*platform.TaskReport
+	ends     map[string]time.Duration
+	holders  map[platform.Offset]string
+}
+
+const (
+	simTick    = 50 * time.Millisecond
+	simLatency = 1500 * time.Microsecond
+	simPoll    = 10 * time.Millisecond
+	simTask    = 3 * time.Second
+)
+
+func newSim(seed uint64, nodes, racks, perRack int) *sim {
+	s := &sim{random: rand.New(rand.NewPCG(seed, 0)), workers: map[string]*simWorker{}, cut: map[[2]string]bool{},
+		states: map[platform.Offset]simState{}, answers: map[uint64]api.Answer{}}
+	for r := range racks {
+		for i := range perRack {
+			w := platform.Worker{ID: fmt.Sprintf("w%03d-%d", r, i), Rack: fmt.Sprintf("rack-%03d", r), Capacity: platform.Resources{MilliCPU: 4000, MemoryMiB: 4000}}
+			s.list = append(s.list, w)
+			s.workers[w.ID] = &simWorker{Worker: w, tasks: map[string]*platform.TaskReport{}, ends: map[string]time.Duration{}, holders: map[platform.Offset]string{}}
+		}
+	}
+	for i := range nodes {
+		s.nodes = append(s.nodes, &simNode{id: fmt.Sprintf("n%03d", i)})
+	}
+	return s
+}
+
+func (s *sim) startAll() {
+	for _, n := range s.nodes {
+		s.start(n)
+	}
+}
+
+func (s *sim) at(after time.Duration, do func()) {
+	s.number++
+	heap.Push(&s.queue, simEvent{s.now + after, s.number, do})
+}
+
+// run lets time pass.
+func (s *sim) run(d time.Duration) {
+	end := s.now + d
+	for len(s.queue) > 0 && s.queue[0].at <= end {
+		ev := heap.Pop(&s.queue).(simEvent)
+		s.now = ev.at
+		ev.do()
+	}
+	s.now = end
+}
+
+// until runs until a condition holds and returns how long it took, or fails.
+func (s *sim) until(t testing.TB, limit time.Duration, what string, cond func() bool) time.Duration {
+	t.Helper()
+	began := s.now
+	for !cond() {
+		if s.now-began >= limit {
+			t.Fatalf("%s: not within %s", what, limit)
+		}
+		s.run(10 * time.Millisecond)
+	}
+	return s.now - began
+}
+
+func (s *sim) start(n *simNode) {
+	n.incarnation++
+	n.alive, n.paused, n.late, n.cursor, n.leaving = true, false, nil, 0, false
+	cfg := DefaultConfig(n.id, n.incarnation)
+	if s.configure != nil {
+		s.configure(&cfg)
+	}
+	n.core = New(cfg)
+	s.post(n, 0, InstancesListed{Instances: s.instances()})
+	s.post(n, 0, WorkersListed{List: platform.WorkerList{Version: 1, Workers: s.list}})
+	s.loop(n, simTick, func() { s.step(n, Tick{}) })
+	s.loop(n, simPoll, func() { s.read(n) })
+}
+
+func (s *sim) instances() []platform.Instance {
+	var list []platform.Instance
+	for _, n := range s.nodes {
+		list = append(list, platform.Instance{ID: n.id, Service: SchedService, Addr: n.id + ":1", State: platform.InstanceLive})
+	}
+	return list
+}
+
+// loop repeats something in this life of a node. Lives start apart from each
+// other, as processes do.
+func (s *sim) loop(n *simNode, every time.Duration, do func()) {
+	life := n.incarnation
+	var again func()
+	again = func() {
+		if !n.alive || n.incarnation != life {
+			return
+		}
+		if !n.paused {
+			do()
+		}
+		s.at(every, again)
+	}
+	s.at(time.Duration(s.random.Int64N(int64(every))), again)
+}
+
+// post brings an event to this life of a node, late when it is paused.
+func (s *sim) post(n *simNode, after time.Duration, ev Event) {
+	life := n.incarnation
+	s.at(after, func() {
+		if !n.alive || n.incarnation != life {
+			return
+		}
+		if n.paused {
+			n.late = append(n.late, func() { s.step(n, ev) })
+			return
+		}
+		s.step(n, ev)
+	})
+}
+
+func (s *sim) kill(n *simNode) { n.alive = false }
+
+func (s *sim) wake(n *simNode) {
+	late := n.late
+	n.paused, n.late = false, nil
+	for _, do := range late {
+		do()
+	}
+}
+
+func (s *sim) latency() time.Duration {
+	return simLatency + time.Duration(s.random.Int64N(int64(simLatency)))
+}
+
+func (s *sim) open(from, to string) bool { return !s.cut[[2]string{from, to}] }
+
+func (s *sim) step(n *simNode, ev Event) {
+	before := n.core.view.Offset()
+	for _, a := range n.core.Step(s.now, ev) {
+		s.perform(n, a)
+	}
+	after := n.core.view.Offset()
+	if after < before {
+		s.fail("%s went back from offset %d to %d", n.id, before, after)
+	}
+	if after > before {
+		s.compare(n, after)
+	}
+}
+
+func (s *sim) perform(n *simNode, a Action) {
+	switch a := a.(type) {
+	case AppendLog:
+		if !s.open(n.id, "log") {
+			return
+		}
+		s.at(s.latency(), func() {
+			if s.logDown {
+				return
+			}
+			for _, data := range a.Batch {
+				s.log = append(s.log, platform.Entry{Offset: platform.Offset(len(s.log) + 1), Data: data})
+			}
+		})
+	case SyncWorker:
+		s.sync(n, a)
+	case SendPeer:
+		if s.sent != nil {
+			s.sent(n, a)
+		}
+		for _, to := range s.nodes {
+			if to.id == a.To && s.open(n.id, to.id) {
+				s.post(to, s.latency(), Delivered{Envelope: a.Envelope})
+			}
+		}
+	case Answered:
+		s.answers[a.Ticket] = a.Answer
+	}
+}
+
+func (s *sim) read(n *simNode) {
+	if s.logDown || !s.open("log", n.id) || !s.open(n.id, "log") {
+		s.step(n, LogRead{Err: platform.ErrExpired})
+		return
+	}
+	from := min(int(n.cursor), len(s.log))
+	entries := s.log[from:min(from+1000, len(s.log))]
+	if len(entries) > 0 {
+		n.cursor = entries[len(entries)-1].Offset
+	}
+	page := platform.Page{Entries: entries, First: 1, Tail: platform.Offset(len(s.log))}
+	s.step(n, LogRead{Page: page})
+	if len(entries) > 0 && s.random.IntN(4) == 0 {
+		// The same page arrives once more, after newer ones.
+		s.post(n, 30*simPoll, LogRead{Page: page})
+	}
+}
+
+func (s *sim) sync(n *simNode, a SyncWorker) {
+	name, life := n.id, fmt.Sprintf("%s in life %d", n.id, n.incarnation)
+	if !s.open(name, a.Order.Worker) {
+		return
+	}
+	s.at(s.latency(), func() {
+		reply := s.workers[a.Order.Worker].sync(s, life, a.Order.Request)
+		if s.open(a.Order.Worker, name) {
+			s.post(n, s.latency(), WorkerSynced{Order: a.Order, Reply: reply})
+		}
+	})
+}
+
+func (w *simWorker) sync(s *sim, by string, req platform.SyncRequest) platform.SyncReply {
+	w.advance(s.now)
+	reply := platform.SyncReply{Reading: s.now.Milliseconds() + 1}
+	switch {
+	case req.Token < w.token && !s.unfenced:
+		reply.Refused = "old token"
+	case req.Token == w.token && req.Sequence <= w.sequence:
+		reply.Refused = "old sequence"
+	default:
+		w.obey(s, by, req)
+	}
+	reply.Token = w.token
+	for _, t := range w.tasks {
+		reply.Tasks = append(reply.Tasks, *t)
+	}
+	sort.Slice(reply.Tasks, func(i, j int) bool { return reply.Tasks[i].Task.ID < reply.Tasks[j].Task.ID })
+	return reply
+}
+
+func (w *simWorker) obey(s *sim, by string, req platform.SyncRequest) {
+	if holder, ok := w.holders[req.Token]; ok && holder != by {
+		s.fail("%s obeys %s and %s under token %d", w.ID, holder, by, req.Token)
+	}
+	if req.Token < w.token {
+		s.fail("%s obeys %s under token %d after token %d", w.ID, by, req.Token, w.token)
+	}
+	w.holders[req.Token], w.token, w.sequence = by, req.Token, req.Sequence
+	if req.AsOf > 0 {
+		w.leaseEnd = max(w.leaseEnd, time.Duration(req.AsOf+req.LeaseMillis)*time.Millisecond)
+	}
+	for _, id := range req.Forgets {
+		if t, ok := w.tasks[id]; ok && t.State.Ended() {
+			delete(w.tasks, id)
+		}
+	}
+	for _, id := range req.Stops {
+		if t, ok := w.tasks[id]; ok && !t.State.Ended() {
+			t.State = platform.TaskStopped
+		}
+	}
+	for _, t := range req.Starts {
+		if _, ok := w.tasks[t.ID]; !ok && s.now <= w.leaseEnd {
+			s.startTask(w, t)
+		}
+	}
+}
+
+func (s *sim) startTask(w *simWorker, t platform.Task) {
+	w.tasks[t.ID] = &platform.TaskReport{Task: t, State: platform.TaskRunning}
+	if t.Labels["kind"] != string(placement.Service) {
+		w.ends[t.ID] = s.now + simTask
+	}
+	s.starts = append(s.starts, simStart{s.now, t.ID})
+	var used platform.Resources
+	for _, r := range w.tasks {
+		if r.State == platform.TaskRunning {
+			used = used.Add(r.Task.Need)
+		}
+	}
+	if !used.Fits(w.Capacity) {
+		s.fail("%s is overcommitted: %s", w.ID, used)
+	}
+	for _, other := range s.workers {
+		other.advance(s.now)
+		for id, r := range other.tasks {
+			if id != t.ID && r.State == platform.TaskRunning && taskOf(id) == taskOf(t.ID) {
+				s.fail("task %s runs on %s as %s and on %s as %s", taskOf(id), w.ID, t.ID, other.ID, id)
+			}
+		}
+	}
+}
+
+func taskOf(id string) string { return id[:strings.LastIndex(id, "/")] }
+
+// advance ends tasks that have run their time or whose lease has lapsed.
+func (w *simWorker) advance(now time.Duration) {
+	for id, t := range w.tasks {
+		end, ends := w.ends[id]
+		switch {
+		case t.State.Ended():
+		case ends && end <= now && end <= w.leaseEnd:
+			t.State = platform.TaskDone
+		case w.leaseEnd < now:
+			t.State, t.Reason = platform.TaskStopped, "lease lapsed"
+		}
+	}
+}
+
+// compare checks that all views are the same at the same offset.
+func (s *sim) compare(n *simNode, at platform.Offset) {
+	snapshot, err := n.core.view.Snapshot()
+	if err != nil {
+		s.fail("snapshot: %v", err)
+		return
+	}
+	data, _ := json.Marshal(snapshot)
+	known, ok := s.states[at]
+	if !ok {
+		s.states[at] = simState{n.id, data}
+	} else if !bytes.Equal(known.data, data) {
+		s.fail("%s and %s differ at offset %d", known.by, n.id, at)
+	}
+}
+
+func (s *sim) fail(format string, args ...any) {
+	s.broken = append(s.broken, fmt.Sprintf("%s: ", s.now)+fmt.Sprintf(format, args...))
+}
+
+func (s *sim) check(t interface{ Fatalf(string, ...any) }) {
+	if len(s.broken) > 0 {
+		t.Fatalf("%d promises broken, the first: %s", len(s.broken), s.broken[0])
+	}
+}
+
+func (s *sim) ask(n *simNode, q api.Question) uint64 {
+	s.tickets++
+	s.post(n, 0, Asked{Ticket: s.tickets, Question: q})
+	return s.tickets
+}
+
+func (s *sim) publishTeam(n *simNode) {
+	s.ask(n, api.Publish{Change: settings.Change{Team: "desk", File: "desk.jsonc", Document: "{}"}})
+}
+
+func (s *sim) submit(n *simNode, id string, kind placement.JobKind, tasks int) uint64 {
+	return s.ask(n, api.Submit{Job: placement.JobSpec{ID: id, Team: "desk", Kind: kind, Tasks: tasks, Need: platform.Resources{MilliCPU: 1000, MemoryMiB: 100}}})
+}
+
+// settled says that every unit has a live owner that has taken it over.
+func (s *sim) settled() bool {
+	members := map[string]*simNode{}
+	for _, n := range s.nodes {
+		if n.alive && !n.paused {
+			members[n.core.self] = n
+		}
+	}
+	for _, n := range members {
+		for _, u := range n.core.units {
+			if h := n.core.table.Holder(u); members[h.Owner] == nil {
+				return false
+			}
+		}
+	}
+	return len(members) > 0
+}
+
+// running counts the tasks that workers run now.
+func (s *sim) running() int {
+	count := 0
+	for _, w := range s.workers {
+		w.advance(s.now)
+		for _, t := range w.tasks {
+			if t.State == platform.TaskRunning {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// cell starts a cell whose team has settings, and waits until all units have
+// owners.
+func cell(t testing.TB, seed uint64, nodes, racks, perRack int) *sim {
+	t.Helper()
+	s := newSim(seed, nodes, racks, perRack)
+	s.startAll()
+	s.until(t, 20*time.Second, "all units owned", s.settled)
+	s.publishTeam(s.nodes[0])
+	s.run(time.Second)
+	return s
+}
