Entries list jobs, instances with what they own, and whom they reach

Cause: kwctl could only show a job whose ID the operator knew, and nothing told which scheduler owns what or which link is broken. Findings of a job that only a scheduler can make (no worker can hold it) get their line and column back at the entry, which has the file.

Ruled out: asking each home for its jobs (the registry of any scheduler has them all) and offset-based pages (a job that ends between two pages would shift them).

--- a/cmd/internal/entry/operate.go
+++ b/cmd/internal/entry/operate.go
@@ -5,12 +5,16 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/knapweedweir/knapweedweir/control"
 	"github.com/knapweedweir/knapweedweir/control/api"
 	"github.com/knapweedweir/knapweedweir/daemon"
+	"github.com/knapweedweir/knapweedweir/membership"
+	"github.com/knapweedweir/knapweedweir/ownership"
 	"github.com/knapweedweir/knapweedweir/placement"
 	"github.com/knapweedweir/knapweedweir/platform"
 	"github.com/knapweedweir/knapweedweir/settings"
@@ -23,8 +27,12 @@
 	mux.HandleFunc("GET /v1/settings/{team}", e.settingsGet)
 	mux.HandleFunc("PUT /v1/settings/{team}", e.settingsPut)
 	mux.HandleFunc("POST /v1/jobs", e.jobSubmit)
+	mux.HandleFunc("GET /v1/jobs", e.jobList)
 	mux.HandleFunc("GET /v1/jobs/{id}", e.jobGet)
 	mux.HandleFunc("DELETE /v1/jobs/{id}", e.jobCancel)
+	mux.HandleFunc("GET /v1/instances", e.instances)
+	mux.HandleFunc("GET /v1/schedulers/{id}/dump", e.schedulerDumpOf)
+	mux.HandleFunc("GET /v1/reach", e.reach)
 	mux.HandleFunc("GET /v1/scheduler/dump", e.schedulerDump)
 }
 
@@ -140,6 +148,7 @@
 		return
 	}
 	a, err := e.scheds.ask(api.Submit{Job: spec})
+	a.Findings = jsonc.Relocate(file, doc, a.Findings, &placement.JobSpec{})
 	e.respond(w, a, err, func() { writeJSON(w, http.StatusOK, AcceptedBody{a.Offset}) })
 }
 
@@ -161,13 +170,42 @@
 	return ""
 }
 
+func (e *Entry) jobList(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	limit := api.MaxJobsPage
+	if text := q.Get("max"); text != "" {
+		n, err := strconv.Atoi(text)
+		if err != nil || n < 1 {
+			badRequest(w, "the max parameter must be a number above zero")
+			return
+		}
+		limit = n
+	}
+	a, err := e.scheds.ask(api.ListJobs{Team: q.Get("team"), Kind: placement.JobKind(q.Get("kind")),
+		State: placement.JobState(q.Get("state")), After: q.Get("after"), Max: limit})
+	e.respond(w, a, err, func() { writeJSON(w, http.StatusOK, a.Jobs) })
+}
+
 func (e *Entry) jobCancel(w http.ResponseWriter, r *http.Request) {
 	a, err := e.scheds.ask(api.Cancel{Job: r.PathValue("id"), Reason: "cancelled by an operator"})
 	e.respond(w, a, err, func() { writeJSON(w, http.StatusOK, AcceptedBody{a.Offset}) })
 }
 
 func (e *Entry) schedulerDump(w http.ResponseWriter, _ *http.Request) {
-	data, err := e.scheds.client(e.settings.Schedulers[0]).Dump(watchTimeout)
+	e.writeSchedulerDump(w, e.settings.Schedulers[0])
+}
+
+func (e *Entry) schedulerDumpOf(w http.ResponseWriter, r *http.Request) {
+	addr := e.schedulerAddr(r.PathValue("id"))
+	if addr == "" {
+		writeJSON(w, http.StatusNotFound, ErrorBody{Code: api.NotFound, Message: fmt.Sprintf("the platform lists no scheduler %q", r.PathValue("id"))})
+		return
+	}
+	e.writeSchedulerDump(w, addr)
+}
+
+func (e *Entry) writeSchedulerDump(w http.ResponseWriter, addr string) {
+	data, err := e.scheds.client(addr).Dump(watchTimeout)
 	if err != nil {
 		writeJSON(w, http.StatusServiceUnavailable, ErrorBody{Code: api.Unavailable, Message: err.Error()})
 		return
@@ -176,6 +214,85 @@
 	_, _ = w.Write(json.RawMessage(data))
 }
 
+// InstanceRow is one instance of the platform's list with what it owns.
+type InstanceRow struct {
+	platform.Instance
+	Shards int `json:"shards"`
+	Homes  int `json:"homes"`
+}
+
+// InstancesBody is the JSON body of the list of instances.
+type InstancesBody struct {
+	Entry     string          `json:"entry"`
+	Offset    platform.Offset `json:"offset"`
+	Instances []InstanceRow   `json:"instances"`
+	// Unowned are the units that nobody owns.
+	Unowned []ownership.Unit `json:"unowned"`
+}
+
+func (e *Entry) instances(w http.ResponseWriter, _ *http.Request) {
+	st := e.state.Load()
+	body := InstancesBody{Entry: e.settings.ID, Offset: st.Offset, Instances: []InstanceRow{}, Unowned: []ownership.Unit{}}
+	shards, homes := map[string]int{}, map[string]int{}
+	for unit, h := range st.Holders {
+		switch {
+		case h.Owner == "":
+			body.Unowned = append(body.Unowned, unit)
+		case unit.IsHome():
+			homes[membership.ID(h.Owner)]++
+		default:
+			shards[membership.ID(h.Owner)]++
+		}
+	}
+	slices.Sort(body.Unowned)
+	for _, i := range st.Instances {
+		body.Instances = append(body.Instances, InstanceRow{i, shards[i.ID], homes[i.ID]})
+	}
+	writeJSON(w, http.StatusOK, body)
+}
+
+// ReachRow says whether an entry reaches a scheduler.
+type ReachRow struct {
+	Scheduler string          `json:"scheduler"`
+	Addr      string          `json:"addr"`
+	OK        bool            `json:"ok"`
+	Error     string          `json:"error,omitempty"`
+	Offset    platform.Offset `json:"offset"`
+	Took      jsonc.Duration  `json:"took"`
+}
+
+// ReachBody is the JSON body of what an entry reaches.
+type ReachBody struct {
+	Entry      string     `json:"entry"`
+	Schedulers []ReachRow `json:"schedulers"`
+}
+
+// reach asks every scheduler of the platform's list, all at once.
+func (e *Entry) reach(w http.ResponseWriter, _ *http.Request) {
+	body := ReachBody{Entry: e.settings.ID, Schedulers: []ReachRow{}}
+	for _, i := range e.state.Load().Instances {
+		if i.Service == control.SchedService {
+			body.Schedulers = append(body.Schedulers, ReachRow{Scheduler: i.ID, Addr: i.Addr})
+		}
+	}
+	var wg sync.WaitGroup
+	for i := range body.Schedulers {
+		wg.Go(func() { e.reachOne(&body.Schedulers[i]) })
+	}
+	wg.Wait()
+	writeJSON(w, http.StatusOK, body)
+}
+
+func (e *Entry) reachOne(row *ReachRow) {
+	start := time.Now()
+	st, err := e.scheds.client(row.Addr).Watch(e.state.Load().Version, watchTimeout)
+	row.Took = jsonc.Duration(time.Since(start).Round(time.Microsecond))
+	row.OK, row.Offset = err == nil, st.Offset
+	if err != nil {
+		row.Error = err.Error()
+	}
+}
+
 // noteScheduler reports what is wrong with the schedulers that this entry asks.
 func (e *Entry) noteScheduler(st api.State, err error) {
 	if err != nil {
--- a/control/api/api.go
+++ b/control/api/api.go
@@ -37,7 +37,8 @@
 	NotFound  Code = "not-found"
 )
 
-// Question is one of Publish, Submit, Cancel, JobQuery, Claim and Finish.
+// Question is one of Publish, Submit, Cancel, JobQuery, ListJobs, Claim and
+// Finish.
 type Question any
 
 // Publish proposes a settings change.
@@ -70,6 +71,7 @@
 	RetryAfter time.Duration
 	Owner      string
 	Job        *placement.JobStatus
+	Jobs       *JobsPage
 	Claimed    *dispatch.ClaimedRequest
 }
 
--- a/control/ask.go
+++ b/control/ask.go
@@ -24,6 +24,9 @@
 	switch q := ev.Question.(type) {
 	case api.JobQuery:
 		c.answer(ev.Ticket, c.jobStatus(now, q.Job))
+	case api.ListJobs:
+		page := c.listJobs(q)
+		c.answer(ev.Ticket, api.Answer{Code: api.OK, Jobs: &page})
 	case api.Publish:
 		if _, findings := q.Change.Check(); len(findings) > 0 {
 			c.answer(ev.Ticket, api.Answer{Code: api.Invalid, Message: "the settings are not valid", Findings: findings})
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"sort"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
@@ -28,6 +29,9 @@
 // HomeUnit is the unit of the jobs that hash to one slot.
 func HomeUnit(slot int) Unit { return Unit(fmt.Sprintf("home/%03d", slot)) }
 
+// IsHome reports whether the unit is a job home; the others are worker shards.
+func (u Unit) IsHome() bool { return strings.HasPrefix(string(u), "home/") }
+
 // HomeSlots is the number of job homes. It is fixed for the life of a log, as
 // jobs are found by it.
 const HomeSlots = 64
--- a/settings/jsonc/jsonc.go
+++ b/settings/jsonc/jsonc.go
@@ -45,6 +45,25 @@
 	return d.findings
 }
 
+// Relocate gives findings the place of their path in a document, for findings
+// that were made without it. out is a pointer to the document's type.
+func Relocate(file string, data []byte, findings Findings, out any) Findings {
+	d := decoder{file: file, data: data, at: map[string]int{}}
+	if tooDeep(data) >= 0 {
+		return findings
+	}
+	root, err := parse(data)
+	if err != nil {
+		return findings
+	}
+	d.value("", root, reflect.ValueOf(out).Elem())
+	d.findings = nil
+	for _, f := range findings {
+		d.add(d.position(f.Path), f.Path, f.Message)
+	}
+	return d.findings
+}
+
 // parse parses a document. The parser wants a line break after a comment at the
 // end, which editors may leave out.
 func parse(data []byte) (hujson.Value, error) {
--- a/settings/jsonc/jsonc_test.go
+++ b/settings/jsonc/jsonc_test.go
@@ -128,6 +128,12 @@
 	assert.Equal(t, s.Map["y"].Deadline.D(), 2*time.Second)
 }
 
+func TestRelocate(t *testing.T) {
+	findings := Findings{{Path: "nested.worth", Message: "too much"}, {Path: "nested.deadline", Message: "too soon"}}
+	got := Relocate("f", []byte("{\n  \"nested\": {\"worth\": 9}}"), findings, &sample{})
+	assert.Equal(t, got.Error(), "f:2:23: nested.worth: too much\nf:2:13: nested.deadline: too soon")
+}
+
 func TestBytes(t *testing.T) {
 	for text, want := range map[string]Bytes{"0B": 0, "1B": 1, "1536KiB": 1536 * KiB, "64MiB": 64 * MiB, "-1KiB": -KiB, "8388607TiB": 8388607 * TiB} {
 		var b Bytes
