--- a/control/api/api.go
+++ b/control/api/api.go
@@ -118,7 +118,8 @@
 func init() {
 	for _, v := range []any{Publish{}, Submit{}, Cancel{}, JobQuery{}, Claim{}, Finish{},
 		placement.Place{}, placement.Confirm{}, placement.Release{}, placement.Forget{}, placement.Noted{},
-		placement.Stop{}, placement.Placed{}, placement.Changed{}, placement.Collect{}, placement.Collected{}} {
+		placement.Stop{}, placement.Placed{}, placement.Changed{}, placement.Collect{}, placement.Collected{},
+		placement.QuotaReport{}, placement.QuotaGrant{}, placement.QuotaAsk{}} {
 		gob.Register(v)
 	}
 }
--- a/control/core.go
+++ b/control/core.go
@@ -4,6 +4,7 @@
 package control
 
 import (
+	"encoding/json"
 	"sort"
 	"time"
 
@@ -233,8 +234,12 @@
 	}
 	h := placement.NewHome(u, epoch, c.cfg.Home)
 	h.SetShards(c.shardIDs)
-	for _, d := range c.digests {
-		h.SetDigest(d)
+	for _, u := range sortedUnits(c.digests) {
+		h.SetDigest(now, c.digests[u])
+	}
+	for _, name := range c.tree.Teams() {
+		v, _ := c.tree.Team(name)
+		h.SetTeam(now, name, v.Team)
 	}
 	var open []placement.Job
 	c.registry.Each(func(j placement.Job) {
@@ -257,16 +262,30 @@
 	}
 }
 
-func (c *Core) jobEnded(out logstream.Outcome) {
+func (c *Core) jobEnded(now time.Duration, out logstream.Outcome) {
 	id := jobID(out.Record)
 	if h, ok := c.homes[ownership.HomeOf(id)]; ok {
-		h.JobEnded(id)
+		h.JobEnded(now, id)
 	}
 	for _, u := range c.ownedShards() {
 		c.shards[u].JobEnded(id)
 	}
 }
 
+// teamChanged brings a team's new settings to the homes of its jobs.
+func (c *Core) teamChanged(now time.Duration, out logstream.Outcome) {
+	var change settings.Change
+	// The reducer has decoded the same body before.
+	_ = json.Unmarshal(out.Record.Body, &change)
+	v, ok := c.tree.Team(change.Team)
+	if !ok {
+		return
+	}
+	for _, u := range c.ownedHomes() {
+		c.homes[u].SetTeam(now, change.Team, v.Team)
+	}
+}
+
 // sweep stops tasks whose job has ended: a shard taken over after the job's end
 // has not seen that record go by.
 func (c *Core) sweep() {
--- a/control/log.go
+++ b/control/log.go
@@ -5,6 +5,7 @@
 
 	"github.com/knapweedweir/knapweedweir/logstream"
 	"github.com/knapweedweir/knapweedweir/placement"
+	"github.com/knapweedweir/knapweedweir/settings"
 )
 
 // LogDown reports whether the log has been silent for too long.
@@ -71,7 +72,9 @@
 	case placement.KindAccept:
 		c.jobAccepted(now, out)
 	case placement.KindEnd, placement.KindCancel:
-		c.jobEnded(out)
+		c.jobEnded(now, out)
+	case settings.KindChange:
+		c.teamChanged(now, out)
 	}
 }
 
--- a/control/peers.go
+++ b/control/peers.go
@@ -77,7 +77,7 @@
 		c.members.Heard(now, env.Heartbeat)
 	}
 	for _, d := range env.Digests {
-		c.noteDigest(d)
+		c.noteDigest(now, d)
 	}
 	for _, m := range env.Messages {
 		c.route(now, c.local(now, m))
@@ -87,10 +87,10 @@
 	}
 }
 
-func (c *Core) noteDigest(d placement.Digest) {
+func (c *Core) noteDigest(now time.Duration, d placement.Digest) {
 	c.digests[d.Shard] = d
 	for _, h := range c.homes {
-		h.SetDigest(d)
+		h.SetDigest(now, d)
 	}
 }
 
@@ -98,7 +98,7 @@
 	var digests []placement.Digest
 	for _, u := range c.ownedShards() {
 		d := c.shards[u].Digest()
-		c.noteDigest(d)
+		c.noteDigest(now, d)
 		digests = append(digests, d)
 	}
 	if len(digests) == 0 {
--- /dev/null
+++ b/placement/home_rooms.go
@@ -0,0 +1,185 @@
+package placement
+
+import (
+	"github.com/knapweedweir/knapweedweir/ownership"
+	"github.com/knapweedweir/knapweedweir/platform"
+)
+
+// room is what the home knows of one shard: its last digest, less what the home
+// has asked of it since.
+type room struct {
+	Digest
+	known bool
+	// version counts the digests: a refusal counts until the next one.
+	version uint64
+}
+
+// rooms is the shards a home may ask. Digests are stale by nature; they only say
+// where to ask first.
+type rooms struct {
+	list  []room
+	index map[ownership.Unit]int
+	total platform.Resources
+	seed  uint64
+}
+
+func newRooms(seed uint64) rooms {
+	return rooms{index: map[ownership.Unit]int{}, seed: seed}
+}
+
+func (r *rooms) setShards(shards []ownership.Unit) {
+	old, oldIndex := r.list, r.index
+	r.list, r.index, r.total = make([]room, len(shards)), make(map[ownership.Unit]int, len(shards)), platform.Resources{}
+	for i, s := range shards {
+		r.list[i].Shard = s
+		r.index[s] = i
+		if k, ok := oldIndex[s]; ok {
+			r.list[i] = old[k]
+		}
+		// A refusal that was noted by position must not count for the shard
+		// that has that position now.
+		r.list[i].version++
+		r.total = r.total.Add(r.list[i].Total)
+	}
+}
+
+// setDigest notes a digest and reports whether it shows more room than before
+// and whether the shard has another owner than before. A digest of a replaced
+// owner that arrives late is dropped.
+func (r *rooms) setDigest(d Digest) (grew, changedHands bool) {
+	i, ok := r.index[d.Shard]
+	if !ok || d.Epoch < r.list[i].Epoch {
+		return false, false
+	}
+	k := &r.list[i]
+	changedHands = k.known && d.Epoch != k.Epoch
+	grew = !k.known || d.Free.MilliCPU > k.Free.MilliCPU || d.Free.MemoryMiB > k.Free.MemoryMiB ||
+		d.Free.Accelerators > k.Free.Accelerators
+	r.total = r.total.Add(d.Total).Sub(k.Total)
+	k.Digest, k.known = d, true
+	k.version++
+	return grew, changedHands
+}
+
+func (r *rooms) epoch(s ownership.Unit) platform.Offset {
+	if i, ok := r.index[s]; ok {
+		return r.list[i].Epoch
+	}
+	return 0
+}
+
+// take lowers a shard's known room by what was asked of it.
+func (r *rooms) take(i int, need platform.Resources) { r.list[i].Free = r.list[i].Free.Sub(need) }
+
+func (r *rooms) giveBack(s ownership.Unit, need platform.Resources) {
+	if i, ok := r.index[s]; ok {
+		r.list[i].Free = r.list[i].Free.Add(need)
+	}
+}
+
+// random is splitmix64: a generator of the home's own, so that the same events
+// give the same actions.
+func (r *rooms) random(n int) int {
+	r.seed += 0x9e3779b97f4a7c15
+	z := r.seed
+	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
+	z = (z ^ z>>27) * 0x94d049bb133111eb
+	z ^= z >> 31
+	return int(z % uint64(n))
+}
+
+// Bounds of the search for a shard: up to probes random looks for enough
+// candidates; when they find none, all shards are looked at.
+const (
+	probes     = 8
+	candidates = 2
+)
+
+// search is what a shard is looked for.
+type search struct {
+	need platform.Resources
+	// anyCapable also takes shards without room now, whose workers are large
+	// enough.
+	anyCapable bool
+	refused    map[int]uint64
+	// avoid names shards where the task has failed; others go first.
+	avoid []ownership.Unit
+	// placed counts the job's tasks per shard, where they should be spread.
+	placed map[ownership.Unit]int
+}
+
+// choose returns the index of the better of two random shards that fit, so that
+// homes with the same stale digests don't all ask the same shard.
+func (r *rooms) choose(s search) int {
+	if len(r.list) == 0 {
+		return noIndex
+	}
+	best, found := noIndex, 0
+	if len(r.list) > probes {
+		for range probes {
+			i := r.random(len(r.list))
+			if !r.fits(i, s) {
+				continue
+			}
+			if found++; best == noIndex || r.better(i, best, s) {
+				best = i
+			}
+			if found == candidates {
+				break
+			}
+		}
+	}
+	if best != noIndex && !r.poor(best, s) {
+		return best
+	}
+	start := r.random(len(r.list))
+	for k := range r.list {
+		i := (start + k) % len(r.list)
+		if r.fits(i, s) && (best == noIndex || r.better(i, best, s)) {
+			best = i
+		}
+	}
+	return best
+}
+
+func (r *rooms) fits(i int, s search) bool {
+	k := &r.list[i]
+	if !k.known || s.refused[i] == k.version {
+		return false
+	}
+	if s.anyCapable {
+		return s.need.Fits(k.Largest)
+	}
+	return s.need.Fits(k.Free) && s.need.Fits(k.Largest)
+}
+
+// poor reports whether a shard found at random is worth a look at all others:
+// the task has failed there, or it would sit on accelerators it does not use.
+func (r *rooms) poor(i int, s search) bool {
+	return contains(s.avoid, r.list[i].Shard) || (s.need.Accelerators == 0 && r.list[i].Total.Accelerators > 0)
+}
+
+func (r *rooms) better(i, j int, s search) bool {
+	a, b := &r.list[i], &r.list[j]
+	if x, y := contains(s.avoid, a.Shard), contains(s.avoid, b.Shard); x != y {
+		return y
+	}
+	if x, y := s.placed[a.Shard], s.placed[b.Shard]; x != y {
+		return x < y
+	}
+	if s.need.Accelerators == 0 {
+		if x, y := a.Total.Accelerators > 0, b.Total.Accelerators > 0; x != y {
+			return y
+		}
+	}
+	return a.Free.MilliCPU > b.Free.MilliCPU
+}
+
+func contains[T comparable](list []T, x T) bool {
+	for _, l := range list {
+		if l == x {
+			return true
+		}
+	}
+	return false
+}
--- a/settings/team.go
+++ b/settings/team.go
@@ -16,6 +16,9 @@
 	// Quota is what the team's running tasks may use at once. A zero amount
 	// means no limit of its own.
 	Quota platform.Resources `json:"quota"`
+	// Borrow is what they may use beyond the quota while others leave room.
+	// Such tasks are the first to give way.
+	Borrow platform.Resources `json:"borrow"`
 	// Services are the upstream services the team's callers may reach.
 	Services map[string]Service `json:"services"`
 	// Policies say how the team's jobs are treated, by kind of job: "service",
@@ -58,6 +61,9 @@
 	if t.Quota.MilliCPU < 0 || t.Quota.MemoryMiB < 0 || t.Quota.Accelerators < 0 {
 		report("quota", "amounts must not be negative")
 	}
+	if t.Borrow.MilliCPU < 0 || t.Borrow.MemoryMiB < 0 || t.Borrow.Accelerators < 0 {
+		report("borrow", "amounts must not be negative")
+	}
 	for _, name := range sortedKeys(t.Services) {
 		s := t.Services[name]
 		if name == "" || strings.Contains(name, "/") {
