Histories with short leases, and an owner that wakes after its lease

An owner paused for longer than a lease wakes, counts the lease as lapsed from its own last answer and tells the homes that the tasks are lost, while its successor has gone on renewing it.

On waking, the simulated process now sees its timers before what has arrived meanwhile: the order in which the fault shows.

--- a/control/history_test.go
+++ b/control/history_test.go
@@ -32,6 +32,8 @@
 func TestHistories(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		h := &history{sim: newSim(rapid.Uint64().Draw(t, "seed"), 5, 3, 2), t: t}
+		// A short lease, so that leases lapse within a history.
+		h.configure = func(cfg *Config) { cfg.Shard.Lease = 4 * time.Second }
 		h.startAll()
 		h.run(5 * time.Second)
 		h.publishTeam(h.nodes[0])
--- a/control/sim_test.go
+++ b/control/sim_test.go
@@ -210,9 +210,13 @@
 
 func (s *sim) kill(n *simNode) { n.alive = false }
 
+// wake lets a paused node go on: its timers fire before what has arrived is read.
 func (s *sim) wake(n *simNode) {
 	late := n.late
 	n.paused, n.late = false, nil
+	if n.alive {
+		s.step(n, Tick{})
+	}
 	for _, do := range late {
 		do()
 	}
@@ -445,6 +449,17 @@
 	return len(members) > 0
 }
 
+// busiest is the node that owns the most shards.
+func (s *sim) busiest() *simNode {
+	best := s.nodes[0]
+	for _, n := range s.nodes {
+		if len(n.core.shards) > len(best.core.shards) {
+			best = n
+		}
+	}
+	return best
+}
+
 // running counts the tasks that workers run now.
 func (s *sim) running() int {
 	count := 0
--- a/control/takeover_test.go
+++ b/control/takeover_test.go
@@ -19,7 +19,7 @@
 		s.submit(s.nodes[0], fmt.Sprintf("svc-%d", i), placement.Service, 1)
 	}
 	s.until(t, 5*time.Second, "all run", func() bool { return s.running() == 20 })
-	s.kill(s.nodes[1])
+	s.kill(s.busiest())
 	gap := s.until(t, 5*time.Second, "all units owned", s.settled)
 	assert.Assert(t, gap <= 3*time.Second, "took %s", gap)
 	s.run(5 * time.Second)
@@ -27,3 +27,29 @@
 	assert.Equal(t, len(s.starts), 20)
 	s.check(t)
 }
+
+// An instance that owns shards is paused for longer than a lease, and wakes. A
+// successor renewed the leases meanwhile, so the workers run on. On waking, the
+// old owner sees workers that were silent for a whole lease by its own count;
+// if it told their homes that the tasks are lost, they would run twice.
+func TestPausedOwnerWakesAfterLease(t *testing.T) {
+	for seed := range uint64(5) {
+		s := newSim(seed, 5, 6, 2)
+		s.configure = func(cfg *Config) { cfg.Shard.Lease = 4 * time.Second }
+		s.startAll()
+		s.until(t, 20*time.Second, "all units owned", s.settled)
+		s.publishTeam(s.nodes[0])
+		s.run(time.Second)
+		for i := range 20 {
+			s.submit(s.nodes[0], fmt.Sprintf("svc-%d", i), placement.Service, 1)
+		}
+		s.until(t, 5*time.Second, "all run", func() bool { return s.running() == 20 })
+		busy := s.busiest()
+		busy.paused = true
+		s.run(10 * time.Second)
+		s.wake(busy)
+		s.run(10 * time.Second)
+		assert.Equal(t, len(s.starts), 20)
+		s.check(t)
+	}
+}
