--- a/cmd/internal/sched/log.go
+++ b/cmd/internal/sched/log.go
@@ -2,46 +2,85 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
+	"github.com/knapweedweir/knapweedweir/cmd/internal/schedclient"
 	"github.com/knapweedweir/knapweedweir/control"
+	"github.com/knapweedweir/knapweedweir/control/api"
 	"github.com/knapweedweir/knapweedweir/daemon"
+	"github.com/knapweedweir/knapweedweir/logstream"
 	"github.com/knapweedweir/knapweedweir/platform"
 )
 
-// Timing of the loops that read and write the log.
+// Timing and sizes of the loops that read and write the log.
 const (
 	logPollWait      = time.Second
 	logRetryWait     = 200 * time.Millisecond
 	logCallTimeout   = 3 * time.Second
 	logPageRecords   = 1000
 	controlLogStream = "control"
+
+	// snapshotStream is apart from the control stream, so that only those who
+	// need a snapshot read its bytes.
+	snapshotStream        = "control.snapshots"
+	snapshotPageRecords   = 16
+	snapshotPause         = 100 * time.Millisecond
+	snapshotCallTimeout   = 20 * time.Second
+	snapshotsPerRetention = 4
 )
 
+// readDone brings the answer to a read; the core's next read comes back.
+type readDone struct {
+	control.LogRead
+	next chan logstream.Read
+}
+
+// snapshotRequest asks the control goroutine for the whole state.
+type snapshotRequest struct{ reply chan snapshotResult }
+
+type snapshotResult struct {
+	snapshot logstream.Snapshot
+	ok       bool
+}
+
+// followLog does the reads that the core asks for, one at a time.
 func (s *Scheduler) followLog(ctx context.Context) error {
-	var after platform.Offset
-	// The first read does not wait, so that a scheduler of a quiet cell soon
-	// knows that it has read everything.
-	var poll time.Duration
+	read := logstream.Read{Snapshots: true}
 	for ctx.Err() == nil {
 		began := daemon.Clock()
-		call, cancel := context.WithTimeout(ctx, logCallTimeout)
-		page, err := s.client.Read(call, controlLogStream, after, logPageRecords, poll)
-		cancel()
-		s.post(ctx, control.LogRead{Began: began, Page: page, Err: err})
+		page, err := s.readLog(ctx, read)
+		done := readDone{control.LogRead{Read: read, Began: began, Page: page, Err: err}, make(chan logstream.Read, 1)}
+		s.post(ctx, done)
 		if err != nil {
-			s.process.Log.Warn().Err(err).Msg("log.read_failed")
+			s.process.Log.Warn().Err(err).Bool("snapshots", read.Snapshots).Msg("log.read_failed")
 			sleep(ctx, logRetryWait)
-			continue
 		}
-		poll = logPollWait
-		if n := len(page.Entries); n > 0 {
-			after = page.Entries[n-1].Offset
+		select {
+		case read = <-done.next:
+		case <-ctx.Done():
 		}
 	}
 	return nil
 }
 
+func (s *Scheduler) readLog(ctx context.Context, r logstream.Read) (platform.Page, error) {
+	if r.Snapshots {
+		call, cancel := context.WithTimeout(ctx, snapshotCallTimeout)
+		defer cancel()
+		return s.client.Read(call, snapshotStream, r.After, snapshotPageRecords, 0)
+	}
+	call, cancel := context.WithTimeout(ctx, logCallTimeout)
+	defer cancel()
+	// A read that may not wait soon tells a scheduler of a quiet cell that it
+	// has read everything.
+	var wait time.Duration
+	if r.Wait {
+		wait = logPollWait
+	}
+	return s.client.Read(call, controlLogStream, r.After, logPageRecords, wait)
+}
+
 func (s *Scheduler) appendLoop(ctx context.Context) error {
 	count := s.process.Metrics.Counter("log_appends")
 	for {
@@ -60,3 +99,103 @@
 		}
 	}
 }
+
+// storeLoop writes snapshots to the log.
+func (s *Scheduler) storeLoop(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case snapshot := <-s.stores:
+			mark, err := s.store(ctx, snapshot)
+			if err != nil {
+				s.process.Log.Warn().Err(err).Msg("snapshot.store_failed")
+			} else {
+				s.process.Log.Info().Uint64("covers", uint64(mark.Covers)).Int("bytes", mark.Bytes).Msg("snapshot.stored")
+			}
+			s.post(ctx, control.SnapshotStored{Mark: mark, Err: err})
+		}
+	}
+}
+
+// store appends the chunks of a snapshot with pauses, so that a large one does
+// not take the log from everybody else.
+func (s *Scheduler) store(ctx context.Context, snapshot logstream.Snapshot) (logstream.Mark, error) {
+	data, err := logstream.EncodeSnapshot(snapshot)
+	if err != nil {
+		return logstream.Mark{}, err
+	}
+	chunks, err := logstream.EncodeChunks(s.process.ID, s.process.Incarnation, snapshot.Offset, data)
+	if err != nil {
+		return logstream.Mark{}, err
+	}
+	count := s.process.Metrics.Counter("snapshot_appends")
+	for i, c := range chunks {
+		if i > 0 {
+			sleep(ctx, snapshotPause)
+		}
+		call, cancel := context.WithTimeout(ctx, snapshotCallTimeout)
+		err := s.client.Append(call, snapshotStream, [][]byte{c})
+		cancel()
+		count.Inc(1)
+		if err != nil {
+			return logstream.Mark{}, err
+		}
+	}
+	return logstream.Mark{Covers: snapshot.Offset, Chunks: len(chunks), Bytes: len(data)}, nil
+}
+
+// fetchLoop asks peers for their state.
+func (s *Scheduler) fetchLoop(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case addrs := <-s.fetches:
+			s.post(ctx, control.PeerStates{States: s.fetchNewest(addrs)})
+		}
+	}
+}
+
+// fetchNewest asks all peers for their offset at the same time and takes the
+// whole state from the newest alone: from all, at the letter's size, it would be
+// hundreds of megabytes.
+func (s *Scheduler) fetchNewest(addrs []string) []control.PeerState {
+	offsets := make([]platform.Offset, len(addrs))
+	var wait sync.WaitGroup
+	for i, addr := range addrs {
+		wait.Go(func() {
+			reply, err := askSnapshot(addr, true)
+			if err != nil {
+				s.process.Log.Debug().Err(err).Str("peer", addr).Msg("peer.state_unavailable")
+			}
+			offsets[i] = reply.Offset
+		})
+	}
+	wait.Wait()
+	newest := 0
+	for i := range offsets {
+		if offsets[i] > offsets[newest] {
+			newest = i
+		}
+	}
+	if offsets[newest] == 0 {
+		return nil
+	}
+	reply, err := askSnapshot(addrs[newest], false)
+	if err != nil {
+		return nil
+	}
+	snapshot, err := logstream.DecodeSnapshot(reply.Data)
+	if err != nil {
+		s.process.Log.Warn().Err(err).Str("peer", addrs[newest]).Msg("peer.state_damaged")
+		return nil
+	}
+	return []control.PeerState{{From: addrs[newest], Snapshot: snapshot}}
+}
+
+func askSnapshot(addr string, offsetOnly bool) (api.SnapshotReply, error) {
+	client := schedclient.New(addr)
+	defer client.Close()
+	return client.Snapshot(offsetOnly, peerTimeout)
+}
--- a/cmd/internal/sched/rpc.go
+++ b/cmd/internal/sched/rpc.go
@@ -13,6 +13,7 @@
 	"github.com/knapweedweir/knapweedweir/control"
 	"github.com/knapweedweir/knapweedweir/control/api"
 	"github.com/knapweedweir/knapweedweir/daemon"
+	"github.com/knapweedweir/knapweedweir/logstream"
 )
 
 // answerTimeout bounds a question whose answer never comes, for example because
@@ -75,6 +76,36 @@
 	return err
 }
 
+// Snapshot returns the scheduler's whole state, for a peer that starts while
+// the log is down.
+func (v service) Snapshot(args api.SnapshotArgs, reply *api.SnapshotReply) error {
+	if args.OffsetOnly {
+		st := v.s.state.Load()
+		if !st.Ready {
+			return errors.New("no state read from the log yet")
+		}
+		reply.Offset = st.Offset
+		return nil
+	}
+	req := snapshotRequest{reply: make(chan snapshotResult, 1)}
+	select {
+	case v.s.events <- req:
+	case <-v.s.done:
+		return errors.New("stopping")
+	}
+	select {
+	case r := <-req.reply:
+		if !r.ok {
+			return errors.New("no state read from the log yet")
+		}
+		data, err := logstream.EncodeSnapshot(r.snapshot)
+		reply.Offset, reply.Data = r.snapshot.Offset, data
+		return err
+	case <-v.s.done:
+		return errors.New("stopping")
+	}
+}
+
 // serveRPC accepts connections until the process ends.
 func (s *Scheduler) serveRPC(l net.Listener) {
 	server := rpc.NewServer()
--- a/cmd/internal/sched/sched.go
+++ b/cmd/internal/sched/sched.go
@@ -14,6 +14,7 @@
 	"github.com/knapweedweir/knapweedweir/control"
 	"github.com/knapweedweir/knapweedweir/control/api"
 	"github.com/knapweedweir/knapweedweir/daemon"
+	"github.com/knapweedweir/knapweedweir/logstream"
 	"github.com/knapweedweir/knapweedweir/platform/httpplatform"
 )
 
@@ -42,6 +43,8 @@
 	events  chan any
 	state   atomic.Pointer[api.State]
 	appends chan [][]byte
+	stores  chan logstream.Snapshot
+	fetches chan []string
 	syncs   chan control.SyncWorker
 	peers   map[string]*peerLink
 	waiting map[uint64]chan api.Answer
@@ -74,6 +77,8 @@
 	p.AddLoop(sch.control)
 	p.AddLoop(sch.followLog)
 	p.AddLoop(sch.appendLoop)
+	p.AddLoop(sch.storeLoop)
+	p.AddLoop(sch.fetchLoop)
 	p.AddLoop(sch.listInstances)
 	p.AddLoop(sch.listWorkers)
 	p.AddLoop(sch.syncLoop)
@@ -101,8 +106,15 @@
 	if s.Lease > 0 {
 		cfg.Shard.Lease = s.Lease.D()
 	}
+	cfg.Peers = s.Peers
+	if s.LogRetention > 0 {
+		cfg.Schedule.Every = s.LogRetention.D() / snapshotsPerRetention
+	}
+	if s.SnapshotRecords > 0 {
+		cfg.Schedule.Records = uint64(s.SnapshotRecords)
+	}
 	sch := &Scheduler{process: p, core: control.New(cfg), client: httpplatform.New(s.Platform),
-		events: make(chan any, eventQueue), appends: make(chan [][]byte, 1), syncs: make(chan control.SyncWorker, eventQueue),
+		events: make(chan any, eventQueue), appends: make(chan [][]byte, 1), stores: make(chan logstream.Snapshot, 1), fetches: make(chan []string, 1), syncs: make(chan control.SyncWorker, eventQueue),
 		peers: map[string]*peerLink{}, waiting: map[uint64]chan api.Answer{}, done: make(chan struct{})}
 	sch.state.Store(&api.State{Scheduler: s.ID})
 	p.OnDump(sch.dump)
@@ -138,11 +150,19 @@
 	case dumpRequest:
 		e.reply <- s.core.Dump(now)
 		return
+	case snapshotRequest:
+		snapshot, ok := s.core.Snapshot()
+		e.reply <- snapshotResult{snapshot, ok}
+		return
 	case askRequest:
 		ticket := s.tickets.Add(1)
 		s.waiting[ticket] = e.reply
 		ev = control.Asked{Ticket: ticket, Question: e.question}
 	}
+	if read, ok := ev.(readDone); ok {
+		ev = read.LogRead
+		defer func() { read.next <- s.core.NextRead() }()
+	}
 	for _, a := range s.core.Step(now, ev) {
 		s.perform(ctx, a)
 	}
@@ -162,6 +182,10 @@
 		default:
 			// An append is still under way; the committer repeats this one.
 		}
+	case control.StoreSnapshot:
+		s.stores <- a.Snapshot // the core has one at a time under way
+	case control.FetchStates:
+		s.fetches <- a.Addrs // the core has one at a time under way
 	case control.SyncWorker:
 		select {
 		case s.syncs <- a:
--- a/cmd/internal/sched/settings.go
+++ b/cmd/internal/sched/settings.go
@@ -3,6 +3,7 @@
 package sched
 
 import (
+	"fmt"
 	"net"
 
 	"github.com/knapweedweir/knapweedweir/settings/jsonc"
@@ -26,6 +27,14 @@
 	SyncEvery jsonc.Duration `json:"syncEvery" default:"200ms"`
 	// Lease is how long a worker runs its tasks without a renewal.
 	Lease jsonc.Duration `json:"lease" default:"15s"`
+	// Peers are the RPC addresses of other schedulers, asked for their state
+	// when the log is down at the start and the platform lists nobody.
+	Peers []string `json:"peers"`
+	// LogRetention is how long the platform keeps records; snapshots are
+	// written four times in it.
+	LogRetention jsonc.Duration `json:"logRetention" default:"1h"`
+	// SnapshotRecords is the largest number of records between two snapshots.
+	SnapshotRecords int `json:"snapshotRecords" default:"20000"`
 }
 
 // Validate implements jsonc.Validator.
@@ -41,6 +50,15 @@
 	if s.Platform == "" {
 		report("platform", "must be set to the platform's base URL, such as \"http://10.0.0.1:8080\"")
 	}
+	for i, p := range s.Peers {
+		checkAddr(report, fmt.Sprintf("peers[%d]", i), p)
+	}
+	if s.LogRetention < 0 {
+		report("logRetention", "must not be negative")
+	}
+	if s.SnapshotRecords < 0 {
+		report("snapshotRecords", "must not be negative")
+	}
 	if s.DrainLimit < 0 {
 		report("drainLimit", "must not be negative")
 	}
--- a/cmd/internal/schedclient/client.go
+++ b/cmd/internal/schedclient/client.go
@@ -79,6 +79,16 @@
 	return d.JSON, nil
 }
 
+// Snapshot returns the scheduler's whole state, or only its offset.
+func (c *Client) Snapshot(offsetOnly bool, timeout time.Duration) (api.SnapshotReply, error) {
+	var r api.SnapshotReply
+	if err := c.call("Snapshot", api.SnapshotArgs{OffsetOnly: offsetOnly}, &r, timeout); err != nil {
+		// A late reply may still be decoded into the variable.
+		return api.SnapshotReply{}, err
+	}
+	return r, nil
+}
+
 func (c *Client) call(method string, args, reply any, timeout time.Duration) error {
 	conn, err := c.connect()
 	if err != nil {
--- a/control/api/api.go
+++ b/control/api/api.go
@@ -115,6 +115,15 @@
 // DumpReply is a dump in JSON.
 type DumpReply struct{ JSON []byte }
 
+// SnapshotArgs asks for the scheduler's whole state, or only for its offset.
+type SnapshotArgs struct{ OffsetOnly bool }
+
+// SnapshotReply is the state as logstream.EncodeSnapshot writes it.
+type SnapshotReply struct {
+	Offset platform.Offset
+	Data   []byte
+}
+
 func init() {
 	for _, v := range []any{Publish{}, Submit{}, Cancel{}, JobQuery{}, Claim{}, Finish{},
 		placement.Place{}, placement.Confirm{}, placement.Release{}, placement.Forget{}, placement.Noted{},
--- a/control/core.go
+++ b/control/core.go
@@ -38,6 +38,10 @@
 	Shard        placement.ShardConfig
 	Home         placement.HomeConfig
 	Committer    logstream.CommitterConfig
+	Schedule     logstream.ScheduleConfig
+	// Peers are addresses of schedulers to ask for their state when the log is
+	// down at the start, besides those in the platform's list.
+	Peers []string
 }
 
 // DefaultConfig returns the timing for a cell on one site.
@@ -49,6 +53,7 @@
 		Shard: placement.DefaultShardConfig, Home: placement.DefaultHomeConfig,
 		Committer: logstream.CommitterConfig{Writer: id, Incarnation: incarnation, MaxBatch: 200,
 			MinInterval: 20 * time.Millisecond, RetryAfter: time.Second, GiveUp: 4 * time.Second},
+		Schedule: logstream.ScheduleConfig{Every: 15 * time.Minute, Records: 20000, Grace: 10 * time.Second},
 	}
 }
 
@@ -61,6 +66,8 @@
 	cfg       Config
 	self      string
 	view      *logstream.View
+	follower  *logstream.Follower
+	schedule  *logstream.Schedule
 	tree      *settings.Tree
 	table     *ownership.Table
 	registry  *placement.Registry
@@ -82,8 +89,12 @@
 	tickets    map[uint64]api.Question
 	nextTicket uint64
 	logHeardAt time.Duration
-	caughtUp   bool
 	ready      bool
+	writing    bool
+	fetchedAt  time.Duration
+	fetching   bool
+	startedAt  time.Duration
+	started    bool
 	claimedAt  time.Duration
 	digestAt   time.Duration
 	sweptAt    time.Duration
@@ -105,6 +116,10 @@
 		workers: map[ownership.Unit][]platform.Worker{}, addrs: map[string]string{},
 		digests: map[ownership.Unit]placement.Digest{}, tickets: map[uint64]api.Question{}, nextTicket: ownTickets}
 	c.view = logstream.NewView(c.tree, c.table, c.registry, c.claims)
+	c.follower, c.schedule = logstream.NewFollower(c.view), logstream.NewSchedule(cfg.Schedule)
+	// Versions start beyond those of earlier lives: an entry that asks for what
+	// is newer than a version of an earlier life must get the whole state.
+	c.version = cfg.Incarnation
 	for i := range ownership.HomeSlots {
 		c.units = append(c.units, ownership.HomeUnit(i))
 	}
@@ -114,11 +129,18 @@
 // Step takes in one event and returns what has to be done.
 func (c *Core) Step(now time.Duration, ev Event) []Action {
 	c.actions, c.outbox = nil, map[string]*api.Envelope{}
+	if !c.started {
+		c.started, c.startedAt = true, now
+	}
 	switch ev := ev.(type) {
 	case Tick:
 		c.tick(now)
 	case LogRead:
 		c.logRead(now, ev)
+	case SnapshotStored:
+		c.snapshotStored(now, ev)
+	case PeerStates:
+		c.peerStates(now, ev)
 	case InstancesListed:
 		c.instancesListed(now, ev)
 	case WorkersListed:
@@ -148,10 +170,12 @@
 	for _, id := range peers {
 		c.envelope(id).Heartbeat = hb
 	}
-	if !down && c.caughtUp && c.members.Settled(now) && now-c.claimedAt >= claimEvery {
+	if !down && c.follower.CaughtUp() && c.members.Settled(now) && now-c.claimedAt >= claimEvery {
 		c.claimedAt = now
 		c.proposeClaims(now)
 	}
+	c.snapshotIfDue(now, down)
+	c.fetchIfCutOff(now, down)
 	if now-c.digestAt >= c.cfg.DigestEvery {
 		c.digestAt = now
 		c.tellDigests(now)
@@ -241,14 +265,7 @@
 		v, _ := c.tree.Team(name)
 		h.SetTeam(now, name, v.Team)
 	}
-	var open []placement.Job
-	c.registry.Each(func(j placement.Job) {
-		if j.State == placement.JobOpen && ownership.HomeOf(j.Spec.ID) == u {
-			open = append(open, j)
-		}
-	})
-	sort.Slice(open, func(i, k int) bool { return open[i].Accepted < open[k].Accepted })
-	for _, j := range open {
+	for _, j := range c.openJobs(u) {
 		h.AddJob(now, j)
 	}
 	c.homes[u] = h
--- a/control/core_test.go
+++ b/control/core_test.go
@@ -18,7 +18,9 @@
 	c := New(DefaultConfig("sched-1", 1))
 	now := time.Hour
 	c.Step(now, Tick{})
-	c.Step(now, LogRead{Page: platform.Page{}})
+	for range 2 {
+		c.Step(now, LogRead{Read: c.NextRead(), Page: platform.Page{First: 1}})
+	}
 	actions := c.Step(now, Asked{Ticket: 1, Question: api.Publish{Change: settings.Change{Team: "workshop", File: "f", Document: "{}"}}})
 	for _, a := range actions {
 		if answer, ok := a.(Answered); ok {
--- a/control/events.go
+++ b/control/events.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/knapweedweir/knapweedweir/control/api"
+	"github.com/knapweedweir/knapweedweir/logstream"
 	"github.com/knapweedweir/knapweedweir/placement"
 	"github.com/knapweedweir/knapweedweir/platform"
 )
@@ -14,14 +15,31 @@
 // Tick lets time pass.
 type Tick struct{}
 
-// LogRead is the answer to a read of the log.
+// LogRead is the answer to a read of the log that NextRead asked for.
 type LogRead struct {
+	Read logstream.Read
 	// Began is when the read was sent: what it says held at that time.
 	Began time.Duration
 	Page  platform.Page
 	Err   error
 }
 
+// SnapshotStored is the answer to a StoreSnapshot.
+type SnapshotStored struct {
+	Mark logstream.Mark
+	Err  error
+}
+
+// PeerStates is the answer to FetchStates: the states of the peers that gave
+// one.
+type PeerStates struct{ States []PeerState }
+
+// PeerState is one peer's state.
+type PeerState struct {
+	From     string
+	Snapshot logstream.Snapshot
+}
+
 // AppendDone is the answer to an Append. It decides nothing: only reading a
 // record back does.
 type AppendDone struct{ Err error }
@@ -71,3 +89,9 @@
 	Ticket uint64
 	Answer api.Answer
 }
+
+// StoreSnapshot appends a snapshot to the snapshot stream.
+type StoreSnapshot struct{ Snapshot logstream.Snapshot }
+
+// FetchStates asks peers for their newest state.
+type FetchStates struct{ Addrs []string }
--- a/control/log.go
+++ b/control/log.go
@@ -1,10 +1,15 @@
 package control
 
 import (
+	"sort"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/knapweedweir/knapweedweir/logstream"
+	"github.com/knapweedweir/knapweedweir/ownership"
 	"github.com/knapweedweir/knapweedweir/placement"
+	"github.com/knapweedweir/knapweedweir/platform"
 	"github.com/knapweedweir/knapweedweir/settings"
 )
 
@@ -26,8 +31,11 @@
 	}
 }
 
+// NextRead is the read of the log to do next.
+func (c *Core) NextRead() logstream.Read { return c.follower.Next() }
+
 func (c *Core) logRead(now time.Duration, ev LogRead) {
-	if ev.Err != nil {
+	if ev.Err != nil && !errors.Is(ev.Err, platform.ErrExpired) {
 		return
 	}
 	c.logHeardAt = now
@@ -35,24 +43,20 @@
 	// would be turned away as if the log were still down; SetDown(false) only
 	// lifts the refusal and resolves nothing.
 	c.committer.SetDown(false)
-	changed := false
-	for _, e := range ev.Page.Entries {
-		before := c.view.Offset()
-		out, ok := c.view.Apply(e)
-		changed = changed || c.view.Offset() != before
-		if ok {
-			c.ruled(now, out)
-		}
-	}
-	c.caughtUp = c.view.Offset() >= ev.Page.Tail
-	if c.caughtUp && !c.ready {
+	before := c.view.Offset()
+	jumped := c.follower.Take(ev.Read, ev.Page, ev.Err, func(out logstream.Outcome) { c.ruled(now, out) })
+	changed := c.view.Offset() != before
+	if c.follower.CaughtUp() && !c.ready {
 		c.ready, changed = true, true
 	}
 	if changed {
 		c.version++
 		c.takeOver(now)
 	}
-	if c.caughtUp {
+	if jumped {
+		c.jumped(now)
+	}
+	if c.follower.CaughtUp() {
 		for _, s := range c.shards {
 			s.ConfirmOwner(ev.Began)
 		}
@@ -62,6 +66,40 @@
 	}
 }
 
+// jumped brings the owned homes and shards in line after the view has passed
+// over records that were never ruled on here: jobs accepted or ended meanwhile.
+func (c *Core) jumped(now time.Duration) {
+	c.resolve(c.committer.Jumped(c.view.Writer(c.cfg.ID)))
+	for _, u := range c.ownedHomes() {
+		h := c.homes[u]
+		for _, name := range c.tree.Teams() {
+			v, _ := c.tree.Team(name)
+			h.SetTeam(now, name, v.Team)
+		}
+		for _, id := range h.Jobs() {
+			if j, ok := c.registry.Job(id); !ok || j.State != placement.JobOpen {
+				h.JobEnded(now, id)
+			}
+		}
+		for _, j := range c.openJobs(u) {
+			h.AddJob(now, j)
+		}
+	}
+	c.sweep()
+}
+
+// openJobs lists the open jobs of a home in the order they were accepted in.
+func (c *Core) openJobs(u ownership.Unit) []placement.Job {
+	var open []placement.Job
+	c.registry.Each(func(j placement.Job) {
+		if j.State == placement.JobOpen && ownership.HomeOf(j.Spec.ID) == u {
+			open = append(open, j)
+		}
+	})
+	sort.Slice(open, func(i, k int) bool { return open[i].Accepted < open[k].Accepted })
+	return open
+}
+
 // ruled acts on a ruling of the view.
 func (c *Core) ruled(now time.Duration, out logstream.Outcome) {
 	c.resolve(c.committer.ReadBack(out))
--- a/control/sim_test.go
+++ b/control/sim_test.go
@@ -11,7 +11,10 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/knapweedweir/knapweedweir/control/api"
+	"github.com/knapweedweir/knapweedweir/logstream"
 	"github.com/knapweedweir/knapweedweir/placement"
 	"github.com/knapweedweir/knapweedweir/platform"
 	"github.com/knapweedweir/knapweedweir/settings"
@@ -28,7 +31,9 @@
 	workers map[string]*simWorker
 	list    []platform.Worker
 	log     []platform.Entry
-	logDown bool
+	// snapshots is the snapshot stream.
+	snapshots []platform.Entry
+	logDown   bool
 	// cut holds the one-way cuts between ends: node names, worker IDs, "log".
 	cut    map[[2]string]bool
 	states map[platform.Offset]simState
@@ -81,7 +86,6 @@
 	alive       bool
 	paused      bool
 	late        []func()
-	cursor      platform.Offset
 	leaving     bool
 }
 
@@ -156,7 +160,7 @@
 
 func (s *sim) start(n *simNode) {
 	n.incarnation++
-	n.alive, n.paused, n.late, n.cursor, n.leaving = true, false, nil, 0, false
+	n.alive, n.paused, n.late, n.leaving = true, false, nil, false
 	cfg := DefaultConfig(n.id, n.incarnation)
 	if s.configure != nil {
 		s.configure(&cfg)
@@ -267,27 +271,53 @@
 				s.post(to, s.latency(), Delivered{Envelope: a.Envelope})
 			}
 		}
+	case StoreSnapshot:
+		s.store(n, a.Snapshot)
 	case Answered:
 		s.answers[a.Ticket] = a.Answer
 	}
 }
 
 func (s *sim) read(n *simNode) {
+	r := n.core.NextRead()
 	if s.logDown || !s.open("log", n.id) || !s.open(n.id, "log") {
-		s.step(n, LogRead{Err: platform.ErrExpired})
+		s.step(n, LogRead{Read: r, Err: errors.New("the log can't be reached")})
 		return
 	}
-	from := min(int(n.cursor), len(s.log))
-	entries := s.log[from:min(from+1000, len(s.log))]
-	if len(entries) > 0 {
-		n.cursor = entries[len(entries)-1].Offset
+	stream := s.log
+	if r.Snapshots {
+		stream = s.snapshots
 	}
-	page := platform.Page{Entries: entries, First: 1, Tail: platform.Offset(len(s.log))}
-	s.step(n, LogRead{Began: s.now, Page: page})
+	from := min(int(r.After), len(stream))
+	entries := stream[from:min(from+1000, len(stream))]
+	page := platform.Page{Entries: entries, First: 1, Tail: platform.Offset(len(stream))}
+	ev := LogRead{Read: r, Began: s.now, Page: page}
+	s.step(n, ev)
 	if len(entries) > 0 && s.random.IntN(4) == 0 {
 		// The same page arrives once more, after newer ones.
-		s.post(n, 30*simPoll, LogRead{Began: s.now, Page: page})
+		s.post(n, 30*simPoll, ev)
+	}
+}
+
+func (s *sim) store(n *simNode, snapshot logstream.Snapshot) {
+	data, err := logstream.EncodeSnapshot(snapshot)
+	if err != nil {
+		s.fail("encode snapshot: %v", err)
+		return
+	}
+	chunks, err := logstream.EncodeChunks(n.id, n.incarnation, snapshot.Offset, data)
+	if err != nil {
+		s.fail("encode chunks: %v", err)
+		return
+	}
+	if s.logDown || !s.open(n.id, "log") {
+		s.post(n, s.latency(), SnapshotStored{Err: errors.New("the log can't be reached")})
+		return
+	}
+	for _, c := range chunks {
+		s.snapshots = append(s.snapshots, platform.Entry{Offset: platform.Offset(len(s.snapshots) + 1), Data: c})
 	}
+	s.post(n, s.latency(), SnapshotStored{Mark: logstream.Mark{Covers: snapshot.Offset, Chunks: len(chunks), Bytes: len(data)}})
 }
 
 func (s *sim) sync(n *simNode, a SyncWorker) {
--- a/control/state.go
+++ b/control/state.go
@@ -49,6 +49,7 @@
 	Member        string          `json:"member"`
 	Offset        platform.Offset `json:"offset"`
 	CaughtUp      bool            `json:"caughtUp"`
+	Log           LogDump         `json:"log"`
 	LogDown       bool            `json:"logDown"`
 	Leaving       bool            `json:"leaving"`
 	Live          []string        `json:"live"`
@@ -64,9 +65,10 @@
 
 // Dump describes the core.
 func (c *Core) Dump(now time.Duration) Dump {
-	d := Dump{DumpVersion: DumpVersion, Member: c.self, Offset: c.view.Offset(), CaughtUp: c.caughtUp,
+	d := Dump{DumpVersion: DumpVersion, Member: c.self, Offset: c.view.Offset(), CaughtUp: c.follower.CaughtUp(),
 		LogDown: c.LogDown(now), Leaving: c.members.Leaving(), Live: c.members.Live(now),
 		Appends: c.committer.Appends(), Teams: c.tree.Teams()}
+	d.Log = c.logDump()
 	d.Skipped, d.LastSkip = c.view.Skipped()
 	d.QueuedRecords, d.InFlight = c.committer.Pending()
 	for _, u := range c.ownedShards() {
--- a/logstream/committer.go
+++ b/logstream/committer.go
@@ -179,3 +179,21 @@
 	}
 	return res
 }
+
+// Jumped tells the committer that the view jumped to a snapshot that holds this
+// writer's records up to a position. Records up to there were ruled on, but the
+// rulings were not seen here.
+func (c *Committer) Jumped(own Position) []Resolution {
+	if own.Incarnation != c.cfg.Incarnation {
+		return nil
+	}
+	var res []Resolution
+	for len(c.inflight) > 0 && c.inflight[0].rec.Sequence <= own.Sequence {
+		p := c.inflight[0]
+		c.inflight = c.inflight[1:]
+		if !p.answered {
+			res = append(res, Resolution{Ticket: p.ticket, Err: ErrOutcomeUnknown})
+		}
+	}
+	return res
+}
--- /dev/null
+++ b/logstream/history_test.go
@@ -0,0 +1,145 @@
+package logstream
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/knapweedweir/knapweedweir/platform"
+)
+
+// Writers repeat their appends because answers were lost, somebody appends
+// rubbish, snapshots are written in between, and every process reads in pages
+// of its own size, some of which come late or twice; some start anew. Whoever
+// has read up to the same offset must have the same state.
+func TestEqualStateAtEqualOffsets(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := &fakeLog{keep: rapid.IntRange(30, 60).Draw(t, "keep")}
+		writer := &historyWriter{log: l}
+		reference, _ := newFollower()
+		followers := make([]*Follower, 3)
+		for i := range followers {
+			followers[i], _ = newFollower()
+		}
+		states := map[platform.Offset]Snapshot{}
+		for range rapid.IntRange(20, 300).Draw(t, "steps") {
+			switch rapid.IntRange(0, 6).Draw(t, "step") {
+			case 0, 1:
+				writer.fresh()
+			case 2:
+				writer.repeat()
+			case 3:
+				l.append(0, rapid.SliceOfN(rapid.Byte(), 0, 20).Draw(t, "rubbish"))
+			case 4:
+				if reference.CaughtUp() {
+					writer.mark(l.store(reference.view))
+				}
+			case 5:
+				stepOnce(followers[rapid.IntRange(0, 2).Draw(t, "who")], l, rapid.IntRange(1, 9).Draw(t, "page"))
+			case 6:
+				followers[rapid.IntRange(0, 2).Draw(t, "restarted")], _ = newFollower()
+			}
+			keepUp(reference, l, states)
+			for _, f := range followers {
+				checkAgainst(t, f, states)
+			}
+		}
+	})
+}
+
+type historyWriter struct {
+	log  *fakeLog
+	seq  uint64
+	last []byte
+}
+
+func (w *historyWriter) fresh() {
+	w.seq++
+	w.last = record("w", w.seq, "note", w.seq)
+	w.log.append(0, w.last)
+}
+
+func (w *historyWriter) mark(m Mark) {
+	w.seq++
+	w.last = record("w", w.seq, KindMark, m)
+	w.log.append(0, w.last)
+}
+
+func (w *historyWriter) repeat() {
+	if w.last != nil {
+		w.log.append(0, w.last)
+	}
+}
+
+// keepUp reads record by record and keeps the state at each offset.
+func keepUp(f *Follower, l *fakeLog, states map[platform.Offset]Snapshot) {
+	for range 5 {
+		stepOnce(f, l, 1)
+		s, err := f.view.Snapshot()
+		if err == nil {
+			states[f.view.Offset()] = s
+		}
+	}
+}
+
+func stepOnce(f *Follower, l *fakeLog, most int) {
+	r := f.Next()
+	page, err := l.read(r, most)
+	before := f.view.Offset()
+	f.Take(r, page, err, func(Outcome) {})
+	// The same page once more, as if it had been delayed.
+	f.Take(r, page, err, func(Outcome) {})
+	if f.view.Offset() < before {
+		panic("the state went back")
+	}
+}
+
+func checkAgainst(t *rapid.T, f *Follower, states map[platform.Offset]Snapshot) {
+	want, ok := states[f.view.Offset()]
+	if !ok {
+		t.Fatalf("no process was ever at offset %d", f.view.Offset())
+	}
+	got, err := f.view.Snapshot()
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, want)
+}
+
+// Whatever is in a record, decoding it must end in a record or an error.
+func FuzzDecode(f *testing.F) {
+	whole := note(1)
+	for _, seed := range [][]byte{whole, whole[:len(whole)-3], []byte(`{"v":2,"k":"note","w":"x"}`), []byte(`{}`), nil, []byte("\xff")} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		rec, err := Decode(data)
+		if err == nil && (rec.Writer == "" || rec.Kind == "" || rec.Version != FormatVersion) {
+			t.Fatalf("accepted %+v", rec)
+		}
+		v := NewView(&history{})
+		v.Apply(platform.Entry{Offset: 1, Data: data})
+		if v.Offset() != 1 {
+			t.Fatal("the reader stopped")
+		}
+	})
+}
+
+// Whatever is in the snapshot stream, only what matches its checksum counts.
+func FuzzAssembler(f *testing.F) {
+	l := &fakeLog{}
+	l.append(0, note(1))
+	v, _ := newFollower()
+	catchUp(v, l, 10)
+	l.store(v.view)
+	chunk := l.streams[1][0].Data
+	for _, seed := range [][]byte{chunk, chunk[:len(chunk)-1], []byte("{}\n"), nil, []byte(`{"v":1,"of":1,"n":0}` + "\n")} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		a := NewAssembler()
+		a.Add(data)
+		if b := a.Best(); b != nil && b.Offset == 0 && len(b.Parts) == 0 {
+			t.Fatal("took an empty snapshot")
+		}
+	})
+}
--- a/logstream/view.go
+++ b/logstream/view.go
@@ -32,26 +32,36 @@
 	Err error
 }
 
-// position is the newest record of a writer that the view has seen.
-type position struct {
+// Position is the newest record of a writer that the view has seen.
+type Position struct {
 	Incarnation uint64 `json:"i"`
 	Sequence    uint64 `json:"s"`
+	// Marks is how many snapshots had been written by then.
+	Marks uint64 `json:"m,omitempty"`
 }
 
+// keepWriterMarks is for how many snapshots a silent writer is remembered; at a
+// quarter of an hour each, a day. Every restart under a new name would
+// otherwise stay in all snapshots for good. A repeat that arrives even later
+// is still ruled on by the reducers, which refuse what exists already.
+const keepWriterMarks = 96
+
 // View is the state reduced from one stream up to an offset.
 type View struct {
 	offset   platform.Offset
 	reducers []Reducer
 	byKind   map[Kind]Reducer
-	writers  map[string]position
+	writers  map[string]Position
+	marks    *Marks
 	skipped  uint64
 	lastSkip string
 }
 
 // NewView returns an empty view over the reducers.
 func NewView(reducers ...Reducer) *View {
-	v := &View{reducers: reducers, byKind: map[Kind]Reducer{}, writers: map[string]position{}}
-	for _, r := range reducers {
+	v := &View{byKind: map[Kind]Reducer{}, writers: map[string]Position{}, marks: NewMarks()}
+	v.reducers = append([]Reducer{v.marks}, reducers...)
+	for _, r := range v.reducers {
 		for _, k := range r.Kinds() {
 			v.byKind[k] = r
 		}
@@ -78,9 +88,6 @@
 	if err != nil {
 		return v.skip(err)
 	}
-	if rec.Kind == KindSnapshot {
-		return Outcome{}, false
-	}
 	// An append whose answer was lost is repeated by its writer; applying it
 	// twice would, for example, accept the same job twice. A writer appends
 	// its next batch only after reading the last one back, so within one
@@ -93,29 +100,51 @@
 	if !ok {
 		return v.skip(errors.Errorf("unknown record kind %q", rec.Kind))
 	}
-	v.writers[rec.Writer] = position{rec.Incarnation, rec.Sequence}
-	return Outcome{Offset: e.Offset, Record: rec, Err: reducer.Apply(e.Offset, rec)}, true
+	v.writers[rec.Writer] = Position{rec.Incarnation, rec.Sequence, v.marks.Count()}
+	out := Outcome{Offset: e.Offset, Record: rec, Err: reducer.Apply(e.Offset, rec)}
+	if rec.Kind == KindMark && out.Err == nil {
+		v.forgetWriters()
+	}
+	return out, true
+}
+
+// forgetWriters drops writers that have been silent for long. It runs at
+// accepted marks only, so that all processes drop the same ones.
+func (v *View) forgetWriters() {
+	for w, p := range v.writers {
+		if p.Marks+keepWriterMarks < v.marks.Count() {
+			delete(v.writers, w)
+		}
+	}
 }
 
+// Marks is which snapshots were written.
+func (v *View) Marks() *Marks { return v.marks }
+
+// Writer is the newest record of a writer that the view has seen.
+func (v *View) Writer(name string) Position { return v.writers[name] }
+
 func (v *View) skip(err error) (Outcome, bool) {
-	v.skipped++
-	v.lastSkip = err.Error()
+	v.note(err)
 	return Outcome{}, false
 }
 
-// KindSnapshot marks a record that holds a whole view.
-const KindSnapshot Kind = "snapshot"
+// note counts something unreadable.
+func (v *View) note(err error) {
+	v.skipped++
+	v.lastSkip = err.Error()
+}
 
 // Snapshot is a whole view as it is stored or handed to a peer.
 type Snapshot struct {
 	Offset  platform.Offset            `json:"offset"`
-	Writers map[string]position        `json:"writers"`
+	Writers map[string]Position        `json:"writers"`
 	Parts   map[string]json.RawMessage `json:"parts"`
 }
 
 // Snapshot returns the view's whole state.
 func (v *View) Snapshot() (Snapshot, error) {
-	s := Snapshot{Offset: v.offset, Writers: map[string]position{}, Parts: map[string]json.RawMessage{}}
+	s := Snapshot{Offset: v.offset, Writers: map[string]Position{}, Parts: map[string]json.RawMessage{}}
 	for w, p := range v.writers {
 		s.Writers[w] = p
 	}
@@ -130,11 +159,27 @@
 }
 
 // Restore replaces the view by a newer snapshot. It refuses an older one, as
-// the view must never go back.
+// the view must never go back. After an error the view is as it was.
 func (v *View) Restore(s Snapshot) error {
 	if s.Offset < v.offset {
 		return errors.Errorf("snapshot at offset %d is older than the view at %d", s.Offset, v.offset)
 	}
+	before, err := v.Snapshot()
+	if err != nil {
+		return err
+	}
+	if err := v.replace(s); err != nil {
+		// Some reducers may have the new state already; the view would hold
+		// parts of two offsets and rule otherwise than every other process.
+		if undo := v.replace(before); undo != nil {
+			return errors.Wrapf(undo, "undo a restore that failed with %q", err)
+		}
+		return err
+	}
+	return nil
+}
+
+func (v *View) replace(s Snapshot) error {
 	for _, r := range v.reducers {
 		part, ok := s.Parts[r.Name()]
 		if !ok {
@@ -145,7 +190,7 @@
 		}
 	}
 	v.offset = s.Offset
-	v.writers = map[string]position{}
+	v.writers = map[string]Position{}
 	for w, p := range s.Writers {
 		v.writers[w] = p
 	}
--- a/scenario/commands_test.go
+++ b/scenario/commands_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -38,10 +39,13 @@
 
 // commands are the words of the scenario language:
 //
-//	cell [pairs=N] [workers=N] [lease=D]      start a cell and wait until it is ready
+//	cell [pairs=N] [workers=N] [lease=D] [retention=N]
+//	                                          start a cell and wait until it is ready; the log keeps N records
 //	kwctl ENTRY ARG...                        run kwctl against entry number ENTRY
 //	await REGEXP ENTRY ARG...                 run kwctl until its output matches
 //	call ENTRY TEAM SERVICE ID                send a request; print outcome and body
+//	calls N ENTRY TEAM SERVICE PREFIX         send N requests one after the other; all must be done
+//	dump REGEXP ENTRY                         wait until the dump of the entry's scheduler matches
 //	callbg NAME ENTRY TEAM SERVICE ID         the same in the background
 //	result NAME                               wait for a background call and print it
 //	faults [down] [lose] [delay=D]            set the log's faults; none clears them
@@ -56,7 +60,7 @@
 //	began ID                                  wait until a runner has begun a request
 //	referee                                   check that no promise was broken
 var commands = map[string]func(ts *testscript.TestScript, neg bool, args []string){
-	"cell": cmdCell, "kwctl": cmdKwctl, "await": cmdAwait, "call": cmdCall, "callbg": cmdCallBackground, "result": cmdResult,
+	"cell": cmdCell, "kwctl": cmdKwctl, "await": cmdAwait, "call": cmdCall, "calls": cmdCalls, "dump": cmdDump, "callbg": cmdCallBackground, "result": cmdResult,
 	"faults": cmdFaults, "worker": cmdWorker, "runner": cmdRunner, "leaving": cmdLeaving, "signal": cmdSignal, "start": cmdStart,
 	"ended": cmdEnded, "ready": cmdReady, "ran": cmdRan, "began": cmdBegan, "referee": cmdReferee,
 }
@@ -101,7 +105,7 @@
 	o := options(args)
 	workers := cell.Workers("desk", number(ts, o["workers"], 6), 2, 3, platform.Resources{MilliCPU: 16000, MemoryMiB: 32 << 10})
 	workers = append(workers, cell.Workers("bench", 2, 2, 3, platform.Resources{MilliCPU: 64000, MemoryMiB: 256 << 10, Accelerators: 8})...)
-	spec := cell.Spec{Pairs: number(ts, o["pairs"], 3), Zones: 3, Workers: workers, Lease: duration(ts, o["lease"]), Runners: []cell.RunnerGroup{
+	spec := cell.Spec{Pairs: number(ts, o["pairs"], 3), Zones: 3, Workers: workers, Lease: duration(ts, o["lease"]), Retention: number(ts, o["retention"], 0), Runners: []cell.RunnerGroup{
 		{Service: "order-desk", Count: 3, Work: 5 * time.Millisecond}, {Service: "inspection", Count: 2, Work: 20 * time.Millisecond}}}
 	c, err := cell.Start(bin, ts.MkAbs("."), spec)
 	of(ts).cell, of(ts).calls = c, map[string]chan string{}
@@ -173,6 +177,35 @@
 	fmt.Fprintln(ts.Stdout(), request(entry(ts, args[0]), args[1], args[2], args[3]))
 }
 
+func cmdCalls(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 5)
+	for i := range number(ts, args[0], 1) {
+		out := request(entry(ts, args[1]), args[2], args[3], fmt.Sprintf("%s-%d", args[4], i+1))
+		if !strings.HasPrefix(out, "200 done") {
+			ts.Fatalf("request %d: %s", i+1, out)
+		}
+	}
+}
+
+func cmdDump(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 2)
+	re, err := regexp.Compile(args[0])
+	ts.Check(err)
+	var last string
+	err = cell.Await(patience, fmt.Sprintf("%q in the dump", args[0]), func() bool {
+		var raw json.RawMessage
+		if err := cell.GetJSON("http://"+entry(ts, args[1])+"/v1/scheduler/dump", &raw); err != nil {
+			last = err.Error()
+			return false
+		}
+		last = string(raw)
+		return re.Match(raw)
+	})
+	if err != nil {
+		ts.Fatalf("%v; last dump:\n%s", err, last)
+	}
+}
+
 func cmdCallBackground(ts *testscript.TestScript, _ bool, args []string) {
 	need(ts, args, 5)
 	ch := make(chan string, 1)
--- a/standin/cell/cell.go
+++ b/standin/cell/cell.go
@@ -236,12 +236,16 @@
 		if spec.Lease > 0 {
 			sched["lease"] = spec.Lease.String()
 		}
+		if spec.Retention > 0 {
+			sched["snapshotRecords"] = spec.Retention / 4
+		}
 		others := []string{p.SchedAddr}
 		for k, q := range c.Pairs {
 			if k != i {
 				others = append(others, q.SchedAddr)
 			}
 		}
+		sched["peers"] = others[1:]
 		entry := map[string]any{"id": fmt.Sprintf("entry-%d", i+1), "zone": zone, "listen": p.EntryAddr, "schedulers": others, "drainLimit": "30s"}
 		var err error
 		if p.Sched, err = c.start(fmt.Sprintf("sched-%d", i+1), "kw-sched", sched); err != nil {
--- a/standin/fakeplatform/server.go
+++ b/standin/fakeplatform/server.go
@@ -159,7 +159,9 @@
 	page, err := s.stream(r.PathValue("stream")).read(ctx, platform.Offset(after), max, time.Duration(waitMillis)*time.Millisecond)
 	switch {
 	case err == platform.ErrExpired:
-		http.Error(w, "records have expired", http.StatusGone)
+		w.Header().Set("Content-Type", "application/json")
+		w.WriteHeader(http.StatusGone)
+		_ = json.NewEncoder(w).Encode(page)
 	case err != nil:
 		http.Error(w, "the log is down", http.StatusServiceUnavailable)
 	default:
