standin: a referee with books of its own, tested by broken orders

Cause: the judge of all scenarios asked the workers it judges. It missed one attempt ID started on two workers (it skipped equal IDs), orders obeyed under an old token or an old sequence, starts and tasks beyond the lease, and a task run again after its reported end; and it walked every worker at each start.

Change: referee.go keeps what runs per worker and per task, with need, token, sequence and lease end counted from the requests themselves. At a start it brings up to date only the workers that have an attempt of the same task, so a task that its worker stopped by itself and nobody heard of counts as stopped.

Ruled out: judging at rack level that a start comes under the newest token; a paused owner may still act at workers that its successor has not reached yet, by design 0001.

--- /dev/null
+++ b/standin/fakeplatform/referee_test.go
@@ -0,0 +1,164 @@
+package fakeplatform
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/knapweedweir/knapweedweir/platform"
+)
+
+// bench is two workers of 1000m whose clock the test moves by hand.
+type bench struct {
+	*fleet
+	now      time.Time
+	sequence uint64
+}
+
+const benchLease = time.Second
+
+// order makes a worker obey starts and stops under a token, past its own check
+// of token and sequence, as a worker with that check broken would.
+func (b *bench) order(worker string, token platform.Offset, starts []platform.Task, stops ...string) {
+	b.sequence++
+	w := b.workers[worker]
+	w.advance(b.now)
+	b.obey(w, b.now, platform.SyncRequest{Token: token, Sequence: b.sequence, AsOf: b.now.Sub(b.start).Milliseconds() + 1,
+		LeaseMillis: benchLease.Milliseconds(), Starts: starts, Stops: stops})
+}
+
+func (b *bench) ask(worker string, token platform.Offset) {
+	b.sequence++
+	b.syncAt(b.now, worker, platform.SyncRequest{Token: token, Sequence: b.sequence})
+}
+
+func task(id string, milliCPU int64) []platform.Task {
+	return []platform.Task{{ID: id, Need: platform.Resources{MilliCPU: milliCPU}, Labels: map[string]string{"kind": "batch"}}}
+}
+
+func short(id string) []platform.Task {
+	list := task(id, 100)
+	list[0].Payload = []byte(`{"runMillis": 100}`)
+	return list
+}
+
+// The referee is the judge of all scenarios. Each case gives the workers an
+// order; the broken ones are such as a faulty scheduler or worker would give,
+// and the sound ones beside them must pass.
+func TestReferee(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		want  string
+		order func(b *bench)
+	}{
+		{"overfilled by a second start", "worker w1 overfilled by b/0/1.1", func(b *bench) {
+			b.order("w1", 5, task("a/0/1.1", 600))
+			b.order("w1", 5, task("b/0/1.1", 600))
+		}},
+		{"overfilled in one request", "overfilled", func(b *bench) {
+			b.order("w1", 5, append(task("a/0/1.1", 600), task("b/0/1.1", 600)...))
+		}},
+		{"filled to the brim", "", func(b *bench) {
+			b.order("w1", 5, append(task("a/0/1.1", 600), task("b/0/1.1", 400)...))
+		}},
+		{"room of a stopped task", "", func(b *bench) {
+			b.order("w1", 5, task("a/0/1.1", 600))
+			b.order("w1", 5, nil, "a/0/1.1")
+			b.order("w1", 5, task("b/0/1.1", 600))
+		}},
+		{"two attempts on two workers", "task a/0 runs as a/0/1.2 on w2 and as a/0/1.1 on w1", func(b *bench) {
+			b.order("w1", 5, task("a/0/1.1", 100))
+			b.order("w2", 6, task("a/0/1.2", 100))
+		}},
+		{"two attempts on one worker", "task a/0 runs as", func(b *bench) {
+			b.order("w1", 5, append(task("a/0/1.1", 100), task("a/0/1.2", 100)...))
+		}},
+		{"one attempt on two workers", "task a/0 runs as", func(b *bench) {
+			b.order("w1", 5, task("a/0/1.1", 100))
+			b.order("w2", 6, task("a/0/1.1", 100))
+		}},
+		{"other worker frozen within its lease", "task a/0 runs as", func(b *bench) {
+			b.order("w1", 5, task("a/0/1.1", 100))
+			b.workers["w1"].frozen = true
+			b.now = b.now.Add(benchLease / 2)
+			b.order("w2", 6, task("a/0/1.2", 100))
+		}},
+		{"other worker stopped it by itself, unreported", "", func(b *bench) {
+			b.order("w1", 5, task("a/0/1.1", 100))
+			b.now = b.now.Add(2 * benchLease)
+			b.order("w2", 6, task("a/0/1.2", 100))
+		}},
+		{"other worker ran it to its end, unreported", "", func(b *bench) {
+			b.order("w1", 5, short("a/0/1.1"))
+			b.now = b.now.Add(benchLease / 2)
+			b.order("w2", 6, task("a/0/1.2", 100))
+		}},
+		{"run again after a reported end", "task a/0 had run to its end as a/0/1.1 on w1", func(b *bench) {
+			b.order("w1", 5, short("a/0/1.1"))
+			b.now = b.now.Add(benchLease / 2)
+			b.ask("w1", 5)
+			b.order("w2", 6, task("a/0/1.2", 100))
+		}},
+		{"run again after its worker fell silent", "", func(b *bench) {
+			b.order("w1", 5, short("a/0/1.1"))
+			b.now = b.now.Add(benchLease / 2)
+			b.ask("w1", 5)
+			b.referee.silenced(b.workers["w1"])
+			b.order("w2", 6, task("a/0/1.2", 100))
+		}},
+		{"old token obeyed", "worker w1 obeyed token 5 sequence 2 after token 6 sequence 1", func(b *bench) {
+			b.order("w1", 6, nil)
+			b.order("w1", 5, task("a/0/1.1", 100))
+		}},
+		{"late request obeyed", "worker w1 obeyed token 6 sequence 2 after token 6 sequence 2", func(b *bench) {
+			b.order("w1", 6, nil)
+			b.order("w1", 6, nil)
+			b.sequence--
+			b.order("w1", 6, task("a/0/1.1", 100))
+		}},
+		{"started after the lease", "worker w1 started a/0/1.1", func(b *bench) {
+			b.order("w1", 5, nil)
+			b.now = b.now.Add(2 * benchLease)
+			b.startTask(b.workers["w1"], b.now, task("a/0/1.1", 100)[0])
+		}},
+		{"runs on after the lease", "task a/0/1.1 runs on worker w1, 1.499s after its lease", func(b *bench) {
+			b.order("w1", 5, task("a/0/1.1", 100))
+			b.workers["w1"].leaseEnd = b.now.Add(time.Hour)
+			b.now = b.now.Add(5 * benchLease / 2)
+			b.workers["w1"].advance(b.now)
+		}},
+		{"ended after the lease", "task a/0/1.1 ran on worker w1 for", func(b *bench) {
+			b.order("w1", 5, task("a/0/1.1", 100))
+			b.workers["w1"].leaseEnd = b.now.Add(2 * benchLease)
+			b.now = b.now.Add(3 * benchLease)
+			b.workers["w1"].advance(b.now)
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			capacity := platform.Resources{MilliCPU: 1000}
+			b := &bench{fleet: newFleet([]platform.Worker{{ID: "w1", Capacity: capacity}, {ID: "w2", Capacity: capacity}})}
+			b.now = b.start.Add(time.Minute)
+			tc.order(b)
+			b.referee.audit(b.now)
+			got := strings.Join(b.referee.violations, "\n")
+			if tc.want == "" {
+				assert.Equal(t, got, "")
+				return
+			}
+			assert.Assert(t, strings.Contains(got, tc.want), "want %q in %q", tc.want, got)
+		})
+	}
+}
+
+// A cell that breaks a promise at every start must not fill the judge's memory:
+// the first broken promises are kept and the rest is counted.
+func TestRefereeBoundsItsList(t *testing.T) {
+	r := newReferee()
+	for range mostViolations + 7 {
+		r.broken("x")
+	}
+	assert.Equal(t, len(r.violations), mostViolations)
+	assert.Equal(t, r.dropped, 7)
+}
--- a/standin/fakeplatform/server.go
+++ b/standin/fakeplatform/server.go
@@ -227,6 +227,9 @@
 	fw, ok := s.fleet.workers[id]
 	if ok {
 		fw.frozen, fw.failAll = f.Frozen, f.FailAll
+		if f.Frozen {
+			s.fleet.referee.silenced(fw)
+		}
 	}
 	return ok
 }
--- a/standin/fakeplatform/worker.go
+++ b/standin/fakeplatform/worker.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"sort"
-	"strings"
 	"sync"
 	"time"
 
@@ -35,22 +34,22 @@
 	tasks    map[string]*runningTask
 	frozen   bool
 	failAll  bool
+	referee  *referee
 }
 
 // fleet is all workers, and the referee that watches what is promised of them.
 type fleet struct {
-	mu         sync.Mutex
-	start      time.Time
-	version    uint64
-	workers    map[string]*fakeWorker
-	violations []string
-	starts     int
+	mu      sync.Mutex
+	start   time.Time
+	version uint64
+	workers map[string]*fakeWorker
+	referee *referee
 }
 
 func newFleet(list []platform.Worker) *fleet {
-	f := &fleet{start: time.Now(), version: 1, workers: map[string]*fakeWorker{}}
+	f := &fleet{start: time.Now(), version: 1, workers: map[string]*fakeWorker{}, referee: newReferee()}
 	for _, w := range list {
-		f.workers[w.ID] = &fakeWorker{Worker: w, tasks: map[string]*runningTask{}}
+		f.workers[w.ID] = &fakeWorker{Worker: w, tasks: map[string]*runningTask{}, referee: f.referee}
 	}
 	return f
 }
@@ -74,11 +73,14 @@
 func (f *fleet) sync(id string, req platform.SyncRequest) (platform.SyncReply, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	return f.syncAt(time.Now(), id, req)
+}
+
+func (f *fleet) syncAt(now time.Time, id string, req platform.SyncRequest) (platform.SyncReply, bool) {
 	w, ok := f.workers[id]
 	if !ok || w.frozen {
 		return platform.SyncReply{}, false
 	}
-	now := time.Now()
 	w.advance(now)
 	reply := platform.SyncReply{Reading: now.Sub(f.start).Milliseconds() + 1}
 	switch {
@@ -93,6 +95,9 @@
 	reply.Token = w.token
 	for _, t := range w.tasks {
 		reply.Tasks = append(reply.Tasks, t.TaskReport)
+		if reply.Refused == "" && t.State == platform.TaskDone {
+			f.referee.reported(w, t.Task)
+		}
 	}
 	sort.Slice(reply.Tasks, func(i, j int) bool { return reply.Tasks[i].Task.ID < reply.Tasks[j].Task.ID })
 	return reply, true
@@ -105,6 +110,7 @@
 			w.leaseEnd = end
 		}
 	}
+	f.referee.obeyed(w, req, f.start)
 	for _, id := range req.Forgets {
 		if t, ok := w.tasks[id]; ok && t.State.Ended() {
 			delete(w.tasks, id)
@@ -112,7 +118,7 @@
 	}
 	for _, id := range req.Stops {
 		if t, ok := w.tasks[id]; ok && !t.State.Ended() {
-			t.end(now, platform.TaskStopped, "stopped by its owner")
+			w.end(t, now, platform.TaskStopped, "stopped by its owner")
 		}
 	}
 	if now.After(w.leaseEnd) {
@@ -132,39 +138,7 @@
 		run.plan = TaskPlan{RunMillis: 1, Fail: true}
 	}
 	w.tasks[t.ID] = run
-	f.starts++
-	f.referee(w, now, t.ID)
-}
-
-// referee notes when a promise is broken: a worker overfilled, or a task that
-// runs in two places.
-func (f *fleet) referee(w *fakeWorker, now time.Time, id string) {
-	used := platform.Resources{}
-	for _, t := range w.tasks {
-		if t.State == platform.TaskRunning {
-			used = used.Add(t.Task.Need)
-		}
-	}
-	if !used.Fits(w.Capacity) {
-		f.violations = append(f.violations, fmt.Sprintf("worker %s overfilled by %s: %s of %s", w.ID, id, used, w.Capacity))
-	}
-	name := taskName(id)
-	for _, other := range f.workers {
-		other.advance(now)
-		for oid, t := range other.tasks {
-			if oid != id && t.State == platform.TaskRunning && taskName(oid) == name {
-				f.violations = append(f.violations, fmt.Sprintf("task %s runs as %s on %s and as %s on %s", name, id, w.ID, oid, other.ID))
-			}
-		}
-	}
-}
-
-// taskName is a task ID without its last part, the attempt.
-func taskName(id string) string {
-	if cut := strings.LastIndex(id, "/"); cut >= 0 {
-		return id[:cut]
-	}
-	return id
+	f.referee.startedTask(w, now, t)
 }
 
 // advance lets a worker's tasks reach their ends up to now.
@@ -180,16 +154,17 @@
 			if t.plan.Fail {
 				state = platform.TaskFailed
 			}
-			t.end(planned, state, "")
+			w.end(t, planned, state, "")
 		case w.leaseEnd.Before(now):
-			t.end(w.leaseEnd, platform.TaskStopped, "the lease lapsed")
+			w.end(t, w.leaseEnd, platform.TaskStopped, "the lease lapsed")
 		default:
 			t.RunTime = now.Sub(t.started).Milliseconds()
 		}
 	}
 }
 
-func (t *runningTask) end(at time.Time, state platform.TaskState, reason string) {
+func (w *fakeWorker) end(t *runningTask, at time.Time, state platform.TaskState, reason string) {
+	w.referee.endedTask(w, at, t.Task)
 	t.State, t.Reason, t.ended = state, reason, at
 	t.RunTime = at.Sub(t.started).Milliseconds()
 	if state == platform.TaskFailed {
@@ -199,8 +174,11 @@
 
 // Report is what the referee has seen.
 type Report struct {
-	Starts     int      `json:"starts"`
-	Running    int      `json:"running"`
+	Starts  int `json:"starts"`
+	Running int `json:"running"`
+	// StartsOf counts the attempts at each task.
+	StartsOf map[string]int `json:"startsOf"`
+	// Violations are the promises that were broken.
 	Violations []string `json:"violations"`
 	// Used and Total sum up what runs and what the workers have.
 	Used  platform.Resources `json:"used"`
@@ -212,8 +190,8 @@
 func (f *fleet) report() Report {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	r := Report{Starts: f.starts, Violations: append([]string{}, f.violations...)}
 	now := time.Now()
+	r := Report{StartsOf: map[string]int{}}
 	for _, w := range f.workers {
 		w.advance(now)
 		r.Total = r.Total.Add(w.Capacity)
@@ -224,5 +202,13 @@
 			}
 		}
 	}
+	f.referee.audit(now)
+	for name, n := range f.referee.starts {
+		r.StartsOf[name] = n
+	}
+	r.Starts, r.Violations = f.referee.started, append([]string{}, f.referee.violations...)
+	if f.referee.dropped > 0 {
+		r.Violations = append(r.Violations, fmt.Sprintf("and %d more", f.referee.dropped))
+	}
 	return r
 }
