scenario: words for owners, jobs, loads, races and groups of workers

Cause: the harness could tell neither who owns what nor how often a task was started, and had no callers that go on through a failure, so most promises couldn't be asked about.

Change: let/moved find the owner of a home or shard in the schedulers' dumps; job, jobis and attempts drive jobs; load keeps callers going through a stand-in of the balancer that passes over unready entries; race publishes at once from one version.

Causes found by them and mended here: a question put just after the log had been silent for too long was taken in by the committer, which hears of it at the next tick, and answered 'may still take effect' four seconds later, although the dump already said logDown (log_outage, 'did not confirm in time'). The core now tells the committer before it takes a question.

--- a/control/core.go
+++ b/control/core.go
@@ -153,6 +153,9 @@
 	case Delivered:
 		c.delivered(now, ev.Envelope)
 	case Asked:
+		// The log may have been lost since the last tick; a question taken in
+		// now would be answered "in doubt" seconds later instead of at once.
+		c.resolve(c.committer.SetDown(c.LogDown(now)))
 		c.asked(now, ev)
 	case LeaveNow:
 		c.members.Leave()
--- /dev/null
+++ b/scenario/jobs_test.go
@@ -0,0 +1,186 @@
+package scenario
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"regexp"
+	"strings"
+	"sync"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/knapweedweir/knapweedweir/standin/cell"
+	"github.com/knapweedweir/knapweedweir/standin/load"
+)
+
+func cmdJob(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, args, 2)
+	o := options(args[2:])
+	kind := o["kind"]
+	if kind == "" {
+		kind = "batch"
+	}
+	_, fail := o["fail"]
+	spec := map[string]any{"id": args[1], "team": "workshop", "name": args[1], "kind": kind, "tasks": number(ts, o["tasks"], 1),
+		"need":    map[string]any{"milliCpu": number(ts, o["cpu"], 1000), "memoryMiB": 1024, "accelerators": number(ts, o["acc"], 0)},
+		"payload": map[string]any{"runMillis": duration(ts, o["run"]).Milliseconds(), "fail": fail}}
+	data, err := json.Marshal(spec)
+	ts.Check(err)
+	file := ts.MkAbs(args[1] + ".job")
+	ts.Check(os.WriteFile(file, data, 0o600))
+	out, err := kwctl(entry(ts, args[0]), "job", "submit", file)
+	fmt.Fprint(ts.Stdout(), out)
+	if neg != (err != nil) {
+		ts.Fatalf("submit %s: %v\n%s", args[1], err, out)
+	}
+}
+
+func cmdJobIs(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 2)
+	re, err := regexp.Compile(args[1])
+	ts.Check(err)
+	var last string
+	err = cell.Await(patience, fmt.Sprintf("job %s is %q", args[0], args[1]), func() bool {
+		st, err := of(ts).cell.Job(args[0])
+		last = fmt.Sprintf("%s: %s", st.State, st.Explanation)
+		if err != nil {
+			last = err.Error()
+		}
+		return re.MatchString(last)
+	})
+	if err != nil {
+		ts.Fatalf("%v; last: %s", err, last)
+	}
+}
+
+func cmdAttempts(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 2)
+	rep, err := of(ts).cell.Report()
+	ts.Check(err)
+	seen := 0
+	for name, n := range rep.StartsOf {
+		if !strings.HasPrefix(name, args[1]+"/") {
+			continue
+		}
+		seen++
+		if n != number(ts, args[0], 1) {
+			ts.Fatalf("task %s was started %d times, want %s", name, n, args[0])
+		}
+	}
+	if seen == 0 {
+		ts.Fatalf("no task of job %s was started", args[1])
+	}
+}
+
+// find looks up who has something; see let and moved.
+func find(ts *testscript.TestScript, args []string) (string, bool) {
+	need(ts, args, 2)
+	c := of(ts).cell
+	switch args[0] {
+	case "home":
+		return c.HomeOwner(args[1])
+	case "shard":
+		return c.ShardOwner(args[1])
+	case "worker":
+		need(ts, args, 3)
+		return c.WorkerOf(args[1], number(ts, args[2], 0))
+	case "rack":
+		rack := c.RackOf(args[1])
+		return rack, rack != ""
+	}
+	ts.Fatalf("unknown: %v", args)
+	return "", false
+}
+
+func cmdLet(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 3)
+	var found string
+	ts.Check(cell.Await(patience, fmt.Sprint(args[1:]), func() bool {
+		var ok bool
+		found, ok = find(ts, args[1:])
+		return ok
+	}))
+	ts.Setenv(args[0], found)
+	// The entry of the same instance has the same number.
+	ts.Setenv(args[0]+"_entry", strings.Replace(found, "sched-", "entry-", 1))
+	ts.Logf("%s=%s", args[0], found)
+}
+
+func cmdMoved(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 3)
+	ts.Check(cell.Await(patience, fmt.Sprintf("%v moved away from %s", args[1:], args[0]), func() bool {
+		owner, ok := find(ts, args[1:])
+		return ok && owner != args[0]
+	}))
+}
+
+func cmdRace(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 3)
+	base, err := kwctl(entry(ts, "1"), "settings", "status")
+	ts.Check(err)
+	version := "0"
+	if m := regexp.MustCompile(`entry-1 +` + args[0] + ` +(\d+)`).FindStringSubmatch(base); m != nil {
+		version = m[1]
+	}
+	var wg sync.WaitGroup
+	out, errs := make([]string, len(args)-1), make([]error, len(args)-1)
+	for i, file := range args[1:] {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			at := fmt.Sprint(i%len(of(ts).cell.Pairs) + 1)
+			out[i], errs[i] = kwctl(entry(ts, at), "settings", "-base", version, "publish", args[0], ts.MkAbs(file))
+		}()
+	}
+	wg.Wait()
+	accepted := 0
+	for i, err := range errs {
+		if err == nil {
+			accepted++
+			inForce(ts, args[0], strings.TrimSpace(out[i][strings.LastIndexByte(strings.TrimSpace(out[i]), ' ')+1:]))
+		} else if !strings.Contains(out[i], "the change was made from version") {
+			ts.Fatalf("%s: neither accepted nor told of the other change: %s", args[i+1], out[i])
+		}
+	}
+	if accepted != 1 {
+		ts.Fatalf("%d of %d racing changes were accepted, want 1:\n%s", accepted, len(errs), strings.Join(out, ""))
+	}
+}
+
+func cmdLoad(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 2)
+	o := options(args[2:])
+	var entries []string
+	for _, p := range of(ts).cell.Pairs {
+		entries = append(entries, p.EntryAddr)
+	}
+	stream := load.Stream{Name: args[0], Team: "workshop", Service: args[1], Body: "body of " + args[0]}
+	of(ts).loads[args[0]] = load.StartSteady(entries, stream, number(ts, o["callers"], 4))
+}
+
+func cmdServed(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 2)
+	l := of(ts).loads[args[0]]
+	want := l.Answers() + number(ts, args[1], 0)
+	ts.Check(cell.Await(patience, args[1]+" more answers", func() bool { return l.Answers() >= want }))
+}
+
+func cmdLoaded(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 2)
+	row := of(ts).loads[args[0]].Stop(args[0])
+	delete(of(ts).loads, args[0])
+	ts.Logf("%d requests: %v", row.Sent, row.Outcomes)
+	if len(row.Broken) > 0 {
+		ts.Fatalf("broken answers: %s", strings.Join(row.Broken, "\n"))
+	}
+	allowed := map[string]bool{}
+	for _, outcome := range args[1:] {
+		allowed[outcome] = true
+	}
+	for outcome, n := range row.Outcomes {
+		if !allowed[outcome] {
+			ts.Fatalf("%d of %d requests ended with %q, want only %v: %v", n, row.Sent, outcome, args[1:], row.Outcomes)
+		}
+	}
+}
