kwctl: jobs in bulk, settings compared and awaited, workers, dumps, doctor

Cause: kwctl could submit, show and cancel one job and knew one exit status for all failures, so a program could not tell a refusal from a change in doubt.

Now: job submit (all files checked first), status, list, watch, cancel (IDs, file, team; 32 at once); settings check, get, diff, publish -wait, status; instance and worker list; dump entry, scheduler, all; doctor, which asks every entry and scheduler and compares offsets, versions, owners, builds, reach and conditions, and asks again what may differ only for a moment. Exit status 0 done, 1 failed, 2 usage, 3 not accepted, 4 in doubt. settings get prints the version in the first line and publish names it as its base: before, publish without -base took the version in force and overwrote a colleague's change unseen.

Found by the scenario: publish -wait said "in force at all 0 entries" for a cell's first settings (fixed, TestInForceCountsEntriesWithoutSettings). Ruled out: a second command framework (subcommands nests), flags that must stand before arguments (people type "job status ID -o json").

--- a/cmd/kwctl/client.go
+++ b/cmd/kwctl/client.go
@@ -2,15 +2,13 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
-	"flag"
-	"fmt"
 	"io"
+	"net"
 	"net/http"
-	"os"
 	"time"
 
-	"github.com/google/subcommands"
 	"github.com/pkg/errors"
 
 	"github.com/knapweedweir/knapweedweir/cmd/internal/entry"
@@ -20,59 +18,81 @@
 // seconds for the log.
 const callTimeout = 15 * time.Second
 
-// target is the entry that a command talks to.
-type target struct{ entry string }
-
-func (t *target) flags(f *flag.FlagSet) {
-	f.StringVar(&t.entry, "entry", os.Getenv("KW_ENTRY"), "address of an entry, such as 10.0.0.1:8080; default $KW_ENTRY")
+// call sends a request to the entry and returns the body of a 200 answer.
+func (c *console) call(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+	if c.entry == "" {
+		return nil, &usageError{"which entry? give -entry or set KW_ENTRY"}
+	}
+	return c.callAt(ctx, c.entry, method, path, body)
 }
 
-// call sends a request to the entry and returns the body of a 200 answer. Any
-// other answer becomes an error that lists all findings.
-func (t *target) call(method, path string, body []byte) ([]byte, http.Header, error) {
-	if t.entry == "" {
-		return nil, nil, errors.New("which entry? give -entry or set KW_ENTRY")
-	}
-	req, err := http.NewRequest(method, "http://"+t.entry+path, bytes.NewReader(body))
+// callAt sends a request to the entry at addr. Any answer but 200 becomes a
+// refusedError that lists all findings.
+func (c *console) callAt(ctx context.Context, addr, method, path string, body []byte) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, bytes.NewReader(body))
 	if err != nil {
-		return nil, nil, errors.Wrap(err, "build request")
+		return nil, errors.Wrap(err, "build request")
 	}
-	client := http.Client{Timeout: callTimeout}
-	resp, err := client.Do(req)
+	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return nil, nil, errors.Wrap(err, "call entry")
+		return nil, broken(method, errors.Wrap(err, "call entry"))
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return nil, nil, errors.Wrap(err, "read answer")
+		return nil, broken(method, errors.Wrap(err, "read answer"))
 	}
 	if resp.StatusCode == http.StatusOK {
-		return data, resp.Header, nil
+		return data, nil
 	}
 	var e entry.ErrorBody
 	if json.Unmarshal(data, &e) != nil || e.Message == "" {
-		return nil, nil, errors.Errorf("%s: %s", resp.Status, bytes.TrimSpace(data))
+		return nil, broken(method, errors.Errorf("%s: %s", resp.Status, bytes.TrimSpace(data)))
 	}
-	text := e.Message
-	if len(e.Findings) > 0 {
-		text += "\n" + e.Findings.Error()
+	return nil, &refusedError{e}
+}
+
+// broken tells a change that may have taken effect from a call that never left
+// or that changes nothing. Only a failure to connect proves that nothing left.
+func broken(method string, err error) error {
+	var op *net.OpError
+	if method == http.MethodGet || errors.As(err, &op) && op.Op == "dial" {
+		return err
 	}
-	if e.RetryAfterMillis > 0 {
-		text += fmt.Sprintf(" (come back in %s)", time.Duration(e.RetryAfterMillis)*time.Millisecond)
+	return &lostError{err}
+}
+
+// get reads a JSON document from the entry at addr.
+func (c *console) get(ctx context.Context, addr, path string, out any) error {
+	data, err := c.callAt(ctx, addr, http.MethodGet, path, nil)
+	if err != nil {
+		return err
 	}
-	return nil, nil, errors.New(text)
+	return errors.Wrapf(json.Unmarshal(data, out), "read the answer of %s", addr)
 }
 
-func report(err error) subcommands.ExitStatus {
+// ask reads a JSON document from the entry of the command line.
+func (c *console) ask(ctx context.Context, path string, out any) error {
+	data, err := c.call(ctx, http.MethodGet, path, nil)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return subcommands.ExitFailure
+		return err
 	}
-	return subcommands.ExitSuccess
+	return errors.Wrap(json.Unmarshal(data, out), "read answer")
 }
 
-func usage(text string) subcommands.ExitStatus {
-	fmt.Fprint(os.Stderr, text)
-	return subcommands.ExitUsageError
+// accepted reads the answer to a change.
+func accepted(data []byte) (entry.AcceptedBody, error) {
+	var a entry.AcceptedBody
+	return a, errors.Wrap(json.Unmarshal(data, &a), "read answer")
+}
+
+// file reads a file, or standard input if it is called "-".
+func (c *console) file(name string) ([]byte, error) {
+	if name == "-" {
+		data, err := io.ReadAll(c.in)
+		return data, errors.Wrap(err, "read standard input")
+	}
+	return readFile(name)
 }
--- /dev/null
+++ b/cmd/kwctl/console.go
@@ -0,0 +1,114 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/google/subcommands"
+	"github.com/pkg/errors"
+)
+
+// The formats of -o.
+const (
+	outputTable = "table"
+	outputJSON  = "json"
+)
+
+// console is what all commands share: their streams and the flags that each of
+// them knows.
+type console struct {
+	in       io.Reader
+	out, err io.Writer
+	entry    string
+	output   string
+}
+
+const intro = `kwctl is the operators' command line of a knapweedweir cell.
+
+Usage: kwctl GROUP COMMAND [flags] [arguments]
+       kwctl doctor [flags]
+
+Every command asks one entry: -entry ADDRESS, or $KW_ENTRY. Flags may stand
+before or after the arguments. Tables are for people; -o json is for programs.
+
+Exit status
+  0  done
+  1  failed: an entry could not be asked, something is wrong, a watched job failed
+  2  wrong usage
+  3  not accepted: the cell refused, and nothing has changed
+  4  in doubt: the change was sent and not confirmed; it may take effect. Look
+     before you repeat it
+
+Groups
+`
+
+// execute runs a command line.
+func (c *console) execute(ctx context.Context, args []string) exitStatus {
+	top := flag.NewFlagSet("kwctl", flag.ContinueOnError)
+	top.SetOutput(c.err)
+	cdr := subcommands.NewCommander(top, "kwctl")
+	cdr.Output, cdr.Error = c.out, c.err
+	commands := c.commands()
+	explain := func(w io.Writer) {
+		fmt.Fprint(w, intro)
+		for _, cmd := range commands {
+			fmt.Fprintf(w, "  %-10s %s\n", cmd.Name(), cmd.Synopsis())
+		}
+		fmt.Fprint(w, "\nkwctl help GROUP lists the commands of a group.\n")
+	}
+	cdr.Explain = explain
+	cdr.Register(cdr.HelpCommand(), "")
+	for _, cmd := range commands {
+		cdr.Register(cmd, "")
+	}
+	top.Usage = func() { explain(c.err) }
+	if err := top.Parse(args); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			return exitOK
+		}
+		return exitUsage
+	}
+	if top.NArg() == 0 {
+		explain(c.err)
+		return exitUsage
+	}
+	return cdr.Execute(ctx)
+}
+
+func (c *console) commands() []subcommands.Command {
+	return []subcommands.Command{c.jobGroup(), c.settingsGroup(), c.instanceGroup(), c.workerGroup(), c.dumpGroup(), c.doctorCommand()}
+}
+
+func (c *console) flags(f *flag.FlagSet) {
+	f.StringVar(&c.entry, "entry", c.entry, "`address` of an entry, such as 10.0.0.1:8080; default $KW_ENTRY")
+	f.StringVar(&c.output, "o", c.output, "output `format`: table or json")
+}
+
+func (c *console) say(format string, args ...any) { fmt.Fprintf(c.out, format+"\n", args...) }
+
+// note tells a person what goes on, where it does not mix with the output.
+func (c *console) note(format string, args ...any) { fmt.Fprintf(c.err, format+"\n", args...) }
+
+// table prints rows under a heading, or value as JSON if that was asked for.
+func (c *console) table(value any, heading string, rows [][]string) error {
+	if c.output == outputJSON {
+		return c.json(value)
+	}
+	w := tabwriter.NewWriter(c.out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, strings.Join(strings.Fields(heading), "\t"))
+	for _, r := range rows {
+		fmt.Fprintln(w, strings.Join(r, "\t"))
+	}
+	return errors.Wrap(w.Flush(), "write")
+}
+
+func (c *console) json(value any) error {
+	enc := json.NewEncoder(c.out)
+	enc.SetIndent("", "  ")
+	return errors.Wrap(enc.Encode(value), "write")
+}
--- a/cmd/kwctl/job.go
+++ b/cmd/kwctl/job.go
@@ -2,129 +2,170 @@
 
 import (
 	"context"
-	"encoding/json"
 	"flag"
 	"fmt"
 	"net/http"
 	"net/url"
 	"os"
-	"text/tabwriter"
+	"strconv"
 	"time"
 
-	"github.com/google/subcommands"
 	"github.com/pkg/errors"
 
-	"github.com/knapweedweir/knapweedweir/cmd/internal/entry"
+	"github.com/knapweedweir/knapweedweir/control/api"
 	"github.com/knapweedweir/knapweedweir/placement"
+	"github.com/knapweedweir/knapweedweir/settings/jsonc"
 )
 
-type jobCommand struct {
-	target
-	output string
+func readFile(name string) ([]byte, error) {
+	data, err := os.ReadFile(name)
+	return data, errors.Wrap(err, "read file")
 }
 
-func (*jobCommand) Name() string     { return "job" }
-func (*jobCommand) Synopsis() string { return "submit, show and cancel jobs" }
-func (*jobCommand) Usage() string {
-	return `kwctl job submit FILE     submit a job (JSON with comments)
-kwctl job status ID       show a job's state and why it is so
-kwctl job cancel ID       cancel a job
-
-`
-}
-
-func (c *jobCommand) SetFlags(f *flag.FlagSet) {
-	c.flags(f)
-	f.StringVar(&c.output, "o", "table", "output: table or json")
+func (c *console) jobGroup() *group {
+	var list jobFilter
+	var cancel cancelOptions
+	var watch watchOptions
+	return &group{console: c, name: "job", synopsis: "submit, list, explain, watch and cancel jobs", verbs: []*verb{
+		{name: "submit", args: "FILE...", least: 1, most: unlimited, run: c.jobSubmit, synopsis: "Submit jobs, one in each file (JSON with comments; - is standard input)",
+			help: "All files are checked before the first is sent."},
+		{name: "status", args: "ID", least: 1, most: 1, run: c.jobStatus, synopsis: "Show a job's state, its tasks and why it is so"},
+		{name: "list", most: 0, flags: list.flags, run: func(ctx context.Context, _ []string) error { return c.jobList(ctx, list) }, synopsis: "List jobs in the order of their IDs"},
+		{name: "watch", args: "ID...", least: 1, most: unlimited, flags: watch.flags, run: func(ctx context.Context, ids []string) error { return c.jobWatch(ctx, ids, watch) },
+			synopsis: "Print every change of jobs until all have ended", help: "The exit status is 0 if all were done, 1 if one failed or was cancelled."},
+		{name: "cancel", args: "[ID...]", most: unlimited, flags: cancel.flags, run: func(ctx context.Context, ids []string) error { return c.jobCancel(ctx, ids, cancel) },
+			synopsis: "Cancel jobs by ID, from a file, or all of a team", help: "A job that has ended already is counted as such and is no error."},
+	}}
 }
 
-func (c *jobCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	args := f.Args()
-	if len(args) != 2 {
-		return usage(c.Usage())
+func (c *console) jobSubmit(ctx context.Context, files []string) error {
+	docs := make([][]byte, len(files))
+	var findings jsonc.Findings
+	for i, name := range files {
+		doc, err := c.file(name)
+		if err != nil {
+			return err
+		}
+		docs[i] = doc
+		findings = append(findings, jsonc.Decode(name, doc, &placement.JobSpec{})...)
 	}
-	switch args[0] {
-	case "submit":
-		return report(c.submit(args[1]))
-	case "status":
-		return report(c.status(args[1]))
-	case "cancel":
-		return report(c.cancel(args[1]))
+	if err := findings.Err(); err != nil {
+		return err
 	}
-	return usage(c.Usage())
+	var errs []error
+	for i, name := range files {
+		if err := c.submit(ctx, name, docs[i]); err != nil {
+			errs = append(errs, err)
+		}
+	}
+	return worst(errs)
 }
 
-func (c *jobCommand) submit(file string) error {
-	doc, err := os.ReadFile(file)
+func (c *console) submit(ctx context.Context, name string, doc []byte) error {
+	data, err := c.call(ctx, http.MethodPost, "/v1/jobs?file="+url.QueryEscape(name), doc)
 	if err != nil {
-		return errors.Wrap(err, "read job")
+		return errors.WithMessage(err, name)
 	}
-	data, _, err := c.call(http.MethodPost, "/v1/jobs?file="+url.QueryEscape(file), doc)
+	a, err := accepted(data)
 	if err != nil {
 		return err
 	}
-	var accepted entry.AcceptedBody
-	if err := json.Unmarshal(data, &accepted); err != nil {
-		return errors.Wrap(err, "read answer")
-	}
-	fmt.Printf("accepted at offset %d\n", accepted.Offset)
+	c.say("%s: accepted at offset %d", name, a.Offset)
 	return nil
 }
 
-func (c *jobCommand) status(id string) error {
-	data, _, err := c.call(http.MethodGet, "/v1/jobs/"+url.PathEscape(id), nil)
-	if err != nil {
-		return err
+func (c *console) status(ctx context.Context, id string) (placement.JobStatus, error) {
+	var st placement.JobStatus
+	return st, c.ask(ctx, "/v1/jobs/"+url.PathEscape(id), &st)
+}
+
+func (c *console) jobStatus(ctx context.Context, args []string) error {
+	if c.output == outputJSON {
+		var whole any
+		if err := c.ask(ctx, "/v1/jobs/"+url.PathEscape(args[0]), &whole); err != nil {
+			return err
+		}
+		return c.json(whole)
 	}
-	if c.output == "json" {
-		_, err = os.Stdout.Write(data)
+	st, err := c.status(ctx, args[0])
+	if err != nil {
 		return err
 	}
-	var st placement.JobStatus
-	if err := json.Unmarshal(data, &st); err != nil {
-		return errors.Wrap(err, "read answer")
-	}
-	fmt.Printf("job %s of team %s (%s) is %s: %s\n", st.ID, st.Team, st.Kind, st.State, st.Explanation)
+	c.say("job %s of team %s (%s) is %s: %s", st.ID, st.Team, st.Kind, st.State, st.Explanation)
 	if len(st.Tasks) == 0 {
 		return nil
 	}
-	fmt.Printf("waited %s before its first task started\n", st.Waited.Round(time.Millisecond))
-	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(w, "TASK\tSTATE\tWORKER")
+	c.say("waited %s before its first task started", st.Waited.Round(time.Millisecond))
+	var rows [][]string
 	for _, t := range st.Tasks {
-		fmt.Fprintf(w, "%d\t%s\t%s\n", t.Index, t.State, t.Worker)
+		rows = append(rows, []string{strconv.Itoa(t.Index), t.State, t.Worker})
 	}
-	return w.Flush()
+	return c.table(st, "TASK STATE WORKER", rows)
 }
 
-func (c *jobCommand) cancel(id string) error {
-	_, _, err := c.call(http.MethodDelete, "/v1/jobs/"+url.PathEscape(id), nil)
-	if err == nil {
-		fmt.Println("cancelled")
-	}
-	return err
+// jobFilter chooses jobs.
+type jobFilter struct {
+	team, kind, state string
+	limit             int
 }
 
-type dumpCommand struct{ target }
+func (j *jobFilter) flags(f *flag.FlagSet) {
+	f.StringVar(&j.team, "team", "", "only jobs of this `team`")
+	f.StringVar(&j.kind, "kind", "", "only jobs of this `kind`: service, batch or gang")
+	f.StringVar(&j.state, "state", "", "only jobs in this `state`: open, done, failed or cancelled")
+	f.IntVar(&j.limit, "limit", 0, "at most `N` jobs; 0 means all")
+}
 
-func (*dumpCommand) Name() string     { return "dump" }
-func (*dumpCommand) Synopsis() string { return "print the state of an entry or its scheduler" }
-func (*dumpCommand) Usage() string {
-	return `kwctl dump entry        print the state of the entry
-kwctl dump scheduler    print the state of the entry's scheduler
+// jobs reads the pages of matching jobs.
+func (c *console) jobs(ctx context.Context, j jobFilter) ([]api.JobRow, error) {
+	all := []api.JobRow{}
+	query := url.Values{"team": {j.team}, "kind": {j.kind}, "state": {j.state}}
+	for {
+		var page api.JobsPage
+		if err := c.ask(ctx, "/v1/jobs?"+query.Encode(), &page); err != nil {
+			return nil, err
+		}
+		all = append(all, page.Jobs...)
+		switch {
+		case j.limit > 0 && len(all) >= j.limit:
+			return all[:j.limit], nil
+		case !page.More || len(page.Jobs) == 0:
+			return all, nil
+		}
+		query.Set("after", all[len(all)-1].ID)
+	}
+}
 
-`
+func (c *console) jobList(ctx context.Context, j jobFilter) error {
+	jobs, err := c.jobs(ctx, j)
+	if err != nil {
+		return err
+	}
+	var rows [][]string
+	for _, r := range jobs {
+		rows = append(rows, []string{r.ID, r.Team, string(r.Kind), strconv.Itoa(r.Tasks), yes(r.Urgent), string(r.State), orDash(r.Reason)})
+	}
+	return c.table(jobs, "JOB TEAM KIND TASKS URGENT STATE REASON", rows)
+}
+
+func yes(b bool) string {
+	if b {
+		return "yes"
+	}
+	return "-"
 }
-func (c *dumpCommand) SetFlags(f *flag.FlagSet) { c.flags(f) }
 
-func (c *dumpCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	path, ok := map[string]string{"entry": "/dump", "scheduler": "/v1/scheduler/dump"}[f.Arg(0)]
-	if !ok || f.NArg() != 1 {
-		return usage(c.Usage())
+func orDash(s string) string {
+	if s == "" {
+		return "-"
 	}
-	data, _, err := c.call(http.MethodGet, path, nil)
-	if err == nil {
-		_, err = os.Stdout.Write(data)
+	return s
+}
+
+func orDashAny[T comparable](v T) string {
+	var zero T
+	if v == zero {
+		return "-"
 	}
-	return report(err)
+	return fmt.Sprint(v)
 }
--- a/cmd/kwctl/main.go
+++ b/cmd/kwctl/main.go
@@ -3,18 +3,16 @@
 
 import (
 	"context"
-	"flag"
+	"io"
 	"os"
-
-	"github.com/google/subcommands"
 )
 
 func main() {
-	subcommands.Register(subcommands.HelpCommand(), "help")
-	subcommands.Register(subcommands.CommandsCommand(), "help")
-	subcommands.Register(&settingsCommand{}, "settings")
-	subcommands.Register(&jobCommand{}, "jobs")
-	subcommands.Register(&dumpCommand{}, "state")
-	flag.Parse()
-	os.Exit(int(subcommands.Execute(context.Background())))
+	os.Exit(int(run(context.Background(), os.Args[1:], os.Stdin, os.Stdout, os.Stderr, os.Getenv)))
+}
+
+// run runs one command line; tests call it with their own streams.
+func run(ctx context.Context, args []string, in io.Reader, out, errs io.Writer, getenv func(string) string) exitStatus {
+	c := &console{in: in, out: out, err: errs, entry: getenv("KW_ENTRY"), output: outputTable}
+	return c.execute(ctx, args)
 }
--- a/cmd/kwctl/settings.go
+++ b/cmd/kwctl/settings.go
@@ -2,148 +2,241 @@
 
 import (
 	"context"
-	"encoding/json"
 	"flag"
 	"fmt"
 	"net/http"
 	"net/url"
-	"os"
-	"text/tabwriter"
+	"strconv"
+	"time"
 
-	"github.com/google/subcommands"
 	"github.com/pkg/errors"
 
 	"github.com/knapweedweir/knapweedweir/cmd/internal/entry"
+	"github.com/knapweedweir/knapweedweir/platform"
 	"github.com/knapweedweir/knapweedweir/settings"
 )
 
-type settingsCommand struct {
-	target
-	base string
-}
-
-func (*settingsCommand) Name() string { return "settings" }
-func (*settingsCommand) Synopsis() string {
-	return "check, publish and show the settings of teams"
+func (c *console) settingsGroup() *group {
+	var publish publishOptions
+	var differ bool
+	return &group{console: c, name: "settings", synopsis: "check, compare, publish and show the settings of teams", flags: publish.flags, verbs: []*verb{
+		{name: "check", args: "TEAM FILE", least: 2, most: 2, run: c.settingsCheck, synopsis: "Check a file without publishing it; no entry is asked",
+			help: "All findings are printed, each with file, line and column."},
+		{name: "get", args: "TEAM", least: 1, most: 1, run: c.settingsGet, synopsis: "Print a team's settings in force",
+			help: "The first line names the version. Keep it: publish then refuses to overwrite a\nchange that somebody else made in the meantime."},
+		{name: "diff", args: "TEAM FILE", least: 2, most: 2, run: func(ctx context.Context, args []string) error { return c.settingsDiff(ctx, args, differ) },
+			flags:    func(f *flag.FlagSet) { f.BoolVar(&differ, "exit-code", false, "exit with 1 if they differ") },
+			synopsis: "Compare a file with a team's settings in force"},
+		{name: "publish", args: "TEAM FILE", least: 2, most: 2, flags: publish.flags, run: func(ctx context.Context, args []string) error { return c.settingsPublish(ctx, args, publish) },
+			synopsis: "Publish a team's settings",
+			help:     "The change names the version it replaces: -base, else the one in the file's first\nline, else the one in force. If somebody was faster, nothing changes."},
+		{name: "status", most: 0, run: func(ctx context.Context, _ []string) error { return c.settingsStatus(ctx) }, synopsis: "Show every entry's version of every team's settings"},
+	}}
 }
-func (*settingsCommand) Usage() string {
-	return `kwctl settings check TEAM FILE      check a file without publishing it
-kwctl settings publish TEAM FILE    publish a team's settings
-kwctl settings get TEAM             print a team's settings in force
-kwctl settings status               show every entry's version of every team
 
-Settings are JSON with comments. publish names the version it replaces: the one
-in force now, or the one given with -base. If somebody was faster, nothing
-changes and the command says so.
-
-`
+func (c *console) settingsCheck(_ context.Context, args []string) error {
+	doc, err := c.file(args[1])
+	if err != nil {
+		return err
+	}
+	_, findings := settings.Change{Team: args[0], File: args[1], Document: string(doc)}.Check()
+	if err := findings.Err(); err != nil {
+		return err
+	}
+	c.say("no findings")
+	return nil
 }
 
-func (c *settingsCommand) SetFlags(f *flag.FlagSet) {
-	c.flags(f)
-	f.StringVar(&c.base, "base", "", "version that the change was made from")
+// document is a team's settings in force.
+type document struct {
+	version platform.Offset
+	text    string
 }
 
-func (c *settingsCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	switch args := f.Args(); {
-	case len(args) == 3 && args[0] == "check":
-		return report(check(args[1], args[2]))
-	case len(args) == 3 && args[0] == "publish":
-		return report(c.publish(args[1], args[2]))
-	case len(args) == 2 && args[0] == "get":
-		return report(c.get(args[1]))
-	case len(args) == 1 && args[0] == "status":
-		return report(c.status())
-	}
-	return usage(c.Usage())
+// inForce returns a team's settings; version 0 and no text if it has none.
+func (c *console) inForce(ctx context.Context, team string) (document, error) {
+	st, err := c.entryStatus(ctx, "")
+	if err != nil {
+		return document{}, err
+	}
+	for _, t := range st.Teams {
+		if t.Team == team {
+			data, err := c.call(ctx, http.MethodGet, "/v1/settings/"+url.PathEscape(team), nil)
+			return document{t.Version, string(data)}, err
+		}
+	}
+	return document{}, nil
 }
 
-func check(team, file string) error {
-	doc, err := os.ReadFile(file)
+func (c *console) settingsGet(ctx context.Context, args []string) error {
+	d, err := c.inForce(ctx, args[0])
 	if err != nil {
-		return errors.Wrap(err, "read settings")
-	}
-	_, findings := settings.Change{Team: team, File: file, Document: string(doc)}.Check()
-	if err := findings.Err(); err != nil {
 		return err
 	}
-	fmt.Println("no findings")
-	return nil
+	if d.version == 0 {
+		return errors.Errorf("team %q has no settings", args[0])
+	}
+	_, err = fmt.Fprint(c.out, withVersion(args[0], d))
+	return err
+}
+
+type publishOptions struct {
+	base string
+	wait time.Duration
 }
 
-func (c *settingsCommand) publish(team, file string) error {
-	doc, err := os.ReadFile(file)
+func (o *publishOptions) flags(f *flag.FlagSet) {
+	f.StringVar(&o.base, "base", o.base, "`version` that the change was made from, 0 for a new team")
+	f.DurationVar(&o.wait, "wait", o.wait, "wait at most this `time` until the change is in force at every entry")
+}
+
+func (c *console) settingsPublish(ctx context.Context, args []string, o publishOptions) error {
+	team, file := args[0], args[1]
+	doc, err := c.file(file)
 	if err != nil {
-		return errors.Wrap(err, "read settings")
+		return err
 	}
-	base := c.base
-	if base == "" {
-		if base, err = c.current(team); err != nil {
-			return err
-		}
+	base, err := c.base(ctx, team, string(doc), o.base)
+	if err != nil {
+		return err
 	}
 	query := url.Values{"base": {base}, "file": {file}}
-	data, _, err := c.call(http.MethodPut, "/v1/settings/"+url.PathEscape(team)+"?"+query.Encode(), doc)
+	data, err := c.call(ctx, http.MethodPut, "/v1/settings/"+url.PathEscape(team)+"?"+query.Encode(), []byte(blankVersion(string(doc))))
+	if err != nil {
+		return err
+	}
+	a, err := accepted(data)
 	if err != nil {
 		return err
 	}
-	var accepted entry.AcceptedBody
-	if err := json.Unmarshal(data, &accepted); err != nil {
-		return errors.Wrap(err, "read answer")
+	c.say("accepted: team %s is at version %d", team, a.Offset)
+	if o.wait == 0 {
+		return nil
 	}
-	fmt.Printf("accepted: team %s is at version %d\n", team, accepted.Offset)
-	return nil
+	return c.awaitInForce(ctx, team, a.Offset, o.wait)
 }
 
-// current returns the version in force, "0" for a team without settings.
-func (c *settingsCommand) current(team string) (string, error) {
-	st, err := c.entryStatus(c.entry)
+// base is the version that a change replaces.
+func (c *console) base(ctx context.Context, team, doc, given string) (string, error) {
+	if given != "" {
+		return given, nil
+	}
+	if version, ok := versionIn(team, doc); ok {
+		return strconv.FormatUint(uint64(version), 10), nil
+	}
+	d, err := c.inForce(ctx, team)
 	if err != nil {
 		return "", err
 	}
-	for _, t := range st.Teams {
-		if t.Team == team {
-			return fmt.Sprint(t.Version), nil
+	c.note("the file names no version; it replaces version %d, whatever that says", d.version)
+	return strconv.FormatUint(uint64(d.version), 10), nil
+}
+
+// entryStatus returns the versions at an entry; an empty address means the entry
+// of the command line.
+func (c *console) entryStatus(ctx context.Context, addr string) (entry.SettingsBody, error) {
+	var st entry.SettingsBody
+	if addr == "" {
+		return st, c.ask(ctx, "/v1/settings", &st)
+	}
+	return st, c.get(ctx, addr, "/v1/settings", &st)
+}
+
+// settingsRow is one entry's version of one team's settings.
+type settingsRow struct {
+	Entry   string          `json:"entry"`
+	Team    string          `json:"team,omitempty"`
+	Version platform.Offset `json:"version,omitempty"`
+	Offset  platform.Offset `json:"offset,omitempty"`
+	Error   string          `json:"error,omitempty"`
+}
+
+func (c *console) settingsRows(ctx context.Context) ([]settingsRow, error) {
+	first, err := c.entryStatus(ctx, "")
+	if err != nil {
+		return nil, err
+	}
+	answers := make([][]settingsRow, len(first.Entries))
+	each(first.Entries, func(i int, addr string) {
+		st, err := c.entryStatus(ctx, addr)
+		if err != nil {
+			answers[i] = []settingsRow{{Entry: addr, Error: err.Error()}}
+			return
 		}
+		if len(st.Teams) == 0 {
+			answers[i] = []settingsRow{{Entry: st.Entry, Offset: st.Offset}}
+		}
+		for _, t := range st.Teams {
+			answers[i] = append(answers[i], settingsRow{Entry: st.Entry, Team: t.Team, Version: t.Version, Offset: st.Offset})
+		}
+	})
+	rows := []settingsRow{}
+	for _, a := range answers {
+		rows = append(rows, a...)
 	}
-	return "0", nil
+	return rows, nil
 }
 
-func (c *settingsCommand) get(team string) error {
-	data, _, err := c.call(http.MethodGet, "/v1/settings/"+url.PathEscape(team), nil)
+func (c *console) settingsStatus(ctx context.Context) error {
+	list, err := c.settingsRows(ctx)
 	if err != nil {
 		return err
 	}
-	_, err = os.Stdout.Write(data)
-	return err
+	var rows [][]string
+	for _, r := range list {
+		version := orDashAny(r.Version)
+		if r.Error != "" {
+			version = "unreachable"
+		}
+		rows = append(rows, []string{r.Entry, orDash(r.Team), version, orDashAny(r.Offset)})
+	}
+	return c.table(list, "ENTRY TEAM VERSION LOG-OFFSET", rows)
 }
 
-func (c *settingsCommand) entryStatus(addr string) (entry.SettingsBody, error) {
-	var st entry.SettingsBody
-	t := target{entry: addr}
-	data, _, err := t.call(http.MethodGet, "/v1/settings", nil)
-	if err != nil {
-		return st, err
+// awaitInForce waits until every entry has a version, and says how far it is.
+func (c *console) awaitInForce(ctx context.Context, team string, version platform.Offset, limit time.Duration) error {
+	const every = 100 * time.Millisecond
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	start, said := time.Now(), ""
+	for {
+		list, err := c.settingsRows(ctx)
+		have, all, late := inForceAt(list, team, version)
+		if err == nil && all > 0 && have == all {
+			c.say("in force at all %d entries after %s", all, time.Since(start).Round(time.Millisecond))
+			return nil
+		}
+		if line := fmt.Sprintf("in force at %d of %d entries", have, all); err == nil && line != said {
+			c.note("%s", line)
+			said = line
+		}
+		if pause(ctx, every) != nil {
+			return errors.Errorf("accepted, but not in force within %s at: %s", limit, late)
+		}
 	}
-	return st, errors.Wrap(json.Unmarshal(data, &st), "read answer")
 }
 
-func (c *settingsCommand) status() error {
-	first, err := c.entryStatus(c.entry)
-	if err != nil {
-		return err
+// inForceAt counts the entries that have at least a version, and names the others.
+func inForceAt(list []settingsRow, team string, version platform.Offset) (have, all int, late []string) {
+	newest := map[string]platform.Offset{}
+	for _, r := range list {
+		newest[r.Entry] = max(newest[r.Entry], 0)
+		if r.Team == team {
+			newest[r.Entry] = r.Version
+		}
 	}
-	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(w, "ENTRY\tTEAM\tVERSION\tLOG OFFSET")
-	for _, addr := range first.Entries {
-		st, err := c.entryStatus(addr)
-		if err != nil {
-			fmt.Fprintf(w, "%s\t-\tunreachable\t-\n", addr)
+	for _, r := range list {
+		v, open := newest[r.Entry]
+		if !open {
 			continue
 		}
-		for _, t := range st.Teams {
-			fmt.Fprintf(w, "%s\t%s\t%d\t%d\n", st.Entry, t.Team, t.Version, st.Offset)
+		delete(newest, r.Entry)
+		all++
+		if v >= version {
+			have++
+		} else {
+			late = append(late, r.Entry)
 		}
 	}
-	return w.Flush()
+	return have, all, late
 }
