Admission by worth for slot time

Cause: the core served its queue in turn and gave up only at the deadline.

Change: run times are learned per team and service in bounded memory; each service has a queue by urgency in which all can start in time; the least worthy for its slot time leaves when one more does not fit, and is answered at once with a Retry-After from queue and load. Requests that wait for their claim hold a place too.

Shown failing (scratch copy, go test ./dispatch): no displacement: 'Request 5 refused'; no check of fitting: no Finished at all; no bound of estimates: len(m) is greater than 1025; no check for runners: division by zero; a fixed Retry-After: 1s after 1 waiting, 1s after 6.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -41,26 +41,24 @@
 	cfg      Config
 	requests map[uint64]*request
 	timers   timers
-	queue    []*request
+	services map[string]*service
 	runners  map[string]*runner
 	order    []*runner
 	holds    []hold
 	budget   float64
-	meanRun  time.Duration
+	// estimates are the learned run times of each team's requests.
+	estimates estimates
 }
 
-// firstMeanRun is the expected run time before any answer has come.
-const firstMeanRun = 50 * time.Millisecond
-
 // New returns a core without runners.
 func New(cfg Config) *Core {
 	return &Core{cfg: cfg, requests: map[uint64]*request{}, runners: map[string]*runner{},
-		budget: maxRetryBudget, meanRun: firstMeanRun}
+		services: map[string]*service{}, estimates: estimates{}, budget: maxRetryBudget}
 }
 
 // SetRunners takes over the list of runners and of the entries that share
 // their slots. Runners that are leaving get no new work.
 func (c *Core) SetRunners(now time.Duration, list []platform.Instance, entries []string) []Action {
 	c.updateRunners(list, entries)
-	return c.dispatch(now)
+	return c.dispatchAll(now)
 }
--- a/dispatch/outcomes.go
+++ b/dispatch/outcomes.go
@@ -41,12 +41,13 @@
 		return nil
 	}
 	c.release(r)
-	c.meanRun += (took - c.meanRun) / 8
+	s := c.service(r.Service)
+	c.learn(s, r, took)
 	if r.phase == ended {
 		c.forget(r)
-		return c.dispatch(now)
+		return c.dispatch(now, s)
 	}
-	return append([]Action{c.finish(r, Done, "")}, c.dispatch(now)...)
+	return append([]Action{c.finish(now, r, Done, "")}, c.dispatch(now, s)...)
 }
 
 // Failed takes in the end of an attempt without an answer.
@@ -62,16 +63,17 @@
 	} else {
 		c.release(r)
 	}
+	s := c.service(r.Service)
 	switch {
 	case r.phase == ended:
 		c.forget(r)
 	case c.mayRetry(now, r):
 		c.budget--
-		return c.enqueue(now, r)
+		return c.requeue(now, s, r)
 	default:
-		return append([]Action{c.giveUp(r, why)}, c.dispatch(now)...)
+		return append([]Action{c.giveUp(now, r, why)}, c.dispatch(now, s)...)
 	}
-	return c.dispatch(now)
+	return c.dispatch(now, s)
 }
 
 // Expire gives up requests whose time is over, wherever they are.
@@ -79,21 +81,22 @@
 	c.releaseHeld(now)
 	var out []Action
 	for r := c.timers.due(now); r != nil; r = c.timers.due(now) {
-		out = append(out, c.expire(r)...)
+		out = append(out, c.expire(now, r)...)
 	}
-	return append(out, c.dispatch(now)...)
+	return append(out, c.dispatchAll(now)...)
 }
 
-func (c *Core) expire(r *request) []Action {
+func (c *Core) expire(now time.Duration, r *request) []Action {
 	switch r.phase {
 	case claiming:
-		return []Action{c.finish(r, NotRun, "the log did not confirm the claim in time; the request was not sent")}
+		return []Action{c.finish(now, r, NotRun, "the log did not confirm the claim in time; the request was not sent")}
 	case queued:
-		return []Action{c.giveUp(r, fmt.Sprintf("no runner of %s was free before the deadline", r.Service))}
+		return []Action{c.giveUp(now, r, fmt.Sprintf("no runner of %s was free in time for it to end before the deadline", r.Service))}
 	case running:
 		// The sender may be stuck, and the caller must not wait for it.
 		r.mayRun = true
-		return []Action{c.giveUp(r, "the runner did not answer before the deadline"), Cancel{r.ID}}
+		c.learn(c.service(r.Service), r, now-r.sent)
+		return []Action{c.giveUp(now, r, "the runner did not answer before the deadline"), Cancel{r.ID}}
 	}
 	// The sender never reported; the runner has stopped by now.
 	c.release(r)
@@ -111,7 +114,7 @@
 	}
 	r.left = true
 	if r.phase != running {
-		return append([]Action{c.giveUp(r, "the caller left")}, c.dispatch(now)...)
+		return append([]Action{c.giveUp(now, r, "the caller left")}, c.dispatch(now, c.service(r.Service))...)
 	}
 	if r.Idempotent {
 		return []Action{Cancel{id}}
@@ -120,22 +123,33 @@
 }
 
 // giveUp ends a request without an answer.
-func (c *Core) giveUp(r *request, why string) Finished {
+func (c *Core) giveUp(now time.Duration, r *request, why string) Finished {
 	if r.mayRun {
-		return c.finish(r, Unknown, why)
+		return c.finish(now, r, Unknown, why)
 	}
-	return c.finish(r, NotRun, why)
+	return c.finish(now, r, NotRun, why)
+}
+
+// refuse ends a request that nothing was sent of.
+func (c *Core) refuse(now time.Duration, r *request, why string) Finished {
+	return c.giveUp(now, r, why)
+}
+
+// learn takes in a run time, or the least it can have been.
+func (c *Core) learn(s *service, r *request, took time.Duration) {
+	r.expected.learn(took)
+	s.run.learn(took)
 }
 
 // finish ends a request. An attempt in progress keeps its slot until its end is
 // reported, or its runner must have stopped.
-func (c *Core) finish(r *request, o Outcome, why string) Finished {
+func (c *Core) finish(now time.Duration, r *request, o Outcome, why string) Finished {
 	f := Finished{Request: r.ID, Outcome: o, Reason: why}
 	if o == NotRun {
-		f.RetryAfter = c.comeBack()
+		f.RetryAfter = c.comeBack(now, c.service(r.Service), r)
 	}
-	if r.phase == queued {
-		c.unqueue(r)
+	if r.phase == queued || r.phase == claiming {
+		c.service(r.Service).queue.remove(r)
 	}
 	r.phase = ended
 	if r.runner == nil {
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -21,6 +21,7 @@
 	phase    phase
 	arrived  time.Duration
 	attempts int
+	expected *estimate
 	// runner and sent are those of the attempt in progress.
 	runner *runner
 	sent   time.Duration
--- a/dispatch/retry.go
+++ b/dispatch/retry.go
@@ -18,5 +18,5 @@
 }
 
 func (c *Core) hasOther(r *request) bool {
-	return slices.ContainsFunc(c.order, func(t *runner) bool { return t.serves(r) })
+	return slices.ContainsFunc(c.service(r.Service).runners, func(t *runner) bool { return t.takesNew() && !r.avoids(t.ID) })
 }
--- /dev/null
+++ b/dispatch/service.go
@@ -0,0 +1,73 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/knapweedweir/knapweedweir/platform"
+)
+
+// service is the runners of one upstream service and the requests for it.
+type service struct {
+	name    string
+	runners []*runner
+	queue   queue
+	// run is what is learned of all its requests together.
+	run estimate
+	// offered is the slot time asked for within about the last loadWindow.
+	offered   time.Duration
+	offeredAt time.Duration
+}
+
+// loadWindow is how far the measured load looks back.
+const loadWindow = 5 * time.Second
+
+func (c *Core) service(name string) *service {
+	s, ok := c.services[name]
+	if !ok {
+		s = &service{name: name, run: estimate{mean: firstRun, dev: firstRun / 2}}
+		c.services[name] = s
+	}
+	return s
+}
+
+// slots is how many slots this entry may use for the service.
+func (s *service) slots() int {
+	n := 0
+	for _, t := range s.runners {
+		if t.takesNew() {
+			n += t.share
+		}
+	}
+	return n
+}
+
+// idle reports whether a slot is free.
+func (s *service) idle() bool {
+	for _, t := range s.runners {
+		if t.takesNew() && t.busy < t.share {
+			return true
+		}
+	}
+	return false
+}
+
+// takesNew reports whether a runner may get new requests at all.
+func (t *runner) takesNew() bool { return t.listed && t.State != platform.InstanceLeaving }
+
+// offer counts the slot time that a new request asks for.
+func (s *service) offer(now, run time.Duration) {
+	s.decay(now)
+	s.offered += run
+}
+
+func (s *service) decay(now time.Duration) {
+	passed := min(now-s.offeredAt, loadWindow)
+	s.offered -= time.Duration(float64(s.offered) * passed.Seconds() / loadWindow.Seconds())
+	s.offeredAt = now
+}
+
+// load is the slot time asked for as a multiple of what the slots give.
+func (s *service) load(now time.Duration, slots int) float64 {
+	s.decay(now)
+	return s.offered.Seconds() / (loadWindow.Seconds() * float64(max(slots, 1)))
+}
--- a/dispatch/slots.go
+++ b/dispatch/slots.go
@@ -46,6 +46,9 @@
 		t.share = Share(i.ID, c.cfg.Self, entries, c.cfg.SlotsPerRunner)
 	}
 	c.order = c.order[:0]
+	for _, s := range c.services {
+		s.runners = s.runners[:0]
+	}
 	for id, t := range c.runners {
 		if !t.listed && t.busy == 0 {
 			delete(c.runners, id)
@@ -54,6 +57,10 @@
 		c.order = append(c.order, t)
 	}
 	slices.SortFunc(c.order, func(a, b *runner) int { return strings.Compare(a.ID, b.ID) })
+	for _, t := range c.order {
+		s := c.service(t.Service)
+		s.runners = append(s.runners, t)
+	}
 }
 
 // release gives back the slot of the attempt in progress.
--- a/dispatch/status.go
+++ b/dispatch/status.go
@@ -18,7 +18,10 @@
 
 // Status describes the core.
 func (c *Core) Status() Status {
-	s := Status{Queued: len(c.queue), InProgress: len(c.requests), RetryBudget: c.budget}
+	s := Status{InProgress: len(c.requests), RetryBudget: c.budget}
+	for _, svc := range c.services {
+		s.Queued += len(svc.queue)
+	}
 	for _, r := range c.order {
 		s.Runners = append(s.Runners, RunnerStatus{ID: r.ID, State: string(r.State), Busy: r.busy, Share: r.share})
 	}
