An owner that loses the log asks a majority before it goes on renewing leases

A successor that never reaches a worker could therefore never know when the predecessor's tasks there are over, and held back every home's collect for good.

Else it stops all orders to workers and says in its heartbeats that it can't keep its units, so that peers take them over before the leases lapse. A new owner with a worker it has never reached asks the same panel who has read its claim, and takes the worker's unknown tasks for over 4 s + lease + 5 % after a majority has. Two majorities share a member, so the old owner has stopped by then.

--- a/control/api/api.go
+++ b/control/api/api.go
@@ -81,6 +81,19 @@
 	Heartbeat membership.Heartbeat
 	Messages  []placement.Message
 	Digests   []placement.Digest
+	LogProbe  *LogProbe
+	LogProbed *LogProbed
+}
+
+// LogProbe asks a peer whether the log is silent for it too.
+type LogProbe struct{ Round uint64 }
+
+// LogProbed answers LogProbe: whether the log is silent, and how far the peer has
+// read it.
+type LogProbed struct {
+	Round  uint64
+	Silent bool
+	Offset platform.Offset
 }
 
 // Ack is the empty reply of Deliver.
--- a/control/core.go
+++ b/control/core.go
@@ -74,6 +74,7 @@
 	claims    *dispatch.Claims
 	committer *logstream.Committer
 	members   *membership.Core
+	panel     *panel
 	shards    map[ownership.Unit]*placement.Shard
 	homes     map[ownership.Unit]*placement.Home
 
@@ -115,6 +116,7 @@
 		shards:    map[ownership.Unit]*placement.Shard{}, homes: map[ownership.Unit]*placement.Home{},
 		workers: map[ownership.Unit][]platform.Worker{}, addrs: map[string]string{},
 		digests: map[ownership.Unit]placement.Digest{}, tickets: map[uint64]api.Question{}, nextTicket: ownTickets}
+	c.panel = &panel{self: cfg.ID}
 	c.view = logstream.NewView(c.tree, c.table, c.registry, c.claims)
 	c.follower, c.schedule = logstream.NewFollower(c.view), logstream.NewSchedule(cfg.Schedule)
 	// Versions start beyond those of earlier lives: an entry that asks for what
@@ -170,6 +172,9 @@
 	down := c.LogDown(now)
 	c.resolve(c.committer.SetDown(down))
 	peers, hb := c.members.Step(now)
+	// An owner that must not renew leases can't keep its units either: told so,
+	// its peers take them over before the leases lapse.
+	hb.Leaving = hb.Leaving || !c.panel.mayRenew(now)
 	for _, id := range peers {
 		c.envelope(id).Heartbeat = hb
 	}
@@ -179,6 +184,7 @@
 	}
 	c.snapshotIfDue(now, down)
 	c.fetchIfCutOff(now, down)
+	c.askPanel(now)
 	if now-c.digestAt >= c.cfg.DigestEvery {
 		c.digestAt = now
 		c.tellDigests(now)
@@ -195,7 +201,12 @@
 	}
 }
 
+// stepShard sends orders to a shard's workers, unless this scheduler may have
+// been replaced without having heard of it.
 func (c *Core) stepShard(now time.Duration, s *placement.Shard) {
+	if !c.panel.mayRenew(now) {
+		return
+	}
 	orders, msgs := s.Step(now)
 	for _, o := range orders {
 		c.actions = append(c.actions, SyncWorker{Order: o})
--- a/control/log.go
+++ b/control/log.go
@@ -57,6 +57,7 @@
 		c.jumped(now)
 	}
 	if c.follower.CaughtUp() {
+		c.panel.contact(ev.Began, c.view.Offset())
 		for _, s := range c.shards {
 			s.ConfirmOwner(ev.Began)
 		}
--- a/control/peers.go
+++ b/control/peers.go
@@ -32,6 +32,9 @@
 // this scheduler does not own is dropped; its sender asks again by its own view.
 func (c *Core) local(now time.Duration, m placement.Message) []placement.Message {
 	if s, ok := c.shards[m.To()]; ok {
+		if !c.panel.mayRenew(now) {
+			return nil
+		}
 		if p, isPlace := m.(placement.Place); isPlace && c.jobOver(p.Attempt.Job) {
 			return []placement.Message{placement.Placed{Home: p.Home, Shard: p.Shard, Attempt: p.Attempt, Sequence: p.Sequence, Reason: "the job has ended"}}
 		}
@@ -76,6 +79,13 @@
 	if env.Heartbeat.From != "" {
 		c.members.Heard(now, env.Heartbeat)
 	}
+	if env.LogProbe != nil {
+		reply := c.panel.answer(now, *env.LogProbe)
+		c.envelope(env.From).LogProbed = &reply
+	}
+	if env.LogProbed != nil {
+		c.panel.heard(env.From, *env.LogProbed)
+	}
 	for _, d := range env.Digests {
 		c.noteDigest(now, d)
 	}
--- a/control/sim_test.go
+++ b/control/sim_test.go
@@ -43,6 +43,7 @@
 	answers   map[uint64]api.Answer
 	tickets   uint64
 	sent      func(from *simNode, a SendPeer)
+	synced    map[string]time.Duration
 	starts    []simStart
 	configure func(*Config)
 }
@@ -109,7 +110,7 @@
 
 func newSim(seed uint64, nodes, racks, perRack int) *sim {
 	s := &sim{random: rand.New(rand.NewPCG(seed, 0)), workers: map[string]*simWorker{}, cut: map[[2]string]bool{},
-		states: map[platform.Offset]simState{}, answers: map[uint64]api.Answer{}}
+		states: map[platform.Offset]simState{}, synced: map[string]time.Duration{}, answers: map[uint64]api.Answer{}}
 	for r := range racks {
 		for i := range perRack {
 			w := platform.Worker{ID: fmt.Sprintf("w%03d-%d", r, i), Rack: fmt.Sprintf("rack-%03d", r), Capacity: platform.Resources{MilliCPU: 4000, MemoryMiB: 4000}}
@@ -212,6 +213,11 @@
 	})
 }
 
+// cutBoth cuts both ways between two ends.
+func (s *sim) cutBoth(a, b string) {
+	s.cut[[2]string{a, b}], s.cut[[2]string{b, a}] = true, true
+}
+
 func (s *sim) kill(n *simNode) { n.alive = false }
 
 // wake lets a paused node go on: its timers fire before what has arrived is read.
@@ -321,6 +327,7 @@
 }
 
 func (s *sim) sync(n *simNode, a SyncWorker) {
+	s.synced[n.id] = s.now
 	name, life := n.id, fmt.Sprintf("%s in life %d", n.id, n.incarnation)
 	if !s.open(name, a.Order.Worker) {
 		return
--- a/placement/shard.go
+++ b/placement/shard.go
@@ -18,6 +18,9 @@
 	SyncTimeout time.Duration
 	// TellAgain is how long news of an ended task waits before it is repeated.
 	TellAgain time.Duration
+	// PredecessorStops is how long a predecessor may go on renewing leases after
+	// a majority of the schedulers has read its successor's claim.
+	PredecessorStops time.Duration
 	// HoldFor is how long a reservation stands without a Confirm.
 	HoldFor time.Duration
 }
@@ -29,6 +32,8 @@
 	SyncTimeout: 2 * time.Second,
 	TellAgain:   time.Second,
 	HoldFor:     5 * time.Second,
+
+	PredecessorStops: 4 * time.Second,
 }
 
 // leaseMargin is added to a lease before its tasks are taken for stopped: a
@@ -48,6 +53,9 @@
 	homes map[ownership.Unit]channel
 	// confirmedAt is the begin of the newest log read that named no successor.
 	confirmedAt time.Duration
+	// claimReadAt is when a majority of the schedulers had read this owner's
+	// claim; zero until it has.
+	claimReadAt time.Duration
 }
 
 // NewShard returns the owner's state under an epoch. It knows no workers yet.
@@ -56,6 +64,9 @@
 		slots: map[Attempt]*slot{}, jobs: map[string][]*slot{}, homes: map[ownership.Unit]channel{}}
 }
 
+// Unit is the shard's unit.
+func (s *Shard) Unit() ownership.Unit { return s.unit }
+
 // Epoch is the fencing token of this owner.
 func (s *Shard) Epoch() platform.Offset { return s.epoch }
 
@@ -104,6 +115,24 @@
 // no successor of this owner.
 func (s *Shard) ConfirmOwner(began time.Duration) { s.confirmedAt = max(s.confirmedAt, began) }
 
+// ClaimRead notes that a majority of the schedulers had read this owner's claim
+// at the given time.
+func (s *Shard) ClaimRead(at time.Duration) {
+	if s.claimReadAt == 0 {
+		s.claimReadAt = at
+	}
+}
+
+// Fenced reports whether every worker has answered under this owner's token.
+func (s *Shard) Fenced() bool {
+	for _, w := range s.order {
+		if !w.fenced {
+			return false
+		}
+	}
+	return true
+}
+
 // Step returns the requests to send to workers now and news for homes.
 func (s *Shard) Step(now time.Duration) ([]SyncOrder, []Message) {
 	var orders []SyncOrder
--- a/placement/shard_orders.go
+++ b/placement/shard_orders.go
@@ -49,9 +49,9 @@
 }
 
 // allFenced reports whether every worker has answered this owner, so that slots
-// holds all that its predecessors placed. Silence is no substitute: a worker that
-// only this owner can't reach may run on under a predecessor that renews its
-// lease.
+// holds all that its predecessors placed. Silence alone is no substitute: a worker
+// that only this owner can't reach may run on under a predecessor that renews its
+// lease. mayHoldUnknown says when no predecessor does.
 func (s *Shard) allFenced(now time.Duration) bool {
 	for _, w := range s.order {
 		if s.mayHoldUnknown(now, w) {
@@ -67,6 +67,9 @@
 	if !w.listed && s.over(now, w.listedAt+s.leaseTime()) {
 		return false
 	}
+	if !w.fenced && s.claimReadAt > 0 && s.over(now, s.claimReadAt+s.cfg.PredecessorStops+s.leaseTime()) {
+		return false
+	}
 	return !w.fenced || now < w.settledAt
 }
 
