Requests: sealed writes, progress deadlines, passed-on answers, claims given back

Cause, each seen on the old code or by the tests below without their safeguard: an entry paused after its claim could send at any time later; a caller that left was noticed only at the end, and a non-idempotent request was then broken off in the middle; an answer to a redirect was followed; answers took up to 32 MiB each without a bound for all; a connection to a runner or scheduler that went silent cost the whole deadline, and so did each idle sibling; a repeat whose deadline passed while the first call ran was told "not run"; connections to a runner were bounded per entry by 8, whatever the number of entries.

Change: a goroutine per claim and attempt beside the handler; connections to runners know whether the request's bytes were begun and refuse them after the deadline or once sealed ("not run" is said only of sealed ones); claims and finishes may be put to any scheduler and finishes are repeated until the log has them; answers above 256 KiB are passed on; 128 MiB for all bodies; timers on every read and write; per-runner transports, so that a silent connection takes its idle siblings along; 64 connections divided by the entries listed; heartbeats while an rpc call waits. The entry stays reachable for 2 s after SIGTERM and says by name what a cut drain cuts.

Shown failing (scratch copy, one safeguard out at a time, go test ./cmd/internal/entry): record of a claim in doubt -> ClaimInDoubt... hangs; token kept after a late grant -> ...GrantedTooLate hangs; clock in begin -> ConnectionRefusesWrites...; noteClaim -> RepeatOfARunning...: 'not-run != unknown'; wait for the first outcome -> RepeatGets...: '504 != 200'; Attempt-Id -> BrokenAnswers: 'answer to somebody else'; abort -> ...CutOffBreaks: 'a short answer looked whole'; gone after a cut -> same: '2 != 1' runs; buffer bound -> LongAnswer...WithinTheMemoryBound hangs; siblings -> SilentIdle...: 'a second caller met a silent connection'; timer of a try -> SilentIdle...: the try lasted 30 s; unproven -> AvoidsUnproven: 'unknown != done' after 30 s; share -> WithinTheShare: 'done != not-run'; caller left -> AttemptEnds hangs; no cancel of a non-idempotent one -> OutlivesItsCaller: 'unknown != done'; memory -> BeyondTheMemory.

Ruled out: TCP_USER_TIMEOUT (does not see a middlebox that still acknowledges); a time to live for claims (design/0060).

--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"os"
+	"sort"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -27,11 +29,17 @@
 	readHeaderLimit  = 5 * time.Second
 	defaultDrain     = 30 * time.Second
 	drainCheck       = 20 * time.Millisecond
-	balancerNotice   = 300 * time.Millisecond
+	recordGrace      = 2 * time.Second
+	bodyTimeout      = 10 * time.Second
+	callerStall      = 5 * time.Second
+	callerIdle       = time.Minute
+	operatorWrite    = time.Minute
+	maxNamesLogged   = 100
 	runnerSlots      = 8
 	runnerConns      = 64
 	maxRequestBytes  = 1 << 20
-	maxAnswerBytes   = 32 << 20
+	maxRequestID     = 256
+	maxBodyMemory    = 128 << 20
 	maxQueue         = 2000
 	retryShare       = 0.1
 	coreEventQueue   = 4096
@@ -43,13 +51,21 @@
 	process  *daemon.Process
 	settings Settings
 	scheds   *schedulers
-	runners  *http.Client
+	runners  *upstreams
+	memory   budget
 	events   chan coreEvent
 	state    atomic.Pointer[api.State]
 	nextID   atomic.Uint64
 	active   atomic.Int64
 	draining atomic.Bool
 	done     chan struct{}
+	// names are the request IDs in progress, by the entry's own number.
+	names sync.Map
+	// unrecorded are the finishes that wait for the log.
+	unrecorded atomic.Int64
+	// background ends with the process.
+	background context.Context
+	stop       context.CancelFunc
 }
 
 // Run runs an entry with the settings in a file.
@@ -66,7 +82,7 @@
 	e := New(p, s)
 	p.AddLoop(e.coreLoop)
 	p.AddLoop(e.watchLoop)
-	p.AddHTTP(l, &http.Server{Handler: p.Mux(), ReadHeaderTimeout: readHeaderLimit})
+	p.AddHTTP(l, &http.Server{Handler: p.Mux(), ReadHeaderTimeout: readHeaderLimit, IdleTimeout: callerIdle, WriteTimeout: operatorWrite})
 	limit := s.DrainLimit.D()
 	if limit == 0 {
 		limit = defaultDrain
@@ -83,8 +99,9 @@
 // New returns an entry that serves nothing yet.
 func New(p *daemon.Process, s Settings) *Entry {
 	e := &Entry{process: p, settings: s, scheds: newSchedulers(s.Schedulers),
-		runners: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: runnerSlots, MaxConnsPerHost: runnerSlots, DisableCompression: true}},
-		events:  make(chan coreEvent, coreEventQueue), done: make(chan struct{})}
+		runners: newUpstreams(), memory: budget{limit: maxBodyMemory},
+		events: make(chan coreEvent, coreEventQueue), done: make(chan struct{})}
+	e.background, e.stop = context.WithCancel(context.Background())
 	e.state.Store(&api.State{})
 	p.OnDump(e.dump)
 	e.routes(p.Mux())
@@ -141,6 +158,12 @@
 	return l.core.Failed(now, f.id, f.failure, f.why)
 }
 
+// gone says that the caller has left, or that it has seen part of an answer
+// whose rest won't come.
+type gone struct{ id uint64 }
+
+func (g gone) apply(now time.Duration, l *loop) []dispatch.Action { return l.core.Gone(now, g.id) }
+
 type expire struct{}
 
 func (expire) apply(now time.Duration, l *loop) []dispatch.Action { return l.core.Expire(now) }
@@ -154,10 +177,11 @@
 			entries = append(entries, i.ID)
 		}
 	}
-	return l.core.SetRunners(now, upstreams(n.state.Instances), entries)
+	return l.core.SetRunners(now, runnersIn(n.state.Instances), entries)
 }
 
-func upstreams(list []platform.Instance) []platform.Instance {
+// runnersIn leaves out our own processes.
+func runnersIn(list []platform.Instance) []platform.Instance {
 	var out []platform.Instance
 	for _, i := range list {
 		if i.Service != control.EntryService && i.Service != control.SchedService {
@@ -176,6 +200,7 @@
 
 // coreLoop is the one goroutine that owns the dispatch core.
 func (e *Entry) coreLoop(ctx context.Context) error {
+	defer e.stop()
 	defer close(e.done)
 	l := &loop{waiters: map[uint64]chan dispatch.Action{}, core: dispatch.New(dispatch.Config{
 		Self: e.settings.ID, SlotsPerRunner: runnerSlots, RetryShare: retryShare, MaxQueue: maxQueue})}
@@ -203,16 +228,20 @@
 	switch a := a.(type) {
 	case dispatch.Send:
 		id = a.Request
+	case dispatch.Cancel:
+		id = a.Request
 	case dispatch.AskClaim:
 		id = a.Request
 	case dispatch.Finished:
 		id, final = a.Request, true
 	}
-	if w, ok := l.waiters[id]; ok {
-		w <- a
-		if final {
-			delete(l.waiters, id)
-		}
+	w, ok := l.waiters[id]
+	if !ok {
+		return
+	}
+	w <- a
+	if final {
+		delete(l.waiters, id)
 	}
 }
 
@@ -239,6 +268,7 @@
 		case st.Ready && st.Holders != nil && st.Offset >= e.state.Load().Offset:
 			since, from = st.Version, st.Scheduler
 			e.state.Store(&st)
+			e.connections(st.Instances)
 			e.post(newState{st})
 			e.process.SetReady(!e.draining.Load())
 		}
@@ -250,20 +280,54 @@
 	}
 }
 
-// drain waits for the requests in progress. It first stays open for a moment,
-// unready, so that the balancer sends no new ones.
+// connections brings the connections to runners in line with the list.
+func (e *Entry) connections(list []platform.Instance) {
+	entries, addrs := 0, map[string]bool{}
+	for _, i := range list {
+		// Entries that are leaving still hold their connections.
+		if i.Service == control.EntryService {
+			entries++
+		}
+		addrs[i.Addr] = true
+	}
+	e.runners.setEntries(entries)
+	e.runners.keep(addrs)
+}
+
+// drain waits for the requests in progress. The entry is unready by now and
+// refuses new requests; it stays reachable until the balancer has noticed, so
+// that a caller is told "not run" in place of a reset connection.
 func (e *Entry) drain(ctx context.Context) error {
 	e.draining.Store(true)
-	wait(ctx, balancerNotice)
+	wait(ctx, e.settings.Notice.D())
 	for e.active.Load() > 0 {
 		if ctx.Err() != nil {
-			return errors.Errorf("%d requests cut off", e.active.Load())
+			return e.cutOff()
 		}
 		wait(ctx, drainCheck)
 	}
+	// Outcomes that the log does not have yet are worth a moment, no more: it
+	// may be down for hours.
+	record, cancel := context.WithTimeout(ctx, recordGrace)
+	defer cancel()
+	for e.unrecorded.Load() > 0 && record.Err() == nil {
+		wait(record, drainCheck)
+	}
 	return nil
 }
 
+// cutOff says which requests the end of the drain cuts off.
+func (e *Entry) cutOff() error {
+	var names []string
+	e.names.Range(func(_, name any) bool {
+		names = append(names, name.(string))
+		return true
+	})
+	sort.Strings(names)
+	e.process.Log.Error().Int("count", len(names)).Strs("requests", names[:min(len(names), maxNamesLogged)]).Msg("requests.cut_off")
+	return errors.Errorf("%d requests cut off", len(names))
+}
+
 func wait(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
@@ -282,6 +346,8 @@
 	LogDown     bool            `json:"logDown"`
 	Draining    bool            `json:"draining"`
 	Active      int64           `json:"activeRequests"`
+	BodyBytes   int64           `json:"bodyBytes"`
+	Unrecorded  int64           `json:"unrecordedOutcomes"`
 	Dispatch    dispatch.Status `json:"dispatch"`
 }
 
@@ -293,7 +359,7 @@
 	select {
 	case st := <-req.reply:
 		s := e.state.Load()
-		return Dump{1, e.settings.ID, s.Scheduler, s.Offset, s.LogDown, e.draining.Load(), e.active.Load(), st}, nil
+		return Dump{1, e.settings.ID, s.Scheduler, s.Offset, s.LogDown, e.draining.Load(), e.active.Load(), e.memory.used.Load(), e.unrecorded.Load(), st}, nil
 	case <-e.done:
 		return nil, errors.New("the entry has stopped")
 	}
--- a/cmd/internal/entry/schedulers.go
+++ b/cmd/internal/entry/schedulers.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -50,6 +51,31 @@
 	return api.Answer{}, last
 }
 
+// errNobodyAsked says that the question reached no scheduler.
+var errNobodyAsked = errors.New("no scheduler can be reached")
+
+// askAny puts a question that may take effect twice without harm to one scheduler
+// after the other until one answers.
+func (s *schedulers) askAny(ctx context.Context, q api.Question, timeout time.Duration) (api.Answer, error) {
+	end := time.Now().Add(timeout)
+	asked := false
+	for _, addr := range s.order {
+		left := time.Until(end)
+		if left <= 0 || ctx.Err() != nil {
+			break
+		}
+		a, err := s.client(addr).Ask(q, left)
+		if err == nil {
+			return a, nil
+		}
+		asked = asked || !errors.Is(err, schedclient.ErrNotSent)
+	}
+	if asked {
+		return api.Answer{}, errors.New("no scheduler answered")
+	}
+	return api.Answer{}, errNobodyAsked
+}
+
 // askAt puts a question to one scheduler.
 func (s *schedulers) askAt(addr string, q api.Question, timeout time.Duration) (api.Answer, error) {
 	return s.client(addr).Ask(q, timeout)
--- a/cmd/internal/entry/settings.go
+++ b/cmd/internal/entry/settings.go
@@ -22,6 +22,9 @@
 	Schedulers []string `json:"schedulers"`
 	// DrainLimit bounds how long SIGTERM waits for requests in progress.
 	DrainLimit jsonc.Duration `json:"drainLimit" default:"30s"`
+	// Notice is how long after SIGTERM the entry stays reachable at least, for
+	// a balancer that notices late.
+	Notice jsonc.Duration `json:"notice" default:"2s"`
 }
 
 // Validate implements jsonc.Validator.
@@ -43,6 +46,9 @@
 			report(fmt.Sprintf("schedulers.%d", i), "must be an address such as \"10.0.0.1:7000\"")
 		}
 	}
+	if s.Notice < 0 {
+		report("notice", "must not be negative")
+	}
 	if s.DrainLimit < 0 {
 		report("drainLimit", "must not be negative")
 	}
--- a/cmd/internal/sched/rpc.go
+++ b/cmd/internal/sched/rpc.go
@@ -58,6 +58,9 @@
 	}
 }
 
+// Ping answers the heartbeat of a connection.
+func (v service) Ping(_ api.PingArgs, _ *api.Ack) error { return nil }
+
 // Watch returns the cell's state if it is newer than the given version.
 func (v service) Watch(args api.Watch, reply *api.State) error {
 	st := v.s.state.Load()
@@ -124,7 +127,7 @@
 			open[conn] = true
 			mu.Unlock()
 			go func() {
-				server.ServeConn(conn)
+				server.ServeConn(&schedclient.Conn{Conn: conn, Idle: schedclient.IdleTimeout})
 				mu.Lock()
 				delete(open, conn)
 				mu.Unlock()
--- a/cmd/internal/schedclient/client.go
+++ b/cmd/internal/schedclient/client.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -13,8 +14,16 @@
 	"github.com/knapweedweir/knapweedweir/membership"
 )
 
-// dialTimeout bounds connecting to a scheduler.
-const dialTimeout = time.Second
+// Timing of a connection to a scheduler.
+const (
+	dialTimeout = 500 * time.Millisecond
+	redialAfter = 100 * time.Millisecond
+	// heartbeatEvery is the pause between two heartbeats while calls wait.
+	heartbeatEvery = 100 * time.Millisecond
+	// heartbeatTimeout is how late a heartbeat's answer may be. Schedulers
+	// are in reach within milliseconds, so this is a long pause.
+	heartbeatTimeout = 400 * time.Millisecond
+)
 
 // ErrNotSent means that the call never left this process.
 var ErrNotSent = errors.New("could not connect to the scheduler")
@@ -29,7 +38,9 @@
 type Client struct {
 	addr string
 	mu   sync.Mutex
-	conn *rpc.Client
+	link *link
+	// failedAt is when the last dial failed.
+	failedAt time.Time
 }
 
 // New returns a client of the scheduler at addr.
@@ -39,7 +50,11 @@
 func (c *Client) Addr() string { return c.addr }
 
 // Close drops the connection.
-func (c *Client) Close() { c.drop(nil) }
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.dropLocked(c.link)
+}
 
 // Ask puts a question. After ErrNotSent the question was not asked; after any
 // other error it may have been.
@@ -90,47 +105,115 @@
 }
 
 func (c *Client) call(method string, args, reply any, timeout time.Duration) error {
-	conn, err := c.connect()
+	l, err := c.connect()
 	if err != nil {
 		return err
 	}
-	call := conn.Go(api.ServiceName+"."+method, args, reply, make(chan *rpc.Call, 1))
+	l.pending.Add(1)
+	defer l.pending.Add(-1)
+	// Go blocks while another call is being written, which a silent peer can
+	// hold up; the timer has to run by then.
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
-	select {
-	case <-call.Done:
-		var remote rpc.ServerError
-		if call.Error != nil && !errors.As(call.Error, &remote) {
-			c.drop(conn)
+	done := make(chan *rpc.Call, 1)
+	go l.rpc.Go(api.ServiceName+"."+method, args, reply, done)
+	slow := time.NewTicker(heartbeatEvery)
+	defer slow.Stop()
+	for {
+		select {
+		case call := <-done:
+			var remote rpc.ServerError
+			if call.Error != nil && !errors.As(call.Error, &remote) {
+				c.drop(l)
+			}
+			return errors.Wrapf(call.Error, "scheduler %s: %s", c.addr, method)
+		case <-slow.C:
+			go c.heartbeat(l)
+		case <-timer.C:
+			return errors.Errorf("scheduler %s: %s: no answer within %s", c.addr, method, timeout)
 		}
-		return errors.Wrapf(call.Error, "scheduler %s: %s", c.addr, method)
-	case <-timer.C:
-		// The connection may have gone silent for good: something between the
-		// two ends has forgotten it. A new one may work at once.
-		c.drop(conn)
-		return errors.Errorf("scheduler %s: %s: no answer within %s", c.addr, method, timeout)
 	}
 }
 
-func (c *Client) connect() (*rpc.Client, error) {
+// link is one connection to a scheduler.
+type link struct {
+	conn     *Conn
+	rpc      *rpc.Client
+	pending  atomic.Int64
+	checking atomic.Bool
+	used     time.Time
+}
+
+// connect returns the connection, a new one if there is none that may be used.
+func (c *Client) connect() (*link, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.conn != nil {
-		return c.conn, nil
+	now := time.Now()
+	if l := c.link; l != nil {
+		stale := l.pending.Load() == 0 && now.Sub(l.used) > reuseLimit
+		if !stale && !l.conn.broken.Load() {
+			l.used = now
+			return l, nil
+		}
+		c.dropLocked(l)
+	}
+	// Callers take turns here. Were each to wait for its own dial to a silent
+	// instance, the last of them would wait for all.
+	if now.Sub(c.failedAt) < redialAfter {
+		return nil, errors.WithMessage(ErrNotSent, "the last attempt has just failed")
 	}
 	conn, err := net.DialTimeout("tcp", c.addr, dialTimeout)
 	if err != nil {
+		c.failedAt = time.Now()
 		return nil, errors.WithMessage(ErrNotSent, err.Error())
 	}
-	c.conn = rpc.NewClient(conn)
-	return c.conn, nil
+	wrapped := &Conn{Conn: conn}
+	l := &link{conn: wrapped, rpc: rpc.NewClient(wrapped), used: now}
+	c.link = l
+	return l, nil
+}
+
+// heartbeat checks a connection on which a call waits. Connections can go silent
+// for good while new ones work: something between the two ends has lost track
+// of them. A call on such a one would wait for its whole timeout, and so would
+// all that follow. The heartbeat is answered by the rpc server itself, however
+// long a question takes, so a late one means that the connection or the
+// process is silent; every waiting call then ends at once.
+func (c *Client) heartbeat(l *link) {
+	if !l.checking.CompareAndSwap(false, true) {
+		return
+	}
+	defer l.checking.Store(false)
+	if !l.alive() {
+		c.drop(l)
+	}
 }
 
-func (c *Client) drop(conn *rpc.Client) {
+func (l *link) alive() bool {
+	timer := time.NewTimer(heartbeatTimeout)
+	defer timer.Stop()
+	done := make(chan *rpc.Call, 1)
+	go l.rpc.Go(api.ServiceName+".Ping", api.PingArgs{}, &api.Ack{}, done)
+	select {
+	case call := <-done:
+		return call.Error == nil
+	case <-timer.C:
+		return false
+	}
+}
+
+func (c *Client) drop(l *link) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.conn != nil && (conn == nil || conn == c.conn) {
-		_ = c.conn.Close()
-		c.conn = nil
+	c.dropLocked(l)
+}
+
+func (c *Client) dropLocked(l *link) {
+	if l == nil || c.link != l {
+		return
 	}
+	// The socket goes first: rpc.Client.Close waits for a write in progress.
+	_ = l.conn.Close()
+	c.link = nil
+	go l.rpc.Close()
 }
--- a/control/api/api.go
+++ b/control/api/api.go
@@ -99,6 +99,9 @@
 // Ack is the empty reply of Deliver.
 type Ack struct{}
 
+// PingArgs is the empty argument of Ping, the heartbeat of a connection.
+type PingArgs struct{}
+
 // Watch asks for the cell's state if it is newer than a version.
 type Watch struct{ Since uint64 }
 
