placement: home and shard together through takeovers, loss and reordering

Cause: found by the new property test of homes and shards in virtual time: - a gang's task whose hold expired while its new home still collected was asked for alone, and the gang was never confirmed (not settled): a home now places nothing of older jobs before every shard has told what it runs, and whether a gang has begun is a matter of the gang, not of the task; - a gang that had room kept for it and lost all its holds was in no queue and under no timer (stood for ever): it goes back to the queue whole; - news of a replaced shard owner is left aside (with the shard's epoch in it), and homes learn new owners from the log at once, not with the next digest.

--- a/control/core.go
+++ b/control/core.go
@@ -271,7 +271,7 @@
 		return
 	}
 	h := placement.NewHome(u, epoch, c.cfg.Home)
-	h.SetShards(c.shardIDs)
+	c.tellShards(now, h)
 	for _, u := range sortedUnits(c.digests) {
 		h.SetDigest(now, c.digests[u])
 	}
@@ -303,6 +303,24 @@
 	}
 }
 
+// tellShards tells a home which shards there are and who owns them.
+func (c *Core) tellShards(now time.Duration, h *placement.Home) {
+	h.SetShards(c.shardIDs)
+	for _, s := range c.shardIDs {
+		h.SetOwner(now, s, c.table.Holder(s).Epoch)
+	}
+}
+
+// ownerChanged tells the homes of a shard's new owner.
+func (c *Core) ownerChanged(now time.Duration, out logstream.Outcome) {
+	var claim ownership.Claim
+	// The reducer has decoded the same body before.
+	_ = json.Unmarshal(out.Record.Body, &claim)
+	for _, u := range c.ownedHomes() {
+		c.homes[u].SetOwner(now, claim.Unit, out.Offset)
+	}
+}
+
 // teamChanged brings a team's new settings to the homes of its jobs.
 func (c *Core) teamChanged(now time.Duration, out logstream.Outcome) {
 	var change settings.Change
@@ -364,7 +382,7 @@
 	}
 	c.units = append(c.units, c.shardIDs...)
 	for _, h := range c.homes {
-		h.SetShards(c.shardIDs)
+		c.tellShards(now, h)
 	}
 	c.takeOver(now)
 }
--- a/control/log.go
+++ b/control/log.go
@@ -114,6 +114,8 @@
 		c.jobEnded(now, out)
 	case settings.KindChange:
 		c.teamChanged(now, out)
+	case ownership.KindClaim:
+		c.ownerChanged(now, out)
 	}
 }
 
--- a/placement/gang.go
+++ b/placement/gang.go
@@ -94,6 +94,13 @@
 // can't block each other for good, nor keep room from others that could use it.
 // Only while room is being kept for the gang it holds on, for a bounded time.
 func (h *Home) gangRefused(now time.Duration, job *homeJob, t *homeTask) []Message {
+	if job.counts[taskQueued] == len(job.tasks) {
+		// Nothing is held any more, so no answer will come: the gang goes back
+		// to the queue as a whole.
+		job.readyAt = max(job.readyAt, now+h.cfg.Backoff)
+		h.enqueue(now, job)
+		return nil
+	}
 	if h.admit(job.team, job.need) != WaitNothing {
 		return h.giveUpGang(now, job)
 	}
@@ -149,8 +156,12 @@
 const maxPauseDoublings = 10
 
 // gangLost takes in that one task of a gang has ended without being done.
-func (h *Home) gangLost(now time.Duration, job *homeJob, t *homeTask, m Changed, confirmed bool) []Message {
-	if !confirmed {
+func (h *Home) gangLost(now time.Duration, job *homeJob, t *homeTask, m Changed) []Message {
+	if !h.mayPlace(job) {
+		// Other tasks of the gang may yet be found; resumeGang decides.
+		return nil
+	}
+	if !job.gang.confirmed && !job.begun() {
 		if m.Cause == CauseHoldTaken {
 			return h.giveUpGang(now, job)
 		}
@@ -159,6 +170,11 @@
 	return h.bringBack(now, job)
 }
 
+// begun reports whether a task of the job may have started.
+func (j *homeJob) begun() bool {
+	return j.counts[taskStarting]+j.counts[taskRunning]+j.counts[taskStopping]+j.counts[taskDone] > 0
+}
+
 // bringBack stops all tasks of a gang that lost one. Half a gang would use up
 // its workers without getting anywhere. Each task must be known to have ended
 // before any is placed again.
--- a/placement/home.go
+++ b/placement/home.go
@@ -109,17 +109,37 @@
 	}
 }
 
-// SetDigest notes a shard's free room and wakes the jobs that could use it.
+// SetOwner tells the home under which epoch a shard is owned. It must be told of
+// all owners made before its own epoch when it is new, and of others soon.
+func (h *Home) SetOwner(now time.Duration, shard ownership.Unit, epoch platform.Offset) {
+	if h.rooms.setEpoch(shard, epoch) {
+		h.verifyShard(now, shard)
+	}
+}
+
+// SetDigest notes a shard's free room and wakes the jobs that could use it. A
+// digest of a replaced owner that arrives late is dropped.
 func (h *Home) SetDigest(now time.Duration, d Digest) {
-	grew, changedHands := h.rooms.setDigest(d)
-	if changedHands {
-		h.verifyShard(now, d.Shard)
+	if d.Epoch < h.rooms.epoch(d.Shard) {
+		return
 	}
-	if grew {
+	h.SetOwner(now, d.Shard, d.Epoch)
+	if h.rooms.setDigest(d) {
 		h.queue.roomGrew(now, d.Free)
 	}
 }
 
+// outdated reports whether news comes from an owner of a shard that has been
+// replaced. It may tell of an attempt's end that its successor has not let
+// happen, such as a hold that it has placed anew.
+func (h *Home) outdated(now time.Duration, shard ownership.Unit, epoch platform.Offset) bool {
+	if epoch == 0 {
+		return false
+	}
+	h.SetOwner(now, shard, epoch)
+	return epoch < h.rooms.epoch(shard)
+}
+
 // SetTeam notes a team's settings.
 func (h *Home) SetTeam(now time.Duration, name string, s settings.Team) {
 	t := h.team(name)
@@ -151,14 +171,15 @@
 		job.queued = append(job.queued, i)
 	}
 	job.team.wanted = job.team.wanted.Add(times(job.need, len(job.tasks)))
-	// A predecessor may have placed the tasks of jobs accepted before this
-	// epoch; they wait until every shard has told what it runs and has fenced
-	// the predecessor out.
-	if j.Accepted > h.epoch || h.complete {
-		h.enqueue(now, job)
-	}
+	h.enqueue(now, job)
 }
 
+// mayPlace reports whether the home may place tasks of a job. A predecessor may
+// have placed tasks of jobs accepted before this epoch: they wait until every
+// shard has told what it runs and has fenced the predecessor out. Jobs accepted
+// later can't be known to a predecessor.
+func (h *Home) mayPlace(job *homeJob) bool { return h.complete || job.Accepted > h.epoch }
+
 // JobEnded drops a job that has ended. What still runs of it is counted against
 // its team until it is known to have stopped.
 func (h *Home) JobEnded(now time.Duration, id string) {
@@ -224,9 +245,13 @@
 	case Placed:
 		return h.placed(now, m)
 	case Changed:
-		return h.changed(now, m)
+		if !h.outdated(now, m.Shard, m.ShardEpoch) {
+			return h.changed(now, m)
+		}
 	case Collected:
-		return h.take(now, m)
+		if !h.outdated(now, m.Shard, m.ShardEpoch) {
+			return h.take(now, m)
+		}
 	case QuotaAsk:
 		return h.quotaAsked(m)
 	case QuotaGrant:
--- a/placement/home_rooms.go
+++ b/placement/home_rooms.go
@@ -43,22 +43,31 @@
 	}
 }
 
-// setDigest notes a digest and reports whether it shows more room than before
-// and whether the shard has another owner than before. A digest of a replaced
-// owner that arrives late is dropped.
-func (r *rooms) setDigest(d Digest) (grew, changedHands bool) {
+// setDigest notes a digest and reports whether it shows more room than before.
+func (r *rooms) setDigest(d Digest) bool {
 	i, ok := r.index[d.Shard]
-	if !ok || d.Epoch < r.list[i].Epoch {
-		return false, false
+	if !ok {
+		return false
 	}
 	k := &r.list[i]
-	changedHands = k.known && d.Epoch != k.Epoch
-	grew = !k.known || d.Free.MilliCPU > k.Free.MilliCPU || d.Free.MemoryMiB > k.Free.MemoryMiB ||
+	grew := !k.known || d.Free.MilliCPU > k.Free.MilliCPU || d.Free.MemoryMiB > k.Free.MemoryMiB ||
 		d.Free.Accelerators > k.Free.Accelerators
 	r.total = r.total.Add(d.Total).Sub(k.Total)
 	k.Digest, k.known = d, true
 	k.version++
-	return grew, changedHands
+	return grew
+}
+
+// setEpoch notes the newest owner of a shard and reports whether it has replaced
+// another.
+func (r *rooms) setEpoch(s ownership.Unit, epoch platform.Offset) bool {
+	i, ok := r.index[s]
+	if !ok || epoch <= r.list[i].Epoch {
+		return false
+	}
+	replaced := r.list[i].Epoch != 0
+	r.list[i].Epoch = epoch
+	return replaced
 }
 
 func (r *rooms) epoch(s ownership.Unit) platform.Offset {
--- a/placement/home_takeover.go
+++ b/placement/home_takeover.go
@@ -89,7 +89,7 @@
 	var out []Message
 	for _, id := range sortedKeys(h.jobs) {
 		job := h.jobs[id]
-		if job.Accepted > h.epoch {
+		if job.Accepted > h.epoch || job.end != nil {
 			continue
 		}
 		if job.Spec.Kind == Gang {
@@ -110,7 +110,7 @@
 // resumeGang confirms a gang of which every task is held or already runs, and
 // brings back one that is not whole.
 func (h *Home) resumeGang(now time.Duration, job *homeJob) []Message {
-	started := job.counts[taskRunning]+job.counts[taskDone]+job.counts[taskStarting] > 0
+	started := job.begun()
 	missing := job.counts[taskQueued] > 0
 	switch {
 	case !started && missing:
--- a/placement/home_tasks.go
+++ b/placement/home_tasks.go
@@ -220,7 +220,6 @@
 		h.checkDone(now, job)
 		return []Message{Noted(h.order(m.Shard, m.Attempt))}
 	}
-	confirmed := t.phase != taskAsked && t.phase != taskHeld
 	h.setPhase(job, t, taskQueued)
 	t.startAt = 0
 	h.countFailure(now, job, t, m)
@@ -229,7 +228,7 @@
 		return out
 	}
 	if job.Spec.Kind == Gang {
-		return append(out, h.gangLost(now, job, t, m, confirmed)...)
+		return append(out, h.gangLost(now, job, t, m)...)
 	}
 	h.enqueue(now, job)
 	return out
--- /dev/null
+++ b/placement/pair_world_test.go
@@ -0,0 +1,365 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"github.com/knapweedweir/knapweedweir/ownership"
+	"github.com/knapweedweir/knapweedweir/platform"
+)
+
+// ownerState is how an owner process fares.
+type ownerState int
+
+const (
+	ownerRuns ownerState = iota
+	// ownerPaused stands still, and may wake up later as a replaced owner.
+	ownerPaused
+	// ownerCutOff runs on without the log and believes that it still owns.
+	ownerCutOff
+	ownerGone
+)
+
+type pairShard struct {
+	*Shard
+	unit  ownership.Unit
+	state ownerState
+}
+
+type pairHome struct {
+	*Home
+	state ownerState
+}
+
+// pairWorld joins homes and shards of two racks through a network that loses,
+// delays, repeats and reorders.
+type pairWorld struct {
+	rng     *rand.Rand
+	now     time.Duration
+	loss    int
+	delay   time.Duration
+	epoch   platform.Offset
+	workers map[string]*simWorker
+	racks   map[ownership.Unit][]platform.Worker
+	shards  map[ownership.Unit][]*pairShard
+	homes   map[ownership.Unit][]*pairHome
+	jobs    map[string]*Job
+	units   []ownership.Unit
+	packets []packet
+	broken  []string
+	// halfSince is when a gang was first seen running in part.
+	halfSince map[string]time.Duration
+	// failing workers fail whatever they start.
+	failing map[string]bool
+	runFor  time.Duration
+}
+
+func newPairWorld(seed uint64, loss int, delay time.Duration, slots int) *pairWorld {
+	w := &pairWorld{rng: rand.New(rand.NewPCG(seed, 2)), now: time.Second, loss: loss, delay: delay, epoch: 100,
+		workers: map[string]*simWorker{}, racks: map[ownership.Unit][]platform.Worker{}, shards: map[ownership.Unit][]*pairShard{},
+		homes: map[ownership.Unit][]*pairHome{}, jobs: map[string]*Job{}, halfSince: map[string]time.Duration{}, failing: map[string]bool{},
+		runFor: 8 * time.Second}
+	for r := range 2 {
+		u := ownership.ShardUnit(fmt.Sprintf("r%d", r))
+		w.units = append(w.units, u)
+		for i := range 2 {
+			p := platform.Worker{ID: fmt.Sprintf("w%d%d", r, i), Rack: fmt.Sprintf("r%d", r), Capacity: times(small, slots)}
+			w.workers[p.ID] = &simWorker{Worker: p, booted: -time.Hour, boot: 1, tasks: map[string]*simTask{}}
+			w.racks[u] = append(w.racks[u], p)
+		}
+		w.replaceShard(u)
+	}
+	return w
+}
+
+func newest[T any](list []T) T { return list[len(list)-1] }
+
+func (w *pairWorld) replaceShard(u ownership.Unit) {
+	w.epoch += 10
+	for _, s := range w.shards[u] {
+		if s.state == ownerRuns {
+			s.state = ownerGone
+		}
+	}
+	s := &pairShard{Shard: NewShard(u, w.epoch, DefaultShardConfig), unit: u}
+	s.SetWorkers(w.now, w.racks[u])
+	for home, list := range w.homes {
+		s.FenceHome(home, newest(list).epoch)
+	}
+	w.shards[u] = append(w.shards[u], s)
+	for _, list := range w.homes {
+		if h := newest(list); h.state == ownerRuns {
+			h.SetOwner(w.now, u, w.epoch)
+		}
+	}
+}
+
+func (w *pairWorld) replaceHome(u ownership.Unit) {
+	w.epoch += 10
+	for _, h := range w.homes[u] {
+		if h.state == ownerRuns {
+			h.state = ownerGone
+		}
+	}
+	h := &pairHome{Home: NewHome(u, w.epoch, DefaultHomeConfig)}
+	h.SetShards(w.units)
+	for _, s := range w.units {
+		h.SetOwner(w.now, s, newest(w.shards[s]).Epoch())
+	}
+	for _, id := range sortedKeys(w.jobs) {
+		if j := w.jobs[id]; ownership.HomeOf(id) == u && j.State == JobOpen {
+			h.AddJob(w.now, *j)
+		}
+	}
+	w.homes[u] = append(w.homes[u], h)
+}
+
+func (w *pairWorld) submit(spec JobSpec) {
+	u := ownership.HomeOf(spec.ID)
+	if len(w.homes[u]) == 0 {
+		w.replaceHome(u)
+	}
+	w.epoch++
+	spec.Team, spec.Need = "workshop", small
+	j := &Job{Spec: spec, Accepted: w.epoch, State: JobOpen}
+	w.jobs[spec.ID] = j
+	for _, h := range w.homes[u] {
+		if h.state == ownerRuns {
+			h.AddJob(w.now, *j)
+		}
+	}
+}
+
+func (w *pairWorld) fault(format string, args ...any) {
+	w.broken = append(w.broken, fmt.Sprintf("at %s: ", w.now)+fmt.Sprintf(format, args...))
+}
+
+func (w *pairWorld) post(deliver func()) {
+	copies := 1
+	if roll := w.rng.IntN(100); roll < w.loss {
+		copies = 0
+	} else if roll >= 100-w.loss {
+		copies = 2
+	}
+	for range copies {
+		// A sound network keeps the order of what it carries.
+		d := w.delay
+		if w.loss > 0 {
+			d = time.Millisecond + time.Duration(w.rng.Int64N(int64(w.delay)))
+		}
+		if w.loss > 0 && w.rng.IntN(30) == 0 {
+			d *= 20
+		}
+		w.packets = append(w.packets, packet{w.now + d, deliver})
+	}
+}
+
+// route brings messages to the unit's newest owner, and to cut-off ones that still
+// believe to be it.
+func (w *pairWorld) route(msgs []Message) {
+	for _, m := range msgs {
+		for _, s := range w.shards[m.To()] {
+			if s.state == ownerRuns || s.state == ownerCutOff {
+				w.post(func() {
+					if s.state == ownerRuns || s.state == ownerCutOff {
+						w.route(s.Handle(w.now, m))
+					}
+				})
+			}
+		}
+		for _, h := range w.homes[m.To()] {
+			if h.state == ownerRuns || h.state == ownerCutOff {
+				w.post(func() {
+					if h.state == ownerRuns || h.state == ownerCutOff {
+						w.route(h.Handle(w.now, m))
+					}
+				})
+			}
+		}
+	}
+}
+
+func (w *pairWorld) tick() {
+	w.now += 50 * time.Millisecond
+	for _, id := range sortedKeys(w.workers) {
+		w.workers[id].advance(w.now)
+	}
+	var later []packet
+	due := []packet{}
+	for _, p := range w.packets {
+		if p.at <= w.now {
+			due = append(due, p)
+		} else {
+			later = append(later, p)
+		}
+	}
+	w.packets = later
+	sort.SliceStable(due, func(i, j int) bool { return due[i].at < due[j].at })
+	for _, p := range due {
+		p.deliver()
+	}
+	for _, u := range w.units {
+		for _, s := range w.shards[u] {
+			w.stepShard(s)
+		}
+	}
+	for _, u := range sortedKeys(w.homes) {
+		for _, h := range w.homes[u] {
+			w.stepHome(h)
+		}
+	}
+	w.checkGangs()
+}
+
+func (w *pairWorld) stepShard(s *pairShard) {
+	if s.state != ownerRuns && s.state != ownerCutOff {
+		return
+	}
+	if s.state == ownerRuns {
+		s.ConfirmOwner(w.now)
+	}
+	orders, msgs := s.Step(w.now)
+	for _, o := range orders {
+		w.post(func() { w.sync(s, o) })
+	}
+	w.route(msgs)
+	if w.now%(300*time.Millisecond) == 0 {
+		d := s.Digest()
+		for _, list := range w.homes {
+			for _, h := range list {
+				if h.state == ownerRuns {
+					h.SetDigest(w.now, d)
+				}
+			}
+		}
+	}
+}
+
+func (w *pairWorld) sync(s *pairShard, o SyncOrder) {
+	wk := w.workers[o.Worker]
+	if wk.frozen {
+		return
+	}
+	reply := w.obey(wk, o.Request)
+	w.post(func() {
+		if s.state == ownerRuns || s.state == ownerCutOff {
+			w.route(s.Synced(w.now, o.Worker, o.Request, reply, nil))
+		}
+	})
+}
+
+// obey is what docs/PLATFORM.md promises of a worker.
+func (w *pairWorld) obey(wk *simWorker, req platform.SyncRequest) platform.SyncReply {
+	referee := &world{now: w.now, workers: map[string]*simWorker{wk.ID: wk}, rng: w.rng, done: map[string]bool{}}
+	before := len(wk.tasks)
+	reply := referee.obey(wk, req, w.now)
+	w.broken = append(w.broken, referee.broken...)
+	if len(wk.tasks) != before || len(req.Starts) > 0 {
+		for id, t := range wk.tasks {
+			if t.startedAt == w.now {
+				t.endsAt, t.fails = w.now+w.runFor, w.failing[wk.ID]
+				if t.Task.Labels["kind"] == string(Service) {
+					t.endsAt = w.now + time.Hour
+				}
+				w.checkPlace(wk, id)
+			}
+		}
+	}
+	return reply
+}
+
+func (w *pairWorld) checkPlace(wk *simWorker, id string) {
+	a, err := ParseAttempt(id)
+	if err != nil {
+		w.fault("%v", err)
+	}
+	if j := w.jobs[a.Job]; j.State == JobDone {
+		w.fault("%s starts after its job is done", id)
+	}
+	for _, name := range sortedKeys(w.workers) {
+		for other, t := range w.workers[name].tasks {
+			b, _ := ParseAttempt(other)
+			if other != id && !t.State.Ended() && a.Job == b.Job && a.Index == b.Index {
+				w.fault("task %s/%d runs as %s on %s and as %s on %s", a.Job, a.Index, other, name, id, wk.ID)
+			}
+		}
+	}
+}
+
+func (w *pairWorld) stepHome(h *pairHome) {
+	if h.state != ownerRuns && h.state != ownerCutOff {
+		return
+	}
+	msgs, ends := h.Step(w.now)
+	w.route(msgs)
+	if h.state == ownerCutOff {
+		return
+	}
+	for _, e := range ends {
+		w.end(e)
+	}
+}
+
+// end puts a job's end into the log, which all that read it see.
+func (w *pairWorld) end(e End) {
+	j := w.jobs[e.ID]
+	if j.State != JobOpen {
+		return
+	}
+	j.State, j.Reason = e.State, e.Reason
+	for _, h := range w.homes[ownership.HomeOf(e.ID)] {
+		if h.state == ownerRuns {
+			h.JobEnded(w.now, e.ID)
+		}
+	}
+	for _, u := range w.units {
+		for _, s := range w.shards[u] {
+			if s.state == ownerRuns {
+				s.JobEnded(e.ID)
+			}
+		}
+	}
+}
+
+// running returns the indexes of a job's tasks that run or have run to their end.
+func (w *pairWorld) running(job string) (runs, done map[int]bool) {
+	runs, done = map[int]bool{}, map[int]bool{}
+	for _, wk := range w.workers {
+		for id, t := range wk.tasks {
+			a, _ := ParseAttempt(id)
+			if a.Job == job && !t.State.Ended() {
+				runs[a.Index] = true
+			}
+			if a.Job == job && t.State == platform.TaskDone {
+				done[a.Index] = true
+			}
+		}
+	}
+	return runs, done
+}
+
+// halfGangFor is how long a part of a gang may run alone: until the loss of the
+// rest is known (a silent worker's lease) and the Stop has arrived.
+const halfGangFor = 40 * time.Second
+
+func (w *pairWorld) checkGangs() {
+	for _, id := range sortedKeys(w.jobs) {
+		j := w.jobs[id]
+		if j.Spec.Kind != Gang {
+			continue
+		}
+		runs, done := w.running(id)
+		if len(runs) == 0 || len(runs)+len(done) >= j.Spec.Tasks {
+			delete(w.halfSince, id)
+			continue
+		}
+		if _, ok := w.halfSince[id]; !ok {
+			w.halfSince[id] = w.now
+		}
+		if w.now-w.halfSince[id] > halfGangFor {
+			w.fault("of gang %s only %d of %d tasks run since %s", id, len(runs), j.Spec.Tasks, w.halfSince[id])
+		}
+	}
+}
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -104,7 +104,7 @@
 
 // enqueue makes a job's queued tasks ready to be placed.
 func (h *Home) enqueue(now time.Duration, job *homeJob) {
-	if job.over || job.end != nil || job.class != nil || len(job.queued) == 0 {
+	if !h.mayPlace(job) || job.over || job.end != nil || job.class != nil || len(job.queued) == 0 {
 		return
 	}
 	if now < job.readyAt {
