Shard: urgent work displaces the cheapest work, and claims are backfilled

Cause: an urgent task on a full shard was refused like any other, and a gang that needs a whole worker never got one while small tasks kept coming.

Change: an attempt may wait at a worker with a claim on room that others still use. Urgent work displaces what loses least (checkpointable, recent, low priority, borrowed; services and gangs last), names whom and why, and the worker checkpoints before it stops. Place.Reserve claims the worker that comes free soonest; others use claimed room only if they are expected to end in time or can be checkpointed, and those are displaced when the claim comes due. An older gang takes what a younger one holds.

Ruled out: stopping first and placing at the next ask (the room goes to whoever asks first); a claim that counts as committed (the worker would look overfilled).

Not shown: that a stop is sent at once rather than at the next interval of 200 ms; the test's 1.6 s leave room for both.

--- a/placement/filter.go
+++ b/placement/filter.go
@@ -27,9 +27,13 @@
 // it. What holds for good comes before what time may change, so that an
 // explanation names the lasting reason.
 var workerFilters = []workerFilter{
-	tooSmall{}, noAccelerators{}, notHeard{}, failedThere{}, noRoom{},
+	tooSmall{}, noAccelerators{}, notHeard{}, failedThere{}, noRoom{}, reservedRoom{},
 }
 
+// lastingFilters is how many of them are not about room: these hold for urgent
+// work and reservations too.
+const lastingFilters = 4
+
 // tooSmall removes workers that could not hold the task even if empty.
 type tooSmall struct{}
 
@@ -65,7 +69,16 @@
 type noRoom struct{}
 
 func (noRoom) name() Filter                     { return FilterRoom }
-func (noRoom) removes(q *query, w *worker) bool { return !q.Need.Fits(w.free()) }
+func (noRoom) removes(q *query, w *worker) bool { return !q.Need.Fits(w.uncommitted()) }
+
+// reservedRoom removes workers whose room is claimed by a waiting task, unless
+// the task may run there until then.
+type reservedRoom struct{}
+
+func (reservedRoom) name() Filter { return FilterReserved }
+func (reservedRoom) removes(q *query, w *worker) bool {
+	return !q.Need.Fits(w.free()) && !mayBackfill(q, w)
+}
 
 // query prepares a search.
 func (s *Shard) query(now time.Duration, m Place) query {
@@ -82,6 +95,17 @@
 	return q
 }
 
+// lasting reports whether a worker is out for a reason that more room would not
+// change.
+func lasting(q *query, w *worker) bool {
+	for _, f := range workerFilters[:lastingFilters] {
+		if f.removes(q, w) {
+			return true
+		}
+	}
+	return false
+}
+
 // filterWorker returns the index of the first filter that removes a worker, or -1.
 func filterWorker(q *query, w *worker) int {
 	for i, f := range workerFilters {
--- a/placement/messages.go
+++ b/placement/messages.go
@@ -133,6 +133,14 @@
 	Removed []Removed
 	// Best are the best-scored workers, best first, at most MaxCandidates.
 	Best []Candidate
+	// Displaced are the attempts that are stopped to make room.
+	Displaced []Displaced
+}
+
+// Displaced is an attempt that gives way to another one, and why this one.
+type Displaced struct {
+	Attempt Attempt
+	Why     string
 }
 
 // MaxCandidates bounds the candidates that one answer names.
--- /dev/null
+++ b/placement/preempt_test.go
@@ -0,0 +1,189 @@
+package placement
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/knapweedweir/knapweedweir/platform"
+)
+
+// A buyer's quote waits because batch work fills the cell. The urgent task
+// displaces the work that loses least; the worker checkpoints it before it stops,
+// and the room is the urgent task's alone while it comes free.
+func TestUrgentWorkStartsOnAFullCellInTime(t *testing.T) {
+	r := newRig(machine("a", 4000, 4000, 0), machine("b", 4000, 4000, 0))
+	r.place(work("long", 4000, 4000, 0))
+	r.pass(time.Minute)
+	saved := work("saved", 4000, 4000, 0)
+	saved.Checkpointable = true
+	r.place(saved)
+	r.pass(10 * time.Second)
+
+	asked := r.now
+	p := r.place(urgent(work("quote", 2000, 2000, 0)))
+	assert.Assert(t, p.OK)
+	assert.Equal(t, len(p.Displaced), 1)
+	assert.Equal(t, p.Displaced[0].Attempt.Job, "saved")
+	assert.Assert(t, strings.Contains(p.Displaced[0].Why, "can be checkpointed"), p.Displaced[0].Why)
+	assert.Assert(t, !r.place(work("thief", 2000, 2000, 0)).OK, "the room that comes free is kept")
+	for r.last("quote").State != AttemptRunning {
+		r.pass(50 * time.Millisecond)
+		assert.Assert(t, r.now-asked < 1600*time.Millisecond, "urgent work is late")
+	}
+	gone := r.last("saved")
+	assert.Equal(t, gone.State, AttemptLost)
+	assert.Equal(t, gone.Cause, CausePreempted)
+	assert.Assert(t, strings.Contains(gone.Reason, "displaced by urgent task quote/"), gone.Reason)
+	assert.DeepEqual(t, r.broken, []string(nil))
+}
+
+func TestWhoIsDisplaced(t *testing.T) {
+	job := func(name string, change func(*Place)) Place {
+		m := work(name, 4000, 4000, 0)
+		change(&m)
+		return m
+	}
+	plain := func(*Place) {}
+	tests := []struct {
+		name string
+		// first runs for a while before second starts.
+		first, second Place
+		apart         time.Duration
+		gone          string
+	}{
+		{"recent before old", job("a", plain), job("b", plain), time.Minute, "b"},
+		{"checkpointable before recent", job("a", func(m *Place) { m.Checkpointable = true }), job("b", plain), time.Minute, "a"},
+		{"batch before service", job("a", plain), job("b", func(m *Place) { m.Kind = Service }), 2 * time.Second, "a"},
+		{"batch before gang", job("a", plain), job("b", func(m *Place) { m.Kind = Gang }), 2 * time.Second, "a"},
+		{"low priority before high", job("a", plain), job("b", func(m *Place) { m.Priority = 9 }), 2 * time.Second, "a"},
+		{"borrowed before owned", job("a", func(m *Place) { m.Borrowed = true }), job("b", plain), 2 * time.Second, "a"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newRig(machine("a", 4000, 4000, 0), machine("b", 4000, 4000, 0))
+			r.place(tt.first)
+			r.pass(tt.apart)
+			r.place(tt.second)
+			r.pass(2 * time.Second)
+			m := urgent(work("quote", 4000, 4000, 0))
+			m.Priority = 9
+			p := r.place(m)
+			assert.Equal(t, len(p.Displaced), 1)
+			assert.Equal(t, p.Displaced[0].Attempt.Job, tt.gone)
+		})
+	}
+}
+
+func TestWhatIsNeverDisplaced(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(*Place)
+	}{
+		{"other urgent work", func(m *Place) { m.Urgent = true }},
+		{"work of higher priority", func(m *Place) { m.Priority = 50 }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newRig(machine("a", 4000, 4000, 0))
+			m := work("stays", 4000, 4000, 0)
+			tt.change(&m)
+			r.place(m)
+			r.pass(time.Second)
+			p := r.place(urgent(work("quote", 1000, 1000, 0)))
+			assert.Assert(t, !p.OK)
+			assert.Equal(t, len(p.Displaced), 0)
+		})
+	}
+}
+
+// A gang waits for a whole worker while small work keeps slipping in. The worker
+// whose tasks end soonest is claimed; small work may use the room until then, only
+// if it ends in time or can be checkpointed.
+func TestBackfillAheadOfAReservedGang(t *testing.T) {
+	tests := []struct {
+		name     string
+		expected time.Duration
+		check    bool
+		ok       bool
+	}{
+		{"ends in time", 20 * time.Second, false, true},
+		{"ends too late", 5 * time.Minute, false, false},
+		{"unknown run time", 0, false, false},
+		{"can be checkpointed", 0, true, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newRig(machine("a", 4000, 4000, 0))
+			blocker := work("blocker", 3000, 3000, 0)
+			blocker.ExpectedRun = time.Minute
+			r.plan = func(_ *simWorker, a Attempt) (time.Duration, bool) {
+				if a.Job == "blocker" {
+					return time.Minute, false
+				}
+				return time.Hour, false
+			}
+			r.place(blocker)
+			r.pass(2 * time.Second)
+			gang := work("gang", 4000, 4000, 0)
+			gang.Kind, gang.Hold, gang.Reserve = Gang, true, true
+			p := r.place(gang)
+			assert.Assert(t, !p.OK && p.Reserved)
+
+			small := work("small", 1000, 1000, 0)
+			small.ExpectedRun, small.Checkpointable = tt.expected, tt.check
+			assert.Equal(t, r.place(small).OK, tt.ok)
+		})
+	}
+}
+
+// A gang's claim comes due while a checkpointable task runs in its room: the task
+// is preempted and the gang is held, so backfill never delays what it ran ahead of.
+func TestClaimThatComesDueGetsItsRoomBack(t *testing.T) {
+	r := newRig(machine("a", 4000, 4000, 0))
+	r.plan = func(_ *simWorker, a Attempt) (time.Duration, bool) {
+		if a.Job == "blocker" {
+			return 30 * time.Second, false
+		}
+		return time.Hour, false
+	}
+	blocker := work("blocker", 3000, 3000, 0)
+	blocker.ExpectedRun = 30 * time.Second
+	r.place(blocker)
+	r.pass(2 * time.Second)
+	gang := work("gang", 4000, 4000, 0)
+	gang.Kind, gang.Hold, gang.Reserve = Gang, true, true
+	p := r.place(gang)
+	gang.Attempt = p.Attempt
+	small := work("small", 1000, 1000, 0)
+	small.Checkpointable = true
+	assert.Assert(t, r.place(small).OK)
+	for range 40 {
+		r.pass(time.Second)
+		r.number++
+		gang.Home, gang.HomeEpoch, gang.AskedEpoch, gang.Sequence = simHomeUnit, 20, 10, uint64(r.number)
+		p = r.again(gang)
+	}
+	assert.Assert(t, p.OK && p.Held, "%+v", p)
+	assert.Equal(t, r.last("small").Cause, CausePreempted)
+}
+
+// Two gangs each hold half of the cell and want the other half. The one accepted
+// earlier takes what the later one holds; without that both would wait for good.
+func TestOlderGangTakesWhatAYoungerOneHolds(t *testing.T) {
+	r := newRig(machine("a", 4000, 4000, 0), machine("b", 4000, 4000, 0))
+	member := func(job string, index int, accepted platform.Offset) Place {
+		m := work(job, 4000, 4000, 0)
+		m.Kind, m.Hold, m.Reserve, m.Accepted, m.Attempt.Index = Gang, true, true, accepted, index
+		return m
+	}
+	assert.Assert(t, r.place(member("young", 0, 8)).Held)
+	assert.Assert(t, r.place(member("old", 0, 7)).Held)
+	assert.Assert(t, !r.place(member("young", 1, 8)).OK)
+	p := r.place(member("old", 1, 7))
+	assert.Assert(t, p.Held, "%+v", p)
+}
+
+func urgent(m Place) Place { m.Urgent = true; return m }
--- a/placement/shard.go
+++ b/placement/shard.go
@@ -56,6 +56,8 @@
 	// claimReadAt is when a majority of the schedulers had read this owner's
 	// claim; zero until it has.
 	claimReadAt time.Duration
+	// scratch is reused by searches for tasks to displace.
+	scratch []*slot
 }
 
 // NewShard returns the owner's state under an epoch. It knows no workers yet.
@@ -141,6 +143,7 @@
 		out = append(out, s.lapse(now, w)...)
 		out = append(out, s.expireHolds(now, w)...)
 		out = append(out, s.tellAgain(now, w)...)
+		s.promote(now, w)
 		if w.inflight && now-w.sentAt < s.cfg.SyncTimeout {
 			continue
 		}
--- a/placement/shard_home_test.go
+++ b/placement/shard_home_test.go
@@ -115,7 +115,8 @@
 	h.sequence++
 	t.sequence = h.sequence
 	h.to(Place{Shard: simShard, Home: simHomeUnit, HomeEpoch: h.epoch, ShardEpoch: h.known, AskedEpoch: t.asked, Sequence: h.sequence,
-		Attempt: t.attempt, Team: "team", Kind: Batch, Need: t.need, Hold: t.hold})
+		Attempt: t.attempt, Team: "team", Kind: Batch, Need: t.need, Hold: t.hold, Reserve: t.hold, Accepted: platform.Offset(1 + t.attempt.Index%4),
+		Urgent: t.attempt.Index%5 == 1, Checkpointable: t.attempt.Index%2 == 0, ExpectedRun: time.Duration(t.attempt.Index) * time.Second})
 }
 
 func (h *simHome) handle(m Message) {
@@ -146,6 +147,8 @@
 		return
 	}
 	switch {
+	case m.Reserved && !m.OK:
+		// Room is being kept; the home asks on.
 	case !m.OK && m.Sequence == t.sequence:
 		t.phase = simIdle
 	case m.OK && m.Held:
--- a/placement/shard_news.go
+++ b/placement/shard_news.go
@@ -12,7 +12,7 @@
 	c := Changed{Home: sl.home, Shard: s.unit, ShardEpoch: s.epoch, Attempt: sl.attempt, Worker: sl.worker.ID,
 		RunTime: sl.run, Usage: sl.usage, Need: sl.task.Need}
 	switch sl.state {
-	case slotHeld:
+	case slotWaiting, slotHeld:
 		c.State = AttemptHeld
 	case slotEnded:
 		c.State, c.Cause, c.Reason = sl.final, sl.cause, sl.reason
@@ -37,16 +37,16 @@
 	return out
 }
 
-// expireHolds ends reservations whose home neither confirms nor renews them, so
-// that a dead home can't keep resources from others. The slot stays until its
+// expireHolds ends holds and claims whose home neither confirms nor renews them,
+// so that a dead home can't keep resources from others. The slot stays until its
 // home forgets it: a late Confirm must not find room for it a second time.
 func (s *Shard) expireHolds(now time.Duration, w *worker) []Message {
-	if w.held == 0 {
+	if w.held == 0 && w.waiting == 0 {
 		return nil
 	}
 	var out []Message
 	for _, sl := range w.slots {
-		if sl.state == slotHeld && now-sl.heldAt >= s.cfg.HoldFor {
+		if sl.hold && sl.state <= slotHeld && now-sl.heldAt >= s.cfg.HoldFor {
 			s.end(sl, AttemptLost, CauseHoldExpired, "held for "+s.cfg.HoldFor.String()+" and not confirmed")
 			out = append(out, s.changed(now, sl))
 		}
--- a/placement/shard_orders.go
+++ b/placement/shard_orders.go
@@ -83,9 +83,12 @@
 	if sl == nil {
 		return s.unknown(now, m, CauseHoldExpired)
 	}
-	if sl.state == slotHeld {
+	switch sl.state {
+	case slotHeld:
 		sl.state, sl.worker.urgent = slotStarting, true
 		sl.worker.held--
+	case slotWaiting:
+		sl.hold = false
 	}
 	return []Message{s.changed(now, sl)}
 }
@@ -103,7 +106,7 @@
 	if !s.inOrder(m) {
 		return nil
 	}
-	if sl := s.slots[m.Attempt]; sl != nil && sl.state == slotHeld {
+	if sl := s.slots[m.Attempt]; sl != nil && sl.state <= slotHeld {
 		s.end(sl, AttemptLost, CauseStopped, "released")
 		s.forget(sl)
 	}
@@ -130,10 +133,11 @@
 func (s *Shard) stop(sl *slot, cause Cause, reason string) {
 	switch {
 	case sl.state == slotEnded:
-	case sl.state == slotHeld || (sl.state == slotStarting && !sl.sent):
+	case sl.state <= slotHeld || (sl.state == slotStarting && !sl.sent):
 		s.end(sl, AttemptLost, cause, reason)
 	case !sl.stop:
 		sl.stop, sl.cause, sl.reason, sl.worker.urgent = true, cause, reason, true
+		sl.worker.leaving = sl.worker.leaving.Add(sl.task.Need)
 	}
 }
 
@@ -178,9 +182,15 @@
 	answer := Collected{Home: m.Home, Shard: s.unit, HomeEpoch: m.HomeEpoch, ShardEpoch: s.epoch}
 	for _, w := range s.order {
 		for _, sl := range w.slots {
-			if sl.home == m.Home {
-				answer.Attempts = append(answer.Attempts, s.news(sl))
+			if sl.home != m.Home {
+				continue
 			}
+			// A waiting task starts by itself. Told as held it would start beside
+			// the one that the new home places, should its Release get lost.
+			if sl.state == slotWaiting {
+				s.end(sl, AttemptLost, CauseStopped, "its home was replaced while it waited for room")
+			}
+			answer.Attempts = append(answer.Attempts, s.news(sl))
 		}
 	}
 	return []Message{answer}
--- a/placement/shard_place.go
+++ b/placement/shard_place.go
@@ -25,42 +25,51 @@
 	c := s.choose(&q)
 	answer := s.placed(m)
 	answer.Removed, answer.Best = c.removed, c.top
-	if c.best == nil {
-		answer.Reason = removedReason(len(s.order), c.removed)
+	if c.best != nil {
+		sl := s.commit(&q, c.best, slotStarting)
+		sl.backfill = !m.Need.Fits(c.best.free().Add(m.Need))
+		s.describe(&answer, sl)
 		return []Message{answer}
 	}
-	s.commit(now, c.best, m)
-	answer.OK, answer.Worker, answer.Held = true, c.best.ID, m.Hold
-	return []Message{answer}
+	answer.Reason = removedReason(len(s.order), c.removed)
+	out := s.makeRoom(&q, &answer)
+	return append(out, answer)
 }
 
 func (s *Shard) placed(m Place) Placed {
 	return Placed{Home: m.Home, Shard: s.unit, Attempt: m.Attempt, Sequence: m.Sequence, Workers: len(s.order)}
 }
 
+// describe says in an answer what has become of an attempt. One that waits for
+// displaced work to end is as good as placed; one that must be held first is not.
+func (s *Shard) describe(answer *Placed, sl *slot) {
+	answer.Worker = sl.worker.ID
+	answer.Held = sl.state == slotHeld
+	answer.Reserved = sl.state == slotWaiting
+	answer.OK = !(sl.state == slotWaiting && sl.hold)
+}
+
 // placedBefore answers a repeated Place and renews a hold.
 func (s *Shard) placedBefore(now time.Duration, m Place, sl *slot) []Message {
 	if sl.state == slotEnded {
 		return []Message{s.changed(now, sl)}
 	}
-	if sl.state == slotHeld {
-		sl.heldAt = now
-	}
+	sl.heldAt = now
 	answer := s.placed(m)
-	answer.OK, answer.Worker, answer.Held = true, sl.worker.ID, sl.state == slotHeld
+	s.describe(&answer, sl)
 	return []Message{answer}
 }
 
 // commit takes the room of an attempt at a worker.
-func (s *Shard) commit(now time.Duration, w *worker, m Place) *slot {
-	h := hintsOf(m)
-	sl := &slot{attempt: m.Attempt, home: m.Home, hints: h, state: slotStarting, heldAt: now,
-		task: platform.Task{ID: m.Attempt.TaskID(), Need: m.Need, Payload: m.Payload, Labels: h.labels()}}
-	if m.Hold {
+func (s *Shard) commit(q *query, w *worker, state slotState) *slot {
+	h := hintsOf(q.Place)
+	sl := &slot{attempt: q.Attempt, home: q.Home, hints: h, state: state, heldAt: q.now, hold: q.Hold,
+		task: platform.Task{ID: q.Attempt.TaskID(), Need: q.Need, Payload: q.Payload, Labels: h.labels()}}
+	if state == slotStarting && q.Hold {
 		sl.state = slotHeld
 	}
 	s.add(w, sl)
-	w.urgent = w.urgent || !m.Hold
+	w.urgent = w.urgent || sl.state == slotStarting
 	return sl
 }
 
@@ -68,7 +77,7 @@
 // on it: what has not started gives way first, then the newest tasks.
 func (s *Shard) relieve(w *worker) {
 	for i := len(w.slots) - 1; i >= 0 && !w.committed.Fits(w.Capacity); i-- {
-		if sl := w.slots[i]; sl.state == slotHeld || sl.state == slotStarting && !sl.sent {
+		if sl := w.slots[i]; sl.state <= slotHeld || sl.state == slotStarting && !sl.sent {
 			s.stop(sl, CauseWorkerLost, "worker "+w.ID+" has become smaller")
 		}
 	}
--- a/placement/shard_rig_test.go
+++ b/placement/shard_rig_test.go
@@ -75,3 +75,13 @@
 	return platform.Worker{ID: id, Rack: "r", Zone: "z",
 		Capacity: platform.Resources{MilliCPU: milliCPU, MemoryMiB: memoryMiB, Accelerators: accelerators}}
 }
+
+// last returns the newest news of a job.
+func (r *rig) last(job string) Changed {
+	for i := len(r.told) - 1; i >= 0; i-- {
+		if r.told[i].Attempt.Job == job {
+			return r.told[i]
+		}
+	}
+	return Changed{}
+}
--- a/placement/shard_sync.go
+++ b/placement/shard_sync.go
@@ -35,6 +35,10 @@
 	switch {
 	case sl.state == slotEnded || sl.missingUntil > 0:
 	case sl.stop:
+		// A worker carries out checkpoints before stops.
+		if sl.hints.checkpointable {
+			req.Checkpoints = append(req.Checkpoints, sl.task.ID)
+		}
 		req.Stops = append(req.Stops, sl.task.ID)
 	case sl.state == slotStarting:
 		sl.sent = true
@@ -68,6 +72,7 @@
 	if !w.reconciled {
 		w.fenced, w.reconciled, w.urgent = true, true, true
 	}
+	s.promote(now, w)
 	return out
 }
 
@@ -127,7 +132,7 @@
 // it doesn't run and never will.
 func (s *Shard) gone(sl *slot, req platform.SyncRequest) bool {
 	switch {
-	case sl.state == slotEnded || sl.state == slotHeld || sl.missingUntil > 0:
+	case sl.state == slotEnded || sl.state <= slotHeld || sl.missingUntil > 0:
 		return false
 	case sl.state == slotRunning:
 		s.end(sl, AttemptLost, CauseWorkerLost, "worker "+sl.worker.ID+" no longer has the task")
--- a/placement/shard_worker.go
+++ b/placement/shard_worker.go
@@ -10,8 +10,10 @@
 type slotState int
 
 const (
+	// slotWaiting has a claim on room that others still use.
+	slotWaiting slotState = iota
 	// slotHeld has its room and waits for a Confirm.
-	slotHeld slotState = iota
+	slotHeld
 	// slotStarting is to be started; the worker may or may not run it yet.
 	slotStarting
 	// slotRunning was in a report of the worker.
@@ -39,10 +41,16 @@
 	run    time.Duration
 	usage  platform.Resources
 	heldAt time.Duration
-	stop   bool
-	noted  bool
-	seen   bool
-	toldAt time.Duration
+	// hold means that the task is not to start before a Confirm.
+	hold bool
+	// claimAt is when a waiting slot expects its room.
+	claimAt time.Duration
+	// backfill marks a task that runs in room which a waiting slot claims.
+	backfill bool
+	stop     bool
+	noted    bool
+	seen     bool
+	toldAt   time.Duration
 	// missingUntil is set for a task of a machine that was replaced under the same
 	// worker ID: the old machine may run it until its lease has lapsed.
 	missingUntil time.Duration
@@ -75,15 +83,23 @@
 	slots      []*slot
 	// committed is what the slots that have not ended need together.
 	committed platform.Resources
-	held      int
+	// claimed is what the waiting slots need together; leaving is what the
+	// running ones need that have been told to stop.
+	claimed platform.Resources
+	leaving platform.Resources
+	waiting int
+	held    int
 	// peers is used within one search: the tasks of the job that are here.
 	peers   int
 	ended   int
 	forgets []string
 }
 
-// free is the room that is not committed.
-func (w *worker) free() platform.Resources { return w.Capacity.Sub(w.committed) }
+// free is the room that is neither committed nor claimed.
+func (w *worker) free() platform.Resources { return w.uncommitted().Sub(w.claimed) }
+
+// uncommitted is the room that a waiting task may start in.
+func (w *worker) uncommitted() platform.Resources { return w.Capacity.Sub(w.committed) }
 
 func (w *worker) find(id string) *slot {
 	for _, sl := range w.slots {
@@ -94,38 +110,65 @@
 	return nil
 }
 
-// add commits a slot's need.
+// add takes a slot's need from its worker's room: committed at once, or claimed
+// while the slot waits.
 func (s *Shard) add(w *worker, sl *slot) {
 	sl.worker, sl.at = w, len(w.slots)
 	w.slots = append(w.slots, sl)
-	w.committed = w.committed.Add(sl.task.Need)
-	if sl.state == slotHeld {
-		w.held++
-	}
+	sl.take()
 	s.slots[sl.attempt] = sl
 	s.jobs[sl.attempt.Job] = append(s.jobs[sl.attempt.Job], sl)
 }
 
+func (sl *slot) take() {
+	w := sl.worker
+	switch sl.state {
+	case slotWaiting:
+		w.claimed = w.claimed.Add(sl.task.Need)
+		w.waiting++
+	case slotHeld:
+		w.held++
+		fallthrough
+	default:
+		w.committed = w.committed.Add(sl.task.Need)
+	}
+}
+
+func (sl *slot) giveBack() {
+	w := sl.worker
+	switch sl.state {
+	case slotWaiting:
+		w.claimed = w.claimed.Sub(sl.task.Need)
+		w.waiting--
+	case slotHeld:
+		w.held--
+		fallthrough
+	default:
+		w.committed = w.committed.Sub(sl.task.Need)
+	}
+	if sl.stop {
+		w.leaving = w.leaving.Sub(sl.task.Need)
+	}
+}
+
 // end gives a slot's room back. It must be called only when the task can't run
 // any more: the worker said so, never got it, or its lease has lapsed.
 func (s *Shard) end(sl *slot, final AttemptState, cause Cause, reason string) {
 	if sl.state == slotEnded {
 		return
 	}
-	w := sl.worker
-	if sl.state == slotHeld {
-		w.held--
-	}
-	w.committed = w.committed.Sub(sl.task.Need)
-	w.ended++
+	sl.giveBack()
+	sl.worker.ended++
 	sl.state, sl.final, sl.cause, sl.reason = slotEnded, final, cause, reason
 }
 
 // revive commits the room of an ended slot again: the worker runs it after all.
 func (s *Shard) revive(sl *slot) {
-	sl.worker.ended--
-	sl.worker.committed = sl.worker.committed.Add(sl.task.Need)
+	w := sl.worker
+	w.ended--
 	sl.state, sl.stop = slotRunning, true
+	sl.take()
+	w.leaving = w.leaving.Add(sl.task.Need)
 }
 
 // forget drops an ended slot here and at the worker.
--- a/placement/shard_world_test.go
+++ b/placement/shard_world_test.go
@@ -313,15 +313,35 @@
 	return list
 }
 
-// check verifies that no owner has committed more than a worker has.
+// check verifies that no owner has committed more than a worker has, and that
+// its sums are those of its slots.
 func (w *world) check() {
 	for _, o := range w.owners {
-		for _, st := range o.shard.Status() {
-			if f := st.Free; !w.shrunk(st.ID) && (f.MilliCPU < 0 || f.MemoryMiB < 0 || f.Accelerators < 0) {
-				w.fault("the owner of epoch %d has committed more than %s has: free %s", o.shard.Epoch(), st.ID, f)
+		for _, wk := range o.shard.order {
+			if !w.shrunk(wk.ID) && !wk.committed.Fits(wk.Capacity) {
+				w.fault("the owner of epoch %d has committed %s at %s, which has %s", o.shard.Epoch(), wk.committed, wk.ID, wk.Capacity)
+			}
+			if sum := sumOf(wk); sum != [3]platform.Resources{wk.committed, wk.claimed, wk.leaving} {
+				w.fault("the owner of epoch %d counts %v at %s, its slots sum up to %v", o.shard.Epoch(),
+					[3]platform.Resources{wk.committed, wk.claimed, wk.leaving}, wk.ID, sum)
+			}
+		}
+	}
+}
+
+func sumOf(w *worker) (sum [3]platform.Resources) {
+	for _, sl := range w.slots {
+		switch sl.state {
+		case slotWaiting:
+			sum[1] = sum[1].Add(sl.task.Need)
+		case slotHeld, slotStarting, slotRunning:
+			sum[0] = sum[0].Add(sl.task.Need)
+			if sl.stop {
+				sum[2] = sum[2].Add(sl.task.Need)
 			}
 		}
 	}
+	return sum
 }
 
 func (w *world) shrunk(id string) bool {
