TLS for callers, operators and our own links

Cause: settings named no certificates; a scheduler obeyed whoever reached its rpc port, and an entry gave dumps and took settings from anybody. Settings have a section tls now: server (callers and operators; with authorities, only an operator's certificate opens anything but requests and readiness) and peers (net/rpc over mutual TLS, both ends checked by role).

Ruled out: a list of operators' paths (a path added later would be open), and checking files in Validate (examples and reducers decode without them).

A test's call changed: entry.New takes the links (harness_test.go), same test.

--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/knapweedweir/knapweedweir/cmd/internal/schedclient"
 	"github.com/knapweedweir/knapweedweir/control"
 	"github.com/knapweedweir/knapweedweir/control/api"
 	"github.com/knapweedweir/knapweedweir/daemon"
@@ -78,11 +79,16 @@
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
+	links, err := s.TLS.Open()
+	if err != nil {
+		return errors.Wrap(err, "open certificates")
+	}
 	p := daemon.New("kw-entry", s.ID, os.Stderr)
-	e := New(p, s)
+	e := New(p, s, links)
+	p.WatchCertificates(links)
 	p.AddLoop(e.coreLoop)
 	p.AddLoop(e.watchLoop)
-	p.AddHTTP(l, &http.Server{Handler: p.Mux(), ReadHeaderTimeout: readHeaderLimit, IdleTimeout: callerIdle, WriteTimeout: operatorWrite})
+	p.AddHTTP(links.ListenServer(l), &http.Server{Handler: links.OperatorsOnly(p.Mux(), forCallers), ReadHeaderTimeout: readHeaderLimit, IdleTimeout: callerIdle, WriteTimeout: operatorWrite})
 	limit := s.DrainLimit.D()
 	if limit == 0 {
 		limit = defaultDrain
@@ -97,8 +103,8 @@
 }
 
 // New returns an entry that serves nothing yet.
-func New(p *daemon.Process, s Settings) *Entry {
-	e := &Entry{process: p, settings: s, scheds: newSchedulers(s.Schedulers),
+func New(p *daemon.Process, s Settings, links daemon.Links) *Entry {
+	e := &Entry{process: p, settings: s, scheds: newSchedulers(s.Schedulers, schedclient.DialerOf(links)),
 		runners: newUpstreams(), memory: budget{limit: maxBodyMemory},
 		events: make(chan coreEvent, coreEventQueue), done: make(chan struct{})}
 	e.background, e.stop = context.WithCancel(context.Background())
--- a/cmd/internal/entry/harness_test.go
+++ b/cmd/internal/entry/harness_test.go
@@ -106,7 +106,7 @@
 	p := daemon.New("kw-entry", id, io.Discard)
 	// Several entries of one test binary would register the same metrics.
 	p.Metrics = tally.NoopScope
-	e := New(p, Settings{ID: id, Schedulers: []string{schedAddr}})
+	e := New(p, Settings{ID: id, Schedulers: []string{schedAddr}}, daemon.Links{})
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() { _ = e.coreLoop(ctx) }()
 	services := map[string]settings.Service{}
--- a/cmd/internal/entry/operate.go
+++ b/cmd/internal/entry/operate.go
@@ -5,8 +5,10 @@
 	"fmt"
 	"io"
 	"net/http"
+	"path"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -36,6 +38,15 @@
 	mux.HandleFunc("GET /v1/scheduler/dump", e.schedulerDump)
 }
 
+// forCallers reports whether a request is for callers and balancers. Everything
+// else is for operators, so that a path added later is not open by mistake.
+func forCallers(r *http.Request) bool {
+	if r.URL.Path == "/ready" {
+		return true
+	}
+	return r.Method == http.MethodPost && strings.HasPrefix(r.URL.Path, "/v1/teams/") && path.Clean(r.URL.Path) == r.URL.Path
+}
+
 // ErrorBody is the JSON body of an operator's request that failed.
 type ErrorBody struct {
 	Code             api.Code        `json:"code"`
--- a/cmd/internal/entry/schedulers.go
+++ b/cmd/internal/entry/schedulers.go
@@ -16,10 +16,11 @@
 	mu      sync.Mutex
 	order   []string
 	clients map[string]*schedclient.Client
+	dial    schedclient.Dialer
 }
 
-func newSchedulers(addrs []string) *schedulers {
-	return &schedulers{order: addrs, clients: map[string]*schedclient.Client{}}
+func newSchedulers(addrs []string, dial schedclient.Dialer) *schedulers {
+	return &schedulers{order: addrs, clients: map[string]*schedclient.Client{}, dial: dial}
 }
 
 func (s *schedulers) client(addr string) *schedclient.Client {
@@ -27,7 +28,7 @@
 	defer s.mu.Unlock()
 	c, ok := s.clients[addr]
 	if !ok {
-		c = schedclient.New(addr)
+		c = schedclient.NewWith(addr, s.dial)
 		s.clients[addr] = c
 	}
 	return c
--- a/cmd/internal/entry/settings.go
+++ b/cmd/internal/entry/settings.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 
+	"github.com/knapweedweir/knapweedweir/daemon"
 	"github.com/knapweedweir/knapweedweir/settings/jsonc"
 )
 
@@ -25,8 +26,14 @@
 	// Notice is how long after SIGTERM the entry stays reachable at least, for
 	// a balancer that notices late.
 	Notice jsonc.Duration `json:"notice" default:"2s"`
+	// TLS names the certificates of this process. Without it everything goes
+	// over the network in clear.
+	TLS daemon.TLS `json:"tls"`
 }
 
+// CheckFiles implements daemon.FileChecker.
+func (s *Settings) CheckFiles(report func(path, message string)) { s.TLS.CheckFiles("tls", report) }
+
 // Validate implements jsonc.Validator.
 func (s *Settings) Validate(report func(path, message string)) {
 	if s.ID == "" {
@@ -49,6 +56,7 @@
 	if s.Notice < 0 {
 		report("notice", "must not be negative")
 	}
+	s.TLS.Validate("tls", report)
 	if s.DrainLimit < 0 {
 		report("drainLimit", "must not be negative")
 	}
--- a/cmd/internal/sched/log.go
+++ b/cmd/internal/sched/log.go
@@ -165,7 +165,7 @@
 	var wait sync.WaitGroup
 	for i, addr := range addrs {
 		wait.Go(func() {
-			reply, err := askSnapshot(addr, true)
+			reply, err := askSnapshot(s.dial, addr, true)
 			if err != nil {
 				s.process.Log.Debug().Err(err).Str("peer", addr).Msg("peer.state_unavailable")
 			}
@@ -182,7 +182,7 @@
 	if offsets[newest] == 0 {
 		return nil
 	}
-	reply, err := askSnapshot(addrs[newest], false)
+	reply, err := askSnapshot(s.dial, addrs[newest], false)
 	if err != nil {
 		return nil
 	}
@@ -194,8 +194,8 @@
 	return []control.PeerState{{From: addrs[newest], Snapshot: snapshot}}
 }
 
-func askSnapshot(addr string, offsetOnly bool) (api.SnapshotReply, error) {
-	client := schedclient.New(addr)
+func askSnapshot(dial schedclient.Dialer, addr string, offsetOnly bool) (api.SnapshotReply, error) {
+	client := schedclient.NewWith(addr, dial)
 	defer client.Close()
 	return client.Snapshot(offsetOnly, peerTimeout)
 }
--- a/cmd/internal/sched/rpc.go
+++ b/cmd/internal/sched/rpc.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/rpc"
 	"sync"
@@ -111,36 +112,62 @@
 
 // serveRPC accepts connections until the process ends.
 func (s *Scheduler) serveRPC(l net.Listener) {
+	s.process.Add(func() error { s.acceptPeers(l); return nil }, func(error) { _ = l.Close() })
+}
+
+// acceptPeers serves connections until the listener is closed, and then closes
+// those that are open.
+func (s *Scheduler) acceptPeers(l net.Listener) {
 	server := rpc.NewServer()
 	if err := server.RegisterName(api.ServiceName, service{s}); err != nil {
 		panic(err) // the methods above have the wrong form
 	}
+	refused := s.process.Metrics.Counter("peer_connections_refused")
 	var mu sync.Mutex
 	open := map[net.Conn]bool{}
-	s.process.Add(func() error {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return nil
-			}
-			mu.Lock()
-			open[conn] = true
-			mu.Unlock()
-			go func() {
-				server.ServeConn(&schedclient.Conn{Conn: conn, Idle: schedclient.IdleTimeout})
-				mu.Lock()
-				delete(open, conn)
-				mu.Unlock()
-			}()
-		}
-	}, func(error) {
-		_ = l.Close()
+	defer func() {
 		mu.Lock()
 		defer mu.Unlock()
 		for conn := range open {
 			_ = conn.Close()
 		}
-	})
+	}()
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		mu.Lock()
+		open[conn] = true
+		mu.Unlock()
+		go func() {
+			if known(conn) {
+				server.ServeConn(&schedclient.Conn{Conn: conn, Idle: schedclient.IdleTimeout})
+			} else {
+				refused.Inc(1)
+				_ = conn.Close()
+			}
+			mu.Lock()
+			delete(open, conn)
+			mu.Unlock()
+		}()
+	}
+}
+
+// handshakeTimeout bounds the time until a peer has shown who it is. Without it
+// an outsider could hold as many connections as it likes without a certificate.
+const handshakeTimeout = 3 * time.Second
+
+// known reports whether the other end has shown a peer's certificate, where the
+// link uses TLS at all.
+func known(conn net.Conn) bool {
+	secure, ok := conn.(*tls.Conn)
+	if !ok {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
+	defer cancel()
+	return secure.HandshakeContext(ctx) == nil
 }
 
 // peerLink sends envelopes to one scheduler, in order.
@@ -174,7 +201,7 @@
 }
 
 func (s *Scheduler) runLink(ctx context.Context, l *peerLink) {
-	client := schedclient.New(l.addr)
+	client := schedclient.NewWith(l.addr, s.dial)
 	defer client.Close()
 	defer s.process.SetCondition(daemon.ConditionPeerUnreachable, l.addr, false, "")
 	for {
--- a/cmd/internal/sched/sched.go
+++ b/cmd/internal/sched/sched.go
@@ -47,6 +47,7 @@
 	fetches chan []string
 	syncs   chan control.SyncWorker
 	peers   map[string]*peerLink
+	dial    schedclient.Dialer
 	waiting map[uint64]chan api.Answer
 	tickets atomic.Uint64
 	done    chan struct{}
@@ -72,8 +73,13 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for operators")
 	}
+	links, err := s.TLS.Open()
+	if err != nil {
+		return errors.Wrap(err, "open certificates")
+	}
 	p := daemon.New("kw-sched", s.ID, os.Stderr)
-	sch := New(p, s)
+	sch := New(p, s, links)
+	p.WatchCertificates(links)
 	p.AddLoop(sch.control)
 	p.AddLoop(sch.followLog)
 	p.AddLoop(sch.appendLoop)
@@ -82,8 +88,8 @@
 	p.AddLoop(sch.listInstances)
 	p.AddLoop(sch.listWorkers)
 	p.AddLoop(sch.syncLoop)
-	sch.serveRPC(rpcListener)
-	p.AddHTTP(opsListener, &http.Server{Handler: p.Mux(), ReadHeaderTimeout: platformTimeout})
+	sch.serveRPC(links.ListenPeers(rpcListener))
+	p.AddHTTP(links.ListenServer(opsListener), &http.Server{Handler: links.OperatorsOnly(p.Mux(), forBalancers), ReadHeaderTimeout: platformTimeout})
 	limit := s.DrainLimit.D()
 	if limit == 0 {
 		limit = defaultDrain
@@ -98,7 +104,7 @@
 }
 
 // New returns a scheduler that does nothing yet.
-func New(p *daemon.Process, s Settings) *Scheduler {
+func New(p *daemon.Process, s Settings, links daemon.Links) *Scheduler {
 	cfg := control.DefaultConfig(s.ID, p.Incarnation)
 	if s.SyncEvery > 0 {
 		cfg.Shard.SyncEvery = s.SyncEvery.D()
@@ -117,10 +123,14 @@
 		events: make(chan any, eventQueue), appends: make(chan [][]byte, 1), stores: make(chan logstream.Snapshot, 1), fetches: make(chan []string, 1), syncs: make(chan control.SyncWorker, eventQueue),
 		peers: map[string]*peerLink{}, waiting: map[uint64]chan api.Answer{}, done: make(chan struct{})}
 	sch.state.Store(&api.State{Scheduler: s.ID})
+	sch.dial = schedclient.DialerOf(links)
 	p.OnDump(sch.dump)
 	return sch
 }
 
+// forBalancers reports whether a request needs no operator.
+func forBalancers(r *http.Request) bool { return r.URL.Path == "/ready" }
+
 // control is the one goroutine that owns the core.
 func (s *Scheduler) control(ctx context.Context) error {
 	defer close(s.done)
--- a/cmd/internal/sched/settings.go
+++ b/cmd/internal/sched/settings.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 
+	"github.com/knapweedweir/knapweedweir/daemon"
 	"github.com/knapweedweir/knapweedweir/settings/jsonc"
 )
 
@@ -35,8 +36,14 @@
 	LogRetention jsonc.Duration `json:"logRetention" default:"1h"`
 	// SnapshotRecords is the largest number of records between two snapshots.
 	SnapshotRecords int `json:"snapshotRecords" default:"20000"`
+	// TLS names the certificates of this process. Without it everything goes
+	// over the network in clear.
+	TLS daemon.TLS `json:"tls"`
 }
 
+// CheckFiles implements daemon.FileChecker.
+func (s *Settings) CheckFiles(report func(path, message string)) { s.TLS.CheckFiles("tls", report) }
+
 // Validate implements jsonc.Validator.
 func (s *Settings) Validate(report func(path, message string)) {
 	if s.ID == "" {
@@ -59,6 +66,7 @@
 	if s.SnapshotRecords < 0 {
 		report("snapshotRecords", "must not be negative")
 	}
+	s.TLS.Validate("tls", report)
 	if s.DrainLimit < 0 {
 		report("drainLimit", "must not be negative")
 	}
--- a/cmd/internal/schedclient/client.go
+++ b/cmd/internal/schedclient/client.go
@@ -2,7 +2,6 @@
 package schedclient
 
 import (
-	"net"
 	"net/rpc"
 	"sync"
 	"sync/atomic"
@@ -37,14 +36,18 @@
 // after a call has failed. It is safe for use by many goroutines.
 type Client struct {
 	addr string
+	dial Dialer
 	mu   sync.Mutex
 	link *link
 	// failedAt is when the last dial failed.
 	failedAt time.Time
 }
 
-// New returns a client of the scheduler at addr.
-func New(addr string) *Client { return &Client{addr: addr} }
+// New returns a client of the scheduler at addr, which it reaches in clear.
+func New(addr string) *Client { return NewWith(addr, Plain) }
+
+// NewWith returns a client of the scheduler at addr that connects with dial.
+func NewWith(addr string, dial Dialer) *Client { return &Client{addr: addr, dial: dial} }
 
 // Addr is the scheduler's address.
 func (c *Client) Addr() string { return c.addr }
@@ -162,7 +165,7 @@
 	if now.Sub(c.failedAt) < redialAfter {
 		return nil, errors.WithMessage(ErrNotSent, "the last attempt has just failed")
 	}
-	conn, err := net.DialTimeout("tcp", c.addr, dialTimeout)
+	conn, err := c.dial(c.addr, dialTimeout)
 	if err != nil {
 		c.failedAt = time.Now()
 		return nil, errors.WithMessage(ErrNotSent, err.Error())
--- /dev/null
+++ b/cmd/internal/schedclient/dial.go
@@ -0,0 +1,29 @@
+package schedclient
+
+import (
+	"crypto/tls"
+	"net"
+	"time"
+
+	"github.com/knapweedweir/knapweedweir/daemon"
+	"github.com/knapweedweir/knapweedweir/daemon/certs"
+)
+
+// Dialer connects to a scheduler within a time.
+type Dialer func(addr string, timeout time.Duration) (net.Conn, error)
+
+// Plain connects in clear.
+func Plain(addr string, timeout time.Duration) (net.Conn, error) {
+	return net.DialTimeout("tcp", addr, timeout)
+}
+
+// DialerOf returns the dialer for a process's links. Each connection uses the
+// newest certificates.
+func DialerOf(links daemon.Links) Dialer {
+	if links.Peers == nil {
+		return Plain
+	}
+	return func(addr string, timeout time.Duration) (net.Conn, error) {
+		return tls.DialWithDialer(&net.Dialer{Timeout: timeout}, "tcp", addr, links.Peers.Client(certs.SchedulerName))
+	}
+}
--- a/cmd/kwctl/client.go
+++ b/cmd/kwctl/client.go
@@ -31,11 +31,15 @@
 func (c *console) callAt(ctx context.Context, addr, method, path string, body []byte) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, bytes.NewReader(body))
+	scheme, client, err := c.transport()
+	if err != nil {
+		return nil, err
+	}
+	req, err := http.NewRequestWithContext(ctx, method, scheme+"://"+addr+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, errors.Wrap(err, "build request")
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return nil, broken(method, errors.Wrap(err, "call entry"))
 	}
--- a/cmd/kwctl/console.go
+++ b/cmd/kwctl/console.go
@@ -6,7 +6,9 @@
 	"flag"
 	"fmt"
 	"io"
+	"net/http"
 	"strings"
+	"sync"
 	"text/tabwriter"
 
 	"github.com/google/subcommands"
@@ -26,6 +28,12 @@
 	out, err io.Writer
 	entry    string
 	output   string
+	tls      tlsOptions
+
+	once      sync.Once
+	scheme    string
+	client    *http.Client
+	clientErr error
 }
 
 const intro = `kwctl is the operators' command line of a knapweedweir cell.
@@ -35,6 +43,8 @@
 
 Every command asks one entry: -entry ADDRESS, or $KW_ENTRY. Flags may stand
 before or after the arguments. Tables are for people; -o json is for programs.
+Where the cell uses TLS, -ca, -cert and -key (or $KW_CA, $KW_CERT, $KW_KEY) name
+the authorities of the entries and the operator's own certificate.
 
 Exit status
   0  done
@@ -86,6 +96,7 @@
 
 func (c *console) flags(f *flag.FlagSet) {
 	f.StringVar(&c.entry, "entry", c.entry, "`address` of an entry, such as 10.0.0.1:8080; default $KW_ENTRY")
+	c.tls.flags(f)
 	f.StringVar(&c.output, "o", c.output, "output `format`: table or json")
 }
 
--- a/cmd/kwctl/main.go
+++ b/cmd/kwctl/main.go
@@ -13,6 +13,6 @@
 
 // run runs one command line; tests call it with their own streams.
 func run(ctx context.Context, args []string, in io.Reader, out, errs io.Writer, getenv func(string) string) exitStatus {
-	c := &console{in: in, out: out, err: errs, entry: getenv("KW_ENTRY"), output: outputTable}
+	c := &console{in: in, out: out, err: errs, entry: getenv("KW_ENTRY"), output: outputTable, tls: tlsFromEnv(getenv)}
 	return c.execute(ctx, args)
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -36,7 +36,10 @@
 	if err != nil {
 		return errors.Wrap(err, "read settings")
 	}
-	return jsonc.Decode(path, data, out).Err()
+	if err := jsonc.Decode(path, data, out).Err(); err != nil {
+		return err
+	}
+	return checkFiles(path, data, out).Err()
 }
 
 // Process is one running process.
--- a/scenario/commands_test.go
+++ b/scenario/commands_test.go
@@ -57,7 +57,7 @@
 
 // commands are the words of the scenario language:
 //
-//	cell [pairs=N] [workers=N] [lease=D] [lag=D] [retention=N] [bare]
+//	cell [pairs=N] [workers=N] [lease=D] [lag=D] [retention=N] [bare] [tls]
 //	                                          start a cell and wait until it is ready; the log keeps N records;
 //	                                          unless bare, the settings in testdata/workshop.jsonc are in force
 //	kwctl ENTRY ARG...                        run kwctl against entry number ENTRY
@@ -92,6 +92,7 @@
 //	ready ENTRY...                            wait until entries are ready
 //	ran N ID                                  check how often a request ran, over all runners
 //	began ID                                  wait until a runner has begun a request
+//	certificates                              replace the certificates of a cell with tls and wait until all use them
 //	referee                                   check that no promise was broken
 var commands = map[string]func(ts *testscript.TestScript, neg bool, args []string){
 	"cell": cmdCell, "kwctl": cmdKwctl, "await": cmdAwait, "dump": cmdDump, "race": cmdRace,
@@ -100,6 +101,7 @@
 	"load": cmdLoad, "loaded": cmdLoaded, "served": cmdServed,
 	"faults": cmdFaults, "logdown": cmdLogDown, "worker": cmdWorker, "runner": cmdRunner, "list": cmdList, "signal": cmdSignal, "start": cmdStart,
 	"ended": cmdEnded, "ready": cmdReady, "ran": cmdRan, "began": cmdBegan, "referee": cmdReferee,
+	"certificates": cmdCertificates,
 }
 
 func of(ts *testscript.TestScript) *harness { return ts.Value(harnessKey{}).(*harness) }
@@ -146,6 +148,7 @@
 		{Service: "order-desk", Count: 3, Work: 5 * time.Millisecond}, {Service: "inspection", Count: 2, Work: 20 * time.Millisecond}}}
 	spec.Retention = number(ts, o["retention"], 0)
 	spec.ListLag = duration(ts, o["lag"])
+	_, spec.PeerTLS = o["tls"]
 	h := of(ts)
 	cells <- struct{}{}
 	var err error
@@ -456,3 +459,16 @@
 		ts.Fatalf("%v; last dump:\n%s", err, last)
 	}
 }
+
+func cmdCertificates(ts *testscript.TestScript, _ bool, _ []string) {
+	c := of(ts).cell
+	ts.Check(c.ReplaceCertificates())
+	for _, p := range c.Pairs {
+		for _, proc := range []*cell.Proc{p.Sched, p.Entry} {
+			ts.Check(cell.Await(patience, proc.Name+" uses the new certificate", func() bool {
+				log, err := os.ReadFile(proc.Log)
+				return err == nil && bytes.Contains(log, []byte("certificate.replaced"))
+			}))
+		}
+	}
+}
--- a/standin/authority/authority.go
+++ b/standin/authority/authority.go
@@ -27,6 +27,9 @@
 // dayAgo is well before any clock that a certificate is checked by.
 const dayAgo = -24 * time.Hour
 
+// validFor is how long an authority is valid.
+const validFor = 10 * 365 * 24 * time.Hour
+
 // New makes an authority.
 func New(name string) (*Authority, error) {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
@@ -34,7 +37,7 @@
 		return nil, errors.Wrap(err, "make key")
 	}
 	template := &x509.Certificate{SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: name}, NotBefore: time.Now().Add(dayAgo),
-		NotAfter: time.Now().Add(-dayAgo), IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign}
+		NotAfter: time.Now().Add(validFor), IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign}
 	der, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
 	if err != nil {
 		return nil, errors.Wrap(err, "make certificate")
--- a/standin/cell/cell.go
+++ b/standin/cell/cell.go
@@ -21,6 +21,7 @@
 
 	"github.com/knapweedweir/knapweedweir/platform"
 	"github.com/knapweedweir/knapweedweir/settings/jsonc"
+	"github.com/knapweedweir/knapweedweir/standin/authority"
 	"github.com/knapweedweir/knapweedweir/standin/fakeplatform"
 	"github.com/knapweedweir/knapweedweir/standin/fakerunner"
 )
@@ -35,6 +36,8 @@
 	ListLag   time.Duration
 	// Lease is the workers' lease; zero takes the default.
 	Lease time.Duration
+	// PeerTLS puts TLS on the links between schedulers and entries.
+	PeerTLS bool
 }
 
 // RunnerGroup is the runners of one service; they run in one process.
@@ -62,6 +65,7 @@
 	Pairs        []*Pair
 	Instances    []platform.Instance
 	Workers      []platform.Worker
+	authority    *authority.Authority
 }
 
 // Programs are the binaries that a cell needs, by name and package below the
@@ -250,6 +254,14 @@
 		sched["peers"] = others[1:]
 		entry := map[string]any{"id": fmt.Sprintf("entry-%d", i+1), "zone": zone, "listen": p.EntryAddr, "schedulers": others, "drainLimit": "30s"}
 		var err error
+		if spec.PeerTLS {
+			if sched["tls"], err = c.peerTLS(fmt.Sprintf("sched-%d", i+1), "kw-sched"); err != nil {
+				return err
+			}
+			if entry["tls"], err = c.peerTLS(fmt.Sprintf("entry-%d", i+1), "kw-entry"); err != nil {
+				return err
+			}
+		}
 		if p.Sched, err = c.start(fmt.Sprintf("sched-%d", i+1), "kw-sched", sched); err != nil {
 			return err
 		}
--- /dev/null
+++ b/standin/cell/certificates.go
@@ -0,0 +1,41 @@
+package cell
+
+import (
+	"path/filepath"
+	"time"
+
+	"github.com/knapweedweir/knapweedweir/standin/authority"
+)
+
+// certificateLife is longer than any cell of tests runs.
+const certificateLife = 30 * 24 * time.Hour
+
+// peerTLS issues a process's certificate for its links to other processes and
+// returns the settings that name it.
+func (c *Cell) peerTLS(process, role string) (map[string]any, error) {
+	if c.authority == nil {
+		a, err := authority.New("cell")
+		if err != nil {
+			return nil, err
+		}
+		c.authority = a
+	}
+	if err := c.authority.Write(c.Dir, process, time.Now().Add(certificateLife), role); err != nil {
+		return nil, err
+	}
+	file := func(name string) string { return filepath.Join(c.Dir, name) }
+	return map[string]any{"peers": map[string]any{"certificate": file(process + ".pem"), "key": file(process + "-key.pem"),
+		"authorities": file("authority.pem")}}, nil
+}
+
+// ReplaceCertificates issues new certificates to all running pairs.
+func (c *Cell) ReplaceCertificates() error {
+	for _, p := range c.Pairs {
+		for process, role := range map[string]string{p.Sched.Name: "kw-sched", p.Entry.Name: "kw-entry"} {
+			if _, err := c.peerTLS(process, role); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
