standin: the referee lets a gang that lost a task start again as a whole

Cause: scenario rack_frozen failed with 'task calibration/0 had run to its end as calibration/0/53.1 on desk-1 and was started again'. One task of the gang had ended, the other was on the frozen rack; the home rightly starts both again, as a gang's tasks start all together. The check was wrong for gangs that lost a task.

Change: a task of a gang may run again only after a task of the same gang ended without running to its end; otherwise it is broken as before. Two cases more in TestReferee, one for each side ('go test ./standin/fakeplatform').

--- a/standin/fakeplatform/referee_test.go
+++ b/standin/fakeplatform/referee_test.go
@@ -44,6 +44,13 @@
 	return list
 }
 
+func gang(list []platform.Task) []platform.Task {
+	for i := range list {
+		list[i].Labels = map[string]string{"kind": "gang"}
+	}
+	return list
+}
+
 // The referee is the judge of all scenarios. Each case gives the workers an
 // order; the broken ones are such as a faulty scheduler or worker would give,
 // and the sound ones beside them must pass.
@@ -101,6 +108,21 @@
 			b.ask("w1", 5)
 			b.order("w2", 6, task("a/0/1.2", 100))
 		}},
+		{"gang task run again though no other was lost", "task a/0 had run to its end as a/0/1.1 on w1", func(b *bench) {
+			b.order("w1", 5, gang(short("a/0/1.1")))
+			b.order("w2", 5, gang(task("a/1/1.2", 100)))
+			b.now = b.now.Add(benchLease / 2)
+			b.ask("w1", 5)
+			b.order("w1", 5, gang(task("a/0/1.3", 100)))
+		}},
+		{"gang run again as a whole after it lost a task", "", func(b *bench) {
+			b.order("w1", 5, gang(short("a/0/1.1")))
+			b.order("w2", 5, gang(task("a/1/1.2", 100)))
+			b.now = b.now.Add(benchLease / 2)
+			b.ask("w1", 5)
+			b.now = b.now.Add(benchLease)
+			b.order("w1", 5, gang(append(task("a/0/1.3", 100), task("a/1/1.4", 100)...)))
+		}},
 		{"run again after its worker fell silent", "", func(b *bench) {
 			b.order("w1", 5, short("a/0/1.1"))
 			b.now = b.now.Add(benchLease / 2)
--- a/standin/fakeplatform/worker.go
+++ b/standin/fakeplatform/worker.go
@@ -164,7 +164,7 @@
 }
 
 func (w *fakeWorker) end(t *runningTask, at time.Time, state platform.TaskState, reason string) {
-	w.referee.endedTask(w, at, t.Task)
+	w.referee.endedTask(w, at, t.Task, state)
 	t.State, t.Reason, t.ended = state, reason, at
 	t.RunTime = at.Sub(t.started).Milliseconds()
 	if state == platform.TaskFailed {
