--- a/standin/fakeplatform/referee.go
+++ b/standin/fakeplatform/referee.go
@@ -39,10 +39,10 @@
 	// brokenGangs holds the gangs of which a task has ended without running to
 	// its end: they start again as a whole.
 	brokenGangs map[string]bool
-	starts     map[string]int
-	started    int
-	violations []string
-	dropped    int
+	starts      map[string]int
+	started     int
+	violations  []string
+	dropped     int
 }
 
 func newReferee() *referee {
