Membership: a few watchers each, deaths confirmed before they are told

Cause: every member sent heartbeats to every other one and judged alone: at 200 members that is 199 x 3.3 calls a second a node, and one cut link, or one process that slept, made its owner take live peers for dead and claim all they had.

Change: each member is watched by 3 others chosen by rendezvous hashing. A watcher that has heard nothing for 1 s probes the member and asks the other watchers, who probe too; the death is told to all only if one of them confirms and none has heard it in 0.4 s. A watcher that nobody answers buries nobody. Views are compared by a hash in each heartbeat and exchanged when they stay apart. The dead refute with a higher version. A process that was paused does not count its own gap as its peers' silence. Unfit (no log) is a state of its own.

Ruled out: passing "I heard of it" on (two watchers would keep a dead member alive for each other); judging by the platform's list (it lags).

--- a/control/api/api.go
+++ b/control/api/api.go
@@ -78,7 +78,7 @@
 // Envelope is what one scheduler delivers to another at once.
 type Envelope struct {
 	From      string
-	Heartbeat membership.Heartbeat
+	Member    *membership.Packet
 	Messages  []placement.Message
 	Digests   []placement.Digest
 	LogProbe  *LogProbe
--- a/control/core.go
+++ b/control/core.go
@@ -28,8 +28,7 @@
 type Config struct {
 	ID          string
 	Incarnation uint64
-	Heartbeat   time.Duration
-	DownAfter   time.Duration
+	Members     membership.Config
 	// LogDownAfter is how long the log may be silent before it is taken for
 	// unavailable and proposals are turned away.
 	LogDownAfter time.Duration
@@ -48,7 +47,7 @@
 func DefaultConfig(id string, incarnation uint64) Config {
 	return Config{
 		ID: id, Incarnation: incarnation,
-		Heartbeat: 300 * time.Millisecond, DownAfter: 1500 * time.Millisecond,
+		Members:      membership.DefaultConfig(id, incarnation),
 		LogDownAfter: 3 * time.Second, DigestEvery: 300 * time.Millisecond, SweepEvery: 5 * time.Second,
 		Shard: placement.DefaultShardConfig, Home: placement.DefaultHomeConfig,
 		Committer: logstream.CommitterConfig{Writer: id, Incarnation: incarnation, MaxBatch: 200,
@@ -112,7 +111,7 @@
 	c := &Core{cfg: cfg, self: membership.Member(cfg.ID, cfg.Incarnation),
 		tree: settings.NewTree(), table: ownership.NewTable(), registry: placement.NewRegistry(), claims: dispatch.NewClaims(),
 		committer: logstream.NewCommitter(cfg.Committer),
-		members:   membership.New(membership.Config{Self: cfg.ID, Incarnation: cfg.Incarnation, Interval: cfg.Heartbeat, DownAfter: cfg.DownAfter}),
+		members:   membership.New(cfg.Members),
 		shards:    map[ownership.Unit]*placement.Shard{}, homes: map[ownership.Unit]*placement.Home{},
 		workers: map[ownership.Unit][]platform.Worker{}, addrs: map[string]string{},
 		digests: map[ownership.Unit]placement.Digest{}, tickets: map[uint64]api.Question{}, nextTicket: ownTickets}
@@ -171,13 +170,10 @@
 func (c *Core) tick(now time.Duration) {
 	down := c.LogDown(now)
 	c.resolve(c.committer.SetDown(down))
-	peers, hb := c.members.Step(now)
 	// An owner that must not renew leases can't keep its units either: told so,
 	// its peers take them over before the leases lapse.
-	hb.Leaving = hb.Leaving || !c.panel.mayRenew(now)
-	for _, id := range peers {
-		c.envelope(id).Heartbeat = hb
-	}
+	c.members.SetFit(now, c.panel.mayRenew(now))
+	c.sendPackets(c.members.Step(now))
 	if !down && c.follower.CaughtUp() && c.members.Settled(now) && now-c.claimedAt >= claimEvery {
 		c.claimedAt = now
 		c.proposeClaims(now)
--- a/control/peers.go
+++ b/control/peers.go
@@ -69,15 +69,19 @@
 	}
 	sort.Strings(ids)
 	for _, id := range ids {
-		if addr, ok := c.addrs[id]; ok {
+		addr, ok := c.addrs[id]
+		if told := c.members.Addr(id); told != "" {
+			addr, ok = told, true
+		}
+		if ok {
 			c.actions = append(c.actions, SendPeer{To: id, Addr: addr, Envelope: *c.outbox[id]})
 		}
 	}
 }
 
 func (c *Core) delivered(now time.Duration, env api.Envelope) {
-	if env.Heartbeat.From != "" {
-		c.members.Heard(now, env.Heartbeat)
+	if env.Member != nil {
+		c.sendPackets(c.members.Handle(now, *env.Member))
 	}
 	if env.LogProbe != nil {
 		reply := c.panel.answer(now, *env.LogProbe)
@@ -97,6 +101,13 @@
 	}
 }
 
+func (c *Core) sendPackets(sends []membership.Send) {
+	for _, s := range sends {
+		packet := s.Packet
+		c.envelope(s.To).Member = &packet
+	}
+}
+
 func (c *Core) noteDigest(now time.Duration, d placement.Digest) {
 	c.digests[d.Shard] = d
 	for _, h := range c.homes {
