--- a/placement/gang.go
+++ b/placement/gang.go
@@ -20,7 +20,7 @@
 // room for all of them or the gang may have room kept for it.
 func (h *Home) askGang(now time.Duration, job *homeJob) []Message {
 	c := job.class
-	if reason := h.admit(job.team, times(job.need, len(job.tasks))); reason != WaitNothing {
+	if reason := h.admit(now, c, times(job.need, len(job.tasks))); reason != WaitNothing {
 		h.queue.block(c, reason)
 		return nil
 	}
@@ -101,7 +101,7 @@
 		h.enqueue(now, job)
 		return nil
 	}
-	if h.admit(job.team, job.need) != WaitNothing {
+	if !h.withinLevel(job.team, job.need) {
 		return h.giveUpGang(now, job)
 	}
 	s := searchFor(job, t)
--- a/placement/home_tasks.go
+++ b/placement/home_tasks.go
@@ -11,7 +11,7 @@
 // askOne asks a shard for the next queued task of the job.
 func (h *Home) askOne(now time.Duration, job *homeJob) []Message {
 	c := job.class
-	if reason := h.admit(job.team, job.need); reason != WaitNothing {
+	if reason := h.admit(now, c, job.need); reason != WaitNothing {
 		h.queue.block(c, reason)
 		return nil
 	}
--- a/placement/pair_test.go
+++ b/placement/pair_test.go
@@ -19,7 +19,6 @@
 // fall silent. Whatever the order, no task runs twice at a time, no worker is
 // overfilled, and once the faults are over every job runs to its end.
 func TestPairOfHomeAndShard(t *testing.T) {
-	checks(t, 400)
 	rapid.Check(t, func(t *rapid.T) {
 		w := newPairWorld(rapid.Uint64().Draw(t, "seed"), rapid.SampledFrom([]int{0, 10, 25}).Draw(t, "loss"),
 			rapid.SampledFrom([]time.Duration{20 * time.Millisecond, 400 * time.Millisecond}).Draw(t, "delay"), 7)
@@ -49,13 +48,16 @@
 	})
 }
 
-// checks sets how many histories a property is tried on: some faults need a rare
-// order of events.
+// packageChecks is what TestMain sets for properties of one or two state machines.
+const packageChecks = "600"
+
+// checks lowers the number of histories for a property whose worlds are large,
+// unless the command line asks for another number.
 func checks(t *testing.T, n int) {
 	f := flag.Lookup("rapid.checks")
-	if before := f.Value.String(); before == f.DefValue {
+	if f.Value.String() == packageChecks {
 		_ = f.Value.Set(strconv.Itoa(n))
-		t.Cleanup(func() { _ = f.Value.Set(before) })
+		t.Cleanup(func() { _ = f.Value.Set(packageChecks) })
 	}
 }
 
--- a/placement/pair_world_test.go
+++ b/placement/pair_world_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/knapweedweir/knapweedweir/ownership"
 	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/settings"
 )
 
 // ownerState is how an owner process fares.
@@ -55,6 +56,12 @@
 	failing map[string]bool
 	runFor  time.Duration
 	referee *world
+	// quota of the one team; none is no limit.
+	quota     platform.Resources
+	submitted int
+	// quotaMessages counts what homes and ledgers tell each other.
+	quotaMessages int
+	static        bool
 }
 
 func newPairWorld(seed uint64, loss int, delay time.Duration, slots int) *pairWorld {
@@ -110,6 +117,11 @@
 	for _, s := range w.units {
 		h.SetOwner(w.now, s, newest(w.shards[s]).Epoch())
 	}
+	if w.quota != nothing && w.static {
+		h.splitQuota("workshop", w.quota)
+	} else if w.quota != nothing {
+		h.SetTeam(w.now, "workshop", settings.Team{Quota: w.quota})
+	}
 	for _, id := range sortedKeys(w.jobs) {
 		if j := w.jobs[id]; ownership.HomeOf(id) == u && j.State == JobOpen {
 			h.AddJob(w.now, *j)
@@ -125,6 +137,7 @@
 	}
 	w.epoch++
 	spec.Team, spec.Need = "workshop", small
+	w.submitted++
 	j := &Job{Spec: spec, Accepted: w.epoch, State: JobOpen}
 	w.jobs[spec.ID] = j
 	for _, h := range w.homes[u] {
@@ -162,6 +175,10 @@
 // believe to be it.
 func (w *pairWorld) route(msgs []Message) {
 	for _, m := range msgs {
+		switch m.(type) {
+		case QuotaReport, QuotaGrant, QuotaAsk:
+			w.quotaMessages++
+		}
 		for _, s := range w.shards[m.To()] {
 			if s.state == ownerRuns || s.state == ownerCutOff {
 				w.post(func() {
@@ -266,12 +283,24 @@
 	if w.jobs[a.Job].State == JobDone {
 		w.fault("%s starts after its job is done", a.TaskID())
 	}
+	if used := w.used().Add(small); w.quota != nothing && !used.Fits(w.quota) {
+		w.fault("%s starts and %s of the quota %s is used", a.TaskID(), used, w.quota)
+	}
 	if w.jobs[a.Job].Spec.Kind == Service {
 		return time.Hour, false
 	}
 	return w.runFor, w.failing[wk.ID]
 }
 
+// used is what all workers run.
+func (w *pairWorld) used() platform.Resources {
+	var used platform.Resources
+	for _, wk := range w.workers {
+		used = used.Add(wk.used())
+	}
+	return used
+}
+
 func (w *pairWorld) stepHome(h *pairHome) {
 	if h.state != ownerRuns && h.state != ownerCutOff {
 		return
--- a/placement/quota.go
+++ b/placement/quota.go
@@ -16,13 +16,16 @@
 	ReportEvery time.Duration
 	// AskAgain is how long an unanswered message waits before it is repeated.
 	AskAgain time.Duration
+	// ShareEvery is the shortest time between two settings of a team's levels.
+	ShareEvery time.Duration
 	// IdleFor is how long a home keeps a level that it does not use.
 	IdleFor time.Duration
 }
 
 // DefaultQuotaConfig suits a cell on one site.
 var DefaultQuotaConfig = QuotaConfig{
-	ReportEvery: 50 * time.Millisecond,
+	ReportEvery: 100 * time.Millisecond,
+	ShareEvery:  100 * time.Millisecond,
 	AskAgain:    time.Second,
 	IdleFor:     3 * time.Second,
 }
@@ -96,6 +99,8 @@
 	level     platform.Resources
 	own       platform.Resources
 	idleSince time.Duration
+	// unconfirmed is set while the ledger has not been told of the newest grant.
+	unconfirmed bool
 }
 
 // noLimit stands for a dimension without quota.
@@ -130,20 +135,37 @@
 var nothing platform.Resources
 
 // admit reports what keeps a team from using more, if anything does.
-func (h *Home) admit(t *homeTeam, need platform.Resources) WaitReason {
+func (h *Home) admit(now time.Duration, c *class, need platform.Resources) WaitReason {
+	t := c.team
 	if t.quota == nothing {
 		return WaitNothing
 	}
 	if !need.Fits(limits(t.quota, t.borrow)) {
 		return WaitOverQuota
 	}
-	if limited(t.used.Add(need), t.quota).Fits(t.level) {
+	if h.withinLevel(t, need) && !h.keptFor(now, c) {
 		return WaitNothing
 	}
 	h.reports.changed(t)
 	return WaitQuota
 }
 
+func (h *Home) withinLevel(t *homeTeam, need platform.Resources) bool {
+	return t.quota == nothing || limited(t.used.Add(need), t.quota).Fits(t.level)
+}
+
+// keptFor reports whether what is left of the quota is kept for work that goes
+// first and has waited long. Without it small tasks of this home use up each part
+// that comes free, and a gang of the same team never gets its sum together.
+func (h *Home) keptFor(now time.Duration, c *class) bool {
+	for _, o := range c.team.all {
+		if o != c && o.blocked == WaitQuota && ahead(o, c) && now-o.first.since >= h.cfg.ReserveAfter {
+			return true
+		}
+	}
+	return false
+}
+
 // borrows reports whether a team uses more than its own part of the level.
 func (h *Home) borrows(t *homeTeam) bool {
 	return t.borrow != nothing && !limited(t.used, t.quota).Fits(t.own)
@@ -226,7 +248,7 @@
 	for _, u := range sortedKeys(h.reports.ledgers) {
 		l := h.reports.ledgers[u]
 		for _, name := range sortedKeys(l.teams) {
-			if t := l.teams[name]; h.giveBackIdle(now, t) || t.waitsForQuota() {
+			if t := l.teams[name]; h.giveBackIdle(now, t) || t.unconfirmed || t.waitsForQuota() {
 				h.reports.mark(u, l)
 			}
 		}
@@ -273,6 +295,7 @@
 }
 
 func (t *homeTeam) teamUse() TeamUse {
+	t.unconfirmed = false
 	use := TeamUse{Team: t.name, Grant: t.grant, Level: t.level, Used: limited(t.used, t.quota)}
 	var head *class
 	for _, c := range t.all {
@@ -308,7 +331,13 @@
 	if m.HomeEpoch != h.epoch || m.LedgerEpoch != l.epoch || m.Sequence <= t.grant {
 		return
 	}
-	t.grant, t.level, t.own, t.idleSince = m.Sequence, m.Level, m.Own, now
-	h.reports.changed(t)
+	lowered := over(t.level, m.Level) != nothing
+	t.grant, t.level, t.own, t.idleSince, t.unconfirmed = m.Sequence, m.Level, m.Own, now, true
+	l.teams[m.Team] = t
+	if lowered {
+		// Another home waits for what is given back; a higher level can be
+		// confirmed with the next report.
+		h.reports.changed(t)
+	}
 	h.queue.wakeTeam(t)
 }
--- a/placement/quota_ledger.go
+++ b/placement/quota_ledger.go
@@ -18,6 +18,8 @@
 	epoch platform.Offset
 	cfg   QuotaConfig
 	teams map[string]*ledgerTeam
+	// names holds the names of all teams in order.
+	names []string
 	homes map[ownership.Unit]*ledgerHome
 	heard int
 	// sequence orders the grants of one ledger owner.
@@ -30,6 +32,7 @@
 	epoch    platform.Offset
 	sequence uint64
 	heard    bool
+	heardAt  time.Duration
 }
 
 type ledgerTeam struct {
@@ -37,6 +40,9 @@
 	quota  platform.Resources
 	borrow platform.Resources
 	uses   map[ownership.Unit]*ledgerUse
+	// due is set while reports have come in that levels don't reflect yet.
+	due      bool
+	sharedAt time.Duration
 }
 
 // ledgerUse is one home's part of a team's quota.
@@ -61,19 +67,31 @@
 	if !ok {
 		t = &ledgerTeam{name: team, uses: map[ownership.Unit]*ledgerUse{}}
 		l.teams[team] = t
+		l.names = sortedKeys(l.teams)
 	}
 	t.quota, t.borrow = quota, borrow
 }
 
+// silentRounds is how many rounds a home that has part of a quota may be silent
+// before it is asked.
+const silentRounds = 3
+
+// repeatRounds is how many rounds a grant may go without being confirmed: homes
+// confirm higher levels with their next report only.
+const repeatRounds = 2
+
 func (l *Ledger) complete() bool { return l.heard == ownership.HomeSlots }
 
 // Step returns the messages to send now.
 func (l *Ledger) Step(now time.Duration) []Message {
-	if len(l.teams) == 0 || (l.asked && now-l.askedAt < l.cfg.AskAgain) {
-		return nil
+	var out []Message
+	for _, name := range l.names {
+		out = append(out, l.shareIfDue(now, l.teams[name])...)
+	}
+	if len(l.names) == 0 || (l.asked && now-l.askedAt < l.cfg.AskAgain) {
+		return out
 	}
 	l.asked, l.askedAt = true, now
-	var out []Message
 	if !l.complete() {
 		for i := range ownership.HomeSlots {
 			if u := ownership.HomeUnit(i); !l.home(u).heard {
@@ -81,18 +99,32 @@
 			}
 		}
 	}
-	for _, name := range sortedKeys(l.teams) {
-		t := l.teams[name]
-		for _, u := range sortedKeys(t.uses) {
-			if use := t.uses[u]; len(use.pending) > 0 && now-use.sentAt >= l.cfg.AskAgain {
-				use.sentAt = now
-				out = append(out, use.pending[len(use.pending)-1])
-			}
+	for _, name := range l.names {
+		out = append(out, l.repeat(now, l.teams[name])...)
+	}
+	return out
+}
+
+// repeat sends again what has not been answered.
+func (l *Ledger) repeat(now time.Duration, t *ledgerTeam) []Message {
+	var out []Message
+	for _, u := range sortedKeys(t.uses) {
+		use := t.uses[u]
+		if len(use.pending) > 0 && now-use.sentAt >= repeatRounds*l.cfg.AskAgain {
+			use.sentAt = now
+			out = append(out, newestGrant(use))
+		}
+		// A home that has been replaced does not know of what its predecessor
+		// was granted, and nobody else could use it.
+		if use.charge != nothing && now-l.home(u).heardAt >= silentRounds*l.cfg.AskAgain {
+			out = append(out, l.ask(u))
 		}
 	}
 	return out
 }
 
+func newestGrant(u *ledgerUse) QuotaGrant { return u.pending[len(u.pending)-1] }
+
 func (l *Ledger) ask(u ownership.Unit) Message {
 	return QuotaAsk{Home: u, Ledger: l.unit, LedgerEpoch: l.epoch}
 }
@@ -118,7 +150,7 @@
 		return nil
 	}
 	replaced := m.HomeEpoch != h.epoch
-	h.epoch, h.sequence = m.HomeEpoch, m.Sequence
+	h.epoch, h.sequence, h.heardAt = m.HomeEpoch, m.Sequence, now
 	if !h.heard {
 		h.heard = true
 		l.heard++
@@ -128,10 +160,11 @@
 		named[u.Team] = u
 	}
 	var out []Message
-	for _, name := range sortedKeys(l.teams) {
+	for _, name := range l.names {
 		t := l.teams[name]
 		t.note(m.Home, named[name], replaced)
-		out = append(out, l.share(now, t)...)
+		t.due = true
+		out = append(out, l.shareIfDue(now, t)...)
 	}
 	return out
 }
@@ -162,6 +195,16 @@
 	u.pending = kept
 }
 
+// shareIfDue sets levels at most every ShareEvery: homes report in bursts, and each
+// setting may move the levels of all.
+func (l *Ledger) shareIfDue(now time.Duration, t *ledgerTeam) []Message {
+	if !t.due || now-t.sharedAt < l.cfg.ShareEvery {
+		return nil
+	}
+	t.due, t.sharedAt = false, now
+	return l.share(now, t)
+}
+
 // share sets the levels of a team's homes anew.
 func (l *Ledger) share(now time.Duration, t *ledgerTeam) []Message {
 	if !l.complete() || t.quota == nothing {
@@ -219,7 +262,7 @@
 // level is the newest level that the home has or was sent.
 func (u *ledgerUse) level() platform.Resources {
 	if n := len(u.pending); n > 0 {
-		return u.pending[n-1].Level
+		return newestGrant(u).Level
 	}
 	return u.Level
 }
@@ -239,7 +282,7 @@
 func (u *ledgerUse) nextGrant(sequence uint64) uint64 {
 	next := max(sequence, u.Grant+1)
 	if n := len(u.pending); n > 0 {
-		next = max(next, u.pending[n-1].Sequence+1)
+		next = max(next, newestGrant(u).Sequence+1)
 	}
 	return next
 }
@@ -258,13 +301,13 @@
 }
 
 // fairLevels returns the level that each home should have, in the order given.
-// The home with the oldest waiting task gets room for it first, so that a gang
-// that needs much of the quota is not put off for ever by small tasks of other
-// homes. The rest goes in equal shares, in whole steps of what each can use.
+// The home with the oldest waiting gang gets room for it first when that is more
+// than its equal share, so that a gang that needs much of the quota is not put off
+// for ever by small tasks of other homes. The rest goes in equal shares, in whole steps of what each can use.
 func fairLevels(uses []*ledgerUse, whole platform.Resources) []platform.Resources {
 	lowest := make([]platform.Resources, len(uses))
-	if first := uses[0].Used.Add(uses[0].Least); first.Fits(whole) {
-		lowest[0] = first
+	if dominantShare(uses[0].Least, whole, whole) > 1/float64(len(uses)) {
+		lowest[0] = least(uses[0].Used.Add(uses[0].Least), whole)
 	}
 	low, high := 0.0, 1.0
 	if !sumAt(uses, lowest, whole, high).Fits(whole) {
@@ -280,7 +323,7 @@
 	levels := make([]platform.Resources, len(uses))
 	rest := whole
 	for i, u := range uses {
-		levels[i] = u.wholeSteps(most(lowest[i], u.upTo(whole, high)))
+		levels[i] = most(lowest[i], u.wholeSteps(u.upTo(whole, high)))
 		rest = rest.Sub(levels[i])
 	}
 	for i, u := range uses {
