Waiting time, packing and control cost per team; a page of events, conditions, metrics

Cause: waiting time was nowhere (a counter of requests only), packing could be read from the platform's stand-in alone, and no page said what a log line means. Entries measure request_seconds by team, service and outcome; schedulers publish once a second start_wait_seconds (noted when the job starts, so that short jobs between two looks are not lost), waiting, running and used by team, and used and total of their workers; questions counts what a team asks of control. A test compares docs/operate/events.md with every event, condition and metric in shipped code, both ways. kwctl job explain prints the home's reasons; worker list says which workers are gone from the list.

Ruled out: measuring waits by looking at open jobs (misses those that start and end between two looks); processor time by team (one loop serves all; it would be a guess), so the page says that questions is the nearest.

go test ./tools/... ./placement ./control ./cmd/...: ok

--- a/cmd/internal/entry/answer.go
+++ b/cmd/internal/entry/answer.go
@@ -19,7 +19,7 @@
 
 // finish gives the caller the final answer.
 func (c *call) finish(f dispatch.Finished) {
-	c.entry.process.Metrics.Tagged(map[string]string{"outcome": string(f.Outcome), "team": c.team}).Counter("requests").Inc(1)
+	c.measure(f)
 	granted, first := c.endClaim()
 	if granted {
 		c.entry.record(c.finishRecord(f))
--- /dev/null
+++ b/cmd/internal/sched/measures.go
@@ -0,0 +1,93 @@
+package sched
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/knapweedweir/knapweedweir/control"
+	"github.com/knapweedweir/knapweedweir/control/api"
+	"github.com/knapweedweir/knapweedweir/placement"
+	"github.com/knapweedweir/knapweedweir/platform"
+)
+
+// measureEvery is the time between two looks at the measures of the core. A look
+// goes over the open jobs of the owned homes.
+const measureEvery = time.Second
+
+// The buckets of histograms. A step takes microseconds, a wait up to hours.
+var (
+	stepBuckets = tally.MustMakeExponentialDurationBuckets(10*time.Microsecond, 4, 9)
+	waitBuckets = tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2.5, 17)
+)
+
+// meter publishes the core's measures. It belongs to the control goroutine.
+type meter struct {
+	scope tally.Scope
+	next  time.Time
+	teams map[string]bool
+}
+
+func newMeter(scope tally.Scope) *meter { return &meter{scope: scope, teams: map[string]bool{}} }
+
+// look publishes the measures if it is time to.
+func (m *meter) look(wall time.Time, now time.Duration, core *control.Core) {
+	if wall.Before(m.next) {
+		return
+	}
+	m.next = wall.Add(measureEvery)
+	m.publish(core.Measures(now))
+}
+
+func (m *meter) publish(v control.Measures) {
+	m.scope.Gauge("owned_shards").Update(float64(v.Shards))
+	m.scope.Gauge("owned_homes").Update(float64(v.Homes))
+	m.scope.Gauge("workers").Update(float64(v.Workers))
+	resources(m.scope, "workers_used", v.Used)
+	resources(m.scope, "workers_total", v.Total)
+	for _, s := range v.Starts {
+		m.scope.Tagged(map[string]string{"team": s.Team, "urgent": strconv.FormatBool(s.Urgent)}).Histogram("start_wait_seconds", waitBuckets).RecordDuration(s.Waited)
+	}
+	for name := range v.Teams {
+		m.teams[name] = true
+	}
+	// A team whose last job has ended must fall to zero, not stay at its last
+	// figures.
+	for name := range m.teams {
+		m.team(name, v.Teams[name])
+	}
+}
+
+func (m *meter) team(name string, t placement.TeamTotals) {
+	scope := m.scope.Tagged(map[string]string{"team": name})
+	scope.Gauge("team_tasks_waiting").Update(float64(t.Waiting))
+	scope.Gauge("team_tasks_running").Update(float64(t.Running))
+	scope.Gauge("team_longest_wait_seconds").Update(t.LongestWait.Seconds())
+	resources(scope, "team_used", t.Used)
+}
+
+func resources(scope tally.Scope, name string, r platform.Resources) {
+	scope.Gauge(name + "_milli_cpu").Update(float64(r.MilliCPU))
+	scope.Gauge(name + "_memory_mib").Update(float64(r.MemoryMiB))
+	scope.Gauge(name + "_accelerators").Update(float64(r.Accelerators))
+}
+
+// countQuestion counts what a team asks of control, the part of control's cost
+// that a team can change.
+func (s *Scheduler) countQuestion(q api.Question) {
+	kind, team := "other", ""
+	switch q := q.(type) {
+	case api.Publish:
+		kind, team = "publish", q.Change.Team
+	case api.Submit:
+		kind, team = "submit", q.Job.Team
+	case api.Cancel:
+		kind = "cancel"
+	case api.Claim:
+		kind, team = "claim", q.Claim.Team
+	case api.Finish:
+		kind, team = "finish", q.Finish.Team
+	}
+	s.process.Metrics.Tagged(map[string]string{"kind": kind, "team": team}).Counter("questions").Inc(1)
+}
--- a/cmd/internal/sched/rpc.go
+++ b/cmd/internal/sched/rpc.go
@@ -30,6 +30,7 @@
 
 // Ask puts a question to the control core.
 func (v service) Ask(args api.Ask, reply *api.Answer) error {
+	v.s.countQuestion(args.Question)
 	req := askRequest{question: args.Question, reply: make(chan api.Answer, 1)}
 	timeout := time.NewTimer(answerTimeout)
 	defer timeout.Stop()
--- a/cmd/internal/sched/sched.go
+++ b/cmd/internal/sched/sched.go
@@ -137,7 +137,8 @@
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
 	steps := s.process.Metrics.Counter("control_steps")
-	busy := s.process.Metrics.Histogram("control_step_seconds", nil)
+	busy := s.process.Metrics.Histogram("control_step_seconds", stepBuckets)
+	measured := newMeter(s.process.Metrics)
 	for {
 		var ev any
 		select {
@@ -149,6 +150,7 @@
 		}
 		start := time.Now()
 		s.handle(ctx, ev)
+		measured.look(start, daemon.Clock(), s.core)
 		busy.RecordDuration(time.Since(start))
 		steps.Inc(1)
 	}
--- a/cmd/kwctl/instance.go
+++ b/cmd/kwctl/instance.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strconv"
+	"strings"
 
 	"github.com/knapweedweir/knapweedweir/cmd/internal/entry"
 	"github.com/knapweedweir/knapweedweir/placement"
@@ -78,8 +79,15 @@
 func used(capacity, free int64) string { return fmt.Sprintf("%d/%d", capacity-free, capacity) }
 
 func workerState(w workerRow) string {
+	var states []string
+	if !w.Listed {
+		states = append(states, "gone from the platform's list")
+	}
 	if !w.Reconciled {
-		return "not heard yet"
+		states = append(states, "not heard yet")
+	}
+	if len(states) == 0 {
+		return "ok"
 	}
-	return "ok"
+	return strings.Join(states, ", ")
 }
--- a/cmd/kwctl/job.go
+++ b/cmd/kwctl/job.go
@@ -30,6 +30,7 @@
 		{name: "submit", args: "FILE...", least: 1, most: unlimited, run: c.jobSubmit, synopsis: "Submit jobs, one in each file (JSON with comments; - is standard input)",
 			help: "All files are checked before the first is sent."},
 		{name: "status", args: "ID", least: 1, most: 1, run: c.jobStatus, synopsis: "Show a job's state, its tasks and why it is so"},
+		{name: "explain", args: "ID", least: 1, most: 1, run: c.jobExplain, synopsis: "Say what a job waits for, what removed workers from its choice, and how its attempts ended"},
 		{name: "list", most: 0, flags: list.flags, run: func(ctx context.Context, _ []string) error { return c.jobList(ctx, list) }, synopsis: "List jobs in the order of their IDs"},
 		{name: "watch", args: "ID...", least: 1, most: unlimited, flags: watch.flags, run: func(ctx context.Context, ids []string) error { return c.jobWatch(ctx, ids, watch) },
 			synopsis: "Print every change of jobs until all have ended", help: "The exit status is 0 if all were done, 1 if one failed or was cancelled."},
@@ -98,9 +99,9 @@
 	c.say("waited %s before its first task started", st.Waited.Round(time.Millisecond))
 	var rows [][]string
 	for _, t := range st.Tasks {
-		rows = append(rows, []string{strconv.Itoa(t.Index), t.State, t.Worker})
+		rows = append(rows, []string{strconv.Itoa(t.Index), t.State, orDash(t.Worker), orDashAny(t.Failures)})
 	}
-	return c.table(st, "TASK STATE WORKER", rows)
+	return c.table(st, "TASK STATE WORKER FAILURES", rows)
 }
 
 // jobFilter chooses jobs.
--- a/cmd/kwctl/kwctl_test.go
+++ b/cmd/kwctl/kwctl_test.go
@@ -13,6 +13,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -234,3 +235,18 @@
 		assert.Assert(t, strings.Contains(r.out, want), r.out)
 	}
 }
+
+// Somebody waits for a job and asks why. The answer names the reason, what removed
+// the workers, and how earlier attempts ended.
+func TestExplain(t *testing.T) {
+	f := newFakeEntry(t)
+	f.answer("GET /v1/jobs/plan", 200, placement.JobStatus{ID: "plan", Team: "desk", Kind: placement.Batch, State: placement.JobOpen, Explanation: "0 of 1 tasks run",
+		Wait: &placement.Wait{Reason: "room", Text: "no worker has room", Workers: 8, Ahead: 3, Removed: []placement.Removed{{Filter: "memory", Workers: 6}}},
+		Tasks: []placement.TaskStatus{{Index: 0, State: "queued", Avoid: []string{"desk-3"},
+			Ended: []placement.AttemptEnd{{Worker: "desk-3", State: placement.AttemptFailed, Reason: "exit 2", Ago: 9 * time.Second}}}}})
+	r := kwctl(t, f.addr, "", "job", "explain", "plan")
+	assert.Equal(t, r.status, exitOK, r.errs)
+	for _, want := range []string{"waits (room): no worker has room", "3 jobs of the team go first", "6 removed: memory", "9s ago: failed on desk-3 after 0s: exit 2", "keeps away from [desk-3]"} {
+		assert.Assert(t, strings.Contains(r.out, want), "%q not in\n%s", want, r.out)
+	}
+}
--- a/placement/home.go
+++ b/placement/home.go
@@ -84,6 +84,8 @@
 	ledger    *Ledger
 	reports   reporter
 	ends      []End
+	// starts are jobs that have started and were not taken yet.
+	starts []StartWait
 }
 
 // NewHome returns a home's state under an epoch.
--- a/placement/home_tasks.go
+++ b/placement/home_tasks.go
@@ -182,6 +182,7 @@
 	}
 	if job.started == 0 && (job.Spec.Kind != Gang || job.counts[taskRunning] == len(job.tasks)) {
 		job.started = now
+		h.noteStart(now, job)
 	}
 }
 
--- /dev/null
+++ b/tools/eventpage/events_test.go
@@ -0,0 +1,72 @@
+package eventpage
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const root = "../.."
+
+// shipped are the folders whose code runs in shipped processes.
+var shipped = []string{"cmd", "control", "daemon", "dispatch", "logstream", "membership", "ownership", "placement", "platform", "settings"}
+
+// named finds what the first group of a pattern matches in the shipped code.
+func named(t *testing.T, pattern string) []string {
+	t.Helper()
+	re := regexp.MustCompile(pattern)
+	found := map[string]bool{}
+	for _, dir := range shipped {
+		err := filepath.WalkDir(filepath.Join(root, dir), func(path string, d fs.DirEntry, err error) error {
+			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+				return err
+			}
+			data, err := os.ReadFile(path)
+			for _, m := range re.FindAllSubmatch(data, -1) {
+				found[string(m[1])] = true
+			}
+			return err
+		})
+		assert.NilError(t, err)
+	}
+	names := make([]string, 0, len(found))
+	for name := range found {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// onPage returns the names in the first column of a section's table.
+func onPage(t *testing.T, section string) []string {
+	t.Helper()
+	data, err := os.ReadFile(filepath.Join(root, "docs", "operate", "events.md"))
+	assert.NilError(t, err)
+	_, rest, ok := strings.Cut(string(data), "\n## "+section+"\n")
+	assert.Assert(t, ok, "no section %q", section)
+	rest, _, _ = strings.Cut(rest, "\n## ")
+	var names []string
+	for _, m := range regexp.MustCompile("(?m)^\\| `([a-z0-9_.]+)`").FindAllStringSubmatch(rest, -1) {
+		names = append(names, m[1])
+	}
+	slices.Sort(names)
+	return names
+}
+
+// An operator looks up an event, a condition or a metric. Each must be on the
+// page, and the page must name none that no longer exists.
+func TestPageNamesWhatTheCodeHas(t *testing.T) {
+	for section, pattern := range map[string]string{
+		"Events":     `\.Msg\("([^"]+)"\)`,
+		"Conditions": `Condition[A-Z]\w+\s+= "([a-z_]+)"`,
+		"Metrics":    `\.(?:Counter|Gauge|Histogram|Timer)\("([^"]+)"`,
+	} {
+		t.Run(section, func(t *testing.T) { assert.DeepEqual(t, onPage(t, section), named(t, pattern)) })
+	}
+}
