--- a/cmd/internal/entry/call.go
+++ b/cmd/internal/entry/call.go
@@ -97,12 +97,12 @@
 	case dispatch.Cancel:
 		c.breakOff()
 	case dispatch.Send:
-		ctx, cancel := context.WithCancel(context.Background())
+		ctx, cancel := context.WithTimeout(context.Background(), c.until-daemon.Clock())
 		done := make(chan struct{})
 		c.cancel, c.done = cancel, done
 		go func() {
 			defer cancel()
-			ev := c.send(ctx, a)
+			ev := c.send(ctx, cancel, a)
 			close(done)
 			c.entry.post(ev)
 		}()
@@ -169,5 +169,5 @@
 func (c *call) overdue() bool { return daemon.Clock() >= c.until }
 
 func (c *call) claimQuestion() api.Claim {
-	return api.Claim{Claim: dispatch.Claim{Team: c.team, Service: c.service, Request: c.name, Entry: c.entry.settings.ID, Attempt: c.attempt()}}
+	return api.Claim{Claim: dispatch.Claim{Team: c.team, Service: c.service, Request: c.name, Attempt: c.attempt()}}
 }
--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -65,6 +65,8 @@
 	done     chan struct{}
 	// names are the request IDs in progress, by the entry's own number.
 	names sync.Map
+	// outcomes are the outcomeMetrics by outcomeKey.
+	outcomes sync.Map
 	// unrecorded are the finishes that wait for the log.
 	unrecorded atomic.Int64
 	// background ends with the process.
--- a/cmd/internal/entry/send.go
+++ b/cmd/internal/entry/send.go
@@ -58,12 +58,10 @@
 }
 
 // send sends the request to a runner and takes in the answer.
-func (c *call) send(ctx context.Context, s dispatch.Send) coreEvent {
+func (c *call) send(ctx context.Context, cancel context.CancelFunc, s dispatch.Send) coreEvent {
 	if c.overdue() {
 		return failed{c.id, dispatch.NeverSent, "the deadline passed before the request was sent"}
 	}
-	ctx, cancel := context.WithTimeout(ctx, c.until-daemon.Clock())
-	defer cancel()
 	a := &attempt{call: c, send: s, name: fmt.Sprintf("%s.%d", c.attempt(), s.Attempt), up: c.entry.runners.at(s.Runner.Addr),
 		start: daemon.Clock(), ctx: ctx, cancel: cancel}
 	if !c.rules.Idempotent && !a.up.proven() {
--- a/dispatch/claims.go
+++ b/dispatch/claims.go
@@ -16,30 +16,31 @@
 	KindFinish logstream.Kind = "request.finish"
 )
 
+// Every instance reads these records, hence their short keys.
+
 // Claim proposes to run a non-idempotent request. Of the claims of one request
 // in the log the first wins; nobody else may send the request to a runner
 // unless a Finish says that the winner did not run it.
 type Claim struct {
-	Team    string `json:"team"`
-	Service string `json:"service"`
-	Request string `json:"request"`
-	Entry   string `json:"entry"`
+	Team    string `json:"t"`
+	Service string `json:"s"`
+	Request string `json:"r"`
 	// Attempt is unique to one call of a caller at one entry. Only that call
 	// may send the request, so the same attempt may be proposed twice.
-	Attempt string `json:"attempt"`
+	Attempt string `json:"a"`
 }
 
 // Finish records how an attempt to run a request ended.
 type Finish struct {
-	Team    string  `json:"team"`
-	Service string  `json:"service"`
-	Request string  `json:"request"`
-	Attempt string  `json:"attempt"`
-	Outcome Outcome `json:"outcome"`
-	Status  int     `json:"status,omitempty"`
+	Team    string  `json:"t"`
+	Service string  `json:"s"`
+	Request string  `json:"r"`
+	Attempt string  `json:"a"`
+	Outcome Outcome `json:"o"`
+	Status  int     `json:"c,omitempty"`
 	// Body is the answer if it is small enough to be kept.
-	Body        []byte `json:"body,omitempty"`
-	ContentType string `json:"contentType,omitempty"`
+	Body        []byte `json:"b,omitempty"`
+	ContentType string `json:"y,omitempty"`
 }
 
 // MaxKeptBody is the largest answer body, in bytes, that is kept for repeats of
@@ -85,7 +86,7 @@
 	case e.First.Claim.Attempt == "":
 		return "the request was claimed long ago; its outcome is no longer kept"
 	case e.First.Finish == nil:
-		return "the request was claimed by " + e.First.Claim.Entry + "; its outcome is not known"
+		return "the request was claimed by attempt " + e.First.Claim.Attempt + "; its outcome is not known"
 	}
 	return "the request has ended: " + string(e.First.Finish.Outcome)
 }
--- a/standin/cell/cell.go
+++ b/standin/cell/cell.go
@@ -38,6 +38,8 @@
 	Lease time.Duration
 	// PeerTLS puts TLS on the links between schedulers and entries.
 	PeerTLS bool
+	// AppendsPerSecond caps the platform's log; 0 sets no cap.
+	AppendsPerSecond int
 }
 
 // RunnerGroup is the runners of one service; they run in one process.
@@ -208,7 +210,7 @@
 			platform.Instance{ID: fmt.Sprintf("entry-%d", i+1), Service: "kw-entry", Addr: p.EntryAddr, Zone: zone, State: platform.InstanceLive})
 	}
 	c.Platform, err = c.start("platform", "kw-fakeplatform", fakeplatform.Config{Listen: c.PlatformAddr, Instances: c.Instances,
-		Workers: spec.Workers, Retention: spec.Retention, ListLag: jsonc.Duration(spec.ListLag)})
+		Workers: spec.Workers, Retention: spec.Retention, ListLag: jsonc.Duration(spec.ListLag), AppendsPerSecond: spec.AppendsPerSecond})
 	if err != nil {
 		return c, err
 	}
--- a/standin/fakeplatform/server.go
+++ b/standin/fakeplatform/server.go
@@ -23,6 +23,8 @@
 	Retention int `json:"retention"`
 	// ListLag is how old the instance list is.
 	ListLag jsonc.Duration `json:"listLag"`
+	// AppendsPerSecond caps the log, over all streams; 0 sets no cap.
+	AppendsPerSecond int `json:"appendsPerSecond"`
 }
 
 // Faults are what is wrong with the platform at the moment.
@@ -46,7 +48,10 @@
 	cutOff  context.CancelFunc
 	fleet   *fleet
 	appends atomic.Uint64
-	mux     *http.ServeMux
+	// readBytes counts what readers of the log were sent.
+	readBytes atomic.Uint64
+	pace      pace
+	mux       *http.ServeMux
 }
 
 // New returns a platform without faults.
@@ -95,7 +100,7 @@
 // Report is what the referee has seen.
 func (s *Server) Report() Report {
 	r := s.fleet.report()
-	r.Appends = s.appends.Load()
+	r.Appends, r.ReadBytes = s.appends.Load(), s.readBytes.Load()
 	return r
 }
 
@@ -136,6 +141,9 @@
 	if !s.logFaults(w, r) {
 		return
 	}
+	if !s.pace.wait(r.Context(), s.cfg.AppendsPerSecond) {
+		return
+	}
 	s.appends.Add(1)
 	s.stream(r.PathValue("stream")).append(body.Records, s.cfg.Retention)
 	if s.faults.Load().LoseAnswers {
@@ -165,10 +173,22 @@
 	case err != nil:
 		http.Error(w, "the log is down", http.StatusServiceUnavailable)
 	default:
-		writeJSON(w, page)
+		writeJSON(countingWriter{w, &s.readBytes}, page)
 	}
 }
 
+// countingWriter counts the bytes of log reads.
+type countingWriter struct {
+	http.ResponseWriter
+	bytes *atomic.Uint64
+}
+
+// Write implements io.Writer.
+func (c countingWriter) Write(b []byte) (int, error) {
+	c.bytes.Add(uint64(len(b)))
+	return c.ResponseWriter.Write(b)
+}
+
 func (s *Server) serveInstances(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	list := s.listed
--- a/standin/fakeplatform/worker.go
+++ b/standin/fakeplatform/worker.go
@@ -185,6 +185,8 @@
 	Total platform.Resources `json:"total"`
 	// Appends counts the appends the log has taken.
 	Appends uint64 `json:"appends"`
+	// ReadBytes counts the bytes that readers of the log were sent.
+	ReadBytes uint64 `json:"readBytes"`
 }
 
 func (f *fleet) report() Report {
