--- a/placement/pair_test.go
+++ b/placement/pair_test.go
@@ -160,6 +160,38 @@
 	return text
 }
 
+// Two gangs need all of the cell each, and small tasks keep coming. Without a
+// bounded reservation the small ones would fill every gap for ever; without
+// giving back, each gang would hold half and wait for the other.
+func TestGangsAreNotStarvedBySmallTasks(t *testing.T) {
+	w := newPairWorld(1, 0, 20*time.Millisecond, 4)
+	w.runFor = 3 * time.Second
+	for i := range 16 {
+		w.submit(JobSpec{ID: fmt.Sprintf("first-%d", i), Kind: Batch, Tasks: 1})
+	}
+	w.submit(JobSpec{ID: "gang-a", Kind: Gang, Tasks: 14})
+	w.submit(JobSpec{ID: "gang-b", Kind: Gang, Tasks: 14})
+	gangs := []string{"gang-a", "gang-b"}
+	open := func() int {
+		n := 0
+		for _, id := range gangs {
+			if w.jobs[id].State == JobOpen {
+				n++
+			}
+		}
+		return n
+	}
+	ticks := 0
+	for ; open() > 0 && ticks < 4000; ticks++ {
+		if ticks%4 == 0 {
+			w.submit(JobSpec{ID: fmt.Sprintf("s-%d", ticks), Kind: Batch, Tasks: 1})
+		}
+		w.tick()
+	}
+	assert.Equal(t, len(w.broken), 0, "%v", w.broken)
+	assert.Equal(t, open(), 0, "gangs left after %s: %s", time.Duration(ticks)*50*time.Millisecond, w.describe())
+}
+
 // A worker fails all it is given, and being always empty it would be given all.
 // Each task must run elsewhere within its attempts.
 func TestFailingWorkerDoesNotUseUpTheAttempts(t *testing.T) {
