Jobs are explained: what they wait for, which filters, attempts, who gave way

Cause: kwctl told a sentence; which filter removed how many workers, how attempts ended and who was displaced were not to be had by programs or people.

Left: attempts of a job that has ended are not kept; its reason in the log is all that stays.

--- a/cmd/kwctl/explain.go
+++ b/cmd/kwctl/explain.go
@@ -23,6 +23,12 @@
 	if st.Wait != nil {
 		c.explainWait(*st.Wait)
 	}
+	for _, b := range st.Best {
+		c.say("placed last: worker %s scored %.3f", b.Worker, b.Score)
+	}
+	for _, d := range st.Displaced {
+		c.say("%s gave way: %s", d.TaskID, d.Why)
+	}
 	for _, t := range st.Tasks {
 		c.explainTask(t)
 	}
--- a/placement/explain.go
+++ b/placement/explain.go
@@ -57,6 +57,24 @@
 	Removed []Removed `json:"removed,omitempty"`
 }
 
+// DisplacedTask is a task that gave way to another one.
+type DisplacedTask struct {
+	TaskID string `json:"taskId"`
+	Why    string `json:"why"`
+}
+
+// maxDisplaced bounds the displaced tasks that are kept of a job.
+const maxDisplaced = 8
+
+func (j *homeJob) noteDisplaced(list []Displaced) {
+	for _, d := range list {
+		j.displaced = append(j.displaced, DisplacedTask{TaskID: d.Attempt.TaskID(), Why: d.Why})
+	}
+	if n := len(j.displaced); n > maxDisplaced {
+		j.displaced = j.displaced[n-maxDisplaced:]
+	}
+}
+
 // JobStatus is one job as its home sees it.
 type JobStatus struct {
 	ID    string   `json:"id"`
@@ -72,8 +90,10 @@
 	// of the name or else declared.
 	ExpectedRun time.Duration `json:"expectedRunNanos,omitempty"`
 	// Best are the best-scored workers of the last placement.
-	Best  []Candidate  `json:"best,omitempty"`
-	Tasks []TaskStatus `json:"tasks"`
+	Best []Candidate `json:"best,omitempty"`
+	// Displaced are the newest tasks that gave way to the job's tasks.
+	Displaced []DisplacedTask `json:"displaced,omitempty"`
+	Tasks     []TaskStatus    `json:"tasks"`
 }
 
 // refusal sums up the answers of shards to a job since it last started a task.
@@ -123,7 +143,7 @@
 		return JobStatus{}, false
 	}
 	st := JobStatus{ID: id, Team: job.Spec.Team, Kind: job.Spec.Kind, State: job.State,
-		ExpectedRun: h.learner.expectedRun(job.Spec), Best: job.refusal.best}
+		ExpectedRun: h.learner.expectedRun(job.Spec), Best: job.refusal.best, Displaced: job.displaced}
 	for _, t := range job.tasks {
 		st.Tasks = append(st.Tasks, t.status(now))
 	}
--- a/placement/home_job.go
+++ b/placement/home_job.go
@@ -106,6 +106,7 @@
 	askedAnywhere int
 	anywhereSince time.Duration
 	refusal       refusal
+	displaced     []DisplacedTask
 	// placed counts the job's tasks per shard where its policy spreads them.
 	placed     map[ownership.Unit]int
 	class      *class
--- a/placement/home_tasks.go
+++ b/placement/home_tasks.go
@@ -114,6 +114,7 @@
 	if t.phase != taskAsked {
 		return nil
 	}
+	job.noteDisplaced(m.Displaced)
 	if !m.OK {
 		return h.refused(now, job, t, m)
 	}
