--- a/placement/queue_test.go
+++ b/placement/queue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -174,6 +175,32 @@
 	}
 }
 
+// BenchmarkMemoryOfAHome measures what a home keeps for each running task.
+func BenchmarkMemoryOfAHome(b *testing.B) {
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		h, _ := fullHome(10*homeTasks, 0)
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/(10*homeTasks), "B/task")
+		runtime.KeepAlive(h)
+	}
+}
+
+// BenchmarkDigest is one digest of a shard of 3,400 to a home with blocked jobs.
+func BenchmarkDigest(b *testing.B) {
+	bench := newBench(&testing.T{}, 3400, platform.Resources{})
+	for i := range 1000 {
+		bench.submit(JobSpec{ID: fmt.Sprintf("w%d", i), Team: fmt.Sprintf("team%d", i%170), Kind: Batch, Tasks: 1})
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		bench.digest(bench.units[i%3400], platform.Resources{MilliCPU: int64(i % 900)})
+	}
+}
+
 // BenchmarkStart is one task from its acceptance until it runs.
 func BenchmarkStart(b *testing.B) {
 	h, now := fullHome(homeTasks, 0)
