placement: homes have twins in the property tests; spread, borrowing, kept quota

Change: in the pair and quota worlds each home has a twin that gets the same events; jobs there hash to the same few homes, so that a home has several. Not shown: teams of a report in map order, as the worlds have one team.

--- a/placement/pair_test.go
+++ b/placement/pair_test.go
@@ -24,7 +24,7 @@
 			rapid.SampledFrom([]time.Duration{20 * time.Millisecond, 400 * time.Millisecond}).Draw(t, "delay"), 7)
 		for i := range rapid.IntRange(1, 4).Draw(t, "jobs") {
 			kind := rapid.SampledFrom([]JobKind{Gang, Batch, Service}).Draw(t, "kind")
-			w.submit(JobSpec{ID: fmt.Sprintf("j%d", i), Kind: kind, Tasks: rapid.IntRange(1, 6).Draw(t, "tasks")})
+			w.submit(JobSpec{ID: idAtHome(ownership.HomeUnit(i/3), i), Kind: kind, Tasks: rapid.IntRange(1, 6).Draw(t, "tasks")})
 		}
 		for range rapid.IntRange(1, 8).Draw(t, "faults") {
 			for range rapid.IntRange(1, 120).Draw(t, "ticks") {
@@ -48,6 +48,15 @@
 	})
 }
 
+// idAtHome returns a job ID that hashes to a home, so that a home has several jobs.
+func idAtHome(u ownership.Unit, i int) string {
+	for k := 0; ; k++ {
+		if id := fmt.Sprintf("j%d-%d", i, k); ownership.HomeOf(id) == u {
+			return id
+		}
+	}
+}
+
 // packageChecks is what TestMain sets for properties of one or two state machines.
 const packageChecks = "600"
 
--- a/placement/pair_world_test.go
+++ b/placement/pair_world_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"reflect"
 	"sort"
 	"time"
 
@@ -29,11 +30,18 @@
 	state ownerState
 }
 
+// pairHome gives its twin the same events, which must give the same actions.
 type pairHome struct {
 	*Home
+	twin  *Home
 	state ownerState
 }
 
+func (h *pairHome) both(f func(*Home)) {
+	f(h.Home)
+	f(h.twin)
+}
+
 // pairWorld joins homes and shards of two racks through a network that loses,
 // delays, repeats and reorders.
 type pairWorld struct {
@@ -100,7 +108,7 @@
 	w.shards[u] = append(w.shards[u], s)
 	for _, list := range w.homes {
 		if h := newest(list); h.state == ownerRuns {
-			h.SetOwner(w.now, u, w.epoch)
+			h.both(func(h *Home) { h.SetOwner(w.now, u, w.epoch) })
 		}
 	}
 }
@@ -112,19 +120,21 @@
 			h.state = ownerGone
 		}
 	}
-	h := &pairHome{Home: NewHome(u, w.epoch, DefaultHomeConfig)}
-	h.SetShards(w.units)
-	for _, s := range w.units {
-		h.SetOwner(w.now, s, newest(w.shards[s]).Epoch())
-	}
-	if w.quota != nothing && w.static {
-		h.splitQuota("workshop", w.quota)
-	} else if w.quota != nothing {
-		h.SetTeam(w.now, "workshop", settings.Team{Quota: w.quota})
-	}
+	h := &pairHome{Home: NewHome(u, w.epoch, DefaultHomeConfig), twin: NewHome(u, w.epoch, DefaultHomeConfig)}
+	h.both(func(h *Home) {
+		h.SetShards(w.units)
+		for _, s := range w.units {
+			h.SetOwner(w.now, s, newest(w.shards[s]).Epoch())
+		}
+		if w.quota != nothing && w.static {
+			splitQuota(h, "workshop", w.quota)
+		} else if w.quota != nothing {
+			h.SetTeam(w.now, "workshop", settings.Team{Quota: w.quota})
+		}
+	})
 	for _, id := range sortedKeys(w.jobs) {
 		if j := w.jobs[id]; ownership.HomeOf(id) == u && j.State == JobOpen {
-			h.AddJob(w.now, *j)
+			h.both(func(h *Home) { h.AddJob(w.now, *j) })
 		}
 	}
 	w.homes[u] = append(w.homes[u], h)
@@ -142,7 +152,7 @@
 	w.jobs[spec.ID] = j
 	for _, h := range w.homes[u] {
 		if h.state == ownerRuns {
-			h.AddJob(w.now, *j)
+			h.both(func(h *Home) { h.AddJob(w.now, *j) })
 		}
 	}
 }
@@ -192,7 +202,9 @@
 			if h.state == ownerRuns || h.state == ownerCutOff {
 				w.post(func() {
 					if h.state == ownerRuns || h.state == ownerCutOff {
-						w.route(h.Handle(w.now, m))
+						msgs := h.Handle(w.now, m)
+						w.same(msgs, h.twin.Handle(w.now, m))
+						w.route(msgs)
 					}
 				})
 			}
@@ -200,6 +212,12 @@
 	}
 }
 
+func (w *pairWorld) same(a, b any) {
+	if !reflect.DeepEqual(a, b) {
+		w.fault("the same events gave %+v and %+v", a, b)
+	}
+}
+
 func (w *pairWorld) tick() {
 	w.now += 50 * time.Millisecond
 	for _, id := range sortedKeys(w.workers) {
@@ -249,7 +267,7 @@
 		for _, list := range w.homes {
 			for _, h := range list {
 				if h.state == ownerRuns {
-					h.SetDigest(w.now, d)
+					h.both(func(h *Home) { h.SetDigest(w.now, d) })
 				}
 			}
 		}
@@ -306,6 +324,9 @@
 		return
 	}
 	msgs, ends := h.Step(w.now)
+	msgs2, ends2 := h.twin.Step(w.now)
+	w.same(msgs, msgs2)
+	w.same(ends, ends2)
 	w.route(msgs)
 	if h.state == ownerCutOff {
 		return
@@ -324,7 +345,7 @@
 	j.State, j.Reason = e.State, e.Reason
 	for _, h := range w.homes[ownership.HomeOf(e.ID)] {
 		if h.state == ownerRuns {
-			h.JobEnded(w.now, e.ID)
+			h.both(func(h *Home) { h.JobEnded(w.now, e.ID) })
 		}
 	}
 	for _, u := range w.units {
--- a/placement/queue_test.go
+++ b/placement/queue_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/knapweedweir/knapweedweir/ownership"
 	"github.com/knapweedweir/knapweedweir/platform"
 	"github.com/knapweedweir/knapweedweir/settings"
 )
@@ -219,3 +220,20 @@
 		now += time.Millisecond
 	}
 }
+
+// A service is spread so that one rack's loss takes few of its tasks. Without a
+// count by shard they would all go where most room is.
+func TestTasksAreSpreadOverShards(t *testing.T) {
+	b := newBench(t, 4, times(small, 10))
+	b.digest(b.units[2], times(small, 60))
+	b.team("workshop", settings.Team{Policies: map[string]settings.Policy{"service": {Spread: true}}})
+	b.submit(JobSpec{ID: "s", Kind: Service, Tasks: 8})
+	count := map[ownership.Unit]int{}
+	for _, p := range take[Place](b) {
+		assert.Assert(t, p.Spread)
+		count[p.Shard]++
+	}
+	for _, u := range b.units {
+		assert.Equal(t, count[u], 2, "%v", count)
+	}
+}
--- a/placement/quota_test.go
+++ b/placement/quota_test.go
@@ -10,11 +10,12 @@
 
 	"github.com/knapweedweir/knapweedweir/ownership"
 	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/settings"
 )
 
 // splitQuota is the way that was not taken: each home has its fixed part of the
 // quota for good.
-func (h *pairHome) splitQuota(name string, quota platform.Resources) {
+func splitQuota(h *Home, name string, quota platform.Resources) {
 	t := h.team(name)
 	t.quota = quota
 	// Without a ledger, what is given back never returns.
@@ -150,7 +151,7 @@
 	w := newQuotaWorld(1, 0, 2*time.Millisecond, quota, way != "ledger")
 	one := ownership.HomeUnit(0)
 	if way == "one-home" {
-		newest(w.homes[one]).team("workshop").level = w.quota
+		newest(w.homes[one]).both(func(h *Home) { h.team("workshop").level = w.quota })
 	}
 	w.runFor = 4 * time.Second
 	samples := 0
@@ -177,3 +178,36 @@
 	}
 	return used / float64(samples), float64(w.quotaMessages), float64(w.referee.starts)
 }
+
+// A gang waits for more of the quota than this home has, and small tasks of the
+// same team fit what it has. Let ahead, they would use up each part that comes free.
+func TestQuotaIsKeptForAnOlderGangOfTheSameHome(t *testing.T) {
+	b := newBench(t, 1, huge)
+	b.team("workshop", settings.Team{Quota: times(small, 4)})
+	b.home.teams["workshop"].level = times(small, 2)
+	b.submit(JobSpec{ID: "gang", Kind: Gang, Tasks: 4})
+	b.submit(JobSpec{ID: "early", Kind: Batch, Tasks: 1})
+	assert.DeepEqual(t, jobsOf(take[Place](b)), []string{"early"})
+	b.wait(DefaultHomeConfig.ReserveAfter)
+	take[Place](b)
+	b.submit(JobSpec{ID: "late", Kind: Batch, Tasks: 1})
+	assert.Equal(t, len(take[Place](b)), 0)
+	assert.Equal(t, b.status("late").Wait.Reason, WaitQuota)
+}
+
+// A team may use more than its quota while others leave room. What is above its
+// own part must be marked, so that it gives way first when it is taken back.
+func TestBorrowedTasksAreMarked(t *testing.T) {
+	b := newBench(t, 1, huge)
+	b.team("workshop", settings.Team{Quota: times(small, 2), Borrow: times(small, 2)})
+	b.handle(QuotaAsk{Home: b.home.unit, Ledger: LedgerOf("workshop"), LedgerEpoch: 70})
+	l := &ledgerTeam{quota: times(small, 2), borrow: times(small, 2)}
+	b.handle(QuotaGrant{Home: b.home.unit, Ledger: LedgerOf("workshop"), Team: "workshop", HomeEpoch: benchEpoch, LedgerEpoch: 70,
+		Sequence: 1, Level: times(small, 4), Own: l.ownPart(times(small, 4))})
+	b.submit(JobSpec{ID: "j", Kind: Batch, Tasks: 5})
+	var borrowed []bool
+	for _, p := range take[Place](b) {
+		borrowed = append(borrowed, p.Borrowed)
+	}
+	assert.DeepEqual(t, borrowed, []bool{false, false, true, true})
+}
