--- a/standin/load/load.go
+++ b/standin/load/load.go
@@ -12,6 +12,8 @@
 	"net/http"
 	"os"
 	"sort"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -29,7 +31,7 @@
 	Jobs []Job `json:"jobs"`
 }
 
-// Stream is requests of one sort at an even pace.
+// Stream is requests of one sort.
 type Stream struct {
 	// Name is the stream's name in the report, and begins its request IDs.
 	Name string `json:"name"`
@@ -37,12 +39,32 @@
 	Team string `json:"team"`
 	// Service is the service that is called.
 	Service string `json:"service"`
-	// Every is the time between two planned requests.
+	// Every is the mean time between two planned requests.
 	Every jsonc.Duration `json:"every"`
+	// Arrivals is "even" for a request each Every, or "poisson" for callers
+	// that know nothing of each other; the same seed gives the same times.
+	Arrivals string `json:"arrivals" default:"even"`
+	// Seed chooses the times of "poisson".
+	Seed uint64 `json:"seed" default:"1"`
+	// Start is when the stream begins, counted from the start of the sample.
+	Start jsonc.Duration `json:"start"`
 	// Count is how many requests are sent.
 	Count int `json:"count"`
 	// Body is the body of each request.
 	Body string `json:"body"`
+	// BodySize fills the body up to a size.
+	BodySize jsonc.Bytes `json:"bodySize"`
+	// Deadline is how long a caller waits; an answer after it is late and worth
+	// nothing. Zero means as long as the client's own limit.
+	Deadline jsonc.Duration `json:"deadline"`
+	// Worth is what one request delivered whole and on time is worth.
+	Worth float64 `json:"worth" default:"1"`
+	// Idempotent says that a request whose outcome is unknown may be sent again.
+	Idempotent bool `json:"idempotent" default:"true"`
+	// Retries is how often a caller sends a request again while its deadline
+	// lasts: after "not-run" under the same ID when Retry-After says, and after
+	// an unknown outcome only if the stream is idempotent.
+	Retries int `json:"retries"`
 }
 
 // Job is a job submitted at a time.
@@ -63,14 +85,46 @@
 	return s, jsonc.Decode(path, data, &s).Err()
 }
 
+// Validate implements jsonc.Validator.
+func (s *Sample) Validate(report func(path, message string)) {
+	for i, st := range s.Streams {
+		at := func(name string) string { return fmt.Sprintf("streams.%d.%s", i, name) }
+		if st.Name == "" || st.Team == "" || st.Service == "" {
+			report(at("name"), "name, team and service must be set")
+		}
+		if st.Every <= 0 || st.Count <= 0 {
+			report(at("every"), "every and count must be above zero")
+		}
+		if st.Arrivals != "even" && st.Arrivals != "poisson" {
+			report(at("arrivals"), `must be "even" or "poisson"`)
+		}
+		if st.Deadline < 0 || st.Start < 0 || st.Worth < 0 || st.Retries < 0 || st.BodySize < 0 {
+			report(at("name"), "deadline, start, worth, retries and bodySize must not be negative")
+		}
+	}
+	for i, j := range s.Jobs {
+		j.Spec.Validate(func(path, message string) { report(fmt.Sprintf("jobs.%d.spec.%s", i, path), message) })
+	}
+}
+
 // Row is what became of one stream.
 type Row struct {
-	Name     string
-	Sent     int
-	Outcomes map[string]int
+	Name     string         `json:"name"`
+	Sent     int            `json:"sent"`
+	Outcomes map[string]int `json:"outcomes"`
+	// Late counts requests done after their deadline.
+	Late int `json:"late"`
+	// Retried counts requests sent again.
+	Retried int `json:"retried"`
+	// Offered and Delivered are the worth of all requests, and of those done
+	// whole and on time.
+	Offered   float64 `json:"offeredWorth"`
+	Delivered float64 `json:"deliveredWorth"`
 	// Broken lists answers that no caller should ever see.
-	Broken []string
-	Waits  *hdrhistogram.Histogram
+	Broken []string `json:"broken,omitempty"`
+	// Waits are the times from the planned time to the final answer, in
+	// microseconds, of all requests.
+	Waits *hdrhistogram.Histogram `json:"-"`
 }
 
 // longestWait is the largest waiting time a histogram can hold.
@@ -122,8 +176,8 @@
 }
 
 func (r *Runner) stream(start time.Time, st Stream, wg *sync.WaitGroup) {
-	for i := range st.Count {
-		planned := start.Add(time.Duration(i) * st.Every.D())
+	for i, at := range st.times() {
+		planned := start.Add(at)
 		time.Sleep(time.Until(planned))
 		wg.Add(1)
 		go func() {
@@ -141,29 +195,77 @@
 	return list[r.next%len(list)]
 }
 
+// request plays one caller until it has its final answer.
 func (r *Runner) request(planned time.Time, st Stream, id string) {
+	body := st.body()
+	until := planned.Add(longestWait)
+	if st.Deadline > 0 {
+		until = planned.Add(st.Deadline.D())
+	}
+	for tries := 0; ; tries++ {
+		a := r.send(st, body, id)
+		pause, again := a.again(st)
+		if !again || tries >= st.Retries || time.Now().Add(pause).After(until) {
+			r.note(st, planned, until, a)
+			return
+		}
+		r.retried(st.Name)
+		time.Sleep(pause)
+	}
+}
+
+// answer is what a caller saw of one try.
+type answer struct {
+	outcome    string
+	retryAfter time.Duration
+	// broken says what is wrong with an answer that no caller should see.
+	broken string
+}
+
+// Outcomes beside those of the entry.
+const (
+	outcomeError  = "error"
+	outcomeBroken = "broken connection"
+)
+
+// unsentPause is the pause before a request is sent again that says no time.
+const unsentPause = 100 * time.Millisecond
+
+// again says whether a caller may send the request again, and when.
+func (a answer) again(st Stream) (time.Duration, bool) {
+	switch a.outcome {
+	case "not-run":
+		return max(a.retryAfter, unsentPause), true
+	case "unknown", outcomeBroken:
+		return unsentPause, st.Idempotent
+	}
+	return 0, false
+}
+
+func (r *Runner) send(st Stream, body, id string) answer {
 	url := fmt.Sprintf("http://%s/v1/teams/%s/services/%s/requests", r.entry(), st.Team, st.Service)
-	req, err := http.NewRequest(http.MethodPost, url, bytes.NewReader([]byte(st.Body)))
+	req, err := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
 	if err != nil {
-		r.note(st.Name, planned, "error", err.Error())
-		return
+		return answer{outcome: outcomeError, broken: err.Error()}
 	}
 	req.Header.Set("Request-Id", id)
 	resp, err := r.Client.Do(req)
 	if err != nil {
 		// The entry was killed with the connection open; the caller sees a
 		// broken transfer.
-		r.note(st.Name, planned, "broken connection", "")
-		return
+		return answer{outcome: outcomeBroken}
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
+	data, err := io.ReadAll(resp.Body)
 	if err != nil {
-		r.note(st.Name, planned, "broken connection", "")
-		return
+		return answer{outcome: outcomeBroken}
+	}
+	a := answer{outcome: resp.Header.Get("Outcome")}
+	a.broken = inspect(a.outcome, id, body, resp, data)
+	if seconds, err := strconv.Atoi(resp.Header.Get("Retry-After")); err == nil {
+		a.retryAfter = time.Duration(seconds) * time.Second
 	}
-	outcome := resp.Header.Get("Outcome")
-	r.note(st.Name, planned, outcome, inspect(outcome, id, st.Body, resp, body))
+	return a
 }
 
 // inspect returns what is wrong with an answer, or "".
@@ -181,31 +283,58 @@
 	return ""
 }
 
+// submitted is the row of jobs.
+var submitted = Stream{Name: "jobs submitted", Worth: 1}
+
 func (r *Runner) submit(spec placement.JobSpec) {
 	planned := time.Now()
+	note := func(outcome string) { r.note(submitted, planned, planned.Add(longestWait), answer{outcome: outcome}) }
 	data, _ := json.Marshal(spec)
 	resp, err := r.Client.Post("http://"+r.entry()+"/v1/jobs", "application/json", bytes.NewReader(data))
 	if err != nil {
-		r.note("jobs submitted", planned, "broken connection", "")
+		note(outcomeBroken)
 		return
 	}
 	defer resp.Body.Close()
 	_, _ = io.Copy(io.Discard, resp.Body)
-	r.note("jobs submitted", planned, map[bool]string{true: "accepted", false: "turned away"}[resp.StatusCode == http.StatusOK], "")
+	note(map[bool]string{true: "accepted", false: "turned away"}[resp.StatusCode == http.StatusOK])
 }
 
-func (r *Runner) note(name string, planned time.Time, outcome, broken string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+func (r *Runner) row(name string) *Row {
 	row, ok := r.rows[name]
 	if !ok {
 		row = newRow(name)
 		r.rows[name] = row
 	}
+	return row
+}
+
+func (r *Runner) retried(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.row(name).Retried++
+}
+
+// note records a final answer. Waiting is counted from the planned time: counted
+// from the sending, a client that is held up itself would hide the wait of all
+// the callers behind it.
+func (r *Runner) note(st Stream, planned, until time.Time, a answer) {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	row := r.row(st.Name)
 	row.Sent++
-	row.Outcomes[outcome]++
-	if broken != "" {
-		row.Broken = append(row.Broken, broken)
+	row.Outcomes[a.outcome]++
+	row.Offered += st.Worth
+	onTime := !now.After(until)
+	switch delivered := a.outcome == "done" || a.outcome == "accepted"; {
+	case delivered && onTime && a.broken == "":
+		row.Delivered += st.Worth
+	case delivered && !onTime:
+		row.Late++
+	}
+	if a.broken != "" {
+		row.Broken = append(row.Broken, a.broken)
 	}
-	_ = row.Waits.RecordValue(min(time.Since(planned), longestWait).Microseconds())
+	_ = row.Waits.RecordValue(min(now.Sub(planned), longestWait).Microseconds())
 }
--- /dev/null
+++ b/standin/load/load_test.go
@@ -0,0 +1,170 @@
+package load
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/knapweedweir/knapweedweir/settings/jsonc"
+)
+
+// runner returns a Runner against a handler that stands for an entry.
+func runner(t *testing.T, h http.HandlerFunc) *Runner {
+	t.Helper()
+	srv := httptest.NewServer(h)
+	t.Cleanup(srv.Close)
+	addr := strings.TrimPrefix(srv.URL, "http://")
+	return &Runner{Entries: func() []string { return []string{addr} }, Client: &http.Client{Timeout: time.Minute}}
+}
+
+func done(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	id := r.Header.Get("Request-Id")
+	w.Header().Set("Outcome", "done")
+	w.Header().Set("Request-Id", id)
+	_ = json.NewEncoder(w).Encode(map[string]string{"request": id, "echo": string(body)})
+}
+
+func stream() Stream {
+	return Stream{Name: "quote", Team: "desk", Service: "desk", Every: jsonc.Duration(time.Millisecond), Arrivals: "even", Count: 20, Body: "b", Worth: 2}
+}
+
+// The cell stalls: it answers no request before all have come. Callers in the
+// field don't wait for each other; a load that does would send one, wait, and
+// report one slow request in place of twenty.
+func TestRequestsDoNotWaitForEachOther(t *testing.T) {
+	var mu sync.Mutex
+	came := 0
+	all := make(chan struct{})
+	r := runner(t, func(w http.ResponseWriter, req *http.Request) {
+		mu.Lock()
+		if came++; came == 20 {
+			close(all)
+		}
+		mu.Unlock()
+		select {
+		case <-all:
+			done(w, req)
+		case <-req.Context().Done():
+		}
+	})
+	rows := r.Run(Sample{Streams: []Stream{stream()}})
+	assert.Equal(t, rows[0].Sent, 20)
+	assert.Equal(t, rows[0].Outcomes["done"], 20, "%v", rows[0].Outcomes)
+	assert.Equal(t, rows[0].Share(), 1.0)
+}
+
+// The load itself was held up for a minute before it could send. The caller that
+// it stands for has waited that minute.
+func TestWaitIsCountedFromThePlannedTime(t *testing.T) {
+	r := runner(t, done)
+	r.rows = map[string]*Row{}
+	st := stream()
+	st.Deadline = jsonc.Duration(time.Second)
+	r.request(time.Now().Add(-time.Minute), st, "quote-1")
+	row := r.rows["quote"]
+	assert.Assert(t, row.Waits.Max() >= time.Minute.Microseconds())
+	assert.Equal(t, row.Late, 1)
+	assert.Equal(t, row.Delivered, 0.0)
+	assert.Equal(t, row.Offered, 2.0)
+}
+
+// What a caller may send again after each answer. A non-idempotent request whose
+// outcome is unknown may have run; to send it again could run it twice.
+func TestRetries(t *testing.T) {
+	for _, tt := range []struct {
+		name       string
+		first      string
+		idempotent bool
+		want       int
+	}{
+		{"not run, idempotent", "not-run", true, 2},
+		{"not run, not idempotent", "not-run", false, 2},
+		{"unknown, idempotent", "unknown", true, 2},
+		{"unknown, not idempotent", "unknown", false, 1},
+		{"broken, idempotent", "", true, 2},
+		{"broken, not idempotent", "", false, 1},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			var mu sync.Mutex
+			var ids []string
+			r := runner(t, func(w http.ResponseWriter, req *http.Request) {
+				mu.Lock()
+				ids = append(ids, req.Header.Get("Request-Id"))
+				first := len(ids) == 1
+				mu.Unlock()
+				switch {
+				case !first:
+					done(w, req)
+				case tt.first == "":
+					panic(http.ErrAbortHandler)
+				default:
+					w.Header().Set("Outcome", tt.first)
+					w.Header().Set("Request-Id", req.Header.Get("Request-Id"))
+					w.WriteHeader(http.StatusServiceUnavailable)
+				}
+			})
+			st := stream()
+			st.Count, st.Retries, st.Idempotent = 1, 3, tt.idempotent
+			rows := r.Run(Sample{Streams: []Stream{st}})
+			assert.Equal(t, len(ids), tt.want)
+			assert.Equal(t, rows[0].Retried, tt.want-1)
+			for _, id := range ids {
+				assert.Equal(t, id, "quote-0")
+			}
+		})
+	}
+}
+
+// An answer of another request that looks whole must be reported, and earns
+// nothing.
+func TestAnswerOfAnotherRequestIsBroken(t *testing.T) {
+	r := runner(t, func(w http.ResponseWriter, req *http.Request) {
+		req.Header.Set("Request-Id", "other")
+		done(w, req)
+	})
+	st := stream()
+	st.Count = 1
+	rows := r.Run(Sample{Streams: []Stream{st}})
+	assert.Equal(t, len(rows[0].Broken), 1)
+	assert.Equal(t, rows[0].Delivered, 0.0)
+}
+
+func TestArrivals(t *testing.T) {
+	st := stream()
+	st.Start = jsonc.Duration(time.Second)
+	assert.DeepEqual(t, st.times()[:3], []time.Duration{time.Second, time.Second + time.Millisecond, time.Second + 2*time.Millisecond})
+	st.Arrivals, st.Count = "poisson", 10000
+	a, b := st.times(), st.times()
+	assert.DeepEqual(t, a, b)
+	mean := float64(a[len(a)-1]-a[0]) / float64(len(a)-1)
+	assert.Assert(t, mean > 0.95e6 && mean < 1.05e6, "mean %v", time.Duration(mean))
+	st.Seed = 2
+	assert.Assert(t, fmt.Sprint(st.times()[:5]) != fmt.Sprint(a[:5]))
+}
+
+func TestFindingsOfASample(t *testing.T) {
+	var s Sample
+	got := jsonc.Decode("f", []byte(`{"streams": [{"name": "a", "team": "t", "service": "s", "every": "1ms", "count": 1, "arrivals": "bursts"}, {"every": "0s"}]}`), &s).Error()
+	assert.Equal(t, got, `f:1:97: streams.0.arrivals: must be "even" or "poisson"
+f:1:108: streams.1.name: name, team and service must be set
+f:1:118: streams.1.every: every and count must be above zero`)
+	assert.Equal(t, s.Streams[0].Idempotent, true)
+	assert.Equal(t, s.Streams[0].Worth, 1.0)
+}
+
+func TestExamplesAreAccepted(t *testing.T) {
+	for _, path := range []string{"../../examples/workshop/load.jsonc", "../../examples/association/load.jsonc", "../../demo/workshop-hour.jsonc"} {
+		s, err := Read(path)
+		assert.NilError(t, err)
+		assert.Assert(t, len(s.Streams) > 0)
+	}
+}
--- a/standin/load/print.go
+++ b/standin/load/print.go
@@ -9,12 +9,14 @@
 	"time"
 )
 
-// Print prints rows as a table.
+// Print prints rows as a table. WORTH is the part of the offered worth that was
+// delivered whole and on time.
 func Print(w io.Writer, rows []*Row) {
 	tw := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(tw, "STREAM\tSENT\tP50\tP99\tMAX\tOUTCOMES")
+	fmt.Fprintln(tw, "STREAM\tSENT\tWORTH\tLATE\tRETRIED\tP50\tP90\tP99\tP99.9\tMAX\tOUTCOMES")
 	for _, r := range rows {
-		fmt.Fprintf(tw, "%s\t%d\t%s\t%s\t%s\t%s\n", r.Name, r.Sent, quantile(r, 50), quantile(r, 99), micros(r.Waits.Max()), outcomes(r))
+		fmt.Fprintf(tw, "%s\t%d\t%.1f %%\t%d\t%d\t%s\t%s\t%s\t%s\t%s\t%s\n", r.Name, r.Sent, 100*r.Share(), r.Late, r.Retried,
+			quantile(r, 50), quantile(r, 90), quantile(r, 99), quantile(r, 99.9), micros(r.Waits.Max()), outcomes(r))
 	}
 	_ = tw.Flush()
 	for _, r := range rows {
@@ -24,6 +26,14 @@
 	}
 }
 
+// Share is the part of the offered worth that was delivered.
+func (r *Row) Share() float64 {
+	if r.Offered == 0 {
+		return 0
+	}
+	return r.Delivered / r.Offered
+}
+
 func quantile(r *Row, q float64) string { return micros(r.Waits.ValueAtQuantile(q)) }
 
 func micros(us int64) string {
