--- a/tools/settingsref/types.go
+++ b/tools/settingsref/types.go
@@ -17,7 +17,7 @@
 
 // scalars are the types that are written as one value.
 var scalars = map[string]string{
-	"string": "string", "bool": "boolean", "int": "whole number", "int64": "whole number", "float64": "number",
+	"string": "string", "bool": "boolean", "int": "whole number", "int64": "whole number", "uint64": "whole number", "float64": "number",
 	"jsonc.Duration": "duration", "jsonc.Bytes": "amount of memory", "json.RawMessage": "any JSON",
 }
 
