kw-load: runs with IDs of their own, and a balancer; one mistake, one finding

A run has a name in its request IDs, -balance sends only to entries that say they are ready, and a validator's finding is left out where the value itself was refused.

go test ./settings/... ./standin/load/...: ok

--- a/settings/jsonc/jsonc.go
+++ b/settings/jsonc/jsonc.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"reflect"
+	"slices"
 	"sort"
 	"strings"
 
@@ -33,7 +34,13 @@
 	applyDefaults(reflect.ValueOf(out).Elem())
 	d.value("", root, reflect.ValueOf(out).Elem())
 	if v, ok := out.(Validator); ok {
-		v.Validate(func(path, message string) { d.add(d.position(path), path, message) })
+		v.Validate(func(path, message string) {
+			// A value that could not be read has its zero value here; that it
+			// "must be set" would be a second finding about one mistake.
+			if !d.reported(path) {
+				d.add(d.position(path), path, message)
+			}
+		})
 	}
 	sort.SliceStable(d.findings, func(i, j int) bool {
 		a, b := d.findings[i], d.findings[j]
@@ -102,6 +109,10 @@
 	d.findings = append(d.findings, Finding{File: d.file, Line: line, Column: col, Path: path, Message: message})
 }
 
+func (d *decoder) reported(path string) bool {
+	return slices.ContainsFunc(d.findings, func(f Finding) bool { return f.Path == path })
+}
+
 // position finds the place of a path, or of its nearest parent in the document.
 func (d *decoder) position(path string) int {
 	for path != "" {
--- a/settings/jsonc/jsonc_test.go
+++ b/settings/jsonc/jsonc_test.go
@@ -68,6 +68,7 @@
 		{"inside a map of lists", `{"tags": {"b": [1]}}`, `f:1:17: tags.b.0: want a string, found 1`},
 		{"validator, value given", `{"count": -1}`, `f:1:11: count: must not be negative`},
 		{"validator, value left out", "{\n \"map\": {\"a\": {}}}", `f:2:15: map.a.worth: must be set`},
+		{"one mistake, one finding", `{"map": {"a": {"worth": "x"}}}`, `f:1:25: map.a.worth: want a whole number, found a string`},
 		{"not an object", `[]`, `f:1:1: want an object, found a list`},
 		{"cut off", `{"name": `, `f:1:10: parsing value: unexpected EOF`},
 		{"rest after the end", "{}\n x", `f:2:2: invalid character 'x' after top-level value`},
--- a/standin/cmd/kw-load/main.go
+++ b/standin/cmd/kw-load/main.go
@@ -18,7 +18,7 @@
 	"github.com/knapweedweir/knapweedweir/standin/load/plot"
 )
 
-const usage = `kw-load -sample FILE -entries ADDRESS,ADDRESS... [-plot FILE.svg] [-json FILE]
+const usage = `kw-load -sample FILE -entries ADDRESS,ADDRESS... [-balance] [-plot FILE.svg] [-json FILE]
 
 Sends callers' requests and operators' jobs to a cell at their planned times,
 whether or not earlier ones have an answer (open loop). Waiting is counted from
@@ -41,6 +41,8 @@
 func main() {
 	sample := flag.String("sample", "", "sample `file`")
 	entries := flag.String("entries", os.Getenv("KW_ENTRY"), "`addresses` of the entries, separated by commas; default $KW_ENTRY")
+	balance := flag.Bool("balance", false, "send only to entries that say they are ready, as a balancer does")
+	id := flag.String("run", fmt.Sprintf("%x", time.Now().Unix()), "`name` of this run, part of every request's ID; one that is given again gets the first run's answers")
 	picture := flag.String("plot", "", "draw percentile curves into this `file`: .svg, .png or .pdf")
 	report := flag.String("json", "", "write the figures into this `file`")
 	flag.Usage = func() {
@@ -58,7 +60,11 @@
 		os.Exit(2)
 	}
 	list := strings.Split(*entries, ",")
-	r := load.Runner{Entries: func() []string { return list }, Client: client()}
+	choose := func() []string { return list }
+	if *balance {
+		choose = load.NewBalancer(list).Entries
+	}
+	r := load.Runner{Entries: choose, Client: client(), ID: *id}
 	rows := r.Run(s)
 	load.Print(os.Stdout, rows)
 	if err := write(rows, *picture, *report); err != nil {
--- a/standin/load/load.go
+++ b/standin/load/load.go
@@ -140,6 +140,9 @@
 	// balancer would.
 	Entries func() []string
 	Client  *http.Client
+	// ID is part of every request's ID. Without it a second run of a sample
+	// would get the answers of the first, which never reach a runner.
+	ID string
 
 	mu   sync.Mutex
 	rows map[string]*Row
@@ -182,7 +185,7 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			r.request(planned, st, fmt.Sprintf("%s-%d", st.Name, i))
+			r.request(planned, st, r.requestID(st, i))
 		}()
 	}
 }
@@ -195,6 +198,13 @@
 	return list[r.next%len(list)]
 }
 
+func (r *Runner) requestID(st Stream, i int) string {
+	if r.ID == "" {
+		return fmt.Sprintf("%s-%d", st.Name, i)
+	}
+	return fmt.Sprintf("%s-%s-%d", st.Name, r.ID, i)
+}
+
 // request plays one caller until it has its final answer.
 func (r *Runner) request(planned time.Time, st Stream, id string) {
 	body := st.body()
--- a/standin/load/load_test.go
+++ b/standin/load/load_test.go
@@ -124,6 +124,13 @@
 	}
 }
 
+// The same sample is sent twice. Were the IDs the same, the entries would answer
+// the second run from the first one's outcomes, and its figures would be of nothing.
+func TestRunsHaveRequestIDsOfTheirOwn(t *testing.T) {
+	assert.Equal(t, (&Runner{ID: "b"}).requestID(stream(), 7), "quote-b-7")
+	assert.Equal(t, (&Runner{}).requestID(stream(), 7), "quote-7")
+}
+
 // An answer of another request that looks whole must be reported, and earns
 // nothing.
 func TestAnswerOfAnotherRequestIsBroken(t *testing.T) {
