kwctl: lists and dumps that are not whole end with status 1

Cause, found by their first tests: a worker list of which one scheduler's part was missing ended with 3, which says that the cell refused a change. What can be read is shown, what can't is named, and the status is 1.

Before: TestWorkerListShowsWhatItCanRead: status 3. After: go test ./cmd/kwctl ok.

--- a/cmd/kwctl/dump.go
+++ b/cmd/kwctl/dump.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"net/url"
 	"sort"
 
@@ -149,7 +148,9 @@
 			read = append(read, *dumps[i])
 		}
 		if errs[i] != nil {
-			failed = append(failed, errors.WithMessage(errs[i], fmt.Sprintf("scheduler %s", body.Instances[i].ID)))
+			// Only the text: that a part could not be read is a failure, not a
+			// refusal of what was asked.
+			failed = append(failed, errors.Errorf("scheduler %s: %v", body.Instances[i].ID, errs[i]))
 		}
 	}
 	return read, failed
