Runners judged by their attempts, retries elsewhere first

Change: three failures in a row, or half of the last 16, and a runner is avoided (1 to 10 s), then on probation with one request at a time. Retries go to another zone or rack first. An idempotent attempt that takes far too long is broken off (Cancel) and tried elsewhere. A retry after what never began costs a fifth of the budget. Slow runners count as busier. Slots of avoided runners are neither used nor lent. The dump shows why a runner is avoided, the load of each service and the last refusals. API: Answered(…, erred), Status(now).

--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -156,10 +156,12 @@
 type answered struct {
 	id   uint64
 	took time.Duration
+	// erred says that the runner answered that it failed.
+	erred bool
 }
 
 func (a answered) apply(now time.Duration, l *loop) []dispatch.Action {
-	return l.core.Answered(now, a.id, a.took)
+	return l.core.Answered(now, a.id, a.took, a.erred)
 }
 
 type failed struct {
@@ -218,8 +220,8 @@
 
 type statusRequest struct{ reply chan dispatch.Status }
 
-func (s statusRequest) apply(_ time.Duration, l *loop) []dispatch.Action {
-	s.reply <- l.core.Status()
+func (s statusRequest) apply(now time.Duration, l *loop) []dispatch.Action {
+	s.reply <- l.core.Status(now)
 	return nil
 }
 
--- a/cmd/internal/entry/send.go
+++ b/cmd/internal/entry/send.go
@@ -170,7 +170,7 @@
 		return failed{a.call.id, dispatch.BadAnswer, "the answer of runner " + runner + " was cut off"}
 	}
 	answer.whole = true
-	return answered{a.call.id, daemon.Clock() - a.start}
+	return answered{a.call.id, daemon.Clock() - a.start, resp.StatusCode >= http.StatusInternalServerError}
 }
 
 // readBody reads an answer's body, and passes it on as it comes if it is too
--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -41,7 +41,7 @@
 func (c *Core) hopeless(now time.Duration, s *service, r *request) string {
 	switch {
 	case s.slots() == 0:
-		return fmt.Sprintf("no runner of %s takes requests of this entry", s.name)
+		return fmt.Sprintf("no runner of %s takes requests of this entry: each is leaving, failing or not listed", s.name)
 	case now+max(0, r.expected.within(-startDistances)) >= r.Deadline:
 		return "no runner could end it before the deadline"
 	}
--- a/dispatch/admission_test.go
+++ b/dispatch/admission_test.go
@@ -59,7 +59,7 @@
 	f := only[Finished](t, actions)
 	assert.Equal(t, f.Outcome, NotRun)
 	assert.Assert(t, f.Request != 5 && f.RetryAfter >= second, "%v", f)
-	sent := only[Send](t, c.Answered(second, 1, second))
+	sent := only[Send](t, c.Answered(second, 1, second, false))
 	assert.Assert(t, sent.Request == 2 || sent.Request == 5, "%v", sent)
 }
 
--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -35,7 +35,7 @@
 		now := time.Duration(n) * time.Millisecond
 		c.Arrive(now, benchRequest(n, now))
 		if n >= 20 {
-			c.Answered(now, uint64(n-19), 20*time.Millisecond)
+			c.Answered(now, uint64(n-19), 20*time.Millisecond, false)
 		}
 	}
 }
@@ -62,7 +62,7 @@
 		if n%2 == 0 && len(sent) > 0 {
 			id := sent[0]
 			sent = sent[1:]
-			note(c.Answered(now, id, 80*time.Millisecond))
+			note(c.Answered(now, id, 80*time.Millisecond, false))
 		}
 	}
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -50,6 +50,7 @@
 	estimates estimates
 	rosters   rosters
 	lending   lending
+	refusals  []Refusal
 }
 
 // New returns a core without runners.
--- a/dispatch/estimate.go
+++ b/dispatch/estimate.go
@@ -14,6 +14,9 @@
 	firstRun = 50 * time.Millisecond
 	// estimateWindow is the number of answers an estimate looks back on.
 	estimateWindow = 64
+	// knownSamples is the number of answers from which on an estimate tells a stuck
+	// attempt from a long one.
+	knownSamples = 16
 	// maxClasses bounds the estimates kept; further teams share one estimate
 	// for each service.
 	maxClasses = 1024
@@ -37,6 +40,9 @@
 // mean, the more rarely.
 func (e *estimate) within(distances time.Duration) time.Duration { return e.mean + distances*e.dev }
 
+// known reports whether enough was learned to judge single runs by it.
+func (e *estimate) known() bool { return e.samples >= knownSamples }
+
 // class is the requests that are expected to run alike.
 type class struct{ team, service string }
 
--- a/dispatch/experiment/baseline.go
+++ b/dispatch/experiment/baseline.go
@@ -71,7 +71,7 @@
 func (b *baseline) Claimed(time.Duration, uint64, error, bool) []dispatch.Action { return nil }
 
 // Answered implements policy.
-func (b *baseline) Answered(now time.Duration, id uint64, _ time.Duration) []dispatch.Action {
+func (b *baseline) Answered(now time.Duration, id uint64, _ time.Duration, _ bool) []dispatch.Action {
 	b.free++
 	delete(b.in, id)
 	return append([]dispatch.Action{dispatch.Finished{Request: id, Outcome: dispatch.Done}}, b.fill(now)...)
--- a/dispatch/experiment/sharing.go
+++ b/dispatch/experiment/sharing.go
@@ -28,7 +28,9 @@
 const hop = 1500 * time.Microsecond
 
 // Run runs the arrivals through one dispatch core per entry.
-func (c Cell) Run(arrivals []Arrival, how Sharing) Result {
+func (c Cell) Run(arrivals []Arrival, how Sharing) Result { return c.simulate(arrivals, how, nil) }
+
+func (c Cell) simulate(arrivals []Arrival, how Sharing, faults map[string]Fault) Result {
 	if how == OnePool {
 		c.Entries = 1
 		pooled := append([]Arrival(nil), arrivals...)
@@ -38,7 +40,7 @@
 		arrivals = pooled
 	}
 	s := newSimulation(c, nil)
-	s.how = how
+	s.how, s.faults = how, faults
 	for _, id := range c.entryIDs() {
 		core := dispatch.New(dispatch.Config{Self: id, SlotsPerRunner: SlotsPerRunner, RetryShare: 0.1, MaxQueue: 2000})
 		core.SetRoster(0, dispatch.Roster{Version: 1, Entries: c.entryIDs(), First: true})
--- a/dispatch/experiment/simulate.go
+++ b/dispatch/experiment/simulate.go
@@ -13,7 +13,7 @@
 type policy interface {
 	Arrive(now time.Duration, r dispatch.Request) []dispatch.Action
 	Claimed(now time.Duration, id uint64, err error, mayBeOurs bool) []dispatch.Action
-	Answered(now time.Duration, id uint64, took time.Duration) []dispatch.Action
+	Answered(now time.Duration, id uint64, took time.Duration, erred bool) []dispatch.Action
 	Failed(now time.Duration, id uint64, f dispatch.Failure, why string) []dispatch.Action
 	Expire(now time.Duration) []dispatch.Action
 }
@@ -27,6 +27,10 @@
 	Waits []time.Duration
 	// MostBusy is the most slots of one runner in use at once.
 	MostBusy int
+	// Erred counts answers by which a runner said that it failed.
+	Erred int
+	// Sends counts the attempts.
+	Sends int
 	// Messages counts those between entries.
 	Messages int
 	// OnTimeBy counts the delivered by class.
@@ -68,13 +72,17 @@
 	try    int
 	// running says that an attempt is in progress.
 	running bool
+	erred   bool
 }
 
 // simulation is one run in virtual time.
 type simulation struct {
-	cell   Cell
-	now    time.Duration
-	seq    int
+	cell Cell
+	now  time.Duration
+	seq  int
+	// faults are what is wrong with which runner.
+	faults map[string]Fault
+	length time.Duration
 	events events
 	by     []policy
 	// cores are the policies if they are cores; how they share the slots.
@@ -99,7 +107,8 @@
 	for _, a := range arrivals {
 		s.at(a.At, func() { s.arrive(a) })
 	}
-	end := arrivals[len(arrivals)-1].At + s.cell.longestDeadline()
+	s.length = arrivals[len(arrivals)-1].At
+	end := s.length + s.cell.longestDeadline()
 	for t := expireEvery; t < end+time.Second; t += expireEvery {
 		s.at(t, func() {
 			for n, p := range s.by {
@@ -167,11 +176,16 @@
 	}
 	o.try, o.runner, o.running = a.Attempt, a.Runner.ID, true
 	s.busy[o.runner]++
+	s.result.Sends++
 	s.result.MostBusy = max(s.result.MostBusy, s.busy[o.runner])
-	s.at(s.now+o.Run, func() {
+	end := s.outcome(n, o)
+	if end.after == 0 {
+		return
+	}
+	s.at(s.now+end.after, func() {
 		if o.running && o.try == a.Attempt {
 			s.stop(o)
-			s.take(n, s.by[n].Answered(s.now, o.ID, o.Run))
+			s.take(n, end.tell())
 		}
 	})
 }
@@ -188,13 +202,15 @@
 		return
 	}
 	s.stop(o)
-	s.at(s.now, func() { s.take(n, s.by[n].Failed(s.now, id, dispatch.BadAnswer, "cancelled")) })
+	s.at(s.now, func() { s.take(n, s.by[n].Failed(s.now, id, dispatch.MayHaveRun, "cancelled")) })
 }
 
 func (s *simulation) finish(f dispatch.Finished) {
 	o := s.open[f.Request]
 	k := s.cell.Classes[o.Class]
 	switch {
+	case f.Outcome == dispatch.Done && o.erred:
+		s.result.Erred++
 	case f.Outcome == dispatch.Done && s.now <= o.At+k.Deadline:
 		s.result.OnTime++
 		s.result.OnTimeBy[o.Class]++
--- a/dispatch/loans.go
+++ b/dispatch/loans.go
@@ -129,7 +129,7 @@
 func (s *service) mostFree() *runner {
 	var best *runner
 	for _, t := range s.runners {
-		if t.takesNew() && (best == nil || t.ownFree() > best.ownFree()) {
+		if t.open() && (best == nil || t.ownFree() > best.ownFree()) {
 			best = t
 		}
 	}
--- a/dispatch/loans_test.go
+++ b/dispatch/loans_test.go
@@ -55,7 +55,7 @@
 	for id := range uint64(2) {
 		a.Arrive(0, quote(id+1, 1, 20*second))
 	}
-	assert.Equal(t, a.Status().Runners[0].Busy, 1)
+	assert.Equal(t, a.Status(0).Runners[0].Busy, 1)
 	recall := only[RecallSlots](t, a.Expire(askPause))
 	assert.Equal(t, recall, RecallSlots{Borrower: "b", Count: 1})
 	sent := only[Send](t, a.Returned(second, "b", []uint64{loans[0].ID}))
--- a/dispatch/model_test.go
+++ b/dispatch/model_test.go
@@ -153,7 +153,7 @@
 			open++
 		}
 	}
-	st := w.core.Status()
+	st := w.core.Status(w.now)
 	if st.Queued > open {
 		w.t.Fatalf("%d places taken in the queue by %d open requests", st.Queued, open)
 	}
@@ -206,7 +206,7 @@
 	switch rapid.IntRange(0, 2).Draw(t, "end") {
 	case 0:
 		a.stopped = true
-		w.report(a, func() []Action { return w.core.Answered(w.now, a.request.ID, time.Millisecond) })
+		w.report(a, func() []Action { return w.core.Answered(w.now, a.request.ID, time.Millisecond, false) })
 	case 1:
 		a.stopped = true
 		w.fail(a, BadAnswer)
@@ -302,7 +302,7 @@
 			w.t.Fatalf("request %d never got its final answer", id)
 		}
 	}
-	st := w.core.Status()
+	st := w.core.Status(w.now)
 	if st.Queued != 0 || st.InProgress != 0 {
 		w.t.Fatalf("left behind: %d queued, %d in progress", st.Queued, st.InProgress)
 	}
--- a/dispatch/outcomes.go
+++ b/dispatch/outcomes.go
@@ -34,15 +34,17 @@
 // mayHaveRun reports whether a runner may have begun the request.
 func (f Failure) mayHaveRun() bool { return f == MayHaveRun || f == BadAnswer }
 
-// Answered takes in a whole answer of a runner.
-func (c *Core) Answered(now time.Duration, id uint64, took time.Duration) []Action {
+// Answered takes in a whole answer of a runner. erred says that by its answer the runner
+// failed (a status of 500 and above): the caller gets it all the same, but it teaches no run
+// time and counts against the runner.
+func (c *Core) Answered(now time.Duration, id uint64, took time.Duration, erred bool) []Action {
 	r, ok := c.requests[id]
 	if !ok || r.runner == nil {
 		return nil
 	}
-	c.release(r)
 	s := c.service(r.Service)
-	c.learn(s, r, took)
+	c.judge(now, s, r, took, erred)
+	c.release(r)
 	if r.phase == ended {
 		c.forget(r)
 		return c.dispatch(now, s)
@@ -50,13 +52,34 @@
 	return append([]Action{c.finish(now, r, Done, "")}, c.dispatch(now, s)...)
 }
 
+// judge learns from an answer.
+func (c *Core) judge(now time.Duration, s *service, r *request, took time.Duration, erred bool) {
+	if erred {
+		s.erring += (1 - s.erring) / estimateWindow
+		if s.erring < serviceFailing {
+			r.runner.health.fail(now, "it answers with errors")
+		}
+		return
+	}
+	s.erring -= s.erring / estimateWindow
+	times := 1.0
+	if r.expected.known() {
+		times = took.Seconds() / r.expected.mean.Seconds()
+	}
+	r.runner.health.succeed(now, times)
+	c.learn(s, r, took)
+}
+
 // Failed takes in the end of an attempt without an answer.
 func (c *Core) Failed(now time.Duration, id uint64, f Failure, why string) []Action {
 	r, ok := c.requests[id]
 	if !ok || r.runner == nil {
 		return nil
 	}
-	r.avoid = append(r.avoid, r.runner.ID)
+	r.failedAt = append(r.failedAt, r.runner.Instance)
+	if !r.left && !r.stalled && r.phase == running {
+		r.runner.health.fail(now, why)
+	}
 	r.mayRun = r.mayRun || f.mayHaveRun()
 	if f == MayHaveRun {
 		c.holdSlot(r)
@@ -67,8 +90,8 @@
 	switch {
 	case r.phase == ended:
 		c.forget(r)
-	case c.mayRetry(now, r):
-		c.budget--
+	case c.mayRetry(now, r, f):
+		c.budget -= retryCost(f)
 		return c.requeue(now, s, r)
 	default:
 		return append([]Action{c.giveUp(now, r, why)}, c.dispatch(now, s)...)
@@ -79,6 +102,9 @@
 // Expire gives up requests whose time is over, wherever they are.
 func (c *Core) Expire(now time.Duration) []Action {
 	c.releaseHeld(now)
+	for _, t := range c.order {
+		t.health.at(now)
+	}
 	out := c.reclaim(now)
 	for r := c.timers.due(now); r != nil; r = c.timers.due(now) {
 		out = append(out, c.expire(now, r)...)
@@ -94,8 +120,14 @@
 	case queued:
 		return []Action{c.giveUp(now, r, fmt.Sprintf("no runner of %s was free in time for it to end before the deadline", r.Service))}
 	case running:
+		if now < r.Deadline {
+			return c.stall(now, r)
+		}
 		// The sender may be stuck, and the caller must not wait for it.
 		r.mayRun = true
+		if !r.stalled && r.expected.known() && now-r.sent >= r.expected.within(planDistances) {
+			r.runner.health.fail(now, "an attempt lasted beyond the deadline")
+		}
 		c.learn(c.service(r.Service), r, now-r.sent)
 		return []Action{c.giveUp(now, r, "the runner did not answer before the deadline"), Cancel{r.ID}}
 	}
@@ -149,6 +181,9 @@
 	if o == NotRun {
 		f.RetryAfter = c.comeBack(now, c.service(r.Service), r)
 	}
+	if o != Done {
+		c.noteRefusal(now, r, f)
+	}
 	if r.phase == queued || r.phase == claiming {
 		c.service(r.Service).queue.remove(r)
 	}
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/knapweedweir/knapweedweir/platform"
 )
 
 type phase int
@@ -27,8 +29,10 @@
 	runner *runner
 	loan   *borrowed
 	sent   time.Duration
-	// avoid are the runners that failed it.
-	avoid []string
+	// failedAt are the runners that failed it.
+	failedAt []platform.Instance
+	// stalled says that its attempt took far longer than expected.
+	stalled bool
 	// mayRun says that a runner may have begun it.
 	mayRun bool
 	// left says that the caller has gone.
@@ -39,4 +43,6 @@
 	place int
 }
 
-func (r *request) avoids(id string) bool { return slices.Contains(r.avoid, id) }
+func (r *request) avoids(id string) bool {
+	return slices.ContainsFunc(r.failedAt, func(i platform.Instance) bool { return i.ID == id })
+}
--- a/dispatch/routing.go
+++ b/dispatch/routing.go
@@ -36,30 +36,36 @@
 	}
 	r.phase, r.runner, r.sent = running, target, now
 	r.attempts++
-	c.timers.set(r, r.Deadline)
+	r.stalled = false
+	c.timers.set(r, min(r.Deadline, now+r.stallsAfter()))
 	return Send{Request: r.ID, Runner: target.Instance, Attempt: r.attempts}
 }
 
-// pick returns the least busy runner with a slot for us.
+// pick returns the best runner with a slot for us. A retry goes first to another
+// availability zone or rack than those that failed it.
 func (s *service) pick(r *request) *runner {
 	var best *runner
 	for _, t := range s.runners {
-		if !t.takesNew() || r.avoids(t.ID) || t.ownFree() == 0 && t.loanFor(r) == nil {
+		if !t.open() || r.avoids(t.ID) || t.ownFree() == 0 && t.loanFor(r) == nil {
 			continue
 		}
-		if best == nil || t.better(best) {
+		if best == nil || t.better(best, r) {
 			best = t
 		}
 	}
 	return best
 }
 
-// better prefers our own slots to borrowed ones, and then the less busy runner.
-func (t *runner) better(than *runner) bool {
+// better prefers the runner further from those that failed the request, then our
+// own slots to borrowed ones, and then the less busy runner.
+func (t *runner) better(than *runner, r *request) bool {
+	if near, other := t.nearness(r), than.nearness(r); near != other {
+		return near < other
+	}
 	if own, other := t.ownFree() > 0, than.ownFree() > 0; own != other {
 		return own
 	}
-	return t.busy*max(than.share, 1) < than.busy*max(t.share, 1)
+	return t.cost() < than.cost()
 }
 
 // dispatchAll sends what can be sent of all services, in the order of names.
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -19,6 +19,8 @@
 	offered   time.Duration
 	offeredAt time.Duration
 	asking    asking
+	// erring is the share of answers by which runners say that they failed.
+	erring float64
 }
 
 // sortedKeys returns the keys of a map in order, as actions must not depend on the
@@ -41,7 +43,11 @@
 func (s *service) slots() int {
 	n := 0
 	for _, t := range s.runners {
-		if t.takesNew() {
+		switch {
+		case !t.takesNew() || t.health.state == Avoided:
+		case t.health.state == Probation:
+			n++
+		default:
 			n += max(t.share-t.lent, 0) + len(t.borrowed)
 		}
 	}
@@ -51,7 +57,7 @@
 // idle reports whether a slot is free.
 func (s *service) idle() bool {
 	for _, t := range s.runners {
-		if t.takesNew() && (t.ownFree() > 0 || t.loanFree()) {
+		if t.open() && (t.ownFree() > 0 || t.loanFree()) {
 			return true
 		}
 	}
@@ -62,7 +68,7 @@
 func (s *service) free() int {
 	n := 0
 	for _, t := range s.runners {
-		if t.takesNew() {
+		if t.open() {
 			n += t.ownFree()
 		}
 	}
--- a/dispatch/slots.go
+++ b/dispatch/slots.go
@@ -22,6 +22,7 @@
 	// slots of theirs that we may use.
 	lent     int
 	borrowed []*borrowed
+	health   health
 }
 
 // ownFree is how many slots of our share are idle.
@@ -62,7 +63,7 @@
 	for _, i := range list {
 		t, ok := c.runners[i.ID]
 		if !ok {
-			t = &runner{}
+			t = &runner{health: newHealth()}
 			c.runners[i.ID] = t
 		}
 		t.Instance, t.listed = i, true
--- a/dispatch/slots_test.go
+++ b/dispatch/slots_test.go
@@ -162,7 +162,7 @@
 			return
 		}
 		c.uses = slices.Delete(c.uses, i, i+1)
-		c.take(e, e.core.Answered(c.now, u.request, time.Millisecond))
+		c.take(e, e.core.Answered(c.now, u.request, time.Millisecond, false))
 		return
 	}
 }
--- a/standin/cmd/kw-overload/main.go
+++ b/standin/cmd/kw-overload/main.go
@@ -11,8 +11,13 @@
 
 func main() {
 	skew := flag.Float64("skew", 0, "part of the callers at one entry; prints the ways of sharing slots")
+	faults := flag.Bool("faults", false, "print what is delivered while runners have faults")
 	seed := flag.Uint64("seed", 1, "seed of the arrivals")
 	flag.Parse()
+	if *faults {
+		experiment.Faults(os.Stdout, *seed)
+		return
+	}
 	if *skew > 0 {
 		experiment.Skew(os.Stdout, []float64{0.3, 0.5, 0.7, 0.9, 1.5}, *skew, *seed)
 		return
