kwctl: why a worker gets no tasks

Cause: worker list and doctor knew silent workers only; a worker that fails what succeeds elsewhere would have been "ok". They read suspect and quarantine from the dump of the shard's owner, in types of their own: schedulers of two versions run side by side in a roll-out, and what a dump lacks stays empty.

Ruled out: the core's type (kwctl would have to be as old as the scheduler). Before: no such row. After: go test ./cmd/kwctl ok (a quarantined worker is found by doctor and named by worker list).

--- a/cmd/kwctl/doctor_checks.go
+++ b/cmd/kwctl/doctor_checks.go
@@ -202,7 +202,8 @@
 	return found
 }
 
-// checkWorkers names workers that their shard's owner has not heard.
+// checkWorkers names workers that their shard's owner has not heard, and those
+// that get no tasks.
 func checkWorkers(k *checkup) []trouble {
 	var found []trouble
 	dumps := k.latest()
@@ -213,6 +214,9 @@
 				if !w.Reconciled {
 					silent = append(silent, w.ID)
 				}
+				if w.Quarantine != "" {
+					found = append(found, trouble{Subject: w.ID, What: "gets no tasks, quarantined: " + w.Quarantine})
+				}
 			}
 			if len(silent) > 0 {
 				found = append(found, trouble{Subject: string(s.Unit), What: fmt.Sprintf("%d of %d workers not heard by %s: %s", len(silent), len(s.Workers), id, strings.Join(silent, ", "))})
--- a/cmd/kwctl/doctor_test.go
+++ b/cmd/kwctl/doctor_test.go
@@ -10,7 +10,6 @@
 	"github.com/knapweedweir/knapweedweir/control"
 	"github.com/knapweedweir/knapweedweir/daemon"
 	"github.com/knapweedweir/knapweedweir/ownership"
-	"github.com/knapweedweir/knapweedweir/placement"
 	"github.com/knapweedweir/knapweedweir/platform"
 )
 
@@ -46,8 +45,8 @@
 // Each fault alone is found, with the process it is about.
 func TestDoctorFinds(t *testing.T) {
 	since := time.Unix(1000, 0)
-	shard := func(epoch platform.Offset, heard bool) []control.ShardDump {
-		return []control.ShardDump{{Unit: "shard/r1", Epoch: epoch, Workers: []placement.WorkerStatus{{ID: "w1", Reconciled: heard}}}}
+	shard := func(epoch platform.Offset, heard bool) []shardDump {
+		return []shardDump{{Unit: "shard/r1", Epoch: epoch, Workers: []workerDump{{ID: "w1", Reconciled: heard}}}}
 	}
 	edit := func(k *checkup, id string, f func(d *schedulerDump)) {
 		d := k.dumps[id]
@@ -87,6 +86,12 @@
 			"sched-2 is at offset 100 like sched-1 and knows other teams: [desk] and []. Do their builds differ?"},
 		{"a silent worker", func(k *checkup) { edit(k, "sched-1", func(d *schedulerDump) { d.Shards = shard(50, false) }) },
 			"shard/r1 1 of 1 workers not heard by sched-1: w1"},
+		{"a quarantined worker", func(k *checkup) {
+			edit(k, "sched-1", func(d *schedulerDump) {
+				d.Shards = shard(50, true)
+				d.Shards[0].Workers[0].Quarantine = "5 jobs failed"
+			})
+		}, "w1 gets no tasks, quarantined: 5 jobs failed"},
 		{"two builds", func(k *checkup) { k.probes[0].dump.Process.Build = "b2" },
 			`builds differ: "b1" runs as entry-2, sched-1, sched-2; "b2" runs as entry-1`},
 	}
--- a/cmd/kwctl/instance.go
+++ b/cmd/kwctl/instance.go
@@ -7,7 +7,6 @@
 	"strings"
 
 	"github.com/knapweedweir/knapweedweir/cmd/internal/entry"
-	"github.com/knapweedweir/knapweedweir/placement"
 )
 
 func (c *console) instanceGroup() *group {
@@ -45,7 +44,7 @@
 // workerRow is one worker and the scheduler that owns its shard.
 type workerRow struct {
 	Owner string `json:"owner"`
-	placement.WorkerStatus
+	workerDump
 }
 
 // workers collects the workers from the dumps of all schedulers, and what could
@@ -56,7 +55,7 @@
 	for _, d := range dumps {
 		for _, s := range d.Shards {
 			for _, w := range s.Workers {
-				rows = append(rows, workerRow{Owner: d.Process.ID, WorkerStatus: w})
+				rows = append(rows, workerRow{Owner: d.Process.ID, workerDump: w})
 			}
 		}
 	}
@@ -86,6 +85,12 @@
 	if !w.Reconciled {
 		states = append(states, "not heard yet")
 	}
+	if w.Quarantine != "" {
+		states = append(states, "quarantined: "+w.Quarantine)
+	}
+	if w.Suspect {
+		states = append(states, "suspect, one task at a time")
+	}
 	if len(states) == 0 {
 		return "ok"
 	}
