Outages of the log are answered at once

Cause: the log counted as down only after 3 s of silence, also while every call of it failed, and what was in flight waited for its whole 4 s.

Now: logstream.Health judges from how reads and appends end: down after 250 ms of failures without a success between, or 3 s of silence; a record of one's own read back shows that appends work although their answers are lost. When down, what was never sent is answered 'nothing accepted', what was sent 'may still take effect', both at once; the latter stays in flight and is settled later. Ruled out: down at the first failed call (one silent connection would stop all claims for a tick); a shorter silence than 3 s (reads wait up to 1 s in the log, and a log that takes 2 s an answer would count as down). Calls of a slow log double their timeout from 3 s to 24 s, so that it is still followed.

Shown failing: in flight answered as not accepted (TestOutageIsAnsweredAtOnceAndTruly); repeats ruled on again (TestLossIsSaidOnlyWhenALaterRecordProvesIt: 'the lost record took effect after all'); own records sent again after a jump (TestJumpLeavesOwnRecordsInDoubt '0 != 1'); failing appends not noticed (TestHealth/only_appends_fail).

--- a/cmd/internal/sched/log.go
+++ b/cmd/internal/sched/log.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/knapweedweir/knapweedweir/cmd/internal/schedclient"
 	"github.com/knapweedweir/knapweedweir/control"
 	"github.com/knapweedweir/knapweedweir/control/api"
@@ -18,6 +20,7 @@
 	logPollWait      = time.Second
 	logRetryWait     = 200 * time.Millisecond
 	logCallTimeout   = 3 * time.Second
+	logCallLongest   = 24 * time.Second
 	logPageRecords   = 1000
 	controlLogStream = "control"
 
@@ -47,9 +50,11 @@
 // followLog does the reads that the core asks for, one at a time.
 func (s *Scheduler) followLog(ctx context.Context) error {
 	read := logstream.Read{Snapshots: true}
+	limit := callLimit(logCallTimeout)
 	for ctx.Err() == nil {
 		began := daemon.Clock()
-		page, err := s.readLog(ctx, read)
+		page, err := s.readLog(ctx, read, limit)
+		limit = limit.after(err)
 		done := readDone{control.LogRead{Read: read, Began: began, Page: page, Err: err}, make(chan logstream.Read, 1)}
 		s.post(ctx, done)
 		if err != nil {
@@ -64,13 +69,25 @@
 	return nil
 }
 
-func (s *Scheduler) readLog(ctx context.Context, r logstream.Read) (platform.Page, error) {
+// callLimit is the timeout of the next call of the log. A silent connection is
+// found by a short one; a log that is slower than that would then never be read
+// again, so each call that runs out of time doubles it.
+type callLimit time.Duration
+
+func (l callLimit) after(err error) callLimit {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return min(2*l, callLimit(logCallLongest))
+	}
+	return callLimit(logCallTimeout)
+}
+
+func (s *Scheduler) readLog(ctx context.Context, r logstream.Read, limit callLimit) (platform.Page, error) {
 	if r.Snapshots {
 		call, cancel := context.WithTimeout(ctx, snapshotCallTimeout)
 		defer cancel()
 		return s.client.Read(call, snapshotStream, r.After, snapshotPageRecords, 0)
 	}
-	call, cancel := context.WithTimeout(ctx, logCallTimeout)
+	call, cancel := context.WithTimeout(ctx, time.Duration(limit))
 	defer cancel()
 	// A read that may not wait soon tells a scheduler of a quiet cell that it
 	// has read everything.
@@ -83,14 +100,16 @@
 
 func (s *Scheduler) appendLoop(ctx context.Context) error {
 	count := s.process.Metrics.Counter("log_appends")
+	limit := callLimit(logCallTimeout)
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case batch := <-s.appends:
-			call, cancel := context.WithTimeout(ctx, logCallTimeout)
+			call, cancel := context.WithTimeout(ctx, time.Duration(limit))
 			err := s.client.Append(call, controlLogStream, batch)
 			cancel()
+			limit = limit.after(err)
 			count.Inc(1)
 			if err != nil {
 				s.process.Log.Warn().Err(err).Int("records", len(batch)).Msg("log.append_failed")
--- a/control/core.go
+++ b/control/core.go
@@ -30,15 +30,15 @@
 	ID          string
 	Incarnation uint64
 	Members     membership.Config
-	// LogDownAfter is how long the log may be silent before it is taken for
-	// unavailable and proposals are turned away.
-	LogDownAfter time.Duration
-	DigestEvery  time.Duration
-	SweepEvery   time.Duration
-	Shard        placement.ShardConfig
-	Home         placement.HomeConfig
-	Committer    logstream.CommitterConfig
-	Schedule     logstream.ScheduleConfig
+	// LogHealth says when the log is taken for unavailable and proposals are
+	// turned away.
+	LogHealth   logstream.HealthConfig
+	DigestEvery time.Duration
+	SweepEvery  time.Duration
+	Shard       placement.ShardConfig
+	Home        placement.HomeConfig
+	Committer   logstream.CommitterConfig
+	Schedule    logstream.ScheduleConfig
 	// Peers are addresses of schedulers to ask for their state when the log is
 	// down at the start, besides those in the platform's list.
 	Peers []string
@@ -48,8 +48,9 @@
 func DefaultConfig(id string, incarnation uint64) Config {
 	return Config{
 		ID: id, Incarnation: incarnation,
-		Members:      membership.DefaultConfig(id, incarnation),
-		LogDownAfter: 3 * time.Second, DigestEvery: 300 * time.Millisecond, SweepEvery: 5 * time.Second,
+		Members:     membership.DefaultConfig(id, incarnation),
+		LogHealth:   logstream.HealthConfig{FailFor: 250 * time.Millisecond, SilentFor: 3 * time.Second},
+		DigestEvery: 300 * time.Millisecond, SweepEvery: 5 * time.Second,
 		Shard: placement.DefaultShardConfig, Home: placement.DefaultHomeConfig,
 		Committer: logstream.CommitterConfig{Writer: id, Incarnation: incarnation, MaxBatch: 200,
 			MinInterval: 20 * time.Millisecond, RetryAfter: time.Second, GiveUp: 4 * time.Second},
@@ -93,7 +94,7 @@
 
 	tickets    map[uint64]api.Question
 	nextTicket uint64
-	logHeardAt time.Duration
+	health     *logstream.Health
 	ready      bool
 	writing    bool
 	fetchedAt  time.Duration
@@ -133,6 +134,7 @@
 	c.panel, c.flow = &panel{self: cfg.ID}, newDigestFlow()
 	c.view = logstream.NewView(c.tree, c.table, c.registry, c.claims)
 	c.follower, c.schedule = logstream.NewFollower(c.view), logstream.NewSchedule(cfg.Schedule)
+	c.health = logstream.NewHealth(cfg.LogHealth)
 	// Versions start beyond those of earlier lives: an entry that asks for what
 	// is newer than a version of an earlier life must get the whole state.
 	c.version = cfg.Incarnation
@@ -153,6 +155,8 @@
 		c.tick(now)
 	case LogRead:
 		c.logRead(now, ev)
+	case AppendDone:
+		c.appendDone(now, ev)
 	case SnapshotStored:
 		c.snapshotStored(now, ev)
 	case PeerStates:
--- a/control/core_test.go
+++ b/control/core_test.go
@@ -33,9 +33,9 @@
 func TestQuestionRightAfterTheLogIsLostIsTurnedAway(t *testing.T) {
 	c := New(DefaultConfig("sched-1", 1))
 	now := time.Hour
-	c.Step(now, LogRead{Page: platform.Page{}})
+	c.Step(now, LogRead{Read: c.NextRead(), Page: platform.Page{First: 1}})
 	c.Step(now, Tick{})
-	now += c.cfg.LogDownAfter
+	now += c.cfg.LogHealth.SilentFor
 	actions := c.Step(now, Asked{Ticket: 1, Question: api.Publish{Change: settings.Change{Team: "workshop", File: "f", Document: "{}"}}})
 	assert.Equal(t, answerCode(actions, 1), api.Unavailable)
 }
--- a/control/log.go
+++ b/control/log.go
@@ -13,8 +13,8 @@
 	"github.com/knapweedweir/knapweedweir/settings"
 )
 
-// LogDown reports whether the log has been silent for too long.
-func (c *Core) LogDown(now time.Duration) bool { return now-c.logHeardAt >= c.cfg.LogDownAfter }
+// LogDown reports whether the log counts as unavailable.
+func (c *Core) LogDown(now time.Duration) bool { return c.health.Down(now) }
 
 // propose queues a record of this core's own. What becomes of it is seen in
 // the view, and what did not take effect is proposed again by the next step.
@@ -35,14 +35,16 @@
 func (c *Core) NextRead() logstream.Read { return c.follower.Next() }
 
 func (c *Core) logRead(now time.Duration, ev LogRead) {
-	if ev.Err != nil && !errors.Is(ev.Err, platform.ErrExpired) {
+	expired := errors.Is(ev.Err, platform.ErrExpired)
+	if ev.Err != nil && !expired {
+		c.health.Read(now, ev.Err)
+		c.resolve(c.committer.SetDown(c.LogDown(now)))
 		return
 	}
-	c.logHeardAt = now
+	c.health.Read(now, nil)
 	// Without this a question that comes between this read and the next tick
-	// would be turned away as if the log were still down; SetDown(false) only
-	// lifts the refusal and resolves nothing.
-	c.committer.SetDown(false)
+	// would be turned away as if the log were still down.
+	c.resolve(c.committer.SetDown(c.LogDown(now)))
 	before := c.view.Offset()
 	jumped := c.follower.Take(ev.Read, ev.Page, ev.Err, func(out logstream.Outcome) { c.ruled(now, out) })
 	changed := c.view.Offset() != before
@@ -89,6 +91,13 @@
 	c.sweep()
 }
 
+// appendDone takes in the answer to an append. It decides nothing about the
+// records, only whether the log seems to work.
+func (c *Core) appendDone(now time.Duration, ev AppendDone) {
+	c.health.Append(now, ev.Err)
+	c.resolve(c.committer.SetDown(c.LogDown(now)))
+}
+
 // openJobs lists the open jobs of a home in the order they were accepted in.
 func (c *Core) openJobs(u ownership.Unit) []placement.Job {
 	var open []placement.Job
@@ -103,6 +112,9 @@
 
 // ruled acts on a ruling of the view.
 func (c *Core) ruled(now time.Duration, out logstream.Outcome) {
+	if out.Record.Writer == c.cfg.ID && out.Record.Incarnation == c.cfg.Incarnation {
+		c.health.ReadBack()
+	}
 	c.resolve(c.committer.ReadBack(out))
 	if out.Err != nil {
 		return
--- a/logstream/committer.go
+++ b/logstream/committer.go
@@ -75,18 +75,27 @@
 // Pending is the number of proposals queued and in flight.
 func (c *Committer) Pending() (queued, inflight int) { return len(c.queued), len(c.inflight) }
 
-// SetDown tells the committer whether the log is known to be unavailable.
-// While it is, proposals that were never sent are resolved with ErrLogDown.
+// SetDown tells the committer whether the log is known to be unavailable. While
+// it is, proposals that were never sent are resolved with ErrLogDown, and those
+// in flight, whose outcome nobody can learn now, with ErrOutcomeUnknown. The
+// latter stay in flight: once the log is back they are repeated until a record
+// read back tells whether they are in it.
 func (c *Committer) SetDown(down bool) []Resolution {
 	c.down = down
 	if !down {
 		return nil
 	}
-	res := make([]Resolution, 0, len(c.queued))
+	res := make([]Resolution, 0, len(c.queued)+len(c.inflight))
 	for _, p := range c.queued {
 		res = append(res, Resolution{Ticket: p.ticket, Err: ErrLogDown})
 	}
 	c.queued = nil
+	for _, p := range c.inflight {
+		if !p.answered {
+			p.answered = true
+			res = append(res, Resolution{Ticket: p.ticket, Err: ErrOutcomeUnknown})
+		}
+	}
 	return res
 }
 
