Teams own their settings by Ed25519 keys

Cause: a change was taken from whoever could reach an entry or the log; team A's operator could publish team B's subtree, and nothing but manners kept them apart. Shown before: 'kwctl settings publish B' by anybody was accepted.

Now: once a root key is in force, the reducer takes a change only with a signature by a key of the team over team, base version and document, and a change of keys only with one by a root key (the first root keys by one of themselves). Root keys may be several, so that a spare replaces a lost one; a team's lost key is replaced by the root; a team without keys can't be changed. The base version in the signature makes it count once. No root key: unsigned changes are possible, as before. kwctl keys new, list, register; settings publish -sign-key. Ruled out: keys in the schedulers' settings files (processes with different files would rule differently), checking at the entry (a record appended past it would count), the root signing for teams (each changes only its own).

--- a/cmd/internal/entry/operate.go
+++ b/cmd/internal/entry/operate.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"encoding/base64"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -28,6 +29,8 @@
 	mux.HandleFunc("GET /v1/settings", e.settingsStatus)
 	mux.HandleFunc("GET /v1/settings/{team}", e.settingsGet)
 	mux.HandleFunc("PUT /v1/settings/{team}", e.settingsPut)
+	mux.HandleFunc("GET /v1/keys", e.keysGet)
+	mux.HandleFunc("PUT /v1/keys", e.keysPut)
 	mux.HandleFunc("POST /v1/jobs", e.jobSubmit)
 	mux.HandleFunc("GET /v1/jobs", e.jobList)
 	mux.HandleFunc("GET /v1/jobs/{id}", e.jobGet)
@@ -77,7 +80,8 @@
 }
 
 var statusOf = map[api.Code]int{
-	api.Invalid: http.StatusBadRequest, api.Conflict: http.StatusConflict, api.Unavailable: http.StatusServiceUnavailable,
+	api.Forbidden: http.StatusForbidden,
+	api.Invalid:   http.StatusBadRequest, api.Conflict: http.StatusConflict, api.Unavailable: http.StatusServiceUnavailable,
 	api.InDoubt: http.StatusGatewayTimeout, api.NotFound: http.StatusNotFound, api.Elsewhere: http.StatusServiceUnavailable,
 }
 
@@ -135,11 +139,16 @@
 		badRequest(w, "the document could not be read: "+err.Error())
 		return
 	}
+	signature, err := base64.StdEncoding.DecodeString(r.Header.Get(SignatureHeader))
+	if err != nil {
+		badRequest(w, "the header "+SignatureHeader+" must be a signature in base64")
+		return
+	}
 	file := r.URL.Query().Get("file")
 	if file == "" {
 		file = r.PathValue("team") + ".jsonc"
 	}
-	a, err := e.scheds.ask(api.Publish{Change: settings.Change{Team: r.PathValue("team"), Base: platform.Offset(base), File: file, Document: string(doc)}})
+	a, err := e.scheds.ask(api.Publish{Change: settings.Change{Team: r.PathValue("team"), Base: platform.Offset(base), File: file, Document: string(doc), Signature: signature}})
 	e.respond(w, a, err, func() { writeJSON(w, http.StatusOK, AcceptedBody{a.Offset}) })
 }
 
--- a/cmd/kwctl/client.go
+++ b/cmd/kwctl/client.go
@@ -29,6 +29,11 @@
 // callAt sends a request to the entry at addr. Any answer but 200 becomes a
 // refusedError that lists all findings.
 func (c *console) callAt(ctx context.Context, addr, method, path string, body []byte) ([]byte, error) {
+	return c.callSigned(ctx, addr, method, path, body, "")
+}
+
+// callSigned is callAt with the signature of a settings change.
+func (c *console) callSigned(ctx context.Context, addr, method, path string, body []byte, signature string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	scheme, client, err := c.transport()
@@ -39,6 +44,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "build request")
 	}
+	if signature != "" {
+		req.Header.Set(entry.SignatureHeader, signature)
+	}
 	resp, err := client.Do(req)
 	if err != nil {
 		return nil, broken(method, errors.Wrap(err, "call entry"))
--- a/cmd/kwctl/console.go
+++ b/cmd/kwctl/console.go
@@ -91,7 +91,7 @@
 }
 
 func (c *console) commands() []subcommands.Command {
-	return []subcommands.Command{c.jobGroup(), c.settingsGroup(), c.instanceGroup(), c.workerGroup(), c.dumpGroup(), c.doctorCommand()}
+	return []subcommands.Command{c.jobGroup(), c.settingsGroup(), c.keysGroup(), c.instanceGroup(), c.workerGroup(), c.dumpGroup(), c.doctorCommand()}
 }
 
 func (c *console) flags(f *flag.FlagSet) {
--- a/cmd/kwctl/settings.go
+++ b/cmd/kwctl/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"flag"
 	"fmt"
 	"net/http"
@@ -83,10 +84,12 @@
 type publishOptions struct {
 	base string
 	wait time.Duration
+	key  string
 }
 
 func (o *publishOptions) flags(f *flag.FlagSet) {
 	f.StringVar(&o.base, "base", o.base, "`version` that the change was made from, 0 for a new team")
+	f.StringVar(&o.key, "sign-key", o.key, "`file` with a private key of the team, once keys are in force")
 	f.DurationVar(&o.wait, "wait", o.wait, "wait at most this `time` until the change is in force at every entry")
 }
 
@@ -101,7 +104,15 @@
 		return err
 	}
 	query := url.Values{"base": {base}, "file": {file}}
-	data, err := c.call(ctx, http.MethodPut, "/v1/settings/"+url.PathEscape(team)+"?"+query.Encode(), []byte(blankVersion(string(doc))))
+	text := blankVersion(string(doc))
+	signature, err := c.sign(team, base, text, o.key)
+	if err != nil {
+		return err
+	}
+	if c.entry == "" {
+		return &usageError{"which entry? give -entry or set KW_ENTRY"}
+	}
+	data, err := c.callSigned(ctx, c.entry, http.MethodPut, "/v1/settings/"+url.PathEscape(team)+"?"+query.Encode(), []byte(text), signature)
 	if err != nil {
 		return err
 	}
@@ -116,6 +127,23 @@
 	return c.awaitInForce(ctx, team, a.Offset, o.wait)
 }
 
+// sign returns the signature of a change, "" without a key.
+func (c *console) sign(team, base, document, file string) (string, error) {
+	if file == "" {
+		return "", nil
+	}
+	key, err := c.privateKey(file)
+	if err != nil {
+		return "", err
+	}
+	version, err := strconv.ParseUint(base, 10, 64)
+	if err != nil {
+		return "", errors.Wrap(err, "base version")
+	}
+	change := settings.Change{Team: team, Base: platform.Offset(version), Document: document}.Sign(key)
+	return base64.StdEncoding.EncodeToString(change.Signature), nil
+}
+
 // base is the version that a change replaces.
 func (c *console) base(ctx context.Context, team, doc, given string) (string, error) {
 	if given != "" {
--- a/control/api/api.go
+++ b/control/api/api.go
@@ -30,6 +30,8 @@
 	Conflict Code = "conflict"
 	// Unavailable: nothing changed; come back after RetryAfter.
 	Unavailable Code = "unavailable"
+	// Forbidden: who asked does not own what it changes; nothing changed.
+	Forbidden Code = "forbidden"
 	// InDoubt: the change was sent to the log and not confirmed.
 	InDoubt Code = "in-doubt"
 	// Elsewhere: the scheduler in Answer.Owner knows.
@@ -44,6 +46,9 @@
 // Publish proposes a settings change.
 type Publish struct{ Change settings.Change }
 
+// PublishKeys proposes new keys for a team or the root.
+type PublishKeys struct{ Change settings.KeyChange }
+
 // Submit proposes a job.
 type Submit struct{ Job placement.JobSpec }
 
@@ -121,8 +126,10 @@
 	LogDown   bool
 	// Ready says that the scheduler has read the log to its end since it
 	// started; before that its state may be long out of date.
-	Ready     bool
-	Teams     []TeamVersion
+	Ready bool
+	Teams []TeamVersion
+	// Keys are the keys of teams and of settings.RootOwner.
+	Keys      map[string]settings.KeySet
 	Instances []platform.Instance
 	Holders   map[ownership.Unit]ownership.Holder
 }
@@ -143,7 +150,7 @@
 }
 
 func init() {
-	for _, v := range []any{Publish{}, Submit{}, Cancel{}, JobQuery{}, Claim{}, Finish{},
+	for _, v := range []any{Publish{}, PublishKeys{}, Submit{}, Cancel{}, JobQuery{}, Claim{}, Finish{},
 		placement.Place{}, placement.Confirm{}, placement.Release{}, placement.Forget{}, placement.Noted{},
 		placement.Stop{}, placement.Placed{}, placement.Changed{}, placement.Collect{}, placement.Collected{},
 		placement.QuotaReport{}, placement.QuotaGrant{}, placement.QuotaAsk{}} {
--- a/control/ask.go
+++ b/control/ask.go
@@ -33,6 +33,12 @@
 			return
 		}
 		c.proposeFor(now, ev, settings.KindChange, q.Change)
+	case api.PublishKeys:
+		if err := q.Change.Check(); err != nil {
+			c.answer(ev.Ticket, api.Answer{Code: api.Invalid, Message: err.Error()})
+			return
+		}
+		c.proposeFor(now, ev, settings.KindKeys, q.Change)
 	case api.Submit:
 		if findings := c.checkJob(q.Job); len(findings) > 0 {
 			c.answer(ev.Ticket, api.Answer{Code: api.Invalid, Message: "the job can't be accepted", Findings: findings})
@@ -72,6 +78,7 @@
 	var findings jsonc.Findings
 	var conflict *settings.ConflictError
 	var claim *dispatch.ClaimedError
+	var forbidden *settings.ForbiddenError
 	switch {
 	case r.Err == nil:
 		return api.Answer{Code: api.OK, Offset: r.Outcome.Offset}
@@ -81,6 +88,8 @@
 		return api.Answer{Code: api.Unavailable, Message: r.Err.Error(), RetryAfter: logRetryAfter}
 	case errors.As(r.Err, &findings):
 		return api.Answer{Code: api.Invalid, Message: "the settings are not valid", Findings: findings}
+	case errors.As(r.Err, &forbidden):
+		return api.Answer{Code: api.Forbidden, Message: r.Err.Error()}
 	case errors.As(r.Err, &conflict):
 		return api.Answer{Code: api.Conflict, Message: r.Err.Error(), Offset: conflict.Current}
 	case errors.As(r.Err, &claim):
--- a/control/state.go
+++ b/control/state.go
@@ -16,6 +16,7 @@
 func (c *Core) State(now time.Duration) api.State {
 	s := api.State{Version: c.version, Scheduler: c.cfg.ID, Offset: c.view.Offset(), LogDown: c.LogDown(now),
 		Ready: c.ready, Instances: c.instances, Holders: map[ownership.Unit]ownership.Holder{}}
+	s.Keys = c.tree.Keys()
 	for _, name := range c.tree.Teams() {
 		v, _ := c.tree.Team(name)
 		s.Teams = append(s.Teams, api.TeamVersion{Name: name, Version: v})
--- a/scenario/commands_test.go
+++ b/scenario/commands_test.go
@@ -211,7 +211,7 @@
 func abs(ts *testscript.TestScript, args []string) []string {
 	out := append([]string(nil), args...)
 	for i, a := range out {
-		if strings.HasSuffix(a, ".jsonc") {
+		if strings.HasSuffix(a, ".jsonc") || strings.HasSuffix(a, ".key") || strings.HasSuffix(a, ".pub") {
 			out[i] = ts.MkAbs(a)
 		}
 	}
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"regexp"
@@ -25,6 +26,8 @@
 	File string `json:"file"`
 	// Document is JSON with comments, as the operator wrote it.
 	Document string `json:"document"`
+	// Signature is by a key of the team, once a root key is in force.
+	Signature []byte `json:"signature,omitempty"`
 }
 
 // ConflictError is the ruling on a change that names an old base version.
@@ -61,23 +64,30 @@
 // Tree is the settings of all teams. It implements logstream.Reducer.
 type Tree struct {
 	teams map[string]Version
+	keys  map[string]KeySet
 }
 
 // NewTree returns an empty tree.
-func NewTree() *Tree { return &Tree{teams: map[string]Version{}} }
+func NewTree() *Tree { return &Tree{teams: map[string]Version{}, keys: map[string]KeySet{}} }
 
 // Name implements logstream.Reducer.
 func (t *Tree) Name() string { return "settings" }
 
 // Kinds implements logstream.Reducer.
-func (t *Tree) Kinds() []logstream.Kind { return []logstream.Kind{KindChange} }
+func (t *Tree) Kinds() []logstream.Kind { return []logstream.Kind{KindChange, KindKeys} }
 
 // Apply implements logstream.Reducer.
 func (t *Tree) Apply(at platform.Offset, rec logstream.Record) error {
+	if rec.Kind == KindKeys {
+		return t.applyKeys(at, rec)
+	}
 	var c Change
 	if err := json.Unmarshal(rec.Body, &c); err != nil {
 		return errors.Wrap(err, "decode settings change")
 	}
+	if err := t.mayChange(c); err != nil {
+		return err
+	}
 	team, findings := c.Check()
 	if err := findings.Err(); err != nil {
 		return err
@@ -100,23 +110,31 @@
 // Teams returns the names of all teams in order.
 func (t *Tree) Teams() []string { return sortedKeys(t.teams) }
 
+type treeSnapshot struct {
+	Teams map[string]Version `json:"teams"`
+	Keys  map[string]KeySet  `json:"keys"`
+}
+
 // Snapshot implements logstream.Reducer.
-func (t *Tree) Snapshot() (json.RawMessage, error) { return json.Marshal(t.teams) }
+func (t *Tree) Snapshot() (json.RawMessage, error) {
+	return json.Marshal(treeSnapshot{t.teams, t.keys})
+}
 
-// Restore implements logstream.Reducer.
+// Restore implements logstream.Reducer. What was accepted stays accepted: a
+// document that a newer build would refuse is kept with what it can read of it,
+// as refusing the snapshot would leave the process without any settings.
 func (t *Tree) Restore(data json.RawMessage) error {
-	teams := map[string]Version{}
-	if err := json.Unmarshal(data, &teams); err != nil {
+	s := treeSnapshot{Teams: map[string]Version{}, Keys: map[string]KeySet{}}
+	// A snapshot in another form would otherwise pass for one without teams.
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&s); err != nil {
 		return errors.Wrap(err, "decode settings snapshot")
 	}
-	for name, v := range teams {
-		team, findings := Change{Team: name, File: v.File, Document: v.Document}.Check()
-		if err := findings.Err(); err != nil {
-			return errors.Wrapf(err, "settings of team %s", name)
-		}
-		v.Team = team
-		teams[name] = v
+	for name, v := range s.Teams {
+		v.Team, _ = Change{Team: name, File: v.File, Document: v.Document}.Check()
+		s.Teams[name] = v
 	}
-	t.teams = teams
+	t.teams, t.keys = s.Teams, s.Keys
 	return nil
 }
