Appends are counted by cause and kept to a share of the log

Cause: an instance could append every 20 ms, 50 a second; 200 of them 10,000, against several hundred that the log takes for everybody; and the dump gave one number without causes.

Now: a budget for all instances together (setting logAppends, 300 a second) is divided by the members (those heard or those listed, whichever are more, so that a cut-off instance does not take the others' shares). A token bucket (x/time/rate) with a burst of 4 per instance; what waits goes into the same batch.

Ruled out: a fixed interval of n/300 s (667 ms at 200 instances for every single claim: the burst makes it 3 ms at the mean load).

--- a/cmd/internal/sched/log.go
+++ b/cmd/internal/sched/log.go
@@ -28,7 +28,6 @@
 	// need a snapshot read its bytes.
 	snapshotStream        = "control.snapshots"
 	snapshotPageRecords   = 16
-	snapshotPause         = 100 * time.Millisecond
 	snapshotCallTimeout   = 20 * time.Second
 	snapshotsPerRetention = 4
 )
@@ -99,20 +98,19 @@
 }
 
 func (s *Scheduler) appendLoop(ctx context.Context) error {
-	count := s.process.Metrics.Counter("log_appends")
 	limit := callLimit(logCallTimeout)
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case batch := <-s.appends:
+		case a := <-s.appends:
 			call, cancel := context.WithTimeout(ctx, time.Duration(limit))
-			err := s.client.Append(call, controlLogStream, batch)
+			err := s.client.Append(call, controlLogStream, a.Batch)
 			cancel()
 			limit = limit.after(err)
-			count.Inc(1)
+			s.countAppend(a.Cause)
 			if err != nil {
-				s.process.Log.Warn().Err(err).Int("records", len(batch)).Msg("log.append_failed")
+				s.process.Log.Warn().Err(err).Int("records", len(a.Batch)).Msg("log.append_failed")
 			}
 			s.post(ctx, control.AppendDone{Err: err})
 		}
@@ -125,43 +123,47 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case snapshot := <-s.stores:
-			mark, err := s.store(ctx, snapshot)
+		case job := <-s.stores:
+			mark, appends, err := s.store(ctx, job)
 			if err != nil {
 				s.process.Log.Warn().Err(err).Msg("snapshot.store_failed")
 			} else {
 				s.process.Log.Info().Uint64("covers", uint64(mark.Covers)).Int("bytes", mark.Bytes).Msg("snapshot.stored")
 			}
-			s.post(ctx, control.SnapshotStored{Mark: mark, Err: err})
+			s.post(ctx, control.SnapshotStored{Mark: mark, Appends: appends, Err: err})
 		}
 	}
 }
 
 // store appends the chunks of a snapshot with pauses, so that a large one does
-// not take the log from everybody else.
-func (s *Scheduler) store(ctx context.Context, snapshot logstream.Snapshot) (logstream.Mark, error) {
-	data, err := logstream.EncodeSnapshot(snapshot)
+// not take the log from everybody else. It returns how many appends it tried.
+func (s *Scheduler) store(ctx context.Context, job control.StoreSnapshot) (logstream.Mark, int, error) {
+	data, err := logstream.EncodeSnapshot(job.Snapshot)
 	if err != nil {
-		return logstream.Mark{}, err
+		return logstream.Mark{}, 0, err
 	}
-	chunks, err := logstream.EncodeChunks(s.process.ID, s.process.Incarnation, snapshot.Offset, data)
+	covers := job.Snapshot.Offset
+	chunks, err := logstream.EncodeChunks(s.process.ID, s.process.Incarnation, covers, data)
 	if err != nil {
-		return logstream.Mark{}, err
+		return logstream.Mark{}, 0, err
 	}
-	count := s.process.Metrics.Counter("snapshot_appends")
 	for i, c := range chunks {
 		if i > 0 {
-			sleep(ctx, snapshotPause)
+			sleep(ctx, job.Pause)
 		}
 		call, cancel := context.WithTimeout(ctx, snapshotCallTimeout)
 		err := s.client.Append(call, snapshotStream, [][]byte{c})
 		cancel()
-		count.Inc(1)
+		s.countAppend(logstream.CauseSnapshot)
 		if err != nil {
-			return logstream.Mark{}, err
+			return logstream.Mark{}, i + 1, err
 		}
 	}
-	return logstream.Mark{Covers: snapshot.Offset, Chunks: len(chunks), Bytes: len(data)}, nil
+	return logstream.Mark{Covers: covers, Chunks: len(chunks), Bytes: len(data)}, len(chunks), nil
+}
+
+func (s *Scheduler) countAppend(cause string) {
+	s.process.Metrics.Tagged(map[string]string{"cause": cause}).Counter("log_appends").Inc(1)
 }
 
 // fetchLoop asks peers for their state.
--- a/cmd/internal/sched/sched.go
+++ b/cmd/internal/sched/sched.go
@@ -14,7 +14,6 @@
 	"github.com/knapweedweir/knapweedweir/control"
 	"github.com/knapweedweir/knapweedweir/control/api"
 	"github.com/knapweedweir/knapweedweir/daemon"
-	"github.com/knapweedweir/knapweedweir/logstream"
 	"github.com/knapweedweir/knapweedweir/platform/httpplatform"
 )
 
@@ -41,8 +40,8 @@
 	client  *httpplatform.Client
 	events  chan any
 	state   atomic.Pointer[api.State]
-	appends chan [][]byte
-	stores  chan logstream.Snapshot
+	appends chan control.AppendLog
+	stores  chan control.StoreSnapshot
 	fetches chan []string
 	syncs   chan control.SyncWorker
 	peers   map[string]*peerLink
@@ -116,11 +115,14 @@
 	if s.LogRetention > 0 {
 		cfg.Schedule.Every = s.LogRetention.D() / snapshotsPerRetention
 	}
+	if s.LogAppends > 0 {
+		cfg.Committer.Budget = float64(s.LogAppends)
+	}
 	if s.SnapshotRecords > 0 {
 		cfg.Schedule.Records = uint64(s.SnapshotRecords)
 	}
 	sch := &Scheduler{process: p, core: control.New(cfg), client: httpplatform.New(s.Platform),
-		events: make(chan any, eventQueue), appends: make(chan [][]byte, 1), stores: make(chan logstream.Snapshot, 1), fetches: make(chan []string, 1), syncs: make(chan control.SyncWorker, eventQueue),
+		events: make(chan any, eventQueue), appends: make(chan control.AppendLog, 1), stores: make(chan control.StoreSnapshot, 1), fetches: make(chan []string, 1), syncs: make(chan control.SyncWorker, eventQueue),
 		peers: map[string]*peerLink{}, waiting: map[uint64]chan api.Answer{}, done: make(chan struct{})}
 	sch.state.Store(&api.State{Scheduler: s.ID})
 	sch.dial = schedclient.DialerOf(links)
@@ -190,12 +192,12 @@
 	switch a := a.(type) {
 	case control.AppendLog:
 		select {
-		case s.appends <- a.Batch:
+		case s.appends <- a:
 		default:
 			// An append is still under way; the committer repeats this one.
 		}
 	case control.StoreSnapshot:
-		s.stores <- a.Snapshot // the core has one at a time under way
+		s.stores <- a // the core has one at a time under way
 	case control.FetchStates:
 		s.fetches <- a.Addrs // the core has one at a time under way
 	case control.SyncWorker:
--- a/cmd/internal/sched/settings.go
+++ b/cmd/internal/sched/settings.go
@@ -39,6 +39,9 @@
 	// LogRetention is how long the platform keeps records; snapshots are
 	// written four times in it.
 	LogRetention jsonc.Duration `json:"logRetention" default:"1h"`
+	// LogAppends is how many appends a second all instances together may make;
+	// each takes its share of it.
+	LogAppends int `json:"logAppends" default:"300"`
 	// SnapshotRecords is the largest number of records between two snapshots.
 	SnapshotRecords int `json:"snapshotRecords" default:"20000"`
 	// TLS names the certificates of this process. Without it everything goes
@@ -68,6 +71,9 @@
 	if s.LogRetention < 0 {
 		report("logRetention", "must not be negative")
 	}
+	if s.LogAppends < 0 {
+		report("logAppends", "must not be negative")
+	}
 	if s.SnapshotRecords < 0 {
 		report("snapshotRecords", "must not be negative")
 	}
--- a/control/core.go
+++ b/control/core.go
@@ -44,6 +44,10 @@
 	Peers []string
 }
 
+// DefaultLogAppends is how many appends a second all instances together make at
+// most; the platform takes several hundred.
+const DefaultLogAppends = 300
+
 // DefaultConfig returns the timing for a cell on one site.
 func DefaultConfig(id string, incarnation uint64) Config {
 	return Config{
@@ -53,7 +57,7 @@
 		DigestEvery: 300 * time.Millisecond, SweepEvery: 5 * time.Second,
 		Shard: placement.DefaultShardConfig, Home: placement.DefaultHomeConfig,
 		Committer: logstream.CommitterConfig{Writer: id, Incarnation: incarnation, MaxBatch: 200,
-			MinInterval: 20 * time.Millisecond, RetryAfter: time.Second, GiveUp: 4 * time.Second},
+			MinInterval: 20 * time.Millisecond, RetryAfter: time.Second, GiveUp: 4 * time.Second, Budget: DefaultLogAppends},
 		Schedule: logstream.ScheduleConfig{Every: 15 * time.Minute, Records: 20000, Grace: 10 * time.Second},
 	}
 }
@@ -198,6 +202,7 @@
 		c.claimedAt = now
 		c.proposeClaims(now)
 	}
+	c.committer.SetInstances(now, max(len(c.members.Live(now)), c.listedSchedulers()))
 	c.snapshotIfDue(now, down)
 	c.fetchIfCutOff(now, down)
 	c.askPanel(now)
--- a/control/events.go
+++ b/control/events.go
@@ -27,7 +27,9 @@
 // SnapshotStored is the answer to a StoreSnapshot.
 type SnapshotStored struct {
 	Mark logstream.Mark
-	Err  error
+	// Appends is how many appends were tried.
+	Appends int
+	Err     error
 }
 
 // PeerStates is the answer to FetchStates: the states of the peers that gave
@@ -73,7 +75,10 @@
 type Action any
 
 // AppendLog appends a batch to the log.
-type AppendLog struct{ Batch [][]byte }
+type AppendLog struct {
+	Batch [][]byte
+	Cause string
+}
 
 // SyncWorker sends a request to a worker.
 type SyncWorker struct{ Order placement.SyncOrder }
@@ -90,8 +95,12 @@
 	Answer api.Answer
 }
 
-// StoreSnapshot appends a snapshot to the snapshot stream.
-type StoreSnapshot struct{ Snapshot logstream.Snapshot }
+// StoreSnapshot appends a snapshot to the snapshot stream, with pauses between
+// its records that keep it within this instance's share of the log.
+type StoreSnapshot struct {
+	Snapshot logstream.Snapshot
+	Pause    time.Duration
+}
 
 // FetchStates asks peers for their newest state.
 type FetchStates struct{ Addrs []string }
--- a/control/log.go
+++ b/control/log.go
@@ -27,7 +27,7 @@
 	batch, res := c.committer.Step(now)
 	c.resolve(res)
 	if batch != nil {
-		c.actions = append(c.actions, AppendLog{Batch: batch})
+		c.actions = append(c.actions, AppendLog{Batch: batch, Cause: c.committer.LastCause()})
 	}
 }
 
@@ -91,6 +91,18 @@
 	c.sweep()
 }
 
+// listedSchedulers counts the schedulers in the platform's list. A scheduler
+// that is cut off from the others would else take their shares of the budget.
+func (c *Core) listedSchedulers() int {
+	n := 0
+	for _, i := range c.instances {
+		if i.Service == SchedService {
+			n++
+		}
+	}
+	return n
+}
+
 // appendDone takes in the answer to an append. It decides nothing about the
 // records, only whether the log seems to work.
 func (c *Core) appendDone(now time.Duration, ev AppendDone) {
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -34,13 +34,15 @@
 		return
 	}
 	c.writing = true
-	c.actions = append(c.actions, StoreSnapshot{Snapshot: s})
+	pause := time.Duration(float64(time.Second) / c.committer.Share())
+	c.actions = append(c.actions, StoreSnapshot{Snapshot: s, Pause: pause})
 }
 
 // snapshotStored marks a snapshot that is whole in the log. One that may not be
 // is left without a mark, and the next turn writes another.
 func (c *Core) snapshotStored(now time.Duration, ev SnapshotStored) {
 	c.writing = false
+	c.committer.Count(logstream.CauseSnapshot, ev.Appends)
 	if ev.Err == nil {
 		c.propose(now, logstream.KindMark, ev.Mark)
 	}
@@ -114,10 +116,16 @@
 	Snapshots    uint64          `json:"snapshots"`
 	LastSnapshot logstream.Mark  `json:"lastSnapshot"`
 	LastWriter   string          `json:"lastSnapshotWriter,omitempty"`
+	// Appends are this scheduler's appends by cause, Share how many a second
+	// it may make, HeldBack how often one waited for that.
+	Appends  map[string]uint64 `json:"appends"`
+	Share    float64           `json:"share"`
+	HeldBack uint64            `json:"heldBack"`
 }
 
 func (c *Core) logDump() LogDump {
 	d := LogDump{Source: c.follower.Source(), Gap: c.follower.Gap(), Rebuilds: c.follower.Rebuilds(), Snapshots: c.view.Marks().Count()}
+	d.Appends, d.Share, d.HeldBack = c.committer.Causes(), c.committer.Share(), c.committer.HeldBack()
 	d.First, d.Tail = c.follower.Window()
 	d.LastSnapshot, d.LastWriter = c.view.Marks().Newest()
 	return d
--- a/logstream/committer.go
+++ b/logstream/committer.go
@@ -2,9 +2,11 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
 )
 
 // Errors a proposal can end with without a ruling of the view.
@@ -34,8 +36,20 @@
 	RetryAfter time.Duration
 	// GiveUp is how long a proposal waits before its proposer is answered.
 	GiveUp time.Duration
+	// Budget is how many appends a second all instances together may make.
+	Budget float64
 }
 
+// budgetBurst is how many appends an instance may make at once after a pause,
+// so that a single claim or change does not wait for its turn in the budget.
+const budgetBurst = 4
+
+// Causes of appends that are not the kind of a record.
+const (
+	CauseRepeat   = "repeat"
+	CauseSnapshot = "snapshot"
+)
+
 // Resolution ends a proposal.
 type Resolution struct {
 	Ticket  uint64
@@ -63,14 +77,52 @@
 	lastStart time.Duration
 	started   bool
 	down      bool
-	appends   uint64
+	limiter   *rate.Limiter
+	causes    map[string]uint64
+	heldBack  uint64
+	holding   bool
+	lastCause string
 }
 
 // NewCommitter returns a committer without proposals.
-func NewCommitter(cfg CommitterConfig) *Committer { return &Committer{cfg: cfg} }
+func NewCommitter(cfg CommitterConfig) *Committer {
+	return &Committer{cfg: cfg, causes: map[string]uint64{}, limiter: rate.NewLimiter(rate.Limit(cfg.Budget), budgetBurst)}
+}
+
+// SetInstances divides the budget of appends by the number of instances.
+func (c *Committer) SetInstances(now time.Duration, n int) {
+	if share := rate.Limit(c.cfg.Budget / float64(max(n, 1))); share != c.limiter.Limit() {
+		c.limiter.SetLimitAt(at(now), share)
+	}
+}
+
+// Share is how many appends a second this instance may make on average.
+func (c *Committer) Share() float64 { return float64(c.limiter.Limit()) }
+
+// at makes a reading of the monotonic clock a time for the limiter.
+func at(now time.Duration) time.Time { return time.Unix(0, 0).Add(now) }
 
 // Appends is the number of appends issued so far.
-func (c *Committer) Appends() uint64 { return c.appends }
+func (c *Committer) Appends() uint64 {
+	var n uint64
+	for _, k := range c.causes {
+		n += k
+	}
+	return n
+}
+
+// Causes is the number of appends by cause: the kind of the batch's first
+// record, CauseRepeat or CauseSnapshot.
+func (c *Committer) Causes() map[string]uint64 { return maps.Clone(c.causes) }
+
+// LastCause is the cause of the newest append.
+func (c *Committer) LastCause() string { return c.lastCause }
+
+// HeldBack is how often an append had to wait for its share of the budget.
+func (c *Committer) HeldBack() uint64 { return c.heldBack }
+
+// Count notes appends that were made without the committer.
+func (c *Committer) Count(cause string, n int) { c.causes[cause] += uint64(n) }
 
 // Pending is the number of proposals queued and in flight.
 func (c *Committer) Pending() (queued, inflight int) { return len(c.queued), len(c.inflight) }
@@ -121,12 +173,12 @@
 		return nil, res
 	}
 	if len(c.inflight) > 0 {
-		if now-c.sentAt < c.cfg.RetryAfter {
+		if now-c.sentAt < c.cfg.RetryAfter || !c.allowed(now) {
 			return nil, res
 		}
-		return c.send(now), res
+		return c.send(now, CauseRepeat), res
 	}
-	if len(c.queued) == 0 {
+	if len(c.queued) == 0 || !c.allowed(now) {
 		return nil, res
 	}
 	n := min(len(c.queued), c.cfg.MaxBatch)
@@ -135,10 +187,21 @@
 		c.sequence++
 		p.rec.Sequence = c.sequence
 	}
-	return c.send(now), res
+	return c.send(now, string(c.inflight[0].rec.Kind)), res
+}
+
+// allowed takes an append from the budget. Everything that waits meanwhile goes
+// into the same batch: the cap costs waiting time, never records.
+func (c *Committer) allowed(now time.Duration) bool {
+	ok := c.limiter.AllowN(at(now), 1)
+	if !ok && !c.holding {
+		c.heldBack++
+	}
+	c.holding = !ok
+	return ok
 }
 
-func (c *Committer) send(now time.Duration) [][]byte {
+func (c *Committer) send(now time.Duration, cause string) [][]byte {
 	batch := make([][]byte, 0, len(c.inflight))
 	for _, p := range c.inflight {
 		// The body was encoded when it was proposed, so this can't fail.
@@ -146,7 +209,8 @@
 		batch = append(batch, data)
 	}
 	c.started, c.sentAt, c.lastStart = true, now, now
-	c.appends++
+	c.causes[cause]++
+	c.lastCause = cause
 	return batch
 }
 
--- a/logstream/committer_test.go
+++ b/logstream/committer_test.go
@@ -13,7 +13,7 @@
 const ms = time.Millisecond
 
 func testCommitter() *Committer {
-	return NewCommitter(CommitterConfig{Writer: "w", Incarnation: 1, MaxBatch: 2, MinInterval: 10 * ms, RetryAfter: 1000 * ms, GiveUp: 4000 * ms})
+	return NewCommitter(CommitterConfig{Writer: "w", Incarnation: 1, MaxBatch: 2, MinInterval: 10 * ms, RetryAfter: 1000 * ms, GiveUp: 4000 * ms, Budget: 100})
 }
 
 func propose(t *testing.T, c *Committer, now time.Duration, tickets ...uint64) {
