Builds rule alike on settings that one of them does not know

Cause: the reducer ruled by the whole check of a document. During a roll-out a newer scheduler accepts a change with a new setting that an older one refuses at the same offset; from then on their versions differ, and every later change is a conflict for one of them. A stricter build would also refuse, on replay, what was accepted before: an accepted change would revert. Now: the reducer rules by team name, JSON syntax, base version and signature; the whole check stays before the proposal, where the operator hears all findings. A build reads what it knows of an accepted document. Ruled out: a version of the checks in the record (each build would have to keep all older checks). Shown failing: with the whole check in Apply TestBuildsRuleAlikeOnASettingThatOneDoesNotKnow says 'fromTheFuture: unknown setting'.

--- a/settings/keys_test.go
+++ b/settings/keys_test.go
@@ -113,6 +113,20 @@
 	assert.DeepEqual(t, tree.Teams(), []string{"desk", "lab"})
 }
 
+// During a roll-out the newer schedulers know a setting that the older don't. The
+// change was checked by a newer one. All must rule alike, or operators hear
+// "accepted" from one and see the old version at another; each reads what it knows.
+func TestBuildsRuleAlikeOnASettingThatOneDoesNotKnow(t *testing.T) {
+	tree := NewTree()
+	c := Change{Team: "desk", File: "f", Document: `{"fromTheFuture": true, "quota": {"milliCpu": 7, "memoryMiB": 9}}`}
+	assert.NilError(t, apply(tree, 1, KindChange, c))
+	v, _ := tree.Team("desk")
+	assert.Equal(t, v.Team.Quota.MilliCPU, int64(7))
+	for name, bad := range map[string]Change{"no team name": {Team: "*root", Document: "{}"}, "no JSON": {Team: "desk", Base: 1, Document: "{"}} {
+		assert.Assert(t, apply(tree, 2, KindChange, bad) != nil, name)
+	}
+}
+
 // Whatever is in a record, the reducer ends in a ruling.
 func FuzzApply(f *testing.F) {
 	root, rootPub := testKey(1)
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -7,6 +7,7 @@
 	"regexp"
 
 	"github.com/pkg/errors"
+	"github.com/tailscale/hujson"
 
 	"github.com/knapweedweir/knapweedweir/logstream"
 	"github.com/knapweedweir/knapweedweir/platform"
@@ -53,6 +54,24 @@
 	return t, findings
 }
 
+// checkForm checks what never differs between builds. The whole Check comes
+// before a change is proposed and tells the operator all findings. Ruling by it
+// here would part the states of two builds during a roll-out: the one that knows
+// a new setting would accept a change that the other refuses.
+func (c Change) checkForm() error {
+	if !teamName.MatchString(c.Team) {
+		return errors.Errorf("team name %q must be lower-case letters, digits and dashes", c.Team)
+	}
+	_, err := hujson.Parse([]byte(c.Document))
+	return errors.Wrap(err, c.File)
+}
+
+// read returns what this build can read of an accepted document.
+func (c Change) read() Team {
+	t, _ := c.Check()
+	return t
+}
+
 // Version is a team's settings in force since an offset.
 type Version struct {
 	Offset   platform.Offset `json:"offset"`
@@ -88,8 +107,7 @@
 	if err := t.mayChange(c); err != nil {
 		return err
 	}
-	team, findings := c.Check()
-	if err := findings.Err(); err != nil {
+	if err := c.checkForm(); err != nil {
 		return err
 	}
 	// Two operators may both be told that their file is fine; only the one
@@ -97,7 +115,7 @@
 	if current := t.teams[c.Team].Offset; c.Base != current {
 		return &ConflictError{Team: c.Team, Base: c.Base, Current: current}
 	}
-	t.teams[c.Team] = Version{Offset: at, File: c.File, Document: c.Document, Team: team}
+	t.teams[c.Team] = Version{Offset: at, File: c.File, Document: c.Document, Team: c.read()}
 	return nil
 }
 
@@ -132,7 +150,7 @@
 		return errors.Wrap(err, "decode settings snapshot")
 	}
 	for name, v := range s.Teams {
-		v.Team, _ = Change{Team: name, File: v.File, Document: v.Document}.Check()
+		v.Team = Change{Team: name, File: v.File, Document: v.Document}.read()
 		s.Teams[name] = v
 	}
 	t.teams, t.keys = s.Teams, s.Keys
