--- /dev/null
+++ b/control/boot_test.go
@@ -0,0 +1,131 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/knapweedweir/knapweedweir/logstream"
+	"github.com/knapweedweir/knapweedweir/ownership"
+	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/settings"
+)
+
+// booted steps a core through ticks and failing reads and collects its actions.
+func booted(c *Core, from, until time.Duration) []Action {
+	var all []Action
+	for now := from; now < until; now += 50 * time.Millisecond {
+		all = append(all, c.Step(now, Tick{})...)
+		all = append(all, c.Step(now, LogRead{Read: c.NextRead(), Err: errors.New("down")})...)
+	}
+	return all
+}
+
+func appends(actions []Action) int {
+	n := 0
+	for _, a := range actions {
+		if _, ok := a.(AppendLog); ok {
+			n++
+		}
+	}
+	return n
+}
+
+// peerSnapshot is a peer's state with one team and no owner of anything.
+func peerSnapshot(t *testing.T) logstream.Snapshot {
+	t.Helper()
+	peer := New(DefaultConfig("sched-2", 1))
+	body := []byte(`{"team":"workshop","base":0,"file":"f","document":"{}"}`)
+	rec, err := logstream.Record{Version: 1, Kind: settings.KindChange, Writer: "sched-2", Incarnation: 1, Sequence: 1, Body: body}.Encode()
+	assert.NilError(t, err)
+	for range 2 {
+		r := peer.NextRead()
+		page := platform.Page{First: 1}
+		if !r.Snapshots {
+			page.Entries, page.Tail = []platform.Entry{{Offset: 1, Data: rec}}, 1
+		}
+		peer.Step(time.Hour, LogRead{Read: r, Page: page})
+	}
+	s, ok := peer.Snapshot()
+	assert.Assert(t, ok)
+	return s
+}
+
+// A scheduler starts while the log is down. It asks the peers it was told of,
+// serves their newest state, says in its dump where that is from, and claims
+// nothing, though nobody owns anything in that state: it can't know what the log
+// holds beyond it. Then the log is back.
+func TestBootFromPeersWhileTheLogIsDown(t *testing.T) {
+	cfg := DefaultConfig("sched-1", 1)
+	cfg.Peers = []string{"10.0.0.2:7000"}
+	c := New(cfg)
+	start := time.Hour
+	c.Step(start, InstancesListed{Instances: []platform.Instance{{ID: "sched-1", Service: SchedService, Addr: "10.0.0.1:7000", State: platform.InstanceLive}}})
+	asked := false
+	for _, a := range booted(c, start, start+5*time.Second) {
+		if f, ok := a.(FetchStates); ok {
+			asked = true
+			assert.DeepEqual(t, f.Addrs, cfg.Peers)
+		}
+	}
+	assert.Assert(t, asked)
+	assert.Assert(t, !c.State(start).Ready)
+	s := peerSnapshot(t)
+	c.Step(start+5*time.Second, PeerStates{States: []PeerState{{From: "10.0.0.2:7000", Snapshot: s}}})
+	now := start + 10*time.Second
+	later := booted(c, start+5*time.Second, now)
+	assert.Equal(t, appends(later), 0, "claimed while not caught up")
+	d := c.Dump(now)
+	assert.Equal(t, d.Log.Source, "peer 10.0.0.2:7000")
+	assert.Assert(t, !d.CaughtUp && d.LogDown && c.State(now).Ready)
+	assert.DeepEqual(t, d.Teams, []string{"workshop"})
+	// The log is back, and its end is far ahead.
+	for ; now < start+20*time.Second; now += 50 * time.Millisecond {
+		actions := c.Step(now, LogRead{Read: c.NextRead(), Page: platform.Page{First: 1, Tail: 100}})
+		assert.Equal(t, appends(append(actions, c.Step(now, Tick{})...)), 0, "claimed while not caught up")
+	}
+	for range 3 {
+		c.Step(now, LogRead{Read: c.NextRead(), Page: platform.Page{First: 1, Tail: 1}})
+	}
+	assert.Assert(t, c.Dump(now).CaughtUp)
+	assert.Equal(t, c.Dump(now).Log.Source, "log")
+}
+
+// An older build has passed over a record of a kind it does not know when its
+// turn to write the snapshot comes. Its snapshot would lack what the record did,
+// so it leaves the turn to others, but not for good: the record may be rubbish.
+func TestABuildThatCannotReadALeavesTheSnapshotToOthers(t *testing.T) {
+	cfg := DefaultConfig("sched-1", 1)
+	cfg.Schedule = logstream.ScheduleConfig{Every: time.Minute, Records: 1, Grace: time.Second}
+	c := New(cfg)
+	entries := []platform.Entry{}
+	add := func(kind logstream.Kind, body string) {
+		n := uint64(len(entries) + 1)
+		rec, err := logstream.Record{Version: 1, Kind: kind, Writer: "w", Incarnation: 1, Sequence: n, Body: []byte(body)}.Encode()
+		assert.NilError(t, err)
+		entries = append(entries, platform.Entry{Offset: platform.Offset(n), Data: rec})
+	}
+	for i := range ownership.HomeSlots {
+		add(ownership.KindClaim, `{"unit":"`+string(ownership.HomeUnit(i))+`","base":0,"owner":"`+c.self+`"}`)
+	}
+	add("from.the.future", `{}`)
+	now, written := time.Hour, time.Duration(0)
+	for ; written == 0 && now < time.Hour+time.Minute; now += 100 * time.Millisecond {
+		r := c.NextRead()
+		page := platform.Page{First: 1, Tail: platform.Offset(len(entries))}
+		if r.Snapshots {
+			page = platform.Page{First: 1}
+		} else if int(r.After) < len(entries) {
+			page.Entries = entries[r.After:]
+		}
+		c.Step(now, LogRead{Read: r, Page: page})
+		for _, a := range c.Step(now, Tick{}) {
+			if _, ok := a.(StoreSnapshot); ok {
+				written = now - time.Hour
+			}
+		}
+	}
+	assert.Assert(t, written >= foreignTurns*time.Second, "written after %v", written)
+}
--- a/control/history_test.go
+++ b/control/history_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/knapweedweir/knapweedweir/control/api"
+	"github.com/knapweedweir/knapweedweir/logstream"
 	"github.com/knapweedweir/knapweedweir/placement"
 )
 
@@ -33,7 +34,11 @@
 	rapid.Check(t, func(t *rapid.T) {
 		h := &history{sim: newSim(rapid.Uint64().Draw(t, "seed"), 5, 3, 2), t: t}
 		// A short lease, so that leases lapse within a history.
-		h.configure = func(cfg *Config) { cfg.Shard.Lease = 4 * time.Second }
+		h.configure = func(cfg *Config) {
+			cfg.Shard.Lease = 4 * time.Second
+			// Often enough that most starts are from a snapshot.
+			cfg.Schedule = logstream.ScheduleConfig{Every: 10 * time.Second, Records: 60, Grace: time.Second}
+		}
 		h.startAll()
 		h.run(5 * time.Second)
 		h.publishTeam(h.nodes[0])
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -15,6 +15,9 @@
 	// fetchAfter is how long a starting scheduler waits for the log before it
 	// asks peers.
 	fetchAfter = time.Second
+	// foreignTurns is how many turns a build that can't read some record leaves
+	// to others.
+	foreignTurns = 12
 )
 
 // snapshotIfDue starts a snapshot when it is this scheduler's turn: that of the
@@ -29,6 +32,12 @@
 	if !due || c.table.Holder(home).Owner != c.self {
 		return
 	}
+	// During a roll-out a newer build's records pass over this one, and a snapshot
+	// without their effect would lose them at retention. Others come first; if
+	// none of them writes, the records of an unknown kind are nobody's.
+	if c.view.Foreign() > 0 && turn < c.view.Marks().Count()+foreignTurns {
+		return
+	}
 	s, err := c.view.Snapshot()
 	if err != nil {
 		return
--- a/logstream/view.go
+++ b/logstream/view.go
@@ -55,6 +55,7 @@
 	marks    *Marks
 	skipped  uint64
 	lastSkip string
+	foreign  uint64
 }
 
 // NewView returns an empty view over the reducers.
@@ -98,6 +99,7 @@
 	}
 	reducer, ok := v.byKind[rec.Kind]
 	if !ok {
+		v.foreign++
 		return v.skip(errors.Errorf("unknown record kind %q", rec.Kind))
 	}
 	v.writers[rec.Writer] = Position{rec.Incarnation, rec.Sequence, v.marks.Count()}
@@ -118,6 +120,10 @@
 	}
 }
 
+// Foreign is the number of records of kinds that this build does not know. Its
+// snapshots would lack what they did.
+func (v *View) Foreign() uint64 { return v.foreign }
+
 // Marks is which snapshots were written.
 func (v *View) Marks() *Marks { return v.marks }
 
