--- a/scenario/inforce_test.go
+++ b/scenario/inforce_test.go
@@ -24,8 +24,8 @@
 	const perSecond, changes, pairs = 50, 500, 7
 	workers := cell.Workers("desk", 6, 2, 3, platform.Resources{MilliCPU: 16000, MemoryMiB: 32 << 10})
 	c, err := cell.Start(bin, b.TempDir(), cell.Spec{Pairs: pairs, Zones: 3, Workers: workers})
-	defer c.Close()
 	assert.NilError(b, err)
+	defer c.Close()
 	assert.NilError(b, c.AwaitReady(patience))
 	for range b.N {
 		answered, inForce := hdrhistogram.New(1, 60000, 3), hdrhistogram.New(1, 60000, 3)
