A lost answer heard after the read-back does not count against the log

Cause: found by scenario lost_answers before landing. The failure of an append whose record had been read back already marked appends as failing; with nothing in flight no repeat could show that they work, and all proposals were turned away until the process ended. Now: a failed append counts only while something of it is in flight. Shown failing without: TestLostAnswerAfterReadBackDoesNotStopAppends 'turned away'; lost_answers.txtar:17 'the log is unavailable'.

--- a/control/boot_test.go
+++ b/control/boot_test.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
+	"github.com/knapweedweir/knapweedweir/control/api"
 	"github.com/knapweedweir/knapweedweir/logstream"
 	"github.com/knapweedweir/knapweedweir/ownership"
 	"github.com/knapweedweir/knapweedweir/platform"
@@ -53,6 +54,30 @@
 	return s
 }
 
+// A job is accepted, and the answer to the append is lost; the failure is heard
+// after the record was read back. The log works, and the next question must be
+// taken: nothing else would ever show again that appends work.
+func TestLostAnswerAfterReadBackDoesNotStopAppends(t *testing.T) {
+	c := New(DefaultConfig("sched-1", 1))
+	now := time.Hour
+	read := func(entries ...platform.Entry) {
+		c.Step(now, LogRead{Read: c.NextRead(), Page: platform.Page{First: 1, Tail: platform.Offset(len(entries)), Entries: entries}})
+	}
+	publish := api.Publish{Change: settings.Change{Team: "workshop", File: "f", Document: "{}"}}
+	read()
+	read()
+	actions := c.Step(now, Asked{Ticket: 1, Question: publish})
+	batch := actions[len(actions)-1].(AppendLog).Batch
+	read(platform.Entry{Offset: 1, Data: batch[0]})
+	c.Step(now, AppendDone{Err: errors.New("connection broken")})
+	for range 20 {
+		now += 50 * time.Millisecond
+		c.Step(now, LogRead{Read: c.NextRead(), Page: platform.Page{First: 1, Tail: 1}})
+		c.Step(now, Tick{})
+	}
+	assert.Equal(t, answerCode(c.Step(now, Asked{Ticket: 2, Question: publish}), 2), api.Code(""), "turned away")
+}
+
 // A scheduler starts while the log is down. It asks the peers it was told of,
 // serves their newest state, says in its dump where that is from, and claims
 // nothing, though nobody owns anything in that state: it can't know what the log
--- a/control/log.go
+++ b/control/log.go
@@ -72,6 +72,7 @@
 // over records that were never ruled on here: jobs accepted or ended meanwhile.
 func (c *Core) jumped(now time.Duration) {
 	c.resolve(c.committer.Jumped(c.view.Writer(c.cfg.ID)))
+	c.health.ReadBack()
 	for _, u := range c.ownedHomes() {
 		h := c.homes[u]
 		for _, name := range c.tree.Teams() {
@@ -106,7 +107,12 @@
 // appendDone takes in the answer to an append. It decides nothing about the
 // records, only whether the log seems to work.
 func (c *Core) appendDone(now time.Duration, ev AppendDone) {
-	c.health.Append(now, ev.Err)
+	// An answer may be lost after the record was read back. Counted as a failure
+	// then, the log would stay down for good: nothing is in flight any more whose
+	// repeat could show that appends work, and new proposals are turned away.
+	if _, inflight := c.committer.Pending(); ev.Err == nil || inflight > 0 {
+		c.health.Append(now, ev.Err)
+	}
 	c.resolve(c.committer.SetDown(c.LogDown(now)))
 }
 
