--- a/logstream/follower_test.go
+++ b/logstream/follower_test.go
@@ -1,6 +1,9 @@
 package logstream
 
 import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -165,6 +168,64 @@
 	}
 }
 
+// Two schedulers believe that it is their turn and write large snapshots at the
+// same time, record by record, and a third died half-way through a newer one. A
+// starting process takes the newest that is whole; a record of the stream that was
+// damaged costs that snapshot only.
+func TestLargeSnapshotsWrittenAtTheSameTime(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	chunksAt := func(covers platform.Offset) [][]byte {
+		notes := make([]string, 600)
+		for i := range notes {
+			notes[i] = fmt.Sprintf("%x%x", random.Uint64(), [400]byte{byte(random.Uint32()), byte(random.Uint32())})
+			for range 60 {
+				notes[i] += fmt.Sprintf("%x", random.Uint64())
+			}
+		}
+		body, err := json.Marshal(notes)
+		assert.NilError(t, err)
+		data, err := EncodeSnapshot(Snapshot{Offset: covers, Parts: map[string]json.RawMessage{"history": body, "snapshots": []byte(`{}`)}})
+		assert.NilError(t, err)
+		chunks, err := EncodeChunks(fmt.Sprintf("w%d", covers), 1, covers, data)
+		assert.NilError(t, err)
+		assert.Assert(t, len(chunks) > 1, "%d bytes in one record", len(data))
+		return chunks
+	}
+	older, newer, cut := chunksAt(10), chunksAt(20), chunksAt(30)
+	for name, damage := range map[string]bool{"all whole": false, "newer damaged": true} {
+		t.Run(name, func(t *testing.T) {
+			l := &fakeLog{}
+			l.append(1, cut[0])
+			for i := range max(len(older), len(newer)) {
+				if i < len(newer) {
+					data := append([]byte(nil), newer[i]...)
+					if damage && i == 1 {
+						data[len(data)-1] ^= 1
+					}
+					l.append(1, data)
+				}
+				if i < len(older) {
+					l.append(1, older[i])
+				}
+			}
+			f, notes := newFollower()
+			for f.Next().Snapshots {
+				r := f.Next()
+				page, err := l.read(r, 2)
+				f.Take(r, page, err, func(Outcome) {})
+			}
+			want := platform.Offset(20)
+			if damage {
+				want = 10
+			}
+			assert.Equal(t, f.view.Offset(), want)
+			assert.Equal(t, len(notes.Bodies), 600)
+			skipped, _ := f.view.Skipped()
+			assert.Equal(t, skipped > 0, damage)
+		})
+	}
+}
+
 func assertSameState(t *testing.T, a, b *View) {
 	t.Helper()
 	assert.Equal(t, a.Offset(), b.Offset())
