--- a/control/log_outage_test.go
+++ b/control/log_outage_test.go
@@ -56,7 +56,7 @@
 		now += step
 		if i%2 == 0 {
 			asked[i+1] = now
-			do(Asked{Ticket: i + 1, Question: api.Claim{Claim: dispatch.Claim{Team: "workshop", Request: fmt.Sprint(i), Entry: "entry-1"}}})
+			do(Asked{Ticket: i + 1, Question: api.Claim{Claim: dispatch.Claim{Team: "workshop", Service: "inspection", Request: fmt.Sprint(i), Attempt: "entry-1"}}})
 		}
 		if i%5 == 0 {
 			do(Tick{})
--- a/control/snapshot_test.go
+++ b/control/snapshot_test.go
@@ -79,8 +79,8 @@
 	}
 	for i := range claims {
 		id := fmt.Sprintf("certificate-%d", i)
-		add(dispatch.KindClaim, dispatch.Claim{Team: "team-1", Request: id, Entry: "entry-1"})
-		add(dispatch.KindFinish, dispatch.Finish{Team: "team-1", Request: id, Outcome: dispatch.Done, Status: 200, ContentType: "application/json",
+		add(dispatch.KindClaim, dispatch.Claim{Team: "team-1", Service: "listing", Request: id, Attempt: "entry-1"})
+		add(dispatch.KindFinish, dispatch.Finish{Team: "team-1", Service: "listing", Request: id, Attempt: "entry-1", Outcome: dispatch.Done, Status: 200, ContentType: "application/json",
 			Body: []byte(fmt.Sprintf(`{"certificate":%d,"tool":"end mill","runout":%d,"verdict":"fit for use"}`, i, i%17))})
 	}
 }
