placement: a new home reports the teams of the tasks it took over

Ruled out: a report before the collect was whole (it was), grants to the predecessor. Change: reports name every team that the home knows and that uses, wants or was granted something.

--- a/placement/home.go
+++ b/placement/home.go
@@ -157,6 +157,9 @@
 	if !ok {
 		t = &homeTeam{name: name, index: noIndex}
 		h.teams[name] = t
+		// Reports name all teams that the home knows: one that a predecessor's
+		// tasks belong to, and that has asked for nothing since, counts too.
+		h.reports.link(LedgerOf(name)).teams[name] = t
 	}
 	return t
 }
--- a/placement/quota.go
+++ b/placement/quota.go
@@ -204,9 +204,7 @@
 // changed has a team's ledger told soon.
 func (r *reporter) changed(t *homeTeam) {
 	u := LedgerOf(t.name)
-	l := r.link(u)
-	l.teams[t.name] = t
-	r.mark(u, l)
+	r.mark(u, r.link(u))
 }
 
 func (r *reporter) mark(u ownership.Unit, l *ledgerLink) {
@@ -287,13 +285,18 @@
 	l.sentAt, l.sent = now, true
 	m := QuotaReport{Ledger: u, Home: h.unit, HomeEpoch: h.epoch, Sequence: l.sequence, LedgerEpoch: l.epoch}
 	for _, name := range sortedKeys(l.teams) {
-		if t := l.teams[name]; t.quota != nothing {
+		if t := l.teams[name]; t.quota != nothing && t.counts() {
 			m.Teams = append(m.Teams, t.teamUse())
 		}
 	}
 	return m
 }
 
+// counts reports whether a report must name the team.
+func (t *homeTeam) counts() bool {
+	return t.grant > 0 || t.used != nothing || t.wanted != nothing
+}
+
 func (t *homeTeam) teamUse() TeamUse {
 	t.unconfirmed = false
 	use := TeamUse{Team: t.name, Grant: t.grant, Level: t.level, Used: limited(t.used, t.quota)}
@@ -333,7 +336,6 @@
 	}
 	lowered := over(t.level, m.Level) != nothing
 	t.grant, t.level, t.own, t.idleSince, t.unconfirmed = m.Sequence, m.Level, m.Own, now, true
-	l.teams[m.Team] = t
 	if lowered {
 		// Another home waits for what is given back; a higher level can be
 		// confirmed with the next report.
--- a/placement/quota_test.go
+++ b/placement/quota_test.go
@@ -211,3 +211,21 @@
 	}
 	assert.DeepEqual(t, borrowed, []bool{false, false, true, true})
 }
+
+// A home is replaced while its tasks run and nothing of the team waits. The new
+// home must name the team in its report all the same: else the ledger counts its
+// tasks as not there and gives the quota out again.
+func TestReportNamesWhatAPredecessorStarted(t *testing.T) {
+	b := &bench{t: t, home: NewHome(ownership.HomeUnit(1), benchEpoch, DefaultHomeConfig), now: time.Second, units: []ownership.Unit{"shard/a"}}
+	b.home.SetShards(b.units)
+	b.team("workshop", settings.Team{Quota: times(small, 4)})
+	b.home.AddJob(b.now, Job{Spec: JobSpec{ID: "j", Team: "workshop", Kind: Batch, Tasks: 1, Need: small}, Accepted: benchEpoch - 1, State: JobOpen})
+	b.step()
+	b.handle(Collected{Home: b.home.unit, Shard: "shard/a", HomeEpoch: benchEpoch,
+		Attempts: []Changed{{Attempt: Attempt{Job: "j", Epoch: benchEpoch - 10, Number: 1}, State: AttemptRunning, Shard: "shard/a"}}})
+	b.handle(QuotaAsk{Home: b.home.unit, Ledger: LedgerOf("workshop"), LedgerEpoch: 70})
+	reports := take[QuotaReport](b)
+	assert.Equal(t, len(reports), 1)
+	assert.Equal(t, len(reports[0].Teams), 1)
+	assert.Equal(t, reports[0].Teams[0].Used, small)
+}
