placement: a home that hears of full shards only asks others too

Cause: schedulers now follow a sample of shards only. A home whose sample is full waited for the next one (30 s) while other shards stood empty, took a job too large for those it knew for one that no worker can hold, and looked at all 3,400 shards for each start, though it knows of 16.

Change: shards of which nothing was heard for 10 s are asked when none that was heard has room, at most four in 250 ms for each job; a refusal counts as hearing. What the workers could hold comes from the platform's list (SetCapacity). Shards are chosen among those that were heard. What was taken from a digest is given back only to the same digest: a gang that gave up made room appear that a newer digest had denied (TestGangHasRoomKeptForABoundedTime, now with digests every few seconds as in a cell, showed it).

--- a/control/core.go
+++ b/control/core.go
@@ -380,9 +380,23 @@
 	h.SetShards(c.shardIDs)
 	for _, s := range c.shardIDs {
 		h.SetOwner(now, s, c.table.Holder(s).Epoch)
+		h.SetCapacity(s, largestOf(c.workers[s]))
 	}
 }
 
+// largestOf is the capacity of the largest worker in each dimension.
+func largestOf(workers []platform.Worker) platform.Resources {
+	var largest platform.Resources
+	for _, w := range workers {
+		largest = platform.Resources{
+			MilliCPU:     max(largest.MilliCPU, w.Capacity.MilliCPU),
+			MemoryMiB:    max(largest.MemoryMiB, w.Capacity.MemoryMiB),
+			Accelerators: max(largest.Accelerators, w.Capacity.Accelerators),
+		}
+	}
+	return largest
+}
+
 // ownerChanged tells the homes of a shard's new owner.
 func (c *Core) ownerChanged(now time.Duration, out logstream.Outcome) {
 	var claim ownership.Claim
--- a/placement/gang.go
+++ b/placement/gang.go
@@ -52,9 +52,9 @@
 	for _, t := range job.tasks {
 		s := searchFor(job, t)
 		i := h.rooms.choose(s)
-		if i == noIndex && (reserve || job.Spec.Urgent) && job.mayAskAnywhere(now, h.cfg) {
-			used, s.anyCapable = true, true
-			i = h.rooms.choose(s)
+		if i == noIndex {
+			i = h.askAnywhere(now, job, s, reserve)
+			used = true
 		}
 		if i == noIndex {
 			for _, p := range picks {
@@ -106,13 +106,13 @@
 	}
 	s := searchFor(job, t)
 	i := h.rooms.choose(s)
-	if i == noIndex && h.mayReserve(now, job) {
-		h.reserve(now, job)
-		if job.mayAskAnywhere(now, h.cfg) {
-			s.anyCapable = true
-			i = h.rooms.choose(s)
+	if i == noIndex {
+		reserve := h.mayReserve(now, job)
+		if reserve {
+			h.reserve(now, job)
 		}
-		if i == noIndex {
+		i = h.askAnywhere(now, job, s, reserve)
+		if i == noIndex && reserve {
 			t.askedAt = now - h.cfg.AskAgain
 			h.timers.add(timer{at: now + h.cfg.Backoff, kind: timerAnswer, job: job, task: t})
 			return nil
@@ -131,7 +131,7 @@
 	for _, t := range job.tasks {
 		if t.phase == taskAsked || t.phase == taskHeld {
 			out = append(out, Release(h.order(t.shard, t.attempt)))
-			h.rooms.giveBack(t.shard, t.need)
+			h.rooms.giveBack(t)
 			h.setPhase(job, t, taskQueued)
 		}
 	}
--- a/placement/gang_test.go
+++ b/placement/gang_test.go
@@ -144,7 +144,12 @@
 	b.hold(places[0], "w")
 	b.handle(Placed{Home: b.home.unit, Shard: places[1].Shard, Attempt: places[1].Attempt, Sequence: places[1].Sequence, Reserved: true})
 	assert.Equal(t, b.status("g").Wait.Reason, WaitReserved)
-	b.wait(DefaultHomeConfig.ReserveFor + 2*time.Second)
+	// Shards tell of their room at least every five seconds.
+	for range 5 {
+		b.wait(DefaultHomeConfig.ReserveFor/5 + 400*time.Millisecond)
+		b.digest(b.units[0], nothing)
+		b.digest(b.units[1], nothing)
+	}
 	assert.Assert(t, len(take[Release](b)) >= 2)
 	assert.DeepEqual(t, b.states("g"), []string{"queued", "queued"})
 	b.wait(3 * time.Second)
--- a/placement/home.go
+++ b/placement/home.go
@@ -35,6 +35,9 @@
 	// EndAgain is how long a proposed end may go unseen in the log before it
 	// is proposed again.
 	EndAgain time.Duration
+	// StaleAfter is when a shard that has told nothing is worth asking without
+	// knowing of any room.
+	StaleAfter time.Duration
 	// MaxPerStep bounds the tasks asked for in one step.
 	MaxPerStep int
 	Quota      QuotaConfig
@@ -52,6 +55,7 @@
 	ReserveAfter: 2 * time.Second,
 	ReserveFor:   20 * time.Second,
 	EndAgain:     2 * time.Second,
+	StaleAfter:   10 * time.Second,
 	MaxPerStep:   400,
 	Quota:        DefaultQuotaConfig,
 }
@@ -119,6 +123,11 @@
 	}
 }
 
+// SetCapacity tells the home of a shard's largest worker in each dimension.
+func (h *Home) SetCapacity(shard ownership.Unit, largest platform.Resources) {
+	h.rooms.setCapacity(shard, largest)
+}
+
 // SetDigest notes a shard's free room and wakes the jobs that could use it. A
 // digest of a replaced owner that arrives late is dropped.
 func (h *Home) SetDigest(now time.Duration, d Digest) {
@@ -126,7 +135,7 @@
 		return
 	}
 	h.SetOwner(now, d.Shard, d.Epoch)
-	if h.rooms.setDigest(d) {
+	if h.rooms.setDigest(now, d) {
 		h.queue.roomGrew(now, d.Free)
 	}
 }
--- a/placement/home_job.go
+++ b/placement/home_job.go
@@ -49,6 +49,8 @@
 	// sequence is that of the newest Place.
 	sequence uint64
 	worker   string
+	// roomVersion is that of the shard's digest that the attempt was taken from.
+	roomVersion uint64
 	// need is what the current attempt was asked for.
 	need     platform.Resources
 	askedAt  time.Duration
--- a/placement/home_rooms.go
+++ b/placement/home_rooms.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"time"
+
 	"github.com/knapweedweir/knapweedweir/ownership"
 	"github.com/knapweedweir/knapweedweir/platform"
 )
@@ -10,6 +12,8 @@
 type room struct {
 	Digest
 	known bool
+	// heardAt is when the shard last told of its room, by a digest or a refusal.
+	heardAt time.Duration
 	// version counts the digests: a refusal counts until the next one.
 	version uint64
 }
@@ -19,6 +23,8 @@
 type rooms struct {
 	list  []room
 	index map[ownership.Unit]int
+	// heard are the indexes of the shards that have told of their room.
+	heard []int
 	total platform.Resources
 	seed  uint64
 }
@@ -30,6 +36,7 @@
 func (r *rooms) setShards(shards []ownership.Unit) {
 	old, oldIndex := r.list, r.index
 	r.list, r.index, r.total = make([]room, len(shards)), make(map[ownership.Unit]int, len(shards)), platform.Resources{}
+	r.heard = nil
 	for i, s := range shards {
 		r.list[i].Shard = s
 		r.index[s] = i
@@ -39,12 +46,15 @@
 		// A refusal that was noted by position must not count for the shard
 		// that has that position now.
 		r.list[i].version++
+		if r.list[i].known {
+			r.heard = append(r.heard, i)
+		}
 		r.total = r.total.Add(r.list[i].Total)
 	}
 }
 
 // setDigest notes a digest and reports whether it shows more room than before.
-func (r *rooms) setDigest(d Digest) bool {
+func (r *rooms) setDigest(now time.Duration, d Digest) bool {
 	i, ok := r.index[d.Shard]
 	if !ok {
 		return false
@@ -53,11 +63,29 @@
 	grew := !k.known || d.Free.MilliCPU > k.Free.MilliCPU || d.Free.MemoryMiB > k.Free.MemoryMiB ||
 		d.Free.Accelerators > k.Free.Accelerators
 	r.total = r.total.Add(d.Total).Sub(k.Total)
-	k.Digest, k.known = d, true
+	r.hear(i, now)
+	k.Digest = d
 	k.version++
 	return grew
 }
 
+// hear notes that a shard has told of its room.
+func (r *rooms) hear(i int, now time.Duration) {
+	if !r.list[i].known {
+		r.list[i].known = true
+		r.heard = append(r.heard, i)
+	}
+	r.list[i].heardAt = now
+}
+
+// setCapacity notes what the platform's list says of a shard's workers, as most
+// shards of a large cell tell a home nothing of themselves.
+func (r *rooms) setCapacity(s ownership.Unit, largest platform.Resources) {
+	if i, ok := r.index[s]; ok && !r.list[i].known {
+		r.list[i].Largest = largest
+	}
+}
+
 // setEpoch notes the newest owner of a shard and reports whether it has replaced
 // another.
 func (r *rooms) setEpoch(s ownership.Unit, epoch platform.Offset) bool {
@@ -80,9 +108,10 @@
 // take lowers a shard's known room by what was asked of it.
 func (r *rooms) take(i int, need platform.Resources) { r.list[i].Free = r.list[i].Free.Sub(need) }
 
-func (r *rooms) giveBack(s ownership.Unit, need platform.Resources) {
-	if i, ok := r.index[s]; ok {
-		r.list[i].Free = r.list[i].Free.Add(need)
+// giveBack undoes take, unless a digest has told since what is really free.
+func (r *rooms) giveBack(t *homeTask) {
+	if i, ok := r.index[t.shard]; ok && r.list[i].version == t.roomVersion {
+		r.list[i].Free = r.list[i].Free.Add(t.need)
 	}
 }
 
@@ -108,8 +137,10 @@
 type search struct {
 	need platform.Resources
 	// anyCapable also takes shards without room now, whose workers are large
-	// enough.
+	// enough. unheard takes only such of which nothing was heard since.
 	anyCapable bool
+	unheard    bool
+	since      time.Duration
 	refused    map[int]uint64
 	// avoid names shards where the task has failed; others go first.
 	avoid []ownership.Unit
@@ -120,30 +151,31 @@
 // choose returns the index of the better of two random shards that fit, so that
 // homes with the same stale digests don't all ask the same shard.
 func (r *rooms) choose(s search) int {
-	if len(r.list) == 0 {
+	n := len(r.list)
+	at := func(k int) int { return k }
+	if !s.unheard && !s.anyCapable {
+		n = len(r.heard)
+		at = func(k int) int { return r.heard[k] }
+	}
+	if n == 0 {
 		return noIndex
 	}
 	best, found := noIndex, 0
-	if len(r.list) > probes {
-		for range probes {
-			i := r.random(len(r.list))
-			if !r.fits(i, s) {
-				continue
-			}
-			if found++; best == noIndex || r.better(i, best, s) {
-				best = i
-			}
-			if found == candidates {
-				break
-			}
+	for k := 0; n > probes && k < probes && found < candidates; k++ {
+		i := at(r.random(n))
+		if !r.fits(i, s) {
+			continue
+		}
+		if found++; best == noIndex || r.better(i, best, s) {
+			best = i
 		}
 	}
 	if best != noIndex && !r.poor(best, s) {
 		return best
 	}
-	start := r.random(len(r.list))
-	for k := range r.list {
-		i := (start + k) % len(r.list)
+	start := r.random(n)
+	for k := range n {
+		i := at((start + k) % n)
 		if r.fits(i, s) && (best == noIndex || r.better(i, best, s)) {
 			best = i
 		}
@@ -153,13 +185,16 @@
 
 func (r *rooms) fits(i int, s search) bool {
 	k := &r.list[i]
-	if !k.known || s.refused[i] == k.version {
+	if s.unheard {
+		return (!k.known || k.heardAt < s.since) && s.need.Fits(k.Largest)
+	}
+	if s.refused[i] == k.version {
 		return false
 	}
 	if s.anyCapable {
 		return s.need.Fits(k.Largest)
 	}
-	return s.need.Fits(k.Free) && s.need.Fits(k.Largest)
+	return k.known && s.need.Fits(k.Free) && s.need.Fits(k.Largest)
 }
 
 // poor reports whether a shard found at random is worth a look at all others:
--- a/placement/home_tasks.go
+++ b/placement/home_tasks.go
@@ -23,9 +23,7 @@
 		// An urgent task may displace others, and room may be kept for one that
 		// has waited long: both are worth asking shards without room.
 		reserve = h.mayReserve(now, job)
-		if s.anyCapable = (job.Spec.Urgent || reserve) && job.mayAskAnywhere(now, h.cfg); s.anyCapable {
-			i = h.rooms.choose(s)
-		}
+		i = h.askAnywhere(now, job, s, reserve)
 	}
 	if i == noIndex {
 		h.waitForRoom(now, c)
@@ -41,6 +39,24 @@
 	return []Message{msg}
 }
 
+// askAnywhere chooses a shard of which no room is known. A home hears from a few
+// shards only: without asking others it would wait for their room while those
+// that it does not hear from stand empty.
+func (h *Home) askAnywhere(now time.Duration, job *homeJob, s search, reserve bool) int {
+	if !job.mayAskAnywhere(now, h.cfg) {
+		return noIndex
+	}
+	s.unheard, s.since = true, now-h.cfg.StaleAfter
+	if i := h.rooms.choose(s); i != noIndex {
+		return i
+	}
+	s.unheard, s.anyCapable = false, true
+	if !job.Spec.Urgent && !reserve {
+		return noIndex
+	}
+	return h.rooms.choose(s)
+}
+
 func searchFor(job *homeJob, t *homeTask) search {
 	return search{need: job.need, avoid: t.badShards, refused: classOf(job).refused, placed: job.placed}
 }
@@ -70,6 +86,7 @@
 	t.borrowed = h.borrows(job.team)
 	t.worker = ""
 	h.rooms.take(room, t.need)
+	t.roomVersion = h.rooms.list[room].version
 	return h.place(now, job, t)
 }
 
@@ -142,13 +159,13 @@
 	}
 	job.refusal.add(m)
 	if i, ok := h.rooms.index[m.Shard]; ok {
-		h.refuse(job, i)
+		h.refuse(now, job, i)
 	}
 	if m.Reserved {
 		// The shard keeps room for this very attempt, so it is asked again.
 		return nil
 	}
-	h.rooms.giveBack(t.shard, t.need)
+	h.rooms.giveBack(t)
 	h.setPhase(job, t, taskQueued)
 	if job.Spec.Kind == Gang {
 		return h.gangRefused(now, job, t)
@@ -158,12 +175,13 @@
 }
 
 // refuse notes that a shard's digest promised room that no worker has.
-func (h *Home) refuse(job *homeJob, room int) {
+func (h *Home) refuse(now time.Duration, job *homeJob, room int) {
 	c := classOf(job)
 	if c.refused == nil {
 		c.refused = map[int]uint64{}
 	}
 	c.refused[room] = h.rooms.list[room].version
+	h.rooms.hear(room, now)
 }
 
 // runs notes that a task's attempt is placed for good.
@@ -313,7 +331,7 @@
 
 func (r *rooms) capable(need platform.Resources) bool {
 	for i := range r.list {
-		if r.list[i].known && need.Fits(r.list[i].Largest) {
+		if need.Fits(r.list[i].Largest) {
 			return true
 		}
 	}
--- a/placement/queue_test.go
+++ b/placement/queue_test.go
@@ -237,3 +237,57 @@
 		assert.Equal(t, count[u], 2, "%v", count)
 	}
 }
+
+// A home hears of a few shards only, and those are full. Without asking others it
+// would wait while they stand empty; without a bound it would ask them all.
+func TestShardsThatWereNotHeardAreAskedToo(t *testing.T) {
+	b := &bench{t: t, home: NewHome(ownership.HomeUnit(1), benchEpoch, DefaultHomeConfig), now: time.Second}
+	for i := range 100 {
+		b.units = append(b.units, ownership.ShardUnit(fmt.Sprintf("r%03d", i)))
+	}
+	b.home.SetShards(b.units)
+	for _, u := range b.units {
+		b.home.SetCapacity(u, times(small, 10))
+	}
+	b.digest(b.units[0], nothing)
+	b.submit(JobSpec{ID: "j", Kind: Batch, Tasks: 1})
+	asked := map[ownership.Unit]bool{}
+	for range 8 {
+		p := b.nextPlaces()
+		assert.Equal(t, len(p), 1)
+		assert.Assert(t, !asked[p[0].Shard] && p[0].Shard != b.units[0], "asked twice: %s", p[0].Shard)
+		asked[p[0].Shard] = true
+		b.refuse(p[0])
+	}
+	assert.Assert(t, b.now < time.Second+DefaultHomeConfig.ReserveAfter, "asked only after %s", b.now)
+	assert.Assert(t, b.now >= time.Second+anywhereEvery, "at most %d asks in %s", anywhereAsks, anywhereEvery)
+	b.submit(JobSpec{ID: "large", Kind: Batch, Tasks: 1, Need: times(small, 11)})
+	assert.Equal(t, b.status("large").Wait.Reason, WaitRoom)
+}
+
+// BenchmarkStartAmongManyShards is a start in a home that hears of 16 of the
+// letter's 3,400 racks.
+func BenchmarkStartAmongManyShards(b *testing.B) {
+	h := NewHome(ownership.HomeUnit(1), benchEpoch, DefaultHomeConfig)
+	var units []ownership.Unit
+	for i := range 3400 {
+		units = append(units, ownership.ShardUnit(fmt.Sprintf("r%d", i)))
+	}
+	h.SetShards(units)
+	now := time.Second
+	h.toCollect, h.complete = nil, true
+	for _, u := range units[:16] {
+		h.SetDigest(now, Digest{Shard: u, Epoch: 50, Workers: 5, Total: huge, Free: huge, Largest: huge})
+	}
+	h.Step(now)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		id := fmt.Sprintf("s%d", i)
+		h.AddJob(now, Job{Spec: JobSpec{ID: id, Team: "team1", Kind: Batch, Tasks: 1, Need: small}, Accepted: benchEpoch + 1, State: JobOpen})
+		out, _ := h.Step(now)
+		p := out[0].(Place)
+		h.Handle(now, Placed{Home: p.Home, Shard: p.Shard, Attempt: p.Attempt, Sequence: p.Sequence, OK: true, Worker: "w"})
+		h.Handle(now, Changed{Home: p.Home, Shard: p.Shard, Attempt: p.Attempt, State: AttemptDone, Worker: "w"})
+		h.JobEnded(now, id)
+	}
+}
