--- a/cmd/kwctl/console.go
+++ b/cmd/kwctl/console.go
@@ -42,7 +42,7 @@
        kwctl doctor [flags]
 
 Every command asks one entry: -entry ADDRESS, or $KW_ENTRY. Flags may stand
-before or after the arguments. Tables are for people; -o json is for programs.
+before or after the command and its arguments. Tables are for people; -o json is for programs.
 Where the cell uses TLS, -ca, -cert and -key (or $KW_CA, $KW_CERT, $KW_KEY) name
 the authorities of the entries and the operator's own certificate.
 
@@ -61,6 +61,7 @@
 func (c *console) execute(ctx context.Context, args []string) exitStatus {
 	top := flag.NewFlagSet("kwctl", flag.ContinueOnError)
 	top.SetOutput(c.err)
+	c.flags(top)
 	cdr := subcommands.NewCommander(top, "kwctl")
 	cdr.Output, cdr.Error = c.out, c.err
 	commands := c.commands()
--- a/cmd/kwctl/kwctl_test.go
+++ b/cmd/kwctl/kwctl_test.go
@@ -130,6 +130,16 @@
 	}
 }
 
+func TestCommonFlagsMayStandAnywhere(t *testing.T) {
+	f := newFakeEntry(t)
+	f.answer("GET /v1/jobs", 200, api.JobsPage{Jobs: []api.JobRow{{ID: "plan"}}})
+	for _, args := range [][]string{{"-entry", f.addr, "-o", "json", "job", "list"}, {"job", "-entry", f.addr, "-o", "json", "list"}, {"job", "list", "-entry", f.addr, "-o", "json"}} {
+		r := kwctl(t, "127.0.0.1:1", "", args...)
+		assert.Equal(t, r.status, exitOK, "%v: %s", args, r.errs)
+		assert.Assert(t, strings.Contains(r.out, `"id": "plan"`), r.out)
+	}
+}
+
 func TestFlagsMayFollowArguments(t *testing.T) {
 	f := newFakeEntry(t)
 	f.answer("GET /v1/jobs/{id}", 200, map[string]any{"id": "a", "state": "open", "new": "field"})
