scenario: a zone lost, a worker and its scheduler lost together, a worker unlisted

A worker that a new shard owner had never heard held back its answers for good: '[worker watchers 0] moved away from desk-5' not within a minute, and 'job later ... 3 are done, 1 wait: shards were asked and have not all answered'.

The stand-in platform can now take a worker off its list. Not proved: a whole rack off the list; its unit then has no owner (reported to the owners of that code).

--- a/scenario/commands_test.go
+++ b/scenario/commands_test.go
@@ -75,6 +75,7 @@
 //	                                          set a variable to the scheduler or worker that has it
 //	moved OLD home JOB | shard RACK | worker JOB INDEX
 //	                                          wait until another scheduler or worker than OLD has it
+//	movedall JOB ZONE                         wait until no task of a job runs in a zone and all run
 //	call ENTRY TEAM SERVICE ID                send a request; print outcome and body
 //	calls N ENTRY TEAM SERVICE PREFIX         send N requests one after the other; all must be done
 //	dump REGEXP ENTRY                         wait until the dump of the entry's scheduler matches
@@ -91,7 +92,7 @@
 //	restart N                                 end instance N with SIGTERM and start it again
 //	faults [down] [lose] [delay=D]            set the log's faults; none clears them
 //	logdown                                   wait until every scheduler that answers takes the log for down
-//	worker ID|rack=R|zone=Z [frozen] [failall]
+//	worker ID|rack=R|zone=Z [frozen] [failall] [gone]
 //	                                          set the faults of workers; none clears them
 //	runner ID MODE                            set a runner's mode ("normal" clears it)
 //	list ID live|leaving|gone                 change the platform's instance list
@@ -105,7 +106,7 @@
 //	referee                                   check that no promise was broken
 var commands = map[string]func(ts *testscript.TestScript, neg bool, args []string){
 	"cell": cmdCell, "kwctl": cmdKwctl, "await": cmdAwait, "dump": cmdDump, "race": cmdRace,
-	"job": cmdJob, "jobs": cmdJobs, "cancel": cmdCancel, "running": cmdRunning, "jobis": cmdJobIs, "attempts": cmdAttempts, "let": cmdLet, "moved": cmdMoved,
+	"job": cmdJob, "jobs": cmdJobs, "cancel": cmdCancel, "running": cmdRunning, "jobis": cmdJobIs, "attempts": cmdAttempts, "let": cmdLet, "moved": cmdMoved, "movedall": cmdMovedAll,
 	"call": cmdCall, "calls": cmdCalls, "everywhere": cmdEverywhere, "awaitcall": cmdAwaitCall, "callbg": cmdCallBackground, "result": cmdResult,
 	"load": cmdLoad, "loaded": cmdLoaded, "served": cmdServed, "quiet": cmdQuiet, "busy": cmdBusy, "restart": cmdRestart,
 	"faults": cmdFaults, "logdown": cmdLogDown, "worker": cmdWorker, "runner": cmdRunner, "list": cmdList, "signal": cmdSignal, "start": cmdStart,
@@ -325,12 +326,13 @@
 	o := options(args[1:])
 	_, frozen := o["frozen"]
 	_, fail := o["failall"]
+	_, gone := o["gone"]
 	ids := of(ts).cell.Select(args[0])
 	if len(ids) == 0 {
 		ts.Fatalf("no worker %q", args[0])
 	}
 	for _, id := range ids {
-		ts.Check(of(ts).cell.SetWorkerFaults(id, fakeplatform.WorkerFaults{Frozen: frozen, FailAll: fail}))
+		ts.Check(of(ts).cell.SetWorkerFaults(id, fakeplatform.WorkerFaults{Frozen: frozen, FailAll: fail, Gone: gone}))
 	}
 }
 
--- a/scenario/jobs_test.go
+++ b/scenario/jobs_test.go
@@ -234,6 +234,24 @@
 	}))
 }
 
+func cmdMovedAll(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 2)
+	c := of(ts).cell
+	inZone := map[string]bool{}
+	for _, id := range c.Select("zone=" + args[1]) {
+		inZone[id] = true
+	}
+	ts.Check(cell.Await(patience, "all tasks of "+args[0]+" run outside "+args[1], func() bool {
+		st, err := c.Job(args[0])
+		for _, t := range st.Tasks {
+			if t.State != "running" || inZone[t.Worker] {
+				return false
+			}
+		}
+		return err == nil && len(st.Tasks) > 0
+	}))
+}
+
 func cmdRace(ts *testscript.TestScript, _ bool, args []string) {
 	need(ts, args, 3)
 	base, err := kwctl(entry(ts, "1"), "settings", "status")
--- a/standin/fakeplatform/server.go
+++ b/standin/fakeplatform/server.go
@@ -238,6 +238,8 @@
 	Frozen bool `json:"frozen"`
 	// FailAll makes every new task fail at once.
 	FailAll bool `json:"failAll"`
+	// Gone workers are frozen and no longer in the platform's list.
+	Gone bool `json:"gone"`
 }
 
 // SetWorkerFaults switches a worker's faults; false if there is no such worker.
@@ -246,9 +248,12 @@
 	defer s.fleet.mu.Unlock()
 	fw, ok := s.fleet.workers[id]
 	if ok {
-		fw.frozen, fw.failAll = f.Frozen, f.FailAll
+		if fw.gone != f.Gone {
+			s.fleet.version++
+		}
+		fw.frozen, fw.failAll, fw.gone = f.Frozen || f.Gone, f.FailAll, f.Gone
 		fw.wakeUp()
-		if f.Frozen {
+		if fw.frozen {
 			s.fleet.referee.silenced(fw)
 		}
 	}
--- a/standin/fakeplatform/worker.go
+++ b/standin/fakeplatform/worker.go
@@ -36,6 +36,7 @@
 	tasks    map[string]*runningTask
 	frozen   bool
 	failAll  bool
+	gone     bool
 	referee  *referee
 	change   uint64
 	// wake is closed when a held back answer has to be looked at again.
@@ -78,7 +79,9 @@
 		return out
 	}
 	for _, w := range f.workers {
-		out.Workers = append(out.Workers, w.Worker)
+		if !w.gone {
+			out.Workers = append(out.Workers, w.Worker)
+		}
 	}
 	sort.Slice(out.Workers, func(i, j int) bool { return out.Workers[i].ID < out.Workers[j].ID })
 	return out
