standin/cell: ports from a block of the cell's own, below the outgoing range

Cause: a landing failed in whole_path with 'listen for operators: listen tcp 127.0.0.1:42945: bind: address already in use'. The harness asked the kernel for free ports and closed them; until the process listened, an outgoing connection of any other process could take one, as could a second cell. The longer a scenario keeps a process down, the likelier.

Ruled out: a process of the same cell (each gets its own port).

Change: a cell holds a block of 128 ports by listening on its first one, between 10000 and 30480, where Linux takes none for outgoing connections (32768-60999 here). Before: seen once in about 40 cells under load. After: 'go test -count=1 ./scenario', 25 scripts, ok, 51.1 s on the loaded machine; not repeated further.

--- a/standin/cell/cell.go
+++ b/standin/cell/cell.go
@@ -68,6 +68,7 @@
 	Instances    []platform.Instance
 	Workers      []platform.Worker
 	authority    *authority.Authority
+	block        net.Listener
 }
 
 // Programs are the binaries that a cell needs, by name and package below the
@@ -166,26 +167,6 @@
 	return p.cmd.Process.Pid
 }
 
-// FreeAddrs returns loopback addresses that nobody listens on.
-func FreeAddrs(n int) ([]string, error) {
-	var addrs []string
-	var open []net.Listener
-	defer func() {
-		for _, l := range open {
-			_ = l.Close()
-		}
-	}()
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, errors.Wrap(err, "find a free port")
-		}
-		open = append(open, l)
-		addrs = append(addrs, l.Addr().String())
-	}
-	return addrs, nil
-}
-
 // Start starts a cell whose programs are in bin and whose files go to dir.
 func Start(bin, dir string, spec Spec) (*Cell, error) {
 	c := &Cell{Dir: dir, Bin: bin, RunnerAddrs: map[string]string{}, Workers: spec.Workers}
@@ -193,10 +174,11 @@
 	for _, g := range spec.Runners {
 		total += g.Count
 	}
-	addrs, err := FreeAddrs(total)
+	block, addrs, err := claimBlock(total)
 	if err != nil {
 		return nil, err
 	}
+	c.block = block
 	c.PlatformAddr, addrs = addrs[0], addrs[1:]
 	if addrs, err = c.startRunners(spec, addrs); err != nil {
 		return c, err
@@ -276,6 +258,7 @@
 
 // Close kills every process of the cell.
 func (c *Cell) Close() {
+	defer c.block.Close()
 	for _, p := range c.Procs() {
 		if p != nil && p.cmd != nil {
 			_ = p.Signal(syscall.SIGKILL)
