--- a/cmd/internal/entry/operate.go
+++ b/cmd/internal/entry/operate.go
@@ -83,6 +83,7 @@
 	api.Forbidden: http.StatusForbidden,
 	api.Invalid:   http.StatusBadRequest, api.Conflict: http.StatusConflict, api.Unavailable: http.StatusServiceUnavailable,
 	api.InDoubt: http.StatusGatewayTimeout, api.NotFound: http.StatusNotFound, api.Elsewhere: http.StatusServiceUnavailable,
+	api.Starting: http.StatusServiceUnavailable,
 }
 
 func (e *Entry) respond(w http.ResponseWriter, a api.Answer, err error, ok func()) {
--- a/cmd/internal/entry/schedulers.go
+++ b/cmd/internal/entry/schedulers.go
@@ -39,8 +39,13 @@
 // already have taken effect.
 func (s *schedulers) ask(q api.Question) (api.Answer, error) {
 	var last error
+	var starting *api.Answer
 	for _, addr := range s.order {
 		a, err := s.client(addr).Ask(q, askTimeout)
+		if err == nil && a.Code == api.Starting {
+			starting = &a
+			continue
+		}
 		if err == nil {
 			return a, nil
 		}
@@ -49,6 +54,9 @@
 			return api.Answer{}, err
 		}
 	}
+	if starting != nil {
+		return *starting, nil
+	}
 	return api.Answer{}, last
 }
 
@@ -66,9 +74,12 @@
 			break
 		}
 		a, err := s.client(addr).Ask(q, left)
-		if err == nil {
+		if err == nil && a.Code != api.Starting {
 			return a, nil
 		}
+		if err == nil {
+			continue
+		}
 		asked = asked || !errors.Is(err, schedclient.ErrNotSent)
 	}
 	if asked {
--- a/control/api/api.go
+++ b/control/api/api.go
@@ -34,6 +34,9 @@
 	Forbidden Code = "forbidden"
 	// InDoubt: the change was sent to the log and not confirmed.
 	InDoubt Code = "in-doubt"
+	// Starting: the scheduler has not read the log to its end yet; nothing
+	// changed, and another one may be asked.
+	Starting Code = "starting"
 	// Elsewhere: the scheduler in Answer.Owner knows.
 	Elsewhere Code = "elsewhere"
 	NotFound  Code = "not-found"
--- a/control/ask.go
+++ b/control/ask.go
@@ -20,7 +20,17 @@
 // logRetryAfter is when somebody turned away by a log outage may come back.
 const logRetryAfter = 5 * time.Second
 
+// startRetryAfter is when somebody turned away by a starting scheduler may come
+// back.
+const startRetryAfter = time.Second
+
 func (c *Core) asked(now time.Duration, ev Asked) {
+	// A scheduler that has just started knows no team and no job. Answering from
+	// that, it would refuse a good job for good: "team has no settings in force".
+	if !c.ready {
+		c.answer(ev.Ticket, api.Answer{Code: api.Starting, Message: "the scheduler is reading the log; nothing was accepted", RetryAfter: startRetryAfter})
+		return
+	}
 	switch q := ev.Question.(type) {
 	case api.JobQuery:
 		c.answer(ev.Ticket, c.jobStatus(now, q.Job))
--- a/control/core_test.go
+++ b/control/core_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/knapweedweir/knapweedweir/control/api"
+	"github.com/knapweedweir/knapweedweir/placement"
 	"github.com/knapweedweir/knapweedweir/platform"
 	"github.com/knapweedweir/knapweedweir/settings"
 )
@@ -33,13 +34,26 @@
 func TestQuestionRightAfterTheLogIsLostIsTurnedAway(t *testing.T) {
 	c := New(DefaultConfig("sched-1", 1))
 	now := time.Hour
-	c.Step(now, LogRead{Read: c.NextRead(), Page: platform.Page{First: 1}})
+	c.Step(now, Tick{})
+	for range 2 {
+		c.Step(now, LogRead{Read: c.NextRead(), Page: platform.Page{First: 1}})
+	}
 	c.Step(now, Tick{})
 	now += c.cfg.LogHealth.SilentFor
 	actions := c.Step(now, Asked{Ticket: 1, Question: api.Publish{Change: settings.Change{Team: "workshop", File: "f", Document: "{}"}}})
 	assert.Equal(t, answerCode(actions, 1), api.Unavailable)
 }
 
+// An operator submits a good job through an entry whose scheduler has just been
+// started again and has not read the log: it knows no team. It must not refuse
+// the job for good, but say that it is starting, so that another one is asked.
+func TestQuestionToAStartingSchedulerIsNotJudged(t *testing.T) {
+	c := New(DefaultConfig("sched-1", 1))
+	spec := placement.JobSpec{ID: "plan", Team: "workshop", Name: "plan", Kind: placement.Batch, Tasks: 1, Need: platform.Resources{MilliCPU: 1, MemoryMiB: 1}}
+	actions := c.Step(time.Hour, Asked{Ticket: 1, Question: api.Submit{Job: spec}})
+	assert.Equal(t, answerCode(actions, 1), api.Starting)
+}
+
 // answerCode returns how a question was answered, "" if it was not.
 func answerCode(actions []Action, ticket uint64) api.Code {
 	for _, a := range actions {
