standin/load: the first answer that is not done is kept for diagnosis

Cause: slow_log (105 of 2324) and upstream_leaving (36 of 728) each failed once in a landing on the loaded machine with quotes answered 'not-run', without the reason; alone both pass. The next failure prints the first such answer.

--- a/scenario/jobs_test.go
+++ b/scenario/jobs_test.go
@@ -317,7 +317,7 @@
 	}
 	for outcome, n := range row.Outcomes {
 		if !allowed[outcome] {
-			ts.Fatalf("%d of %d requests ended with %q, want only %v: %v", n, row.Sent, outcome, args[1:], row.Outcomes)
+			ts.Fatalf("%d of %d requests ended with %q, want only %v: %v; the first: %s", n, row.Sent, outcome, args[1:], row.Outcomes, row.Example)
 		}
 	}
 }
--- a/standin/load/load.go
+++ b/standin/load/load.go
@@ -125,6 +125,8 @@
 	// Waits are the times from the planned time to the final answer, in
 	// microseconds, of all requests.
 	Waits *hdrhistogram.Histogram `json:"-"`
+	// Example is the first answer that was not "done".
+	Example string `json:"example,omitempty"`
 }
 
 // longestWait is the largest waiting time a histogram can hold.
@@ -230,6 +232,8 @@
 	retryAfter time.Duration
 	// broken says what is wrong with an answer that no caller should see.
 	broken string
+	// text is the body of an answer that is not "done".
+	text string
 }
 
 // Outcomes beside those of the entry.
@@ -271,6 +275,9 @@
 		return answer{outcome: outcomeBroken}
 	}
 	a := answer{outcome: resp.Header.Get("Outcome")}
+	if a.outcome != "done" {
+		a.text = string(data)
+	}
 	a.broken = inspect(a.outcome, id, body, resp, data)
 	if seconds, err := strconv.Atoi(resp.Header.Get("Retry-After")); err == nil {
 		a.retryAfter = time.Duration(seconds) * time.Second
@@ -333,6 +340,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	row := r.row(st.Name)
+	if row.Example == "" {
+		row.Example = a.text
+	}
 	row.Sent++
 	row.Outcomes[a.outcome]++
 	row.Offered += st.Worth
