Shard: bad workers are quarantined and probed, tasks above their memory curbed

Change: failures are weighed by job: each task of a job that runs elsewhere, else once a job; jobs that fail where others succeed don't count. Three jobs of two teams (five of one), or three tasks that run elsewhere, put a worker out for 30 s, doubling to 10 min, then one task probes it; less evidence limits it to one task at a time. The digest offers no room of such workers except for a probe. A task above its memory is throttled and what it uses kept from others while there is room; then the one furthest above its need is stopped and told as CauseMemory with its use.

Ruled out: counting tasks (one bad array job takes out every worker it visits); shares of failures over time (slow to find, and a worker that fails at once makes its own share).

Not known to the shard: that a job runs in other shards; Place.Avoid brings its retries to other workers, so distinct jobs tell.

--- a/placement/filter.go
+++ b/placement/filter.go
@@ -27,12 +27,12 @@
 // it. What holds for good comes before what time may change, so that an
 // explanation names the lasting reason.
 var workerFilters = []workerFilter{
-	tooSmall{}, noAccelerators{}, notHeard{}, failedThere{}, noRoom{}, reservedRoom{},
+	tooSmall{}, noAccelerators{}, notHeard{}, quarantined{}, failedThere{}, noRoom{}, reservedRoom{},
 }
 
 // lastingFilters is how many of them are not about room: these hold for urgent
 // work and reservations too.
-const lastingFilters = 4
+const lastingFilters = 5
 
 // tooSmall removes workers that could not hold the task even if empty.
 type tooSmall struct{}
--- a/placement/shard.go
+++ b/placement/shard.go
@@ -64,6 +64,9 @@
 	// claimReadAt is when a majority of the schedulers had read this owner's
 	// claim; zero until it has.
 	claimReadAt time.Duration
+	// outcomes are the newest jobs that ended here, and outcomeOrder their age.
+	outcomes     map[jobKey]*outcome
+	outcomeOrder []jobKey
 	// scratch is reused by searches for tasks to displace.
 	scratch []*slot
 }
@@ -71,7 +74,8 @@
 // NewShard returns the owner's state under an epoch. It knows no workers yet.
 func NewShard(unit ownership.Unit, epoch platform.Offset, cfg ShardConfig) *Shard {
 	return &Shard{unit: unit, epoch: epoch, cfg: cfg, workers: map[string]*worker{},
-		slots: map[Attempt]*slot{}, jobs: map[string][]*slot{}, homes: map[ownership.Unit]channel{}}
+		slots: map[Attempt]*slot{}, jobs: map[string][]*slot{}, homes: map[ownership.Unit]channel{},
+		outcomes: map[jobKey]*outcome{}}
 }
 
 // Unit is the shard's unit.
@@ -152,6 +156,7 @@
 		out = append(out, s.expireHolds(now, w)...)
 		out = append(out, s.tellAgain(now, w)...)
 		s.promote(now, w)
+		w.endQuarantine(now)
 		if s.mustWait(now, w) {
 			continue
 		}
--- /dev/null
+++ b/placement/shard_memory_test.go
@@ -0,0 +1,57 @@
+package placement
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/knapweedweir/knapweedweir/platform"
+)
+
+// A task uses more memory than it declared. While the worker has memory to spare
+// the task is throttled and nobody is placed into what it uses; when it would
+// reach into its neighbours' memory it is stopped, and they run on.
+func TestTaskAboveItsMemory(t *testing.T) {
+	tests := []struct {
+		name      string
+		uses      int64
+		throttled bool
+		stopped   bool
+		roomLeft  bool
+	}{
+		{"within its need", 1000, false, false, true},
+		{"above it, memory to spare", 1500, true, false, false},
+		{"into its neighbour's memory", 2500, true, true, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newRig(machine("a", 4000, 4000, 0))
+			hog, good := work("hog", 1000, 1000, 0), work("good", 1000, 2000, 0)
+			r.place(hog)
+			r.place(good)
+			r.pass(time.Second)
+			for _, task := range r.workers["a"].tasks {
+				if strings.HasPrefix(task.Task.ID, "hog/") {
+					task.Usage = platform.Resources{MilliCPU: 1000, MemoryMiB: tt.uses}
+					r.workers["a"].touch(task)
+				}
+			}
+			r.pass(500 * time.Millisecond)
+			var next platform.SyncRequest
+			for _, sl := range r.s.workers["a"].slots {
+				sl.order(&next)
+			}
+			assert.Equal(t, len(next.Throttles) > 0, tt.throttled && !tt.stopped)
+			assert.Equal(t, r.place(work("next", 1000, 1000, 0)).OK, tt.roomLeft)
+			last := r.last("hog")
+			assert.Equal(t, last.Cause == CauseMemory, tt.stopped)
+			if tt.stopped {
+				assert.Equal(t, last.State, AttemptFailed)
+				assert.Equal(t, last.Usage.MemoryMiB, tt.uses)
+			}
+			assert.Equal(t, r.last("good").State, AttemptRunning)
+		})
+	}
+}
--- a/placement/shard_status.go
+++ b/placement/shard_status.go
@@ -17,7 +17,7 @@
 		d.Zone = w.Zone
 		d.Total = d.Total.Add(w.Capacity)
 		d.Largest = larger(d.Largest, w.Capacity)
-		if w.reconciled {
+		if w.takesTasks() {
 			d.Free = d.Free.Add(larger(w.free(), platform.Resources{}))
 		}
 	}
@@ -33,7 +33,11 @@
 	Free       platform.Resources `json:"free"`
 	Listed     bool               `json:"listed"`
 	Reconciled bool               `json:"reconciled"`
-	Tasks      []string           `json:"tasks"`
+	// Suspect workers get one task at a time; Quarantine says why a worker gets
+	// none.
+	Suspect    bool     `json:"suspect,omitempty"`
+	Quarantine string   `json:"quarantine,omitempty"`
+	Tasks      []string `json:"tasks"`
 }
 
 // Status lists the shard's workers.
@@ -41,7 +45,7 @@
 	list := make([]WorkerStatus, 0, len(s.order))
 	for _, w := range s.order {
 		st := WorkerStatus{ID: w.ID, Rack: w.Rack, Zone: w.Zone, Capacity: w.Capacity, Free: w.free(),
-			Listed: w.listed, Reconciled: w.reconciled, Tasks: make([]string, 0, len(w.slots))}
+			Listed: w.listed, Reconciled: w.reconciled, Suspect: w.health.suspect, Quarantine: w.health.reason, Tasks: make([]string, 0, len(w.slots))}
 		for _, sl := range w.slots {
 			st.Tasks = append(st.Tasks, sl.task.ID)
 		}
--- a/placement/shard_sync.go
+++ b/placement/shard_sync.go
@@ -41,6 +41,8 @@
 			req.Checkpoints = append(req.Checkpoints, sl.task.ID)
 		}
 		req.Stops = append(req.Stops, sl.task.ID)
+	case sl.overMemory() > 0:
+		req.Throttles = append(req.Throttles, sl.task.ID)
 	case sl.state == slotStarting:
 		sl.sent = true
 		req.Starts = append(req.Starts, sl.task)
@@ -77,6 +79,7 @@
 	if !w.reconciled {
 		w.fenced, w.reconciled, w.urgent = true, true, true
 	}
+	s.guardMemory(w)
 	s.promote(now, w)
 	return out
 }
@@ -203,14 +206,16 @@
 	}
 	sl.missingUntil = 0
 	sl.run, sl.ranAt = time.Duration(r.RunTime)*time.Millisecond, now
-	sl.usage = larger(sl.usage, r.Usage)
+	sl.usage, sl.memory = larger(sl.usage, r.Usage), r.Usage.MemoryMiB
 	switch r.State {
 	case platform.TaskRunning:
 		sl.state = slotRunning
 	case platform.TaskDone:
 		s.end(sl, AttemptDone, "", "")
+		s.ranWell(now, sl)
 	case platform.TaskFailed:
 		s.end(sl, AttemptFailed, CauseExit, r.Reason)
+		s.ranBadly(now, sl)
 	case platform.TaskStopped:
 		s.endStopped(sl, r.Reason)
 	}
@@ -222,6 +227,8 @@
 // no failure of the task.
 func (s *Shard) endStopped(sl *slot, reason string) {
 	switch {
+	case sl.stop && sl.cause == CauseMemory:
+		s.end(sl, AttemptFailed, CauseMemory, sl.reason)
 	case sl.stop && sl.reason != "":
 		s.end(sl, AttemptLost, stopCause(sl), sl.reason)
 	case sl.stop:
--- a/placement/shard_worker.go
+++ b/placement/shard_worker.go
@@ -39,10 +39,14 @@
 	cause  Cause
 	reason string
 	// run is how long the task had run by its last report, which came at ranAt.
-	run    time.Duration
-	ranAt  time.Duration
-	usage  platform.Resources
-	heldAt time.Duration
+	run   time.Duration
+	ranAt time.Duration
+	usage platform.Resources
+	// memory is what the newest report says the task uses, in MiB.
+	memory int64
+	// throttled means that the task is above its need and is to be throttled.
+	throttled bool
+	heldAt    time.Duration
 	// hold means that the task is not to start before a Confirm.
 	hold bool
 	// claimAt is when a waiting slot expects its room.
@@ -106,6 +110,9 @@
 	leaving platform.Resources
 	waiting int
 	held    int
+	// overuse is what tasks use above their needs; it is kept from others.
+	overuse platform.Resources
+	health  health
 	// peers is used within one search: the tasks of the job that are here.
 	peers   int
 	ended   int
@@ -116,7 +123,9 @@
 func (w *worker) free() platform.Resources { return w.uncommitted().Sub(w.claimed) }
 
 // uncommitted is the room that a waiting task may start in.
-func (w *worker) uncommitted() platform.Resources { return w.Capacity.Sub(w.committed) }
+func (w *worker) uncommitted() platform.Resources {
+	return w.Capacity.Sub(w.committed).Sub(w.overuse)
+}
 
 func (w *worker) find(id string) *slot {
 	for _, sl := range w.slots {
