Shard: room kept for one job at a time, urgent work not held up by priority

Each of 64 homes had a job that reserved, so every worker was claimed; an older job took what urgent work held, which then displaced others again; and urgent work of a team of low priority could displace nobody.

Change: a shard keeps room for the oldest job only; only gangs take holds, and never those of urgent work; batch work and gangs give way to urgent work whatever their priority.

--- a/placement/experiment/product.go
+++ b/placement/experiment/product.go
@@ -52,12 +52,22 @@
 type costs struct {
 	decisions []time.Duration
 	busy      time.Duration
-	mallocs   uint64
+	// given counts the attempts that were given up, by cause.
+	given map[placement.Cause]int
+	told  map[placement.Attempt]bool
+}
+
+func (c *costs) note(m placement.Message) {
+	if ch, ok := m.(placement.Changed); ok && ch.State == placement.AttemptLost && !c.told[ch.Attempt] {
+		c.told[ch.Attempt] = true
+		c.given[ch.Cause]++
+	}
 }
 
 func newProduct(s *site) *product {
 	p := &product{homeOf: map[ownership.Unit]*placement.Home{}, shards: map[ownership.Unit]*placement.Shard{},
-		workers: map[string]*worker{}, jobs: map[string]*jobRecord{}, digests: map[ownership.Unit]placement.Digest{}, accepted: firstJob}
+		workers: map[string]*worker{}, jobs: map[string]*jobRecord{}, digests: map[ownership.Unit]placement.Digest{}, accepted: firstJob,
+		cost: costs{given: map[placement.Cause]int{}, told: map[placement.Attempt]bool{}}}
 	racks := map[ownership.Unit][]platform.Worker{}
 	for _, m := range s.machines {
 		u := ownership.ShardUnit(m.Rack)
@@ -170,6 +180,7 @@
 	for len(msgs) > 0 {
 		m := msgs[0]
 		msgs = msgs[1:]
+		p.cost.note(m)
 		var out []placement.Message
 		if h, ok := p.homeOf[m.To()]; ok {
 			p.timed(false, func() { out = h.Handle(p.now, m) })
--- a/placement/experiment/result.go
+++ b/placement/experiment/result.go
@@ -6,6 +6,8 @@
 	"io"
 	"slices"
 	"time"
+
+	"github.com/knapweedweir/knapweedweir/placement"
 )
 
 // Result is what one policy made of the work.
@@ -25,6 +27,8 @@
 	Decision   Quantiles
 	CPUPerTask time.Duration
 	Heap       uint64
+	// Given counts the attempts that were given up without a failure, by cause.
+	Given map[placement.Cause]int
 }
 
 // Quantiles are the 50th and 99th percentile and the largest of some times.
@@ -97,13 +101,14 @@
 
 // PrintCosts prints what the product's decisions cost.
 func PrintCosts(w io.Writer, results []Result) {
-	fmt.Fprintln(w, "| cell | load | starts | decision p50 / p99 / max | CPU a start | heap a worker |\n|---|---|---|---|---|---|")
+	fmt.Fprintln(w, "| cell | load | starts | decision p50 / p99 / max | CPU a start | heap a worker | preempted | holds expired or taken |\n|---|---|---|---|---|---|---|---|")
 	for _, r := range results {
 		if r.Decision.N == 0 {
 			continue
 		}
-		fmt.Fprintf(w, "| %s | %.2f | %d | %s / %s / %s | %s | %d B |\n", r.Cell, r.Load.Share, r.Starts,
-			micros(r.Decision.P50), micros(r.Decision.P99), micros(r.Decision.Max), micros(r.CPUPerTask), r.Heap)
+		fmt.Fprintf(w, "| %s | %.2f | %d | %s / %s / %s | %s | %d B | %d | %d |\n", r.Cell, r.Load.Share, r.Starts,
+			micros(r.Decision.P50), micros(r.Decision.P99), micros(r.Decision.Max), micros(r.CPUPerTask), r.Heap,
+			r.Given[placement.CausePreempted], r.Given[placement.CauseHoldExpired]+r.Given[placement.CauseHoldTaken])
 	}
 }
 
--- a/placement/experiment/run.go
+++ b/placement/experiment/run.go
@@ -1,6 +1,9 @@
 package experiment
 
-import "time"
+import (
+	"runtime"
+	"time"
+)
 
 // stepTime is the resolution of the experiments.
 const stepTime = 50 * time.Millisecond
@@ -42,8 +45,11 @@
 	if pr, ok := p.(*product); ok {
 		r.Decision = quantiles(pr.cost.decisions)
 		r.CPUPerTask = pr.cost.busy / time.Duration(max(1, s.starts))
-		pr.cost.decisions = nil
-		r.Heap = (heap() - min(before, heap())) / uint64(len(c.Workers))
+		r.Given = pr.cost.given
+		pr.cost, jobs = costs{}, nil
+		held := heap()
+		r.Heap = (held - min(before, held)) / uint64(len(c.Workers))
+		runtime.KeepAlive(pr)
 	}
 	return r
 }
--- a/placement/preempt.go
+++ b/placement/preempt.go
@@ -22,9 +22,15 @@
 )
 
 // mayDisplace reports whether an urgent task may take the place of another one.
+// Batch work and gangs give way whatever their priority, which only orders who
+// starts first: urgent work of a modest team would wait for minutes otherwise. A
+// service of higher priority stays.
 func mayDisplace(q *query, sl *slot) bool {
 	started := sl.state == slotStarting || sl.state == slotRunning
-	return started && !sl.stop && sl.missingUntil == 0 && !sl.hints.urgent && sl.hints.priority <= q.Priority
+	if !started || sl.stop || sl.missingUntil > 0 || sl.hints.urgent {
+		return false
+	}
+	return sl.hints.kind != Service || sl.hints.priority <= q.Priority
 }
 
 // displaceCost is what is lost when a task is displaced.
--- a/placement/shard_claim.go
+++ b/placement/shard_claim.go
@@ -36,11 +36,16 @@
 	return nil
 }
 
-// reserve claims the room that comes free soonest. Of two that want the same the
-// one accepted earlier goes first, and takes also what the later one holds
-// without having started: two gangs that each hold half of what they need would
-// otherwise wait for each other for good.
+// reserve claims the room that comes free soonest. A shard keeps room for one job
+// at a time: claims of many jobs would leave all its workers half idle. Of two
+// jobs the one accepted earlier goes first, and an older gang takes also what a
+// younger one holds without having started: two gangs that each hold half of
+// what they need would otherwise wait for each other for good.
 func (s *Shard) reserve(q *query, answer *Placed) []Message {
+	other := s.claimant(q)
+	if other != nil && !q.olderThan(other) {
+		return nil
+	}
 	var best *worker
 	var bestAt time.Duration
 	for _, w := range s.order {
@@ -54,7 +59,11 @@
 	if best == nil {
 		return nil
 	}
-	out := s.takeFromYounger(q, best)
+	var out []Message
+	if other != nil {
+		out = s.dropClaims(q, other.attempt.Job)
+	}
+	out = append(out, s.takeFromYounger(q, best)...)
 	sl := s.commit(q, best, slotWaiting)
 	sl.claimAt = bestAt
 	s.promote(q.now, best)
@@ -62,26 +71,55 @@
 	return out
 }
 
+// claimant returns a claim of another job than the one that asks.
+func (s *Shard) claimant(q *query) *slot {
+	for _, w := range s.order {
+		if w.waiting == 0 {
+			continue
+		}
+		for _, sl := range w.slots {
+			if sl.state == slotWaiting && !sl.hints.urgent && sl.attempt.Job != q.Attempt.Job {
+				return sl
+			}
+		}
+	}
+	return nil
+}
+
+func (s *Shard) dropClaims(q *query, job string) []Message {
+	var out []Message
+	for _, sl := range s.jobs[job] {
+		if sl.state == slotWaiting {
+			s.end(sl, AttemptLost, CauseHoldTaken, takenReason(q))
+			out = append(out, s.changed(q.now, sl))
+		}
+	}
+	return out
+}
+
+func takenReason(q *query) string {
+	return "job " + q.Attempt.Job + " was accepted earlier and needs the room"
+}
+
+// takes reports whether a search may take what a slot holds without having
+// started it. What urgent work holds is never taken: it would displace others
+// again for the room it had.
+func (q *query) takes(sl *slot) bool {
+	return q.Kind == Gang && sl.hold && sl.state <= slotHeld && !sl.hints.urgent && q.olderThan(sl)
+}
+
 // olderThan reports whether a search goes before a slot's job.
 func (q *query) olderThan(sl *slot) bool {
 	return q.Accepted != 0 && (sl.hints.accepted == 0 || q.Accepted < sl.hints.accepted)
 }
 
-// claimTime is when a worker is expected to have room, and whether it may be
-// claimed: an older claim keeps others out.
+// claimTime is when a worker is expected to have room.
 func claimTime(q *query, w *worker) (time.Duration, bool) {
 	room := w.free()
 	for _, sl := range w.slots {
-		if sl.state > slotHeld || !sl.hold {
-			continue
-		}
-		if !q.olderThan(sl) {
-			if sl.state == slotWaiting {
-				return 0, false
-			}
-			continue
+		if q.takes(sl) {
+			room = room.Add(sl.task.Need)
 		}
-		room = room.Add(sl.task.Need)
 	}
 	at := q.now
 	for !q.Need.Fits(room) {
@@ -136,8 +174,8 @@
 		if q.Need.Fits(w.free()) {
 			break
 		}
-		if sl.hold && sl.state <= slotHeld && q.olderThan(sl) {
-			s.end(sl, AttemptLost, CauseHoldTaken, "job "+q.Attempt.Job+" was accepted earlier and needs the room")
+		if q.takes(sl) {
+			s.end(sl, AttemptLost, CauseHoldTaken, takenReason(q))
 			out = append(out, s.changed(q.now, sl))
 		}
 	}
