Experiment: orders follow messages, costs told apart

Cause: a start waited for the next step of 50 ms because the experiment stepped the shards before the homes, which the product does not; and one figure for all CPU hid that half of it goes by time (syncs), not by starts.

--- a/placement/experiment/product.go
+++ b/placement/experiment/product.go
@@ -33,8 +33,9 @@
 	accepted platform.Offset
 	digestAt time.Duration
 	digests  map[ownership.Unit]placement.Digest
-	ended    []string
-	cost     costs
+	// touched are the shards that got messages since they were last stepped.
+	touched map[ownership.Unit]bool
+	cost    costs
 }
 
 // worker answers a shard's requests from what its machine runs.
@@ -50,8 +51,11 @@
 
 // costs are the wall time and memory of the cores' steps.
 type costs struct {
+	// decisions are the answers to single Places.
 	decisions []time.Duration
-	busy      time.Duration
+	// deciding is the time of homes, and of shards with messages of homes; syncing
+	// that of shards with their workers, which goes by time and not by starts.
+	deciding, syncing, digesting time.Duration
 	// given counts the attempts that were given up, by cause.
 	given map[placement.Cause]int
 	told  map[placement.Attempt]bool
@@ -67,7 +71,7 @@
 func newProduct(s *site) *product {
 	p := &product{homeOf: map[ownership.Unit]*placement.Home{}, shards: map[ownership.Unit]*placement.Shard{},
 		workers: map[string]*worker{}, jobs: map[string]*jobRecord{}, digests: map[ownership.Unit]placement.Digest{}, accepted: firstJob,
-		cost: costs{given: map[placement.Cause]int{}, told: map[placement.Attempt]bool{}}}
+		touched: map[ownership.Unit]bool{}, cost: costs{given: map[placement.Cause]int{}, told: map[placement.Attempt]bool{}}}
 	racks := map[ownership.Unit][]platform.Worker{}
 	for _, m := range s.machines {
 		u := ownership.ShardUnit(m.Rack)
@@ -106,7 +110,7 @@
 		spec := placement.JobSpec{ID: j.ID, Team: team(j.Worth), Name: j.Name, Kind: j.Kind, Tasks: j.Tasks, Need: j.Need,
 			Urgent: j.Urgent, Checkpointable: j.Checkpointable, ExpectedRun: jsonc.Duration(j.Declared)}
 		h := p.homeOf[ownership.HomeOf(j.ID)]
-		p.timed(false, func() { h.AddJob(p.now, placement.Job{Spec: spec, Accepted: p.accepted, State: placement.JobOpen}) })
+		timed(&p.cost.deciding, func() { h.AddJob(p.now, placement.Job{Spec: spec, Accepted: p.accepted, State: placement.JobOpen}) })
 	}
 }
 
@@ -123,16 +127,26 @@
 	for _, h := range p.homes {
 		var msgs []placement.Message
 		var ends []placement.End
-		p.timed(false, func() { msgs, ends = h.Step(p.now) })
+		timed(&p.cost.deciding, func() { msgs, ends = h.Step(p.now) })
 		p.route(s, msgs)
 		for _, e := range ends {
 			p.end(h, e.ID)
 		}
 	}
+	// The product sends a worker its orders right after the message that caused
+	// them.
+	for len(p.touched) > 0 {
+		for _, u := range p.units {
+			if p.touched[u] {
+				delete(p.touched, u)
+				p.stepShard(s, p.shards[u])
+			}
+		}
+	}
 }
 
 func (p *product) end(h *placement.Home, id string) {
-	p.timed(false, func() {
+	timed(&p.cost.deciding, func() {
 		h.JobEnded(p.now, id)
 		for _, u := range p.units {
 			p.shards[u].JobEnded(id)
@@ -142,7 +156,7 @@
 
 func (p *product) tellDigests() {
 	for _, u := range p.units {
-		p.timed(false, func() {
+		timed(&p.cost.digesting, func() {
 			d := p.shards[u].Digest()
 			if d == p.digests[u] {
 				return
@@ -159,14 +173,14 @@
 	for range 8 {
 		var orders []placement.SyncOrder
 		var msgs []placement.Message
-		p.timed(false, func() {
+		timed(&p.cost.syncing, func() {
 			shard.ConfirmOwner(p.now)
 			orders, msgs = shard.Step(p.now)
 		})
 		p.route(s, msgs)
 		for _, o := range orders {
 			reply := p.answer(s, o)
-			p.timed(false, func() { msgs = shard.Synced(p.now, o.Worker, o.Request, reply, nil) })
+			timed(&p.cost.syncing, func() { msgs = shard.Synced(p.now, o.Worker, o.Request, reply, nil) })
 			p.route(s, msgs)
 		}
 		if len(orders) == 0 {
@@ -183,24 +197,25 @@
 		p.cost.note(m)
 		var out []placement.Message
 		if h, ok := p.homeOf[m.To()]; ok {
-			p.timed(false, func() { out = h.Handle(p.now, m) })
+			timed(&p.cost.deciding, func() { out = h.Handle(p.now, m) })
 		} else if shard, ok := p.shards[m.To()]; ok {
-			_, decision := m.(placement.Place)
-			p.timed(decision, func() { out = shard.Handle(p.now, m) })
+			p.touched[m.To()] = true
+			took := timed(&p.cost.deciding, func() { out = shard.Handle(p.now, m) })
+			if _, ok := m.(placement.Place); ok {
+				p.cost.decisions = append(p.cost.decisions, took)
+			}
 		}
 		msgs = append(msgs, out...)
 	}
 }
 
-// timed adds up what the cores cost. A decision is one answer to a Place.
-func (p *product) timed(decision bool, f func()) {
+// timed adds the wall time of a call to one of the costs.
+func timed(sum *time.Duration, f func()) time.Duration {
 	begin := time.Now()
 	f()
 	took := time.Since(begin)
-	p.cost.busy += took
-	if decision {
-		p.cost.decisions = append(p.cost.decisions, took)
-	}
+	*sum += took
+	return took
 }
 
 // answer carries out a request as docs/PLATFORM.md promises.
--- a/placement/experiment/result.go
+++ b/placement/experiment/result.go
@@ -24,9 +24,12 @@
 	Overfill int
 	Starts   int
 	// Cost is known of the product only.
-	Decision   Quantiles
-	CPUPerTask time.Duration
-	Heap       uint64
+	Decision Quantiles
+	// Deciding, Syncing and Digesting are the wall time of the cores' calls, a
+	// start: with messages of homes, with workers, and with digests.
+	Deciding, Syncing, Digesting time.Duration
+	// Heap is what the cores hold, a worker.
+	Heap uint64
 	// Given counts the attempts that were given up without a failure, by cause.
 	Given map[placement.Cause]int
 }
@@ -101,13 +104,13 @@
 
 // PrintCosts prints what the product's decisions cost.
 func PrintCosts(w io.Writer, results []Result) {
-	fmt.Fprintln(w, "| cell | load | starts | decision p50 / p99 / max | CPU a start | heap a worker | preempted | holds expired or taken |\n|---|---|---|---|---|---|---|---|")
+	fmt.Fprintln(w, "| cell | load | starts | decision p50 / p99 / max | a start: deciding / syncing / digests | heap a worker | preempted | holds expired or taken |\n|---|---|---|---|---|---|---|---|")
 	for _, r := range results {
 		if r.Decision.N == 0 {
 			continue
 		}
-		fmt.Fprintf(w, "| %s | %.2f | %d | %s / %s / %s | %s | %d B | %d | %d |\n", r.Cell, r.Load.Share, r.Starts,
-			micros(r.Decision.P50), micros(r.Decision.P99), micros(r.Decision.Max), micros(r.CPUPerTask), r.Heap,
+		fmt.Fprintf(w, "| %s | %.2f | %d | %s / %s / %s | %s / %s / %s | %d B | %d | %d |\n", r.Cell, r.Load.Share, r.Starts,
+			micros(r.Decision.P50), micros(r.Decision.P99), micros(r.Decision.Max), micros(r.Deciding), micros(r.Syncing), micros(r.Digesting), r.Heap,
 			r.Given[placement.CausePreempted], r.Given[placement.CauseHoldExpired]+r.Given[placement.CauseHoldTaken])
 	}
 }
--- a/placement/experiment/run.go
+++ b/placement/experiment/run.go
@@ -44,7 +44,8 @@
 	r.Packing = s.packing() / min(1, load.Share)
 	if pr, ok := p.(*product); ok {
 		r.Decision = quantiles(pr.cost.decisions)
-		r.CPUPerTask = pr.cost.busy / time.Duration(max(1, s.starts))
+		starts := time.Duration(max(1, s.starts))
+		r.Deciding, r.Syncing, r.Digesting = pr.cost.deciding/starts, pr.cost.syncing/starts, pr.cost.digesting/starts
 		r.Given = pr.cost.given
 		pr.cost, jobs = costs{}, nil
 		held := heap()
--- a/placement/experiment/site.go
+++ b/placement/experiment/site.go
@@ -34,10 +34,9 @@
 	job   *Job
 	index int
 	// left is the run time that is left: less than the whole after a checkpoint.
-	left     time.Duration
-	started  bool
-	wait     time.Duration
-	failures int
+	left    time.Duration
+	started bool
+	wait    time.Duration
 }
 
 // site is the workers and the figures they give, the same for each policy.
