Shard: room is kept 10 s ahead, and further for those that waited long

Claims stood for as long as the expected end of the last task was away (the 90th percentile of run times), and what had come free meanwhile stood idle.

Change: a claim may reach 10 s ahead plus a tenth of the time that the job has waited (Place.Waited, filled by the home).

--- a/placement/home_tasks.go
+++ b/placement/home_tasks.go
@@ -104,7 +104,15 @@
 		Need: t.need, Payload: job.Spec.Payload, Priority: job.policy().Priority, Urgent: job.Spec.Urgent,
 		Spread: job.policy().Spread, Checkpointable: job.Spec.Checkpointable, Borrowed: t.borrowed,
 		Accepted: job.Accepted, ExpectedRun: h.learner.expectedRun(job.Spec), Avoid: t.avoid,
-		Hold: job.Spec.Kind == Gang, Reserve: h.reserving == job}
+		Hold: job.Spec.Kind == Gang, Reserve: h.reserving == job, Waited: job.waited(now)}
+}
+
+// waited is how long a job has been waiting for room.
+func (j *homeJob) waited(now time.Duration) time.Duration {
+	if j.waitSince < 0 {
+		return 0
+	}
+	return now - j.waitSince
 }
 
 func (h *Home) task(a Attempt) (*homeJob, *homeTask) {
--- a/placement/messages.go
+++ b/placement/messages.go
@@ -46,6 +46,9 @@
 	Accepted platform.Offset
 	// ExpectedRun is how long the task is expected to run; zero if unknown.
 	ExpectedRun time.Duration
+	// Waited is how long the task has waited for room. The longer, the further
+	// ahead room may be kept for it.
+	Waited time.Duration
 	// Avoid names workers on which the task has failed. They are taken only
 	// when no other worker of the shard could ever hold the task.
 	Avoid []string
--- a/placement/shard_claim.go
+++ b/placement/shard_claim.go
@@ -15,6 +15,12 @@
 	// leastBackfill is how far off a claim must be for a checkpointable task to
 	// be started in its room: displacing it costs a checkpoint.
 	leastBackfill = 10 * time.Second
+	// claimAhead is how far ahead room is kept at most. Room kept for long stands
+	// idle for long: what has come free waits for the last task to end. A share of
+	// the time that a job has waited is added, so that a job which needs room that
+	// seldom comes together gets it in the end.
+	claimAhead       = 10 * time.Second
+	claimAheadWaited = 10
 )
 
 // makeRoom finds room for what didn't fit: urgent work displaces other work, and
@@ -46,13 +52,14 @@
 	if other != nil && !q.olderThan(other) {
 		return nil
 	}
+	limit := q.now + claimAhead + q.Waited/claimAheadWaited
 	var best *worker
 	var bestAt time.Duration
 	for _, w := range s.order {
 		if lasting(q, w) {
 			continue
 		}
-		if at, ok := claimTime(q, w); ok && (best == nil || at < bestAt) {
+		if at, ok := claimTime(q, w); ok && at <= limit && (best == nil || at < bestAt) {
 			best, bestAt = w, at
 		}
 	}
