--- a/placement/shard_bench_test.go
+++ b/placement/shard_bench_test.go
@@ -84,3 +84,17 @@
 		s.Step(time.Hour)
 	}
 }
+
+// BenchmarkShardCancellationWave measures the end of 10,000 jobs at once, one task of
+// each on 2,500 workers, until every stop is on its way.
+func BenchmarkShardCancellationWave(b *testing.B) {
+	for range b.N {
+		b.StopTimer()
+		s := benchShard(2500)
+		b.StartTimer()
+		for i := range 10000 {
+			s.JobEnded(fmt.Sprintf("fill-%d", i))
+		}
+		s.Step(time.Hour)
+	}
+}
