A committer without a budget is not bounded

Cause: a CommitterConfig without Budget, which is how one is written by hand or by an older test, made four appends and then none for good. Now: zero means no bound.

--- a/logstream/budget_test.go
+++ b/logstream/budget_test.go
@@ -37,6 +37,20 @@
 	assert.Equal(t, c.Causes()["note"], c.Appends())
 }
 
+// A committer without a budget appends whenever it may; a budget of zero taken at
+// its word would let it make its first appends and then none for good.
+func TestNoBudgetMeansNoBound(t *testing.T) {
+	c := NewCommitter(CommitterConfig{Writer: "w", Incarnation: 1, MaxBatch: 1, RetryAfter: time.Second, GiveUp: time.Hour})
+	c.SetInstances(0, 7)
+	v := NewView(&history{})
+	for i := range uint64(10 * budgetBurst) {
+		propose(t, c, 0, i)
+		batch, _ := c.Step(0)
+		assert.Equal(t, len(batch), 1)
+		readBack(c, v, platform.Offset(i+1), batch[0])
+	}
+}
+
 // load is how many records of a kind the whole cell proposes in a second.
 type load struct {
 	kind Kind
--- a/logstream/committer.go
+++ b/logstream/committer.go
@@ -36,7 +36,8 @@
 	RetryAfter time.Duration
 	// GiveUp is how long a proposal waits before its proposer is answered.
 	GiveUp time.Duration
-	// Budget is how many appends a second all instances together may make.
+	// Budget is how many appends a second all instances together may make; zero
+	// means no bound.
 	Budget float64
 }
 
@@ -86,16 +87,23 @@
 
 // NewCommitter returns a committer without proposals.
 func NewCommitter(cfg CommitterConfig) *Committer {
-	return &Committer{cfg: cfg, causes: map[string]uint64{}, limiter: rate.NewLimiter(rate.Limit(cfg.Budget), budgetBurst)}
+	return &Committer{cfg: cfg, causes: map[string]uint64{}, limiter: rate.NewLimiter(share(cfg.Budget, 1), budgetBurst)}
 }
 
 // SetInstances divides the budget of appends by the number of instances.
 func (c *Committer) SetInstances(now time.Duration, n int) {
-	if share := rate.Limit(c.cfg.Budget / float64(max(n, 1))); share != c.limiter.Limit() {
-		c.limiter.SetLimitAt(at(now), share)
+	if limit := share(c.cfg.Budget, n); limit != c.limiter.Limit() {
+		c.limiter.SetLimitAt(at(now), limit)
 	}
 }
 
+func share(budget float64, n int) rate.Limit {
+	if budget <= 0 {
+		return rate.Inf
+	}
+	return rate.Limit(budget / float64(max(n, 1)))
+}
+
 // Share is how many appends a second this instance may make on average.
 func (c *Committer) Share() float64 { return float64(c.limiter.Limit()) }
 
