A stuck attempt condemns its connection and the idle siblings

Callers that left condemned healthy connections, each counted for 5 s.

Change: one judge, the core. A Cancel whose caller is still there marks the attempt as stalled; only stalled attempts and those past their deadline condemn.

Also, callers that go silent in their bodies:

Cause: a caller that stopped in the middle of its body kept its goroutine for good, although reading the body had a deadline: the entry lifted it before it answered, and net/http reads the rest of a body before it sends an early answer. The same held for every early refusal.

Change: the deadline is set before anything else and lifted only once the body is whole.

--- a/cmd/internal/entry/answer.go
+++ b/cmd/internal/entry/answer.go
@@ -79,7 +79,7 @@
 
 func (c *call) deliver(status int, contentType string, body []byte) {
 	c.startAnswer(status, contentType, int64(len(body)))
-	if err := writeAll(c.w, body); err != nil {
+	if err := c.write(body); err != nil {
 		// The caller has seen part of the answer only.
 		panic(http.ErrAbortHandler)
 	}
@@ -88,15 +88,16 @@
 // writePiece is how much is written under one deadline.
 const writePiece = 64 << 10
 
-// writeAll writes in pieces, each under its own deadline. A caller that goes
-// silent would otherwise hold its goroutine and the answer's memory for good.
-func writeAll(w http.ResponseWriter, b []byte) error {
-	ctl := http.NewResponseController(w)
+// write writes in pieces, each under its own deadline. A caller that goes silent
+// would otherwise hold its goroutine, the answer's memory and, while an answer
+// is passed on, the runner's slot for good.
+func (c *call) write(b []byte) error {
+	ctl := http.NewResponseController(c.w)
 	for len(b) > 0 {
 		n := min(len(b), writePiece)
 		// Writers of tests have no deadlines; those of net/http all do.
-		_ = ctl.SetWriteDeadline(time.Now().Add(callerStall))
-		if _, err := w.Write(b[:n]); err != nil {
+		_ = ctl.SetWriteDeadline(time.Now().Add(c.entry.callerStall))
+		if _, err := c.w.Write(b[:n]); err != nil {
 			return err
 		}
 		b = b[n:]
@@ -116,7 +117,7 @@
 	}
 	h.Set(headerRequestID, c.name)
 	h.Set(headerOutcome, string(b.Outcome))
-	_ = http.NewResponseController(c.w).SetWriteDeadline(time.Now().Add(callerStall))
+	_ = http.NewResponseController(c.w).SetWriteDeadline(time.Now().Add(c.entry.callerStall))
 	writeJSON(c.w, status, b)
 }
 
--- a/cmd/internal/entry/call.go
+++ b/cmd/internal/entry/call.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/knapweedweir/knapweedweir/control/api"
@@ -27,8 +28,10 @@
 	until   time.Duration
 	w       http.ResponseWriter
 
-	// ctx ends when the call has its final answer.
-	ctx context.Context
+	// ctx ends when the call has its final answer, caller when the caller leaves.
+	ctx, caller context.Context
+	// stalled says that the attempt in progress is broken off as stuck.
+	stalled atomic.Bool
 	// cancel breaks off the attempt in progress; done is closed when it has
 	// ended. Only the handler goroutine touches the two fields.
 	cancel context.CancelFunc
@@ -66,7 +69,7 @@
 	ctx, end := context.WithCancel(context.Background())
 	defer end()
 	defer c.letGo()
-	c.ctx = ctx
+	c.ctx, c.caller = ctx, r.Context()
 	c.entry.names.Store(c.id, c.name)
 	defer c.entry.names.Delete(c.id)
 	actions := make(chan dispatch.Action, actionsPerWaiter)
@@ -95,11 +98,17 @@
 	case dispatch.AskClaim:
 		go c.askClaim()
 	case dispatch.Cancel:
+		// The core breaks off what its caller has left, and what is stuck.
+		if c.caller.Err() == nil {
+			c.stalled.Store(true)
+			c.entry.stalls.Add(1)
+		}
 		c.breakOff()
 	case dispatch.Send:
 		ctx, cancel := context.WithTimeout(context.Background(), c.until-daemon.Clock())
 		done := make(chan struct{})
 		c.cancel, c.done = cancel, done
+		c.stalled.Store(false)
 		go func() {
 			defer cancel()
 			ev := c.send(ctx, cancel, a)
--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -67,6 +67,11 @@
 	names sync.Map
 	// outcomes are the outcomeMetrics by outcomeKey.
 	outcomes sync.Map
+	// callerStall is how long a caller may take no byte of its answer,
+	// bodyTimeout how long it may take to send its body.
+	callerStall, bodyTimeout time.Duration
+	// stalls counts the attempts that were broken off without an answer.
+	stalls atomic.Int64
 	// unrecorded are the finishes that wait for the log.
 	unrecorded atomic.Int64
 	// background ends with the process.
@@ -110,7 +115,7 @@
 // New returns an entry that serves nothing yet.
 func New(p *daemon.Process, s Settings, links daemon.Links) *Entry {
 	e := &Entry{process: p, settings: s, scheds: newSchedulers(s.Schedulers, schedclient.DialerOf(links)),
-		runners: newUpstreams(), memory: budget{limit: maxBodyMemory},
+		runners: newUpstreams(), memory: budget{limit: maxBodyMemory}, callerStall: callerStall, bodyTimeout: bodyTimeout,
 		events: make(chan coreEvent, coreEventQueue), done: make(chan struct{})}
 	e.background, e.stop = context.WithCancel(context.Background())
 	e.state.Store(&api.State{})
@@ -376,6 +381,7 @@
 	Active      int64           `json:"activeRequests"`
 	BodyBytes   int64           `json:"bodyBytes"`
 	Unrecorded  int64           `json:"unrecordedOutcomes"`
+	Stalls      int64           `json:"stalledAttempts"`
 	Dispatch    dispatch.Status `json:"dispatch"`
 }
 
@@ -387,7 +393,7 @@
 	select {
 	case st := <-req.reply:
 		s := e.state.Load()
-		return Dump{1, e.settings.ID, s.Scheduler, s.Offset, s.LogDown, e.leaving.Load(), e.active.Load(), e.memory.used.Load(), e.unrecorded.Load(), st}, nil
+		return Dump{1, e.settings.ID, s.Scheduler, s.Offset, s.LogDown, e.leaving.Load(), e.active.Load(), e.memory.used.Load(), e.unrecorded.Load(), e.stalls.Load(), st}, nil
 	case <-e.done:
 		return nil, errors.New("the entry has stopped")
 	}
--- a/cmd/internal/entry/request.go
+++ b/cmd/internal/entry/request.go
@@ -27,6 +27,10 @@
 func (e *Entry) serveRequest(w http.ResponseWriter, r *http.Request) {
 	e.active.Add(1)
 	defer e.active.Add(-1)
+	// A caller that goes silent in the middle of its body would hold a
+	// goroutine for good, also that of an early answer: net/http reads the rest
+	// of a body before it sends one.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(e.bodyTimeout))
 	c := &call{entry: e, id: e.nextID.Add(1), team: r.PathValue("team"), service: r.PathValue("service"), name: r.Header.Get(headerRequestID), w: w}
 	if e.draining.Load() {
 		// The caller comes back to another entry, on a new connection.
@@ -94,16 +98,13 @@
 		return nil, errNoMemory
 	}
 	body := make([]byte, 0, size)
-	// A caller that goes silent in the middle of its body would hold a
-	// goroutine and memory for good. The deadline goes before the handler
-	// waits: with it, net/http would take the waiting caller for gone.
+	// The deadline goes once the body is whole: with it, net/http would take
+	// the waiting caller for gone.
 	ctl := http.NewResponseController(w)
-	_ = ctl.SetReadDeadline(time.Now().Add(bodyTimeout))
-	defer func() { _ = ctl.SetReadDeadline(time.Time{}) }()
 	for {
 		if len(body) == cap(body) {
 			if r.ContentLength >= 0 {
-				return body, nil
+				return body, ctl.SetReadDeadline(time.Time{})
 			}
 			grown, err := e.grow(body)
 			if err != nil {
@@ -114,7 +115,7 @@
 		n, err := r.Body.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
 		if err == io.EOF {
-			return body, nil
+			return body, ctl.SetReadDeadline(time.Time{})
 		}
 		if err != nil {
 			return body, errors.WithStack(err)
--- a/cmd/internal/entry/send.go
+++ b/cmd/internal/entry/send.go
@@ -20,11 +20,6 @@
 	// runnerStall is how long a runner may take no byte of a request, or send
 	// none of an answer that it has begun.
 	runnerStall = 2 * time.Second
-	// shortestTry is the least time that an attempt gets before it is taken
-	// for silent.
-	shortestTry = 500 * time.Millisecond
-	// tryFactor times the usual time of an answer is taken for silence.
-	tryFactor = 4
 	// bufferBytes is how much of an answer is held back until it is whole.
 	// Longer answers are passed on as they come.
 	bufferBytes = 256 << 10
@@ -53,8 +48,6 @@
 
 	mu    sync.Mutex
 	conns []*upstreamConn
-	// silent ends the attempt if no answer has begun by then.
-	silent *time.Timer
 }
 
 // send sends the request to a runner and takes in the answer.
@@ -79,7 +72,6 @@
 }
 
 func (a *attempt) roundTrip() (*http.Response, error) {
-	defer a.stopTimer()
 	c := a.call
 	trace := &httptrace.ClientTrace{GotConn: a.gotConn}
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(a.ctx, trace), http.MethodPost, "http://"+a.send.Runner.Addr+"/run", bytes.NewReader(c.body))
@@ -101,41 +93,6 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.conns = append(a.conns, conn)
-	if a.call.rules.Idempotent && a.silent == nil {
-		a.silent = time.AfterFunc(a.patience(info.Reused), a.giveUp)
-	}
-}
-
-// patience is how long the answer of an idempotent request is waited for, once
-// it is known how long this runner takes. On a connection that was idle, and
-// may have gone silent meanwhile, that is the usual time several times over. A
-// new connection works; there the runner gets half of the time left, so that a
-// paused one leaves time for another.
-func (a *attempt) patience(reused bool) time.Duration {
-	left := a.call.until - daemon.Clock()
-	usual, known := a.up.pace.patience()
-	if !known {
-		return left
-	}
-	if reused {
-		return max(shortestTry, tryFactor*usual)
-	}
-	return max(shortestTry, tryFactor*usual, left/2)
-}
-
-// giveUp ends an attempt that was silent for too long. Its time counts as that of
-// an answer: a runner that has become slow must not look silent for good.
-func (a *attempt) giveUp() {
-	a.up.pace.note(daemon.Clock() - a.start)
-	a.cancel()
-}
-
-func (a *attempt) stopTimer() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.silent != nil {
-		a.silent.Stop()
-	}
 }
 
 // failed says how an attempt without an answer ended. Connections are sealed
@@ -143,10 +100,17 @@
 func (a *attempt) failed() coreEvent {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	// An attempt that ends because its caller left says nothing about the
+	// connection; a wave of such callers must not use up the share.
+	suspect := a.call.stalled.Load() || a.call.overdue()
 	sent := false
 	for _, conn := range a.conns {
 		sent = conn.seal() || sent
-		a.up.condemn(conn)
+		if suspect {
+			a.up.condemn(conn)
+		} else {
+			_ = conn.Close()
+		}
 	}
 	if !sent {
 		return failed{a.call.id, dispatch.NeverSent, "runner " + a.send.Runner.ID + " could not be reached"}
@@ -157,7 +121,6 @@
 // receive takes in an answer whose head has come.
 func (a *attempt) receive(resp *http.Response) coreEvent {
 	runner := a.send.Runner.ID
-	a.up.pace.note(daemon.Clock() - a.start)
 	if resp.Header.Get(headerAttemptID) != a.name {
 		// A mixed-up or late answer belongs to another caller.
 		return failed{a.call.id, dispatch.MayHaveRun, "runner " + runner + " sent an answer to another request"}
@@ -229,7 +192,7 @@
 func (a *attempt) stream(body io.Reader, length int64, answer *runnerAnswer) error {
 	c := a.call
 	c.startAnswer(answer.status, answer.contentType, length)
-	lost := writeAll(c.w, answer.body)
+	lost := c.write(answer.body)
 	piece := make([]byte, writePiece)
 	for {
 		if lost != nil && c.rules.Idempotent {
@@ -239,7 +202,7 @@
 		// A caller that has left does not end a request that must not run
 		// again: its end is recorded for a repeat.
 		if lost == nil {
-			lost = writeAll(c.w, piece[:n])
+			lost = c.write(piece[:n])
 		}
 		if err == io.EOF {
 			return nil
--- a/cmd/internal/entry/upstream.go
+++ b/cmd/internal/entry/upstream.go
@@ -78,7 +78,6 @@
 	share     *atomic.Int64
 	open      atomic.Int64
 	heard     atomic.Int64
-	pace      pace
 }
 
 func newUpstream(share *atomic.Int64) *upstream {
@@ -193,37 +192,3 @@
 	}
 	return c.Conn.Close()
 }
-
-// pace is how long a runner takes to begin its answers.
-type pace struct {
-	mu        sync.Mutex
-	known     bool
-	mean      time.Duration
-	deviation time.Duration
-}
-
-// Weights of a new reading in the mean and in the deviation; they and the factor
-// below are those of TCP's retransmission timer.
-const (
-	meanWeight      = 8
-	deviationWeight = 4
-	deviations      = 4
-)
-
-func (p *pace) note(took time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if !p.known {
-		p.known, p.mean, p.deviation = true, took, took/2
-		return
-	}
-	p.deviation += ((took - p.mean).Abs() - p.deviation) / deviationWeight
-	p.mean += (took - p.mean) / meanWeight
-}
-
-// patience is how long an answer may reasonably take; false if nothing is known.
-func (p *pace) patience() (time.Duration, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.mean + deviations*p.deviation, p.known
-}
