A paused entry blames no runner; ready once it is listed

An entry that is held up finds all its attempts late when it goes on, held all of them to be stuck, avoided every runner and refused all callers for a second; and an entry was ready before the platform's list named it, when it has no slots.

Change: a look at the timers that comes 100 ms late takes nothing for stuck; silence counts against a runner only while fewer than half of the service's runners are in doubt; an attempt is stuck after 250 ms at least (was 100); kw-entry gets ready only once it is in the platform's list.

Ruled out: waiting instead of refusing when no runner is trusted, as a request given up on has to be told at once.

Shown failing (scratch copy): no look at lateness '8 (int) != 0 (int)' attempts broken off; no half rule '4 (avoided int) != 2 (int)'.

--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -286,6 +286,14 @@
 	}
 }
 
+// isListed reports whether the platform's list has come and names this entry: before, it
+// has no slots at any runner and would refuse every request.
+func (e *Entry) isListed(list []platform.Instance) bool {
+	return slices.ContainsFunc(list, func(i platform.Instance) bool {
+		return i.Service == control.EntryService && i.ID == e.settings.ID
+	})
+}
+
 // watchLoop keeps the entry's copy of the cell's state up to date.
 func (e *Entry) watchLoop(ctx context.Context) error {
 	var since uint64
@@ -302,7 +310,7 @@
 			e.state.Store(&st)
 			e.connections(st.Instances)
 			e.post(newState{st})
-			e.process.SetReady(!e.leaving.Load())
+			e.process.SetReady(!e.leaving.Load() && e.isListed(st.Instances))
 		}
 		select {
 		case <-ctx.Done():
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -51,6 +51,9 @@
 	rosters   rosters
 	lending   lending
 	refusals  []Refusal
+	// lookedAt is when the timers were last looked at; late says that it was too long ago.
+	lookedAt time.Duration
+	late     bool
 }
 
 // New returns a core without runners.
--- a/dispatch/health_test.go
+++ b/dispatch/health_test.go
@@ -158,6 +158,42 @@
 	}
 }
 
+// The entry is paused for two seconds with requests at all runners. When it goes on, all attempts
+// look stuck, though their answers only wait to be read. No runner may be avoided for it,
+// and none of the attempts broken off.
+func TestPausedEntryDoesNotBlameItsRunners(t *testing.T) {
+	c := threeZones()
+	for id := range uint64(8) {
+		c.Arrive(0, quote(id+1, 1, 9*second))
+	}
+	c.Expire(20 * milli)
+	assert.Equal(t, len(c.Expire(2*second)), 0)
+	for _, r := range c.Status(2 * second).Runners {
+		assert.Equal(t, r.Health, Healthy, r.ID)
+	}
+}
+
+// Every runner is silent: the network or a database behind them is slow. Half of them may be
+// avoided for it, but not all, or each caller would be refused until the avoidance ends.
+func TestSilenceOfAllDoesNotAvoidAll(t *testing.T) {
+	c := threeZones()
+	for id := range uint64(8) {
+		c.Arrive(0, quote(id+1, 1, 9*second))
+	}
+	for round := range 3 {
+		for _, r := range c.requests {
+			c.suspect(time.Duration(round)*milli, r, "silent")
+		}
+	}
+	avoided := 0
+	for _, r := range c.Status(5 * milli).Runners {
+		if r.Health == Avoided {
+			avoided++
+		}
+	}
+	assert.Equal(t, avoided, 2)
+}
+
 // Every fourth attempt fails after it may have run, too few for a runner to be avoided. If each
 // were tried again, a service in trouble would get a third more load. Retries stay within what was saved up and a tenth of the fresh requests.
 func TestRetriesAreNoStorm(t *testing.T) {
--- a/dispatch/outcomes.go
+++ b/dispatch/outcomes.go
@@ -101,6 +101,8 @@
 
 // Expire gives up requests whose time is over, wherever they are.
 func (c *Core) Expire(now time.Duration) []Action {
+	c.late = now-c.lookedAt >= lateLook
+	c.lookedAt = now
 	c.releaseHeld(now)
 	for _, t := range c.order {
 		t.health.at(now)
@@ -126,7 +128,7 @@
 		// The sender may be stuck, and the caller must not wait for it.
 		r.mayRun = true
 		if !r.stalled && r.expected.known() && now-r.sent >= r.expected.within(planDistances) {
-			r.runner.health.fail(now, "an attempt lasted beyond the deadline")
+			c.suspect(now, r, "an attempt lasted beyond the deadline")
 		}
 		c.learn(c.service(r.Service), r, now-r.sent)
 		return []Action{c.giveUp(now, r, "the runner did not answer before the deadline"), Cancel{r.ID}}
--- a/dispatch/retry.go
+++ b/dispatch/retry.go
@@ -36,7 +36,10 @@
 	// stallDistances is how many average distances above the mean an attempt takes
 	// until it is held to be stuck; fewer than one in a thousand last so long.
 	stallDistances = 12
-	minStall       = 100 * time.Millisecond
+	minStall       = 250 * time.Millisecond
+	// lateLook is the time between two looks at the timers from which on this process
+	// itself was held up.
+	lateLook = 100 * time.Millisecond
 )
 
 // stallsAfter is when an attempt is held to be stuck. Before run times are known it never
@@ -52,8 +55,14 @@
 // connection went silent. It costs the caller one short try and not the whole
 // deadline, if the request may run twice and the budget has a retry left.
 func (c *Core) stall(now time.Duration, r *request) []Action {
+	if c.late {
+		// The answers may be waiting to be read: a process that was paused would else
+		// hold every runner to be stuck and refuse all callers.
+		c.timers.set(r, min(r.Deadline, now+r.stallsAfter()))
+		return nil
+	}
 	r.stalled = true
-	r.runner.health.fail(now, "an attempt got stuck")
+	c.suspect(now, r, "an attempt got stuck")
 	c.timers.set(r, r.Deadline)
 	if r.Idempotent && c.budget >= 1 && c.hasOther(r) {
 		return []Action{Cancel{r.ID}}
@@ -61,6 +70,21 @@
 	return nil
 }
 
+// suspect counts silence against a runner, unless half of the service's runners are in
+// doubt already: then something else is slow, and avoiding the rest would refuse all callers.
+func (c *Core) suspect(now time.Duration, r *request, why string) {
+	doubtful := 0
+	runners := c.service(r.Service).runners
+	for _, t := range runners {
+		if t.health.state != Healthy {
+			doubtful++
+		}
+	}
+	if 2*doubtful < len(runners) {
+		r.runner.health.fail(now, why)
+	}
+}
+
 func (c *Core) hasOther(r *request) bool {
 	return slices.ContainsFunc(c.service(r.Service).runners, func(t *runner) bool { return t.takesNew() && t.health.state != Avoided && !r.avoids(t.ID) })
 }
