kw-demo: headings that say what is counted, broken promises on lines of their own

For a new user: the waiting table says from when to when it counts and why certificates are turned away while the log is cut; the referee's line names all that it judges.

--- a/standin/cmd/kw-demo/main.go
+++ b/standin/cmd/kw-demo/main.go
@@ -137,7 +137,8 @@
 	r := load.Runner{Entries: entries, Client: &http.Client{Timeout: time.Minute}}
 	rows := r.Run(s)
 	elapsed := time.Since(start)
-	fmt.Println()
+	fmt.Println("\nWAITING, from the planned moment to the final answer, by stream")
+	fmt.Printf("(certificates need the log: while it is cut, %s to %s, they are answered not-run at once)\n", cutAt, restore)
 	load.Print(os.Stdout, rows)
 	jobsOK := printJobs(c, s)
 	packing := watch()
--- a/standin/cmd/kw-demo/report.go
+++ b/standin/cmd/kw-demo/report.go
@@ -82,7 +82,7 @@
 
 // printCost prints what the scheduler and entry processes consumed.
 func printCost(c *cell.Cell, elapsed time.Duration) {
-	fmt.Println("\nCONTROL COST")
+	fmt.Println("\nCONTROL COST while the sample ran")
 	tw := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(tw, "PROCESS\tCPU OF ONE CORE\tMEMORY")
 	for _, p := range c.Pairs {
@@ -146,7 +146,10 @@
 		}
 		fmt.Printf("  %s %s\n", verdict, fmt.Sprintf(text, args...))
 	}
-	say(len(platformReport.Violations) == 0, "no worker overfilled, no task in two places (%d starts, %v)", platformReport.Starts, platformReport.Violations)
+	say(len(platformReport.Violations) == 0, "no worker overfilled, no task in two places or run again, no order under an old token (%d starts)", platformReport.Starts)
+	for _, v := range platformReport.Violations {
+		fmt.Println("        ", v)
+	}
 	say(broken == 0, "every answer whole and of its own request (%d broken)", broken)
 	say(twice == 0, "no certificate ran twice (%d did)", twice)
 	say(busiest <= fakerunner.Slots, "at most %d slots in use at any runner (%d)", fakerunner.Slots, busiest)
