--- /dev/null
+++ b/ownership/ownership_test.go
@@ -0,0 +1,98 @@
+package ownership
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/knapweedweir/knapweedweir/logstream"
+	"github.com/knapweedweir/knapweedweir/membership"
+	"github.com/knapweedweir/knapweedweir/platform"
+)
+
+func units(n int) []Unit {
+	list := make([]Unit, n)
+	for i := range list {
+		list[i] = ShardUnit(fmt.Sprint("rack-", i))
+	}
+	return list
+}
+
+func members(n int) []string {
+	list := make([]string, n)
+	for i := range list {
+		list[i] = membership.Member(fmt.Sprintf("sched-%d", i), uint64(100+i))
+	}
+	return list
+}
+
+func claim(t *testing.T, table *Table, at platform.Offset, c Claim) error {
+	t.Helper()
+	body, err := json.Marshal(c)
+	assert.NilError(t, err)
+	return table.Apply(at, logstream.Record{Kind: KindClaim, Body: body})
+}
+
+// Two members claim a unit from the same epoch. The first claim in the log wins,
+// for every reader; the second is refused.
+func TestFirstClaimWins(t *testing.T) {
+	table := NewTable()
+	assert.NilError(t, claim(t, table, 5, Claim{Unit: "shard/a", Owner: "one@1"}))
+	err := claim(t, table, 6, Claim{Unit: "shard/a", Owner: "two@1"})
+	assert.ErrorContains(t, err, "is at epoch 5")
+	assert.Equal(t, table.Holder("shard/a"), Holder{Owner: "one@1", Epoch: 5})
+	assert.NilError(t, claim(t, table, 7, Claim{Unit: "shard/a", Base: 5, Owner: "two@1"}))
+	assert.Equal(t, table.Holder("shard/a"), Holder{Owner: "two@1", Epoch: 7})
+}
+
+// A member joins, dies or restarts. Callers of all other members' units must not
+// notice: only what the member wins or held may change hands.
+func TestNoMoreThanTheShareMoves(t *testing.T) {
+	all := units(489)
+	for _, n := range []int{7, 50, 200} {
+		t.Run(fmt.Sprint(n, " members"), func(t *testing.T) {
+			full := members(n)
+			less := full[:n-1]
+			last := full[n-1]
+			moved := 0
+			for _, u := range all {
+				with, without := Preferred(u, full), Preferred(u, less)
+				if with != without {
+					moved++
+					assert.Equal(t, with, last, "%s moved between two others", u)
+				}
+			}
+			share := len(all) / n
+			assert.Assert(t, moved <= 2*share+4, "%d moved, the share is %d", moved, share)
+			restarted := append(append([]string{}, less...), membership.Member(membership.ID(last), 999))
+			for _, u := range all {
+				assert.Equal(t, membership.ID(Preferred(u, restarted)), membership.ID(Preferred(u, full)))
+			}
+		})
+	}
+}
+
+// A member takes what it is preferred for from the dead, hands over what another
+// is preferred for, and leaves the rest alone.
+func TestWanted(t *testing.T) {
+	all, live := units(60), members(4)
+	table := NewTable()
+	for i, u := range all {
+		owner := live[i%4]
+		if i%5 == 0 {
+			owner = "dead@1"
+		}
+		assert.NilError(t, claim(t, table, platform.Offset(i+1), Claim{Unit: u, Owner: owner}))
+	}
+	self := live[0]
+	for _, c := range Wanted(table, all, self, live) {
+		holder := table.Holder(c.Unit)
+		assert.Equal(t, c.Base, holder.Epoch)
+		assert.Equal(t, c.Owner, Preferred(c.Unit, live))
+		taken := holder.Owner == "dead@1" && c.Owner == self
+		handed := holder.Owner == self && c.Owner != self
+		assert.Assert(t, taken || handed, "%+v", c)
+	}
+}
