--- a/control/core.go
+++ b/control/core.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"sort"
 	"time"
 
@@ -107,6 +108,9 @@
 	claimedAt  time.Duration
 	claimed    map[ownership.Unit]proposedClaim
 	parked     map[ownership.Unit]*parking
+	claimedFor []string
+	moves      map[ownership.Unit]moves
+	claimsDue  bool
 	// ownersChanged means that the owned shards and homes may differ from the
 	// table's. touched are the homes that have something new to act on.
 	ownersChanged bool
@@ -131,6 +135,7 @@
 		workers: map[ownership.Unit][]platform.Worker{}, addrs: map[string]string{},
 		digests: map[ownership.Unit]placement.Digest{}, tickets: map[uint64]api.Question{}, nextTicket: ownTickets}
 	c.parked = map[ownership.Unit]*parking{}
+	c.moves = map[ownership.Unit]moves{}
 	c.claimed, c.touched = map[ownership.Unit]proposedClaim{}, map[ownership.Unit]bool{}
 	c.panel, c.flow = &panel{self: cfg.ID}, newDigestFlow()
 	c.view = logstream.NewView(c.tree, c.table, c.registry, c.claims)
@@ -272,7 +277,18 @@
 // is not repeated: under load there is always some append in flight, so waiting
 // for none would keep a dead owner's units unclaimed.
 func (c *Core) proposeClaims(now time.Duration) {
-	for _, claim := range ownership.Wanted(c.table, c.units, c.self, c.members.Live(now)) {
+	live := c.members.Live(now)
+	// At 200 members ranking every unit costs milliseconds, so it is done only
+	// when members, units or owners have changed, or claims are on their way.
+	if !c.claimsDue && slices.Equal(live, c.claimedFor) {
+		return
+	}
+	wanted := ownership.Wanted(c.table, c.units, c.self, live)
+	c.claimsDue, c.claimedFor = len(wanted) > 0, live
+	for _, claim := range wanted {
+		if claim.Owner == c.self && !c.mayTake(now, claim.Unit) {
+			continue
+		}
 		last, ok := c.claimed[claim.Unit]
 		if ok && last.claim == claim && now-last.at < claimAgain {
 			continue
@@ -289,7 +305,7 @@
 
 // takeOver brings the owned shards and homes in line with the table.
 func (c *Core) takeOver(now time.Duration) {
-	c.ownersChanged = false
+	c.ownersChanged, c.claimsDue = false, true
 	defer c.touchHomes()
 	for _, u := range c.units {
 		h := c.table.Holder(u)
--- a/control/log.go
+++ b/control/log.go
@@ -151,6 +151,7 @@
 		c.teamChanged(now, out)
 	case ownership.KindClaim:
 		c.ownersChanged = true
+		c.countMove(now, out.Record)
 		c.ownerChanged(now, out)
 	}
 }
--- a/membership/entry.go
+++ b/membership/entry.go
@@ -114,6 +114,7 @@
 	c.hash ^= p.entry.hash() ^ e.hash()
 	if e.State != p.entry.State {
 		p.since = now
+		p.contactAt, p.contactWait = now, contactEvery
 		c.changed = true
 	}
 	p.entry = e
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -43,7 +43,7 @@
 	// contactEvery is the first wait before a listed peer that was never heard is
 	// contacted again; it doubles up to maxContactWait.
 	contactEvery   = time.Second
-	maxContactWait = 30 * time.Second
+	maxContactWait = 10 * time.Second
 	// syncEvery is the shortest time between two whole views to one peer.
 	syncEvery = time.Second
 	// forgetAfter is how long a dead member that is no longer listed is kept.
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -245,3 +245,18 @@
 	w.run(6 * time.Second)
 	w.agreeOn(t, 33)
 }
+
+// Two halves lose each other for a minute and take each other for dead. When the
+// cut is over nobody sends the dead a heartbeat any more, yet the halves have to
+// find each other again.
+func TestHalvesFindEachOther(t *testing.T) {
+	w := newWorld(7)
+	w.run(5 * time.Second)
+	half := func(id string) bool { return id <= "n002" }
+	w.lost = func(from, to string, _ Packet) bool { return half(from) != half(to) }
+	w.run(time.Minute)
+	assert.Equal(t, len(w.views()), 2)
+	w.lost = func(string, string, Packet) bool { return false }
+	w.run(25 * time.Second)
+	w.agreeOn(t, 7)
+}
--- a/membership/watch.go
+++ b/membership/watch.go
@@ -107,11 +107,13 @@
 	c.asks = kept
 }
 
-// contactUnheard greets listed peers that were never heard.
+// contactUnheard greets listed peers that were never heard, and those told dead.
+// After a cut each side takes the other for dead and sends it no heartbeats;
+// without the greeting they would stay apart for good.
 func (c *Core) contactUnheard(now time.Duration) {
 	for _, id := range c.order {
 		p := c.peers[id]
-		if p == nil || p.entry.State != Unknown || !p.listed || (p.contactWait > 0 && now-p.contactAt < p.contactWait) {
+		if p == nil || present(p.entry.State) || !p.listed || (p.contactWait > 0 && now-p.contactAt < p.contactWait) {
 			continue
 		}
 		p.contactAt = now
@@ -121,6 +123,9 @@
 		if len(packet.News) == 0 {
 			packet.News = []Entry{c.self}
 		}
+		if p.entry.State == Dead {
+			packet.News = append(packet.News, p.entry)
+		}
 	}
 }
 
