--- /dev/null
+++ b/standin/capacity/home.go
@@ -0,0 +1,131 @@
+package capacity
+
+import (
+	"bytes"
+	"encoding/gob"
+	"fmt"
+	"time"
+
+	"github.com/knapweedweir/knapweedweir/control/api"
+	"github.com/knapweedweir/knapweedweir/ownership"
+	"github.com/knapweedweir/knapweedweir/placement"
+	"github.com/knapweedweir/knapweedweir/platform"
+)
+
+// playedHome is a job home whose shards say yes to everything.
+type playedHome struct {
+	home  *placement.Home
+	now   time.Duration
+	tasks int
+}
+
+const homeEpoch = platform.Offset(100)
+
+func newPlayedHome() *playedHome {
+	const shards = 20
+	p := &playedHome{home: placement.NewHome(ownership.HomeUnit(1), homeEpoch, placement.DefaultHomeConfig), now: time.Second}
+	units := make([]ownership.Unit, shards)
+	for i := range units {
+		units[i] = ownership.ShardUnit(fmt.Sprintf("rack-%04d", i))
+	}
+	p.home.SetShards(units)
+	p.home.Step(p.now)
+	room := platform.Resources{MilliCPU: 1 << 40, MemoryMiB: 1 << 40, Accelerators: 1 << 20}
+	for _, u := range units {
+		p.home.SetDigest(p.now, placement.Digest{Shard: u, Epoch: 50, Workers: 30, Total: room, Free: room, Largest: room})
+		p.home.Handle(p.now, placement.Collected{Home: ownership.HomeUnit(1), Shard: u, HomeEpoch: homeEpoch})
+	}
+	p.home.Step(p.now)
+	return p
+}
+
+// start accepts one job and follows it until its task runs.
+func (p *playedHome) start() placement.Place {
+	p.tasks++
+	p.now += time.Millisecond
+	p.home.AddJob(p.now, placement.Job{Spec: spec(p.tasks, 1), Accepted: homeEpoch + platform.Offset(p.tasks), State: placement.JobOpen})
+	msgs, _ := p.home.Step(p.now)
+	var asked placement.Place
+	for _, m := range msgs {
+		if place, ok := m.(placement.Place); ok {
+			asked = place
+			p.home.Handle(p.now, placement.Placed{Home: place.Home, Shard: place.Shard, Attempt: place.Attempt, Sequence: place.Sequence, OK: true, Worker: "rack-0001-01"})
+		}
+	}
+	return asked
+}
+
+// end lets a task that runs come to its end, and its job with it.
+func (p *playedHome) end(place placement.Place) {
+	p.home.Handle(p.now, placement.Changed{Home: place.Home, Shard: place.Shard, ShardEpoch: 50, Attempt: place.Attempt, State: placement.AttemptDone, Worker: "rack-0001-01", RunTime: time.Second})
+	p.home.Step(p.now)
+	p.home.JobEnded(p.now, place.Attempt.Job)
+}
+
+func filledHome(tasks int) *playedHome {
+	p := newPlayedHome()
+	for range tasks {
+		p.start()
+	}
+	return p
+}
+
+// HomeSlopes measures what a home keeps for its tasks, and what a start and end
+// cost beside tasks that run.
+func HomeSlopes() []Slope {
+	memory := Slope{Role: "kw-sched", What: "home: memory of running one-task jobs", SizeUnit: "task", CostUnit: "B"}
+	cpu := Slope{Role: "kw-sched", What: "home: one start and end, by tasks that run beside", SizeUnit: "running task", CostUnit: "us"}
+	for _, tasks := range []int{500, 2000, 8000} {
+		memory.Points = append(memory.Points, Point{float64(tasks), heapOf(func() any { return filledHome(tasks) })})
+		home := filledHome(tasks)
+		cpu.Points = append(cpu.Points, Point{float64(tasks), perCall(func() { home.end(home.start()) })})
+	}
+	return []Slope{memory, cpu}
+}
+
+// MessageSlopes measures the messages between schedulers for task starts, as
+// net/rpc writes them with gob on a connection that has been used before.
+func MessageSlopes() []Slope {
+	size := Slope{Role: "kw-sched", What: "messages of starts in one envelope: Place, Placed, Changed twice, Noted", SizeUnit: "start", CostUnit: "B"}
+	cpu := Slope{Role: "kw-sched", What: "the same: encoding and decoding", SizeUnit: "start", CostUnit: "us"}
+	for _, starts := range []int{1, 4, 16} {
+		env := envelope(starts)
+		size.Points = append(size.Points, Point{float64(starts), float64(gobBytes(env))})
+		cpu.Points = append(cpu.Points, Point{float64(starts), gobTime(env)})
+	}
+	return []Slope{size, cpu}
+}
+
+func envelope(starts int) api.Envelope {
+	env := api.Envelope{From: "sched-001"}
+	home := newPlayedHome()
+	for range starts {
+		place := home.start()
+		running := placement.Changed{Home: place.Home, Shard: place.Shard, ShardEpoch: 50, Attempt: place.Attempt, State: placement.AttemptRunning, Worker: "rack-0001-01"}
+		done := running
+		done.State, done.RunTime = placement.AttemptDone, time.Minute
+		env.Messages = append(env.Messages, place, placement.Placed{Home: place.Home, Shard: place.Shard, Attempt: place.Attempt, Sequence: place.Sequence, OK: true, Worker: "rack-0001-01"},
+			running, done, placement.Noted{Home: place.Home, Shard: place.Shard, HomeEpoch: homeEpoch, Attempt: place.Attempt})
+	}
+	return env
+}
+
+// gobBytes is the size of a value once the stream knows its types.
+func gobBytes(v api.Envelope) int {
+	var buf bytes.Buffer
+	enc := gob.NewEncoder(&buf)
+	_ = enc.Encode(v)
+	buf.Reset()
+	_ = enc.Encode(v)
+	return buf.Len()
+}
+
+func gobTime(v api.Envelope) float64 {
+	var buf bytes.Buffer
+	enc, dec := gob.NewEncoder(&buf), gob.NewDecoder(&buf)
+	return perCall(func() {
+		_ = enc.Encode(v)
+		var got api.Envelope
+		_ = dec.Decode(&got)
+	})
+}
--- a/standin/cmd/kw-capacity/main.go
+++ b/standin/cmd/kw-capacity/main.go
@@ -15,6 +15,8 @@
 	slopes := capacity.LogSlopes()
 	slopes = append(slopes, capacity.ShardSlopes()...)
 	slopes = append(slopes, capacity.SyncSlopes()...)
+	slopes = append(slopes, capacity.HomeSlopes()...)
+	slopes = append(slopes, capacity.MessageSlopes()...)
 	capacity.Print(os.Stdout, slopes)
 	fmt.Println()
 	capacity.PrintPolls(os.Stdout)
