kw-demo counts processor time from the sample's start to its end

Cause: the figure divided all processor time of a process, its start and the wait for the jobs included, by the sample's time alone.

--- a/standin/cmd/kw-demo/main.go
+++ b/standin/cmd/kw-demo/main.go
@@ -134,15 +134,16 @@
 		_ = c.Pairs[victim].Entry.Start()
 	})
 	watch := watchPacking(c)
+	cost := watchCost(c)
 	r := load.Runner{Entries: entries, Client: &http.Client{Timeout: time.Minute}}
 	rows := r.Run(s)
-	elapsed := time.Since(start)
+	printCost := cost(time.Since(start))
 	fmt.Println("\nWAITING, from the planned moment to the final answer, by stream")
 	fmt.Printf("(certificates need the log: while it is cut, %s to %s, they are answered not-run at once)\n", cutAt, restore)
 	load.Print(os.Stdout, rows)
 	jobsOK := printJobs(c, s)
 	packing := watch()
 	fmt.Printf("\nPACKING  mean %.0f %% of processors used while the sample ran, most %.0f %%\n", packing.mean, packing.most)
-	printCost(c, elapsed)
+	printCost()
 	return judge(c, s, rows, jobsOK)
 }
--- a/standin/cmd/kw-demo/report.go
+++ b/standin/cmd/kw-demo/report.go
@@ -80,18 +80,33 @@
 // clockTicks is the unit of processor time in /proc.
 const clockTicks = 100
 
-// printCost prints what the scheduler and entry processes consumed.
-func printCost(c *cell.Cell, elapsed time.Duration) {
-	fmt.Println("\nCONTROL COST while the sample ran")
-	tw := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(tw, "PROCESS\tCPU OF ONE CORE\tMEMORY")
-	for _, p := range c.Pairs {
-		for _, proc := range []*cell.Proc{p.Sched, p.Entry} {
+// watchCost notes what the scheduler and entry processes have consumed so far. The
+// returned function takes the time that has passed and what was consumed in it, and
+// returns one that prints both. A process that was replaced counts from its start.
+func watchCost(c *cell.Cell) func(time.Duration) func() {
+	before := map[int]time.Duration{}
+	for _, proc := range controlProcesses(c) {
+		before[proc.PID()], _ = usage(proc.PID())
+	}
+	return func(elapsed time.Duration) func() {
+		var out strings.Builder
+		tw := tabwriter.NewWriter(&out, 0, 4, 2, ' ', 0)
+		fmt.Fprintln(tw, "PROCESS\tCPU OF ONE CORE\tMEMORY")
+		for _, proc := range controlProcesses(c) {
 			cpu, rss := usage(proc.PID())
-			fmt.Fprintf(tw, "%s\t%.1f %%\t%d MiB\n", proc.Name, 100*cpu.Seconds()/elapsed.Seconds(), rss>>20)
+			fmt.Fprintf(tw, "%s\t%.1f %%\t%d MiB\n", proc.Name, 100*(cpu-before[proc.PID()]).Seconds()/elapsed.Seconds(), rss>>20)
 		}
+		_ = tw.Flush()
+		return func() { fmt.Print("\nCONTROL COST while the sample ran\n" + out.String()) }
+	}
+}
+
+func controlProcesses(c *cell.Cell) []*cell.Proc {
+	var procs []*cell.Proc
+	for _, p := range c.Pairs {
+		procs = append(procs, p.Sched, p.Entry)
 	}
-	_ = tw.Flush()
+	return procs
 }
 
 // usage reads a process's processor time and resident memory, in bytes.
