--- a/placement/shard_property_test.go
+++ b/placement/shard_property_test.go
@@ -19,7 +19,7 @@
 	}
 	// Some of the faults take several hundred histories to show.
 	if f := flag.Lookup("rapid.checks"); f != nil && f.Value.String() == f.DefValue {
-		_ = flag.Set("rapid.checks", "400")
+		_ = flag.Set("rapid.checks", "600")
 	}
 	os.Exit(m.Run())
 }
