One heap for teams and classes; kwctl reads dumps into the types that write them

Cause: read again as a newcomer: teamHeap and classHeap in placement were the same heap twice, and kwctl declared a worker's and a shard's dump a second time, field by field, so a new field would have been lost in silence.

Change: indexHeap, generic over its elements; kwctl decodes control.ShardDump with placement.WorkerStatus. Ruled out: joining the heap of dispatch too, which is another module with one heap of its own.

--- a/cmd/kwctl/doctor_test.go
+++ b/cmd/kwctl/doctor_test.go
@@ -10,6 +10,7 @@
 	"github.com/knapweedweir/knapweedweir/control"
 	"github.com/knapweedweir/knapweedweir/daemon"
 	"github.com/knapweedweir/knapweedweir/ownership"
+	"github.com/knapweedweir/knapweedweir/placement"
 	"github.com/knapweedweir/knapweedweir/platform"
 )
 
@@ -45,8 +46,8 @@
 // Each fault alone is found, with the process it is about.
 func TestDoctorFinds(t *testing.T) {
 	since := time.Unix(1000, 0)
-	shard := func(epoch platform.Offset, heard bool) []shardDump {
-		return []shardDump{{Unit: "shard/r1", Epoch: epoch, Workers: []workerDump{{ID: "w1", Reconciled: heard}}}}
+	shard := func(epoch platform.Offset, heard bool) []control.ShardDump {
+		return []control.ShardDump{{Unit: "shard/r1", Epoch: epoch, Workers: []placement.WorkerStatus{{ID: "w1", Reconciled: heard}}}}
 	}
 	edit := func(k *checkup, id string, f func(d *schedulerDump)) {
 		d := k.dumps[id]
--- a/cmd/kwctl/dump.go
+++ b/cmd/kwctl/dump.go
@@ -11,8 +11,6 @@
 	"github.com/knapweedweir/knapweedweir/cmd/internal/entry"
 	"github.com/knapweedweir/knapweedweir/control"
 	"github.com/knapweedweir/knapweedweir/daemon"
-	"github.com/knapweedweir/knapweedweir/ownership"
-	"github.com/knapweedweir/knapweedweir/platform"
 )
 
 func (c *console) dumpGroup() *group {
@@ -126,30 +124,7 @@
 type schedulerDump struct {
 	Process daemon.Status `json:"process"`
 	control.Dump
-	Shards []shardDump `json:"shards"`
-}
-
-// shardDump is a worker shard in a scheduler's dump.
-type shardDump struct {
-	Unit    ownership.Unit  `json:"unit"`
-	Epoch   platform.Offset `json:"epoch"`
-	Workers []workerDump    `json:"workers"`
-}
-
-// workerDump is one worker as the owner of its shard sees it.
-type workerDump struct {
-	ID         string             `json:"id"`
-	Rack       string             `json:"rack"`
-	Zone       string             `json:"zone"`
-	Capacity   platform.Resources `json:"capacity"`
-	Free       platform.Resources `json:"free"`
-	Listed     bool               `json:"listed"`
-	Reconciled bool               `json:"reconciled"`
-	// Suspect workers get one task at a time, to see whether it fails too.
-	Suspect bool `json:"suspect,omitempty"`
-	// Quarantine says why a worker gets no tasks.
-	Quarantine string   `json:"quarantine,omitempty"`
-	Tasks      []string `json:"tasks"`
+	Shards []control.ShardDump `json:"shards"`
 }
 
 // schedulerDumps reads the dumps of all schedulers through the entry.
--- a/cmd/kwctl/instance.go
+++ b/cmd/kwctl/instance.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"github.com/knapweedweir/knapweedweir/cmd/internal/entry"
+	"github.com/knapweedweir/knapweedweir/placement"
 )
 
 func (c *console) instanceGroup() *group {
@@ -44,7 +45,7 @@
 // workerRow is one worker and the scheduler that owns its shard.
 type workerRow struct {
 	Owner string `json:"owner"`
-	workerDump
+	placement.WorkerStatus
 }
 
 // workers collects the workers from the dumps of all schedulers, and what could
@@ -55,7 +56,7 @@
 	for _, d := range dumps {
 		for _, s := range d.Shards {
 			for _, w := range s.Workers {
-				rows = append(rows, workerRow{Owner: d.Process.ID, workerDump: w})
+				rows = append(rows, workerRow{Owner: d.Process.ID, WorkerStatus: w})
 			}
 		}
 	}
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -287,11 +287,11 @@
 }
 
 // teamHeap is the teams with something that may start.
-type teamHeap []*homeTeam
+type teamHeap = indexHeap[*homeTeam]
 
-func (h teamHeap) Len() int { return len(h) }
-func (h teamHeap) Less(i, j int) bool {
-	a, b := h[i], h[j]
+func (a *homeTeam) heapIndex() *int { return &a.index }
+
+func (a *homeTeam) before(b *homeTeam) bool {
 	if au, bu := a.classes[0].key.urgent, b.classes[0].key.urgent; au != bu {
 		return au
 	}
@@ -300,30 +300,13 @@
 	}
 	return a.name < b.name
 }
-func (h teamHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
-}
 
-// Push implements heap.Interface.
-func (h *teamHeap) Push(x any) {
-	t := x.(*homeTeam)
-	t.index = len(*h)
-	*h = append(*h, t)
-}
+// classHeap is one team's classes that may start.
+type classHeap = indexHeap[*class]
 
-// Pop implements heap.Interface.
-func (h *teamHeap) Pop() any {
-	old := *h
-	t := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	t.index = noIndex
-	return t
-}
+func (a *class) heapIndex() *int { return &a.index }
 
-// ahead orders the classes of one team.
-func ahead(a, b *class) bool {
+func (a *class) before(b *class) bool {
 	if a.key.urgent != b.key.urgent {
 		return a.key.urgent
 	}
@@ -332,32 +315,3 @@
 	}
 	return a.first.Accepted < b.first.Accepted
 }
-
-// classHeap is one team's classes that may start.
-type classHeap []*class
-
-func (h classHeap) Len() int { return len(h) }
-func (h classHeap) Less(i, j int) bool {
-	return ahead(h[i], h[j])
-}
-func (h classHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
-}
-
-// Push implements heap.Interface.
-func (h *classHeap) Push(x any) {
-	c := x.(*class)
-	c.index = len(*h)
-	*h = append(*h, c)
-}
-
-// Pop implements heap.Interface.
-func (h *classHeap) Pop() any {
-	old := *h
-	c := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	c.index = noIndex
-	return c
-}
--- a/placement/quota.go
+++ b/placement/quota.go
@@ -159,7 +159,7 @@
 // that comes free, and a gang of the same team never gets its sum together.
 func (h *Home) keptFor(now time.Duration, c *class) bool {
 	for _, o := range c.team.all {
-		if o != c && o.blocked == WaitQuota && ahead(o, c) && now-o.first.since >= h.cfg.ReserveAfter {
+		if o != c && o.blocked == WaitQuota && o.before(c) && now-o.first.since >= h.cfg.ReserveAfter {
 			return true
 		}
 	}
@@ -302,7 +302,7 @@
 	use := TeamUse{Team: t.name, Grant: t.grant, Level: t.level, Used: limited(t.used, t.quota)}
 	var head *class
 	for _, c := range t.all {
-		if c.blocked == WaitQuota && (head == nil || ahead(c, head)) {
+		if c.blocked == WaitQuota && (head == nil || c.before(head)) {
 			head = c
 		}
 	}
