--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -18,7 +18,7 @@
 	"github.com/knapweedweir/knapweedweir/control/api"
 	"github.com/knapweedweir/knapweedweir/daemon"
 	"github.com/knapweedweir/knapweedweir/dispatch"
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 )
 
 // Timing and limits of an entry.
@@ -135,7 +135,7 @@
 	waiters map[uint64]chan dispatch.Action
 	// entries and roster are the newest list of entries, and its number here.
 	entries []string
-	roster  platform.Offset
+	roster  infra.Offset
 }
 
 type arrive struct {
@@ -194,7 +194,7 @@
 func (n newState) apply(now time.Duration, l *loop) []dispatch.Action {
 	var entries []string
 	for _, i := range n.state.Instances {
-		if i.Service == control.EntryService && i.State == platform.InstanceLive {
+		if i.Service == control.EntryService && i.State == infra.InstanceLive {
 			entries = append(entries, i.ID)
 		}
 	}
@@ -213,8 +213,8 @@
 }
 
 // runnersIn leaves out our own processes.
-func runnersIn(list []platform.Instance) []platform.Instance {
-	var out []platform.Instance
+func runnersIn(list []infra.Instance) []infra.Instance {
+	var out []infra.Instance
 	for _, i := range list {
 		if i.Service != control.EntryService && i.Service != control.SchedService {
 			out = append(out, i)
@@ -288,8 +288,8 @@
 
 // isListed reports whether the platform's list has come and names this entry: before, it
 // has no slots at any runner and would refuse every request.
-func (e *Entry) isListed(list []platform.Instance) bool {
-	return slices.ContainsFunc(list, func(i platform.Instance) bool {
+func (e *Entry) isListed(list []infra.Instance) bool {
+	return slices.ContainsFunc(list, func(i infra.Instance) bool {
 		return i.Service == control.EntryService && i.ID == e.settings.ID
 	})
 }
@@ -335,7 +335,7 @@
 }
 
 // connections brings the connections to runners in line with the list.
-func (e *Entry) connections(list []platform.Instance) {
+func (e *Entry) connections(list []infra.Instance) {
 	entries, addrs := 0, map[string]bool{}
 	for _, i := range list {
 		// Entries that are leaving still hold their connections.
@@ -397,7 +397,7 @@
 	DumpVersion int             `json:"dumpVersion"`
 	ID          string          `json:"id"`
 	Scheduler   string          `json:"scheduler"`
-	Offset      platform.Offset `json:"offset"`
+	Offset      infra.Offset    `json:"offset"`
 	LogDown     bool            `json:"logDown"`
 	Draining    bool            `json:"draining"`
 	Active      int64           `json:"activeRequests"`
--- a/cmd/internal/entry/harness_test.go
+++ b/cmd/internal/entry/harness_test.go
@@ -21,8 +21,8 @@
 	"github.com/knapweedweir/knapweedweir/control/api"
 	"github.com/knapweedweir/knapweedweir/daemon"
 	"github.com/knapweedweir/knapweedweir/dispatch"
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/logstream"
-	"github.com/knapweedweir/knapweedweir/platform"
 	"github.com/knapweedweir/knapweedweir/settings"
 	"github.com/knapweedweir/knapweedweir/settings/jsonc"
 )
@@ -123,13 +123,13 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() { _ = e.coreLoop(ctx) }()
 	services := map[string]settings.Service{}
-	st := api.State{Ready: true, Instances: []platform.Instance{{ID: id, Service: "kw-entry", State: platform.InstanceLive}}}
+	st := api.State{Ready: true, Instances: []infra.Instance{{ID: id, Service: "kw-entry", State: infra.InstanceLive}}}
 	for name, s := range map[string]settings.Service{
 		quote: {Worth: 1, Idempotent: true, Deadline: jsonc.Duration(patience)}, certificate: {Worth: 1, Deadline: jsonc.Duration(patience)},
 		hastyCertificate: {Worth: 1, Deadline: jsonc.Duration(hasty)}} {
 		services[name] = s
 		for _, r := range runners {
-			st.Instances = append(st.Instances, platform.Instance{ID: name + "-" + r.id, Service: name, Addr: r.addr, State: platform.InstanceLive})
+			st.Instances = append(st.Instances, infra.Instance{ID: name + "-" + r.id, Service: name, Addr: r.addr, State: infra.InstanceLive})
 		}
 	}
 	st.Teams = []api.TeamVersion{{Name: "workshop", Version: settings.Version{Team: settings.Team{Services: services}}}}
--- a/cmd/internal/entry/operate.go
+++ b/cmd/internal/entry/operate.go
@@ -16,10 +16,10 @@
 	"github.com/knapweedweir/knapweedweir/control"
 	"github.com/knapweedweir/knapweedweir/control/api"
 	"github.com/knapweedweir/knapweedweir/daemon"
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/membership"
 	"github.com/knapweedweir/knapweedweir/ownership"
 	"github.com/knapweedweir/knapweedweir/placement"
-	"github.com/knapweedweir/knapweedweir/platform"
 	"github.com/knapweedweir/knapweedweir/settings"
 	"github.com/knapweedweir/knapweedweir/settings/jsonc"
 )
@@ -52,28 +52,28 @@
 
 // ErrorBody is the JSON body of an operator's request that failed.
 type ErrorBody struct {
-	Code             api.Code        `json:"code"`
-	Message          string          `json:"message"`
-	Findings         jsonc.Findings  `json:"findings,omitempty"`
-	Offset           platform.Offset `json:"offset,omitempty"`
-	RetryAfterMillis int64           `json:"retryAfterMillis,omitempty"`
+	Code             api.Code       `json:"code"`
+	Message          string         `json:"message"`
+	Findings         jsonc.Findings `json:"findings,omitempty"`
+	Offset           infra.Offset   `json:"offset,omitempty"`
+	RetryAfterMillis int64          `json:"retryAfterMillis,omitempty"`
 }
 
 // AcceptedBody is the JSON body of an accepted change.
 type AcceptedBody struct {
-	Offset platform.Offset `json:"offset"`
+	Offset infra.Offset `json:"offset"`
 }
 
 // SettingsStatus is one team's version at one entry.
 type SettingsStatus struct {
-	Team    string          `json:"team"`
-	Version platform.Offset `json:"version"`
+	Team    string       `json:"team"`
+	Version infra.Offset `json:"version"`
 }
 
 // SettingsBody is the JSON body of the settings status.
 type SettingsBody struct {
 	Entry  string           `json:"entry"`
-	Offset platform.Offset  `json:"offset"`
+	Offset infra.Offset     `json:"offset"`
 	Teams  []SettingsStatus `json:"teams"`
 	// Entries are the addresses of all entries in the platform's list.
 	Entries []string `json:"entries"`
@@ -149,7 +149,7 @@
 	if file == "" {
 		file = r.PathValue("team") + ".jsonc"
 	}
-	a, err := e.scheds.ask(api.Publish{Change: settings.Change{Team: r.PathValue("team"), Base: platform.Offset(base), File: file, Document: string(doc), Signature: signature}})
+	a, err := e.scheds.ask(api.Publish{Change: settings.Change{Team: r.PathValue("team"), Base: infra.Offset(base), File: file, Document: string(doc), Signature: signature}})
 	e.respond(w, a, err, func() { writeJSON(w, http.StatusOK, AcceptedBody{a.Offset}) })
 }
 
@@ -237,16 +237,16 @@
 
 // InstanceRow is one instance of the platform's list with what it owns.
 type InstanceRow struct {
-	platform.Instance
+	infra.Instance
 	Shards int `json:"shards"`
 	Homes  int `json:"homes"`
 }
 
 // InstancesBody is the JSON body of the list of instances.
 type InstancesBody struct {
-	Entry     string          `json:"entry"`
-	Offset    platform.Offset `json:"offset"`
-	Instances []InstanceRow   `json:"instances"`
+	Entry     string        `json:"entry"`
+	Offset    infra.Offset  `json:"offset"`
+	Instances []InstanceRow `json:"instances"`
 	// Unowned are the units that nobody owns.
 	Unowned []ownership.Unit `json:"unowned"`
 }
@@ -274,12 +274,12 @@
 
 // ReachRow says whether an entry reaches a scheduler.
 type ReachRow struct {
-	Scheduler string          `json:"scheduler"`
-	Addr      string          `json:"addr"`
-	OK        bool            `json:"ok"`
-	Error     string          `json:"error,omitempty"`
-	Offset    platform.Offset `json:"offset"`
-	Took      jsonc.Duration  `json:"took"`
+	Scheduler string         `json:"scheduler"`
+	Addr      string         `json:"addr"`
+	OK        bool           `json:"ok"`
+	Error     string         `json:"error,omitempty"`
+	Offset    infra.Offset   `json:"offset"`
+	Took      jsonc.Duration `json:"took"`
 }
 
 // ReachBody is the JSON body of what an entry reaches.
--- a/cmd/internal/sched/log.go
+++ b/cmd/internal/sched/log.go
@@ -11,8 +11,8 @@
 	"github.com/knapweedweir/knapweedweir/control"
 	"github.com/knapweedweir/knapweedweir/control/api"
 	"github.com/knapweedweir/knapweedweir/daemon"
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/logstream"
-	"github.com/knapweedweir/knapweedweir/platform"
 )
 
 // Timing and sizes of the loops that read and write the log.
@@ -80,7 +80,7 @@
 	return callLimit(logCallTimeout)
 }
 
-func (s *Scheduler) readLog(ctx context.Context, r logstream.Read, limit callLimit) (platform.Page, error) {
+func (s *Scheduler) readLog(ctx context.Context, r logstream.Read, limit callLimit) (infra.Page, error) {
 	if r.Snapshots {
 		call, cancel := context.WithTimeout(ctx, snapshotCallTimeout)
 		defer cancel()
@@ -182,7 +182,7 @@
 // whole state from the newest alone: from all, at the letter's size, it would be
 // hundreds of megabytes.
 func (s *Scheduler) fetchNewest(addrs []string) []control.PeerState {
-	offsets := make([]platform.Offset, len(addrs))
+	offsets := make([]infra.Offset, len(addrs))
 	var wait sync.WaitGroup
 	for i, addr := range addrs {
 		wait.Go(func() {
--- a/cmd/internal/sched/measures.go
+++ b/cmd/internal/sched/measures.go
@@ -8,8 +8,8 @@
 
 	"github.com/knapweedweir/knapweedweir/control"
 	"github.com/knapweedweir/knapweedweir/control/api"
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/placement"
-	"github.com/knapweedweir/knapweedweir/platform"
 )
 
 // measureEvery is the time between two looks at the measures of the core. A look
@@ -67,7 +67,7 @@
 	resources(scope, "team_used", t.Used)
 }
 
-func resources(scope tally.Scope, name string, r platform.Resources) {
+func resources(scope tally.Scope, name string, r infra.Resources) {
 	scope.Gauge(name + "_milli_cpu").Update(float64(r.MilliCPU))
 	scope.Gauge(name + "_memory_mib").Update(float64(r.MemoryMiB))
 	scope.Gauge(name + "_accelerators").Update(float64(r.Accelerators))
--- a/cmd/internal/sched/measures_test.go
+++ b/cmd/internal/sched/measures_test.go
@@ -8,8 +8,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/knapweedweir/knapweedweir/control"
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/placement"
-	"github.com/knapweedweir/knapweedweir/platform"
 )
 
 // A team's jobs wait, start and end. Monitoring sees the wait in a histogram, and
@@ -17,8 +17,8 @@
 func TestMeasuresOfATeam(t *testing.T) {
 	scope := tally.NewTestScope("", nil)
 	m := newMeter(scope)
-	m.publish(control.Measures{Used: platform.Resources{MilliCPU: 500}, Total: platform.Resources{MilliCPU: 2000},
-		Teams:  map[string]placement.TeamTotals{"desk": {Waiting: 2, Running: 1, LongestWait: 3 * time.Second, Used: platform.Resources{MilliCPU: 500}}},
+	m.publish(control.Measures{Used: infra.Resources{MilliCPU: 500}, Total: infra.Resources{MilliCPU: 2000},
+		Teams:  map[string]placement.TeamTotals{"desk": {Waiting: 2, Running: 1, LongestWait: 3 * time.Second, Used: infra.Resources{MilliCPU: 500}}},
 		Starts: []placement.StartWait{{Team: "desk", Urgent: true, Waited: 40 * time.Millisecond}}})
 	gauge := func(name string) float64 { return scope.Snapshot().Gauges()[name].Value() }
 	assert.Equal(t, gauge("team_tasks_waiting+team=desk"), 2.0)
--- a/cmd/internal/sched/sched.go
+++ b/cmd/internal/sched/sched.go
@@ -14,7 +14,7 @@
 	"github.com/knapweedweir/knapweedweir/control"
 	"github.com/knapweedweir/knapweedweir/control/api"
 	"github.com/knapweedweir/knapweedweir/daemon"
-	"github.com/knapweedweir/knapweedweir/platform/httpplatform"
+	"github.com/knapweedweir/knapweedweir/infra/httpplatform"
 )
 
 // Timing of the loops around the core.
--- a/cmd/kwctl/doctor.go
+++ b/cmd/kwctl/doctor.go
@@ -10,7 +10,7 @@
 	"github.com/knapweedweir/knapweedweir/cmd/internal/entry"
 	"github.com/knapweedweir/knapweedweir/control"
 	"github.com/knapweedweir/knapweedweir/daemon"
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 )
 
 // settleTime is how long what differs between two answers may take to become
@@ -28,10 +28,10 @@
 
 // entryDump is what the doctor reads of an entry's dump.
 type entryDump struct {
-	Process   daemon.Status   `json:"process"`
-	Scheduler string          `json:"scheduler"`
-	Offset    platform.Offset `json:"offset"`
-	LogDown   bool            `json:"logDown"`
+	Process   daemon.Status `json:"process"`
+	Scheduler string        `json:"scheduler"`
+	Offset    infra.Offset  `json:"offset"`
+	LogDown   bool          `json:"logDown"`
 }
 
 // probe is what one entry answered, and the scheduler of its instance.
@@ -166,10 +166,10 @@
 
 // verdict is what the doctor says in JSON.
 type verdict struct {
-	Entries    int             `json:"entries"`
-	Schedulers int             `json:"schedulers"`
-	Offset     platform.Offset `json:"offset"`
-	Troubles   []trouble       `json:"troubles"`
+	Entries    int          `json:"entries"`
+	Schedulers int          `json:"schedulers"`
+	Offset     infra.Offset `json:"offset"`
+	Troubles   []trouble    `json:"troubles"`
 }
 
 func (c *console) diagnose(k *checkup) error {
--- a/cmd/kwctl/doctor_checks.go
+++ b/cmd/kwctl/doctor_checks.go
@@ -8,8 +8,8 @@
 	"github.com/knapweedweir/knapweedweir/cmd/internal/entry"
 	"github.com/knapweedweir/knapweedweir/control"
 	"github.com/knapweedweir/knapweedweir/daemon"
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/membership"
-	"github.com/knapweedweir/knapweedweir/platform"
 )
 
 // checks are all checks of the doctor, in the order of its report.
@@ -32,8 +32,8 @@
 	return keys
 }
 
-func (k *checkup) newestOffset() platform.Offset {
-	var newest platform.Offset
+func (k *checkup) newestOffset() infra.Offset {
+	var newest infra.Offset
 	for _, d := range k.latest() {
 		newest = max(newest, d.Offset)
 	}
@@ -89,7 +89,7 @@
 // checkOffsets names the schedulers that have not read the log as far as others
 // had when they were first asked.
 func checkOffsets(k *checkup) []trouble {
-	var newest platform.Offset
+	var newest infra.Offset
 	for _, d := range k.dumps {
 		newest = max(newest, d.Offset)
 	}
@@ -105,7 +105,7 @@
 
 // checkSettings names the entries that lack a change which others have.
 func checkSettings(k *checkup) []trouble {
-	newest := map[string]platform.Offset{}
+	newest := map[string]infra.Offset{}
 	versions := map[string]entry.SettingsBody{}
 	for _, p := range k.probes {
 		if p.err != nil {
@@ -121,7 +121,7 @@
 	}
 	var found []trouble
 	for _, id := range sortedKeys(versions) {
-		have := map[string]platform.Offset{}
+		have := map[string]infra.Offset{}
 		for _, t := range versions[id].Teams {
 			have[t.Team] = t.Version
 		}
@@ -187,7 +187,7 @@
 func checkReducers(k *checkup) []trouble {
 	var found []trouble
 	dumps := k.latest()
-	first := map[platform.Offset]string{}
+	first := map[infra.Offset]string{}
 	for _, id := range sortedKeys(dumps) {
 		d := dumps[id]
 		other, seen := first[d.Offset]
--- a/cmd/kwctl/doctor_test.go
+++ b/cmd/kwctl/doctor_test.go
@@ -9,12 +9,12 @@
 	"github.com/knapweedweir/knapweedweir/cmd/internal/entry"
 	"github.com/knapweedweir/knapweedweir/control"
 	"github.com/knapweedweir/knapweedweir/daemon"
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/ownership"
 	"github.com/knapweedweir/knapweedweir/placement"
-	"github.com/knapweedweir/knapweedweir/platform"
 )
 
-func scheduler(id string, offset platform.Offset) schedulerDump {
+func scheduler(id string, offset infra.Offset) schedulerDump {
 	return schedulerDump{Process: daemon.Status{ID: id, Build: "b1"}, Dump: control.Dump{Offset: offset, Live: []string{"sched-1@1", "sched-2@1"}}}
 }
 
@@ -46,7 +46,7 @@
 // Each fault alone is found, with the process it is about.
 func TestDoctorFinds(t *testing.T) {
 	since := time.Unix(1000, 0)
-	shard := func(epoch platform.Offset, heard bool) []control.ShardDump {
+	shard := func(epoch infra.Offset, heard bool) []control.ShardDump {
 		return []control.ShardDump{{Unit: "shard/r1", Epoch: epoch, Workers: []placement.WorkerStatus{{ID: "w1", Reconciled: heard}}}}
 	}
 	edit := func(k *checkup, id string, f func(d *schedulerDump)) {
@@ -79,7 +79,7 @@
 			edit(k, "sched-2", func(d *schedulerDump) { d.Shards = shard(60, true) })
 		}, "shard/r1 held by sched-1 (epoch 50) and sched-2 (epoch 60); the higher epoch is the owner, workers refuse the other"},
 		{"an owner that does not answer", func(k *checkup) {
-			k.instances.Instances = []entry.InstanceRow{{Instance: platform.Instance{ID: "sched-3", Service: control.SchedService}, Homes: 9}}
+			k.instances.Instances = []entry.InstanceRow{{Instance: infra.Instance{ID: "sched-3", Service: control.SchedService}, Homes: 9}}
 		}, "sched-3 owns 0 shards and 9 homes and does not answer"},
 		{"a live scheduler taken for dead", func(k *checkup) { edit(k, "sched-1", func(d *schedulerDump) { d.Live = []string{"sched-1@1"} }) },
 			"sched-1 takes scheduler sched-2 for dead, which answers"},
--- a/cmd/kwctl/lists_test.go
+++ b/cmd/kwctl/lists_test.go
@@ -9,9 +9,9 @@
 	"github.com/knapweedweir/knapweedweir/cmd/internal/entry"
 	"github.com/knapweedweir/knapweedweir/control"
 	"github.com/knapweedweir/knapweedweir/daemon"
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/ownership"
 	"github.com/knapweedweir/knapweedweir/placement"
-	"github.com/knapweedweir/knapweedweir/platform"
 )
 
 // listEntry is a fake entry of a cell with two schedulers, of which one does not
@@ -19,12 +19,12 @@
 func listEntry(t *testing.T) *fakeEntry {
 	f := newFakeEntry(t)
 	row := func(id, service string) entry.InstanceRow {
-		return entry.InstanceRow{Instance: platform.Instance{ID: id, Service: service, Zone: "zone-1", Addr: f.addr, State: platform.InstanceLive}}
+		return entry.InstanceRow{Instance: infra.Instance{ID: id, Service: service, Zone: "zone-1", Addr: f.addr, State: infra.InstanceLive}}
 	}
 	f.answer("GET /v1/instances", 200, entry.InstancesBody{Unowned: []ownership.Unit{"home/007"},
 		Instances: []entry.InstanceRow{row("sched-1", control.SchedService), row("sched-2", control.SchedService), row("entry-1", control.EntryService), row("desk-1", "order-desk")}})
 	f.answer("GET /v1/schedulers/sched-1/dump", 200, schedulerDump{Process: daemon.Status{ID: "sched-1"}, Shards: []control.ShardDump{{Unit: "shard/r1", Workers: []placement.WorkerStatus{
-		{ID: "w1", Rack: "r1", Capacity: platform.Resources{MilliCPU: 16000}, Free: platform.Resources{MilliCPU: 4000}, Listed: true, Reconciled: true, Tasks: []string{"a"}},
+		{ID: "w1", Rack: "r1", Capacity: infra.Resources{MilliCPU: 16000}, Free: infra.Resources{MilliCPU: 4000}, Listed: true, Reconciled: true, Tasks: []string{"a"}},
 		{ID: "w2", Rack: "r1"},
 		{ID: "w3", Rack: "r1", Listed: true, Reconciled: true, Quarantine: "3 jobs of 2 teams failed"}}}}})
 	f.answer("GET /v1/schedulers/sched-2/dump", 503, entry.ErrorBody{Code: "unavailable", Message: "no answer within 2s"})
--- a/cmd/kwctl/settings.go
+++ b/cmd/kwctl/settings.go
@@ -13,7 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/knapweedweir/knapweedweir/cmd/internal/entry"
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/settings"
 )
 
@@ -50,7 +50,7 @@
 
 // document is a team's settings in force.
 type document struct {
-	version platform.Offset
+	version infra.Offset
 	text    string
 }
 
@@ -140,7 +140,7 @@
 	if err != nil {
 		return "", errors.Wrap(err, "base version")
 	}
-	change := settings.Change{Team: team, Base: platform.Offset(version), Document: document}.Sign(key)
+	change := settings.Change{Team: team, Base: infra.Offset(version), Document: document}.Sign(key)
 	return base64.StdEncoding.EncodeToString(change.Signature), nil
 }
 
@@ -172,11 +172,11 @@
 
 // settingsRow is one entry's version of one team's settings.
 type settingsRow struct {
-	Entry   string          `json:"entry"`
-	Team    string          `json:"team,omitempty"`
-	Version platform.Offset `json:"version,omitempty"`
-	Offset  platform.Offset `json:"offset,omitempty"`
-	Error   string          `json:"error,omitempty"`
+	Entry   string       `json:"entry"`
+	Team    string       `json:"team,omitempty"`
+	Version infra.Offset `json:"version,omitempty"`
+	Offset  infra.Offset `json:"offset,omitempty"`
+	Error   string       `json:"error,omitempty"`
 }
 
 func (c *console) settingsRows(ctx context.Context) ([]settingsRow, error) {
@@ -222,7 +222,7 @@
 }
 
 // awaitInForce waits until every entry has a version, and says how far it is.
-func (c *console) awaitInForce(ctx context.Context, team string, version platform.Offset, limit time.Duration) error {
+func (c *console) awaitInForce(ctx context.Context, team string, version infra.Offset, limit time.Duration) error {
 	const every = 100 * time.Millisecond
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
@@ -245,8 +245,8 @@
 }
 
 // inForceAt counts the entries that have at least a version, and names the others.
-func inForceAt(list []settingsRow, team string, version platform.Offset) (have, all int, late []string) {
-	newest := map[string]platform.Offset{}
+func inForceAt(list []settingsRow, team string, version infra.Offset) (have, all int, late []string) {
+	newest := map[string]infra.Offset{}
 	for _, r := range list {
 		newest[r.Entry] = max(newest[r.Entry], 0)
 		if r.Team == team {
--- a/cmd/kwctl/settings_test.go
+++ b/cmd/kwctl/settings_test.go
@@ -14,18 +14,18 @@
 
 	"github.com/knapweedweir/knapweedweir/cmd/internal/entry"
 	"github.com/knapweedweir/knapweedweir/control/api"
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 )
 
 // settingsEntry is a fake entry with the settings of one team.
 type settingsEntry struct {
 	*fakeEntry
 	mu      sync.Mutex
-	version platform.Offset
+	version infra.Offset
 	text    string
 }
 
-func newSettingsEntry(t *testing.T, version platform.Offset, text string) *settingsEntry {
+func newSettingsEntry(t *testing.T, version infra.Offset, text string) *settingsEntry {
 	s := &settingsEntry{fakeEntry: newFakeEntry(t), version: version, text: text}
 	s.HandleFunc("GET /v1/settings", func(w http.ResponseWriter, _ *http.Request) {
 		s.mu.Lock()
--- a/cmd/kwctl/version.go
+++ b/cmd/kwctl/version.go
@@ -10,7 +10,7 @@
 	"github.com/pkg/errors"
 	"github.com/rogpeppe/go-internal/diff"
 
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 )
 
 // versionLine is the first line of a document that kwctl has printed. Without it
@@ -27,13 +27,13 @@
 }
 
 // versionIn returns the version that a document of a team says it was made from.
-func versionIn(team, doc string) (platform.Offset, bool) {
+func versionIn(team, doc string) (infra.Offset, bool) {
 	m := versionLine.FindStringSubmatch(doc)
 	if m == nil || m[2] != team {
 		return 0, false
 	}
 	v, err := strconv.ParseUint(m[1], 10, 64)
-	return platform.Offset(v), err == nil
+	return infra.Offset(v), err == nil
 }
 
 // blankVersion empties the line that names a version, so that the stored
--- a/control/api/api.go
+++ b/control/api/api.go
@@ -7,10 +7,10 @@
 	"time"
 
 	"github.com/knapweedweir/knapweedweir/dispatch"
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/membership"
 	"github.com/knapweedweir/knapweedweir/ownership"
 	"github.com/knapweedweir/knapweedweir/placement"
-	"github.com/knapweedweir/knapweedweir/platform"
 	"github.com/knapweedweir/knapweedweir/settings"
 	"github.com/knapweedweir/knapweedweir/settings/jsonc"
 )
@@ -75,7 +75,7 @@
 	Code       Code
 	Message    string
 	Findings   jsonc.Findings
-	Offset     platform.Offset
+	Offset     infra.Offset
 	RetryAfter time.Duration
 	Owner      string
 	Job        *placement.JobStatus
@@ -103,7 +103,7 @@
 type LogProbed struct {
 	Round  uint64
 	Silent bool
-	Offset platform.Offset
+	Offset infra.Offset
 }
 
 // Ack is the empty reply of Deliver.
@@ -125,7 +125,7 @@
 type State struct {
 	Version   uint64
 	Scheduler string
-	Offset    platform.Offset
+	Offset    infra.Offset
 	LogDown   bool
 	// Ready says that the scheduler has read the log to its end since it
 	// started; before that its state may be long out of date.
@@ -133,7 +133,7 @@
 	Teams []TeamVersion
 	// Keys are the keys of teams and of settings.RootOwner.
 	Keys      map[string]settings.KeySet
-	Instances []platform.Instance
+	Instances []infra.Instance
 	Holders   map[ownership.Unit]ownership.Holder
 }
 
@@ -148,7 +148,7 @@
 
 // SnapshotReply is the state as logstream.EncodeSnapshot writes it.
 type SnapshotReply struct {
-	Offset platform.Offset
+	Offset infra.Offset
 	Data   []byte
 }
 
--- a/control/api/list.go
+++ b/control/api/list.go
@@ -3,8 +3,8 @@
 import (
 	"encoding/gob"
 
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/placement"
-	"github.com/knapweedweir/knapweedweir/platform"
 )
 
 // MaxJobsPage bounds the jobs of one page, and so how long making a page keeps
@@ -33,7 +33,7 @@
 	Urgent   bool               `json:"urgent"`
 	State    placement.JobState `json:"state"`
 	Reason   string             `json:"reason,omitempty"`
-	Accepted platform.Offset    `json:"accepted"`
+	Accepted infra.Offset       `json:"accepted"`
 }
 
 // JobsPage is a page of jobs.
--- a/control/ask.go
+++ b/control/ask.go
@@ -8,11 +8,11 @@
 
 	"github.com/knapweedweir/knapweedweir/control/api"
 	"github.com/knapweedweir/knapweedweir/dispatch"
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/logstream"
 	"github.com/knapweedweir/knapweedweir/membership"
 	"github.com/knapweedweir/knapweedweir/ownership"
 	"github.com/knapweedweir/knapweedweir/placement"
-	"github.com/knapweedweir/knapweedweir/platform"
 	"github.com/knapweedweir/knapweedweir/settings"
 	"github.com/knapweedweir/knapweedweir/settings/jsonc"
 )
@@ -126,8 +126,8 @@
 	return findings
 }
 
-func (c *Core) nearestMiss(need platform.Resources) (string, bool) {
-	var best platform.Worker
+func (c *Core) nearestMiss(need infra.Resources) (string, bool) {
+	var best infra.Worker
 	var bestShare float64 = -1
 	for _, w := range c.largest {
 		if need.Fits(w.Capacity) {
@@ -144,7 +144,7 @@
 }
 
 // covered is the smallest part of a need that a capacity covers.
-func covered(need, capacity platform.Resources) float64 {
+func covered(need, capacity infra.Resources) float64 {
 	part := 1.0
 	for _, p := range [][2]int64{{need.MilliCPU, capacity.MilliCPU}, {need.MemoryMiB, capacity.MemoryMiB}, {need.Accelerators, capacity.Accelerators}} {
 		if p[0] > 0 {
--- a/control/boot_test.go
+++ b/control/boot_test.go
@@ -8,9 +8,9 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/knapweedweir/knapweedweir/control/api"
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/logstream"
 	"github.com/knapweedweir/knapweedweir/ownership"
-	"github.com/knapweedweir/knapweedweir/platform"
 	"github.com/knapweedweir/knapweedweir/settings"
 )
 
@@ -43,9 +43,9 @@
 	assert.NilError(t, err)
 	for range 2 {
 		r := peer.NextRead()
-		page := platform.Page{First: 1}
+		page := infra.Page{First: 1}
 		if !r.Snapshots {
-			page.Entries, page.Tail = []platform.Entry{{Offset: 1, Data: rec}}, 1
+			page.Entries, page.Tail = []infra.Entry{{Offset: 1, Data: rec}}, 1
 		}
 		peer.Step(time.Hour, LogRead{Read: r, Page: page})
 	}
@@ -60,19 +60,19 @@
 func TestLostAnswerAfterReadBackDoesNotStopAppends(t *testing.T) {
 	c := New(DefaultConfig("sched-1", 1))
 	now := time.Hour
-	read := func(entries ...platform.Entry) {
-		c.Step(now, LogRead{Read: c.NextRead(), Page: platform.Page{First: 1, Tail: platform.Offset(len(entries)), Entries: entries}})
+	read := func(entries ...infra.Entry) {
+		c.Step(now, LogRead{Read: c.NextRead(), Page: infra.Page{First: 1, Tail: infra.Offset(len(entries)), Entries: entries}})
 	}
 	publish := api.Publish{Change: settings.Change{Team: "workshop", File: "f", Document: "{}"}}
 	read()
 	read()
 	actions := c.Step(now, Asked{Ticket: 1, Question: publish})
 	batch := actions[len(actions)-1].(AppendLog).Batch
-	read(platform.Entry{Offset: 1, Data: batch[0]})
+	read(infra.Entry{Offset: 1, Data: batch[0]})
 	c.Step(now, AppendDone{Err: errors.New("connection broken")})
 	for range 20 {
 		now += 50 * time.Millisecond
-		c.Step(now, LogRead{Read: c.NextRead(), Page: platform.Page{First: 1, Tail: 1}})
+		c.Step(now, LogRead{Read: c.NextRead(), Page: infra.Page{First: 1, Tail: 1}})
 		c.Step(now, Tick{})
 	}
 	assert.Equal(t, answerCode(c.Step(now, Asked{Ticket: 2, Question: publish}), 2), api.Code(""), "turned away")
@@ -87,7 +87,7 @@
 	cfg.Peers = []string{"10.0.0.2:7000"}
 	c := New(cfg)
 	start := time.Hour
-	c.Step(start, InstancesListed{Instances: []platform.Instance{{ID: "sched-1", Service: SchedService, Addr: "10.0.0.1:7000", State: platform.InstanceLive}}})
+	c.Step(start, InstancesListed{Instances: []infra.Instance{{ID: "sched-1", Service: SchedService, Addr: "10.0.0.1:7000", State: infra.InstanceLive}}})
 	asked := false
 	for _, a := range booted(c, start, start+5*time.Second) {
 		if f, ok := a.(FetchStates); ok {
@@ -108,11 +108,11 @@
 	assert.DeepEqual(t, d.Teams, []string{"workshop"})
 	// The log is back, and its end is far ahead.
 	for ; now < start+20*time.Second; now += 50 * time.Millisecond {
-		actions := c.Step(now, LogRead{Read: c.NextRead(), Page: platform.Page{First: 1, Tail: 100}})
+		actions := c.Step(now, LogRead{Read: c.NextRead(), Page: infra.Page{First: 1, Tail: 100}})
 		assert.Equal(t, appends(append(actions, c.Step(now, Tick{})...)), 0, "claimed while not caught up")
 	}
 	for range 3 {
-		c.Step(now, LogRead{Read: c.NextRead(), Page: platform.Page{First: 1, Tail: 1}})
+		c.Step(now, LogRead{Read: c.NextRead(), Page: infra.Page{First: 1, Tail: 1}})
 	}
 	assert.Assert(t, c.Dump(now).CaughtUp)
 	assert.Equal(t, c.Dump(now).Log.Source, "log")
@@ -125,12 +125,12 @@
 	cfg := DefaultConfig("sched-1", 1)
 	cfg.Schedule = logstream.ScheduleConfig{Every: time.Minute, Records: 1, Grace: time.Second}
 	c := New(cfg)
-	entries := []platform.Entry{}
+	entries := []infra.Entry{}
 	add := func(kind logstream.Kind, body string) {
 		n := uint64(len(entries) + 1)
 		rec, err := logstream.Record{Version: 1, Kind: kind, Writer: "w", Incarnation: 1, Sequence: n, Body: []byte(body)}.Encode()
 		assert.NilError(t, err)
-		entries = append(entries, platform.Entry{Offset: platform.Offset(n), Data: rec})
+		entries = append(entries, infra.Entry{Offset: infra.Offset(n), Data: rec})
 	}
 	for i := range ownership.HomeSlots {
 		add(ownership.KindClaim, `{"unit":"`+string(ownership.HomeUnit(i))+`","base":0,"owner":"`+c.self+`"}`)
@@ -139,9 +139,9 @@
 	now, written := time.Hour, time.Duration(0)
 	for ; written == 0 && now < time.Hour+time.Minute; now += 100 * time.Millisecond {
 		r := c.NextRead()
-		page := platform.Page{First: 1, Tail: platform.Offset(len(entries))}
+		page := infra.Page{First: 1, Tail: infra.Offset(len(entries))}
 		if r.Snapshots {
-			page = platform.Page{First: 1}
+			page = infra.Page{First: 1}
 		} else if int(r.After) < len(entries) {
 			page.Entries = entries[r.After:]
 		}
--- a/control/core.go
+++ b/control/core.go
@@ -8,11 +8,11 @@
 
 	"github.com/knapweedweir/knapweedweir/control/api"
 	"github.com/knapweedweir/knapweedweir/dispatch"
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/logstream"
 	"github.com/knapweedweir/knapweedweir/membership"
 	"github.com/knapweedweir/knapweedweir/ownership"
 	"github.com/knapweedweir/knapweedweir/placement"
-	"github.com/knapweedweir/knapweedweir/platform"
 	"github.com/knapweedweir/knapweedweir/settings"
 )
 
@@ -34,13 +34,13 @@
 	shards    map[ownership.Unit]*placement.Shard
 	homes     map[ownership.Unit]*placement.Home
 
-	workers   map[ownership.Unit][]platform.Worker
+	workers   map[ownership.Unit][]infra.Worker
 	units     []ownership.Unit
 	shardIDs  []ownership.Unit
 	racks     *rackList
-	largest   []platform.Worker
+	largest   []infra.Worker
 	listedAt  uint64
-	instances []platform.Instance
+	instances []infra.Instance
 	addrs     map[string]string
 	digests   map[ownership.Unit]placement.Digest
 
@@ -80,7 +80,7 @@
 		committer: logstream.NewCommitter(cfg.Committer),
 		members:   membership.New(cfg.Members),
 		shards:    map[ownership.Unit]*placement.Shard{}, homes: map[ownership.Unit]*placement.Home{},
-		workers: map[ownership.Unit][]platform.Worker{}, racks: newRackList(), addrs: map[string]string{},
+		workers: map[ownership.Unit][]infra.Worker{}, racks: newRackList(), addrs: map[string]string{},
 		digests: map[ownership.Unit]placement.Digest{}, tickets: map[uint64]api.Question{}, nextTicket: ownTickets}
 	c.parked = map[ownership.Unit]*parking{}
 	c.moves = map[ownership.Unit]moves{}
--- a/control/core_test.go
+++ b/control/core_test.go
@@ -7,8 +7,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/knapweedweir/knapweedweir/control/api"
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/placement"
-	"github.com/knapweedweir/knapweedweir/platform"
 	"github.com/knapweedweir/knapweedweir/settings"
 )
 
@@ -20,7 +20,7 @@
 	now := time.Hour
 	c.Step(now, Tick{})
 	for range 2 {
-		c.Step(now, LogRead{Read: c.NextRead(), Page: platform.Page{First: 1}})
+		c.Step(now, LogRead{Read: c.NextRead(), Page: infra.Page{First: 1}})
 	}
 	actions := c.Step(now, Asked{Ticket: 1, Question: api.Publish{Change: settings.Change{Team: "workshop", File: "f", Document: "{}"}}})
 	assert.Equal(t, answerCode(actions, 1), api.Code(""), "turned away")
@@ -36,7 +36,7 @@
 	now := time.Hour
 	c.Step(now, Tick{})
 	for range 2 {
-		c.Step(now, LogRead{Read: c.NextRead(), Page: platform.Page{First: 1}})
+		c.Step(now, LogRead{Read: c.NextRead(), Page: infra.Page{First: 1}})
 	}
 	c.Step(now, Tick{})
 	now += c.cfg.LogHealth.SilentFor
@@ -49,7 +49,7 @@
 // the job for good, but say that it is starting, so that another one is asked.
 func TestQuestionToAStartingSchedulerIsNotJudged(t *testing.T) {
 	c := New(DefaultConfig("sched-1", 1))
-	spec := placement.JobSpec{ID: "plan", Team: "workshop", Name: "plan", Kind: placement.Batch, Tasks: 1, Need: platform.Resources{MilliCPU: 1, MemoryMiB: 1}}
+	spec := placement.JobSpec{ID: "plan", Team: "workshop", Name: "plan", Kind: placement.Batch, Tasks: 1, Need: infra.Resources{MilliCPU: 1, MemoryMiB: 1}}
 	actions := c.Step(time.Hour, Asked{Ticket: 1, Question: api.Submit{Job: spec}})
 	assert.Equal(t, answerCode(actions, 1), api.Starting)
 }
--- a/control/digests.go
+++ b/control/digests.go
@@ -8,10 +8,10 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/membership"
 	"github.com/knapweedweir/knapweedweir/ownership"
 	"github.com/knapweedweir/knapweedweir/placement"
-	"github.com/knapweedweir/knapweedweir/platform"
 )
 
 // Timing and bounds of the news of free room. Told to everybody it would grow
@@ -197,7 +197,7 @@
 	}
 	classes := map[bool][]ownership.Unit{}
 	for _, u := range c.shardIDs {
-		accelerated := slices.ContainsFunc(c.workers[u], func(w platform.Worker) bool { return w.Capacity.Accelerators > 0 })
+		accelerated := slices.ContainsFunc(c.workers[u], func(w infra.Worker) bool { return w.Capacity.Accelerators > 0 })
 		classes[accelerated] = append(classes[accelerated], u)
 	}
 	var sample []ownership.Unit
--- a/control/digests_test.go
+++ b/control/digests_test.go
@@ -7,9 +7,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/ownership"
 	"github.com/knapweedweir/knapweedweir/placement"
-	"github.com/knapweedweir/knapweedweir/platform"
 )
 
 // A full cell: the caller's next task waits until one ends. The shard's owner tells
@@ -38,7 +38,7 @@
 	const span = 20 * time.Second
 	for now := time.Duration(0); now < span; now += simTick {
 		// A new epoch makes the digest another one each time.
-		c.shards["shard/a"] = placement.NewShard("shard/a", platform.Offset(now+1), placement.DefaultShardConfig)
+		c.shards["shard/a"] = placement.NewShard("shard/a", infra.Offset(now+1), placement.DefaultShardConfig)
 		if now%wantEvery == 0 {
 			for id := range c.addrs {
 				c.subscribed(now, id, []ownership.Unit{"shard/a"})
--- a/control/events.go
+++ b/control/events.go
@@ -4,9 +4,9 @@
 	"time"
 
 	"github.com/knapweedweir/knapweedweir/control/api"
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/logstream"
 	"github.com/knapweedweir/knapweedweir/placement"
-	"github.com/knapweedweir/knapweedweir/platform"
 )
 
 // Event is something that happened outside the core.
@@ -20,7 +20,7 @@
 	Read logstream.Read
 	// Began is when the read was sent: what it says held at that time.
 	Began time.Duration
-	Page  platform.Page
+	Page  infra.Page
 	Err   error
 }
 
@@ -47,15 +47,15 @@
 type AppendDone struct{ Err error }
 
 // InstancesListed is a new instance list of the platform.
-type InstancesListed struct{ Instances []platform.Instance }
+type InstancesListed struct{ Instances []infra.Instance }
 
 // WorkersListed is a new worker list of the platform.
-type WorkersListed struct{ List platform.WorkerList }
+type WorkersListed struct{ List infra.WorkerList }
 
 // WorkerSynced is the answer to a SyncWorker, or the error instead of one.
 type WorkerSynced struct {
 	Order placement.SyncOrder
-	Reply platform.SyncReply
+	Reply infra.SyncReply
 	Err   error
 }
 
--- a/control/list_test.go
+++ b/control/list_test.go
@@ -8,9 +8,9 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/knapweedweir/knapweedweir/control/api"
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/logstream"
 	"github.com/knapweedweir/knapweedweir/placement"
-	"github.com/knapweedweir/knapweedweir/platform"
 )
 
 func listed(t *testing.T, jobs int) *Core {
@@ -20,7 +20,7 @@
 		spec := placement.JobSpec{ID: fmt.Sprintf("job-%03d", (i*7)%jobs), Team: []string{"a", "b"}[i%2], Kind: placement.Batch, Tasks: 1}
 		body, err := json.Marshal(spec)
 		assert.NilError(t, err)
-		assert.NilError(t, c.registry.Apply(platform.Offset(i+1), logstream.Record{Kind: placement.KindAccept, Body: body}))
+		assert.NilError(t, c.registry.Apply(infra.Offset(i+1), logstream.Record{Kind: placement.KindAccept, Body: body}))
 	}
 	return c
 }
--- a/control/log.go
+++ b/control/log.go
@@ -7,10 +7,10 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/logstream"
 	"github.com/knapweedweir/knapweedweir/ownership"
 	"github.com/knapweedweir/knapweedweir/placement"
-	"github.com/knapweedweir/knapweedweir/platform"
 	"github.com/knapweedweir/knapweedweir/settings"
 )
 
@@ -36,7 +36,7 @@
 func (c *Core) NextRead() logstream.Read { return c.follower.Next() }
 
 func (c *Core) logRead(now time.Duration, ev LogRead) {
-	expired := errors.Is(ev.Err, platform.ErrExpired)
+	expired := errors.Is(ev.Err, infra.ErrExpired)
 	if ev.Err != nil && !expired {
 		c.health.Read(now, ev.Err)
 		c.resolve(c.committer.SetDown(c.LogDown(now)))
--- a/control/log_outage_test.go
+++ b/control/log_outage_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/knapweedweir/knapweedweir/control/api"
 	"github.com/knapweedweir/knapweedweir/dispatch"
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/logstream"
-	"github.com/knapweedweir/knapweedweir/platform"
 )
 
 // BenchmarkOutageAnswers prints how long a caller's claim waits for its answer
@@ -50,7 +50,7 @@
 		}
 	}
 	for range 2 {
-		do(LogRead{Read: c.NextRead(), Page: platform.Page{First: 1}})
+		do(LogRead{Read: c.NextRead(), Page: infra.Page{First: 1}})
 	}
 	for i := range uint64(1000) {
 		now += step
--- a/control/measures.go
+++ b/control/measures.go
@@ -3,14 +3,14 @@
 import (
 	"time"
 
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/placement"
-	"github.com/knapweedweir/knapweedweir/platform"
 )
 
 // Measures is what a scheduler's shards and homes do, for monitoring.
 type Measures struct {
 	// Used and Total are of the workers of the owned shards.
-	Used, Total platform.Resources
+	Used, Total infra.Resources
 	Workers     int
 	Shards      int
 	Homes       int
--- a/control/panel.go
+++ b/control/panel.go
@@ -8,8 +8,8 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/knapweedweir/knapweedweir/control/api"
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/membership"
-	"github.com/knapweedweir/knapweedweir/platform"
 )
 
 // Timing and size of the questions about the log. A predecessor of any owner has
@@ -37,25 +37,25 @@
 	self      string
 	peers     []string
 	contactAt time.Duration
-	offset    platform.Offset
+	offset    infra.Offset
 
 	round   uint64
 	sentAt  time.Duration
 	asked   int
 	replies map[string]bool
-	need    platform.Offset
+	need    infra.Offset
 	silent  int
 	read    int
 	// silentAt is when the newest round was sent whose majority found the log
 	// silent; readAt the one whose majority had read the log up to readTo.
 	silentAt time.Duration
 	readAt   time.Duration
-	readTo   platform.Offset
+	readTo   infra.Offset
 	behind   bool
 }
 
 // contact notes a read of the log, begun at a time, that reached its end.
-func (p *panel) contact(began time.Duration, offset platform.Offset) {
+func (p *panel) contact(began time.Duration, offset infra.Offset) {
 	p.contactAt, p.offset = max(p.contactAt, began), offset
 	p.behind = false
 }
@@ -75,7 +75,7 @@
 // step returns the peers to ask now. The peers are those of the last contact
 // with the log: the ones heard since then may all be on this side of a cut. A
 // new owner gives the epoch that it wants a majority to have read.
-func (p *panel) step(now time.Duration, live func() []string, need platform.Offset) []string {
+func (p *panel) step(now time.Duration, live func() []string, need infra.Offset) []string {
 	silent := p.isSilent(now)
 	if now-p.sentAt < panelEvery {
 		return nil
@@ -151,7 +151,7 @@
 // askPanel sends the questions of a round and tells the shards what came of the
 // last one.
 func (c *Core) askPanel(now time.Duration) {
-	var need platform.Offset
+	var need infra.Offset
 	for _, s := range c.shards {
 		if !s.Fenced() {
 			need = max(need, s.Epoch())
--- a/control/racks.go
+++ b/control/racks.go
@@ -4,8 +4,8 @@
 	"sort"
 	"time"
 
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/ownership"
-	"github.com/knapweedweir/knapweedweir/platform"
 )
 
 // rememberLeases is how many leases a worker is remembered after it has left the
@@ -24,7 +24,7 @@
 }
 
 type listedWorker struct {
-	platform.Worker
+	infra.Worker
 	listed bool
 	// leftAt is when the worker left the list.
 	leftAt time.Duration
@@ -33,7 +33,7 @@
 func newRackList() *rackList { return &rackList{racks: map[ownership.Unit]map[string]listedWorker{}} }
 
 // take takes over a new list.
-func (r *rackList) take(now time.Duration, list []platform.Worker) {
+func (r *rackList) take(now time.Duration, list []infra.Worker) {
 	on := make(map[string]bool, len(list))
 	for _, w := range list {
 		u := ownership.ShardUnit(w.Rack)
@@ -73,8 +73,8 @@
 
 // listed returns the listed workers of every rack. A rack whose workers have all
 // left the list has an empty entry.
-func (r *rackList) listed() map[ownership.Unit][]platform.Worker {
-	racks := map[ownership.Unit][]platform.Worker{}
+func (r *rackList) listed() map[ownership.Unit][]infra.Worker {
+	racks := map[ownership.Unit][]infra.Worker{}
 	for u := range r.racks {
 		racks[u] = r.pick(u, func(w listedWorker) bool { return w.listed })
 	}
@@ -82,13 +82,13 @@
 }
 
 // remembered returns all workers of a rack, listed or not.
-func (r *rackList) remembered(u ownership.Unit) []platform.Worker {
+func (r *rackList) remembered(u ownership.Unit) []infra.Worker {
 	return r.pick(u, func(listedWorker) bool { return true })
 }
 
 // pick returns the workers of a rack that the test holds for, by ID.
-func (r *rackList) pick(u ownership.Unit, holds func(listedWorker) bool) []platform.Worker {
-	var list []platform.Worker
+func (r *rackList) pick(u ownership.Unit, holds func(listedWorker) bool) []infra.Worker {
+	var list []infra.Worker
 	for _, w := range r.racks[u] {
 		if holds(w) {
 			list = append(list, w.Worker)
--- a/control/sim_test.go
+++ b/control/sim_test.go
@@ -14,9 +14,9 @@
 	"github.com/pkg/errors"
 
 	"github.com/knapweedweir/knapweedweir/control/api"
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/logstream"
 	"github.com/knapweedweir/knapweedweir/placement"
-	"github.com/knapweedweir/knapweedweir/platform"
 	"github.com/knapweedweir/knapweedweir/settings"
 )
 
@@ -29,14 +29,14 @@
 	random  *rand.Rand
 	nodes   []*simNode
 	workers map[string]*simWorker
-	list    []platform.Worker
-	log     []platform.Entry
+	list    []infra.Worker
+	log     []infra.Entry
 	// snapshots is the snapshot stream.
-	snapshots []platform.Entry
+	snapshots []infra.Entry
 	logDown   bool
 	// cut holds the one-way cuts between ends: node names, worker IDs, "log".
 	cut    map[[2]string]bool
-	states map[platform.Offset]simState
+	states map[infra.Offset]simState
 	broken []string
 	// unfenced makes the workers obey orders under old tokens.
 	unfenced  bool
@@ -101,13 +101,13 @@
 
 // simWorker keeps the promises of docs/PLATFORM.md.
 type simWorker struct {
-	platform.Worker
-	token    platform.Offset
+	infra.Worker
+	token    infra.Offset
 	sequence uint64
 	leaseEnd time.Duration
-	tasks    map[string]*platform.TaskReport
+	tasks    map[string]*infra.TaskReport
 	ends     map[string]time.Duration
-	holders  map[platform.Offset]string
+	holders  map[infra.Offset]string
 }
 
 const (
@@ -119,12 +119,12 @@
 
 func newSim(seed uint64, nodes, racks, perRack int) *sim {
 	s := &sim{random: rand.New(rand.NewPCG(seed, 0)), workers: map[string]*simWorker{}, cut: map[[2]string]bool{},
-		states: map[platform.Offset]simState{}, synced: map[string]time.Duration{}, poll: simPoll, task: simTask, answers: map[uint64]api.Answer{}}
+		states: map[infra.Offset]simState{}, synced: map[string]time.Duration{}, poll: simPoll, task: simTask, answers: map[uint64]api.Answer{}}
 	for r := range racks {
 		for i := range perRack {
-			w := platform.Worker{ID: fmt.Sprintf("w%03d-%d", r, i), Rack: fmt.Sprintf("rack-%03d", r), Capacity: platform.Resources{MilliCPU: 4000, MemoryMiB: 4000}}
+			w := infra.Worker{ID: fmt.Sprintf("w%03d-%d", r, i), Rack: fmt.Sprintf("rack-%03d", r), Capacity: infra.Resources{MilliCPU: 4000, MemoryMiB: 4000}}
 			s.list = append(s.list, w)
-			s.workers[w.ID] = &simWorker{Worker: w, tasks: map[string]*platform.TaskReport{}, ends: map[string]time.Duration{}, holders: map[platform.Offset]string{}}
+			s.workers[w.ID] = &simWorker{Worker: w, tasks: map[string]*infra.TaskReport{}, ends: map[string]time.Duration{}, holders: map[infra.Offset]string{}}
 		}
 	}
 	for i := range nodes {
@@ -177,15 +177,15 @@
 	}
 	n.core = New(cfg)
 	s.post(n, 0, InstancesListed{Instances: s.instances()})
-	s.post(n, 0, WorkersListed{List: platform.WorkerList{Version: 1, Workers: s.list}})
+	s.post(n, 0, WorkersListed{List: infra.WorkerList{Version: 1, Workers: s.list}})
 	s.loop(n, simTick, func() { s.step(n, Tick{}) })
 	s.loop(n, s.poll, func() { s.read(n) })
 }
 
-func (s *sim) instances() []platform.Instance {
-	var list []platform.Instance
+func (s *sim) instances() []infra.Instance {
+	var list []infra.Instance
 	for _, n := range s.nodes {
-		list = append(list, platform.Instance{ID: n.id, Service: SchedService, Addr: n.id + ":1", State: platform.InstanceLive})
+		list = append(list, infra.Instance{ID: n.id, Service: SchedService, Addr: n.id + ":1", State: infra.InstanceLive})
 	}
 	return list
 }
@@ -278,7 +278,7 @@
 				return
 			}
 			for _, data := range a.Batch {
-				s.log = append(s.log, platform.Entry{Offset: platform.Offset(len(s.log) + 1), Data: data})
+				s.log = append(s.log, infra.Entry{Offset: infra.Offset(len(s.log) + 1), Data: data})
 			}
 		})
 	case SyncWorker:
@@ -311,7 +311,7 @@
 	}
 	from := min(int(r.After), len(stream))
 	entries := stream[from:min(from+1000, len(stream))]
-	page := platform.Page{Entries: entries, First: 1, Tail: platform.Offset(len(stream))}
+	page := infra.Page{Entries: entries, First: 1, Tail: infra.Offset(len(stream))}
 	ev := LogRead{Read: r, Began: s.now, Page: page}
 	s.step(n, ev)
 	if len(entries) > 0 && s.random.IntN(4) == 0 {
@@ -336,7 +336,7 @@
 		return
 	}
 	for _, c := range chunks {
-		s.snapshots = append(s.snapshots, platform.Entry{Offset: platform.Offset(len(s.snapshots) + 1), Data: c})
+		s.snapshots = append(s.snapshots, infra.Entry{Offset: infra.Offset(len(s.snapshots) + 1), Data: c})
 	}
 	s.post(n, s.latency(), SnapshotStored{Mark: logstream.Mark{Covers: snapshot.Offset, Chunks: len(chunks), Bytes: len(data)}})
 }
@@ -355,9 +355,9 @@
 	})
 }
 
-func (w *simWorker) sync(s *sim, by string, req platform.SyncRequest) platform.SyncReply {
+func (w *simWorker) sync(s *sim, by string, req infra.SyncRequest) infra.SyncReply {
 	w.advance(s.now)
-	reply := platform.SyncReply{Reading: s.now.Milliseconds() + 1}
+	reply := infra.SyncReply{Reading: s.now.Milliseconds() + 1}
 	switch {
 	case req.Token < w.token && !s.unfenced:
 		reply.Refused = "old token"
@@ -374,7 +374,7 @@
 	return reply
 }
 
-func (w *simWorker) obey(s *sim, by string, req platform.SyncRequest) {
+func (w *simWorker) obey(s *sim, by string, req infra.SyncRequest) {
 	if holder, ok := w.holders[req.Token]; ok && holder != by {
 		s.fail("%s obeys %s and %s under token %d", w.ID, holder, by, req.Token)
 	}
@@ -392,7 +392,7 @@
 	}
 	for _, id := range req.Stops {
 		if t, ok := w.tasks[id]; ok && !t.State.Ended() {
-			t.State = platform.TaskStopped
+			t.State = infra.TaskStopped
 		}
 	}
 	for _, t := range req.Starts {
@@ -402,15 +402,15 @@
 	}
 }
 
-func (s *sim) startTask(w *simWorker, t platform.Task) {
-	w.tasks[t.ID] = &platform.TaskReport{Task: t, State: platform.TaskRunning}
+func (s *sim) startTask(w *simWorker, t infra.Task) {
+	w.tasks[t.ID] = &infra.TaskReport{Task: t, State: infra.TaskRunning}
 	if t.Labels["kind"] != string(placement.Service) {
 		w.ends[t.ID] = s.now + s.task
 	}
 	s.starts = append(s.starts, simStart{s.now, t.ID})
-	var used platform.Resources
+	var used infra.Resources
 	for _, r := range w.tasks {
-		if r.State == platform.TaskRunning {
+		if r.State == infra.TaskRunning {
 			used = used.Add(r.Task.Need)
 		}
 	}
@@ -420,7 +420,7 @@
 	for _, other := range s.workers {
 		other.advance(s.now)
 		for id, r := range other.tasks {
-			if id != t.ID && r.State == platform.TaskRunning && taskOf(id) == taskOf(t.ID) {
+			if id != t.ID && r.State == infra.TaskRunning && taskOf(id) == taskOf(t.ID) {
 				s.fail("task %s runs on %s as %s and on %s as %s", taskOf(id), w.ID, t.ID, other.ID, id)
 			}
 		}
@@ -436,15 +436,15 @@
 		switch {
 		case t.State.Ended():
 		case ends && end <= now && end <= w.leaseEnd:
-			t.State = platform.TaskDone
+			t.State = infra.TaskDone
 		case w.leaseEnd < now:
-			t.State, t.Reason = platform.TaskStopped, "lease lapsed"
+			t.State, t.Reason = infra.TaskStopped, "lease lapsed"
 		}
 	}
 }
 
 // compare checks that all views are the same at the same offset.
-func (s *sim) compare(n *simNode, at platform.Offset) {
+func (s *sim) compare(n *simNode, at infra.Offset) {
 	snapshot, err := n.core.view.Snapshot()
 	if err != nil {
 		s.fail("snapshot: %v", err)
@@ -480,7 +480,7 @@
 }
 
 func (s *sim) submit(n *simNode, id string, kind placement.JobKind, tasks int) uint64 {
-	return s.ask(n, api.Submit{Job: placement.JobSpec{ID: id, Team: "desk", Kind: kind, Tasks: tasks, Need: platform.Resources{MilliCPU: 1000, MemoryMiB: 100}}})
+	return s.ask(n, api.Submit{Job: placement.JobSpec{ID: id, Team: "desk", Kind: kind, Tasks: tasks, Need: infra.Resources{MilliCPU: 1000, MemoryMiB: 100}}})
 }
 
 // settled says that every unit has a live owner that has taken it over.
@@ -518,7 +518,7 @@
 	for _, w := range s.workers {
 		w.advance(s.now)
 		for _, t := range w.tasks {
-			if t.State == platform.TaskRunning {
+			if t.State == infra.TaskRunning {
 				count++
 			}
 		}
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -4,9 +4,9 @@
 	"sort"
 	"time"
 
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/logstream"
 	"github.com/knapweedweir/knapweedweir/ownership"
-	"github.com/knapweedweir/knapweedweir/platform"
 )
 
 const (
@@ -118,13 +118,13 @@
 	Source string `json:"source"`
 	// Gap means that records have expired that no complete snapshot covers;
 	// the state stays where it was and nothing is claimed.
-	Gap          bool            `json:"gap"`
-	First        platform.Offset `json:"first"`
-	Tail         platform.Offset `json:"tail"`
-	Rebuilds     uint64          `json:"rebuilds"`
-	Snapshots    uint64          `json:"snapshots"`
-	LastSnapshot logstream.Mark  `json:"lastSnapshot"`
-	LastWriter   string          `json:"lastSnapshotWriter,omitempty"`
+	Gap          bool           `json:"gap"`
+	First        infra.Offset   `json:"first"`
+	Tail         infra.Offset   `json:"tail"`
+	Rebuilds     uint64         `json:"rebuilds"`
+	Snapshots    uint64         `json:"snapshots"`
+	LastSnapshot logstream.Mark `json:"lastSnapshot"`
+	LastWriter   string         `json:"lastSnapshotWriter,omitempty"`
 	// Appends are this scheduler's appends by cause, Share how many a second
 	// it may make, HeldBack how often one waited for that.
 	Appends  map[string]uint64 `json:"appends"`
--- a/control/snapshot_test.go
+++ b/control/snapshot_test.go
@@ -9,10 +9,10 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/knapweedweir/knapweedweir/dispatch"
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/logstream"
 	"github.com/knapweedweir/knapweedweir/ownership"
 	"github.com/knapweedweir/knapweedweir/placement"
-	"github.com/knapweedweir/knapweedweir/platform"
 	"github.com/knapweedweir/knapweedweir/settings"
 )
 
@@ -52,7 +52,7 @@
 }
 
 func fillView(b *testing.B, c *Core, claims int) {
-	at, sequence := platform.Offset(0), map[string]uint64{}
+	at, sequence := infra.Offset(0), map[string]uint64{}
 	add := func(kind logstream.Kind, body any) {
 		at++
 		writer := fmt.Sprintf("sched-%d", at%200)
@@ -61,7 +61,7 @@
 		assert.NilError(b, err)
 		rec, err := logstream.Record{Version: logstream.FormatVersion, Kind: kind, Writer: writer, Incarnation: 1, Sequence: sequence[writer], Body: data}.Encode()
 		assert.NilError(b, err)
-		c.view.Apply(platform.Entry{Offset: at, Data: rec})
+		c.view.Apply(infra.Entry{Offset: at, Data: rec})
 	}
 	for i := range 170 {
 		add(settings.KindChange, settings.Change{Team: fmt.Sprintf("team-%d", i), File: "team.jsonc",
@@ -75,7 +75,7 @@
 	}
 	for i := range 20000 {
 		add(placement.KindAccept, placement.JobSpec{ID: fmt.Sprintf("team-%d-plan-%d", i%170, i), Team: fmt.Sprintf("team-%d", i%170), Name: "plan", Kind: placement.Batch,
-			Tasks: 3, Need: platform.Resources{MilliCPU: 1000, MemoryMiB: 2048}, Payload: json.RawMessage(`{"runMillis":1000}`)})
+			Tasks: 3, Need: infra.Resources{MilliCPU: 1000, MemoryMiB: 2048}, Payload: json.RawMessage(`{"runMillis":1000}`)})
 	}
 	for i := range claims {
 		id := fmt.Sprintf("certificate-%d", i)
--- a/control/state.go
+++ b/control/state.go
@@ -4,9 +4,9 @@
 	"time"
 
 	"github.com/knapweedweir/knapweedweir/control/api"
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/ownership"
 	"github.com/knapweedweir/knapweedweir/placement"
-	"github.com/knapweedweir/knapweedweir/platform"
 	"github.com/knapweedweir/knapweedweir/settings"
 )
 
@@ -15,7 +15,7 @@
 
 // Offset is how far the log has been read. It grows without a new Version when a
 // record changes nothing that State returns, as jobs and claims of requests do.
-func (c *Core) Offset() platform.Offset { return c.view.Offset() }
+func (c *Core) Offset() infra.Offset { return c.view.Offset() }
 
 // stateKinds are the records that change what State returns besides the offset.
 var stateKinds = append(settings.NewTree().Kinds(), ownership.NewTable().Kinds()...)
@@ -41,35 +41,35 @@
 // ShardDump is one owned shard in a dump.
 type ShardDump struct {
 	Unit    ownership.Unit           `json:"unit"`
-	Epoch   platform.Offset          `json:"epoch"`
+	Epoch   infra.Offset             `json:"epoch"`
 	Workers []placement.WorkerStatus `json:"workers"`
 }
 
 // HomeDump is one owned job home in a dump.
 type HomeDump struct {
-	Unit  ownership.Unit  `json:"unit"`
-	Epoch platform.Offset `json:"epoch"`
-	Jobs  []string        `json:"jobs"`
+	Unit  ownership.Unit `json:"unit"`
+	Epoch infra.Offset   `json:"epoch"`
+	Jobs  []string       `json:"jobs"`
 }
 
 // Dump is a scheduler's whole control state for people and tools.
 type Dump struct {
-	DumpVersion   int             `json:"dumpVersion"`
-	Member        string          `json:"member"`
-	Offset        platform.Offset `json:"offset"`
-	CaughtUp      bool            `json:"caughtUp"`
-	Log           LogDump         `json:"log"`
-	LogDown       bool            `json:"logDown"`
-	Leaving       bool            `json:"leaving"`
-	Live          []string        `json:"live"`
-	Appends       uint64          `json:"appends"`
-	Skipped       uint64          `json:"skippedRecords"`
-	LastSkip      string          `json:"lastSkippedReason,omitempty"`
-	QueuedRecords int             `json:"queuedRecords"`
-	InFlight      int             `json:"inFlightRecords"`
-	Teams         []string        `json:"teams"`
-	Shards        []ShardDump     `json:"shards"`
-	Homes         []HomeDump      `json:"homes"`
+	DumpVersion   int          `json:"dumpVersion"`
+	Member        string       `json:"member"`
+	Offset        infra.Offset `json:"offset"`
+	CaughtUp      bool         `json:"caughtUp"`
+	Log           LogDump      `json:"log"`
+	LogDown       bool         `json:"logDown"`
+	Leaving       bool         `json:"leaving"`
+	Live          []string     `json:"live"`
+	Appends       uint64       `json:"appends"`
+	Skipped       uint64       `json:"skippedRecords"`
+	LastSkip      string       `json:"lastSkippedReason,omitempty"`
+	QueuedRecords int          `json:"queuedRecords"`
+	InFlight      int          `json:"inFlightRecords"`
+	Teams         []string     `json:"teams"`
+	Shards        []ShardDump  `json:"shards"`
+	Homes         []HomeDump   `json:"homes"`
 }
 
 // Dump describes the core.
--- a/control/units.go
+++ b/control/units.go
@@ -6,10 +6,10 @@
 	"sort"
 	"time"
 
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/logstream"
 	"github.com/knapweedweir/knapweedweir/ownership"
 	"github.com/knapweedweir/knapweedweir/placement"
-	"github.com/knapweedweir/knapweedweir/platform"
 	"github.com/knapweedweir/knapweedweir/settings"
 )
 
@@ -67,7 +67,7 @@
 	}
 }
 
-func (c *Core) takeShard(now time.Duration, u ownership.Unit, epoch platform.Offset, workers []platform.Worker) {
+func (c *Core) takeShard(now time.Duration, u ownership.Unit, epoch infra.Offset, workers []infra.Worker) {
 	s, ok := c.shards[u]
 	if !ok {
 		s = placement.NewShard(u, epoch, c.cfg.Shard)
@@ -83,7 +83,7 @@
 	}
 }
 
-func (c *Core) takeHome(now time.Duration, u ownership.Unit, epoch platform.Offset) {
+func (c *Core) takeHome(now time.Duration, u ownership.Unit, epoch infra.Offset) {
 	if _, ok := c.homes[u]; ok {
 		return
 	}
@@ -131,10 +131,10 @@
 }
 
 // largestOf is the capacity of the largest worker in each dimension.
-func largestOf(workers []platform.Worker) platform.Resources {
-	var largest platform.Resources
+func largestOf(workers []infra.Worker) infra.Resources {
+	var largest infra.Resources
 	for _, w := range workers {
-		largest = platform.Resources{
+		largest = infra.Resources{
 			MilliCPU:     max(largest.MilliCPU, w.Capacity.MilliCPU),
 			MemoryMiB:    max(largest.MemoryMiB, w.Capacity.MemoryMiB),
 			Accelerators: max(largest.Accelerators, w.Capacity.Accelerators),
--- a/dispatch/actions.go
+++ b/dispatch/actions.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 )
 
 // Action is a Send, Cancel, AskClaim, Finished, AskSlots, ReturnSlots or
@@ -14,7 +14,7 @@
 // has to be reported with Answered or Failed, also after a Cancel.
 type Send struct {
 	Request uint64
-	Runner  platform.Instance
+	Runner  infra.Instance
 	Attempt int
 }
 
--- a/dispatch/admission_test.go
+++ b/dispatch/admission_test.go
@@ -7,7 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 )
 
 const second = time.Second
@@ -16,7 +16,7 @@
 func oneRunner(slots int) *Core {
 	c := New(Config{Self: "a", SlotsPerRunner: slots, RetryShare: 0.1, MaxQueue: 100})
 	c.SetRoster(0, Roster{Version: 1, Entries: []string{"a"}, First: true})
-	c.SetRunners(0, []platform.Instance{{ID: "r1", Service: "desk", State: platform.InstanceLive}})
+	c.SetRunners(0, []infra.Instance{{ID: "r1", Service: "desk", State: infra.InstanceLive}})
 	return c
 }
 
@@ -87,7 +87,7 @@
 // deadline; now its caller hears at once that nobody takes it.
 func TestNoRunnerIsToldAtOnce(t *testing.T) {
 	c := oneRunner(1)
-	c.SetRunners(0, []platform.Instance{{ID: "r1", Service: "desk", State: platform.InstanceLeaving}})
+	c.SetRunners(0, []infra.Instance{{ID: "r1", Service: "desk", State: infra.InstanceLeaving}})
 	f := only[Finished](t, c.Arrive(0, quote(1, 1, second)))
 	assert.Equal(t, f.Outcome, NotRun)
 	assert.Assert(t, f.RetryAfter > 0)
--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 )
 
 func benchCore(entries int) *Core {
@@ -14,9 +14,9 @@
 	for n := range entries {
 		ids = append(ids, fmt.Sprintf("entry-%d", n+1))
 	}
-	var list []platform.Instance
+	var list []infra.Instance
 	for n := range 35 {
-		list = append(list, platform.Instance{ID: fmt.Sprintf("runner-%02d", n), Service: "desk", State: platform.InstanceLive, Zone: fmt.Sprint("zone-", n%3)})
+		list = append(list, infra.Instance{ID: fmt.Sprintf("runner-%02d", n), Service: "desk", State: infra.InstanceLive, Zone: fmt.Sprint("zone-", n%3)})
 	}
 	c.SetRoster(0, Roster{Version: 1, Entries: ids, First: true})
 	c.SetRunners(0, list)
--- a/dispatch/claims.go
+++ b/dispatch/claims.go
@@ -6,8 +6,8 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/logstream"
-	"github.com/knapweedweir/knapweedweir/platform"
 )
 
 // Record kinds of non-idempotent requests.
@@ -114,7 +114,7 @@
 }
 
 // Apply implements logstream.Reducer.
-func (c *Claims) Apply(_ platform.Offset, rec logstream.Record) error {
+func (c *Claims) Apply(_ infra.Offset, rec logstream.Record) error {
 	if rec.Kind == KindFinish {
 		var f Finish
 		if err := json.Unmarshal(rec.Body, &f); err != nil {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -6,7 +6,7 @@
 import (
 	"time"
 
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 )
 
 // Config is the limits of one entry.
@@ -60,12 +60,12 @@
 func New(cfg Config) *Core {
 	return &Core{cfg: cfg, requests: map[uint64]*request{}, runners: map[string]*runner{},
 		services: map[string]*service{}, estimates: estimates{},
-		rosters: rosters{self: cfg.Self, settled: map[string]platform.Offset{}}, budget: maxRetryBudget}
+		rosters: rosters{self: cfg.Self, settled: map[string]infra.Offset{}}, budget: maxRetryBudget}
 }
 
 // SetRunners takes over the list of runners. Those that are leaving get no new
 // work.
-func (c *Core) SetRunners(now time.Duration, list []platform.Instance) []Action {
+func (c *Core) SetRunners(now time.Duration, list []infra.Instance) []Action {
 	c.updateRunners(list)
 	return c.dispatchAll(now)
 }
@@ -80,7 +80,7 @@
 }
 
 // Settled takes in which version of the roster another entry keeps to.
-func (c *Core) Settled(now time.Duration, entry string, v platform.Offset) []Action {
+func (c *Core) Settled(now time.Duration, entry string, v infra.Offset) []Action {
 	if !c.rosters.hear(entry, v) {
 		return nil
 	}
--- a/dispatch/experiment/baseline.go
+++ b/dispatch/experiment/baseline.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/knapweedweir/knapweedweir/dispatch"
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 )
 
 // Order is how a baseline takes requests from its queue.
@@ -51,7 +51,7 @@
 		}
 		b.free--
 		b.in[r.ID] = r
-		out = append(out, dispatch.Send{Request: r.ID, Runner: platform.Instance{ID: "pool"}, Attempt: 1})
+		out = append(out, dispatch.Send{Request: r.ID, Runner: infra.Instance{ID: "pool"}, Attempt: 1})
 	}
 	return out
 }
--- a/dispatch/experiment/simulate.go
+++ b/dispatch/experiment/simulate.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/knapweedweir/knapweedweir/dispatch"
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 )
 
 // policy is what decides over requests: the core or a baseline.
@@ -224,11 +224,11 @@
 	}
 }
 
-func (c Cell) instances() []platform.Instance {
-	var out []platform.Instance
+func (c Cell) instances() []infra.Instance {
+	var out []infra.Instance
 	for n := range c.Runners {
 		rack := n / c.PerRack
-		out = append(out, platform.Instance{ID: fmt.Sprintf("runner-%02d", n), Service: c.Service, State: platform.InstanceLive,
+		out = append(out, infra.Instance{ID: fmt.Sprintf("runner-%02d", n), Service: c.Service, State: infra.InstanceLive,
 			Rack: fmt.Sprintf("rack-%d", rack), Zone: fmt.Sprintf("zone-%d", rack%c.Zones+1)})
 	}
 	return out
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 )
 
 // Health is how much a runner is trusted with requests.
@@ -138,7 +138,7 @@
 	return near
 }
 
-func closeness(a, b platform.Instance) int {
+func closeness(a, b infra.Instance) int {
 	switch {
 	case a.Zone != b.Zone:
 		return 0
--- a/dispatch/health_test.go
+++ b/dispatch/health_test.go
@@ -7,7 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 )
 
 const milli = time.Millisecond
@@ -17,9 +17,9 @@
 func threeZones() *Core {
 	c := New(Config{Self: "a", SlotsPerRunner: 2, RetryShare: 0.1, MaxQueue: 100})
 	c.SetRoster(0, Roster{Version: 1, Entries: []string{"a"}, First: true})
-	var list []platform.Instance
+	var list []infra.Instance
 	for n, at := range []struct{ zone, rack string }{{"zone-1", "k1"}, {"zone-1", "k1"}, {"zone-1", "k2"}, {"zone-2", "k3"}} {
-		list = append(list, platform.Instance{ID: fmt.Sprint("r", n+1), Service: "desk", State: platform.InstanceLive, Zone: at.zone, Rack: at.rack})
+		list = append(list, infra.Instance{ID: fmt.Sprint("r", n+1), Service: "desk", State: infra.InstanceLive, Zone: at.zone, Rack: at.rack})
 	}
 	c.SetRunners(0, list)
 	for range 2 * knownSamples {
@@ -113,7 +113,7 @@
 			c := threeZones()
 			assert.Equal(t, only[Send](t, c.Arrive(0, quote(1, 1, second))).Runner.ID, "r1")
 			for _, id := range tc.gone {
-				c.runners[id].State = platform.InstanceLeaving
+				c.runners[id].State = infra.InstanceLeaving
 			}
 			actions := c.Failed(milli, 1, MayHaveRun, "broken")
 			if tc.want == "" {
--- a/dispatch/loans_test.go
+++ b/dispatch/loans_test.go
@@ -6,7 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 )
 
 // An entry borrows a slot and is paused, or the answer takes long. When it goes on, the
@@ -29,7 +29,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			b := New(Config{Self: "b", SlotsPerRunner: 2, MaxQueue: 10})
 			b.SetRoster(0, Roster{Version: 1, Entries: []string{"a", "b"}, First: true})
-			b.SetRunners(0, []platform.Instance{{ID: "r1", Service: "desk", State: platform.InstanceLive}})
+			b.SetRunners(0, []infra.Instance{{ID: "r1", Service: "desk", State: infra.InstanceLive}})
 			b.Arrive(0, quote(1, 1, 30*second))
 			ask := only[AskSlots](t, b.Arrive(0, quote(2, 1, tc.deadline)))
 			assert.Equal(t, ask, AskSlots{Lender: "a", Service: "desk", Want: 1})
@@ -49,7 +49,7 @@
 func TestLenderRecallsWhatItNeeds(t *testing.T) {
 	a := New(Config{Self: "a", SlotsPerRunner: 4, MaxQueue: 10})
 	a.SetRoster(0, Roster{Version: 1, Entries: []string{"a"}, First: true})
-	a.SetRunners(0, []platform.Instance{{ID: "r1", Service: "desk", State: platform.InstanceLive}})
+	a.SetRunners(0, []infra.Instance{{ID: "r1", Service: "desk", State: infra.InstanceLive}})
 	loans := a.Lend(0, "b", "desk", 5)
 	assert.Equal(t, len(loans), 3, "one idle slot is kept")
 	for id := range uint64(2) {
--- a/dispatch/model_test.go
+++ b/dispatch/model_test.go
@@ -10,7 +10,7 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 )
 
 func TestMain(m *testing.M) {
@@ -44,7 +44,7 @@
 	ran      map[uint64]int
 	mayRan   map[uint64]bool
 	attempts []*attempt
-	runners  map[string]platform.Instance
+	runners  map[string]infra.Instance
 	last     uint64
 }
 
@@ -52,7 +52,7 @@
 
 func newWorld(t *rapid.T) *world {
 	w := &world{t: t, requests: map[uint64]Request{}, claims: map[uint64]bool{}, claimed: map[uint64]bool{}, finished: map[uint64]Outcome{},
-		ran: map[uint64]int{}, mayRan: map[uint64]bool{}, runners: map[string]platform.Instance{},
+		ran: map[uint64]int{}, mayRan: map[uint64]bool{}, runners: map[string]infra.Instance{},
 		core: New(Config{Self: "a", SlotsPerRunner: modelSlots, RetryShare: 0.5, MaxQueue: 6, ClaimWait: 300 * time.Millisecond})}
 	w.setRunners([]int{1, 1, 1})
 	return w
@@ -60,15 +60,15 @@
 
 // setRunners lists three runners: 0 missing, 1 live, 2 leaving.
 func (w *world) setRunners(states []int) {
-	var list []platform.Instance
-	w.runners = map[string]platform.Instance{}
+	var list []infra.Instance
+	w.runners = map[string]infra.Instance{}
 	for n, s := range states {
 		if s == 0 {
 			continue
 		}
-		i := platform.Instance{ID: fmt.Sprintf("r%d", n), Service: "quote", State: platform.InstanceLive}
+		i := infra.Instance{ID: fmt.Sprintf("r%d", n), Service: "quote", State: infra.InstanceLive}
 		if s == 2 {
-			i.State = platform.InstanceLeaving
+			i.State = infra.InstanceLeaving
 		}
 		w.runners[i.ID] = i
 		list = append(list, i)
@@ -93,7 +93,7 @@
 
 func (w *world) send(s Send) {
 	req := w.requests[s.Request]
-	if i, ok := w.runners[s.Runner.ID]; !ok || i.State == platform.InstanceLeaving {
+	if i, ok := w.runners[s.Runner.ID]; !ok || i.State == infra.InstanceLeaving {
 		w.t.Fatalf("request %d sent to %s, which is not listed or leaving", s.Request, s.Runner.ID)
 	}
 	if w.now >= req.Deadline {
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 )
 
 type phase int
@@ -30,7 +30,7 @@
 	loan   *borrowed
 	sent   time.Duration
 	// failedAt are the runners that failed it.
-	failedAt []platform.Instance
+	failedAt []infra.Instance
 	// stalled says that its attempt took far longer than expected.
 	stalled bool
 	// mayRun says that a runner may have begun it.
@@ -44,5 +44,5 @@
 }
 
 func (r *request) avoids(id string) bool {
-	return slices.ContainsFunc(r.failedAt, func(i platform.Instance) bool { return i.ID == id })
+	return slices.ContainsFunc(r.failedAt, func(i infra.Instance) bool { return i.ID == id })
 }
--- a/dispatch/roster.go
+++ b/dispatch/roster.go
@@ -3,14 +3,14 @@
 import (
 	"slices"
 
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 )
 
 // Roster is the entries that share the slots of all runners, at a version that all
 // agree on: the log offset of the record that set it.
 type Roster struct {
-	Version platform.Offset `json:"version"`
-	Entries []string        `json:"entries"`
+	Version infra.Offset `json:"version"`
+	Entries []string     `json:"entries"`
 	// Draining are former entries that may still have requests at runners.
 	Draining []string `json:"draining,omitempty"`
 	// First says that nobody had slots before this version.
@@ -32,9 +32,9 @@
 	pending []pendingRoster
 	// kept is the newest version whose shares this entry has kept to. While more
 	// is in use than the newest share it stays behind, even if all others agree.
-	kept platform.Offset
+	kept infra.Offset
 	// settled is the newest version that each other entry said it keeps to.
-	settled map[string]platform.Offset
+	settled map[string]infra.Offset
 }
 
 // pendingRoster is a roster that not all keep to yet. An entry that has skipped a
@@ -63,7 +63,7 @@
 	return true
 }
 
-func (r *rosters) newest() platform.Offset {
+func (r *rosters) newest() infra.Offset {
 	if n := len(r.pending); n > 0 {
 		return r.pending[n-1].Version
 	}
@@ -71,7 +71,7 @@
 }
 
 // hear takes in which version another entry keeps to.
-func (r *rosters) hear(entry string, v platform.Offset) bool {
+func (r *rosters) hear(entry string, v infra.Offset) bool {
 	if v <= r.settled[entry] {
 		return false
 	}
--- a/dispatch/roster_log.go
+++ b/dispatch/roster_log.go
@@ -7,8 +7,8 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/logstream"
-	"github.com/knapweedweir/knapweedweir/platform"
 )
 
 // KindRoster is the record kind of a roster.
@@ -17,9 +17,9 @@
 // RosterChange proposes the entries that share the slots, in place of the roster of
 // version Base.
 type RosterChange struct {
-	Base     platform.Offset `json:"base"`
-	Entries  []string        `json:"entries"`
-	Draining []string        `json:"draining,omitempty"`
+	Base     infra.Offset `json:"base"`
+	Entries  []string     `json:"entries"`
+	Draining []string     `json:"draining,omitempty"`
 }
 
 // RosterTable is the roster in force. It implements logstream.Reducer.
@@ -35,7 +35,7 @@
 func (t *RosterTable) Kinds() []logstream.Kind { return []logstream.Kind{KindRoster} }
 
 // Apply implements logstream.Reducer.
-func (t *RosterTable) Apply(at platform.Offset, rec logstream.Record) error {
+func (t *RosterTable) Apply(at infra.Offset, rec logstream.Record) error {
 	var c RosterChange
 	if err := json.Unmarshal(rec.Body, &c); err != nil {
 		return errors.Wrap(err, "decode roster")
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 )
 
 // service is the runners of one upstream service and the requests for it.
@@ -79,7 +79,7 @@
 func (c *Core) Idle(serviceName string) int { return c.service(serviceName).free() }
 
 // takesNew reports whether a runner may get new requests at all.
-func (t *runner) takesNew() bool { return t.listed && t.State != platform.InstanceLeaving }
+func (t *runner) takesNew() bool { return t.listed && t.State != infra.InstanceLeaving }
 
 // offer counts the slot time that a new request asks for.
 func (s *service) offer(now, run time.Duration) {
--- a/dispatch/slots.go
+++ b/dispatch/slots.go
@@ -5,12 +5,12 @@
 	"strings"
 	"time"
 
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 )
 
 // runner is an upstream runner and this entry's part of its slots.
 type runner struct {
-	platform.Instance
+	infra.Instance
 	// listed says that the runner is in the newest list. One that has dropped
 	// out keeps its count until nothing of ours runs there: if it came back
 	// with a count of zero, it would get more than its slots.
@@ -56,7 +56,7 @@
 	until  time.Duration
 }
 
-func (c *Core) updateRunners(list []platform.Instance) {
+func (c *Core) updateRunners(list []infra.Instance) {
 	for _, t := range c.runners {
 		t.listed = false
 	}
@@ -98,7 +98,7 @@
 
 // SettledVersion is the newest roster that this entry keeps to: the others may
 // grow to their shares of it once they hear this.
-func (c *Core) SettledVersion() platform.Offset {
+func (c *Core) SettledVersion() infra.Offset {
 	for _, t := range c.runners {
 		if t.busy+t.lent > t.share {
 			return c.rosters.kept
--- a/dispatch/slots_test.go
+++ b/dispatch/slots_test.go
@@ -8,7 +8,7 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 )
 
 const (
@@ -66,7 +66,7 @@
 func (c *sharingCell) addEntry() *sharing {
 	e := &sharing{id: fmt.Sprintf("e%d", len(c.entries)+1)}
 	e.core = New(Config{Self: e.id, SlotsPerRunner: cellSlots, RetryShare: 0.1, MaxQueue: 50})
-	e.core.SetRunners(c.now, []platform.Instance{{ID: "r1", Service: "desk", State: platform.InstanceLive}, {ID: "r2", Service: "desk", State: platform.InstanceLive}})
+	e.core.SetRunners(c.now, []infra.Instance{{ID: "r1", Service: "desk", State: infra.InstanceLive}, {ID: "r2", Service: "desk", State: infra.InstanceLive}})
 	c.entries = append(c.entries, e)
 	return e
 }
@@ -256,7 +256,7 @@
 	if len(c.entries) < 6 && rapid.Bool().Draw(t, "joins") {
 		c.addEntry()
 	}
-	next := Roster{Version: platform.Offset(len(c.log) + 1)}
+	next := Roster{Version: infra.Offset(len(c.log) + 1)}
 	for _, e := range c.entries {
 		switch {
 		case !e.dead:
--- a/platform/httpplatform/client.go
+++ b/infra/httpplatform/client.go
@@ -14,7 +14,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 )
 
 // maxIdleConns is as many connections as workers may be polled at once through one
@@ -25,8 +25,8 @@
 // can't exhaust the memory of an instance.
 const maxReplyBytes = 64 << 20
 
-// Client reaches the platform at one base URL. It implements platform.Log and
-// gives access to platform.Instances and platform.Workers.
+// Client reaches the platform at one base URL. It implements infra.Log and
+// gives access to infra.Instances and infra.Workers.
 type Client struct {
 	base string
 	http *http.Client
@@ -49,44 +49,44 @@
 	Records [][]byte `json:"records"`
 }
 
-// Append implements platform.Log.
+// Append implements infra.Log.
 func (c *Client) Append(ctx context.Context, stream string, records [][]byte) error {
 	path := "/log/" + url.PathEscape(stream) + "/append"
 	return c.call(ctx, http.MethodPost, path, AppendBody{Records: records}, nil)
 }
 
-// Read implements platform.Log.
-func (c *Client) Read(ctx context.Context, stream string, after platform.Offset, max int, wait time.Duration) (platform.Page, error) {
+// Read implements infra.Log.
+func (c *Client) Read(ctx context.Context, stream string, after infra.Offset, max int, wait time.Duration) (infra.Page, error) {
 	path := fmt.Sprintf("/log/%s/read?after=%d&max=%d&waitMillis=%d", url.PathEscape(stream), after, max, wait.Milliseconds())
-	var page platform.Page
+	var page infra.Page
 	err := c.call(ctx, http.MethodGet, path, nil, &page)
 	return page, err
 }
 
 // Instances returns the platform's instance list.
-func (c *Client) Instances() platform.Instances { return instances{c} }
+func (c *Client) Instances() infra.Instances { return instances{c} }
 
 // Workers returns the platform's workers.
-func (c *Client) Workers() platform.Workers { return workers{c} }
+func (c *Client) Workers() infra.Workers { return workers{c} }
 
 type instances struct{ c *Client }
 
-func (i instances) List(ctx context.Context) ([]platform.Instance, error) {
-	var list []platform.Instance
+func (i instances) List(ctx context.Context) ([]infra.Instance, error) {
+	var list []infra.Instance
 	err := i.c.call(ctx, http.MethodGet, "/instances", nil, &list)
 	return list, err
 }
 
 type workers struct{ c *Client }
 
-func (w workers) List(ctx context.Context, since uint64) (platform.WorkerList, error) {
-	var list platform.WorkerList
+func (w workers) List(ctx context.Context, since uint64) (infra.WorkerList, error) {
+	var list infra.WorkerList
 	err := w.c.call(ctx, http.MethodGet, fmt.Sprintf("/workers?since=%d", since), nil, &list)
 	return list, err
 }
 
-func (w workers) Sync(ctx context.Context, worker string, req platform.SyncRequest) (platform.SyncReply, error) {
-	var reply platform.SyncReply
+func (w workers) Sync(ctx context.Context, worker string, req infra.SyncRequest) (infra.SyncReply, error) {
+	var reply infra.SyncReply
 	err := w.c.call(ctx, http.MethodPost, "/workers/"+url.PathEscape(worker)+"/sync", req, &reply)
 	return reply, err
 }
@@ -117,7 +117,7 @@
 	case resp.StatusCode == http.StatusGone:
 		// The body says which records are still kept.
 		_ = json.Unmarshal(data, out)
-		return errors.WithStack(platform.ErrExpired)
+		return errors.WithStack(infra.ErrExpired)
 	case resp.StatusCode != http.StatusOK:
 		return errors.Errorf("platform %s: status %d: %s", path, resp.StatusCode, bytes.TrimSpace(data))
 	case out == nil:
--- a/platform/platform.go
+++ b/infra/infra.go
@@ -1,8 +1,8 @@
-// Package platform declares what knapweedweir needs of the platform it runs
+// Package infra declares what knapweedweir needs of the platform it runs
 // on: an append-only log, workers that run tasks under leases, and a lagging
 // list of instances. The promises behind each method are written down in
 // docs/PLATFORM.md.
-package platform
+package infra
 
 import (
 	"context"
--- a/logstream/budget_test.go
+++ b/logstream/budget_test.go
@@ -9,7 +9,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"gotest.tools/v3/assert"
 
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 )
 
 // A wave of changes comes to an instance whose share of the log is one append a
@@ -20,7 +20,7 @@
 	c := NewCommitter(CommitterConfig{Writer: "w", Incarnation: 1, MaxBatch: 200, MinInterval: 20 * ms, RetryAfter: time.Second, GiveUp: time.Hour, Budget: 10})
 	c.SetInstances(0, 10)
 	v := NewView(&history{})
-	at, settled := platform.Offset(0), 0
+	at, settled := infra.Offset(0), 0
 	for now := time.Duration(0); now < 20*time.Second; now += 10 * ms {
 		propose(t, c, now, uint64(now/(10*ms))+1)
 		batch, _ := c.Step(now)
@@ -47,7 +47,7 @@
 		propose(t, c, 0, i)
 		batch, _ := c.Step(0)
 		assert.Equal(t, len(batch), 1)
-		readBack(c, v, platform.Offset(i+1), batch[0])
+		readBack(c, v, infra.Offset(i+1), batch[0])
 	}
 }
 
@@ -90,7 +90,7 @@
 		committers[i].SetInstances(0, n)
 		views[i] = NewView(&everything{})
 	}
-	ticket, at := uint64(0), platform.Offset(0)
+	ticket, at := uint64(0), infra.Offset(0)
 	for now := time.Duration(0); now < length; now += step {
 		for _, l := range loads {
 			for range poisson(random, l.rate*step.Seconds()) {
@@ -133,7 +133,7 @@
 func (*everything) Kinds() []Kind {
 	return []Kind{"job.accept", "job.end", "request.claim", "request.finish", "settings.change", "ownership.claim"}
 }
-func (*everything) Apply(platform.Offset, Record) error { return nil }
+func (*everything) Apply(infra.Offset, Record) error { return nil }
 
 func poisson(r *rand.Rand, mean float64) int {
 	n := 0
--- a/logstream/chunk.go
+++ b/logstream/chunk.go
@@ -10,7 +10,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 )
 
 // Limits of stored snapshots.
@@ -28,12 +28,12 @@
 // chunkHeader is the first line of a chunk; the part's bytes follow it. They
 // are not JSON, as encoding them again would add a third to every snapshot.
 type chunkHeader struct {
-	Version     int             `json:"v"`
-	Writer      string          `json:"w"`
-	Incarnation uint64          `json:"i"`
-	Covers      platform.Offset `json:"covers"`
-	Index       int             `json:"n"`
-	Total       int             `json:"of"`
+	Version     int          `json:"v"`
+	Writer      string       `json:"w"`
+	Incarnation uint64       `json:"i"`
+	Covers      infra.Offset `json:"covers"`
+	Index       int          `json:"n"`
+	Total       int          `json:"of"`
 	// Sum is the SHA-256 of the whole encoded snapshot.
 	Sum []byte `json:"sum"`
 }
@@ -74,7 +74,7 @@
 
 // EncodeChunks returns the records of an encoded snapshot for the snapshot
 // stream, in order.
-func EncodeChunks(writer string, incarnation uint64, covers platform.Offset, data []byte) ([][]byte, error) {
+func EncodeChunks(writer string, incarnation uint64, covers infra.Offset, data []byte) ([][]byte, error) {
 	total := max(1, (len(data)+ChunkBytes-1)/ChunkBytes)
 	if total > maxChunks {
 		return nil, errors.Errorf("snapshot of %d bytes needs more than %d records", len(data), maxChunks)
@@ -112,7 +112,7 @@
 
 // partial is a snapshot of which not all chunks have been seen.
 type partial struct {
-	covers platform.Offset
+	covers infra.Offset
 	parts  [][]byte
 	have   int
 }
--- a/logstream/committer_test.go
+++ b/logstream/committer_test.go
@@ -7,7 +7,7 @@
 	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 )
 
 const ms = time.Millisecond
@@ -23,8 +23,8 @@
 	}
 }
 
-func readBack(c *Committer, v *View, at platform.Offset, data []byte) []Resolution {
-	out, ok := v.Apply(platform.Entry{Offset: at, Data: data})
+func readBack(c *Committer, v *View, at infra.Offset, data []byte) []Resolution {
+	out, ok := v.Apply(infra.Entry{Offset: at, Data: data})
 	if !ok {
 		return nil
 	}
@@ -57,7 +57,7 @@
 	assert.Equal(t, len(c.SetDown(true)), 0)
 	c.SetDown(false)
 	for i, data := range batch {
-		assert.Equal(t, len(readBack(c, v, platform.Offset(i+1), data)), 0)
+		assert.Equal(t, len(readBack(c, v, infra.Offset(i+1), data)), 0)
 	}
 	_, inflight := c.Pending()
 	assert.Equal(t, inflight, 0)
@@ -72,7 +72,7 @@
 	first, _ := c.Step(0)
 	again, _ := c.Step(1000 * ms)
 	assert.DeepEqual(t, first, again)
-	at := platform.Offset(0)
+	at := infra.Offset(0)
 	answers := 0
 	for _, data := range append(first, again...) {
 		at++
@@ -93,7 +93,7 @@
 	errs := errsOf(res)
 	assert.Assert(t, errors.Is(errs[1], ErrLost))
 	assert.NilError(t, errs[2])
-	_, ruled := v.Apply(platform.Entry{Offset: 2, Data: batch[0]})
+	_, ruled := v.Apply(infra.Entry{Offset: 2, Data: batch[0]})
 	assert.Assert(t, !ruled, "the lost record took effect after all")
 }
 
--- a/logstream/fake_test.go
+++ b/logstream/fake_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 )
 
 func TestMain(m *testing.M) {
@@ -23,7 +23,7 @@
 
 func (h *history) Name() string  { return "history" }
 func (h *history) Kinds() []Kind { return []Kind{"note"} }
-func (h *history) Apply(_ platform.Offset, rec Record) error {
+func (h *history) Apply(_ infra.Offset, rec Record) error {
 	for _, b := range h.Bodies {
 		if b == string(rec.Body) {
 			return errors.New("exists")
@@ -41,16 +41,16 @@
 // fakeLog is a log of two streams that keep a number of records.
 type fakeLog struct {
 	keep    int
-	streams [2][]platform.Entry
+	streams [2][]infra.Entry
 }
 
-func (l *fakeLog) append(stream int, data []byte) platform.Offset {
+func (l *fakeLog) append(stream int, data []byte) infra.Offset {
 	s := l.streams[stream]
-	next := platform.Offset(1)
+	next := infra.Offset(1)
 	if len(s) > 0 {
 		next = s[len(s)-1].Offset + 1
 	}
-	s = append(s, platform.Entry{Offset: next, Data: data})
+	s = append(s, infra.Entry{Offset: next, Data: data})
 	if l.keep > 0 && len(s) > l.keep {
 		s = s[len(s)-l.keep:]
 	}
@@ -58,18 +58,18 @@
 	return next
 }
 
-func (l *fakeLog) read(r Read, most int) (platform.Page, error) {
+func (l *fakeLog) read(r Read, most int) (infra.Page, error) {
 	i := 0
 	if r.Snapshots {
 		i = 1
 	}
 	s := l.streams[i]
-	page := platform.Page{First: 1}
+	page := infra.Page{First: 1}
 	if len(s) > 0 {
 		page.First, page.Tail = s[0].Offset, s[len(s)-1].Offset
 	}
 	if r.After+1 < page.First {
-		return page, platform.ErrExpired
+		return page, infra.ErrExpired
 	}
 	for _, e := range s {
 		if e.Offset > r.After && len(page.Entries) < most {
--- a/logstream/follower.go
+++ b/logstream/follower.go
@@ -3,14 +3,14 @@
 import (
 	"github.com/pkg/errors"
 
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 )
 
 // Read is what a follower wants to read next.
 type Read struct {
 	// Snapshots asks for the snapshot stream in place of the control stream.
 	Snapshots bool
-	After     platform.Offset
+	After     infra.Offset
 	// Wait allows the log to hold the answer back until there is a record.
 	Wait bool
 }
@@ -22,12 +22,12 @@
 type Follower struct {
 	view      *View
 	scanning  bool
-	scanAfter platform.Offset
+	scanAfter infra.Offset
 	scan      *Assembler
 	caughtUp  bool
 	gap       bool
-	first     platform.Offset
-	tail      platform.Offset
+	first     infra.Offset
+	tail      infra.Offset
 	rebuilds  uint64
 	source    string
 }
@@ -54,7 +54,7 @@
 func (f *Follower) Gap() bool { return f.gap }
 
 // Window returns the oldest offset the control stream keeps and its newest.
-func (f *Follower) Window() (first, tail platform.Offset) { return f.first, f.tail }
+func (f *Follower) Window() (first, tail infra.Offset) { return f.first, f.tail }
 
 // Rebuilds is how often the view was replaced by a snapshot.
 func (f *Follower) Rebuilds() uint64 { return f.rebuilds }
@@ -65,7 +65,7 @@
 // Take takes in the answer to a read. It calls ruled for every record that the
 // view rules on, right after the ruling. It returns true if the view jumped to
 // a snapshot, past records that were never ruled on here.
-func (f *Follower) Take(r Read, page platform.Page, err error, ruled func(Outcome)) (jumped bool) {
+func (f *Follower) Take(r Read, page infra.Page, err error, ruled func(Outcome)) (jumped bool) {
 	switch {
 	case r.Snapshots && f.scanning:
 		return f.takeSnapshots(r, page, err)
@@ -75,8 +75,8 @@
 	return false
 }
 
-func (f *Follower) takeControl(r Read, page platform.Page, err error, ruled func(Outcome)) {
-	if errors.Is(err, platform.ErrExpired) {
+func (f *Follower) takeControl(r Read, page infra.Page, err error, ruled func(Outcome)) {
+	if errors.Is(err, infra.ErrExpired) {
 		f.rescan()
 		return
 	}
@@ -109,8 +109,8 @@
 	f.caughtUp, f.gap = false, true
 }
 
-func (f *Follower) takeSnapshots(r Read, page platform.Page, err error) bool {
-	if errors.Is(err, platform.ErrExpired) {
+func (f *Follower) takeSnapshots(r Read, page infra.Page, err error) bool {
+	if errors.Is(err, infra.ErrExpired) {
 		// The oldest snapshots have expired; the newest are what is wanted.
 		f.scanAfter = max(f.scanAfter, page.First-min(page.First, 1))
 		return false
--- a/logstream/follower_test.go
+++ b/logstream/follower_test.go
@@ -9,7 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 )
 
 // An operator's first change is accepted, and thousands of records follow; the
@@ -62,7 +62,7 @@
 				r := f.Next()
 				page, err := l.read(r, 100)
 				if err != nil && !expired {
-					page, err = platform.Page{Entries: l.streams[0], First: 3, Tail: 5}, nil
+					page, err = infra.Page{Entries: l.streams[0], First: 3, Tail: 5}, nil
 				}
 				f.Take(r, page, err, func(Outcome) {})
 			}
@@ -113,11 +113,11 @@
 	f, notes := newFollower()
 	assert.Assert(t, f.Adopt(newer, "a"))
 	assert.Assert(t, !f.Adopt(older, "b"))
-	assert.Equal(t, f.view.Offset(), platform.Offset(2))
+	assert.Equal(t, f.view.Offset(), infra.Offset(2))
 	assert.Equal(t, f.Source(), "peer a")
 	assert.Assert(t, !f.CaughtUp(), "a peer's state is not the log's end")
 	f.scanning = false
-	f.Take(Read{After: 7}, platform.Page{Entries: []platform.Entry{{Offset: 8, Data: note(8)}}, First: 1, Tail: 8}, nil, func(Outcome) {})
+	f.Take(Read{After: 7}, infra.Page{Entries: []infra.Entry{{Offset: 8, Data: note(8)}}, First: 1, Tail: 8}, nil, func(Outcome) {})
 	assert.Equal(t, len(notes.Bodies), 2)
 }
 
@@ -134,7 +134,7 @@
 	s.Parts["snapshots"] = []byte(`{"count":7}`)
 	s.Parts["history"] = []byte(`"not a list"`)
 	assert.Assert(t, !f.Adopt(s, "peer"))
-	assert.Equal(t, f.view.Offset(), platform.Offset(1))
+	assert.Equal(t, f.view.Offset(), infra.Offset(1))
 	assert.Equal(t, f.view.Marks().Count(), uint64(0))
 	assert.Equal(t, len(notes.Bodies), 1)
 }
@@ -146,8 +146,8 @@
 	m := NewMarks()
 	steps := []struct {
 		at     time.Duration
-		first  platform.Offset
-		tail   platform.Offset
+		first  infra.Offset
+		tail   infra.Offset
 		due    bool
 		turn   uint64
 		reason string
@@ -162,7 +162,7 @@
 		assert.Equal(t, due, step.due, step.reason)
 		assert.Equal(t, turn, step.turn, step.reason)
 	}
-	for name, window := range map[string][2]platform.Offset{"many records": {1, 100}, "records expire": {10, 30}} {
+	for name, window := range map[string][2]infra.Offset{"many records": {1, 100}, "records expire": {10, 30}} {
 		_, due := NewSchedule(ScheduleConfig{Every: time.Hour, Records: 100, Grace: time.Second}).Turn(0, m, window[0], window[1])
 		assert.Assert(t, due, name)
 	}
@@ -174,7 +174,7 @@
 // damaged costs that snapshot only.
 func TestLargeSnapshotsWrittenAtTheSameTime(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 1))
-	chunksAt := func(covers platform.Offset) [][]byte {
+	chunksAt := func(covers infra.Offset) [][]byte {
 		notes := make([]string, 600)
 		for i := range notes {
 			notes[i] = fmt.Sprintf("%x%x", random.Uint64(), [400]byte{byte(random.Uint32()), byte(random.Uint32())})
@@ -214,7 +214,7 @@
 				page, err := l.read(r, 2)
 				f.Take(r, page, err, func(Outcome) {})
 			}
-			want := platform.Offset(20)
+			want := infra.Offset(20)
 			if damage {
 				want = 10
 			}
--- a/logstream/history_test.go
+++ b/logstream/history_test.go
@@ -6,7 +6,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 )
 
 // Writers repeat their appends because answers were lost, somebody appends
@@ -22,7 +22,7 @@
 		for i := range followers {
 			followers[i], _ = newFollower()
 		}
-		states := map[platform.Offset]Snapshot{}
+		states := map[infra.Offset]Snapshot{}
 		for range rapid.IntRange(20, 300).Draw(t, "steps") {
 			switch rapid.IntRange(0, 6).Draw(t, "step") {
 			case 0, 1:
@@ -73,7 +73,7 @@
 }
 
 // keepUp reads record by record and keeps the state at each offset.
-func keepUp(f *Follower, l *fakeLog, states map[platform.Offset]Snapshot) {
+func keepUp(f *Follower, l *fakeLog, states map[infra.Offset]Snapshot) {
 	for range 5 {
 		stepOnce(f, l, 1)
 		s, err := f.view.Snapshot()
@@ -95,7 +95,7 @@
 	}
 }
 
-func checkAgainst(t *rapid.T, f *Follower, states map[platform.Offset]Snapshot) {
+func checkAgainst(t *rapid.T, f *Follower, states map[infra.Offset]Snapshot) {
 	want, ok := states[f.view.Offset()]
 	if !ok {
 		t.Fatalf("no process was ever at offset %d", f.view.Offset())
@@ -117,7 +117,7 @@
 			t.Fatalf("accepted %+v", rec)
 		}
 		v := NewView(&history{})
-		v.Apply(platform.Entry{Offset: 1, Data: data})
+		v.Apply(infra.Entry{Offset: 1, Data: data})
 		if v.Offset() != 1 {
 			t.Fatal("the reader stopped")
 		}
--- a/logstream/marks.go
+++ b/logstream/marks.go
@@ -5,7 +5,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 )
 
 // KindMark says that a whole snapshot is in the snapshot stream.
@@ -14,9 +14,9 @@
 // Mark is the body of a KindMark record.
 type Mark struct {
 	// Covers is the offset of the last record that the snapshot holds.
-	Covers platform.Offset `json:"covers"`
-	Chunks int             `json:"chunks"`
-	Bytes  int             `json:"bytes"`
+	Covers infra.Offset `json:"covers"`
+	Chunks int          `json:"chunks"`
+	Bytes  int          `json:"bytes"`
 }
 
 // Marks is which snapshots were written. Everybody sees from it whether one is
@@ -45,7 +45,7 @@
 func (m *Marks) Kinds() []Kind { return []Kind{KindMark} }
 
 // Apply implements Reducer.
-func (m *Marks) Apply(at platform.Offset, rec Record) error {
+func (m *Marks) Apply(at infra.Offset, rec Record) error {
 	var mark Mark
 	if err := json.Unmarshal(rec.Body, &mark); err != nil {
 		return errors.Wrap(err, "decode snapshot mark")
--- a/logstream/schedule.go
+++ b/logstream/schedule.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 )
 
 // ScheduleConfig says when snapshots are due.
@@ -35,7 +35,7 @@
 // snapshots written, plus one for every turn that has passed without one. A
 // writer that died, or that believes somebody else's turn has come, costs one
 // grace time.
-func (s *Schedule) Turn(now time.Duration, m *Marks, first, tail platform.Offset) (turn uint64, due bool) {
+func (s *Schedule) Turn(now time.Duration, m *Marks, first, tail infra.Offset) (turn uint64, due bool) {
 	if !s.started || m.Count() != s.count {
 		s.started, s.count, s.seenAt, s.due = true, m.Count(), now, false
 	}
@@ -50,7 +50,7 @@
 	return m.Count() + uint64((now-s.dueSince)/s.cfg.Grace), true
 }
 
-func (s *Schedule) isDue(now time.Duration, covers, first, tail platform.Offset) bool {
+func (s *Schedule) isDue(now time.Duration, covers, first, tail infra.Offset) bool {
 	if tail <= covers {
 		return false
 	}
--- a/logstream/view.go
+++ b/logstream/view.go
@@ -6,7 +6,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 )
 
 // Reducer holds the part of the view that some kinds of record change. It must
@@ -18,7 +18,7 @@
 	Kinds() []Kind
 	// Apply rules on a record. An error means that the record has no effect;
 	// its text is the reason told to whoever proposed it.
-	Apply(at platform.Offset, rec Record) error
+	Apply(at infra.Offset, rec Record) error
 	// Snapshot returns the whole state; Restore replaces it.
 	Snapshot() (json.RawMessage, error)
 	Restore(data json.RawMessage) error
@@ -26,7 +26,7 @@
 
 // Outcome is the view's ruling on one record.
 type Outcome struct {
-	Offset platform.Offset
+	Offset infra.Offset
 	Record Record
 	// Err is nil when the record took effect.
 	Err error
@@ -48,7 +48,7 @@
 
 // View is the state reduced from one stream up to an offset.
 type View struct {
-	offset   platform.Offset
+	offset   infra.Offset
 	reducers []Reducer
 	byKind   map[Kind]Reducer
 	writers  map[string]Position
@@ -71,7 +71,7 @@
 }
 
 // Offset is the offset of the last entry applied.
-func (v *View) Offset() platform.Offset { return v.offset }
+func (v *View) Offset() infra.Offset { return v.offset }
 
 // Skipped is the number of unreadable records passed over and the reason of
 // the last one.
@@ -79,7 +79,7 @@
 
 // Apply reduces one entry. The second result is false for entries that were
 // passed over: unreadable, already applied, or repeated by their writer.
-func (v *View) Apply(e platform.Entry) (Outcome, bool) {
+func (v *View) Apply(e infra.Entry) (Outcome, bool) {
 	// A page that arrives late must not take the view back to an older offset.
 	if e.Offset <= v.offset {
 		return Outcome{}, false
@@ -143,7 +143,7 @@
 
 // Snapshot is a whole view as it is stored or handed to a peer.
 type Snapshot struct {
-	Offset  platform.Offset            `json:"offset"`
+	Offset  infra.Offset               `json:"offset"`
 	Writers map[string]Position        `json:"writers"`
 	Parts   map[string]json.RawMessage `json:"parts"`
 }
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -12,9 +12,9 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/logstream"
 	"github.com/knapweedweir/knapweedweir/membership"
-	"github.com/knapweedweir/knapweedweir/platform"
 )
 
 // KindClaim is the record kind of a claim.
@@ -49,15 +49,15 @@
 
 // Claim proposes that Owner takes over a unit from the holder of epoch Base.
 type Claim struct {
-	Unit  Unit            `json:"unit"`
-	Base  platform.Offset `json:"base"`
-	Owner string          `json:"owner"`
+	Unit  Unit         `json:"unit"`
+	Base  infra.Offset `json:"base"`
+	Owner string       `json:"owner"`
 }
 
 // Holder is who owns a unit since which epoch.
 type Holder struct {
-	Owner string          `json:"owner"`
-	Epoch platform.Offset `json:"epoch"`
+	Owner string       `json:"owner"`
+	Epoch infra.Offset `json:"epoch"`
 }
 
 // Table is who owns what. It implements logstream.Reducer.
@@ -75,7 +75,7 @@
 func (t *Table) Kinds() []logstream.Kind { return []logstream.Kind{KindClaim} }
 
 // Apply implements logstream.Reducer.
-func (t *Table) Apply(at platform.Offset, rec logstream.Record) error {
+func (t *Table) Apply(at infra.Offset, rec logstream.Record) error {
 	var c Claim
 	if err := json.Unmarshal(rec.Body, &c); err != nil {
 		return errors.Wrap(err, "decode claim")
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -7,9 +7,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/logstream"
 	"github.com/knapweedweir/knapweedweir/membership"
-	"github.com/knapweedweir/knapweedweir/platform"
 )
 
 func units(n int) []Unit {
@@ -28,7 +28,7 @@
 	return list
 }
 
-func claim(t *testing.T, table *Table, at platform.Offset, c Claim) error {
+func claim(t *testing.T, table *Table, at infra.Offset, c Claim) error {
 	t.Helper()
 	body, err := json.Marshal(c)
 	assert.NilError(t, err)
@@ -84,7 +84,7 @@
 		if i%5 == 0 {
 			owner = "dead@1"
 		}
-		assert.NilError(t, claim(t, table, platform.Offset(i+1), Claim{Unit: u, Owner: owner}))
+		assert.NilError(t, claim(t, table, infra.Offset(i+1), Claim{Unit: u, Owner: owner}))
 	}
 	self := live[0]
 	for _, c := range Wanted(table, all, self, live) {
--- a/placement/experiment/baseline.go
+++ b/placement/experiment/baseline.go
@@ -5,8 +5,8 @@
 	"math/rand/v2"
 	"slices"
 
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/placement"
-	"github.com/knapweedweir/knapweedweir/platform"
 )
 
 // policy places work on a site. It is called once each step of time.
@@ -32,14 +32,14 @@
 	headOnly bool
 	// displace lets urgent work stop other work.
 	displace bool
-	choose   func(s *site, need platform.Resources) *machine
+	choose   func(s *site, need infra.Resources) *machine
 	waiting  []*jobRecord
 	// back are tasks that gave way or failed in this step.
 	back    []*jobRecord
 	changed bool
 }
 
-func firstFit(s *site, need platform.Resources) *machine {
+func firstFit(s *site, need infra.Resources) *machine {
 	for _, m := range s.machines {
 		if need.Fits(m.free()) {
 			return m
@@ -49,7 +49,7 @@
 }
 
 // bestFit leaves the least of the dominant resource, and keeps accelerators.
-func bestFit(s *site, need platform.Resources) *machine {
+func bestFit(s *site, need infra.Resources) *machine {
 	var best *machine
 	var bestLeft float64
 	for _, m := range s.machines {
@@ -69,8 +69,8 @@
 	return best
 }
 
-func randomOfTwo(rng *rand.Rand) func(*site, platform.Resources) *machine {
-	return func(s *site, need platform.Resources) *machine {
+func randomOfTwo(rng *rand.Rand) func(*site, infra.Resources) *machine {
+	return func(s *site, need infra.Resources) *machine {
 		a, b := s.machines[rng.IntN(len(s.machines))], s.machines[rng.IntN(len(s.machines))]
 		if share(a.used.MilliCPU, a.Capacity.MilliCPU) > share(b.used.MilliCPU, b.Capacity.MilliCPU) {
 			a, b = b, a
@@ -115,7 +115,7 @@
 			return cmp.Or(cmp.Compare(rank(b), rank(a)), cmp.Compare(a.Arrive, b.Arrive))
 		})
 	}
-	var failed []platform.Resources
+	var failed []infra.Resources
 	kept := q.waiting[:0:0]
 	for i, j := range q.waiting {
 		if hopeless(failed, j.Need) && !(j.Urgent && q.displace) {
@@ -138,7 +138,7 @@
 	q.back = q.back[:0]
 }
 
-func hopeless(failed []platform.Resources, need platform.Resources) bool {
+func hopeless(failed []infra.Resources, need infra.Resources) bool {
 	for _, f := range failed {
 		if f.Fits(need) {
 			return true
@@ -192,7 +192,7 @@
 	return best
 }
 
-func cheapest(s *site, m *machine, need platform.Resources) ([]*running, float64) {
+func cheapest(s *site, m *machine, need infra.Resources) ([]*running, float64) {
 	if !need.Fits(m.Capacity) {
 		return nil, 0
 	}
--- a/placement/experiment/cell.go
+++ b/placement/experiment/cell.go
@@ -3,20 +3,20 @@
 import (
 	"fmt"
 
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 )
 
 // Cell is a list of workers to experiment with.
 type Cell struct {
 	Name    string
-	Workers []platform.Worker
+	Workers []infra.Worker
 }
 
 // group is a number of equal workers.
 type group struct {
 	name           string
 	count, perRack int
-	capacity       platform.Resources
+	capacity       infra.Resources
 }
 
 const zones = 3
@@ -26,7 +26,7 @@
 	for _, g := range groups {
 		for i := range g.count {
 			rack := i / g.perRack
-			c.Workers = append(c.Workers, platform.Worker{ID: fmt.Sprintf("%s-%05d", g.name, i),
+			c.Workers = append(c.Workers, infra.Worker{ID: fmt.Sprintf("%s-%05d", g.name, i),
 				Rack: fmt.Sprintf("%s-rack-%04d", g.name, rack), Zone: fmt.Sprintf("zone-%d", rack%zones), Capacity: g.capacity})
 		}
 	}
@@ -34,13 +34,13 @@
 }
 
 var (
-	large       = platform.Resources{MilliCPU: 64000, MemoryMiB: 256 << 10}
-	accelerated = platform.Resources{MilliCPU: 64000, MemoryMiB: 256 << 10, Accelerators: 8}
+	large       = infra.Resources{MilliCPU: 64000, MemoryMiB: 256 << 10}
+	accelerated = infra.Resources{MilliCPU: 64000, MemoryMiB: 256 << 10, Accelerators: 8}
 )
 
 // Workshop is the workshop's cell of today.
 func Workshop() Cell {
-	return newCell("workshop", group{"desk", 35, 5, platform.Resources{MilliCPU: 16000, MemoryMiB: 32 << 10}}, group{"bench", 13, 3, accelerated})
+	return newCell("workshop", group{"desk", 35, 5, infra.Resources{MilliCPU: 16000, MemoryMiB: 32 << 10}}, group{"bench", 13, 3, accelerated})
 }
 
 // Association is the association's cell of today.
@@ -54,8 +54,8 @@
 	return newCell(fmt.Sprintf("letter/%d", parts), group{"plain", 13000 / parts, 5, large}, group{"accel", 4000 / parts, 5, accelerated})
 }
 
-func (c Cell) total() platform.Resources {
-	var sum platform.Resources
+func (c Cell) total() infra.Resources {
+	var sum infra.Resources
 	for _, w := range c.Workers {
 		sum = sum.Add(w.Capacity)
 	}
--- a/placement/experiment/product.go
+++ b/placement/experiment/product.go
@@ -6,9 +6,9 @@
 	"slices"
 	"time"
 
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/ownership"
 	"github.com/knapweedweir/knapweedweir/placement"
-	"github.com/knapweedweir/knapweedweir/platform"
 	"github.com/knapweedweir/knapweedweir/settings"
 	"github.com/knapweedweir/knapweedweir/settings/jsonc"
 )
@@ -30,7 +30,7 @@
 	shards   map[ownership.Unit]*placement.Shard
 	workers  map[string]*worker
 	jobs     map[string]*jobRecord
-	accepted platform.Offset
+	accepted infra.Offset
 	digestAt time.Duration
 	digests  map[ownership.Unit]placement.Digest
 	// touched are the shards that got messages since they were last stepped.
@@ -45,7 +45,7 @@
 }
 
 type report struct {
-	platform.TaskReport
+	infra.TaskReport
 	*running
 }
 
@@ -72,7 +72,7 @@
 	p := &product{homeOf: map[ownership.Unit]*placement.Home{}, shards: map[ownership.Unit]*placement.Shard{},
 		workers: map[string]*worker{}, jobs: map[string]*jobRecord{}, digests: map[ownership.Unit]placement.Digest{}, accepted: firstJob,
 		touched: map[ownership.Unit]bool{}, cost: costs{given: map[placement.Cause]int{}, told: map[placement.Attempt]bool{}}}
-	racks := map[ownership.Unit][]platform.Worker{}
+	racks := map[ownership.Unit][]infra.Worker{}
 	for _, m := range s.machines {
 		u := ownership.ShardUnit(m.Rack)
 		if racks[u] == nil {
@@ -219,7 +219,7 @@
 }
 
 // answer carries out a request as docs/PLATFORM.md promises.
-func (p *product) answer(s *site, o placement.SyncOrder) platform.SyncReply {
+func (p *product) answer(s *site, o placement.SyncOrder) infra.SyncReply {
 	w := p.workers[o.Worker]
 	for _, id := range o.Request.Forgets {
 		w.reports = slices.DeleteFunc(w.reports, func(r *report) bool { return r.Task.ID == id && r.State.Ended() })
@@ -231,7 +231,7 @@
 		for _, r := range w.reports {
 			if r.Task.ID == id && !r.State.Ended() {
 				s.stop(w.machine, r.running)
-				r.State, r.RunTime = platform.TaskStopped, (s.now - r.started).Milliseconds()
+				r.State, r.RunTime = infra.TaskStopped, (s.now - r.started).Milliseconds()
 			}
 		}
 	}
@@ -240,7 +240,7 @@
 			p.start(s, w, t)
 		}
 	}
-	reply := platform.SyncReply{Token: o.Request.Token, Reading: s.now.Milliseconds() + 1}
+	reply := infra.SyncReply{Token: o.Request.Token, Reading: s.now.Milliseconds() + 1}
 	for _, r := range w.reports {
 		if !r.State.Ended() {
 			r.RunTime = (s.now - r.started).Milliseconds()
@@ -250,7 +250,7 @@
 	return reply
 }
 
-func (p *product) start(s *site, w *worker, t platform.Task) {
+func (p *product) start(s *site, w *worker, t infra.Task) {
 	for _, r := range w.reports {
 		if r.Task.ID == t.ID {
 			return
@@ -260,7 +260,7 @@
 	if err != nil {
 		return
 	}
-	r := &report{TaskReport: platform.TaskReport{Task: t, State: platform.TaskRunning, Usage: t.Need}}
+	r := &report{TaskReport: infra.TaskReport{Task: t, State: infra.TaskRunning, Usage: t.Need}}
 	r.running = s.start(w.machine, p.jobs[a.Job].tasks[a.Index])
 	w.reports = append(w.reports, r)
 }
@@ -268,9 +268,9 @@
 func (w *worker) endReport(done *running) {
 	for _, r := range w.reports {
 		if r.running == done {
-			r.State, r.RunTime = platform.TaskDone, (done.ends - done.started).Milliseconds()
+			r.State, r.RunTime = infra.TaskDone, (done.ends - done.started).Milliseconds()
 			if done.fails {
-				r.State, r.Reason = platform.TaskFailed, "the task exited with an error"
+				r.State, r.Reason = infra.TaskFailed, "the task exited with an error"
 			}
 		}
 	}
--- a/placement/experiment/site.go
+++ b/placement/experiment/site.go
@@ -4,7 +4,7 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 )
 
 // failAfter is when a task ends on a worker that fails everything.
@@ -13,7 +13,7 @@
 // running is one task at a worker.
 type running struct {
 	task    *taskRecord
-	need    platform.Resources
+	need    infra.Resources
 	started time.Duration
 	ends    time.Duration
 	fails   bool
@@ -21,13 +21,13 @@
 
 // machine is a worker of the experiment with what it runs.
 type machine struct {
-	platform.Worker
-	used  platform.Resources
+	infra.Worker
+	used  infra.Resources
 	bad   bool
 	tasks []*running
 }
 
-func (m *machine) free() platform.Resources { return m.Capacity.Sub(m.used) }
+func (m *machine) free() infra.Resources { return m.Capacity.Sub(m.used) }
 
 // taskRecord is what is measured of one task.
 type taskRecord struct {
@@ -43,8 +43,8 @@
 type site struct {
 	now      time.Duration
 	machines []*machine
-	used     platform.Resources
-	total    platform.Resources
+	used     infra.Resources
+	total    infra.Resources
 	// area is the use summed up over time, from the end of the warm-up on.
 	area     [3]float64
 	measured time.Duration
--- a/placement/experiment/work.go
+++ b/placement/experiment/work.go
@@ -6,8 +6,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/placement"
-	"github.com/knapweedweir/knapweedweir/platform"
 )
 
 // Job is one piece of work: equal tasks that arrive together.
@@ -16,7 +16,7 @@
 	Name           string
 	Kind           placement.JobKind
 	Tasks          int
-	Need           platform.Resources
+	Need           infra.Resources
 	Urgent         bool
 	Checkpointable bool
 	// Worth is 1, 5 or 10; it decides the priority of the job's team.
@@ -81,7 +81,7 @@
 
 // rates returns how many jobs a second offer a share of the processors, and of
 // the accelerators a bit less.
-func (m *maker) rates(total platform.Resources, share float64) (plain, accelerated float64) {
+func (m *maker) rates(total infra.Resources, share float64) (plain, accelerated float64) {
 	var cpu [2]float64
 	var accelerators float64
 	trial := &maker{rng: rand.New(rand.NewPCG(m.load.Seed, 12)), load: m.load}
@@ -109,7 +109,7 @@
 func (m *maker) service() Job {
 	cores := pick[int64](m.rng, 1, 2, 4)
 	return Job{ID: m.id("service"), Name: "service", Kind: placement.Service, Tasks: pick(m.rng, 2, 3, 6), Worth: pick(m.rng, 1, 5, 10),
-		Need: platform.Resources{MilliCPU: 1000 * cores, MemoryMiB: 2048 * cores}, Run: math.MaxInt64}
+		Need: infra.Resources{MilliCPU: 1000 * cores, MemoryMiB: 2048 * cores}, Run: math.MaxInt64}
 }
 
 func (m *maker) job(at time.Duration, accelerated bool) Job {
@@ -124,10 +124,10 @@
 	j.Name = fmt.Sprintf("%t-%d", accelerated, int(2*math.Log2(run.Seconds())))
 	j.Declared = time.Duration(float64(run) * math.Pow(max(m.load.Wrong, 1), 2*m.rng.Float64()-1))
 	cores := pick[int64](m.rng, 500, 500, 1000, 1000, 1000, 2000, 2000, 4000, 8000)
-	j.Need = platform.Resources{MilliCPU: cores, MemoryMiB: cores * pick[int64](m.rng, 1, 2, 2, 3) * 1024 / 1000}
+	j.Need = infra.Resources{MilliCPU: cores, MemoryMiB: cores * pick[int64](m.rng, 1, 2, 2, 3) * 1024 / 1000}
 	if accelerated {
 		n := pick[int64](m.rng, 1, 1, 2, 4, 8)
-		j.Need = platform.Resources{MilliCPU: 4000 * n, MemoryMiB: n * 16 << 10, Accelerators: n}
+		j.Need = infra.Resources{MilliCPU: 4000 * n, MemoryMiB: n * 16 << 10, Accelerators: n}
 	}
 	return j
 }
--- a/placement/filter_test.go
+++ b/placement/filter_test.go
@@ -5,7 +5,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 )
 
 // An operator asks why a job waits. The answer counts the workers by the first
@@ -24,26 +24,26 @@
 func TestChoice(t *testing.T) {
 	tests := []struct {
 		name    string
-		workers []platform.Worker
+		workers []infra.Worker
 		first   []Place
 		place   Place
 		want    string
 	}{
-		{"best fit keeps large room whole", []platform.Worker{machine("a", 16000, 16000, 0), machine("b", 4000, 4000, 0)}, nil,
+		{"best fit keeps large room whole", []infra.Worker{machine("a", 16000, 16000, 0), machine("b", 4000, 4000, 0)}, nil,
 			work("j", 4000, 4000, 0), "b"},
-		{"accelerators are kept for those that ask", []platform.Worker{machine("a", 8000, 8000, 4), machine("b", 64000, 64000, 0)},
+		{"accelerators are kept for those that ask", []infra.Worker{machine("a", 8000, 8000, 4), machine("b", 64000, 64000, 0)},
 			[]Place{work("f", 4000, 4000, 3)}, work("j", 4000, 4000, 0), "b"},
-		{"work without accelerators may use such a worker when nothing else is free", []platform.Worker{machine("a", 4000, 4000, 4), machine("b", 2000, 2000, 0)}, nil,
+		{"work without accelerators may use such a worker when nothing else is free", []infra.Worker{machine("a", 4000, 4000, 4), machine("b", 2000, 2000, 0)}, nil,
 			work("j", 4000, 4000, 0), "a"},
-		{"no splinter of processors without memory", []platform.Worker{machine("a", 8000, 4000, 0), machine("b", 8000, 8000, 0)}, nil,
+		{"no splinter of processors without memory", []infra.Worker{machine("a", 8000, 4000, 0), machine("b", 8000, 8000, 0)}, nil,
 			work("j", 4000, 4000, 0), "b"},
-		{"a service spreads over workers", []platform.Worker{machine("a", 4000, 4000, 0), machine("b", 16000, 16000, 0)},
+		{"a service spreads over workers", []infra.Worker{machine("a", 4000, 4000, 0), machine("b", 16000, 16000, 0)},
 			[]Place{spread(work("s", 1000, 1000, 0))}, spread(work("s", 1000, 1000, 0)), "b"},
-		{"a task does not go back to where it failed", []platform.Worker{machine("a", 4000, 4000, 0), machine("b", 16000, 16000, 0)}, nil,
+		{"a task does not go back to where it failed", []infra.Worker{machine("a", 4000, 4000, 0), machine("b", 16000, 16000, 0)}, nil,
 			avoiding(work("j", 4000, 4000, 0), "a"), "b"},
-		{"unless no other worker could ever hold it", []platform.Worker{machine("a", 4000, 4000, 0), machine("b", 1000, 1000, 0)}, nil,
+		{"unless no other worker could ever hold it", []infra.Worker{machine("a", 4000, 4000, 0), machine("b", 1000, 1000, 0)}, nil,
 			avoiding(work("j", 4000, 4000, 0), "a"), "a"},
-		{"it waits while the other worker is full", []platform.Worker{machine("a", 4000, 4000, 0), machine("b", 8000, 8000, 0)},
+		{"it waits while the other worker is full", []infra.Worker{machine("a", 4000, 4000, 0), machine("b", 8000, 8000, 0)},
 			[]Place{avoiding(work("f", 8000, 8000, 0), "a")}, avoiding(work("j", 4000, 4000, 0), "a"), ""},
 	}
 	for _, tt := range tests {
--- a/placement/gang_test.go
+++ b/placement/gang_test.go
@@ -6,11 +6,11 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/ownership"
-	"github.com/knapweedweir/knapweedweir/platform"
 )
 
-var roomy = platform.Resources{MilliCPU: 8000, MemoryMiB: 8000, Accelerators: 8}
+var roomy = infra.Resources{MilliCPU: 8000, MemoryMiB: 8000, Accelerators: 8}
 
 // startGang submits a gang of three and has all its tasks held.
 func startGang(b *bench) []Place {
@@ -132,7 +132,7 @@
 // After a while the home has room kept for it, and after a bounded time gives it
 // back, as what is kept stands idle.
 func TestGangHasRoomKeptForABoundedTime(t *testing.T) {
-	b := newBench(t, 2, platform.Resources{})
+	b := newBench(t, 2, infra.Resources{})
 	b.submit(JobSpec{ID: "g", Kind: Gang, Tasks: 2})
 	b.wait(time.Second)
 	assert.Equal(t, len(take[Place](b)), 0)
--- a/placement/home.go
+++ b/placement/home.go
@@ -5,8 +5,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/ownership"
-	"github.com/knapweedweir/knapweedweir/platform"
 	"github.com/knapweedweir/knapweedweir/settings"
 )
 
@@ -63,7 +63,7 @@
 // Home is the step machine of one job home's owner.
 type Home struct {
 	unit  ownership.Unit
-	epoch platform.Offset
+	epoch infra.Offset
 	cfg   HomeConfig
 	jobs  map[string]*homeJob
 	teams map[string]*homeTeam
@@ -93,7 +93,7 @@
 }
 
 // NewHome returns a home's state under an epoch.
-func NewHome(unit ownership.Unit, epoch platform.Offset, cfg HomeConfig) *Home {
+func NewHome(unit ownership.Unit, epoch infra.Offset, cfg HomeConfig) *Home {
 	return &Home{unit: unit, epoch: epoch, cfg: cfg, jobs: map[string]*homeJob{}, teams: map[string]*homeTeam{},
 		queue: newQueue(), rooms: newRooms(xxhash.Sum64String(string(unit)) ^ uint64(epoch)),
 		sequences: map[ownership.Unit]uint64{}, strays: map[string]*stray{},
@@ -102,7 +102,7 @@
 }
 
 // Epoch is the fencing token of this home.
-func (h *Home) Epoch() platform.Offset { return h.epoch }
+func (h *Home) Epoch() infra.Offset { return h.epoch }
 
 // SetShards tells the home which shards exist.
 func (h *Home) SetShards(shards []ownership.Unit) {
@@ -117,14 +117,14 @@
 
 // SetOwner tells the home under which epoch a shard is owned. It must be told of
 // all owners made before its own epoch when it is new, and of others soon.
-func (h *Home) SetOwner(now time.Duration, shard ownership.Unit, epoch platform.Offset) {
+func (h *Home) SetOwner(now time.Duration, shard ownership.Unit, epoch infra.Offset) {
 	if h.rooms.setEpoch(shard, epoch) {
 		h.verifyShard(now, shard)
 	}
 }
 
 // SetCapacity tells the home of a shard's largest worker in each dimension.
-func (h *Home) SetCapacity(shard ownership.Unit, largest platform.Resources) {
+func (h *Home) SetCapacity(shard ownership.Unit, largest infra.Resources) {
 	h.rooms.setCapacity(shard, largest)
 }
 
@@ -143,7 +143,7 @@
 // outdated reports whether news comes from an owner of a shard that has been
 // replaced. It may tell of an attempt's end that its successor has not let
 // happen, such as a hold that it has placed anew.
-func (h *Home) outdated(now time.Duration, shard ownership.Unit, epoch platform.Offset) bool {
+func (h *Home) outdated(now time.Duration, shard ownership.Unit, epoch infra.Offset) bool {
 	if epoch == 0 {
 		return false
 	}
--- a/placement/home_bench_test.go
+++ b/placement/home_bench_test.go
@@ -7,8 +7,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/ownership"
-	"github.com/knapweedweir/knapweedweir/platform"
 	"github.com/knapweedweir/knapweedweir/settings"
 )
 
@@ -22,12 +22,12 @@
 	units []ownership.Unit
 }
 
-const benchEpoch = platform.Offset(100)
+const benchEpoch = infra.Offset(100)
 
-var small = platform.Resources{MilliCPU: 1000, MemoryMiB: 1000}
+var small = infra.Resources{MilliCPU: 1000, MemoryMiB: 1000}
 
 // newBench returns a home that has collected from shards with room for tasks.
-func newBench(t *testing.T, shards int, room platform.Resources) *bench {
+func newBench(t *testing.T, shards int, room infra.Resources) *bench {
 	t.Helper()
 	b := &bench{t: t, home: NewHome(ownership.HomeUnit(1), benchEpoch, DefaultHomeConfig), now: time.Second}
 	for i := range shards {
@@ -44,8 +44,8 @@
 	return b
 }
 
-func (b *bench) digest(u ownership.Unit, free platform.Resources) {
-	total := platform.Resources{MilliCPU: 64000, MemoryMiB: 64000, Accelerators: 8}
+func (b *bench) digest(u ownership.Unit, free infra.Resources) {
+	total := infra.Resources{MilliCPU: 64000, MemoryMiB: 64000, Accelerators: 8}
 	b.home.SetDigest(b.now, Digest{Shard: u, Epoch: 50, Workers: 4, Total: times(total, 4), Free: free, Largest: total})
 }
 
@@ -74,7 +74,7 @@
 	if spec.Team == "" {
 		spec.Team = "workshop"
 	}
-	b.home.AddJob(b.now, Job{Spec: spec, Accepted: benchEpoch + platform.Offset(len(b.home.jobs)) + 1, State: JobOpen})
+	b.home.AddJob(b.now, Job{Spec: spec, Accepted: benchEpoch + infra.Offset(len(b.home.jobs)) + 1, State: JobOpen})
 	b.step()
 }
 
--- a/placement/home_job.go
+++ b/placement/home_job.go
@@ -4,8 +4,8 @@
 	"sort"
 	"time"
 
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/ownership"
-	"github.com/knapweedweir/knapweedweir/platform"
 	"github.com/knapweedweir/knapweedweir/settings"
 )
 
@@ -45,14 +45,14 @@
 	failures   int
 	attempt    Attempt
 	shard      ownership.Unit
-	askedEpoch platform.Offset
+	askedEpoch infra.Offset
 	// sequence is that of the newest Place.
 	sequence uint64
 	worker   string
 	// roomVersion is that of the shard's digest that the attempt was taken from.
 	roomVersion uint64
 	// need is what the current attempt was asked for.
-	need     platform.Resources
+	need     infra.Resources
 	askedAt  time.Duration
 	startAt  time.Duration
 	borrowed bool
@@ -66,11 +66,11 @@
 type homeTeam struct {
 	name     string
 	policies map[string]settings.Policy
-	quota    platform.Resources
-	borrow   platform.Resources
-	used     platform.Resources
+	quota    infra.Resources
+	borrow   infra.Resources
+	used     infra.Resources
 	// wanted is the need of all queued tasks.
-	wanted platform.Resources
+	wanted infra.Resources
 	allowance
 	// share orders the teams: the smallest is served first.
 	share   float64
@@ -89,7 +89,7 @@
 	queued []int
 	// need is what each task is asked for: what was declared, or more after it
 	// proved too small.
-	need    platform.Resources
+	need    infra.Resources
 	backoff time.Duration
 	readyAt time.Duration
 	since   time.Duration
@@ -164,12 +164,12 @@
 	}
 }
 
-func (h *Home) use(t *homeTeam, need platform.Resources) {
+func (h *Home) use(t *homeTeam, need infra.Resources) {
 	t.used = t.used.Add(need)
 	h.queue.reorder(t, h.rooms.total)
 }
 
-func (h *Home) unuse(t *homeTeam, need platform.Resources) {
+func (h *Home) unuse(t *homeTeam, need infra.Resources) {
 	t.used = t.used.Sub(need)
 	h.queue.reorder(t, h.rooms.total)
 	if t.quota == nothing {
@@ -211,15 +211,15 @@
 	shard   ownership.Unit
 	// team is set while the attempt counts against its quota.
 	team *homeTeam
-	need platform.Resources
+	need infra.Resources
 }
 
 // strayPatience is how long news of a stopped attempt may take before the home
 // asks for it.
 const strayPatience = 3 * time.Second
 
-func times(r platform.Resources, n int) platform.Resources {
-	return platform.Resources{MilliCPU: r.MilliCPU * int64(n), MemoryMiB: r.MemoryMiB * int64(n), Accelerators: r.Accelerators * int64(n)}
+func times(r infra.Resources, n int) infra.Resources {
+	return infra.Resources{MilliCPU: r.MilliCPU * int64(n), MemoryMiB: r.MemoryMiB * int64(n), Accelerators: r.Accelerators * int64(n)}
 }
 
 func sortedKeys[K ~string, V any](m map[K]V) []K {
--- a/placement/home_measures.go
+++ b/placement/home_measures.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 )
 
 // StartWait is how long a job waited before it started: its first task, or all
@@ -36,7 +36,7 @@
 	// LongestWait is the age of the oldest job that has not started.
 	LongestWait time.Duration
 	// Used is what the running tasks were given.
-	Used platform.Resources
+	Used infra.Resources
 }
 
 // AddTotals adds the home's jobs to the totals of their teams.
--- a/placement/home_rooms.go
+++ b/placement/home_rooms.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/ownership"
-	"github.com/knapweedweir/knapweedweir/platform"
 )
 
 // room is what the home knows of one shard: its last digest, less what the home
@@ -25,7 +25,7 @@
 	index map[ownership.Unit]int
 	// heard are the indexes of the shards that have told of their room.
 	heard []int
-	total platform.Resources
+	total infra.Resources
 	seed  uint64
 }
 
@@ -35,7 +35,7 @@
 
 func (r *rooms) setShards(shards []ownership.Unit) {
 	old, oldIndex := r.list, r.index
-	r.list, r.index, r.total = make([]room, len(shards)), make(map[ownership.Unit]int, len(shards)), platform.Resources{}
+	r.list, r.index, r.total = make([]room, len(shards)), make(map[ownership.Unit]int, len(shards)), infra.Resources{}
 	r.heard = nil
 	for i, s := range shards {
 		r.list[i].Shard = s
@@ -80,7 +80,7 @@
 
 // setCapacity notes what the platform's list says of a shard's workers, as most
 // shards of a large cell tell a home nothing of themselves.
-func (r *rooms) setCapacity(s ownership.Unit, largest platform.Resources) {
+func (r *rooms) setCapacity(s ownership.Unit, largest infra.Resources) {
 	if i, ok := r.index[s]; ok && !r.list[i].known {
 		r.list[i].Largest = largest
 	}
@@ -88,7 +88,7 @@
 
 // setEpoch notes the newest owner of a shard and reports whether it has replaced
 // another.
-func (r *rooms) setEpoch(s ownership.Unit, epoch platform.Offset) bool {
+func (r *rooms) setEpoch(s ownership.Unit, epoch infra.Offset) bool {
 	i, ok := r.index[s]
 	if !ok || epoch <= r.list[i].Epoch {
 		return false
@@ -98,7 +98,7 @@
 	return replaced
 }
 
-func (r *rooms) epoch(s ownership.Unit) platform.Offset {
+func (r *rooms) epoch(s ownership.Unit) infra.Offset {
 	if i, ok := r.index[s]; ok {
 		return r.list[i].Epoch
 	}
@@ -106,7 +106,7 @@
 }
 
 // take lowers a shard's known room by what was asked of it.
-func (r *rooms) take(i int, need platform.Resources) { r.list[i].Free = r.list[i].Free.Sub(need) }
+func (r *rooms) take(i int, need infra.Resources) { r.list[i].Free = r.list[i].Free.Sub(need) }
 
 // giveBack undoes take, unless a digest has told since what is really free.
 func (r *rooms) giveBack(t *homeTask) {
@@ -135,7 +135,7 @@
 
 // search is what a shard is looked for.
 type search struct {
-	need platform.Resources
+	need infra.Resources
 	// anyCapable also takes shards without room now, whose workers are large
 	// enough. unheard takes only such of which nothing was heard since.
 	anyCapable bool
--- a/placement/home_tasks.go
+++ b/placement/home_tasks.go
@@ -4,8 +4,8 @@
 	"fmt"
 	"time"
 
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/ownership"
-	"github.com/knapweedweir/knapweedweir/platform"
 )
 
 // askOne asks a shard for the next queued task of the job.
@@ -343,7 +343,7 @@
 	job.team.wanted = job.team.wanted.Add(times(job.need, len(job.queued)))
 }
 
-func (r *rooms) capable(need platform.Resources) bool {
+func (r *rooms) capable(need infra.Resources) bool {
 	for i := range r.list {
 		if need.Fits(r.list[i].Largest) {
 			return true
--- a/placement/job.go
+++ b/placement/job.go
@@ -12,8 +12,8 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/logstream"
-	"github.com/knapweedweir/knapweedweir/platform"
 	"github.com/knapweedweir/knapweedweir/settings/jsonc"
 )
 
@@ -45,7 +45,7 @@
 	// Tasks is how many tasks the job has.
 	Tasks int `json:"tasks"`
 	// Need is what each task needs on one worker.
-	Need platform.Resources `json:"need"`
+	Need infra.Resources `json:"need"`
 	// Urgent work starts ahead of other work of its team's policies.
 	Urgent bool `json:"urgent"`
 	// Checkpointable tasks may be stopped and resumed without losing work.
@@ -83,7 +83,7 @@
 type Attempt struct {
 	Job    string
 	Index  int
-	Epoch  platform.Offset
+	Epoch  infra.Offset
 	Number int
 }
 
@@ -105,7 +105,7 @@
 	if err1 != nil || err2 != nil || err3 != nil {
 		return Attempt{}, errors.Errorf("task ID %q is not job/index/epoch.number", id)
 	}
-	return Attempt{Job: parts[0], Index: index, Epoch: platform.Offset(e), Number: n}, nil
+	return Attempt{Job: parts[0], Index: index, Epoch: infra.Offset(e), Number: n}, nil
 }
 
 // Record kinds of jobs.
@@ -136,10 +136,10 @@
 
 // Job is an accepted job.
 type Job struct {
-	Spec     JobSpec         `json:"spec"`
-	Accepted platform.Offset `json:"accepted"`
-	State    JobState        `json:"state"`
-	Reason   string          `json:"reason,omitempty"`
+	Spec     JobSpec      `json:"spec"`
+	Accepted infra.Offset `json:"accepted"`
+	State    JobState     `json:"state"`
+	Reason   string       `json:"reason,omitempty"`
 }
 
 // keepEnded is how many ended jobs stay in the registry for status queries.
@@ -164,7 +164,7 @@
 }
 
 // Apply implements logstream.Reducer.
-func (r *Registry) Apply(at platform.Offset, rec logstream.Record) error {
+func (r *Registry) Apply(at infra.Offset, rec logstream.Record) error {
 	if rec.Kind == KindAccept {
 		return r.accept(at, rec.Body)
 	}
@@ -192,7 +192,7 @@
 	return nil
 }
 
-func (r *Registry) accept(at platform.Offset, body json.RawMessage) error {
+func (r *Registry) accept(at infra.Offset, body json.RawMessage) error {
 	var spec JobSpec
 	if err := json.Unmarshal(body, &spec); err != nil {
 		return errors.Wrap(err, "decode job")
--- a/placement/learn.go
+++ b/placement/learn.go
@@ -5,7 +5,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 )
 
 // Bounds of what is learned. One name takes about 6 KiB, so a home's learner
@@ -103,7 +103,7 @@
 
 // need is what a new job is asked for: what it declares, or more when tasks of
 // the name have been stopped at that size.
-func (l *learner) need(spec JobSpec) platform.Resources {
+func (l *learner) need(spec JobSpec) infra.Resources {
 	need := spec.Need
 	if x, ok := l.names[learnedKey{spec.Team, spec.Name}]; ok {
 		need.MemoryMiB = max(need.MemoryMiB, x.enough)
@@ -112,7 +112,7 @@
 }
 
 // larger is the size to try after a task was stopped for its memory at a size.
-func (l *learner) larger(spec JobSpec, size platform.Resources) platform.Resources {
+func (l *learner) larger(spec JobSpec, size infra.Resources) infra.Resources {
 	x := l.get(spec)
 	size.MemoryMiB = max(size.MemoryMiB*enlargeNumerator/enlargeDenominator, x.memory.expected(), spec.Need.MemoryMiB)
 	x.enough = max(x.enough, size.MemoryMiB)
--- a/placement/learn_test.go
+++ b/placement/learn_test.go
@@ -7,7 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/settings"
 	"github.com/knapweedweir/knapweedweir/settings/jsonc"
 )
@@ -66,7 +66,7 @@
 	b.submit(JobSpec{ID: "j", Name: "render", Kind: Batch, Tasks: 1})
 	p := take[Place](b)[0]
 	b.hold(p, "w")
-	b.end(p, "w", Changed{State: AttemptFailed, Cause: CauseMemory, Usage: platform.Resources{MemoryMiB: 2000}})
+	b.end(p, "w", Changed{State: AttemptFailed, Cause: CauseMemory, Usage: infra.Resources{MemoryMiB: 2000}})
 	b.wait(time.Second)
 	p = take[Place](b)[0]
 	assert.Assert(t, p.Need.MemoryMiB >= 1500, "%s", p.Need)
@@ -80,7 +80,7 @@
 // reason, not wait for ever.
 func TestTaskTooLargeForAnyWorkerFails(t *testing.T) {
 	b := newBench(t, 1, huge)
-	b.submit(JobSpec{ID: "j", Kind: Batch, Tasks: 1, Need: platform.Resources{MilliCPU: 1, MemoryMiB: 60000}})
+	b.submit(JobSpec{ID: "j", Kind: Batch, Tasks: 1, Need: infra.Resources{MilliCPU: 1, MemoryMiB: 60000}})
 	p := take[Place](b)[0]
 	b.hold(p, "w")
 	b.end(p, "w", Changed{State: AttemptFailed, Cause: CauseMemory})
--- a/placement/messages.go
+++ b/placement/messages.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/ownership"
-	"github.com/knapweedweir/knapweedweir/platform"
 )
 
 // Message travels between a job home and a worker shard. To names the unit
@@ -17,22 +17,22 @@
 type Place struct {
 	Shard     ownership.Unit
 	Home      ownership.Unit
-	HomeEpoch platform.Offset
+	HomeEpoch infra.Offset
 	// ShardEpoch and Sequence keep the channel from home to shard in order,
 	// see Confirm.
-	ShardEpoch platform.Offset
+	ShardEpoch infra.Offset
 	Sequence   uint64
 	// AskedEpoch is the shard's epoch that the attempt was first asked of. When
 	// it is older than the shard's own, a predecessor may have started the
 	// attempt on a worker that has not answered yet: the shard must have heard
 	// from all its workers before it places the attempt anew.
-	AskedEpoch platform.Offset
+	AskedEpoch infra.Offset
 	Attempt    Attempt
 	Team       string
 	// Name is the job's name; tasks of one name are alike.
 	Name     string
 	Kind     JobKind
-	Need     platform.Resources
+	Need     infra.Resources
 	Payload  []byte
 	Priority int
 	Urgent   bool
@@ -43,7 +43,7 @@
 	Borrowed bool
 	// Accepted is the offset of the job's acceptance: its age among all jobs of
 	// the cell. An older gang's reservation goes before a younger one's.
-	Accepted platform.Offset
+	Accepted infra.Offset
 	// ExpectedRun is how long the task is expected to run; zero if unknown.
 	ExpectedRun time.Duration
 	// Waited is how long the task has waited for room. The longer, the further
@@ -63,10 +63,10 @@
 // Confirm starts a held attempt.
 type Confirm struct {
 	Shard, Home ownership.Unit
-	HomeEpoch   platform.Offset
+	HomeEpoch   infra.Offset
 	// ShardEpoch is the epoch of the shard's owner as the home knows it; a
 	// shard under another epoch drops the message. Zero is not checked.
-	ShardEpoch platform.Offset
+	ShardEpoch infra.Offset
 	// Sequence grows with each message of one home epoch to one shard. The
 	// shard drops a message whose sequence is not newer than the newest seen:
 	// without that a Place that the network delivers late could start an
@@ -187,7 +187,7 @@
 type Changed struct {
 	Home, Shard ownership.Unit
 	// ShardEpoch is the epoch of the owner that says so.
-	ShardEpoch platform.Offset
+	ShardEpoch infra.Offset
 	Attempt    Attempt
 	State      AttemptState
 	// Cause is set when State is AttemptFailed or AttemptLost.
@@ -196,25 +196,25 @@
 	Reason  string
 	RunTime time.Duration
 	// Usage is the largest use the worker has reported of the task.
-	Usage platform.Resources
+	Usage infra.Resources
 	// Need is what the shard has committed for the attempt.
-	Need platform.Resources
+	Need infra.Resources
 }
 
 // Collect asks a shard for all attempts of a home and fences out every older
 // epoch of that home.
 type Collect struct {
 	Shard, Home ownership.Unit
-	HomeEpoch   platform.Offset
+	HomeEpoch   infra.Offset
 }
 
 // Collected answers Collect once the shard knows what its workers run.
 type Collected struct {
 	Home, Shard ownership.Unit
-	HomeEpoch   platform.Offset
+	HomeEpoch   infra.Offset
 	// ShardEpoch is the epoch of the owner that says so; an answer of an owner
 	// that the home knows to be replaced doesn't count.
-	ShardEpoch platform.Offset
+	ShardEpoch infra.Offset
 	Attempts   []Changed
 }
 
@@ -253,12 +253,12 @@
 type Digest struct {
 	Shard ownership.Unit
 	// Epoch is that of the shard's owner.
-	Epoch platform.Offset
+	Epoch infra.Offset
 	// Zone is the availability zone of the shard's workers.
 	Zone    string
 	Workers int
-	Total   platform.Resources
-	Free    platform.Resources
+	Total   infra.Resources
+	Free    infra.Resources
 	// Largest is the capacity of the shard's largest worker in each dimension.
-	Largest platform.Resources
+	Largest infra.Resources
 }
--- a/placement/pair_world_test.go
+++ b/placement/pair_world_test.go
@@ -7,8 +7,8 @@
 	"sort"
 	"time"
 
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/ownership"
-	"github.com/knapweedweir/knapweedweir/platform"
 	"github.com/knapweedweir/knapweedweir/settings"
 )
 
@@ -49,9 +49,9 @@
 	now     time.Duration
 	loss    int
 	delay   time.Duration
-	epoch   platform.Offset
+	epoch   infra.Offset
 	workers map[string]*simWorker
-	racks   map[ownership.Unit][]platform.Worker
+	racks   map[ownership.Unit][]infra.Worker
 	shards  map[ownership.Unit][]*pairShard
 	homes   map[ownership.Unit][]*pairHome
 	jobs    map[string]*Job
@@ -65,7 +65,7 @@
 	runFor  time.Duration
 	referee *world
 	// quota of the one team; none is no limit.
-	quota     platform.Resources
+	quota     infra.Resources
 	submitted int
 	// quotaMessages counts what homes and ledgers tell each other.
 	quotaMessages int
@@ -74,7 +74,7 @@
 
 func newPairWorld(seed uint64, loss int, delay time.Duration, slots int) *pairWorld {
 	w := &pairWorld{rng: rand.New(rand.NewPCG(seed, 2)), now: time.Second, loss: loss, delay: delay, epoch: 100,
-		workers: map[string]*simWorker{}, racks: map[ownership.Unit][]platform.Worker{}, shards: map[ownership.Unit][]*pairShard{},
+		workers: map[string]*simWorker{}, racks: map[ownership.Unit][]infra.Worker{}, shards: map[ownership.Unit][]*pairShard{},
 		homes: map[ownership.Unit][]*pairHome{}, jobs: map[string]*Job{}, halfSince: map[string]time.Duration{}, failing: map[string]bool{},
 		runFor: 8 * time.Second}
 	w.referee = &world{workers: w.workers, rng: w.rng, done: map[string]bool{}, plan: w.plan}
@@ -82,7 +82,7 @@
 		u := ownership.ShardUnit(fmt.Sprintf("r%d", r))
 		w.units = append(w.units, u)
 		for i := range 2 {
-			p := platform.Worker{ID: fmt.Sprintf("w%d%d", r, i), Rack: fmt.Sprintf("r%d", r), Capacity: times(small, slots)}
+			p := infra.Worker{ID: fmt.Sprintf("w%d%d", r, i), Rack: fmt.Sprintf("r%d", r), Capacity: times(small, slots)}
 			w.workers[p.ID] = &simWorker{Worker: p, booted: -time.Hour, boot: 1, tasks: map[string]*simTask{}}
 			w.racks[u] = append(w.racks[u], p)
 		}
@@ -289,7 +289,7 @@
 
 // obey lets the worker carry out a request; the referee of the shard's own tests
 // watches that no worker is overfilled and no task runs twice.
-func (w *pairWorld) obey(wk *simWorker, req platform.SyncRequest) platform.SyncReply {
+func (w *pairWorld) obey(wk *simWorker, req infra.SyncRequest) infra.SyncReply {
 	w.referee.now = w.now
 	reply := w.referee.obey(wk, req, w.now)
 	w.broken, w.referee.broken = append(w.broken, w.referee.broken...), nil
@@ -311,8 +311,8 @@
 }
 
 // used is what all workers run.
-func (w *pairWorld) used() platform.Resources {
-	var used platform.Resources
+func (w *pairWorld) used() infra.Resources {
+	var used infra.Resources
 	for _, wk := range w.workers {
 		used = used.Add(wk.used())
 	}
@@ -366,7 +366,7 @@
 			if a.Job == job && !t.State.Ended() {
 				runs[a.Index] = true
 			}
-			if a.Job == job && t.State == platform.TaskDone {
+			if a.Job == job && t.State == infra.TaskDone {
 				done[a.Index] = true
 			}
 		}
--- a/placement/preempt_test.go
+++ b/placement/preempt_test.go
@@ -7,7 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 )
 
 // A buyer's quote waits because batch work fills the cell. The urgent task
@@ -174,7 +174,7 @@
 // earlier takes what the later one holds; without that both would wait for good.
 func TestOlderGangTakesWhatAYoungerOneHolds(t *testing.T) {
 	r := newRig(machine("a", 4000, 4000, 0), machine("b", 4000, 4000, 0))
-	member := func(job string, index int, accepted platform.Offset) Place {
+	member := func(job string, index int, accepted infra.Offset) Place {
 		m := work(job, 4000, 4000, 0)
 		m.Kind, m.Hold, m.Reserve, m.Accepted, m.Attempt.Index = Gang, true, true, accepted, index
 		return m
@@ -199,7 +199,7 @@
 		r.place(m)
 	}
 	r.pass(time.Second)
-	large := func(job string, accepted platform.Offset) Place {
+	large := func(job string, accepted infra.Offset) Place {
 		m := work(job, 4000, 4000, 0)
 		m.Hold, m.Reserve, m.Accepted, m.Waited = true, true, accepted, 10*time.Minute
 		return m
--- a/placement/quarantine_test.go
+++ b/placement/quarantine_test.go
@@ -7,7 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 )
 
 // outcomes lets tasks of given jobs end on given workers: each entry is a job, a
@@ -100,7 +100,7 @@
 	assert.Assert(t, failed() <= 16, "%d of 300 tasks were lost to the rack", failed())
 	broken = false
 	r.pass(2 * time.Minute)
-	assert.Assert(t, r.s.Digest().Free != (platform.Resources{}), "a rack due for a probe must offer its room")
+	assert.Assert(t, r.s.Digest().Free != (infra.Resources{}), "a rack due for a probe must offer its room")
 	ask(4)
 	for _, st := range r.s.Status() {
 		assert.Assert(t, st.Quarantine == "" || len(st.Tasks) == 0, "%+v", st)
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -4,7 +4,7 @@
 	"container/heap"
 	"time"
 
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 )
 
 // WaitReason says what a job waits for.
@@ -32,7 +32,7 @@
 type classKey struct {
 	urgent   bool
 	priority int
-	need     platform.Resources
+	need     infra.Resources
 	// gang is the number of tasks that start together; zero for others.
 	gang int
 	kind JobKind
@@ -235,7 +235,7 @@
 // roomGrew wakes the classes that could use a shard's new room. A class that was
 // woken in vain is left alone for a growing while: the sum of a shard's room
 // says little of one worker's.
-func (q *queue) roomGrew(now time.Duration, free platform.Resources) {
+func (q *queue) roomGrew(now time.Duration, free infra.Resources) {
 	for i := 0; i < len(q.blocked); {
 		c := q.blocked[i]
 		if now >= c.retryAt && c.key.need.Fits(free) {
@@ -264,7 +264,7 @@
 }
 
 // reorder puts a team in its place after its use has changed.
-func (q *queue) reorder(t *homeTeam, total platform.Resources) {
+func (q *queue) reorder(t *homeTeam, total infra.Resources) {
 	t.share = dominantShare(t.used, t.quota, total)
 	if t.index != noIndex {
 		heap.Fix(&q.teams, t.index)
@@ -273,7 +273,7 @@
 
 // dominantShare is the largest part that a use is of its quota, or of the whole
 // cell where there is no quota.
-func dominantShare(used, quota, total platform.Resources) float64 {
+func dominantShare(used, quota, total infra.Resources) float64 {
 	return max(part(used.MilliCPU, quota.MilliCPU, total.MilliCPU),
 		part(used.MemoryMiB, quota.MemoryMiB, total.MemoryMiB),
 		part(used.Accelerators, quota.Accelerators, total.Accelerators))
--- a/placement/queue_test.go
+++ b/placement/queue_test.go
@@ -8,12 +8,12 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/ownership"
-	"github.com/knapweedweir/knapweedweir/platform"
 	"github.com/knapweedweir/knapweedweir/settings"
 )
 
-var huge = platform.Resources{MilliCPU: 1 << 40, MemoryMiB: 1 << 40, Accelerators: 1 << 40}
+var huge = infra.Resources{MilliCPU: 1 << 40, MemoryMiB: 1 << 40, Accelerators: 1 << 40}
 
 func jobsOf(places []Place) []string {
 	var ids []string
@@ -26,7 +26,7 @@
 // One team has filled the queue before another submits a single task. Served in
 // order of arrival, the second would wait for the whole flood.
 func TestQueueFloodOfOneTeamDoesNotDelayAnother(t *testing.T) {
-	b := newBench(t, 1, platform.Resources{})
+	b := newBench(t, 1, infra.Resources{})
 	for i := range 50 {
 		b.submit(JobSpec{ID: fmt.Sprintf("flood-%d", i), Team: "flood", Kind: Batch, Tasks: 10})
 	}
@@ -51,7 +51,7 @@
 // Room for one task comes free at a time. Urgent work of any team goes first, then
 // within a team the higher priority of its policy, then the older job.
 func TestQueueOrder(t *testing.T) {
-	b := newBench(t, 1, platform.Resources{})
+	b := newBench(t, 1, infra.Resources{})
 	b.team("z", settings.Team{Policies: map[string]settings.Policy{"service": {Priority: 50}, "batch": {Priority: 10}}})
 	b.submit(JobSpec{ID: "old-batch", Team: "z", Kind: Batch, Tasks: 1})
 	b.submit(JobSpec{ID: "new-batch", Team: "z", Kind: Batch, Tasks: 1})
@@ -70,7 +70,7 @@
 // Jobs wait for room. Only a digest that shows room for them may wake them;
 // waking all for every digest would cost most when the cell is full.
 func TestQueueIsWokenByDigestsThatCouldMatter(t *testing.T) {
-	b := newBench(t, 2, platform.Resources{})
+	b := newBench(t, 2, infra.Resources{})
 	b.submit(JobSpec{ID: "big", Kind: Batch, Tasks: 1, Need: times(small, 4)})
 	b.submit(JobSpec{ID: "small", Kind: Batch, Tasks: 1})
 	assert.Equal(t, b.status("big").Wait.Reason, WaitRoom)
@@ -139,7 +139,7 @@
 		b.hold(p, "w")
 	}
 	for _, u := range b.units {
-		b.digest(u, platform.Resources{})
+		b.digest(u, infra.Resources{})
 	}
 	for i := range waiting {
 		b.submit(JobSpec{ID: fmt.Sprintf("w%d", i), Team: fmt.Sprintf("team%d", i%170), Kind: Batch, Tasks: 1})
@@ -152,7 +152,7 @@
 
 // tellFull tells a home that none of its shards has room.
 func tellFull(h *Home, now time.Duration) {
-	total := platform.Resources{MilliCPU: 64000, MemoryMiB: 64000, Accelerators: 8}
+	total := infra.Resources{MilliCPU: 64000, MemoryMiB: 64000, Accelerators: 8}
 	for i := range benchShards {
 		u := ownership.ShardUnit(fmt.Sprintf("r%d", i))
 		h.SetDigest(now, Digest{Shard: u, Epoch: 50, Workers: 4, Total: times(total, 4), Largest: total})
@@ -209,13 +209,13 @@
 
 // BenchmarkDigest is one digest of a shard of 3,400 to a home with blocked jobs.
 func BenchmarkDigest(b *testing.B) {
-	bench := newBench(&testing.T{}, 3400, platform.Resources{})
+	bench := newBench(&testing.T{}, 3400, infra.Resources{})
 	for i := range 1000 {
 		bench.submit(JobSpec{ID: fmt.Sprintf("w%d", i), Team: fmt.Sprintf("team%d", i%170), Kind: Batch, Tasks: 1})
 	}
 	b.ReportAllocs()
 	for i := 0; b.Loop(); i++ {
-		bench.digest(bench.units[i%3400], platform.Resources{MilliCPU: int64(i % 900)})
+		bench.digest(bench.units[i%3400], infra.Resources{MilliCPU: int64(i % 900)})
 	}
 }
 
--- a/placement/quota.go
+++ b/placement/quota.go
@@ -5,8 +5,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/ownership"
-	"github.com/knapweedweir/knapweedweir/platform"
 )
 
 // QuotaConfig is the timing of the exchange about quotas.
@@ -42,13 +42,13 @@
 	// Grant is the sequence of the newest grant that the home has taken in, and
 	// Level what it will not go above until a newer one.
 	Grant uint64
-	Level platform.Resources
-	Used  platform.Resources
+	Level infra.Resources
+	Used  infra.Resources
 	// Wanted is the need of what waits for quota; Least that of the first task
 	// or gang to go, accepted at Since.
-	Wanted platform.Resources
-	Least  platform.Resources
-	Since  platform.Offset
+	Wanted infra.Resources
+	Least  infra.Resources
+	Since  infra.Offset
 	Urgent bool
 }
 
@@ -57,31 +57,31 @@
 type QuotaReport struct {
 	Ledger, Home ownership.Unit
 	// HomeEpoch and Sequence order the reports of a home.
-	HomeEpoch platform.Offset
+	HomeEpoch infra.Offset
 	Sequence  uint64
 	// LedgerEpoch is the newest ledger owner the home has heard of: it takes
 	// no grants of older ones any more.
-	LedgerEpoch platform.Offset
+	LedgerEpoch infra.Offset
 	Teams       []TeamUse
 }
 
 // QuotaGrant sets the level up to which a home may use a team's quota.
 type QuotaGrant struct {
 	Home, Ledger ownership.Unit
-	LedgerEpoch  platform.Offset
-	HomeEpoch    platform.Offset
+	LedgerEpoch  infra.Offset
+	HomeEpoch    infra.Offset
 	Sequence     uint64
 	Team         string
-	Level        platform.Resources
+	Level        infra.Resources
 	// Own is the part of the level that the team's quota covers; tasks above it
 	// use what others leave and give way first.
-	Own platform.Resources
+	Own infra.Resources
 }
 
 // QuotaAsk asks a home for a report.
 type QuotaAsk struct {
 	Home, Ledger ownership.Unit
-	LedgerEpoch  platform.Offset
+	LedgerEpoch  infra.Offset
 }
 
 // To implements Message.
@@ -96,8 +96,8 @@
 // allowance is what a home may use of a team's quota.
 type allowance struct {
 	grant     uint64
-	level     platform.Resources
-	own       platform.Resources
+	level     infra.Resources
+	own       infra.Resources
 	idleSince time.Duration
 	// unconfirmed is set while the ledger has not been told of the newest grant.
 	unconfirmed bool
@@ -107,19 +107,19 @@
 const noLimit = int64(1) << 50
 
 // limits returns a quota with the dimensions that it does not limit opened.
-func limits(quota, borrow platform.Resources) platform.Resources {
+func limits(quota, borrow infra.Resources) infra.Resources {
 	open := func(q, b int64) int64 {
 		if q == 0 {
 			return noLimit
 		}
 		return q + b
 	}
-	return platform.Resources{MilliCPU: open(quota.MilliCPU, borrow.MilliCPU), MemoryMiB: open(quota.MemoryMiB, borrow.MemoryMiB),
+	return infra.Resources{MilliCPU: open(quota.MilliCPU, borrow.MilliCPU), MemoryMiB: open(quota.MemoryMiB, borrow.MemoryMiB),
 		Accelerators: open(quota.Accelerators, borrow.Accelerators)}
 }
 
 // limited drops the dimensions that a quota does not limit.
-func limited(r, quota platform.Resources) platform.Resources {
+func limited(r, quota infra.Resources) infra.Resources {
 	if quota.MilliCPU == 0 {
 		r.MilliCPU = 0
 	}
@@ -132,10 +132,10 @@
 	return r
 }
 
-var nothing platform.Resources
+var nothing infra.Resources
 
 // admit reports what keeps a team from using more, if anything does.
-func (h *Home) admit(now time.Duration, c *class, need platform.Resources) WaitReason {
+func (h *Home) admit(now time.Duration, c *class, need infra.Resources) WaitReason {
 	t := c.team
 	if t.quota == nothing {
 		return WaitNothing
@@ -150,7 +150,7 @@
 	return WaitQuota
 }
 
-func (h *Home) withinLevel(t *homeTeam, need platform.Resources) bool {
+func (h *Home) withinLevel(t *homeTeam, need infra.Resources) bool {
 	return t.quota == nothing || limited(t.used.Add(need), t.quota).Fits(t.level)
 }
 
@@ -180,7 +180,7 @@
 }
 
 type ledgerLink struct {
-	epoch    platform.Offset
+	epoch    infra.Offset
 	sequence uint64
 	sentAt   time.Duration
 	sent     bool
--- a/placement/quota_ledger.go
+++ b/placement/quota_ledger.go
@@ -4,8 +4,8 @@
 	"sort"
 	"time"
 
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/ownership"
-	"github.com/knapweedweir/knapweedweir/platform"
 )
 
 // Ledger gives out the quotas of some teams to the homes of their jobs. The sum
@@ -15,7 +15,7 @@
 // reported to it and so stopped listening to its predecessor.
 type Ledger struct {
 	unit  ownership.Unit
-	epoch platform.Offset
+	epoch infra.Offset
 	cfg   QuotaConfig
 	teams map[string]*ledgerTeam
 	// names holds the names of all teams in order.
@@ -29,7 +29,7 @@
 }
 
 type ledgerHome struct {
-	epoch    platform.Offset
+	epoch    infra.Offset
 	sequence uint64
 	heard    bool
 	heardAt  time.Duration
@@ -37,8 +37,8 @@
 
 type ledgerTeam struct {
 	name   string
-	quota  platform.Resources
-	borrow platform.Resources
+	quota  infra.Resources
+	borrow infra.Resources
 	uses   map[ownership.Unit]*ledgerUse
 	// due is set while reports have come in that levels don't reflect yet.
 	due      bool
@@ -50,19 +50,19 @@
 	TeamUse
 	home ownership.Unit
 	// charge is the most that the home may use by any grant it may have.
-	charge  platform.Resources
+	charge  infra.Resources
 	pending []QuotaGrant
 	sentAt  time.Duration
 }
 
 // NewLedger returns a ledger that has heard of no home.
-func NewLedger(unit ownership.Unit, epoch platform.Offset, cfg QuotaConfig) *Ledger {
+func NewLedger(unit ownership.Unit, epoch infra.Offset, cfg QuotaConfig) *Ledger {
 	return &Ledger{unit: unit, epoch: epoch, cfg: cfg, teams: map[string]*ledgerTeam{}, homes: map[ownership.Unit]*ledgerHome{}}
 }
 
 // SetQuota notes a team's quota. What is in use above a lowered quota ends by
 // itself; nothing new is granted until then.
-func (l *Ledger) SetQuota(team string, quota, borrow platform.Resources) {
+func (l *Ledger) SetQuota(team string, quota, borrow infra.Resources) {
 	t, ok := l.teams[team]
 	if !ok {
 		t = &ledgerTeam{name: team, uses: map[ownership.Unit]*ledgerUse{}}
@@ -237,7 +237,7 @@
 
 // affordable is the part of a wanted level that is free: what others have not
 // given back yet can't be granted. A part only helps in whole steps.
-func (u *ledgerUse) affordable(want, free platform.Resources) platform.Resources {
+func (u *ledgerUse) affordable(want, free infra.Resources) infra.Resources {
 	if over(want, u.charge).Fits(free) {
 		return want
 	}
@@ -260,14 +260,14 @@
 }
 
 // level is the newest level that the home has or was sent.
-func (u *ledgerUse) level() platform.Resources {
+func (u *ledgerUse) level() infra.Resources {
 	if n := len(u.pending); n > 0 {
 		return newestGrant(u).Level
 	}
 	return u.Level
 }
 
-func (l *Ledger) grant(now time.Duration, t *ledgerTeam, u *ledgerUse, level platform.Resources) Message {
+func (l *Ledger) grant(now time.Duration, t *ledgerTeam, u *ledgerUse, level infra.Resources) Message {
 	l.sequence++
 	g := QuotaGrant{Home: u.home, Ledger: l.unit, LedgerEpoch: l.epoch, HomeEpoch: l.homes[u.home].epoch,
 		Sequence: u.nextGrant(l.sequence), Team: t.name, Level: level, Own: t.ownPart(level)}
@@ -288,14 +288,14 @@
 }
 
 // ownPart is the part of a level that the quota without what is borrowed covers.
-func (t *ledgerTeam) ownPart(level platform.Resources) platform.Resources {
+func (t *ledgerTeam) ownPart(level infra.Resources) infra.Resources {
 	scale := func(v, quota, borrow int64) int64 {
 		if quota == 0 || borrow == 0 {
 			return v
 		}
 		return v * quota / (quota + borrow)
 	}
-	return platform.Resources{MilliCPU: scale(level.MilliCPU, t.quota.MilliCPU, t.borrow.MilliCPU),
+	return infra.Resources{MilliCPU: scale(level.MilliCPU, t.quota.MilliCPU, t.borrow.MilliCPU),
 		MemoryMiB:    scale(level.MemoryMiB, t.quota.MemoryMiB, t.borrow.MemoryMiB),
 		Accelerators: scale(level.Accelerators, t.quota.Accelerators, t.borrow.Accelerators)}
 }
@@ -304,8 +304,8 @@
 // The home with the oldest waiting gang gets room for it first when that is more
 // than its equal share, so that a gang that needs much of the quota is not put off
 // for ever by small tasks of other homes. The rest goes in equal shares, in whole steps of what each can use.
-func fairLevels(uses []*ledgerUse, whole platform.Resources) []platform.Resources {
-	lowest := make([]platform.Resources, len(uses))
+func fairLevels(uses []*ledgerUse, whole infra.Resources) []infra.Resources {
+	lowest := make([]infra.Resources, len(uses))
 	if dominantShare(uses[0].Least, whole, whole) > 1/float64(len(uses)) {
 		lowest[0] = least(uses[0].Used.Add(uses[0].Least), whole)
 	}
@@ -320,7 +320,7 @@
 		}
 		high = low
 	}
-	levels := make([]platform.Resources, len(uses))
+	levels := make([]infra.Resources, len(uses))
 	rest := whole
 	for i, u := range uses {
 		levels[i] = most(lowest[i], u.wholeSteps(u.upTo(whole, high)))
@@ -338,21 +338,21 @@
 // shareBits is how finely the equal share is searched for.
 const shareBits = 20
 
-func (u *ledgerUse) demand() platform.Resources { return u.Used.Add(u.Wanted) }
+func (u *ledgerUse) demand() infra.Resources { return u.Used.Add(u.Wanted) }
 
 // upTo is a home's demand, cut to a share of the whole.
-func (u *ledgerUse) upTo(whole platform.Resources, share float64) platform.Resources {
+func (u *ledgerUse) upTo(whole infra.Resources, share float64) infra.Resources {
 	d := u.demand()
 	dominant := dominantShare(d, whole, whole)
 	if dominant <= share {
 		return d
 	}
 	cut := func(v int64) int64 { return int64(float64(v) * share / dominant) }
-	return platform.Resources{MilliCPU: cut(d.MilliCPU), MemoryMiB: cut(d.MemoryMiB), Accelerators: cut(d.Accelerators)}
+	return infra.Resources{MilliCPU: cut(d.MilliCPU), MemoryMiB: cut(d.MemoryMiB), Accelerators: cut(d.Accelerators)}
 }
 
-func sumAt(uses []*ledgerUse, lowest []platform.Resources, whole platform.Resources, share float64) platform.Resources {
-	var sum platform.Resources
+func sumAt(uses []*ledgerUse, lowest []infra.Resources, whole infra.Resources, share float64) infra.Resources {
+	var sum infra.Resources
 	for i, u := range uses {
 		sum = sum.Add(most(lowest[i], u.upTo(whole, share)))
 	}
@@ -360,7 +360,7 @@
 }
 
 // wholeSteps cuts a level to what is used and a number of whole tasks or gangs.
-func (u *ledgerUse) wholeSteps(level platform.Resources) platform.Resources {
+func (u *ledgerUse) wholeSteps(level infra.Resources) infra.Resources {
 	if !u.Used.Fits(level) {
 		return level
 	}
@@ -368,7 +368,7 @@
 }
 
 // steps is how often a step fits.
-func steps(room, step platform.Resources) int {
+func steps(room, step infra.Resources) int {
 	n := int64(-1)
 	for _, d := range [][2]int64{{room.MilliCPU, step.MilliCPU}, {room.MemoryMiB, step.MemoryMiB}, {room.Accelerators, step.Accelerators}} {
 		if d[1] > 0 && (n < 0 || d[0]/d[1] < n) {
@@ -378,15 +378,15 @@
 	return max(0, int(n))
 }
 
-func most(a, b platform.Resources) platform.Resources {
-	return platform.Resources{MilliCPU: max(a.MilliCPU, b.MilliCPU), MemoryMiB: max(a.MemoryMiB, b.MemoryMiB),
+func most(a, b infra.Resources) infra.Resources {
+	return infra.Resources{MilliCPU: max(a.MilliCPU, b.MilliCPU), MemoryMiB: max(a.MemoryMiB, b.MemoryMiB),
 		Accelerators: max(a.Accelerators, b.Accelerators)}
 }
 
-func least(a, b platform.Resources) platform.Resources {
-	return platform.Resources{MilliCPU: min(a.MilliCPU, b.MilliCPU), MemoryMiB: min(a.MemoryMiB, b.MemoryMiB),
+func least(a, b infra.Resources) infra.Resources {
+	return infra.Resources{MilliCPU: min(a.MilliCPU, b.MilliCPU), MemoryMiB: min(a.MemoryMiB, b.MemoryMiB),
 		Accelerators: min(a.Accelerators, b.Accelerators)}
 }
 
 // over is what a has above b.
-func over(a, b platform.Resources) platform.Resources { return most(a, b).Sub(b) }
+func over(a, b infra.Resources) infra.Resources { return most(a, b).Sub(b) }
--- a/placement/quota_test.go
+++ b/placement/quota_test.go
@@ -8,19 +8,19 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/ownership"
-	"github.com/knapweedweir/knapweedweir/platform"
 	"github.com/knapweedweir/knapweedweir/settings"
 )
 
 // splitQuota is the way that was not taken: each home has its fixed part of the
 // quota for good.
-func splitQuota(h *Home, name string, quota platform.Resources) {
+func splitQuota(h *Home, name string, quota infra.Resources) {
 	t := h.team(name)
 	t.quota = quota
 	// Without a ledger, what is given back never returns.
 	h.cfg.Quota.IdleFor = 24 * time.Hour
-	t.level = platform.Resources{MilliCPU: quota.MilliCPU / ownership.HomeSlots, MemoryMiB: quota.MemoryMiB / ownership.HomeSlots}
+	t.level = infra.Resources{MilliCPU: quota.MilliCPU / ownership.HomeSlots, MemoryMiB: quota.MemoryMiB / ownership.HomeSlots}
 }
 
 func newQuotaWorld(seed uint64, loss int, delay time.Duration, quota int, static bool) *pairWorld {
--- a/placement/score.go
+++ b/placement/score.go
@@ -1,6 +1,6 @@
 package placement
 
-import "github.com/knapweedweir/knapweedweir/platform"
+import "github.com/knapweedweir/knapweedweir/infra"
 
 // workerScorer rates a worker that passed the filters, from 0 to 1.
 type workerScorer interface {
@@ -67,7 +67,7 @@
 }
 
 // leftShares are the parts of a worker that stay free after a task.
-func leftShares(need platform.Resources, w *worker) (cpu, memory, accelerators float64) {
+func leftShares(need infra.Resources, w *worker) (cpu, memory, accelerators float64) {
 	left := w.free().Sub(need)
 	return share(left.MilliCPU, w.Capacity.MilliCPU), share(left.MemoryMiB, w.Capacity.MemoryMiB),
 		share(left.Accelerators, w.Capacity.Accelerators)
--- a/placement/shard.go
+++ b/placement/shard.go
@@ -4,8 +4,8 @@
 	"sort"
 	"time"
 
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/ownership"
-	"github.com/knapweedweir/knapweedweir/platform"
 )
 
 // ShardConfig is the timing of a shard's owner.
@@ -51,7 +51,7 @@
 // Shard is the step machine of one worker shard's owner.
 type Shard struct {
 	unit    ownership.Unit
-	epoch   platform.Offset
+	epoch   infra.Offset
 	cfg     ShardConfig
 	workers map[string]*worker
 	// order is the workers sorted by ID: decisions never follow map order.
@@ -72,7 +72,7 @@
 }
 
 // NewShard returns the owner's state under an epoch. It knows no workers yet.
-func NewShard(unit ownership.Unit, epoch platform.Offset, cfg ShardConfig) *Shard {
+func NewShard(unit ownership.Unit, epoch infra.Offset, cfg ShardConfig) *Shard {
 	return &Shard{unit: unit, epoch: epoch, cfg: cfg, workers: map[string]*worker{},
 		slots: map[Attempt]*slot{}, jobs: map[string][]*slot{}, homes: map[ownership.Unit]channel{},
 		outcomes: map[jobKey]*outcome{}}
@@ -82,13 +82,13 @@
 func (s *Shard) Unit() ownership.Unit { return s.unit }
 
 // Epoch is the fencing token of this owner.
-func (s *Shard) Epoch() platform.Offset { return s.epoch }
+func (s *Shard) Epoch() infra.Offset { return s.epoch }
 
 // SetWorkers takes over the platform's list of the shard's workers. A worker
 // that has left the list is kept while tasks are committed on it: the list lags,
 // and a worker that was dropped at once would leave its tasks running unseen,
 // free to be placed a second time.
-func (s *Shard) SetWorkers(now time.Duration, list []platform.Worker) {
+func (s *Shard) SetWorkers(now time.Duration, list []infra.Worker) {
 	for _, w := range s.order {
 		if w.listed {
 			w.listedAt = now
--- a/placement/shard_bench_test.go
+++ b/placement/shard_bench_test.go
@@ -5,32 +5,32 @@
 	"testing"
 	"time"
 
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 )
 
 // benchShard returns a shard whose workers each run four tasks.
 func benchShard(workers int) *Shard {
 	s := NewShard("shard/bench", 10, DefaultShardConfig)
-	list := make([]platform.Worker, workers)
+	list := make([]infra.Worker, workers)
 	for i := range list {
-		list[i] = platform.Worker{ID: fmt.Sprintf("w%05d", i), Capacity: platform.Resources{MilliCPU: 64000, MemoryMiB: 256 << 10, Accelerators: int64(i % 3 * 4)}}
+		list[i] = infra.Worker{ID: fmt.Sprintf("w%05d", i), Capacity: infra.Resources{MilliCPU: 64000, MemoryMiB: 256 << 10, Accelerators: int64(i % 3 * 4)}}
 	}
 	now := time.Second
 	s.SetWorkers(now, list)
-	reports := map[string][]platform.TaskReport{}
+	reports := map[string][]infra.TaskReport{}
 	round := func() {
 		now += time.Second
 		orders, _ := s.Step(now)
 		for _, o := range orders {
 			for _, t := range o.Request.Starts {
-				reports[o.Worker] = append(reports[o.Worker], platform.TaskReport{Task: t, State: platform.TaskRunning})
+				reports[o.Worker] = append(reports[o.Worker], infra.TaskReport{Task: t, State: infra.TaskRunning})
 			}
-			s.Synced(now, o.Worker, o.Request, platform.SyncReply{Token: 10, Reading: int64(now / time.Millisecond), Tasks: reports[o.Worker]}, nil)
+			s.Synced(now, o.Worker, o.Request, infra.SyncReply{Token: 10, Reading: int64(now / time.Millisecond), Tasks: reports[o.Worker]}, nil)
 		}
 	}
 	round()
 	for i := range 4 * workers {
-		need := platform.Resources{MilliCPU: int64(4000 + 1000*(i%9)), MemoryMiB: int64(8<<10 + i%7<<10)}
+		need := infra.Resources{MilliCPU: int64(4000 + 1000*(i%9)), MemoryMiB: int64(8<<10 + i%7<<10)}
 		s.Handle(now, Place{Home: "home/000", HomeEpoch: 20, AskedEpoch: 10, Need: need, Kind: Batch, Attempt: Attempt{Job: fmt.Sprintf("fill-%d", i), Epoch: 20, Number: i}})
 	}
 	round()
@@ -44,7 +44,7 @@
 		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
 			s := benchShard(workers)
 			a := Attempt{Job: "bench", Epoch: 20}
-			need := platform.Resources{MilliCPU: 4000, MemoryMiB: 8 << 10}
+			need := infra.Resources{MilliCPU: 4000, MemoryMiB: 8 << 10}
 			b.ReportAllocs()
 			b.ResetTimer()
 			for i := range b.N {
@@ -59,7 +59,7 @@
 // BenchmarkRefuse measures a refusal: no worker has room.
 func BenchmarkRefuse(b *testing.B) {
 	s := benchShard(85)
-	need := platform.Resources{MilliCPU: 63000, MemoryMiB: 8 << 10}
+	need := infra.Resources{MilliCPU: 63000, MemoryMiB: 8 << 10}
 	b.ReportAllocs()
 	for i := range b.N {
 		s.Handle(time.Hour, Place{Home: "home/000", HomeEpoch: 20, AskedEpoch: 10, Need: need, Kind: Batch, Attempt: Attempt{Job: "bench", Epoch: 20, Number: i}})
--- a/placement/shard_claim.go
+++ b/placement/shard_claim.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 )
 
 // Times of claims on room that others still use.
@@ -140,7 +140,7 @@
 }
 
 // nextEnd returns the need of the tasks that end next after a time, and when.
-func nextEnd(w *worker, after, now time.Duration) (*platform.Resources, time.Duration) {
+func nextEnd(w *worker, after, now time.Duration) (*infra.Resources, time.Duration) {
 	var end time.Duration
 	for _, sl := range w.slots {
 		if e := expectedEnd(sl, now); sl.state == slotStarting || sl.state == slotRunning {
@@ -152,7 +152,7 @@
 	if end == 0 {
 		return nil, 0
 	}
-	var sum platform.Resources
+	var sum infra.Resources
 	for _, sl := range w.slots {
 		if (sl.state == slotStarting || sl.state == slotRunning) && expectedEnd(sl, now) == end {
 			sum = sum.Add(sl.task.Need)
--- a/placement/shard_hints.go
+++ b/placement/shard_hints.go
@@ -4,7 +4,7 @@
 	"strconv"
 	"time"
 
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 )
 
 // Labels of a task at its worker. They come back with the worker's report, so that
@@ -28,7 +28,7 @@
 	urgent         bool
 	checkpointable bool
 	borrowed       bool
-	accepted       platform.Offset
+	accepted       infra.Offset
 	expected       time.Duration
 }
 
--- a/placement/shard_home_test.go
+++ b/placement/shard_home_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 )
 
 type simPhase int
@@ -21,11 +21,11 @@
 type simHomeTask struct {
 	phase    simPhase
 	attempt  Attempt
-	asked    platform.Offset
-	believed platform.Offset
+	asked    infra.Offset
+	believed infra.Offset
 	sequence uint64
 	sentAt   time.Duration
-	need     platform.Resources
+	need     infra.Resources
 	hold     bool
 }
 
@@ -33,8 +33,8 @@
 // one open attempt for each task, and a new one only after the end of the last.
 type simHome struct {
 	w         *world
-	epoch     platform.Offset
-	known     platform.Offset
+	epoch     infra.Offset
+	known     infra.Offset
 	sequence  uint64
 	number    int
 	collected bool
@@ -49,7 +49,7 @@
 	clear(w.done)
 	h := &simHome{w: w, epoch: w.epoch, known: w.owners[len(w.owners)-1].shard.Epoch(), collected: len(w.homes) == 0}
 	for i := range tasks {
-		t := &simHomeTask{need: platform.Resources{MilliCPU: int64(1000 + 500*(i%4)), MemoryMiB: 1000}, hold: i%3 == 0}
+		t := &simHomeTask{need: infra.Resources{MilliCPU: int64(1000 + 500*(i%4)), MemoryMiB: 1000}, hold: i%3 == 0}
 		if i%6 == 0 {
 			t.need.Accelerators = 1
 		}
@@ -115,7 +115,7 @@
 	h.sequence++
 	t.sequence = h.sequence
 	h.to(Place{Shard: simShard, Home: simHomeUnit, HomeEpoch: h.epoch, ShardEpoch: h.known, AskedEpoch: t.asked, Sequence: h.sequence,
-		Attempt: t.attempt, Team: "team", Kind: Batch, Need: t.need, Hold: t.hold, Reserve: t.hold, Accepted: platform.Offset(1 + t.attempt.Index%4),
+		Attempt: t.attempt, Team: "team", Kind: Batch, Need: t.need, Hold: t.hold, Reserve: t.hold, Accepted: infra.Offset(1 + t.attempt.Index%4),
 		Urgent: t.attempt.Index%5 == 1, Checkpointable: t.attempt.Index%2 == 0, ExpectedRun: time.Duration(t.attempt.Index) * time.Second})
 }
 
--- a/placement/shard_memory.go
+++ b/placement/shard_memory.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 )
 
 // guardMemory looks after tasks that use more memory than they declared. While the
@@ -19,7 +19,7 @@
 		w.urgent = w.urgent || (part > 0 && !sl.throttled)
 		sl.throttled = part > 0
 	}
-	w.overuse = platform.Resources{MemoryMiB: over}
+	w.overuse = infra.Resources{MemoryMiB: over}
 	for w.committed.MemoryMiB+over > w.Capacity.MemoryMiB {
 		worst := w.worstMemory()
 		if worst == nil {
--- a/placement/shard_memory_test.go
+++ b/placement/shard_memory_test.go
@@ -7,7 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 )
 
 // A task uses more memory than it declared. While the worker has memory to spare
@@ -34,12 +34,12 @@
 			r.pass(time.Second)
 			for _, task := range r.workers["a"].tasks {
 				if strings.HasPrefix(task.Task.ID, "hog/") {
-					task.Usage = platform.Resources{MilliCPU: 1000, MemoryMiB: tt.uses}
+					task.Usage = infra.Resources{MilliCPU: 1000, MemoryMiB: tt.uses}
 					r.workers["a"].touch(task)
 				}
 			}
 			r.pass(500 * time.Millisecond)
-			var next platform.SyncRequest
+			var next infra.SyncRequest
 			for _, sl := range r.s.workers["a"].slots {
 				sl.order(&next)
 			}
--- a/placement/shard_orders.go
+++ b/placement/shard_orders.go
@@ -4,18 +4,18 @@
 	"sort"
 	"time"
 
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/ownership"
-	"github.com/knapweedweir/knapweedweir/platform"
 )
 
 // channel is what a shard knows of the messages of one home.
 type channel struct {
-	epoch    platform.Offset
+	epoch    infra.Offset
 	sequence uint64
 }
 
 // FenceHome notes the newest epoch of a home.
-func (s *Shard) FenceHome(home ownership.Unit, epoch platform.Offset) {
+func (s *Shard) FenceHome(home ownership.Unit, epoch infra.Offset) {
 	if epoch > s.homes[home].epoch {
 		s.homes[home] = channel{epoch: epoch}
 	}
@@ -24,7 +24,7 @@
 // current reports whether a home's epoch is the newest seen. A home that was
 // replaced while it was paused must not place anything any more: its successor
 // may already run the same task elsewhere.
-func (s *Shard) current(home ownership.Unit, epoch platform.Offset) bool {
+func (s *Shard) current(home ownership.Unit, epoch infra.Offset) bool {
 	s.FenceHome(home, epoch)
 	return epoch == s.homes[home].epoch
 }
--- a/placement/shard_place.go
+++ b/placement/shard_place.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 )
 
 // place answers a Place: with the attempt's worker when the shard has it, with a
@@ -64,7 +64,7 @@
 func (s *Shard) commit(q *query, w *worker, state slotState) *slot {
 	h := hintsOf(q.Place)
 	sl := &slot{attempt: q.Attempt, home: q.Home, hints: h, state: state, heldAt: q.now, hold: q.Hold,
-		task: platform.Task{ID: q.Attempt.TaskID(), Need: q.Need, Payload: q.Payload, Labels: h.labels()}}
+		task: infra.Task{ID: q.Attempt.TaskID(), Need: q.Need, Payload: q.Payload, Labels: h.labels()}}
 	if state == slotStarting && q.Hold {
 		sl.state = slotHeld
 	}
@@ -81,7 +81,7 @@
 			s.stop(sl, CauseWorkerLost, "worker "+w.ID+" has become smaller")
 		}
 	}
-	leaving := platform.Resources{}
+	leaving := infra.Resources{}
 	for i := len(w.slots) - 1; i >= 0 && !w.committed.Sub(leaving).Fits(w.Capacity); i-- {
 		if sl := w.slots[i]; sl.state != slotEnded {
 			s.stop(sl, CauseWorkerLost, "worker "+w.ID+" has become smaller")
--- a/placement/shard_poll.go
+++ b/placement/shard_poll.go
@@ -3,13 +3,13 @@
 import (
 	"time"
 
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 )
 
 // poll lets a request without orders wait at the worker for news, and asks only
 // for what has changed since the last answer. A request with orders is answered
 // at once, as its answer says whether they were carried out.
-func (s *Shard) poll(now time.Duration, w *worker, req *platform.SyncRequest) {
+func (s *Shard) poll(now time.Duration, w *worker, req *infra.SyncRequest) {
 	w.polling = 0
 	if !w.reconciled {
 		return
@@ -37,6 +37,6 @@
 
 // misread reports whether a partial report leaves out what was never known. Taken
 // for the truth it would hide tasks that run.
-func misread(req platform.SyncRequest, reply platform.SyncReply) bool {
+func misread(req infra.SyncRequest, reply infra.SyncReply) bool {
 	return reply.Partial && (req.Known == 0 || reply.Boot != req.Boot)
 }
--- a/placement/shard_poll_test.go
+++ b/placement/shard_poll_test.go
@@ -6,7 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 )
 
 // polled is a shard of one worker that runs one task, with a poll under way.
@@ -27,7 +27,7 @@
 func TestLostAnswerOfAPollIsAskedForAgain(t *testing.T) {
 	r, order := polled(t)
 	task := r.workers["w"].tasks[sortedIDs(r.workers["w"].tasks)[0]]
-	r.workers["w"].end(task, platform.TaskDone)
+	r.workers["w"].end(task, infra.TaskDone)
 	lost := r.obey(r.workers["w"], order.Request, r.now)
 	assert.Equal(t, len(lost.Tasks), 1)
 	r.told = nil
@@ -75,6 +75,6 @@
 	orders, _ := r.s.Step(r.now)
 	assert.Equal(t, orders[0].Request.Known, uint64(0))
 	heardAt := w.heardAt
-	r.hear(r.s.Synced(r.now, "w", orders[0].Request, platform.SyncReply{Token: 10, Boot: 1, Reading: 1, Partial: true}, nil))
+	r.hear(r.s.Synced(r.now, "w", orders[0].Request, infra.SyncReply{Token: 10, Boot: 1, Reading: 1, Partial: true}, nil))
 	assert.Equal(t, w.heardAt, heardAt)
 }
--- a/placement/shard_property_test.go
+++ b/placement/shard_property_test.go
@@ -9,7 +9,7 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 )
 
 func TestMain(m *testing.M) {
@@ -75,7 +75,7 @@
 	case "thaw":
 		w.workers[id].frozen = w.workers[id].dead()
 	case "replace worker":
-		defer w.relist(func(p platform.Worker) bool { return !w.workers[p.ID].dead() })
+		defer w.relist(func(p infra.Worker) bool { return !w.workers[p.ID].dead() })
 		// The old machine is only cut off: it runs on until its lease lapses.
 		old := w.workers[id]
 		w.cutOff = append(w.cutOff, old)
@@ -88,21 +88,21 @@
 				m.frozen, m.leaseEnd = true, -1
 			}
 		}
-		w.relist(func(p platform.Worker) bool { return !w.workers[p.ID].dead() })
+		w.relist(func(p infra.Worker) bool { return !w.workers[p.ID].dead() })
 	case "list flaps":
 		// For a moment the list lacks a worker that is there.
-		w.relist(func(p platform.Worker) bool { return !w.workers[p.ID].dead() && p.ID != id })
+		w.relist(func(p infra.Worker) bool { return !w.workers[p.ID].dead() && p.ID != id })
 		for range 10 {
 			w.tick()
 		}
-		w.relist(func(p platform.Worker) bool { return !w.workers[p.ID].dead() })
+		w.relist(func(p infra.Worker) bool { return !w.workers[p.ID].dead() })
 	case "shrink":
 		w.workers[id].Capacity.MilliCPU, w.workers[id].shrunkAt = 2000, w.now
-		w.relist(func(p platform.Worker) bool { return !w.workers[p.ID].dead() })
+		w.relist(func(p infra.Worker) bool { return !w.workers[p.ID].dead() })
 	}
 }
 
-func (w *world) relist(keep func(platform.Worker) bool) {
+func (w *world) relist(keep func(infra.Worker) bool) {
 	w.listed = nil
 	for _, id := range sortedIDs(w.workers) {
 		if p := w.workers[id].Worker; keep(p) {
--- a/placement/shard_rig_test.go
+++ b/placement/shard_rig_test.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 )
 
 // rig is one shard with its workers, without a network between them.
@@ -14,7 +14,7 @@
 	number int
 }
 
-func newRig(workers ...platform.Worker) *rig {
+func newRig(workers ...infra.Worker) *rig {
 	w := &world{now: time.Second, workers: map[string]*simWorker{}, done: map[string]bool{}}
 	w.plan = func(*simWorker, Attempt) (time.Duration, bool) { return time.Hour, false }
 	for _, p := range workers {
@@ -68,12 +68,12 @@
 
 func work(job string, milliCPU, memoryMiB, accelerators int64) Place {
 	return Place{Team: "team-" + job, Name: job, Kind: Batch, Attempt: Attempt{Job: job},
-		Need: platform.Resources{MilliCPU: milliCPU, MemoryMiB: memoryMiB, Accelerators: accelerators}}
+		Need: infra.Resources{MilliCPU: milliCPU, MemoryMiB: memoryMiB, Accelerators: accelerators}}
 }
 
-func machine(id string, milliCPU, memoryMiB, accelerators int64) platform.Worker {
-	return platform.Worker{ID: id, Rack: "r", Zone: "z",
-		Capacity: platform.Resources{MilliCPU: milliCPU, MemoryMiB: memoryMiB, Accelerators: accelerators}}
+func machine(id string, milliCPU, memoryMiB, accelerators int64) infra.Worker {
+	return infra.Worker{ID: id, Rack: "r", Zone: "z",
+		Capacity: infra.Resources{MilliCPU: milliCPU, MemoryMiB: memoryMiB, Accelerators: accelerators}}
 }
 
 // last returns the newest news of a job.
--- a/placement/shard_status.go
+++ b/placement/shard_status.go
@@ -3,7 +3,7 @@
 import (
 	"sort"
 
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 )
 
 // Digest returns the shard's free room.
@@ -18,7 +18,7 @@
 		d.Total = d.Total.Add(w.Capacity)
 		d.Largest = larger(d.Largest, w.Capacity)
 		if w.takesTasks() {
-			d.Free = d.Free.Add(larger(w.free(), platform.Resources{}))
+			d.Free = d.Free.Add(larger(w.free(), infra.Resources{}))
 		}
 	}
 	return d
@@ -26,13 +26,13 @@
 
 // WorkerStatus is one worker as its owner sees it.
 type WorkerStatus struct {
-	ID         string             `json:"id"`
-	Rack       string             `json:"rack"`
-	Zone       string             `json:"zone"`
-	Capacity   platform.Resources `json:"capacity"`
-	Free       platform.Resources `json:"free"`
-	Listed     bool               `json:"listed"`
-	Reconciled bool               `json:"reconciled"`
+	ID         string          `json:"id"`
+	Rack       string          `json:"rack"`
+	Zone       string          `json:"zone"`
+	Capacity   infra.Resources `json:"capacity"`
+	Free       infra.Resources `json:"free"`
+	Listed     bool            `json:"listed"`
+	Reconciled bool            `json:"reconciled"`
 	// Suspect workers get one task at a time; Quarantine says why a worker gets
 	// none.
 	Suspect    bool     `json:"suspect,omitempty"`
--- a/placement/shard_sync.go
+++ b/placement/shard_sync.go
@@ -4,8 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/ownership"
-	"github.com/knapweedweir/knapweedweir/platform"
 )
 
 // SyncOrder asks the caller to send a request to a worker and to bring the
@@ -13,7 +13,7 @@
 type SyncOrder struct {
 	Shard   ownership.Unit
 	Worker  string
-	Request platform.SyncRequest
+	Request infra.SyncRequest
 }
 
 // sync makes the next request to a worker. Orders are repeated in each request
@@ -21,7 +21,7 @@
 func (s *Shard) sync(now time.Duration, w *worker) SyncOrder {
 	w.sequence++
 	w.inflight, w.urgent, w.sentAt = true, false, now
-	req := platform.SyncRequest{Token: s.epoch, Sequence: w.sequence, Boot: w.boot, AsOf: w.reading, LeaseMillis: s.cfg.Lease.Milliseconds()}
+	req := infra.SyncRequest{Token: s.epoch, Sequence: w.sequence, Boot: w.boot, AsOf: w.reading, LeaseMillis: s.cfg.Lease.Milliseconds()}
 	req.Forgets = append(req.Forgets, w.forgets...)
 	if w.reconciled {
 		for _, sl := range w.slots {
@@ -32,7 +32,7 @@
 	return SyncOrder{Shard: s.unit, Worker: w.ID, Request: req}
 }
 
-func (sl *slot) order(req *platform.SyncRequest) {
+func (sl *slot) order(req *infra.SyncRequest) {
 	switch {
 	case sl.state == slotEnded || sl.missingUntil > 0:
 	case sl.stop:
@@ -54,7 +54,7 @@
 // Only the first answer to the newest request counts. An older answer tells of
 // a time before the newest orders, and a repeated one may come from the machine
 // that has been replaced under the same ID.
-func (s *Shard) Synced(now time.Duration, id string, req platform.SyncRequest, reply platform.SyncReply, err error) []Message {
+func (s *Shard) Synced(now time.Duration, id string, req infra.SyncRequest, reply infra.SyncReply, err error) []Message {
 	w, ok := s.workers[id]
 	if !ok || req.Token != s.epoch || req.Sequence != w.sequence || !w.inflight {
 		return nil
@@ -89,7 +89,7 @@
 // its lease lapses; those that this owner knows are lost no sooner. What a
 // predecessor started there is not known, so settledAt holds back answers that
 // need to know all until then.
-func (s *Shard) newMachine(now time.Duration, w *worker, reply platform.SyncReply) {
+func (s *Shard) newMachine(now time.Duration, w *worker, reply infra.SyncReply) {
 	until := w.heardAt + s.leaseTime()
 	for _, sl := range w.slots {
 		if sl.state == slotRunning || (sl.state == slotStarting && sl.sent) {
@@ -107,7 +107,7 @@
 // reconcile brings the slots in line with what the worker says, which is the
 // truth: a start it does not list was not obeyed, a task it lists is running.
 // A partial report does not list what has not changed; a start would be a change.
-func (s *Shard) reconcile(now time.Duration, w *worker, req platform.SyncRequest, reply platform.SyncReply) []Message {
+func (s *Shard) reconcile(now time.Duration, w *worker, req infra.SyncRequest, reply infra.SyncReply) []Message {
 	var out []Message
 	reports := reply.Tasks
 	for _, sl := range w.slots {
@@ -146,7 +146,7 @@
 
 // gone ends a slot that the worker's report does not list, if that proves that
 // it doesn't run and never will.
-func (s *Shard) gone(sl *slot, req platform.SyncRequest, partial bool) bool {
+func (s *Shard) gone(sl *slot, req infra.SyncRequest, partial bool) bool {
 	switch {
 	case sl.state == slotEnded || sl.state <= slotHeld || sl.missingUntil > 0:
 		return false
@@ -166,7 +166,7 @@
 	return true
 }
 
-func startedBy(req platform.SyncRequest, id string) bool {
+func startedBy(req infra.SyncRequest, id string) bool {
 	for i := range req.Starts {
 		if req.Starts[i].ID == id {
 			return true
@@ -183,7 +183,7 @@
 }
 
 // adopt takes over a task that a predecessor started.
-func (s *Shard) adopt(w *worker, r *platform.TaskReport) *slot {
+func (s *Shard) adopt(w *worker, r *infra.TaskReport) *slot {
 	attempt, err := ParseAttempt(r.Task.ID)
 	if err != nil || s.slots[attempt] != nil {
 		return nil
@@ -194,7 +194,7 @@
 }
 
 // update takes in a report of a task and tells whether its state changed.
-func (s *Shard) update(now time.Duration, sl *slot, r *platform.TaskReport) bool {
+func (s *Shard) update(now time.Duration, sl *slot, r *infra.TaskReport) bool {
 	before := sl.state
 	if before == slotEnded {
 		// A task that was given up runs after all. It is stopped, and its room is
@@ -208,15 +208,15 @@
 	sl.run, sl.ranAt = time.Duration(r.RunTime)*time.Millisecond, now
 	sl.usage, sl.memory = larger(sl.usage, r.Usage), r.Usage.MemoryMiB
 	switch r.State {
-	case platform.TaskRunning:
+	case infra.TaskRunning:
 		sl.state = slotRunning
-	case platform.TaskDone:
+	case infra.TaskDone:
 		s.end(sl, AttemptDone, "", "")
 		s.ranWell(now, sl)
-	case platform.TaskFailed:
+	case infra.TaskFailed:
 		s.end(sl, AttemptFailed, CauseExit, r.Reason)
 		s.ranBadly(now, sl)
-	case platform.TaskStopped:
+	case infra.TaskStopped:
 		s.endStopped(sl, r.Reason)
 	}
 	return sl.state != before
@@ -238,8 +238,8 @@
 	}
 }
 
-func larger(a, b platform.Resources) platform.Resources {
-	return platform.Resources{MilliCPU: max(a.MilliCPU, b.MilliCPU), MemoryMiB: max(a.MemoryMiB, b.MemoryMiB),
+func larger(a, b infra.Resources) infra.Resources {
+	return infra.Resources{MilliCPU: max(a.MilliCPU, b.MilliCPU), MemoryMiB: max(a.MemoryMiB, b.MemoryMiB),
 		Accelerators: max(a.Accelerators, b.Accelerators)}
 }
 
--- a/placement/shard_worker.go
+++ b/placement/shard_worker.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/ownership"
-	"github.com/knapweedweir/knapweedweir/platform"
 )
 
 type slotState int
@@ -29,7 +29,7 @@
 	worker  *worker
 	// at is the slot's index in worker.slots.
 	at    int
-	task  platform.Task
+	task  infra.Task
 	hints hints
 	state slotState
 	// sent means that a start was handed to the network: from then on the
@@ -41,7 +41,7 @@
 	// run is how long the task had run by its last report, which came at ranAt.
 	run   time.Duration
 	ranAt time.Duration
-	usage platform.Resources
+	usage infra.Resources
 	// memory is what the newest report says the task uses, in MiB.
 	memory int64
 	// throttled means that the task is above its need and is to be throttled.
@@ -73,7 +73,7 @@
 
 // worker is one worker as its owner sees it.
 type worker struct {
-	platform.Worker
+	infra.Worker
 	// listed means that the platform's list has the worker.
 	listed bool
 	// listedAt is when it was last on the list, for one that no longer is.
@@ -103,15 +103,15 @@
 	urgent  bool
 	slots   []*slot
 	// committed is what the slots that have not ended need together.
-	committed platform.Resources
+	committed infra.Resources
 	// claimed is what the waiting slots need together; leaving is what the
 	// running ones need that have been told to stop.
-	claimed platform.Resources
-	leaving platform.Resources
+	claimed infra.Resources
+	leaving infra.Resources
 	waiting int
 	held    int
 	// overuse is what tasks use above their needs; it is kept from others.
-	overuse platform.Resources
+	overuse infra.Resources
 	health  health
 	// peers is used within one search: the tasks of the job that are here.
 	peers   int
@@ -120,10 +120,10 @@
 }
 
 // free is the room that is neither committed nor claimed.
-func (w *worker) free() platform.Resources { return w.uncommitted().Sub(w.claimed) }
+func (w *worker) free() infra.Resources { return w.uncommitted().Sub(w.claimed) }
 
 // uncommitted is the room that a waiting task may start in.
-func (w *worker) uncommitted() platform.Resources {
+func (w *worker) uncommitted() infra.Resources {
 	return w.Capacity.Sub(w.committed).Sub(w.overuse)
 }
 
--- a/placement/shard_world_test.go
+++ b/placement/shard_world_test.go
@@ -7,13 +7,13 @@
 	"sort"
 	"time"
 
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/ownership"
-	"github.com/knapweedweir/knapweedweir/platform"
 )
 
 // simTask is one task at a simWorker.
 type simTask struct {
-	platform.TaskReport
+	infra.TaskReport
 	// change is the machine's change count when the task last changed.
 	change    uint64
 	startedAt time.Duration
@@ -23,12 +23,12 @@
 
 // simWorker keeps the promises of docs/PLATFORM.md in memory, in virtual time.
 type simWorker struct {
-	platform.Worker
+	infra.Worker
 	// booted is the clock's zero: readings of a replaced worker start anew.
 	booted   time.Duration
 	boot     uint64
 	shrunkAt time.Duration
-	token    platform.Offset
+	token    infra.Offset
 	sequence uint64
 	leaseEnd time.Duration
 	change   uint64
@@ -41,7 +41,7 @@
 	t.change = w.change
 }
 
-func (w *simWorker) end(t *simTask, state platform.TaskState) {
+func (w *simWorker) end(t *simTask, state infra.TaskState) {
 	t.State = state
 	w.touch(t)
 }
@@ -51,8 +51,8 @@
 // dead reports whether the machine has stopped for good.
 func (w *simWorker) dead() bool { return w.leaseEnd < 0 }
 
-func (w *simWorker) used() platform.Resources {
-	var used platform.Resources
+func (w *simWorker) used() infra.Resources {
+	var used infra.Resources
 	for _, t := range w.tasks {
 		if !t.State.Ended() {
 			used = used.Add(t.Task.Need)
@@ -68,11 +68,11 @@
 		}
 		switch {
 		case t.endsAt <= now && t.endsAt <= w.leaseEnd && t.fails:
-			w.end(t, platform.TaskFailed)
+			w.end(t, infra.TaskFailed)
 		case t.endsAt <= now && t.endsAt <= w.leaseEnd:
-			w.end(t, platform.TaskDone)
+			w.end(t, infra.TaskDone)
 		case w.leaseEnd < now:
-			w.end(t, platform.TaskStopped)
+			w.end(t, infra.TaskStopped)
 		}
 	}
 }
@@ -87,12 +87,12 @@
 	workers map[string]*simWorker
 	// cutOff are machines that others have replaced under the same ID.
 	cutOff  []*simWorker
-	listed  []platform.Worker
+	listed  []infra.Worker
 	owners  []*simOwner
 	homes   []*simHome
 	packets []packet
 	polls   []simPoll
-	epoch   platform.Offset
+	epoch   infra.Offset
 	broken  []string
 	starts  int
 	done    map[string]bool
@@ -103,9 +103,9 @@
 // simPoll is a request whose answer a machine holds back.
 type simPoll struct {
 	machine *simWorker
-	request platform.SyncRequest
+	request infra.SyncRequest
 	until   time.Duration
-	answer  func(platform.SyncReply)
+	answer  func(infra.SyncReply)
 }
 
 type packet struct {
@@ -130,7 +130,7 @@
 	}
 	for i := range 3 {
 		id := fmt.Sprintf("w%d", i)
-		worker := platform.Worker{ID: id, Rack: "r", Zone: "z", Capacity: platform.Resources{MilliCPU: 4000, MemoryMiB: 4000, Accelerators: int64(i % 2)}}
+		worker := infra.Worker{ID: id, Rack: "r", Zone: "z", Capacity: infra.Resources{MilliCPU: 4000, MemoryMiB: 4000, Accelerators: int64(i % 2)}}
 		w.workers[id] = &simWorker{Worker: worker, booted: -time.Hour, boot: 1, tasks: map[string]*simTask{}}
 		w.listed = append(w.listed, worker)
 	}
@@ -252,7 +252,7 @@
 		return
 	}
 	reply := w.obey(wk, order.Request, made)
-	answer := func(reply platform.SyncReply) {
+	answer := func(reply infra.SyncReply) {
 		w.send(func() {
 			if o.paused {
 				return
@@ -285,7 +285,7 @@
 	w.polls = kept
 }
 
-func (w *world) obey(wk *simWorker, req platform.SyncRequest, made time.Duration) platform.SyncReply {
+func (w *world) obey(wk *simWorker, req infra.SyncRequest, made time.Duration) infra.SyncReply {
 	wk.advance(w.now)
 	refused := ""
 	switch {
@@ -301,8 +301,8 @@
 }
 
 // tell lists all tasks, or those that changed after what the owner knows.
-func (w *world) tell(wk *simWorker, req platform.SyncRequest, refused string) platform.SyncReply {
-	reply := platform.SyncReply{Boot: wk.boot, UpMillis: (w.now - wk.booted).Milliseconds(), Reading: wk.reading(w.now),
+func (w *world) tell(wk *simWorker, req infra.SyncRequest, refused string) infra.SyncReply {
+	reply := infra.SyncReply{Boot: wk.boot, UpMillis: (w.now - wk.booted).Milliseconds(), Reading: wk.reading(w.now),
 		Refused: refused, Token: wk.token, Change: wk.change, Partial: req.Known > 0 && req.Boot == wk.boot && req.Known <= wk.change}
 	for _, id := range sortedIDs(wk.tasks) {
 		t := wk.tasks[id]
@@ -317,7 +317,7 @@
 	return reply
 }
 
-func (w *world) carryOut(wk *simWorker, req platform.SyncRequest, made time.Duration) {
+func (w *world) carryOut(wk *simWorker, req infra.SyncRequest, made time.Duration) {
 	if req.AsOf > 0 && req.Boot == wk.boot {
 		wk.leaseEnd = max(wk.leaseEnd, wk.booted+time.Duration(req.AsOf+req.LeaseMillis)*time.Millisecond)
 	}
@@ -329,7 +329,7 @@
 	for _, id := range req.Stops {
 		if t, ok := wk.tasks[id]; ok && !t.State.Ended() {
 			t.Reason = "stopped"
-			wk.end(t, platform.TaskStopped)
+			wk.end(t, infra.TaskStopped)
 		}
 	}
 	if w.now > wk.leaseEnd || req.Boot != wk.boot {
@@ -342,7 +342,7 @@
 	}
 }
 
-func (w *world) start(wk *simWorker, t platform.Task, made time.Duration) {
+func (w *world) start(wk *simWorker, t infra.Task, made time.Duration) {
 	w.starts++
 	// A start that was on its way when the worker became smaller is nobody's fault.
 	if used := wk.used().Add(t.Need); made > wk.shrunkAt && !used.Fits(wk.Capacity) {
@@ -366,7 +366,7 @@
 		}
 	}
 	run, fails := w.plan(wk, attempt)
-	wk.tasks[t.ID] = &simTask{TaskReport: platform.TaskReport{Task: t, State: platform.TaskRunning, Usage: t.Need},
+	wk.tasks[t.ID] = &simTask{TaskReport: infra.TaskReport{Task: t, State: infra.TaskRunning, Usage: t.Need},
 		startedAt: w.now, endsAt: w.now + run, fails: fails}
 	wk.touch(wk.tasks[t.ID])
 }
@@ -388,15 +388,15 @@
 			if !w.shrunk(wk.ID) && !wk.committed.Fits(wk.Capacity) {
 				w.fault("the owner of epoch %d has committed %s at %s, which has %s", o.shard.Epoch(), wk.committed, wk.ID, wk.Capacity)
 			}
-			if sum := sumOf(wk); sum != [3]platform.Resources{wk.committed, wk.claimed, wk.leaving} {
+			if sum := sumOf(wk); sum != [3]infra.Resources{wk.committed, wk.claimed, wk.leaving} {
 				w.fault("the owner of epoch %d counts %v at %s, its slots sum up to %v", o.shard.Epoch(),
-					[3]platform.Resources{wk.committed, wk.claimed, wk.leaving}, wk.ID, sum)
+					[3]infra.Resources{wk.committed, wk.claimed, wk.leaving}, wk.ID, sum)
 			}
 		}
 	}
 }
 
-func sumOf(w *worker) (sum [3]platform.Resources) {
+func sumOf(w *worker) (sum [3]infra.Resources) {
 	for _, sl := range w.slots {
 		switch sl.state {
 		case slotWaiting:
@@ -422,7 +422,7 @@
 }
 
 // toShard delivers to the owner that the home believes in.
-func (w *world) toShard(epoch platform.Offset, m Message) {
+func (w *world) toShard(epoch infra.Offset, m Message) {
 	w.send(func() {
 		for _, o := range w.owners {
 			if o.shard.Epoch() == epoch && !o.paused {
--- a/scenario/commands_test.go
+++ b/scenario/commands_test.go
@@ -15,7 +15,7 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/standin/cell"
 	"github.com/knapweedweir/knapweedweir/standin/fakeplatform"
 	"github.com/knapweedweir/knapweedweir/standin/load"
@@ -152,8 +152,8 @@
 
 func cmdCell(ts *testscript.TestScript, _ bool, args []string) {
 	o := options(args)
-	workers := cell.Workers("desk", number(ts, o["workers"], 6), 2, 3, platform.Resources{MilliCPU: 16000, MemoryMiB: 32 << 10})
-	workers = append(workers, cell.Workers("bench", 2, 2, 3, platform.Resources{MilliCPU: 64000, MemoryMiB: 256 << 10, Accelerators: 8})...)
+	workers := cell.Workers("desk", number(ts, o["workers"], 6), 2, 3, infra.Resources{MilliCPU: 16000, MemoryMiB: 32 << 10})
+	workers = append(workers, cell.Workers("bench", 2, 2, 3, infra.Resources{MilliCPU: 64000, MemoryMiB: 256 << 10, Accelerators: 8})...)
 	spec := cell.Spec{Pairs: number(ts, o["pairs"], 3), Zones: 3, Workers: workers, Lease: duration(ts, o["lease"]), Runners: []cell.RunnerGroup{
 		{Service: "order-desk", Count: 3, Work: 5 * time.Millisecond}, {Service: "inspection", Count: 2, Work: 20 * time.Millisecond}}}
 	spec.Retention = number(ts, o["retention"], 0)
@@ -350,10 +350,10 @@
 func cmdList(ts *testscript.TestScript, _ bool, args []string) {
 	need(ts, args, 2)
 	c := of(ts).cell
-	var list []platform.Instance
+	var list []infra.Instance
 	for _, i := range c.Instances {
 		if i.ID == args[0] {
-			i.State = platform.InstanceState(args[1])
+			i.State = infra.InstanceState(args[1])
 		}
 		if i.State != "gone" {
 			list = append(list, i)
--- a/scenario/inforce_test.go
+++ b/scenario/inforce_test.go
@@ -13,7 +13,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"gotest.tools/v3/assert"
 
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/standin/cell"
 )
 
@@ -22,7 +22,7 @@
 // prints how long each takes to its answer and until all entries have it.
 func BenchmarkTimeToInForce(b *testing.B) {
 	const perSecond, changes, pairs = 50, 500, 7
-	workers := cell.Workers("desk", 6, 2, 3, platform.Resources{MilliCPU: 16000, MemoryMiB: 32 << 10})
+	workers := cell.Workers("desk", 6, 2, 3, infra.Resources{MilliCPU: 16000, MemoryMiB: 32 << 10})
 	c, err := cell.Start(bin, b.TempDir(), cell.Spec{Pairs: pairs, Zones: 3, Workers: workers})
 	assert.NilError(b, err)
 	defer c.Close()
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -8,8 +8,8 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/logstream"
-	"github.com/knapweedweir/knapweedweir/platform"
 )
 
 // KindKeys is the record kind of a change of keys.
@@ -40,7 +40,7 @@
 	// Owner is a team or RootOwner.
 	Owner string `json:"owner"`
 	// Base is the version of the owner's keys that the change replaces.
-	Base platform.Offset `json:"base"`
+	Base infra.Offset `json:"base"`
 	// Keys are the new keys; any one of them may sign. A spare that is kept
 	// elsewhere is what a lost root key is replaced with. A team without keys
 	// can't be changed.
@@ -52,8 +52,8 @@
 
 // KeySet is an owner's keys in force since an offset.
 type KeySet struct {
-	Offset platform.Offset `json:"offset"`
-	Keys   []PublicKey     `json:"keys"`
+	Offset infra.Offset `json:"offset"`
+	Keys   []PublicKey  `json:"keys"`
 }
 
 // ForbiddenError is the ruling on a change by somebody who does not own what it
@@ -138,7 +138,7 @@
 	return nil
 }
 
-func (t *Tree) applyKeys(at platform.Offset, rec logstream.Record) error {
+func (t *Tree) applyKeys(at infra.Offset, rec logstream.Record) error {
 	var c KeyChange
 	if err := json.Unmarshal(rec.Body, &c); err != nil {
 		return errors.Wrap(err, "decode change of keys")
--- a/settings/keys_test.go
+++ b/settings/keys_test.go
@@ -9,8 +9,8 @@
 	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/logstream"
-	"github.com/knapweedweir/knapweedweir/platform"
 )
 
 func testKey(n byte) (ed25519.PrivateKey, PublicKey) {
@@ -20,12 +20,12 @@
 	return key, PublicKey(base64.StdEncoding.EncodeToString(key.Public().(ed25519.PublicKey)))
 }
 
-func apply(tree *Tree, at platform.Offset, kind logstream.Kind, body any) error {
+func apply(tree *Tree, at infra.Offset, kind logstream.Kind, body any) error {
 	data, _ := json.Marshal(body)
 	return tree.Apply(at, logstream.Record{Kind: kind, Body: data})
 }
 
-func change(team string, base platform.Offset) Change {
+func change(team string, base infra.Offset) Change {
 	return Change{Team: team, Base: base, File: team + ".jsonc", Document: `{"quota": {"milliCpu": 1000, "memoryMiB": 1024}}`}
 }
 
@@ -98,7 +98,7 @@
 	assert.NilError(t, apply(tree, 2, KindChange, change("desk", 1)))
 	var conflict *ConflictError
 	assert.Assert(t, errors.As(apply(tree, 3, KindChange, change("desk", 1)), &conflict))
-	assert.Equal(t, conflict.Current, platform.Offset(2))
+	assert.Equal(t, conflict.Current, infra.Offset(2))
 }
 
 // A document was accepted by an earlier build whose checks were weaker. A newer
@@ -109,7 +109,7 @@
 	assert.NilError(t, err)
 	v, ok := tree.Team("desk")
 	assert.Assert(t, ok)
-	assert.Equal(t, v.Offset, platform.Offset(4))
+	assert.Equal(t, v.Offset, infra.Offset(4))
 	assert.DeepEqual(t, tree.Teams(), []string{"desk", "lab"})
 }
 
