--- a/settings/team.go
+++ b/settings/team.go
@@ -7,7 +7,7 @@
 	"sort"
 	"strings"
 
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/settings/jsonc"
 )
 
@@ -15,10 +15,10 @@
 type Team struct {
 	// Quota is what the team's running tasks may use at once. A zero amount
 	// means no limit of its own.
-	Quota platform.Resources `json:"quota"`
+	Quota infra.Resources `json:"quota"`
 	// Borrow is what they may use beyond the quota while others leave room.
 	// Such tasks are the first to give way.
-	Borrow platform.Resources `json:"borrow"`
+	Borrow infra.Resources `json:"borrow"`
 	// Services are the upstream services the team's callers may reach.
 	Services map[string]Service `json:"services"`
 	// Policies say how the team's jobs are treated, by kind of job: "service",
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -9,8 +9,8 @@
 	"github.com/pkg/errors"
 	"github.com/tailscale/hujson"
 
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/logstream"
-	"github.com/knapweedweir/knapweedweir/platform"
 	"github.com/knapweedweir/knapweedweir/settings/jsonc"
 )
 
@@ -22,7 +22,7 @@
 	Team string `json:"team"`
 	// Base is the version the author saw; a change of any other version is
 	// refused, so that racing operators never overwrite each other unseen.
-	Base platform.Offset `json:"base"`
+	Base infra.Offset `json:"base"`
 	// File names the document in findings.
 	File string `json:"file"`
 	// Document is JSON with comments, as the operator wrote it.
@@ -34,7 +34,7 @@
 // ConflictError is the ruling on a change that names an old base version.
 type ConflictError struct {
 	Team          string
-	Base, Current platform.Offset
+	Base, Current infra.Offset
 }
 
 func (e *ConflictError) Error() string {
@@ -74,10 +74,10 @@
 
 // Version is a team's settings in force since an offset.
 type Version struct {
-	Offset   platform.Offset `json:"offset"`
-	File     string          `json:"file"`
-	Document string          `json:"document"`
-	Team     Team            `json:"-"`
+	Offset   infra.Offset `json:"offset"`
+	File     string       `json:"file"`
+	Document string       `json:"document"`
+	Team     Team         `json:"-"`
 }
 
 // Tree is the settings of all teams. It implements logstream.Reducer.
@@ -96,7 +96,7 @@
 func (t *Tree) Kinds() []logstream.Kind { return []logstream.Kind{KindChange, KindKeys} }
 
 // Apply implements logstream.Reducer.
-func (t *Tree) Apply(at platform.Offset, rec logstream.Record) error {
+func (t *Tree) Apply(at infra.Offset, rec logstream.Record) error {
 	if rec.Kind == KindKeys {
 		return t.applyKeys(at, rec)
 	}
--- a/standin/capacity/home.go
+++ b/standin/capacity/home.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"github.com/knapweedweir/knapweedweir/control/api"
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/ownership"
 	"github.com/knapweedweir/knapweedweir/placement"
-	"github.com/knapweedweir/knapweedweir/platform"
 	"github.com/knapweedweir/knapweedweir/settings"
 )
 
@@ -20,7 +20,7 @@
 	tasks int
 }
 
-const homeEpoch = platform.Offset(100)
+const homeEpoch = infra.Offset(100)
 
 func newPlayedHome() *playedHome {
 	const shards = 20
@@ -31,7 +31,7 @@
 	}
 	p.home.SetShards(units)
 	p.home.Step(p.now)
-	room := platform.Resources{MilliCPU: 1 << 40, MemoryMiB: 1 << 40, Accelerators: 1 << 20}
+	room := infra.Resources{MilliCPU: 1 << 40, MemoryMiB: 1 << 40, Accelerators: 1 << 20}
 	for _, u := range units {
 		p.home.SetDigest(p.now, placement.Digest{Shard: u, Epoch: 50, Workers: 30, Total: room, Free: room, Largest: room})
 		p.home.Handle(p.now, placement.Collected{Home: ownership.HomeUnit(1), Shard: u, HomeEpoch: homeEpoch})
@@ -44,7 +44,7 @@
 func (p *playedHome) start() placement.Place {
 	p.tasks++
 	p.now += time.Millisecond
-	p.home.AddJob(p.now, placement.Job{Spec: spec(p.tasks, 1), Accepted: homeEpoch + platform.Offset(p.tasks), State: placement.JobOpen})
+	p.home.AddJob(p.now, placement.Job{Spec: spec(p.tasks, 1), Accepted: homeEpoch + infra.Offset(p.tasks), State: placement.JobOpen})
 	msgs, _ := p.home.Step(p.now)
 	var asked placement.Place
 	for _, m := range msgs {
--- a/standin/capacity/log.go
+++ b/standin/capacity/log.go
@@ -4,10 +4,10 @@
 	"encoding/json"
 	"fmt"
 
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/logstream"
 	"github.com/knapweedweir/knapweedweir/ownership"
 	"github.com/knapweedweir/knapweedweir/placement"
-	"github.com/knapweedweir/knapweedweir/platform"
 	"github.com/knapweedweir/knapweedweir/settings"
 )
 
@@ -19,7 +19,7 @@
 
 const teams = 170
 
-var need = platform.Resources{MilliCPU: 2000, MemoryMiB: 2048}
+var need = infra.Resources{MilliCPU: 2000, MemoryMiB: 2048}
 
 // record encodes one record as the committer does.
 func record(seq uint64, kind logstream.Kind, body any) []byte {
@@ -45,7 +45,7 @@
   "policies": {"service": {"priority": 60, "spread": true}, "batch": {"priority": 30}, "gang": {"priority": 40}}
 }`
 
-func change(team int, base platform.Offset) settings.Change {
+func change(team int, base infra.Offset) settings.Change {
 	return settings.Change{Team: fmt.Sprintf("team-%03d", team), Base: base, File: "team.jsonc", Document: teamDocument}
 }
 
@@ -63,7 +63,7 @@
 func jobsView(n int) *logstream.View {
 	v := logstream.NewView(placement.NewRegistry())
 	for i := range n {
-		v.Apply(platform.Entry{Offset: platform.Offset(i + 1), Data: record(uint64(i+1), placement.KindAccept, spec(i, 1))})
+		v.Apply(infra.Entry{Offset: infra.Offset(i + 1), Data: record(uint64(i+1), placement.KindAccept, spec(i, 1))})
 	}
 	return v
 }
@@ -83,9 +83,9 @@
 	changes := Slope{Role: "kw-sched", What: "view: reducing settings changes", SizeUnit: "record", CostUnit: "us"}
 	for _, n := range []int{100, 500, 2000} {
 		changes.Points = append(changes.Points, Point{float64(n), timeReduce(n, func(i int) []byte {
-			base := platform.Offset(0)
+			base := infra.Offset(0)
 			if i >= teams {
-				base = platform.Offset(i + 1 - teams)
+				base = infra.Offset(i + 1 - teams)
 			}
 			return record(uint64(i+1), settings.KindChange, change(i%teams, base))
 		}, func() logstream.Reducer { return settings.NewTree() })})
@@ -95,9 +95,9 @@
 
 // timeReduce returns the microseconds that reducing n records takes.
 func timeReduce(n int, make1 func(i int) []byte, reducer func() logstream.Reducer) float64 {
-	entries := make([]platform.Entry, n)
+	entries := make([]infra.Entry, n)
 	for i := range n {
-		entries[i] = platform.Entry{Offset: platform.Offset(i + 1), Data: make1(i)}
+		entries[i] = infra.Entry{Offset: infra.Offset(i + 1), Data: make1(i)}
 	}
 	return perCall(func() {
 		v := logstream.NewView(reducer())
--- a/standin/capacity/poll.go
+++ b/standin/capacity/poll.go
@@ -7,9 +7,9 @@
 	"sort"
 	"time"
 
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/ownership"
 	"github.com/knapweedweir/knapweedweir/placement"
-	"github.com/knapweedweir/knapweedweir/platform"
 )
 
 // exchangeOverhead is the bytes of one HTTP request and its answer besides their
@@ -39,7 +39,7 @@
 }
 
 type polledTask struct {
-	platform.TaskReport
+	infra.TaskReport
 	change uint64
 	ends   time.Duration
 }
@@ -136,7 +136,7 @@
 func (r *pollRig) exchange(o placement.SyncOrder) {
 	w := r.workers[o.Worker]
 	if w.poll != nil {
-		r.count(w.poll.Request, platform.SyncReply{Refused: "a newer request has come"})
+		r.count(w.poll.Request, infra.SyncReply{Refused: "a newer request has come"})
 		w.poll = nil
 	}
 	w.obey(r.now, o.Request)
@@ -148,7 +148,7 @@
 }
 
 func (r *pollRig) answer(w *polledWorker, o placement.SyncOrder) {
-	reply := platform.SyncReply{Token: o.Request.Token, Reading: r.now.Milliseconds(), Change: w.change, Partial: o.Request.Known > 0 && !r.full}
+	reply := infra.SyncReply{Token: o.Request.Token, Reading: r.now.Milliseconds(), Change: w.change, Partial: o.Request.Known > 0 && !r.full}
 	ids := make([]string, 0, len(w.tasks))
 	for id := range w.tasks {
 		ids = append(ids, id)
@@ -165,7 +165,7 @@
 	r.homes(w.shard, w.shard.Synced(r.now, o.Worker, o.Request, reply, nil))
 }
 
-func (r *pollRig) count(req platform.SyncRequest, reply platform.SyncReply) {
+func (r *pollRig) count(req infra.SyncRequest, reply infra.SyncReply) {
 	out, _ := json.Marshal(req)
 	in, _ := json.Marshal(reply)
 	r.bytes += len(out) + len(in) + exchangeOverhead
@@ -174,8 +174,8 @@
 
 func (w *polledWorker) advance(now time.Duration) {
 	for _, t := range w.tasks {
-		if t.State == platform.TaskRunning && t.ends <= now {
-			t.State = platform.TaskDone
+		if t.State == infra.TaskRunning && t.ends <= now {
+			t.State = infra.TaskDone
 			w.touch(t)
 		}
 	}
@@ -186,7 +186,7 @@
 	t.change = w.change
 }
 
-func (w *polledWorker) obey(now time.Duration, req platform.SyncRequest) {
+func (w *polledWorker) obey(now time.Duration, req infra.SyncRequest) {
 	for _, id := range req.Forgets {
 		delete(w.tasks, id)
 	}
@@ -196,7 +196,7 @@
 		}
 		var plan struct{ RunMillis int64 }
 		_ = json.Unmarshal(t.Payload, &plan)
-		run := &polledTask{TaskReport: platform.TaskReport{Task: t, State: platform.TaskRunning, Usage: t.Need},
+		run := &polledTask{TaskReport: infra.TaskReport{Task: t, State: infra.TaskRunning, Usage: t.Need},
 			ends: now + time.Duration(plan.RunMillis)*time.Millisecond}
 		w.tasks[t.ID] = run
 		w.touch(run)
--- a/standin/capacity/shard.go
+++ b/standin/capacity/shard.go
@@ -5,9 +5,9 @@
 	"fmt"
 	"time"
 
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/ownership"
 	"github.com/knapweedweir/knapweedweir/placement"
-	"github.com/knapweedweir/knapweedweir/platform"
 )
 
 // Sizes of a rack and of what runs in it at the letter's size.
@@ -20,18 +20,18 @@
 type rack struct {
 	shard   *placement.Shard
 	now     time.Duration
-	reports map[string][]platform.TaskReport
+	reports map[string][]infra.TaskReport
 }
 
 func newRack(i int) *rack { return newRackWith(i, placement.DefaultShardConfig) }
 
 func newRackWith(i int, cfg placement.ShardConfig) *rack {
 	unit := ownership.ShardUnit(fmt.Sprintf("rack-%04d", i))
-	r := &rack{shard: placement.NewShard(unit, 10, cfg), now: time.Second, reports: map[string][]platform.TaskReport{}}
-	list := make([]platform.Worker, workersPerRack)
+	r := &rack{shard: placement.NewShard(unit, 10, cfg), now: time.Second, reports: map[string][]infra.TaskReport{}}
+	list := make([]infra.Worker, workersPerRack)
 	for k := range list {
-		list[k] = platform.Worker{ID: fmt.Sprintf("rack-%04d-%02d", i, k), Zone: "zone-1", Rack: fmt.Sprintf("rack-%04d", i),
-			Capacity: platform.Resources{MilliCPU: 64000, MemoryMiB: 256 << 10, Accelerators: 2}}
+		list[k] = infra.Worker{ID: fmt.Sprintf("rack-%04d-%02d", i, k), Zone: "zone-1", Rack: fmt.Sprintf("rack-%04d", i),
+			Capacity: infra.Resources{MilliCPU: 64000, MemoryMiB: 256 << 10, Accelerators: 2}}
 	}
 	for _, w := range list {
 		r.reports[w.ID] = nil
@@ -54,9 +54,9 @@
 
 func (r *rack) answer(o placement.SyncOrder) {
 	for _, t := range o.Request.Starts {
-		r.reports[o.Worker] = append(r.reports[o.Worker], platform.TaskReport{Task: t, State: platform.TaskRunning, Usage: t.Need})
+		r.reports[o.Worker] = append(r.reports[o.Worker], infra.TaskReport{Task: t, State: infra.TaskRunning, Usage: t.Need})
 	}
-	r.shard.Synced(r.now, o.Worker, o.Request, platform.SyncReply{Token: o.Request.Token, Reading: int64(r.now / time.Millisecond), Tasks: r.reports[o.Worker]}, nil)
+	r.shard.Synced(r.now, o.Worker, o.Request, infra.SyncReply{Token: o.Request.Token, Reading: int64(r.now / time.Millisecond), Tasks: r.reports[o.Worker]}, nil)
 }
 
 // fill starts tasks until each worker runs a share.
@@ -107,20 +107,20 @@
 	size := Slope{Role: "kw-sched", What: "sync: JSON bytes, request and reply", SizeUnit: "task on the worker", CostUnit: "B"}
 	cpu := Slope{Role: "kw-sched", What: "sync: encoding and decoding", SizeUnit: "task on the worker", CostUnit: "us"}
 	for _, tasks := range []int{0, 4, 16} {
-		req := platform.SyncRequest{Token: 123456, Sequence: 1234, AsOf: 123456789, LeaseMillis: 15000}
-		reply := platform.SyncReply{Token: 123456, Reading: 123456789}
+		req := infra.SyncRequest{Token: 123456, Sequence: 1234, AsOf: 123456789, LeaseMillis: 15000}
+		reply := infra.SyncReply{Token: 123456, Reading: 123456789}
 		for i := range tasks {
 			job := spec(i, 1)
-			t := platform.Task{ID: placement.Attempt{Job: job.ID, Epoch: 123456, Number: 12}.TaskID(), Need: job.Need, Payload: job.Payload,
+			t := infra.Task{ID: placement.Attempt{Job: job.ID, Epoch: 123456, Number: 12}.TaskID(), Need: job.Need, Payload: job.Payload,
 				Labels: map[string]string{"team": job.Team, "kind": string(job.Kind)}}
-			reply.Tasks = append(reply.Tasks, platform.TaskReport{Task: t, State: platform.TaskRunning, Usage: t.Need, RunTime: 123456})
+			reply.Tasks = append(reply.Tasks, infra.TaskReport{Task: t, State: infra.TaskRunning, Usage: t.Need, RunTime: 123456})
 		}
 		out, _ := json.Marshal(req)
 		in, _ := json.Marshal(reply)
 		size.Points = append(size.Points, Point{float64(tasks), float64(len(out) + len(in))})
 		cpu.Points = append(cpu.Points, Point{float64(tasks), perCall(func() {
 			_, _ = json.Marshal(req)
-			var got platform.SyncReply
+			var got infra.SyncReply
 			_ = json.Unmarshal(in, &got)
 		})})
 	}
--- a/standin/cell/cell.go
+++ b/standin/cell/cell.go
@@ -19,7 +19,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/settings/jsonc"
 	"github.com/knapweedweir/knapweedweir/standin/authority"
 	"github.com/knapweedweir/knapweedweir/standin/fakeplatform"
@@ -30,7 +30,7 @@
 type Spec struct {
 	Pairs     int
 	Zones     int
-	Workers   []platform.Worker
+	Workers   []infra.Worker
 	Runners   []RunnerGroup
 	Retention int
 	ListLag   time.Duration
@@ -65,8 +65,8 @@
 	Runners      []*Proc
 	RunnerAddrs  map[string]string
 	Pairs        []*Pair
-	Instances    []platform.Instance
-	Workers      []platform.Worker
+	Instances    []infra.Instance
+	Workers      []infra.Worker
 	authority    *authority.Authority
 	block        net.Listener
 }
@@ -188,8 +188,8 @@
 		p := &Pair{SchedAddr: addrs[3*i], EntryAddr: addrs[3*i+1], OpsAddr: addrs[3*i+2]}
 		c.Pairs = append(c.Pairs, p)
 		c.Instances = append(c.Instances,
-			platform.Instance{ID: fmt.Sprintf("sched-%d", i+1), Service: "kw-sched", Addr: p.SchedAddr, Zone: zone, State: platform.InstanceLive},
-			platform.Instance{ID: fmt.Sprintf("entry-%d", i+1), Service: "kw-entry", Addr: p.EntryAddr, Zone: zone, State: platform.InstanceLive})
+			infra.Instance{ID: fmt.Sprintf("sched-%d", i+1), Service: "kw-sched", Addr: p.SchedAddr, Zone: zone, State: infra.InstanceLive},
+			infra.Instance{ID: fmt.Sprintf("entry-%d", i+1), Service: "kw-entry", Addr: p.EntryAddr, Zone: zone, State: infra.InstanceLive})
 	}
 	c.Platform, err = c.start("platform", "kw-fakeplatform", fakeplatform.Config{Listen: c.PlatformAddr, Instances: c.Instances,
 		Workers: spec.Workers, Retention: spec.Retention, ListLag: jsonc.Duration(spec.ListLag), AppendsPerSecond: spec.AppendsPerSecond})
@@ -205,7 +205,7 @@
 		for i := range g.Count {
 			id, zone := fmt.Sprintf("%s-%d", g.Service, i+1), fmt.Sprintf("zone-%d", i%spec.Zones+1)
 			cfg.Runners = append(cfg.Runners, fakerunner.RunnerConfig{ID: id, Listen: addrs[0], Work: jsonc.Duration(g.Work)})
-			c.Instances = append(c.Instances, platform.Instance{ID: id, Service: g.Service, Addr: addrs[0], Zone: zone, State: platform.InstanceLive})
+			c.Instances = append(c.Instances, infra.Instance{ID: id, Service: g.Service, Addr: addrs[0], Zone: zone, State: infra.InstanceLive})
 			c.RunnerAddrs[id] = addrs[0]
 			addrs = addrs[1:]
 		}
@@ -305,7 +305,7 @@
 func (c *Cell) SetFaults(f fakeplatform.Faults) error { return c.admin("/admin/faults", f) }
 
 // SetInstances changes the platform's instance list.
-func (c *Cell) SetInstances(list []platform.Instance) error { return c.admin("/admin/instances", list) }
+func (c *Cell) SetInstances(list []infra.Instance) error { return c.admin("/admin/instances", list) }
 
 // SetWorkerFaults switches the faults of one worker.
 func (c *Cell) SetWorkerFaults(id string, f fakeplatform.WorkerFaults) error {
--- a/standin/cell/observe.go
+++ b/standin/cell/observe.go
@@ -8,8 +8,8 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/placement"
-	"github.com/knapweedweir/knapweedweir/platform"
 )
 
 // askTimeout bounds one look at a process, as it may be frozen.
@@ -26,7 +26,7 @@
 
 type unitDump struct {
 	Unit    string           `json:"unit"`
-	Epoch   platform.Offset  `json:"epoch"`
+	Epoch   infra.Offset     `json:"epoch"`
 	Jobs    []string         `json:"jobs"`
 	Workers []map[string]any `json:"workers"`
 }
@@ -34,7 +34,7 @@
 // owner returns the scheduler that owns the newest epoch of the units that
 // holds accepts.
 func (c *Cell) owner(holds func(unitDump) bool) (string, bool) {
-	best, newest := "", platform.Offset(0)
+	best, newest := "", infra.Offset(0)
 	for _, p := range c.Pairs {
 		var d schedulerDump
 		if getJSON(observer, "http://"+p.OpsAddr+"/dump", &d) != nil {
--- a/standin/cell/workshop.go
+++ b/standin/cell/workshop.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 )
 
 // Workshop is the workshop's cell: 35 workers of the order desk, five to a
@@ -15,17 +15,17 @@
 		{Service: "order-desk", Count: 35, Work: 20 * time.Millisecond},
 		{Service: "inspection", Count: 13, Work: 150 * time.Millisecond},
 	}}
-	spec.Workers = append(spec.Workers, Workers("desk", 35, 5, 3, platform.Resources{MilliCPU: 16000, MemoryMiB: 32 << 10})...)
-	spec.Workers = append(spec.Workers, Workers("bench", 13, 3, 3, platform.Resources{MilliCPU: 64000, MemoryMiB: 256 << 10, Accelerators: 8})...)
+	spec.Workers = append(spec.Workers, Workers("desk", 35, 5, 3, infra.Resources{MilliCPU: 16000, MemoryMiB: 32 << 10})...)
+	spec.Workers = append(spec.Workers, Workers("bench", 13, 3, 3, infra.Resources{MilliCPU: 64000, MemoryMiB: 256 << 10, Accelerators: 8})...)
 	return spec
 }
 
 // Workers returns equal workers in racks, the racks spread over zones.
-func Workers(name string, count, perRack, zones int, capacity platform.Resources) []platform.Worker {
-	list := make([]platform.Worker, 0, count)
+func Workers(name string, count, perRack, zones int, capacity infra.Resources) []infra.Worker {
+	list := make([]infra.Worker, 0, count)
 	for i := range count {
 		rack := i / perRack
-		list = append(list, platform.Worker{ID: fmt.Sprintf("%s-%d", name, i+1), Rack: fmt.Sprintf("%s-rack-%d", name, rack+1),
+		list = append(list, infra.Worker{ID: fmt.Sprintf("%s-%d", name, i+1), Rack: fmt.Sprintf("%s-rack-%d", name, rack+1),
 			Zone: fmt.Sprintf("zone-%d", rack%zones+1), Capacity: capacity})
 	}
 	return list
--- a/standin/cmd/kw-requests/main.go
+++ b/standin/cmd/kw-requests/main.go
@@ -15,7 +15,7 @@
 	"strings"
 	"time"
 
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/standin/cell"
 )
 
@@ -53,7 +53,7 @@
 		return err
 	}
 	c, err := cell.Start(dir, dir, cell.Spec{Pairs: pairs, Zones: 3, AppendsPerSecond: appendsLimit, ListLag: listLag,
-		Workers: cell.Workers("desk", 6, 2, 3, platform.Resources{MilliCPU: 16000, MemoryMiB: 32 << 10}),
+		Workers: cell.Workers("desk", 6, 2, 3, infra.Resources{MilliCPU: 16000, MemoryMiB: 32 << 10}),
 		Runners: []cell.RunnerGroup{{Service: "quotes", Count: runners, Work: work}, {Service: "slow", Count: runners, Work: slowWork},
 			{Service: "certificates", Count: runners, Work: work}}})
 	if c != nil {
--- a/standin/cmd/kw-requests/measure.go
+++ b/standin/cmd/kw-requests/measure.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 	"github.com/knapweedweir/knapweedweir/standin/cell"
 )
 
@@ -113,7 +113,7 @@
 	const rate, watched, pollEvery = 400, 5 * time.Second, 20 * time.Millisecond
 	for i := range c.Instances {
 		if c.Instances[i].ID == "quotes-1" {
-			c.Instances[i].State = platform.InstanceLeaving
+			c.Instances[i].State = infra.InstanceLeaving
 		}
 	}
 	var wg sync.WaitGroup
--- a/standin/fakeplatform/log.go
+++ b/standin/fakeplatform/log.go
@@ -8,13 +8,13 @@
 	"sync"
 	"time"
 
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 )
 
 // stream is one append-only log stream.
 type stream struct {
 	mu      sync.Mutex
-	first   platform.Offset
+	first   infra.Offset
 	records [][]byte
 	grown   chan struct{}
 }
@@ -27,14 +27,14 @@
 	s.records = append(s.records, records...)
 	if drop := len(s.records) - retention; retention > 0 && drop > 0 {
 		s.records = append([][]byte(nil), s.records[drop:]...)
-		s.first += platform.Offset(drop)
+		s.first += infra.Offset(drop)
 	}
 	close(s.grown)
 	s.grown = make(chan struct{})
 }
 
 // read returns records after an offset, waiting for one if there are none.
-func (s *stream) read(ctx context.Context, after platform.Offset, max int, wait time.Duration) (platform.Page, error) {
+func (s *stream) read(ctx context.Context, after infra.Offset, max int, wait time.Duration) (infra.Page, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -52,16 +52,16 @@
 	}
 }
 
-func (s *stream) page(after platform.Offset, max int) (platform.Page, chan struct{}, error) {
+func (s *stream) page(after infra.Offset, max int) (infra.Page, chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	tail := s.first + platform.Offset(len(s.records)) - 1
-	page := platform.Page{First: s.first, Tail: tail}
+	tail := s.first + infra.Offset(len(s.records)) - 1
+	page := infra.Page{First: s.first, Tail: tail}
 	if after+1 < s.first {
-		return page, nil, platform.ErrExpired
+		return page, nil, infra.ErrExpired
 	}
 	for o := after + 1; o <= tail && len(page.Entries) < max; o++ {
-		page.Entries = append(page.Entries, platform.Entry{Offset: o, Data: s.records[o-s.first]})
+		page.Entries = append(page.Entries, infra.Entry{Offset: o, Data: s.records[o-s.first]})
 	}
 	return page, s.grown, nil
 }
--- a/standin/fakeplatform/poll.go
+++ b/standin/fakeplatform/poll.go
@@ -4,12 +4,12 @@
 	"context"
 	"time"
 
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 )
 
 // poll carries out a request and, if there is nothing to tell and the request
 // allows it, holds the answer back until a task changes or a newer request comes.
-func (f *fleet) poll(ctx context.Context, id string, req platform.SyncRequest) (platform.SyncReply, bool) {
+func (f *fleet) poll(ctx context.Context, id string, req infra.SyncRequest) (infra.SyncReply, bool) {
 	reply, ok := f.sync(id, req)
 	deadline := time.Now().Add(time.Duration(req.WaitMillis) * time.Millisecond)
 	for ok && reply.Refused == "" && reply.Partial && len(reply.Tasks) == 0 && time.Now().Before(deadline) {
@@ -41,16 +41,16 @@
 }
 
 // again makes the answer to a request that was carried out before.
-func (f *fleet) again(id string, req platform.SyncRequest) (platform.SyncReply, bool) {
+func (f *fleet) again(id string, req infra.SyncRequest) (infra.SyncReply, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	w := f.workers[id]
 	if w.frozen {
-		return platform.SyncReply{}, false
+		return infra.SyncReply{}, false
 	}
 	now := time.Now()
 	w.advance(now)
-	reply := platform.SyncReply{Reading: now.Sub(f.start).Milliseconds() + 1}
+	reply := infra.SyncReply{Reading: now.Sub(f.start).Milliseconds() + 1}
 	if w.token != req.Token || w.sequence != req.Sequence {
 		reply.Refused = "a newer request has come"
 	}
--- a/standin/fakeplatform/referee.go
+++ b/standin/fakeplatform/referee.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 )
 
 // mostViolations bounds the list of broken promises; the first ones tell most.
@@ -15,15 +15,15 @@
 // attempt is one try at a task at one worker.
 type attempt struct {
 	worker *fakeWorker
-	task   platform.Task
+	task   infra.Task
 }
 
 // ledger is what the referee knows of one worker.
 type ledger struct {
-	token    platform.Offset
+	token    infra.Offset
 	sequence uint64
 	leaseEnd time.Time
-	used     platform.Resources
+	used     infra.Resources
 	running  map[string]attempt
 }
 
@@ -68,7 +68,7 @@
 
 // obeyed takes in a request that a worker has accepted; start is when the
 // worker's clock read zero.
-func (r *referee) obeyed(w *fakeWorker, req platform.SyncRequest, start time.Time) {
+func (r *referee) obeyed(w *fakeWorker, req infra.SyncRequest, start time.Time) {
 	l := r.ledger(w.ID)
 	older := req.Token < l.token || (req.Token == l.token && req.Sequence <= l.sequence)
 	if older && len(req.Starts)+len(req.Stops) > 0 {
@@ -84,7 +84,7 @@
 }
 
 // startedTask takes in a task that a worker has started.
-func (r *referee) startedTask(w *fakeWorker, now time.Time, t platform.Task) {
+func (r *referee) startedTask(w *fakeWorker, now time.Time, t infra.Task) {
 	l, name := r.ledger(w.ID), taskName(t.ID)
 	r.started++
 	r.starts[name]++
@@ -112,7 +112,7 @@
 // elsewhere notes attempts of the same task that still run. Only the workers
 // that have one are brought up to date: an attempt that its worker has stopped
 // by itself when its lease ended runs no more, even if nobody has heard of it.
-func (r *referee) elsewhere(w *fakeWorker, now time.Time, t platform.Task, name string) {
+func (r *referee) elsewhere(w *fakeWorker, now time.Time, t infra.Task, name string) {
 	for _, key := range sortedKeys(r.running[name]) {
 		other := r.running[name][key]
 		other.worker.advance(now)
@@ -144,7 +144,7 @@
 }
 
 // endedTask takes in the end of a task at a worker.
-func (r *referee) endedTask(w *fakeWorker, at time.Time, t platform.Task, state platform.TaskState) {
+func (r *referee) endedTask(w *fakeWorker, at time.Time, t infra.Task, state infra.TaskState) {
 	l, name := r.ledger(w.ID), taskName(t.ID)
 	if _, ok := l.running[t.ID]; !ok {
 		return
@@ -152,7 +152,7 @@
 	if at.After(l.leaseEnd) {
 		r.broken("task %s ran on worker %s for %s after its lease", t.ID, w.ID, at.Sub(l.leaseEnd))
 	}
-	if t.Labels["kind"] == "gang" && state != platform.TaskDone {
+	if t.Labels["kind"] == "gang" && state != infra.TaskDone {
 		r.brokenGangs[jobOf(name)] = true
 	}
 	delete(l.running, t.ID)
@@ -164,7 +164,7 @@
 }
 
 // reported takes in that an owner was told of a task that ran to its end.
-func (r *referee) reported(w *fakeWorker, t platform.Task) { r.done[taskName(t.ID)] = attempt{w, t} }
+func (r *referee) reported(w *fakeWorker, t infra.Task) { r.done[taskName(t.ID)] = attempt{w, t} }
 
 // silenced takes in that a worker has stopped answering: what it has done can't
 // be known any more, and running it again is no fault.
--- a/standin/fakeplatform/referee_test.go
+++ b/standin/fakeplatform/referee_test.go
@@ -7,7 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 )
 
 // bench is two workers of 1000m whose clock the test moves by hand.
@@ -21,30 +21,30 @@
 
 // order makes a worker obey starts and stops under a token, past its own check
 // of token and sequence, as a worker with that check broken would.
-func (b *bench) order(worker string, token platform.Offset, starts []platform.Task, stops ...string) {
+func (b *bench) order(worker string, token infra.Offset, starts []infra.Task, stops ...string) {
 	b.sequence++
 	w := b.workers[worker]
 	w.advance(b.now)
-	b.obey(w, b.now, platform.SyncRequest{Token: token, Sequence: b.sequence, AsOf: b.now.Sub(b.start).Milliseconds() + 1,
+	b.obey(w, b.now, infra.SyncRequest{Token: token, Sequence: b.sequence, AsOf: b.now.Sub(b.start).Milliseconds() + 1,
 		LeaseMillis: benchLease.Milliseconds(), Starts: starts, Stops: stops})
 }
 
-func (b *bench) ask(worker string, token platform.Offset) {
+func (b *bench) ask(worker string, token infra.Offset) {
 	b.sequence++
-	b.syncAt(b.now, worker, platform.SyncRequest{Token: token, Sequence: b.sequence})
+	b.syncAt(b.now, worker, infra.SyncRequest{Token: token, Sequence: b.sequence})
 }
 
-func task(id string, milliCPU int64) []platform.Task {
-	return []platform.Task{{ID: id, Need: platform.Resources{MilliCPU: milliCPU}, Labels: map[string]string{"kind": "batch"}}}
+func task(id string, milliCPU int64) []infra.Task {
+	return []infra.Task{{ID: id, Need: infra.Resources{MilliCPU: milliCPU}, Labels: map[string]string{"kind": "batch"}}}
 }
 
-func short(id string) []platform.Task {
+func short(id string) []infra.Task {
 	list := task(id, 100)
 	list[0].Payload = []byte(`{"runMillis": 100}`)
 	return list
 }
 
-func gang(list []platform.Task) []platform.Task {
+func gang(list []infra.Task) []infra.Task {
 	for i := range list {
 		list[i].Labels = map[string]string{"kind": "gang"}
 	}
@@ -159,8 +159,8 @@
 		}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			capacity := platform.Resources{MilliCPU: 1000}
-			b := &bench{fleet: newFleet([]platform.Worker{{ID: "w1", Capacity: capacity}, {ID: "w2", Capacity: capacity}})}
+			capacity := infra.Resources{MilliCPU: 1000}
+			b := &bench{fleet: newFleet([]infra.Worker{{ID: "w1", Capacity: capacity}, {ID: "w2", Capacity: capacity}})}
 			b.now = b.start.Add(time.Minute)
 			tc.order(b)
 			b.referee.audit(b.now)
--- a/standin/fakeplatform/server.go
+++ b/standin/fakeplatform/server.go
@@ -9,16 +9,16 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/knapweedweir/knapweedweir/platform"
-	"github.com/knapweedweir/knapweedweir/platform/httpplatform"
+	"github.com/knapweedweir/knapweedweir/infra"
+	"github.com/knapweedweir/knapweedweir/infra/httpplatform"
 	"github.com/knapweedweir/knapweedweir/settings/jsonc"
 )
 
 // Config is the stand-in's settings file.
 type Config struct {
-	Listen    string              `json:"listen"`
-	Instances []platform.Instance `json:"instances"`
-	Workers   []platform.Worker   `json:"workers"`
+	Listen    string           `json:"listen"`
+	Instances []infra.Instance `json:"instances"`
+	Workers   []infra.Worker   `json:"workers"`
 	// Retention is how many records each stream keeps; 0 keeps all.
 	Retention int `json:"retention"`
 	// ListLag is how old the instance list is.
@@ -41,8 +41,8 @@
 	cfg     Config
 	mu      sync.Mutex
 	streams map[string]*stream
-	listed  []platform.Instance
-	truth   []platform.Instance
+	listed  []infra.Instance
+	truth   []infra.Instance
 	faults  atomic.Pointer[Faults]
 	cut     context.Context
 	cutOff  context.CancelFunc
@@ -86,7 +86,7 @@
 }
 
 // SetInstances changes the instance list; readers see it after the lag.
-func (s *Server) SetInstances(list []platform.Instance) {
+func (s *Server) SetInstances(list []infra.Instance) {
 	s.mu.Lock()
 	s.truth = list
 	s.mu.Unlock()
@@ -164,9 +164,9 @@
 	stop := context.AfterFunc(s.cut, cancel)
 	s.mu.Unlock()
 	defer stop()
-	page, err := s.stream(r.PathValue("stream")).read(ctx, platform.Offset(after), max, time.Duration(waitMillis)*time.Millisecond)
+	page, err := s.stream(r.PathValue("stream")).read(ctx, infra.Offset(after), max, time.Duration(waitMillis)*time.Millisecond)
 	switch {
-	case err == platform.ErrExpired:
+	case err == infra.ErrExpired:
 		w.Header().Set("Content-Type", "application/json")
 		w.WriteHeader(http.StatusGone)
 		_ = json.NewEncoder(w).Encode(page)
@@ -202,7 +202,7 @@
 }
 
 func (s *Server) serveSync(w http.ResponseWriter, r *http.Request) {
-	var req platform.SyncRequest
+	var req infra.SyncRequest
 	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -224,7 +224,7 @@
 }
 
 func (s *Server) serveSetInstances(w http.ResponseWriter, r *http.Request) {
-	var list []platform.Instance
+	var list []infra.Instance
 	if err := json.NewDecoder(r.Body).Decode(&list); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
--- a/standin/fakeplatform/worker.go
+++ b/standin/fakeplatform/worker.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/infra"
 )
 
 // TaskPlan is the payload that the stand-in's workers understand.
@@ -19,7 +19,7 @@
 }
 
 type runningTask struct {
-	platform.TaskReport
+	infra.TaskReport
 	plan    TaskPlan
 	started time.Time
 	ended   time.Time
@@ -29,8 +29,8 @@
 
 // fakeWorker runs tasks under a lease, as docs/PLATFORM.md promises.
 type fakeWorker struct {
-	platform.Worker
-	token    platform.Offset
+	infra.Worker
+	token    infra.Offset
 	sequence uint64
 	leaseEnd time.Time
 	tasks    map[string]*runningTask
@@ -63,7 +63,7 @@
 	referee *referee
 }
 
-func newFleet(list []platform.Worker) *fleet {
+func newFleet(list []infra.Worker) *fleet {
 	f := &fleet{start: time.Now(), version: 1, workers: map[string]*fakeWorker{}, referee: newReferee()}
 	for _, w := range list {
 		f.workers[w.ID] = &fakeWorker{Worker: w, tasks: map[string]*runningTask{}, referee: f.referee, wake: make(chan struct{})}
@@ -71,10 +71,10 @@
 	return f
 }
 
-func (f *fleet) list(since uint64) platform.WorkerList {
+func (f *fleet) list(since uint64) infra.WorkerList {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	out := platform.WorkerList{Version: f.version}
+	out := infra.WorkerList{Version: f.version}
 	if since == f.version {
 		return out
 	}
@@ -89,19 +89,19 @@
 
 // sync carries out a request. The second result is false for a worker that does
 // not answer.
-func (f *fleet) sync(id string, req platform.SyncRequest) (platform.SyncReply, bool) {
+func (f *fleet) sync(id string, req infra.SyncRequest) (infra.SyncReply, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.syncAt(time.Now(), id, req)
 }
 
-func (f *fleet) syncAt(now time.Time, id string, req platform.SyncRequest) (platform.SyncReply, bool) {
+func (f *fleet) syncAt(now time.Time, id string, req infra.SyncRequest) (infra.SyncReply, bool) {
 	w, ok := f.workers[id]
 	if !ok || w.frozen {
-		return platform.SyncReply{}, false
+		return infra.SyncReply{}, false
 	}
 	w.advance(now)
-	reply := platform.SyncReply{Reading: now.Sub(f.start).Milliseconds() + 1}
+	reply := infra.SyncReply{Reading: now.Sub(f.start).Milliseconds() + 1}
 	switch {
 	case req.Token < w.token:
 		reply.Refused = fmt.Sprintf("token %d is older than %d", req.Token, w.token)
@@ -118,7 +118,7 @@
 
 // tell puts the tasks into a reply: all, or those that changed after what the
 // owner knows.
-func (f *fleet) tell(w *fakeWorker, req platform.SyncRequest, reply *platform.SyncReply) {
+func (f *fleet) tell(w *fakeWorker, req infra.SyncRequest, reply *infra.SyncReply) {
 	reply.Token, reply.Change = w.token, w.change
 	reply.Partial = req.Known > 0 && req.Known <= w.change
 	for _, t := range w.tasks {
@@ -128,14 +128,14 @@
 		report := t.TaskReport
 		report.Task = t.Task.Reported(reply.Partial)
 		reply.Tasks = append(reply.Tasks, report)
-		if reply.Refused == "" && t.State == platform.TaskDone {
+		if reply.Refused == "" && t.State == infra.TaskDone {
 			f.referee.reported(w, t.Task)
 		}
 	}
 	sort.Slice(reply.Tasks, func(i, j int) bool { return reply.Tasks[i].Task.ID < reply.Tasks[j].Task.ID })
 }
 
-func (f *fleet) obey(w *fakeWorker, now time.Time, req platform.SyncRequest) {
+func (f *fleet) obey(w *fakeWorker, now time.Time, req infra.SyncRequest) {
 	if req.AsOf > 0 {
 		end := f.start.Add(time.Duration(req.AsOf+req.LeaseMillis) * time.Millisecond)
 		if end.After(w.leaseEnd) {
@@ -150,7 +150,7 @@
 	}
 	for _, id := range req.Stops {
 		if t, ok := w.tasks[id]; ok && !t.State.Ended() {
-			w.end(t, now, platform.TaskStopped, "stopped by its owner")
+			w.end(t, now, infra.TaskStopped, "stopped by its owner")
 		}
 	}
 	if now.After(w.leaseEnd) {
@@ -163,8 +163,8 @@
 	}
 }
 
-func (f *fleet) startTask(w *fakeWorker, now time.Time, t platform.Task) {
-	run := &runningTask{TaskReport: platform.TaskReport{Task: t, State: platform.TaskRunning, Usage: t.Need}, started: now}
+func (f *fleet) startTask(w *fakeWorker, now time.Time, t infra.Task) {
+	run := &runningTask{TaskReport: infra.TaskReport{Task: t, State: infra.TaskRunning, Usage: t.Need}, started: now}
 	_ = json.Unmarshal(t.Payload, &run.plan)
 	if w.failAll {
 		run.plan = TaskPlan{RunMillis: 1, Fail: true}
@@ -183,25 +183,25 @@
 		planned := t.started.Add(time.Duration(t.plan.RunMillis) * time.Millisecond)
 		switch {
 		case t.plan.RunMillis > 0 && !planned.After(now) && !planned.After(w.leaseEnd):
-			state := platform.TaskDone
+			state := infra.TaskDone
 			if t.plan.Fail {
-				state = platform.TaskFailed
+				state = infra.TaskFailed
 			}
 			w.end(t, planned, state, "")
 		case w.leaseEnd.Before(now):
-			w.end(t, w.leaseEnd, platform.TaskStopped, "the lease lapsed")
+			w.end(t, w.leaseEnd, infra.TaskStopped, "the lease lapsed")
 		default:
 			t.RunTime = now.Sub(t.started).Milliseconds()
 		}
 	}
 }
 
-func (w *fakeWorker) end(t *runningTask, at time.Time, state platform.TaskState, reason string) {
+func (w *fakeWorker) end(t *runningTask, at time.Time, state infra.TaskState, reason string) {
 	w.referee.endedTask(w, at, t.Task, state)
 	t.State, t.Reason, t.ended = state, reason, at
 	w.changed(t)
 	t.RunTime = at.Sub(t.started).Milliseconds()
-	if state == platform.TaskFailed {
+	if state == infra.TaskFailed {
 		t.Reason = "the task exited with an error"
 	}
 }
@@ -215,8 +215,8 @@
 	// Violations are the promises that were broken.
 	Violations []string `json:"violations"`
 	// Used and Total sum up what runs and what the workers have.
-	Used  platform.Resources `json:"used"`
-	Total platform.Resources `json:"total"`
+	Used  infra.Resources `json:"used"`
+	Total infra.Resources `json:"total"`
 	// Appends counts the appends the log has taken.
 	Appends uint64 `json:"appends"`
 	// ReadBytes counts the bytes that readers of the log were sent.
@@ -232,7 +232,7 @@
 		w.advance(now)
 		r.Total = r.Total.Add(w.Capacity)
 		for _, t := range w.tasks {
-			if t.State == platform.TaskRunning {
+			if t.State == infra.TaskRunning {
 				r.Running++
 				r.Used = r.Used.Add(t.Task.Need)
 			}
--- a/tools/eventpage/events_test.go
+++ b/tools/eventpage/events_test.go
@@ -15,7 +15,7 @@
 const root = "../.."
 
 // shipped are the folders whose code runs in shipped processes.
-var shipped = []string{"cmd", "control", "daemon", "dispatch", "logstream", "membership", "ownership", "placement", "platform", "settings"}
+var shipped = []string{"cmd", "control", "daemon", "dispatch", "logstream", "membership", "ownership", "infra", "placement", "settings"}
 
 // named finds what the first group of a pattern matches in the shipped code.
 func named(t *testing.T, pattern string) []string {
