--- /dev/null
+++ b/cmd/kw-node/main.go
@@ -0,0 +1,120 @@
+// Command kw-node runs knapweedweir on one of the users' machines: it takes jobs
+// in, places them on workers and answers for them. All instances are equal.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/knapweedweir/knapweedweir/daemon"
+	"github.com/knapweedweir/knapweedweir/node"
+	"github.com/knapweedweir/knapweedweir/platform"
+)
+
+const (
+	// leaveRotation is how long a stopping instance serves on: the balancer
+	// asks each second and takes it out after two misses.
+	leaveRotation = 2500 * time.Millisecond
+	// stopMargin is kept of the time until a stopping process is killed.
+	stopMargin = 1500 * time.Millisecond
+	// idleTimeout closes callers' connections that nobody uses.
+	idleTimeout = 15 * time.Second
+	// headerTimeout bounds the reading of a request's header.
+	headerTimeout = 5 * time.Second
+)
+
+func main() {
+	path := os.Getenv(platform.SettingsVariable)
+	set, err := platform.LoadSettings(path)
+	if err == nil {
+		err = run(path, set)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(path string, set *platform.Settings) error {
+	p := daemon.New("kw-node", set.Node, os.Stdout)
+	n := node.New(set.ForNode(), p.Log, platform.NewStore(set.Store.Address), platform.NewWorkers(p.Log),
+		platform.NewAdvisor(set.Advice), platform.Directory{})
+	p.AddLoop(n.Run)
+	if err := servePeers(p, n); err != nil {
+		return err
+	}
+	front := &http.Server{Handler: platform.Front{Node: n}, IdleTimeout: idleTimeout, ReadHeaderTimeout: headerTimeout}
+	if err := serve(p, set.Listen.Callers, front); err != nil {
+		return err
+	}
+	if err := serve(p, set.Listen.Ready, &http.Server{Handler: readiness(n)}); err != nil {
+		return err
+	}
+	if err := serve(p, set.MetricsAddr(), &http.Server{Handler: p.Mux()}); err != nil {
+		return err
+	}
+	reloadOnHangup(p, path)
+	grace := set.ForNode().Grace
+	return p.Run(max(grace-stopMargin, leaveRotation), func(ctx context.Context) error {
+		front.SetKeepAlivesEnabled(false)
+		began := time.Now()
+		n.Stop(ctx)
+		select {
+		case <-time.After(leaveRotation - time.Since(began)):
+		case <-ctx.Done():
+		}
+		return nil
+	})
+}
+
+func serve(p *daemon.Process, addr string, srv *http.Server) error {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return errors.Wrapf(err, "listen on %s", addr)
+	}
+	p.AddHTTP(l, srv)
+	return nil
+}
+
+func servePeers(p *daemon.Process, n *node.Node) error {
+	l, err := net.Listen("tcp", n.PeerAddr())
+	if err != nil {
+		return errors.Wrapf(err, "listen on %s", n.PeerAddr())
+	}
+	p.Add(func() error { return n.Serve(l) }, func(error) { _ = l.Close() })
+	return nil
+}
+
+func readiness(n *node.Node) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		if !n.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}
+}
+
+// reloadOnHangup checks the settings file again at SIGHUP. None of its fields
+// can change in a running process, so a finding is all that can come of it.
+func reloadOnHangup(p *daemon.Process, path string) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	p.AddLoop(func(ctx context.Context) error {
+		for {
+			select {
+			case <-hangups:
+				_, err := platform.LoadSettings(path)
+				p.Log.Info().AnErr("findings", err).Msg("settings.reloaded")
+			case <-ctx.Done():
+				return nil
+			}
+		}
+	})
+}
--- /dev/null
+++ b/node/follow.go
@@ -0,0 +1,123 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// readWait is how long a read of the store waits for a record.
+	readWait = 2 * time.Second
+	// readTimeout bounds a read that waits; the store answers in 4 ms, and in
+	// 240 ms on slow days.
+	readTimeout = readWait + 1200*time.Millisecond
+	// newestTimeout bounds one page of the newest records.
+	newestTimeout = 1500 * time.Millisecond
+	// followRetry is the pause after a read that failed.
+	followRetry = 100 * time.Millisecond
+)
+
+// batch is what a follower hands on.
+type batch struct {
+	// reset tells that the records are the newest of all keys, in any order;
+	// what is missing among them is gone.
+	reset   bool
+	records []Stored
+	next    int64 // the offset after the newest record known
+	err     error // the store could not be read
+}
+
+// follower reads a topic from its newest records on.
+type follower struct {
+	store Store
+	topic Topic
+	// pause is the shortest time between two reads that brought records.
+	// Each read is paid for, so those that can wait read in larger pieces.
+	pause func() time.Duration
+	wait  time.Duration
+}
+
+// run hands on batches until the context ends.
+func (f *follower) run(ctx context.Context, deliver func(batch)) {
+	next := int64(-1)
+	for ctx.Err() == nil {
+		var b batch
+		if next < 0 {
+			b = f.newest(ctx)
+		} else {
+			b = f.read(ctx, next)
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if errors.Is(b.err, ErrTrimmed) {
+			next = -1
+			continue
+		}
+		if b.err == nil {
+			next = b.next
+		}
+		deliver(b)
+		switch {
+		case b.err != nil:
+			sleep(ctx, followRetry)
+		case len(b.records) > 0:
+			sleep(ctx, f.pause())
+		}
+	}
+}
+
+func (f *follower) newest(ctx context.Context) batch {
+	b := batch{reset: true, next: -1}
+	after := ""
+	for {
+		page, more, end, err := f.store.Newest(withTimeout(ctx, newestTimeout), f.topic, after)
+		if err != nil {
+			return batch{err: err}
+		}
+		if b.next < 0 {
+			// Pages are no snapshot: reading on from the first page's end
+			// brings whatever changed while the others were read.
+			b.next = end
+		}
+		b.records = append(b.records, page...)
+		if !more || len(page) == 0 {
+			return b
+		}
+		after = page[len(page)-1].Key
+	}
+}
+
+func (f *follower) read(ctx context.Context, from int64) batch {
+	page, _, err := f.store.Read(withTimeout(ctx, f.wait+readTimeout-readWait), f.topic, from, f.wait)
+	if err != nil {
+		return batch{err: err}
+	}
+	b := batch{records: page, next: from}
+	if len(page) > 0 {
+		b.next = page[len(page)-1].Offset + 1
+	}
+	return b
+}
+
+// withTimeout returns a context that ends by itself; the caller's use of it is
+// over long before its timer matters.
+func withTimeout(ctx context.Context, d time.Duration) context.Context {
+	ctx, cancel := context.WithTimeout(ctx, d)
+	context.AfterFunc(ctx, cancel)
+	return ctx
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/node/intake.go
@@ -0,0 +1,147 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/knapweedweir/knapweedweir/pool"
+)
+
+// Verdict is what a caller is told of a request.
+type Verdict int
+
+// The verdicts.
+const (
+	// Accepted: the store holds it.
+	Accepted Verdict = iota
+	// NotRun: it was not stored and never runs.
+	NotRun
+	// Unknown: it may have been stored; the same request may come again.
+	Unknown
+	// NoSuchJob: there is no job of this ID.
+	NoSuchJob
+)
+
+const (
+	// storeTry bounds one try to store what a caller handed in.
+	storeTry = 600 * time.Millisecond
+	// storePause is the pause between two tries.
+	storePause = 50 * time.Millisecond
+	// stateTimeout bounds the question to a pool's owner.
+	stateTimeout = 500 * time.Millisecond
+)
+
+// Submit stores a job. Any instance can: the first record of an ID counts.
+func (n *Node) Submit(ctx context.Context, j pool.Job) Verdict {
+	part := partOf(j.Service, n.set.Parts)
+	v := n.persist(ctx, part, pool.Record{Key: pool.JobKey(j.ID), Value: pool.Encode(j)})
+	n.log.Info().Str("job", j.ID).Str("queue", j.Queue).Stringer("verdict", v).Msg("job.submitted")
+	return v
+}
+
+// persist stores a record here or through a peer. Once a try had no answer the
+// record may be stored at any time, so it is tried until it is certain.
+func (n *Node) persist(ctx context.Context, part int, rec pool.Record) Verdict {
+	inDoubt := false
+	for {
+		_, err := n.store.Append(withTimeout(ctx, storeTry), Topic{Name: topicName, Part: part}, []pool.Record{rec}, nil)
+		if err == nil {
+			return Accepted
+		}
+		inDoubt = inDoubt || !errors.Is(err, ErrRefused)
+		for _, addr := range n.peers.addrs() {
+			if ctx.Err() != nil {
+				break
+			}
+			err = n.peers.call(ctx, addr, "Store", StoreArgs{Part: part, Record: rec}, &Empty{}, peerTimeout)
+			if err == nil {
+				return Accepted
+			}
+			inDoubt = inDoubt || (!errors.Is(err, errNoPeer) && err.Error() != ErrRefused.Error())
+			break
+		}
+		if !inDoubt {
+			return NotRun
+		}
+		if sleep(ctx, storePause); ctx.Err() != nil {
+			return Unknown
+		}
+	}
+}
+
+// State returns a job's state.
+func (n *Node) State(ctx context.Context, service, job string) (pool.State, Verdict) {
+	part := partOf(service, n.set.Parts)
+	u := n.unit(part)
+	if u == nil {
+		return "", NotRun
+	}
+	var state pool.State
+	var found, owner, sure bool
+	var c claim
+	if err := u.ask(ctx, func() {
+		state, found, owner, sure = u.jobState(job)
+		c = u.replica.claim
+	}); err != nil {
+		return "", NotRun
+	}
+	if !owner && !(found && state.Ended()) && c.Addr != "" && c.Addr != n.set.PeerAddr {
+		var r StateReply
+		if err := n.peers.call(ctx, c.Addr, "State", StateArgs{Part: part, Job: job}, &r, stateTimeout); err == nil {
+			if r.Found {
+				return r.State, Accepted
+			}
+			sure = sure && r.Sure
+		}
+	}
+	switch {
+	case found:
+		return state, Accepted
+	case sure:
+		return "", NoSuchJob
+	}
+	return "", NotRun
+}
+
+// Cancel stores a job's cancellation.
+func (n *Node) Cancel(ctx context.Context, service, job string) Verdict {
+	state, v := n.State(ctx, service, job)
+	if v != Accepted {
+		return v
+	}
+	if !state.Ended() {
+		v = n.persist(ctx, partOf(service, n.set.Parts), pool.Record{Key: pool.CancelKey(job), Value: []byte("1")})
+	}
+	n.log.Info().Str("job", job).Str("state", string(state)).Stringer("verdict", v).Msg("job.cancel")
+	return v
+}
+
+// Pending counts a queue's jobs that have not begun.
+func (n *Node) Pending(ctx context.Context, q pool.Queue) (int, bool) {
+	part := partOf(q.Service, n.set.Parts)
+	u := n.unit(part)
+	if u == nil {
+		return 0, false
+	}
+	var count int
+	var owner bool
+	var c claim
+	if err := u.ask(ctx, func() { count, owner = u.pending(q.Name); c = u.replica.claim }); err != nil {
+		return 0, false
+	}
+	if owner || c.Addr == "" || c.Addr == n.set.PeerAddr {
+		return count, true
+	}
+	var r PendingReply
+	if err := n.peers.call(ctx, c.Addr, "Pending", PendingArgs{Part: part, Queue: q.Name}, &r, stateTimeout); err == nil {
+		return r.Count, true
+	}
+	return count, true
+}
+
+// String names a verdict in logs.
+func (v Verdict) String() string {
+	return [...]string{"accepted", "not run", "unknown", "no such job"}[v]
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,222 @@
+package node
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/knapweedweir/knapweedweir/pool"
+)
+
+// Settings of an instance, as its settings file gives them.
+type Settings struct {
+	Name     string
+	Zone     string
+	PeerAddr string // where the other instances reach this one
+	// Parts is how many parts a topic of the store has.
+	Parts       int
+	HoldMax     time.Duration // the longest lease that a worker grants
+	StopTimeout time.Duration // how long a worker takes to stop a run
+	// Grace is how long a stopping process has until it is killed.
+	Grace time.Duration
+}
+
+// Node is one instance.
+type Node struct {
+	set       Settings
+	log       zerolog.Logger
+	store     Store
+	workers   Workers
+	advisor   Advisor
+	directory Directory
+	life      int64
+	config    atomic.Pointer[Config]
+	stopping  atomic.Bool
+	peers     *peers
+	adviseNow sync.Mutex // the advice service serves one call of a machine at a time
+
+	mu         sync.Mutex
+	units      map[int]*unit
+	ownedParts map[int]bool
+	waits      int // units that have not read the store yet
+}
+
+// New returns an instance that is not running yet.
+func New(set Settings, log zerolog.Logger, store Store, workers Workers, advisor Advisor, directory Directory) *Node {
+	n := &Node{
+		set: set, log: log, store: store, workers: workers, advisor: advisor, directory: directory,
+		life: time.Now().UnixNano(), units: map[int]*unit{}, ownedParts: map[int]bool{},
+	}
+	n.peers = newPeers(n)
+	return n
+}
+
+// Run serves until the context ends.
+func (n *Node) Run(ctx context.Context) error {
+	f := &follower{store: n.store, topic: n.directory.ConfigTopic(), wait: readWait,
+		pause: func() time.Duration { return 0 }}
+	go n.peers.run(ctx)
+	f.run(ctx, func(b batch) { n.takeConfig(ctx, b) })
+	return nil
+}
+
+// Ready reports whether this instance knows the configuration and has read the
+// pools' state once.
+func (n *Node) Ready() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.config.Load() != nil && n.waits == 0 && !n.stopping.Load()
+}
+
+// Config returns the newest configuration, or nil before the first.
+func (n *Node) Config() *Config { return n.config.Load() }
+
+func (n *Node) takeConfig(ctx context.Context, b batch) {
+	if b.err != nil {
+		n.log.Debug().Err(b.err).Msg("config.unread")
+		return
+	}
+	for _, rec := range b.records {
+		if len(rec.Value) == 0 {
+			continue
+		}
+		cfg, err := n.directory.DecodeConfig(rec.Record)
+		if err != nil {
+			n.log.Error().Err(err).Str("key", rec.Key).Msg("config.unreadable")
+			continue
+		}
+		if cfg != nil {
+			n.apply(ctx, cfg)
+		}
+	}
+}
+
+// apply puts a configuration in force as a whole. An older version never
+// replaces a newer one.
+func (n *Node) apply(ctx context.Context, cfg *Config) {
+	if old := n.config.Load(); old != nil && old.Version >= cfg.Version {
+		return
+	}
+	n.config.Store(cfg)
+	n.log.Info().Int64("version", cfg.Version).Int("routes", len(cfg.Routes)).Msg("config.applied")
+	for _, service := range cfg.Services {
+		n.unitOf(ctx, service)
+	}
+	queues := cfg.Queues()
+	for _, u := range n.allUnits() {
+		go u.send(ctx, func() {
+			if u.own != nil && u.own.loaded {
+				u.own.step(pool.QueuesChanged{Queues: queues})
+			}
+		})
+	}
+}
+
+func (n *Node) unitOf(ctx context.Context, service string) *unit {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	part := partOf(service, n.set.Parts)
+	u := n.units[part]
+	if u == nil {
+		u = newUnit(n, part)
+		n.units[part] = u
+		n.waits++
+		go u.run(ctx)
+	}
+	return u
+}
+
+func (n *Node) unit(part int) *unit {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.units[part]
+}
+
+func (n *Node) allUnits() []*unit {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	list := make([]*unit, 0, len(n.units))
+	for _, u := range n.units {
+		list = append(list, u)
+	}
+	slices.SortFunc(list, func(a, b *unit) int { return cmp.Compare(a.topic.Part, b.topic.Part) })
+	return list
+}
+
+func (n *Node) caughtUp() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.waits--
+}
+
+func (n *Node) setOwned(part int, owned bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if owned {
+		n.ownedParts[part] = true
+	} else {
+		delete(n.ownedParts, part)
+	}
+}
+
+func (n *Node) owns(part int) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.ownedParts[part]
+}
+
+func (n *Node) owned() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.ownedParts)
+}
+
+// logDecision writes one line for a decision about a job.
+func (n *Node) logDecision(u *unit, d pool.Noted) {
+	e := u.log.Info().Str("job", d.Job)
+	if d.Task != nil {
+		e = e.Int("k", d.Task.K).Int("step", d.Task.Step).Int("task", d.Task.Ordinal).Int("run", d.Run).Str("worker", d.Worker)
+	}
+	if d.Reason != "" {
+		e = e.Str("reason", d.Reason)
+	}
+	if u.own != nil {
+		e = e.Uint64("epoch", u.own.claim.Epoch)
+	}
+	e.Msg(d.Event)
+}
+
+// Stop hands the pools over to other instances, so that nobody has to find out
+// that this one is silent.
+func (n *Node) Stop(ctx context.Context) {
+	n.stopping.Store(true)
+	for _, u := range n.allUnits() {
+		var c claim
+		if u.ask(ctx, func() {
+			if u.own != nil {
+				c = u.own.claim
+			}
+		}) != nil || c.Addr == "" {
+			continue
+		}
+		n.peers.handOver(ctx, u.topic.Part, c.Epoch)
+	}
+	n.peers.leave(ctx)
+}
+
+func sortedWorkers(m map[string]pool.WorkerInfo) []pool.WorkerInfo {
+	list := make([]pool.WorkerInfo, 0, len(m))
+	for _, w := range m {
+		list = append(list, w)
+	}
+	slices.SortFunc(list, func(a, b pool.WorkerInfo) int { return cmp.Compare(a.ID, b.ID) })
+	return list
+}
+
+// PeerAddr is where the other instances reach this one.
+func (n *Node) PeerAddr() string { return n.set.PeerAddr }
--- /dev/null
+++ b/node/owner.go
@@ -0,0 +1,284 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/knapweedweir/knapweedweir/pool"
+)
+
+const (
+	// appendTimeout bounds an append; the store answers in 4 ms, and in
+	// 240 ms on slow days.
+	appendTimeout = 1200 * time.Millisecond
+	// appendRetry is the pause after an append that failed.
+	appendRetry = 60 * time.Millisecond
+	// orderTimeout bounds a start or stop; workers answer in 3 ms. Asking
+	// again early is cheap, as a worker has a run once.
+	orderTimeout = 400 * time.Millisecond
+	// holdSlack is how late the answer to a hold may be.
+	holdSlack = 700 * time.Millisecond
+	// stopTimeout is used while the settings give none.
+	keepEnded = 120 * time.Second
+	// workersPause is how often the list of workers is read at most.
+	workersPause = 250 * time.Millisecond
+)
+
+// fromOwner is an event of one ownership; those of an older one are dropped.
+type fromOwner struct {
+	own   *ownership
+	event any
+}
+
+// ownership is the time in which this instance owns a pool.
+type ownership struct {
+	unit     *unit
+	claim    claim
+	offset   int64 // the claim's
+	core     *pool.Core
+	ctx      context.Context
+	cancel   context.CancelFunc
+	loaded   bool // the core knows all that was stored before the claim
+	sequence uint64
+	saves    chan pendingSave
+	lastBeat time.Duration
+	beating  bool
+	workers  map[string]pool.WorkerInfo
+	asks     *askQueue
+}
+
+type pendingSave struct {
+	seq     uint64 // the core's number; 0 for a heartbeat
+	records []pool.Record
+}
+
+// saveDone tells that the store holds a save, or why it never will.
+type saveDone struct {
+	seq uint64
+	err error
+}
+
+func newOwnership(ctx context.Context, u *unit, c claim, offset int64) *ownership {
+	o := &ownership{unit: u, claim: c, offset: offset, saves: make(chan pendingSave, 8), workers: map[string]pool.WorkerInfo{}}
+	o.ctx, o.cancel = context.WithCancel(ctx)
+	set := u.node.set
+	o.core = pool.New(pool.Settings{
+		Token: c.Epoch, Generation: c.Generation, HoldMax: set.HoldMax, StopTimeout: set.StopTimeout, KeepEnded: keepEnded,
+	}, bootTime())
+	o.asks = newAskQueue(o)
+	go o.saveLoop()
+	f := &follower{store: u.node.store, topic: u.node.directory.WorkersTopic(), wait: readWait,
+		pause: func() time.Duration { return workersPause }}
+	go f.run(o.ctx, func(b batch) { o.send(b) })
+	o.load()
+	return o
+}
+
+func (o *ownership) close() { o.cancel() }
+
+func (o *ownership) send(ev any) { o.unit.send(o.ctx, fromOwner{own: o, event: ev}) }
+
+// load tells the core what the store holds, once the copy has reached the claim:
+// everything a predecessor could have stored lies before it.
+func (o *ownership) load() {
+	if o.loaded || o.unit.replica.next < o.offset {
+		return
+	}
+	o.loaded = true
+	o.step(pool.Tick{UnixMs: time.Now().UnixMilli()})
+	if cfg := o.unit.node.Config(); cfg != nil {
+		o.step(pool.QueuesChanged{Queues: cfg.Queues()})
+	}
+	var later []pool.Event
+	for _, rec := range o.unit.replica.inOrder() {
+		ev, err := event(rec, o.offset)
+		switch {
+		case err != nil:
+			o.unit.log.Error().Err(err).Msg("record.unreadable")
+		case ev == nil:
+		default:
+			if _, isJob := ev.(pool.JobStored); isJob {
+				o.step(ev)
+			} else {
+				later = append(later, ev)
+			}
+		}
+	}
+	for _, ev := range later {
+		o.step(ev)
+	}
+}
+
+// settledReplica reports whether the core knows all stored jobs.
+func (o *ownership) settledReplica() bool { return o.loaded }
+
+// take hands new records to the core. Its own come back too and are passed over.
+func (o *ownership) take(fresh []Stored) {
+	if !o.loaded {
+		o.load()
+		return
+	}
+	for _, rec := range fresh {
+		if kind, _ := pool.ParseKey(rec.Key); kind != pool.JobRecord && kind != pool.CancelRecord {
+			continue
+		}
+		ev, err := event(rec, o.offset)
+		if err != nil {
+			o.unit.log.Error().Err(err).Msg("record.unreadable")
+			continue
+		}
+		if ev != nil {
+			o.step(ev)
+		}
+	}
+}
+
+func (o *ownership) tick() {
+	if o.loaded {
+		o.step(pool.Tick{UnixMs: time.Now().UnixMilli()})
+	}
+	if now := bootTime(); !o.beating && now-o.lastBeat > ownerBeat {
+		o.beating = true
+		o.lastBeat = now
+		o.saves <- pendingSave{records: []pool.Record{{Key: pool.OwnerKey, Value: pool.Encode(o.claim)}}}
+	}
+}
+
+func (o *ownership) handle(ev any) {
+	switch e := ev.(type) {
+	case batch:
+		o.takeWorkers(e)
+	case saveDone:
+		o.saveAnswered(e)
+	case pool.Advised:
+		o.asks.answered()
+		o.step(e)
+	case pool.Event:
+		o.step(e)
+	}
+}
+
+func (o *ownership) saveAnswered(e saveDone) {
+	if e.err != nil {
+		o.unit.dropOwnership(e.err.Error())
+		return
+	}
+	o.lastBeat = bootTime()
+	if e.seq == 0 {
+		o.beating = false
+		return
+	}
+	o.step(pool.Saved{Seq: e.seq})
+}
+
+// saveLoop appends one save after the other. An append without an answer is
+// repeated under the same number: the store has it once.
+func (o *ownership) saveLoop() {
+	for {
+		select {
+		case s := <-o.saves:
+			o.sequence++
+			err := o.appendUntilDone(s.records)
+			if o.ctx.Err() != nil {
+				return
+			}
+			o.send(saveDone{seq: s.seq, err: err})
+			if err != nil {
+				return
+			}
+		case <-o.ctx.Done():
+			return
+		}
+	}
+}
+
+func (o *ownership) appendUntilDone(records []pool.Record) error {
+	for {
+		_, err := o.unit.node.store.Append(withTimeout(o.ctx, appendTimeout), o.unit.topic, records,
+			&Writer{Name: "owner", Epoch: o.claim.Epoch, Sequence: o.sequence})
+		var wrong SequenceError
+		switch {
+		case err == nil:
+			return nil
+		case errors.As(err, &wrong):
+			if wrong.Expected > o.sequence {
+				return nil // an earlier try took effect
+			}
+			return err
+		case errors.Is(err, ErrFenced):
+			return err
+		case o.ctx.Err() != nil:
+			return o.ctx.Err()
+		}
+		sleep(o.ctx, appendRetry)
+	}
+}
+
+func (o *ownership) takeWorkers(b batch) {
+	if b.err != nil {
+		return // the list stays as it was; the unit reports the store's loss
+	}
+	if b.reset {
+		o.workers = map[string]pool.WorkerInfo{}
+	}
+	for _, rec := range b.records {
+		if len(rec.Value) == 0 {
+			delete(o.workers, rec.Key)
+			continue
+		}
+		info, err := o.unit.node.directory.DecodeWorker(rec.Record)
+		if err != nil {
+			o.unit.log.Error().Err(err).Str("key", rec.Key).Msg("worker.unreadable")
+			continue
+		}
+		if partOf(info.Service, o.unit.node.set.Parts) != o.unit.topic.Part {
+			delete(o.workers, rec.Key)
+			continue
+		}
+		o.workers[rec.Key] = info
+	}
+	o.step(pool.WorkersListed{Workers: sortedWorkers(o.workers)})
+}
+
+func (o *ownership) step(ev pool.Event) {
+	for _, a := range o.core.Step(bootTime(), ev) {
+		o.carryOut(a)
+	}
+}
+
+func (o *ownership) carryOut(a pool.Action) {
+	w := o.unit.node.workers
+	switch a := a.(type) {
+	case pool.Hold:
+		go func() { o.send(w.Hold(withTimeout(o.ctx, a.Wait+holdSlack), a)) }()
+	case pool.Start:
+		go func() {
+			out := w.Start(withTimeout(o.ctx, orderTimeout), a)
+			o.send(pool.StartAnswered{Worker: a.Worker, Task: a.Task, Run: a.Run, Outcome: out})
+		}()
+	case pool.Stop:
+		go func() {
+			out := w.Stop(withTimeout(o.ctx, orderTimeout), a)
+			o.send(pool.StopAnswered{Worker: a.Worker, Task: a.Task, Run: a.Run, Outcome: out})
+		}()
+	case pool.Pace:
+		go func() { w.Pace(withTimeout(o.ctx, orderTimeout), a) }()
+	case pool.Advise:
+		o.asks.add(a)
+	case pool.Save:
+		o.saves <- pendingSave{seq: a.Seq, records: a.Records}
+	case pool.Deposed:
+		own := o
+		go func() {
+			o.unit.send(own.ctx, func() {
+				if own.unit.own == own {
+					own.unit.dropOwnership("worker " + a.Worker + " has seen a newer owner")
+				}
+			})
+		}()
+	case pool.Noted:
+		o.unit.node.logDecision(o.unit, a)
+	}
+}
--- /dev/null
+++ b/node/peers.go
@@ -0,0 +1,355 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/rpc"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/knapweedweir/knapweedweir/pool"
+)
+
+const (
+	// peersTopic lists the instances and where they reach each other.
+	peersTopicName = "keyed.instances"
+	// announceEvery repeats an instance's entry, should the first one be lost.
+	announceEvery   = 10 * time.Second
+	peerDialTimeout = 300 * time.Millisecond
+	// peerTimeout bounds a question to a peer; peers answer in 3 ms.
+	peerTimeout = 700 * time.Millisecond
+	// redialPause is how long a peer that can't be reached is left alone.
+	redialPause = 500 * time.Millisecond
+)
+
+var errNoPeer = errors.New("no peer answers")
+
+type peerEntry struct {
+	Addr string `json:"addr"`
+	Life int64  `json:"life"`
+}
+
+// peers are the other instances.
+type peers struct {
+	node  *Node
+	mu    sync.Mutex
+	byKey map[string]peerEntry
+	links map[string]*link
+	gone  map[int64]bool // lives of processes that no longer answer
+}
+
+// link is the connection to one peer.
+type link struct {
+	mu     sync.Mutex
+	client *rpc.Client
+	until  time.Duration // no dial before
+}
+
+func newPeers(n *Node) *peers {
+	return &peers{node: n, byKey: map[string]peerEntry{}, links: map[string]*link{}, gone: map[int64]bool{}}
+}
+
+func (p *peers) run(ctx context.Context) {
+	go p.announce(ctx)
+	f := &follower{store: p.node.store, topic: Topic{Name: peersTopicName}, wait: 10 * readWait,
+		pause: func() time.Duration { return followerPause }}
+	f.run(ctx, p.take)
+}
+
+func (p *peers) announce(ctx context.Context) {
+	entry := pool.Record{Key: p.node.set.Name, Value: pool.Encode(peerEntry{Addr: p.node.set.PeerAddr, Life: p.node.life})}
+	for ctx.Err() == nil && !p.node.stopping.Load() {
+		_, err := p.node.store.Append(withTimeout(ctx, appendTimeout), Topic{Name: peersTopicName}, []pool.Record{entry}, nil)
+		if err != nil {
+			sleep(ctx, followRetry)
+			continue
+		}
+		sleep(ctx, announceEvery)
+	}
+}
+
+// leave takes this instance off the list.
+func (p *peers) leave(ctx context.Context) {
+	if _, err := p.node.store.Append(withTimeout(ctx, appendTimeout), Topic{Name: peersTopicName},
+		[]pool.Record{{Key: p.node.set.Name}}, nil); err != nil {
+		p.node.log.Warn().Err(err).Msg("peers.leave_failed")
+	}
+}
+
+func (p *peers) take(b batch) {
+	if b.err != nil {
+		return // the list stays as it was
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if b.reset {
+		p.byKey = map[string]peerEntry{}
+	}
+	for _, rec := range b.records {
+		var e peerEntry
+		if len(rec.Value) == 0 || json.Unmarshal(rec.Value, &e) != nil {
+			delete(p.byKey, rec.Key)
+			continue
+		}
+		p.byKey[rec.Key] = e
+	}
+}
+
+// addrs returns the other instances that answer, as far as is known.
+func (p *peers) addrs() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := bootTime()
+	var list []string
+	for name, e := range p.byKey {
+		if name == p.node.set.Name || e.Addr == p.node.set.PeerAddr {
+			continue
+		}
+		if l := p.links[e.Addr]; l != nil && now < l.blockedUntil() {
+			continue
+		}
+		list = append(list, e.Addr)
+	}
+	slices.Sort(list)
+	return list
+}
+
+func (p *peers) link(addr string) *link {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.links[addr]
+	if l == nil {
+		l = &link{}
+		p.links[addr] = l
+	}
+	return l
+}
+
+func (l *link) blockedUntil() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.until
+}
+
+func (l *link) connect(addr string) (*rpc.Client, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.client != nil {
+		return l.client, nil
+	}
+	if bootTime() < l.until {
+		return nil, errNoPeer
+	}
+	conn, err := net.DialTimeout("tcp", addr, peerDialTimeout)
+	if err != nil {
+		l.until = bootTime() + redialPause
+		return nil, err
+	}
+	l.client = rpc.NewClient(conn)
+	return l.client, nil
+}
+
+// condemn drops a connection on which an answer is overdue: it may have gone
+// silent for good while a new one would work.
+func (l *link) condemn(c *rpc.Client) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.client == c {
+		l.client = nil
+	}
+	_ = c.Close() // its callers get rpc.ErrShutdown, which says as much
+}
+
+func (p *peers) call(ctx context.Context, addr, method string, args, reply any, timeout time.Duration) error {
+	l := p.link(addr)
+	client, err := l.connect(addr)
+	if err != nil {
+		return err
+	}
+	call := client.Go("Peer."+method, args, reply, make(chan *rpc.Call, 1))
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case <-call.Done:
+		if _, answered := call.Error.(rpc.ServerError); call.Error != nil && !answered {
+			l.condemn(client)
+		}
+		return call.Error
+	case <-timer.C:
+		l.condemn(client)
+		return errNoPeer
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Arguments and replies between instances.
+type (
+	// StateArgs asks for a job's state.
+	StateArgs struct {
+		Part int
+		Job  string
+	}
+	// StateReply is the owner's answer.
+	StateReply struct {
+		State pool.State
+		Found bool
+		Sure  bool
+	}
+	// PendingArgs asks how many jobs of a queue have not begun.
+	PendingArgs struct {
+		Part  int
+		Queue string
+	}
+	// PendingReply is the owner's answer.
+	PendingReply struct{ Count int }
+	// AdviseArgs asks a peer to ask the advice service.
+	AdviseArgs struct{ Ask pool.Advise }
+	// AdviseReply is what the service said.
+	AdviseReply struct{ Answer pool.Advised }
+	// StoreArgs asks a peer to store a record, for one that the store turns away.
+	StoreArgs struct {
+		Part   int
+		Record pool.Record
+	}
+	// TakeArgs asks a peer to claim a pool that its owner leaves.
+	TakeArgs struct {
+		Part  int
+		Epoch uint64
+	}
+	// LifeReply tells which process answers.
+	LifeReply struct{ Life int64 }
+	// Empty is nothing.
+	Empty struct{}
+)
+
+// Peer is what an instance does for the others.
+type Peer struct{ n *Node }
+
+// State answers for a pool that this instance owns.
+func (s Peer) State(a StateArgs, r *StateReply) error {
+	u := s.n.unit(a.Part)
+	if u == nil {
+		return errNotOwner
+	}
+	var owner bool
+	err := u.ask(withTimeout(context.Background(), peerTimeout), func() {
+		r.State, r.Found, owner, r.Sure = u.jobState(a.Job)
+	})
+	if err == nil && !owner {
+		return errNotOwner
+	}
+	return err
+}
+
+// Pending answers for a pool that this instance owns.
+func (s Peer) Pending(a PendingArgs, r *PendingReply) error {
+	u := s.n.unit(a.Part)
+	if u == nil {
+		return errNotOwner
+	}
+	var owner bool
+	err := u.ask(withTimeout(context.Background(), peerTimeout), func() { r.Count, owner = u.pending(a.Queue) })
+	if err == nil && !owner {
+		return errNotOwner
+	}
+	return err
+}
+
+// Advise asks the advice service in this machine's turn.
+func (s Peer) Advise(a AdviseArgs, r *AdviseReply) error {
+	r.Answer = s.n.advise(context.Background(), a.Ask)
+	return nil
+}
+
+// Store stores a record.
+func (s Peer) Store(a StoreArgs, _ *Empty) error {
+	_, err := s.n.store.Append(withTimeout(context.Background(), peerTimeout), Topic{Name: topicName, Part: a.Part},
+		[]pool.Record{a.Record}, nil)
+	return err
+}
+
+// Take claims a pool that its owner leaves.
+func (s Peer) Take(a TakeArgs, _ *Empty) error {
+	u := s.n.unit(a.Part)
+	if u == nil || s.n.stopping.Load() {
+		return errNotOwner
+	}
+	return u.ask(withTimeout(context.Background(), peerTimeout), func() {
+		if u.own == nil && !u.claiming && u.replica.claim.Epoch <= a.Epoch {
+			u.replica.claim.Epoch = a.Epoch
+			u.claim(context.Background(), "its owner is stopping")
+		}
+	})
+}
+
+// Life tells which process answers.
+func (s Peer) Life(_ Empty, r *LifeReply) error {
+	r.Life = s.n.life
+	return nil
+}
+
+// Serve answers peers until the listener is closed.
+func (n *Node) Serve(l net.Listener) error {
+	server := rpc.NewServer()
+	if err := server.RegisterName("Peer", Peer{n}); err != nil {
+		return err
+	}
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return err
+		}
+		go server.ServeConn(conn)
+	}
+}
+
+// advise asks the advice service, one question at a time.
+func (n *Node) advise(ctx context.Context, a pool.Advise) pool.Advised {
+	n.adviseNow.Lock()
+	defer n.adviseNow.Unlock()
+	return n.advisor.Advise(withTimeout(ctx, a.Cost+adviceSlack), a)
+}
+
+func (p *peers) advise(ctx context.Context, addr string, a pool.Advise) pool.Advised {
+	var r AdviseReply
+	if err := p.call(ctx, addr, "Advise", AdviseArgs{Ask: a}, &r, 2*a.Cost+2*adviceSlack); err != nil {
+		return pool.Advised{Failed: true}
+	}
+	return r.Answer
+}
+
+// handOver asks the peers in turn to claim a pool.
+func (p *peers) handOver(ctx context.Context, part int, epoch uint64) {
+	for _, addr := range p.addrs() {
+		if p.call(ctx, addr, "Take", TakeArgs{Part: part, Epoch: epoch}, &Empty{}, peerTimeout) == nil {
+			p.node.log.Info().Int("pool", part).Str("to", addr).Msg("pool.handed_over")
+			return
+		}
+	}
+}
+
+// probe finds out whether a silent owner's process is gone.
+func (n *Node) probe(ctx context.Context, c claim) {
+	var r LifeReply
+	err := n.peers.call(ctx, c.Addr, "Life", Empty{}, &r, peerTimeout)
+	if err == nil && r.Life == c.Life {
+		return
+	}
+	var refused *net.OpError
+	if err == nil || (errors.As(err, &refused) && !refused.Timeout()) {
+		n.peers.mu.Lock()
+		n.peers.gone[c.Life] = true
+		n.peers.mu.Unlock()
+	}
+}
+
+func (n *Node) isGone(c claim) bool {
+	n.peers.mu.Lock()
+	defer n.peers.mu.Unlock()
+	return n.peers.gone[c.Life]
+}
--- /dev/null
+++ b/node/replica.go
@@ -0,0 +1,148 @@
+package node
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+
+	"github.com/pkg/errors"
+
+	"github.com/knapweedweir/knapweedweir/pool"
+)
+
+// claim is the record by which an instance becomes a pool's owner.
+type claim struct {
+	Node string `json:"node"`
+	Addr string `json:"addr"` // empty: the owner has left
+	// Life tells two processes of one instance apart.
+	Life       int64  `json:"life"`
+	Epoch      uint64 `json:"epoch"`
+	Generation int    `json:"gen"`
+}
+
+// replica is one instance's copy of a pool's stored state.
+type replica struct {
+	records map[string]Stored
+	claim   claim
+	next    int64
+}
+
+func newReplica() *replica { return &replica{records: map[string]Stored{}} }
+
+// apply takes in a batch and returns the records that were new.
+func (r *replica) apply(b batch) ([]Stored, error) {
+	if b.reset {
+		r.dropMissing(b.records)
+	}
+	var fresh []Stored
+	var bad error
+	for _, rec := range b.records {
+		if old, ok := r.records[rec.Key]; ok && old.Offset >= rec.Offset {
+			continue
+		}
+		fresh = append(fresh, rec)
+		if len(rec.Value) == 0 {
+			delete(r.records, rec.Key)
+			continue
+		}
+		r.records[rec.Key] = rec
+		if rec.Key != pool.OwnerKey {
+			continue
+		}
+		var c claim
+		if err := json.Unmarshal(rec.Value, &c); err != nil {
+			bad = errors.Wrapf(err, "claim at offset %d", rec.Offset)
+			continue
+		}
+		if c.Epoch >= r.claim.Epoch {
+			r.claim = c
+		}
+	}
+	r.next = max(r.next, b.next)
+	return fresh, bad
+}
+
+func (r *replica) dropMissing(newest []Stored) {
+	keep := map[string]bool{}
+	for _, rec := range newest {
+		keep[rec.Key] = true
+	}
+	for key := range r.records {
+		if !keep[key] {
+			delete(r.records, key)
+		}
+	}
+}
+
+// state tells a job's state as far as the store holds it.
+func (r *replica) state(job string) (pool.State, bool) {
+	if _, ok := r.records[pool.JobKey(job)]; !ok {
+		return "", false
+	}
+	if rec, ok := r.records[pool.ProgressKey(job)]; ok {
+		var p pool.Progress
+		if json.Unmarshal(rec.Value, &p) == nil && p.State.Ended() {
+			return p.State, true
+		}
+		return pool.Running, true
+	}
+	if _, ok := r.records[pool.CancelKey(job)]; ok {
+		return pool.Cancelled, true
+	}
+	return pool.Queued, true
+}
+
+// pending counts a queue's jobs of which the store knows no progress.
+func (r *replica) pending(queue string) int {
+	n := 0
+	for key, rec := range r.records {
+		kind, id := pool.ParseKey(key)
+		if kind != pool.JobRecord {
+			continue
+		}
+		if s, _ := r.state(id); s != pool.Queued {
+			continue
+		}
+		var j pool.Job
+		if json.Unmarshal(rec.Value, &j) == nil && j.Queue == queue {
+			n++
+		}
+	}
+	return n
+}
+
+// inOrder returns the records as they were stored.
+func (r *replica) inOrder() []Stored {
+	list := make([]Stored, 0, len(r.records))
+	for _, rec := range r.records {
+		list = append(list, rec)
+	}
+	slices.SortFunc(list, func(a, b Stored) int { return cmp.Compare(a.Offset, b.Offset) })
+	return list
+}
+
+// event turns a stored record into what a core is told of it. A record stored
+// before the claim is inherited.
+func event(rec Stored, claimedAt int64) (pool.Event, error) {
+	kind, id := pool.ParseKey(rec.Key)
+	if len(rec.Value) == 0 {
+		return nil, nil
+	}
+	switch kind {
+	case pool.JobRecord:
+		e := pool.JobStored{Inherited: rec.Offset < claimedAt}
+		err := json.Unmarshal(rec.Value, &e.Job)
+		return e, errors.Wrapf(err, "job %s", id)
+	case pool.ProgressRecord:
+		e := pool.ProgressStored{Job: id}
+		err := json.Unmarshal(rec.Value, &e.Progress)
+		return e, errors.Wrapf(err, "progress of job %s", id)
+	case pool.CancelRecord:
+		return pool.CancelStored{Job: id}, nil
+	case pool.HeldRecord:
+		var e pool.WorkersInherited
+		err := json.Unmarshal(rec.Value, &e.Workers)
+		return e, errors.Wrap(err, "workers held")
+	}
+	return nil, nil
+}
--- /dev/null
+++ b/node/unit.go
@@ -0,0 +1,312 @@
+package node
+
+import (
+	"context"
+	"hash/fnv"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/knapweedweir/knapweedweir/pool"
+)
+
+const (
+	// topicName is the stream that holds the pools' state, one part a pool.
+	topicName = "keyed.pools"
+	// ownerBeat is how often an owner's word stands in the store, at least.
+	ownerBeat = 400 * time.Millisecond
+	// ownerSilent is how long an owner may not be heard of in the store, by
+	// one that reads it all the while, until another takes over. It covers
+	// three beats and a store that answers in a quarter of a second.
+	ownerSilent = 1800 * time.Millisecond
+	// claimSpread separates the claims of several instances.
+	claimSpread = 400 * time.Millisecond
+	// claimLater keeps an instance that owns a pool from claiming another
+	// before those that own none.
+	claimLater = 250 * time.Millisecond
+	// claimRetry is the pause after a claim that failed.
+	claimRetry = 300 * time.Millisecond
+	// tickEvery is how often a core sees time pass.
+	tickEvery = 50 * time.Millisecond
+	// followerPause is how often an instance that doesn't own a pool reads
+	// its state: often enough to see an owner's silence.
+	followerPause = 300 * time.Millisecond
+	// ownerPause batches what callers hand in.
+	ownerPause = 5 * time.Millisecond
+	// freshFor is how old the last word of the store may be for an answer
+	// that a job doesn't exist.
+	freshFor = 2500 * time.Millisecond
+)
+
+// partOf returns the part of the topic that holds a service's pool.
+func partOf(service string, parts int) int {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(service)) // a hash takes everything
+	return int(h.Sum32() % uint32(parts))
+}
+
+// unit is one pool's state on this instance, and its core while the instance
+// owns it. One goroutine runs it; others put questions through ask.
+type unit struct {
+	node    *Node
+	topic   Topic
+	log     zerolog.Logger
+	events  chan any
+	replica *replica
+
+	caughtUp   bool
+	lastRead   time.Duration // the store last answered a read
+	healthy    time.Duration // since when it answers without a failure
+	ownerHeard time.Duration
+	probed     time.Duration
+	claimAt    time.Duration // 0: no claim is due
+	claiming   bool
+	own        *ownership
+}
+
+func newUnit(n *Node, part int) *unit {
+	u := &unit{
+		node: n, topic: Topic{Name: topicName, Part: part},
+		log:    n.log.With().Int("pool", part).Logger(),
+		events: make(chan any, 1024), replica: newReplica(),
+	}
+	return u
+}
+
+// ask runs a question on the unit's goroutine.
+func (u *unit) ask(ctx context.Context, question func()) error {
+	done := make(chan struct{})
+	select {
+	case u.events <- func() { question(); close(done) }:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (u *unit) run(ctx context.Context) {
+	f := &follower{store: u.node.store, topic: u.topic, wait: readWait, pause: u.readPause}
+	go f.run(ctx, func(b batch) { u.send(ctx, b) })
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case ev := <-u.events:
+			u.handle(ctx, ev)
+		case <-ticker.C:
+			u.tick(ctx)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (u *unit) send(ctx context.Context, ev any) {
+	select {
+	case u.events <- ev:
+	case <-ctx.Done():
+	}
+}
+
+func (u *unit) readPause() time.Duration {
+	if u.node.owns(u.topic.Part) {
+		return ownerPause
+	}
+	return followerPause
+}
+
+func (u *unit) handle(ctx context.Context, ev any) {
+	switch e := ev.(type) {
+	case batch:
+		u.take(ctx, e)
+	case claimed:
+		u.claimAnswered(ctx, e)
+	case fromOwner:
+		if u.own == e.own {
+			u.own.handle(e.event)
+		}
+	case func():
+		e()
+	}
+}
+
+// take takes in what the store holds.
+func (u *unit) take(ctx context.Context, b batch) {
+	now := bootTime()
+	if b.err != nil {
+		if u.healthy != 0 {
+			u.log.Warn().Err(b.err).Msg("store.lost")
+		}
+		u.healthy = 0
+		return
+	}
+	if u.healthy == 0 {
+		u.healthy = now
+		u.log.Info().Int64("next", b.next).Msg("store.regained")
+	}
+	u.lastRead = now
+	fresh, err := u.replica.apply(b)
+	if err != nil {
+		u.log.Error().Err(err).Msg("record.unreadable")
+	}
+	for _, rec := range fresh {
+		switch kind, _ := pool.ParseKey(rec.Key); kind {
+		case pool.OwnerRecord, pool.ProgressRecord, pool.HeldRecord:
+			u.ownerHeard = now
+		}
+	}
+	if !u.caughtUp {
+		u.caughtUp = true
+		u.node.caughtUp()
+	}
+	u.followClaim()
+	if u.own != nil {
+		u.own.take(fresh)
+	}
+}
+
+// followClaim ends an ownership that another claim has replaced, and begins
+// one whose own claim has come back from the store.
+func (u *unit) followClaim() {
+	c := u.replica.claim
+	if u.own != nil && c.Epoch > u.own.claim.Epoch {
+		u.dropOwnership("another instance has claimed the pool")
+	}
+}
+
+func (u *unit) tick(ctx context.Context) {
+	if u.own != nil {
+		u.own.tick()
+		return
+	}
+	u.considerClaim(ctx)
+}
+
+// considerClaim claims the pool if nobody owns it or its owner is gone.
+func (u *unit) considerClaim(ctx context.Context) {
+	now := bootTime()
+	if !u.caughtUp || u.healthy == 0 || u.claiming || u.node.stopping.Load() {
+		return
+	}
+	reason := u.vacant(ctx, now)
+	if reason == "" {
+		u.claimAt = 0
+		return
+	}
+	if u.claimAt == 0 {
+		u.claimAt = now + u.claimDelay()
+	}
+	if now >= u.claimAt {
+		u.claim(ctx, reason)
+	}
+}
+
+// vacant returns why the pool has no owner, or nothing if it may have one. The
+// owner's silence counts only while this instance reads the store: after an
+// outage all owners have been silent for as long.
+func (u *unit) vacant(ctx context.Context, now time.Duration) string {
+	c := u.replica.claim
+	switch {
+	case c.Addr == "":
+		return "nobody owns it"
+	case c.Node == u.node.set.Name && c.Life != u.node.life:
+		return "this instance owned it before its restart"
+	case u.node.isGone(c):
+		return "its owner's process is gone"
+	case now-max(u.ownerHeard, u.healthy) > ownerSilent:
+		return "its owner is silent"
+	}
+	if now-max(u.ownerHeard, u.healthy) > ownerSilent/3 && now-u.probed > ownerBeat {
+		u.probed = now
+		go u.node.probe(ctx, c)
+	}
+	return ""
+}
+
+// claimDelay spreads the claims: instances without a pool first.
+func (u *unit) claimDelay() time.Duration {
+	d := time.Duration(rand.Int64N(int64(claimSpread)))
+	return d + time.Duration(u.node.owned())*claimLater
+}
+
+// claimed is the answer to a claim.
+type claimed struct {
+	claim  claim
+	offset int64
+	err    error
+}
+
+// claim makes this instance the owner, if the store has seen no newer epoch. The
+// low bits differ between instances, so two claims never carry the same epoch.
+func (u *unit) claim(ctx context.Context, reason string) {
+	old := u.replica.claim
+	c := claim{
+		Node: u.node.set.Name, Addr: u.node.set.PeerAddr, Life: u.node.life,
+		Epoch: (old.Epoch>>16+1)<<16 | uint64(rand.Uint32N(1<<16)), Generation: old.Generation + 1,
+	}
+	u.claiming = true
+	u.log.Info().Str("reason", reason).Str("before", old.Node).Uint64("epoch", c.Epoch).Msg("pool.claim")
+	go func() {
+		offset, err := u.node.store.Append(withTimeout(ctx, appendTimeout), u.topic,
+			[]pool.Record{{Key: pool.OwnerKey, Value: pool.Encode(c)}}, &Writer{Name: "owner", Epoch: c.Epoch})
+		u.send(ctx, claimed{claim: c, offset: offset, err: err})
+	}()
+}
+
+func (u *unit) claimAnswered(ctx context.Context, e claimed) {
+	u.claiming = false
+	u.claimAt = bootTime() + claimRetry
+	if e.err != nil {
+		u.log.Warn().Err(e.err).Uint64("epoch", e.claim.Epoch).Msg("pool.claim_failed")
+		return
+	}
+	if u.replica.claim.Epoch > e.claim.Epoch {
+		return // another instance was faster
+	}
+	u.claimAt = 0
+	u.ownerHeard = bootTime()
+	u.replica.claim = e.claim
+	u.own = newOwnership(ctx, u, e.claim, e.offset)
+	u.node.setOwned(u.topic.Part, true)
+	u.log.Info().Uint64("epoch", e.claim.Epoch).Int64("offset", e.offset).Msg("pool.owned")
+}
+
+func (u *unit) dropOwnership(reason string) {
+	if u.own == nil {
+		return
+	}
+	u.own.close()
+	u.log.Info().Uint64("epoch", u.own.claim.Epoch).Str("reason", reason).Msg("pool.lost")
+	u.own = nil
+	u.ownerHeard = bootTime()
+	u.node.setOwned(u.topic.Part, false)
+}
+
+// jobState answers from the core if this instance owns the pool, else from
+// the copy. Sure tells that a job which isn't found doesn't exist.
+func (u *unit) jobState(job string) (state pool.State, found, owner, sure bool) {
+	if u.own != nil && u.own.settledReplica() {
+		s, ok := u.own.core.JobState(job)
+		return s, ok, true, u.fresh()
+	}
+	s, ok := u.replica.state(job)
+	return s, ok, false, u.fresh()
+}
+
+func (u *unit) fresh() bool { return u.healthy != 0 && bootTime()-u.lastRead < freshFor }
+
+func (u *unit) pending(queue string) (int, bool) {
+	if u.own != nil && u.own.settledReplica() {
+		return u.own.core.Pending(queue), true
+	}
+	return u.replica.pending(queue), false
+}
+
+var errNotOwner = errors.New("this instance doesn't own the pool")
--- /dev/null
+++ b/pool/core.go
@@ -0,0 +1,198 @@
+package pool
+
+import "time"
+
+// Settings are a core's figures.
+type Settings struct {
+	// Token is the owner's fencing token.
+	Token uint64
+	// Generation counts the owners of the pool; it spaces the numbers of
+	// runs, see runsPerOwner.
+	Generation int
+	// HoldMax is the longest lease that a worker grants.
+	HoldMax time.Duration
+	// StopTimeout is how long a worker takes to stop a run at most.
+	StopTimeout time.Duration
+	// KeepEnded is how long an ended job's state can be asked for.
+	KeepEnded time.Duration
+}
+
+const (
+	// saveEvery is the shortest time between two saves. It batches the ends
+	// of short tasks: at 150 ends a second a save carries four of them.
+	saveEvery = 25 * time.Millisecond
+	// runsPerOwner is the gap between the run numbers of two owners. A new
+	// owner can't know which numbers its predecessor used for a task whose
+	// worker vanished; a task has far fewer runs under one owner.
+	runsPerOwner = 1000
+)
+
+// Core owns one pool. It isn't safe for concurrent use.
+type Core struct {
+	set      Settings
+	now      time.Duration
+	unixMs   int64
+	took     time.Duration // when this owner began
+	queues   map[string]Queue
+	jobs     map[string]*job
+	order    []*job // jobs that have not ended, in the order they were stored
+	workers  map[string]*worker
+	byID     []*worker // in the order they were first seen
+	held     map[string]HeldWorker
+	heldNew  bool // held has changed since it was last saved
+	dirty    []*job
+	inSave   []*job   // what the save on its way holds
+	drop     []Record // keys whose time is over
+	saveSeq  uint64
+	savedSeq uint64
+	listed   bool // the list of workers has come at least once
+	saving   bool
+	lastSave time.Duration
+	replan   bool
+	planned  time.Duration
+	deposed  bool
+	ended    []*job // ended jobs, oldest first
+	out      []Action
+}
+
+// New returns the core of a pool's new owner.
+func New(set Settings, now time.Duration) *Core {
+	return &Core{
+		set: set, now: now, took: now,
+		queues:  map[string]Queue{},
+		jobs:    map[string]*job{},
+		workers: map[string]*worker{},
+		held:    map[string]HeldWorker{},
+	}
+}
+
+// Step takes in an event and returns what is to be done. The time never goes
+// back and runs on while the machine sleeps.
+func (c *Core) Step(now time.Duration, ev Event) []Action {
+	c.now = max(c.now, now)
+	c.out = nil
+	if c.deposed {
+		return nil
+	}
+	c.handle(ev)
+	if c.replan {
+		c.replan = false
+		c.place()
+	}
+	c.flush()
+	return c.out
+}
+
+func (c *Core) handle(ev Event) {
+	switch e := ev.(type) {
+	case JobStored:
+		c.addJob(e)
+	case ProgressStored:
+		c.restore(e)
+	case CancelStored:
+		c.cancel(e.Job)
+	case QueuesChanged:
+		c.queues = e.Queues
+		c.replan = true
+	case WorkersListed:
+		c.listWorkers(e.Workers)
+	case WorkersInherited:
+		c.inheritWorkers(e.Workers)
+	case HoldAnswered:
+		c.holdAnswered(e)
+	case StartAnswered:
+		c.startAnswered(e)
+	case StopAnswered:
+		c.stopAnswered(e)
+	case Advised:
+		c.advised(e)
+	case Saved:
+		c.saved(e.Seq)
+	case Tick:
+		c.tick(e)
+	}
+}
+
+func (c *Core) do(a Action) { c.out = append(c.out, a) }
+
+func (c *Core) note(event string, r *run, reason string) {
+	id := r.task.id()
+	c.do(Noted{Event: event, Job: id.Job, Task: &id, Run: r.number, Worker: r.worker.ID, Reason: reason})
+}
+
+func (c *Core) noteJob(event string, j *job, reason string) {
+	c.do(Noted{Event: event, Job: j.ID, Reason: reason})
+}
+
+func (c *Core) tick(e Tick) {
+	c.unixMs = e.UnixMs
+	for _, j := range c.order {
+		c.openDue(j)
+	}
+	for _, w := range c.byID {
+		c.tickWorker(w)
+	}
+	c.forgetWorkers()
+	c.forgetJobs()
+	c.replan = true
+}
+
+// flush saves what has changed, one save at a time.
+func (c *Core) flush() {
+	if c.saving || c.now-c.lastSave < saveEvery || c.deposed {
+		return
+	}
+	if len(c.dirty) == 0 && len(c.drop) == 0 && !c.heldNew {
+		return
+	}
+	c.saveSeq++
+	save := Save{Seq: c.saveSeq}
+	for _, j := range c.dirty {
+		j.dirty = false
+		save.Records = append(save.Records, Record{Key: ProgressKey(j.ID), Value: Encode(j.progress())})
+	}
+	c.inSave, c.dirty = c.dirty, nil
+	save.Records = append(save.Records, c.drop...)
+	c.drop = nil
+	if c.heldNew {
+		c.heldNew = false
+		save.Records = append(save.Records, Record{Key: HeldKey, Value: Encode(c.heldList())})
+	}
+	for _, w := range c.byID {
+		w.saveEnds(c.saveSeq)
+	}
+	c.saving = true
+	c.lastSave = c.now
+	c.do(save)
+}
+
+func (c *Core) heldList() []HeldWorker {
+	list := []HeldWorker{}
+	for _, w := range c.byID {
+		if h, ok := c.held[w.ID]; ok {
+			list = append(list, h)
+		}
+	}
+	return list
+}
+
+func (c *Core) saved(seq uint64) {
+	c.saving = false
+	c.savedSeq = seq
+	for _, j := range c.inSave {
+		if !j.dirty {
+			j.shown = j.state
+		}
+	}
+	c.inSave = nil
+	for _, w := range c.byID {
+		c.ackSaved(w, seq)
+	}
+}
+
+func (c *Core) markDirty(j *job) {
+	if !j.dirty {
+		j.dirty = true
+		c.dirty = append(c.dirty, j)
+	}
+}
--- /dev/null
+++ b/pool/ends.go
@@ -0,0 +1,155 @@
+package pool
+
+import "time"
+
+// failurePause delays the next run of a task after one that failed, so that a
+// task that fails at once doesn't take a worker's attention for nothing.
+const failurePause = 100 * time.Millisecond
+
+// save keeps a task's newest checkpoint; a gang's counts for all members.
+func (t *task) save(checkpoint string) {
+	if t.step.spec.Gang {
+		t = t.step.tasks[0]
+	}
+	t.saved = checkpoint
+}
+
+// checkpoint is where the next run resumes.
+func (t *task) checkpoint() string {
+	if t.step.spec.Gang {
+		return t.step.tasks[0].saved
+	}
+	return t.saved
+}
+
+// takeEnds takes in the ends that a worker lists. An end is noted at the worker
+// only after the store holds it: otherwise a new owner would run the task again.
+func (c *Core) takeEnds(w *worker, e HoldAnswered) {
+	for _, x := range e.Ended {
+		if x.Number <= w.seen {
+			continue
+		}
+		w.seen = x.Number
+		unsaved := c.takeEnd(w, x)
+		w.ends = append(w.ends, end{number: x.Number, unsaved: unsaved, save: c.saveSeq})
+	}
+}
+
+// takeEnd takes in one end, and reports whether it changed what is to be saved.
+func (c *Core) takeEnd(w *worker, x EndedRun) bool {
+	t := c.task(x.Task)
+	r := w.runs[runKey{x.Task, x.Run}]
+	if t == nil {
+		if r != nil {
+			c.vacate(r)
+		}
+		return false
+	}
+	t.lastRun = max(t.lastRun, x.Run)
+	t.step.gangRun = max(t.step.gangRun, x.Run)
+	if r != nil {
+		c.vacate(r)
+	}
+	if x.Checkpoint != "" {
+		t.save(x.Checkpoint)
+	}
+	j := t.step.job
+	c.do(Noted{Event: "run.ended", Job: j.ID, Task: &x.Task, Run: x.Run, Worker: w.ID, Reason: x.How.String()})
+	if j.state.Ended() {
+		return false
+	}
+	c.markDirty(j)
+	j.begun = true
+	switch x.How {
+	case Done:
+		c.taskDone(t)
+	case RunFailed:
+		c.taskFailed(t, x.Run)
+	default:
+		if t.step.spec.Gang {
+			c.stopGang(t.step, "a member ended")
+		}
+	}
+	return true
+}
+
+func (c *Core) taskDone(t *task) {
+	s := t.step
+	if s.spec.LongRunning {
+		return // it starts again
+	}
+	if s.spec.Gang {
+		for _, m := range s.tasks {
+			s.finish(m)
+		}
+	} else {
+		s.finish(t)
+		if t.run != nil {
+			c.stop(t.run, "the task is done")
+		}
+	}
+	if s.remaining == 0 {
+		c.turnSteps(s.occ)
+		c.settle(s.job)
+	}
+}
+
+func (c *Core) taskFailed(t *task, number int) {
+	s := t.step
+	t.notBefore = c.now + failurePause
+	if s.spec.Gang {
+		c.stopGang(s, "a member failed")
+		t = s.tasks[0]
+		if t.failedRun() >= number {
+			return // counted with another member of the same run
+		}
+		s.notBefore = c.now + failurePause
+	}
+	t.failed++
+	s.lastFailed = number
+	if attempts := c.queues[s.job.Queue].Attempts; !s.spec.LongRunning && attempts > 0 && t.failed >= attempts {
+		c.fail(s.job, "a task failed too often")
+	}
+}
+
+func (t *task) failedRun() int { return t.step.lastFailed }
+
+// stopGang stops what is left of a gang's run: its members work only together.
+func (c *Core) stopGang(s *step, reason string) {
+	for _, m := range s.tasks {
+		if m.run != nil {
+			c.stop(m.run, reason)
+		}
+	}
+}
+
+// saveEnds marks which save holds a worker's ends.
+func (w *worker) saveEnds(seq uint64) {
+	for i := range w.ends {
+		if w.ends[i].unsaved {
+			w.ends[i].unsaved, w.ends[i].save = false, seq
+		}
+	}
+}
+
+// ackSaved moves a worker's cursor over the ends that the store holds.
+func (c *Core) ackSaved(w *worker, seq uint64) {
+	n := 0
+	for n < len(w.ends) && !w.ends[n].unsaved && w.ends[n].save <= seq {
+		w.ack = w.ends[n].number
+		n++
+	}
+	if n == 0 {
+		return
+	}
+	w.ends = w.ends[n:]
+	if len(w.ends) == 0 {
+		w.nextHold = c.now
+		c.tickWorker(w)
+	}
+}
+
+// String names an end in logs.
+func (h How) String() string {
+	return [...]string{"done", "failed", "stopped", "lapsed", "broken", "alone"}[h]
+}
--- /dev/null
+++ b/pool/records.go
@@ -0,0 +1,151 @@
+package pool
+
+import (
+	"encoding/json"
+	"strings"
+)
+
+// Prefixes of the keys under which a pool's state is stored. The newest record
+// of each key is kept for good, so a new owner reads the state and no history.
+const (
+	jobPrefix      = "j/"
+	progressPrefix = "p/"
+	cancelPrefix   = "c/"
+	// OwnerKey holds the claim of the pool's owner.
+	OwnerKey = "owner"
+	// HeldKey holds the workers on which the owner may have started tasks.
+	HeldKey = "held"
+)
+
+// JobKey is the key of a job as handed in.
+func JobKey(id string) string { return jobPrefix + id }
+
+// CancelKey is the key of a job's cancellation.
+func CancelKey(id string) string { return cancelPrefix + id }
+
+// ProgressKey is the key of what is known of a job's tasks.
+func ProgressKey(id string) string { return progressPrefix + id }
+
+// KeyKind tells what a key holds.
+type KeyKind int
+
+// The kinds of keys.
+const (
+	OtherRecord KeyKind = iota
+	JobRecord
+	ProgressRecord
+	CancelRecord
+	OwnerRecord
+	HeldRecord
+)
+
+// ParseKey returns what a key holds and the job that it belongs to.
+func ParseKey(key string) (KeyKind, string) {
+	switch {
+	case key == OwnerKey:
+		return OwnerRecord, ""
+	case key == HeldKey:
+		return HeldRecord, ""
+	case strings.HasPrefix(key, jobPrefix):
+		return JobRecord, key[len(jobPrefix):]
+	case strings.HasPrefix(key, progressPrefix):
+		return ProgressRecord, key[len(progressPrefix):]
+	case strings.HasPrefix(key, cancelPrefix):
+		return CancelRecord, key[len(cancelPrefix):]
+	}
+	return OtherRecord, ""
+}
+
+// HeldWorker is a worker on which an owner may have started tasks.
+type HeldWorker struct {
+	ID      string `json:"id"`
+	Addr    string `json:"a"`
+	Service string `json:"s"`
+}
+
+// Progress is what is stored of a job beside the job itself.
+type Progress struct {
+	State State          `json:"s"`
+	Steps []StepProgress `json:"t,omitempty"`
+}
+
+// StepProgress is what is stored of one step that has seen an end.
+type StepProgress struct {
+	K    int `json:"k,omitempty"`
+	Step int `json:"i"`
+	// Done has a 1 for each task that is done; in full only while some are.
+	Done string `json:"d,omitempty"`
+	All  bool   `json:"all,omitempty"`
+	// Failed counts the failed runs of a task, or of the gang under 0.
+	Failed map[int]int `json:"f,omitempty"`
+	// Saved holds the newest checkpoint of a task, or of the gang under 0.
+	Saved map[int]string `json:"c,omitempty"`
+}
+
+// Encode returns the stored form of a value of this package.
+func Encode(v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		// The types here hold strings, numbers, maps and slices only.
+		panic(err)
+	}
+	return data
+}
+
+func (j *job) progress() Progress {
+	p := Progress{State: j.state}
+	if j.state.Ended() {
+		return p
+	}
+	for _, occ := range j.occurrences {
+		for _, s := range occ.steps {
+			if sp, any := s.progress(); any {
+				p.Steps = append(p.Steps, sp)
+			}
+		}
+	}
+	return p
+}
+
+func (s *step) progress() (StepProgress, bool) {
+	p := StepProgress{K: s.id.K, Step: s.id.Step}
+	if s.remaining == 0 {
+		p.All = true
+		return p, true
+	}
+	done := make([]byte, len(s.tasks))
+	any := false
+	for i, t := range s.tasks {
+		done[i] = '0'
+		if t.done {
+			done[i] = '1'
+			any = true
+		}
+		if t.failed > 0 {
+			if p.Failed == nil {
+				p.Failed = map[int]int{}
+			}
+			p.Failed[i] = t.failed
+		}
+		if t.saved != "" {
+			if p.Saved == nil {
+				p.Saved = map[int]string{}
+			}
+			p.Saved[i] = t.saved
+		}
+	}
+	if any {
+		p.Done = string(done)
+	}
+	return p, any || p.Failed != nil || p.Saved != nil
+}
+
+func (s *step) restore(p StepProgress) {
+	for i, t := range s.tasks {
+		if p.All || (i < len(p.Done) && p.Done[i] == '1') {
+			s.finish(t)
+		}
+		t.failed = p.Failed[i]
+		t.saved = p.Saved[i]
+	}
+}
--- /dev/null
+++ b/pool/state.go
@@ -0,0 +1,274 @@
+package pool
+
+import "time"
+
+type job struct {
+	Job
+	inherited   bool
+	queue       Queue
+	occurrences []*occurrence
+	state       State
+	// shown is the newest state that the store holds. Callers see an end
+	// only once it can't be lost with this process.
+	shown   State
+	begun   bool
+	dirty   bool
+	endedAt time.Duration
+	// firstRun is the first run number that this owner may use.
+	firstRun int
+	opened   int // occurrences that have become due
+}
+
+type occurrence struct {
+	steps     []*step
+	remaining int // steps that aren't done
+}
+
+type step struct {
+	job        *job
+	occ        *occurrence
+	id         StepID
+	spec       *StepSpec
+	tasks      []*task
+	remaining  int // tasks that aren't done
+	gangRun    int // number of the gang's newest run
+	lastFailed int // number of the newest failed run of a gang
+	advice     advice
+	// waitingSince is when the step's turn came.
+	waitingSince time.Duration
+	turn         bool
+	notBefore    time.Duration
+	booked       []booking
+}
+
+type task struct {
+	step    *step
+	ordinal int
+	done    bool
+	failed  int    // failed runs; of the whole gang in task 0
+	saved   string // newest checkpoint; of the whole gang in task 0
+	lastRun int
+	run     *run
+	// notBefore delays the next run after one that failed.
+	notBefore time.Duration
+}
+
+func (t *task) id() TaskID {
+	return TaskID{Job: t.step.id.Job, K: t.step.id.K, Step: t.step.id.Step, Ordinal: t.ordinal}
+}
+
+// waits reports whether the task could be started now.
+func (t *task) waits(now time.Duration) bool {
+	return !t.done && t.run == nil && now >= t.notBefore
+}
+
+func (c *Core) addJob(e JobStored) {
+	if _, known := c.jobs[e.Job.ID]; known {
+		return // a caller sent it twice
+	}
+	j := &job{Job: e.Job, inherited: e.Inherited, state: Queued, shown: Queued}
+	if e.Inherited {
+		j.firstRun = c.set.Generation * runsPerOwner
+	}
+	c.jobs[j.ID] = j
+	c.order = append(c.order, j)
+	c.openDue(j)
+	c.replan = true
+}
+
+// openDue creates the occurrences whose time has come.
+func (c *Core) openDue(j *job) {
+	for j.opened < j.Occurrences() && j.DueMs(j.opened) <= c.unixMs {
+		c.open(j)
+	}
+}
+
+func (c *Core) open(j *job) {
+	occ := &occurrence{remaining: len(j.Steps)}
+	for i := range j.Steps {
+		s := &step{job: j, occ: occ, id: StepID{Job: j.ID, K: j.opened, Step: i}, spec: &j.Steps[i], remaining: j.Steps[i].Count}
+		for n := range j.Steps[i].Count {
+			s.tasks = append(s.tasks, &task{step: s, ordinal: n, lastRun: j.firstRun})
+		}
+		occ.steps = append(occ.steps, s)
+	}
+	j.occurrences = append(j.occurrences, occ)
+	j.opened++
+	c.turnSteps(occ)
+}
+
+// turnSteps marks the steps whose predecessors are all done.
+func (c *Core) turnSteps(occ *occurrence) {
+	for _, s := range occ.steps {
+		if s.turn || s.remaining == 0 || !s.predecessorsDone() {
+			continue
+		}
+		s.turn = true
+		s.waitingSince = c.now
+		c.replan = true
+	}
+}
+
+func (s *step) predecessorsDone() bool {
+	for _, p := range s.spec.After {
+		if p < len(s.occ.steps) && s.occ.steps[p].remaining > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// finish marks a task done.
+func (s *step) finish(t *task) {
+	if t.done {
+		return
+	}
+	t.done = true
+	s.remaining--
+	if s.remaining == 0 {
+		s.occ.remaining--
+	}
+}
+
+func (c *Core) restore(e ProgressStored) {
+	j := c.jobs[e.Job]
+	if j == nil {
+		return
+	}
+	j.begun = len(e.Progress.Steps) > 0
+	if e.Progress.State.Ended() {
+		j.state, j.shown = e.Progress.State, e.Progress.State
+		c.end(j)
+		return
+	}
+	for _, sp := range e.Progress.Steps {
+		for j.opened <= sp.K && j.opened < j.Occurrences() {
+			c.open(j)
+		}
+		if sp.K < len(j.occurrences) && sp.Step < len(j.occurrences[sp.K].steps) {
+			j.occurrences[sp.K].steps[sp.Step].restore(sp)
+		}
+	}
+	for _, occ := range j.occurrences {
+		c.turnSteps(occ)
+	}
+	c.settle(j)
+}
+
+// settle ends a job whose tasks are all done.
+func (c *Core) settle(j *job) {
+	if j.state.Ended() || j.opened < j.Occurrences() {
+		return
+	}
+	for _, occ := range j.occurrences {
+		if occ.remaining > 0 {
+			return
+		}
+	}
+	j.state = Completed
+	c.noteJob("job.completed", j, "")
+	c.end(j)
+	c.markDirty(j)
+}
+
+func (c *Core) cancel(id string) {
+	j := c.jobs[id]
+	if j == nil || j.state.Ended() {
+		return
+	}
+	j.state = Cancelled
+	c.noteJob("job.cancelled", j, "")
+	c.end(j)
+	c.markDirty(j)
+}
+
+// fail ends a job that a task has failed too often.
+func (c *Core) fail(j *job, reason string) {
+	if j.state.Ended() {
+		return
+	}
+	j.state = Failed
+	c.noteJob("job.failed", j, reason)
+	c.end(j)
+	c.markDirty(j)
+}
+
+// end stops what still runs of a job and remembers when it ended.
+func (c *Core) end(j *job) {
+	j.endedAt = c.now
+	c.ended = append(c.ended, j)
+	for i, o := range c.order {
+		if o == j {
+			c.order = append(c.order[:i], c.order[i+1:]...)
+			break
+		}
+	}
+	for _, occ := range j.occurrences {
+		for _, s := range occ.steps {
+			c.unbook(s)
+			for _, t := range s.tasks {
+				if t.run != nil {
+					c.stop(t.run, string(j.state))
+				}
+			}
+		}
+	}
+	c.replan = true
+}
+
+// forgetJobs drops jobs whose state nobody can ask for any more.
+func (c *Core) forgetJobs() {
+	for len(c.ended) > 0 && c.now-c.ended[0].endedAt > c.set.KeepEnded {
+		j := c.ended[0]
+		c.ended = c.ended[1:]
+		delete(c.jobs, j.ID)
+		for _, key := range []string{JobKey(j.ID), ProgressKey(j.ID), CancelKey(j.ID)} {
+			c.drop = append(c.drop, Record{Key: key})
+		}
+	}
+}
+
+func (c *Core) task(id TaskID) *task {
+	j := c.jobs[id.Job]
+	if j == nil || id.K < 0 || id.K >= len(j.occurrences) {
+		return nil
+	}
+	steps := j.occurrences[id.K].steps
+	if id.Step < 0 || id.Step >= len(steps) {
+		return nil
+	}
+	tasks := steps[id.Step].tasks
+	if id.Ordinal < 0 || id.Ordinal >= len(tasks) {
+		return nil
+	}
+	return tasks[id.Ordinal]
+}
+
+// JobState returns a job's state, or false if there is no such job.
+func (c *Core) JobState(id string) (State, bool) {
+	j := c.jobs[id]
+	if j == nil {
+		return "", false
+	}
+	if j.state.Ended() {
+		if j.shown.Ended() {
+			return j.shown, true
+		}
+		return Running, true
+	}
+	if j.begun {
+		return Running, true
+	}
+	return Queued, true
+}
+
+// Pending counts a queue's jobs of which no task has started.
+func (c *Core) Pending(queue string) int {
+	n := 0
+	for _, j := range c.order {
+		if j.Queue == queue && !j.begun {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/pool/urgency.go
@@ -0,0 +1,78 @@
+package pool
+
+import (
+	"cmp"
+	"slices"
+)
+
+// worthlessAfter is how many times its objective a job may take and still be
+// worth something.
+const worthlessAfter = 3
+
+// urgency is the order in which steps that wait get room.
+type urgency struct {
+	tier     int // 0: can still be in time, 1: late, 2: worth nothing any more
+	priority int
+	due      int64 // Unix milliseconds
+}
+
+// urgencyOf rates a step by what its job can still earn.
+func (c *Core) urgencyOf(s *step) urgency {
+	q := c.queues[s.job.Queue]
+	begin := max(s.job.AcceptedMs, s.job.DueMs(s.id.K))
+	objective := int64(q.Slack*float64(s.job.chainMs(0))) + q.Target.Milliseconds()
+	u := urgency{priority: q.Priority, due: begin + objective}
+	if s.spec.LongRunning {
+		return u // earns as long as it runs
+	}
+	ready := c.unixMs + s.job.chainMs(s.id.Step)
+	switch {
+	case ready > begin+worthlessAfter*objective:
+		u.tier = 2
+	case ready > u.due:
+		u.tier = 1
+	}
+	return u
+}
+
+// chainMs is the longest chain of declared work from a step on.
+func (j *Job) chainMs(from int) int64 {
+	longest := make([]int64, len(j.Steps))
+	best := int64(0)
+	for i := range j.Steps {
+		if i < from {
+			continue
+		}
+		for _, p := range j.Steps[i].After {
+			if p < i {
+				longest[i] = max(longest[i], longest[p])
+			}
+		}
+		longest[i] += j.Steps[i].EstimateMs
+		best = max(best, longest[i])
+	}
+	return best
+}
+
+func (c *Core) sortByUrgency(steps []*step) {
+	rated := make([]struct {
+		u urgency
+		s *step
+	}, len(steps))
+	for i, s := range steps {
+		rated[i].u, rated[i].s = c.urgencyOf(s), s
+	}
+	slices.SortStableFunc(rated, func(a, b struct {
+		u urgency
+		s *step
+	}) int {
+		return cmp.Or(cmp.Compare(a.u.tier, b.u.tier), cmp.Compare(a.u.priority, b.u.priority), cmp.Compare(a.u.due, b.u.due))
+	})
+	for i := range rated {
+		steps[i] = rated[i].s
+	}
+}
+
+func compareTasks(a, b TaskID) int {
+	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.K, b.K), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Ordinal, b.Ordinal))
+}
--- /dev/null
+++ b/pool/worker.go
@@ -0,0 +1,480 @@
+package pool
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// holdWait is how long a hold waits for an end. Leases are renewed with
+	// each hold, so a lease of 5 s outlives four lost ones.
+	holdWait = time.Second
+	// leaseLength leaves one second under the longest lease that workers
+	// grant here; it survives the restart of all processes, and a worker
+	// that went silent is given up 5.4 s after the last hold.
+	leaseLength = 5 * time.Second
+	// holdTimeout is how late an answer may be before the worker counts as
+	// silent; workers answer within milliseconds.
+	holdTimeout = holdWait + 700*time.Millisecond
+	// unsavedPause is the pause between holds while ends wait for the store;
+	// a hold would be answered at once with the same ends.
+	unsavedPause = 250 * time.Millisecond
+	// retryPause is the pause after a hold without an answer.
+	retryPause = 200 * time.Millisecond
+	// slowClock is how much slower than ours a worker's clock may run, plus
+	// what our estimate of it may be ahead: 2 % and 1 %.
+	slowClock = 1.03
+	// lapseSlack covers the way to the worker and its timer.
+	lapseSlack = 250 * time.Millisecond
+	// unhealthyPause is how long a worker that refused for its health gets
+	// no new tasks.
+	unhealthyPause = 2 * time.Second
+	// orderRetry is when a stop without an answer is sent again.
+	orderRetry = 300 * time.Millisecond
+	// startTries is how often a start without an answer is sent before the
+	// run is stopped instead. Sending it again is harmless: a worker has a
+	// run once.
+	startTries = 3
+	// vanishedSlack is how long after a run was settled it may still be
+	// missing from a worker's list.
+	vanishedSlack = 300 * time.Millisecond
+)
+
+type runKey struct {
+	task TaskID
+	run  int
+}
+
+type phase int
+
+const (
+	starting phase = iota // sent, no answer yet
+	running
+	doubtful // sent, and no answer came
+)
+
+// run is one start of a task on a worker. It takes room from the moment it is
+// decided until its end is listed, or until it can't exist any more.
+type run struct {
+	task    *task
+	number  int
+	worker  *worker
+	need    Resources
+	phase   phase
+	tries   int
+	ticket  string
+	settled time.Duration // when the worker last answered about it
+	// stopping tells that it must end; stopSent is when that was last
+	// ordered, stopped when the worker confirmed the order.
+	stopping bool
+	stopSent time.Duration
+	stopped  time.Duration
+	percent  int
+	usage    int
+}
+
+type end struct {
+	number  uint64
+	unsaved bool   // in no save yet
+	save    uint64 // the save that holds it
+}
+
+type worker struct {
+	WorkerInfo
+	listed bool
+	fenced bool // it has answered under this owner's token
+	// inherited workers may run what a predecessor started.
+	inherited bool
+	silent    bool // its last hold had no answer
+	clockMs   int64
+	readAt    time.Duration
+	// lapse is when all that was ever sent there is over for certain.
+	lapse    time.Duration
+	holding  bool
+	nextHold time.Duration
+	ack      uint64
+	seen     uint64
+	ends     []end
+	runs     map[runKey]*run
+	used     Resources
+	booked   Resources     // kept while tickets are fetched
+	pause    time.Duration // no new tasks before
+	answered time.Duration
+	fills    int // filling tasks
+	serving  int // tasks that serve under a latency target
+}
+
+func (c *Core) newWorker(info WorkerInfo) *worker {
+	w := &worker{WorkerInfo: info, runs: map[runKey]*run{}, inherited: !c.listed}
+	// A predecessor may have renewed the lease until we took over.
+	w.lapse = max(c.now, c.took) + time.Duration(float64(c.set.HoldMax)*slowClock) + lapseSlack
+	c.workers[info.ID] = w
+	c.byID = append(c.byID, w)
+	return w
+}
+
+func (c *Core) listWorkers(list []WorkerInfo) {
+	for _, w := range c.workers {
+		w.listed = false
+	}
+	for _, info := range list {
+		w := c.workers[info.ID]
+		if w == nil {
+			w = c.newWorker(info)
+		}
+		w.WorkerInfo = info
+		w.listed = true
+		if _, ok := c.held[info.ID]; !ok {
+			c.held[info.ID] = HeldWorker{ID: info.ID, Addr: info.Addr, Service: info.Service}
+			c.heldNew = true
+		}
+		c.tickWorker(w)
+	}
+	c.listed = true
+	c.replan = true
+}
+
+func (c *Core) inheritWorkers(list []HeldWorker) {
+	for _, h := range list {
+		if c.workers[h.ID] == nil {
+			c.newWorker(WorkerInfo{ID: h.ID, Addr: h.Addr, Service: h.Service})
+			c.held[h.ID] = h
+		}
+	}
+}
+
+// tickWorker does what is due at a worker.
+func (c *Core) tickWorker(w *worker) {
+	if c.now >= w.lapse && len(w.runs) > 0 {
+		c.loseRuns(w, "lease over")
+	}
+	for _, r := range w.sortedRuns() {
+		if r.stopping && r.stopped == 0 && c.now-r.stopSent >= orderRetry {
+			c.sendStop(r)
+		}
+	}
+	if !w.holding && c.now >= w.nextHold && (w.listed || len(w.runs) > 0 || !w.fenced) {
+		c.hold(w)
+	}
+}
+
+// clock estimates the worker's clock now.
+func (c *Core) clock(w *worker) int64 {
+	return w.clockMs + (c.now - w.readAt).Milliseconds()
+}
+
+// lease returns the end of a lease that begins now, on the worker's clock.
+func (c *Core) lease(w *worker) int64 {
+	length := min(leaseLength, c.set.HoldMax)
+	lapse := c.now + time.Duration(float64(length)*slowClock) + lapseSlack
+	w.lapse = max(w.lapse, lapse)
+	return c.clock(w) + length.Milliseconds()
+}
+
+func (c *Core) hold(w *worker) {
+	h := Hold{Worker: w.ID, Addr: w.Addr, Token: c.set.Token, Ack: w.ack, SentAt: c.now}
+	if w.fenced {
+		h.Wait = holdWait
+		h.DeadlineMs = c.lease(w)
+	}
+	if w.silent {
+		h.Wait = 0
+	}
+	w.holding = true
+	c.do(h)
+}
+
+func (c *Core) holdAnswered(e HoldAnswered) {
+	w := c.workers[e.Worker]
+	if w == nil {
+		return
+	}
+	w.holding = false
+	switch e.Outcome {
+	case OK:
+	case Fenced:
+		c.depose(w)
+		return
+	case OtherLife:
+		c.loseRuns(w, "another life answers")
+		c.removeWorker(w)
+		return
+	default:
+		w.silent = true
+		w.nextHold = c.now + retryPause
+		return
+	}
+	if w.silent || !w.fenced {
+		c.replan = true
+	}
+	w.silent = false
+	w.answered = c.now
+	w.clockMs, w.readAt = e.ClockMs, c.now
+	c.takeActive(w, e)
+	c.takeEnds(w, e)
+	c.findVanished(w, e)
+	w.fenced = true
+	w.nextHold = c.now
+	if len(w.ends) > 0 {
+		w.nextHold = c.now + unsavedPause
+	}
+	c.ackSaved(w, c.savedSeq)
+	c.flush()
+	c.tickWorker(w)
+}
+
+func (c *Core) depose(w *worker) {
+	c.deposed = true
+	c.do(Deposed{Worker: w.ID})
+}
+
+// takeActive adopts what a predecessor started, and stops what must not run.
+func (c *Core) takeActive(w *worker, e HoldAnswered) {
+	for _, a := range e.Active {
+		r := w.runs[runKey{a.Task, a.Run}]
+		if r == nil {
+			r = c.adopt(w, a)
+		}
+		if r.phase != running {
+			r.phase = running
+			r.settled = c.now
+		}
+		r.percent, r.usage = a.Percent, a.Usage
+		if a.Checkpoint != "" && r.task != nil {
+			r.task.save(a.Checkpoint)
+		}
+	}
+}
+
+func (c *Core) adopt(w *worker, a ActiveRun) *run {
+	r := &run{number: a.Run, worker: w, phase: running, settled: c.now}
+	t := c.task(a.Task)
+	if t == nil {
+		// Unknown here, so nothing may run: it only takes room until it has stopped.
+		t = &task{step: &step{id: StepID{a.Task.Job, a.Task.K, a.Task.Step}, spec: &StepSpec{}, job: &job{state: Cancelled}}, ordinal: a.Task.Ordinal, done: true}
+	}
+	r.task = t
+	r.need = t.step.spec.Reserved()
+	c.occupy(r)
+	if t.done || t.run != nil || t.step.job.state.Ended() {
+		c.note("run.unwanted", r, "not the run that this owner wants")
+		c.stop(r, "unwanted")
+		return r
+	}
+	t.run = r
+	t.lastRun = max(t.lastRun, a.Run)
+	t.step.gangRun = max(t.step.gangRun, a.Run)
+	t.step.job.begun = true
+	c.note("run.adopted", r, "")
+	return r
+}
+
+func (c *Core) occupy(r *run) {
+	w := r.worker
+	w.runs[runKey{r.task.id(), r.number}] = r
+	w.used = w.used.Plus(r.need)
+	if r.task.step.spec.Fills {
+		w.fills++
+	}
+	if r.task.step.spec.TargetMs > 0 {
+		w.serving++
+	}
+}
+
+// vacate forgets a run that doesn't exist any more.
+func (c *Core) vacate(r *run) {
+	w := r.worker
+	key := runKey{r.task.id(), r.number}
+	if w.runs[key] != r {
+		return
+	}
+	delete(w.runs, key)
+	w.used = w.used.Minus(r.need)
+	if r.task.step.spec.Fills {
+		w.fills--
+	}
+	if r.task.step.spec.TargetMs > 0 {
+		w.serving--
+	}
+	if r.task.run == r {
+		r.task.run = nil
+	}
+	c.replan = true
+}
+
+// findVanished gives up runs that a worker neither runs nor lists as ended.
+func (c *Core) findVanished(w *worker, e HoldAnswered) {
+	if e.Truncated {
+		return
+	}
+	active := map[runKey]bool{}
+	for _, a := range e.Active {
+		active[runKey{a.Task, a.Run}] = true
+	}
+	for _, r := range w.sortedRuns() {
+		if active[runKey{r.task.id(), r.number}] || r.phase == starting {
+			continue
+		}
+		if r.phase == doubtful {
+			// It may still come. Only a confirmed stop makes certain that it doesn't.
+			c.stop(r, "start without an answer")
+			if r.stopped == 0 || e.SentAt < r.stopped+c.set.StopTimeout {
+				continue
+			}
+		} else if e.SentAt < r.settled+vanishedSlack || (r.stopping && e.SentAt < max(r.stopped, r.settled)+c.set.StopTimeout) {
+			continue
+		}
+		c.note("run.vanished", r, "the worker neither runs it nor lists its end")
+		c.vacate(r)
+	}
+}
+
+// loseRuns gives up all that ran on a worker.
+func (c *Core) loseRuns(w *worker, reason string) {
+	for _, r := range w.sortedRuns() {
+		c.note("run.lost", r, reason)
+		c.vacate(r)
+	}
+}
+
+// sortedRuns returns the runs in an order that doesn't depend on map order.
+func (w *worker) sortedRuns() []*run {
+	list := make([]*run, 0, len(w.runs))
+	for _, r := range w.runs {
+		list = append(list, r)
+	}
+	slices.SortFunc(list, func(a, b *run) int {
+		return cmp.Or(compareTasks(a.task.id(), b.task.id()), cmp.Compare(a.number, b.number))
+	})
+	return list
+}
+
+func (c *Core) removeWorker(w *worker) {
+	delete(c.workers, w.ID)
+	c.byID = slices.DeleteFunc(c.byID, func(o *worker) bool { return o == w })
+	if _, ok := c.held[w.ID]; ok {
+		delete(c.held, w.ID)
+		c.heldNew = true
+	}
+	c.replan = true
+}
+
+// forgetWorkers drops workers that have left and hold nothing.
+func (c *Core) forgetWorkers() {
+	for _, w := range slices.Clone(c.byID) {
+		if !w.listed && len(w.runs) == 0 && c.now >= w.lapse {
+			c.removeWorker(w)
+		}
+	}
+}
+
+// stop orders a run to end.
+func (c *Core) stop(r *run, reason string) {
+	if r.stopping {
+		return
+	}
+	r.stopping = true
+	c.note("run.stop", r, reason)
+	c.sendStop(r)
+}
+
+func (c *Core) sendStop(r *run) {
+	r.stopSent = c.now
+	w := r.worker
+	c.do(Stop{Worker: w.ID, Addr: w.Addr, Token: c.set.Token, Task: r.task.id(), Run: r.number})
+}
+
+func (c *Core) stopAnswered(e StopAnswered) {
+	w := c.workers[e.Worker]
+	if w == nil {
+		return
+	}
+	switch e.Outcome {
+	case Fenced:
+		c.depose(w)
+		return
+	case OtherLife:
+		c.loseRuns(w, "another life answers")
+		c.removeWorker(w)
+		return
+	}
+	r := w.runs[runKey{e.Task, e.Run}]
+	if r == nil || e.Outcome == NoAnswer {
+		return
+	}
+	r.stopped = c.now
+}
+
+func (c *Core) startAnswered(e StartAnswered) {
+	w := c.workers[e.Worker]
+	if w == nil {
+		return
+	}
+	r := w.runs[runKey{e.Task, e.Run}]
+	if e.Outcome == Fenced {
+		c.depose(w)
+		return
+	}
+	if e.Outcome == OtherLife {
+		c.loseRuns(w, "another life answers")
+		c.removeWorker(w)
+		return
+	}
+	if r == nil || r.phase == running {
+		return
+	}
+	r.settled = c.now
+	switch e.Outcome {
+	case OK:
+		r.phase = running
+		r.task.step.job.begun = true
+	case NoAnswer:
+		c.startAgain(r)
+	case Old:
+		// The run has been there and ended: its end is listed, or it is found to have vanished.
+		r.phase = running
+	default:
+		c.startRefused(r, e.Outcome)
+	}
+}
+
+func (c *Core) startAgain(r *run) {
+	if r.tries < startTries && !r.stopping {
+		c.sendStart(r)
+		return
+	}
+	r.phase = doubtful
+	c.stop(r, "start without an answer")
+}
+
+// startRefused handles a start that the worker certainly did not carry out.
+func (c *Core) startRefused(r *run, why Outcome) {
+	w := r.worker
+	c.note("start.refused", r, why.String())
+	switch why {
+	case BadTicket:
+		r.task.step.advice.dropTicket(w.ID)
+	case NoRoom, Late:
+		w.pause = c.now + retryPause
+	case Unhealthy:
+		w.pause = c.now + unhealthyPause
+	case Rejected:
+		r.task.notBefore = c.now + unhealthyPause
+	}
+	if r.tries > 1 {
+		// An earlier copy had no answer and may still arrive.
+		c.stop(r, "refused after a start without an answer")
+		return
+	}
+	gang := r.task.step.spec.Gang
+	c.vacate(r)
+	if gang {
+		c.stopGang(r.task.step, "a member was refused")
+	}
+}
+
+// String names an outcome in logs.
+func (o Outcome) String() string {
+	return [...]string{"ok", "no answer", "fenced", "other life", "old", "late", "no room", "bad ticket", "unhealthy", "rejected"}[o]
+}
