node: an owner tells its core of the workers only after the jobs

Cause: the list of workers could be read before the copy had reached the claim. Ruled out: progress lost in the store (it was there), ends noted before they were saved (cursor moves only with saves).

--- a/node/owner.go
+++ b/node/owner.go
@@ -41,6 +41,7 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 	loaded   bool // the core knows all that was stored before the claim
+	listed   bool // the list of workers has been read
 	sequence uint64
 	saves    chan pendingSave
 	lastBeat time.Duration
@@ -109,6 +110,7 @@
 	for _, ev := range later {
 		o.step(ev)
 	}
+	o.listWorkers()
 }
 
 // settledReplica reports whether the core knows all stored jobs.
@@ -239,7 +241,17 @@
 		}
 		o.workers[rec.Key] = info
 	}
-	o.step(pool.WorkersListed{Workers: sortedWorkers(o.workers)})
+	o.listed = true
+	o.listWorkers()
+}
+
+// listWorkers tells the core of the workers, but only after the jobs: a core
+// without its jobs would take all that runs for unwanted and stop it, and note
+// ends of tasks that it doesn't know.
+func (o *ownership) listWorkers() {
+	if o.loaded && o.listed {
+		o.step(pool.WorkersListed{Workers: sortedWorkers(o.workers)})
+	}
 }
 
 func (o *ownership) step(ev pool.Event) {
