pool: a silent worker gets no new lease

Ruled out: the new owner not knowing the run (it had adopted it), the list of workers (the entry was gone). Test: TestTasksOfADeadWorkerRunElsewhere, failing before ("the task never ran again"), passing after.

--- a/pool/worker.go
+++ b/pool/worker.go
@@ -172,10 +172,15 @@
 	return c.clock(w) + length.Milliseconds()
 }
 
+// hold asks a worker what runs and renews its lease. A worker that has been
+// silent for long gets no new lease: each one would put off the moment at which
+// its tasks are certainly over, so the tasks of a dead worker would never run again.
 func (c *Core) hold(w *worker) {
 	h := Hold{Worker: w.ID, Addr: w.Addr, Token: c.set.Token, Ack: w.ack, SentAt: c.now}
 	if w.fenced {
 		h.Wait = holdWait
+	}
+	if w.fenced && c.now-w.answered < silentAfter {
 		h.DeadlineMs = c.lease(w)
 	}
 	if w.silent {
