A stand-in of the machines in virtual time, and what its histories found

A referee checks room, order, budget, once, gangs, asked-for, refusals and that accepted jobs end. Found and mended, each shown by the histories failing before: - a failed run that a predecessor had stored, but not noted at the worker, was counted again: the job failed early, or ran beyond its attempts. The numbers of failed runs are stored. - a caller's repeated request makes an old job's record the newest of its key, so its offset doesn't tell that it is old: its tasks ran twice. Only what an owner has stored itself counts as new, and only after it has read the rest. - a mutex held over a dial and over a call for advice.

--- a/node/asks.go
+++ b/node/asks.go
@@ -66,7 +66,7 @@
 
 // idle returns an instance that isn't asking for this owner now.
 func (q *askQueue) idle() (string, bool) {
-	now := bootTime()
+	now := q.own.unit.node.now()
 	for _, addr := range append([]string{""}, q.own.unit.node.peers.addrs()...) {
 		c := q.callers[addr]
 		if c == nil {
@@ -96,7 +96,7 @@
 	c := q.callers[addr]
 	c.busy = false
 	if answer.Failed {
-		c.until = bootTime() + callerPause
+		c.until = q.own.unit.node.now() + callerPause
 		if a.tries++; a.tries < adviceTries {
 			q.waiting = append([]question{a}, q.waiting...)
 			q.send()
--- /dev/null
+++ b/node/cluster_test.go
@@ -0,0 +1,191 @@
+package node_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/knapweedweir/knapweedweir/node"
+	"github.com/knapweedweir/knapweedweir/pool"
+	"github.com/knapweedweir/knapweedweir/standin/machines"
+)
+
+const queueName = "quotes"
+
+// cluster is a world with instances of the product in it. It lives in a bubble
+// of virtual time.
+type cluster struct {
+	t       *testing.T
+	world   *machines.World
+	ctx     context.Context
+	cancel  context.CancelFunc
+	members map[string]*member
+	logs    lockedBuffer
+	luck    *rand.Rand
+}
+
+type member struct {
+	name string
+	view *machines.View
+	node *node.Node
+	stop func() // nil while it is down
+}
+
+type lockedBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+// about returns the lines that name something.
+func (b *lockedBuffer) about(word string) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var found []string
+	for _, line := range strings.Split(b.buf.String(), "\n") {
+		if strings.Contains(line, word) {
+			found = append(found, line)
+		}
+	}
+	return strings.Join(found, "\n")
+}
+
+func newCluster(t *testing.T, seed uint64, advised bool, names ...string) *cluster {
+	c := &cluster{t: t, world: machines.New(seed), members: map[string]*member{}, luck: rand.New(rand.NewPCG(seed, 2))}
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	c.world.Advised = advised
+	go c.world.Run(c.ctx)
+	q := pool.Queue{Name: queueName, Service: machines.Service, Attempts: 3, Slack: 2, Target: time.Second}
+	if advised {
+		q.Advice = &pool.AdviceTerms{Decision: 30 * time.Millisecond, PerWorker: time.Millisecond, Validity: 1500 * time.Millisecond}
+	}
+	c.world.Configure(node.Config{Version: 1, Services: []string{machines.Service}, Routes: []node.Route{{Queue: q}}})
+	for _, name := range names {
+		c.members[name] = &member{name: name, view: c.world.View(name)}
+		c.start(name)
+	}
+	return c
+}
+
+func (c *cluster) start(name string) {
+	m := c.members[name]
+	m.view.Troubled()
+	began := time.Now()
+	base := c.world.Since()
+	m.node = node.New(node.Settings{
+		Name: name, PeerAddr: name, Parts: 4, HoldMax: machines.HoldMax, StopTimeout: machines.StopTime,
+		Now: func() time.Duration { return base + time.Since(began) + time.Hour }, Dial: c.world.Dial,
+	}, zerolog.New(&c.logs).With().Str("id", name).Logger().Hook(c), m.view, m.view, m.view, m.view)
+	ctx, cancel := context.WithCancel(c.ctx)
+	l := c.world.Listen(name)
+	n := m.node
+	go func() { _ = n.Run(ctx) }()
+	go func() { _ = n.Serve(l) }()
+	m.stop = func() { cancel(); _ = l.Close() }
+}
+
+// Run implements zerolog.Hook: it stamps lines with the world's time.
+func (c *cluster) Run(e *zerolog.Event, _ zerolog.Level, _ string) {
+	e.Str("at", c.world.Since().String())
+}
+
+func (c *cluster) kill(name string) {
+	m := c.members[name]
+	if m.stop != nil {
+		m.stop()
+		m.stop = nil
+	}
+}
+
+func (c *cluster) names() []string {
+	var list []string
+	for name := range c.members {
+		list = append(list, name)
+	}
+	slices.Sort(list)
+	return list
+}
+
+func (c *cluster) up() []*member {
+	var list []*member
+	for _, name := range c.names() {
+		if m := c.members[name]; m.stop != nil {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+// close ends everything, so that the bubble can end.
+func (c *cluster) close() {
+	for _, m := range c.members {
+		if m.stop != nil {
+			m.stop()
+		}
+	}
+	c.cancel()
+	time.Sleep(time.Minute) // virtual: whatever still waits runs out
+}
+
+// submit hands a job in as a caller does: after no answer it tries again, at
+// any instance.
+func (c *cluster) submit(j pool.Job, pick func() *member) bool {
+	j.Queue, j.Service = queueName, machines.Service
+	c.world.Referee.Submitted(j, 3)
+	for range 4 {
+		j.AcceptedMs = time.Now().UnixMilli()
+		ctx, cancel := context.WithTimeout(c.ctx, 3*time.Second)
+		m := pick()
+		if m == nil {
+			cancel()
+			time.Sleep(time.Second)
+			continue
+		}
+		verdict := m.node.Submit(ctx, j)
+		cancel()
+		c.world.Referee.Answered(j.ID, verdict == node.Accepted, verdict == node.NotRun)
+		if verdict == node.Accepted {
+			return true
+		}
+		time.Sleep(time.Second)
+	}
+	return false
+}
+
+// state asks any instance for a job's state and tells the referee.
+func (c *cluster) state(job string, m *member) (pool.State, node.Verdict) {
+	ctx, cancel := context.WithTimeout(c.ctx, 2*time.Second)
+	defer cancel()
+	state, verdict := m.node.State(ctx, machines.Service, job)
+	if verdict == node.Accepted {
+		c.world.Referee.Shown(job, state)
+	}
+	return state, verdict
+}
+
+// check fails the test for whatever the referee has found.
+func (c *cluster) check() {
+	c.t.Helper()
+	for i, f := range c.world.Referee.Findings {
+		if i == 5 {
+			c.t.Errorf("and %d more", len(c.world.Referee.Findings)-i)
+			break
+		}
+		c.t.Error(f)
+	}
+}
+
+func jobID(n int) string { return fmt.Sprintf("%016x", n) }
--- /dev/null
+++ b/node/history_test.go
@@ -0,0 +1,231 @@
+package node_test
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/knapweedweir/knapweedweir/node"
+	"github.com/knapweedweir/knapweedweir/pool"
+	"github.com/knapweedweir/knapweedweir/standin/machines"
+)
+
+var (
+	histories = flag.Int("histories", 150, "how many random histories are played")
+	firstSeed = flag.Uint64("first", 1, "the seed of the first history")
+)
+
+// failedOnce are seeds whose history once broke a promise, each with its cause.
+var failedOnce = map[uint64]string{}
+
+// Callers hand jobs in, ask for them and cancel some, while instances are killed,
+// cut off from the store or the workers, the store loses answers or its history,
+// and workers crash. Whatever happens, the referee finds no broken promise, and
+// once all is calm every accepted job ends.
+func TestRandomHistories(t *testing.T) {
+	seeds := make([]uint64, 0, *histories+len(failedOnce))
+	for n := range *histories {
+		seeds = append(seeds, *firstSeed+uint64(n))
+	}
+	for seed := range failedOnce {
+		seeds = append(seeds, seed)
+	}
+	for _, seed := range seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) { playHistory(t, seed) })
+		})
+	}
+}
+
+const (
+	// visible is how soon after its acceptance every instance knows a job.
+	visible = 3 * time.Second
+	// trouble is how long faults come, calm how long the cluster then has.
+	trouble = 25 * time.Second
+	calm    = 40 * time.Second
+)
+
+func playHistory(t *testing.T, seed uint64) {
+	c := newCluster(t, seed, seed%2 == 0, "a", "b", "c")
+	defer c.close()
+	for n := range 8 {
+		c.addWorker(n)
+	}
+	if seed%3 == 0 {
+		c.world.LateOrders = 0.06
+	}
+	go c.callers()
+	c.world.Referee.Troubled = true
+	c.faults()
+	c.heal()
+	time.Sleep(calm)
+	c.check()
+	unfinished := c.world.Referee.Unfinished()
+	for _, job := range unfinished {
+		t.Errorf("LOST: job %s was accepted and never ended\n%s", job, c.logs.about(job))
+	}
+	if t.Failed() {
+		c.aboutFindings()
+		t.Log(c.logs.about(`"pool.`))
+	}
+}
+
+func (c *cluster) addWorker(n int) {
+	c.world.AddWorker(pool.Resources{CPU: 8000, Mem: 16000, GPU: n % 3 * 4}, []string{"a", "b"}[n%2], fmt.Sprintf("r%d", n%3))
+}
+
+// callers hands in jobs of all shapes.
+func (c *cluster) callers() {
+	for n := 0; c.world.Since() < trouble; n++ {
+		time.Sleep(time.Duration(c.luck.IntN(500)) * time.Millisecond)
+		j := c.randomJob(n)
+		cancelled := c.luck.IntN(10) == 0
+		picks := []int{c.luck.IntN(3), c.luck.IntN(3), c.luck.IntN(3), c.luck.IntN(3), c.luck.IntN(3)}
+		go c.caller(j, cancelled, picks)
+	}
+}
+
+func (c *cluster) caller(j pool.Job, cancelled bool, picks []int) {
+	pick := func() *member {
+		up := c.up()
+		if len(up) == 0 {
+			return nil
+		}
+		m := up[picks[0]%len(up)]
+		picks = append(picks[1:], picks[0])
+		return m
+	}
+	if !c.submit(j, pick) {
+		return
+	}
+	for n := 0; c.world.Since() < trouble+calm; n++ {
+		time.Sleep(visible)
+		m := pick()
+		if m == nil {
+			continue
+		}
+		if cancelled && n == 1 {
+			ctx := c.ctx
+			if m.node.Cancel(ctx, machines.Service, j.ID) == node.Accepted {
+				c.world.Referee.CancelAcknowledged(j.ID)
+			}
+		}
+		if state, verdict := c.state(j.ID, m); verdict == node.Accepted && state.Ended() {
+			return
+		} else if verdict == node.NoSuchJob {
+			c.t.Errorf("LOST: %v: %s says that there is no job %s", c.world.Since(), m.name, j.ID)
+			return
+		}
+	}
+}
+
+func (c *cluster) randomJob(n int) pool.Job {
+	work := time.Duration(200+c.luck.IntN(3000)) * time.Millisecond
+	j := pool.Job{ID: jobID(n), Payload: machines.Work(work, c.luck.IntN(20) == 0, c.luck.IntN(5) == 0)}
+	for i := range 1 + c.luck.IntN(3) {
+		s := pool.StepSpec{Count: 1 + c.luck.IntN(5), Need: pool.Resources{CPU: 500 + c.luck.IntN(2500), Mem: 100 + c.luck.IntN(3000)}, EstimateMs: work.Milliseconds()}
+		switch c.luck.IntN(5) {
+		case 0:
+			s.Gang, s.Count = true, 2+c.luck.IntN(2)
+			s.SameRack = c.luck.IntN(2) == 0 && !c.world.Advised
+		case 1:
+			s.PerWorker = 2
+		case 2:
+			// Under advice too few workers might be left that may run it.
+			if !c.world.Advised {
+				s.Label = "a"
+			}
+		case 3:
+			s.Fills = true
+		}
+		if i > 0 && c.luck.IntN(3) > 0 {
+			s.After = []int{i - 1}
+		}
+		j.Steps = append(j.Steps, s)
+	}
+	return j
+}
+
+// faults troubles the cluster.
+func (c *cluster) faults() {
+	for c.world.Since() < trouble {
+		time.Sleep(time.Duration(500+c.luck.IntN(2500)) * time.Millisecond)
+		name := c.names()[c.luck.IntN(3)]
+		m := c.members[name]
+		lasting := time.Duration(500+c.luck.IntN(6000)) * time.Millisecond
+		switch c.luck.IntN(9) {
+		case 0, 1:
+			c.kill(name)
+			go func() { time.Sleep(lasting / 4); c.restart(name) }()
+		case 2:
+			for _, other := range c.names() {
+				c.kill(other)
+			}
+			go func() {
+				time.Sleep(lasting / 4)
+				for _, other := range c.names() {
+					c.restart(other)
+				}
+			}()
+		case 3, 4:
+			m.view.SetStore([]machines.StoreFault{machines.StoreBusy, machines.StoreSilent, machines.StoreLossy, machines.StoreLate}[c.luck.IntN(4)])
+			go func() { time.Sleep(lasting); m.view.SetStore(machines.StoreUp) }()
+		case 5:
+			for _, other := range c.members {
+				other.view.SetStore(machines.StoreSilent)
+			}
+			go func() {
+				time.Sleep(lasting)
+				for _, other := range c.members {
+					other.view.SetStore(machines.StoreUp)
+				}
+			}()
+		case 6:
+			m.view.CutWorkers(true)
+			go func() { time.Sleep(lasting); m.view.CutWorkers(false) }()
+		case 7:
+			workers := c.world.Workers()
+			c.world.Crash(workers[c.luck.IntN(len(workers))])
+			c.addWorker(c.luck.IntN(8))
+		case 8:
+			c.world.Forget()
+			m.view.SlowStore(200 * time.Millisecond)
+			go func() { time.Sleep(lasting); m.view.SlowStore(0) }()
+		}
+	}
+}
+
+func (c *cluster) restart(name string) {
+	if c.members[name].stop == nil && c.ctx.Err() == nil {
+		c.start(name)
+	}
+}
+
+// heal ends all trouble.
+func (c *cluster) heal() {
+	c.world.LateOrders = 0
+	for _, name := range slices.Clone(c.names()) {
+		c.members[name].view.SetStore(machines.StoreUp)
+		c.members[name].view.CutWorkers(false)
+		c.members[name].view.SlowStore(0)
+		c.restart(name)
+	}
+}
+
+// aboutFindings logs the lines of the jobs named in findings.
+func (c *cluster) aboutFindings() {
+	for _, f := range c.world.Referee.Findings {
+		if i := len("0000000000000000"); len(f) > i {
+			for n := 0; n+i <= len(f); n++ {
+				if id := f[n : n+i]; c.world.Referee.Knows(id) {
+					c.t.Log(c.logs.about(id))
+					break
+				}
+			}
+		}
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -22,10 +23,17 @@
 	Parts       int
 	HoldMax     time.Duration // the longest lease that a worker grants
 	StopTimeout time.Duration // how long a worker takes to stop a run
+	// Now is a clock that runs on while the machine sleeps; nil: the system's.
+	Now func() time.Duration
+	// Dial connects to a peer; nil: over TCP.
+	Dial Dialer
 	// Grace is how long a stopping process has until it is killed.
 	Grace time.Duration
 }
 
+// Dialer connects to an instance.
+type Dialer func(addr string, timeout time.Duration) (net.Conn, error)
+
 // Node is one instance.
 type Node struct {
 	set       Settings
@@ -38,7 +46,9 @@
 	config    atomic.Pointer[Config]
 	stopping  atomic.Bool
 	peers     *peers
-	adviseNow sync.Mutex // the advice service serves one call of a machine at a time
+	// adviseNow holds one token: the advice service serves one call of a
+	// machine at a time.
+	adviseNow chan struct{}
 
 	mu         sync.Mutex
 	units      map[int]*unit
@@ -48,9 +58,17 @@
 
 // New returns an instance that is not running yet.
 func New(set Settings, log zerolog.Logger, store Store, workers Workers, advisor Advisor, directory Directory) *Node {
+	if set.Now == nil {
+		set.Now = bootTime
+	}
+	if set.Dial == nil {
+		set.Dial = func(addr string, timeout time.Duration) (net.Conn, error) {
+			return net.DialTimeout("tcp", addr, timeout)
+		}
+	}
 	n := &Node{
 		set: set, log: log, store: store, workers: workers, advisor: advisor, directory: directory,
-		life: time.Now().UnixNano(), units: map[int]*unit{}, ownedParts: map[int]bool{},
+		life: time.Now().UnixNano(), adviseNow: make(chan struct{}, 1), units: map[int]*unit{}, ownedParts: map[int]bool{},
 	}
 	n.peers = newPeers(n)
 	return n
@@ -218,5 +236,10 @@
 	return list
 }
 
+func (n *Node) now() time.Duration { return n.set.Now() }
+
 // PeerAddr is where the other instances reach this one.
 func (n *Node) PeerAddr() string { return n.set.PeerAddr }
+
+// OwnsAny reports whether this instance owns a pool.
+func (n *Node) OwnsAny() bool { return n.owned() > 0 }
--- a/node/owner.go
+++ b/node/owner.go
@@ -86,7 +86,7 @@
 	set := u.node.set
 	o.core = pool.New(pool.Settings{
 		Token: c.Epoch, Generation: c.Generation, HoldMax: set.HoldMax, StopTimeout: set.StopTimeout, KeepEnded: keepEnded,
-	}, bootTime())
+	}, u.node.now())
 	o.asks = newAskQueue(o)
 	go o.saveLoop()
 	f := &follower{store: u.node.store, topic: u.node.directory.WorkersTopic(), wait: readWait,
@@ -121,7 +121,7 @@
 	}
 	var later []pool.Event
 	for _, rec := range o.unit.replica.inOrder() {
-		ev, err := event(rec, o.offset)
+		ev, err := event(rec.Record, fromStore)
 		switch {
 		case err != nil:
 			o.unit.log.Error().Err(err).Msg("record.unreadable")
@@ -151,13 +151,13 @@
 	}
 	for _, rec := range fresh {
 		if kind, _ := pool.ParseKey(rec.Key); kind == pool.JobRecord || kind == pool.CancelRecord {
-			o.takeRecord(rec)
+			o.takeRecord(rec.Record, fromStore)
 		}
 	}
 }
 
-func (o *ownership) takeRecord(rec Stored) {
-	ev, err := event(rec, o.offset)
+func (o *ownership) takeRecord(rec pool.Record, from origin) {
+	ev, err := event(rec, from)
 	if err != nil {
 		o.unit.log.Error().Err(err).Msg("record.unreadable")
 		return
@@ -171,7 +171,7 @@
 	if o.loaded {
 		o.step(pool.Tick{UnixMs: time.Now().UnixMilli()})
 	}
-	if now := bootTime(); !o.beating && now-o.lastBeat > ownerBeat {
+	if now := o.unit.node.now(); !o.beating && now-o.lastBeat > ownerBeat {
 		o.beating = true
 		o.lastBeat = now
 		o.saves <- pendingSave{kind: heartbeat, records: []pool.Record{{Key: pool.OwnerKey, Value: pool.Encode(o.claim)}}}
@@ -206,8 +206,13 @@
 	for _, s := range save.waiting {
 		s.stored <- nil
 	}
-	for _, rec := range save.records {
-		o.takeRecord(Stored{Offset: o.offset + 1, Record: rec})
+	// Before the core knows what a predecessor did, a repeated request would
+	// look like a new job, and its tasks would be started a second time. It is
+	// read back from the store then.
+	if o.loaded {
+		for _, rec := range save.records {
+			o.takeRecord(rec, fromCaller)
+		}
 	}
 	o.appendIntake()
 }
@@ -231,7 +236,7 @@
 		o.unit.dropOwnership(e.err.Error())
 		return
 	}
-	o.lastBeat = bootTime()
+	o.lastBeat = o.unit.node.now()
 	switch e.kind {
 	case heartbeat:
 		o.beating = false
@@ -322,7 +327,7 @@
 }
 
 func (o *ownership) step(ev pool.Event) {
-	for _, a := range o.core.Step(bootTime(), ev) {
+	for _, a := range o.core.Step(o.unit.node.now(), ev) {
 		o.carryOut(a)
 	}
 }
--- a/node/peers.go
+++ b/node/peers.go
@@ -52,10 +52,13 @@
 
 // link is the connection to one peer.
 type link struct {
+	dialing  chan struct{} // holds a token while a caller dials
 	mu       sync.Mutex
 	client   *rpc.Client
 	until    time.Duration // no dial before
 	answered time.Duration // the newest answer
+	now      func() time.Duration
+	dial     Dialer
 }
 
 func newPeers(n *Node) *peers {
@@ -112,7 +115,7 @@
 func (p *peers) addrs() []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := bootTime()
+	now := p.node.now()
 	var list []string
 	for name, e := range p.byKey {
 		if name == p.node.set.Name || e.Addr == p.node.set.PeerAddr {
@@ -132,7 +135,7 @@
 	defer p.mu.Unlock()
 	l := p.links[addr]
 	if l == nil {
-		l = &link{}
+		l = &link{dialing: make(chan struct{}, 1), now: p.node.now, dial: p.node.set.Dial}
 		p.links[addr] = l
 	}
 	return l
@@ -144,18 +147,18 @@
 	return l.until
 }
 
+// connect returns the connection, or dials a new one. One caller dials at a time.
 func (l *link) connect(addr string) (*rpc.Client, error) {
+	l.dialing <- struct{}{}
+	defer func() { <-l.dialing }()
+	if client, err := l.current(); client != nil || err != nil {
+		return client, err
+	}
+	conn, err := l.dial(addr, peerDialTimeout)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.client != nil {
-		return l.client, nil
-	}
-	if bootTime() < l.until {
-		return nil, errNoPeer
-	}
-	conn, err := net.DialTimeout("tcp", addr, peerDialTimeout)
 	if err != nil {
-		l.until = bootTime() + redialPause
+		l.until = l.now() + redialPause
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			return nil, errRefused
 		}
@@ -165,10 +168,19 @@
 	return l.client, nil
 }
 
+func (l *link) current() (*rpc.Client, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.client == nil && l.now() < l.until {
+		return nil, errNoPeer
+	}
+	return l.client, nil
+}
+
 func (l *link) heard() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.answered = bootTime()
+	l.answered = l.now()
 }
 
 // overdue condemns a connection that brought no answer at all since a call was
@@ -199,7 +211,7 @@
 	if err != nil {
 		return err
 	}
-	sent := bootTime()
+	sent := p.node.now()
 	call := client.Go("Peer."+method, args, reply, make(chan *rpc.Call, 1))
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
@@ -351,8 +363,8 @@
 
 // advise asks the advice service, one question at a time.
 func (n *Node) advise(ctx context.Context, a pool.Advise) pool.Advised {
-	n.adviseNow.Lock()
-	defer n.adviseNow.Unlock()
+	n.adviseNow <- struct{}{}
+	defer func() { <-n.adviseNow }()
 	return n.advisor.Advise(withTimeout(ctx, a.Cost+adviceSlack), a)
 }
 
--- a/node/replica.go
+++ b/node/replica.go
@@ -121,16 +121,27 @@
 	return list
 }
 
-// event turns a stored record into what a core is told of it. A record stored
-// before the claim is inherited.
-func event(rec Stored, claimedAt int64) (pool.Event, error) {
+// origin is how a record came to an owner.
+type origin int
+
+const (
+	// fromStore records were read from the store. A predecessor may have acted
+	// on them. Their offset doesn't tell: a caller that repeats its request
+	// makes an old job's record the newest.
+	fromStore origin = iota
+	// fromCaller records were stored by this owner, so nobody else acted on them.
+	fromCaller
+)
+
+// event turns a record into what a core is told of it.
+func event(rec pool.Record, from origin) (pool.Event, error) {
 	kind, id := pool.ParseKey(rec.Key)
 	if len(rec.Value) == 0 {
 		return nil, nil
 	}
 	switch kind {
 	case pool.JobRecord:
-		e := pool.JobStored{Inherited: rec.Offset < claimedAt}
+		e := pool.JobStored{Inherited: from == fromStore}
 		err := json.Unmarshal(rec.Value, &e.Job)
 		return e, errors.Wrapf(err, "job %s", id)
 	case pool.ProgressRecord:
--- a/node/unit.go
+++ b/node/unit.go
@@ -37,8 +37,9 @@
 	// 300 ms for the others, reads were most of 207 calls a second.
 	followerPause = 500 * time.Millisecond
 	// freshFor is how old the last word of the store may be for an answer
-	// that a job doesn't exist.
-	freshFor = 2500 * time.Millisecond
+	// that a job doesn't exist. The owner's beats bring one each second; a job
+	// that another instance stored longer ago than this is known.
+	freshFor = 1500 * time.Millisecond
 )
 
 // partOf returns the part of the topic that holds a service's pool.
@@ -133,7 +134,7 @@
 
 // take takes in what the store holds.
 func (u *unit) take(ctx context.Context, b batch) {
-	now := bootTime()
+	now := u.node.now()
 	if b.err != nil {
 		if u.healthy != 0 {
 			u.log.Warn().Err(b.err).Msg("store.lost")
@@ -185,7 +186,7 @@
 
 // considerClaim claims the pool if nobody owns it or its owner is gone.
 func (u *unit) considerClaim(ctx context.Context) {
-	now := bootTime()
+	now := u.node.now()
 	if !u.caughtUp || u.healthy == 0 || u.claiming || u.node.stopping.Load() {
 		return
 	}
@@ -256,7 +257,7 @@
 
 func (u *unit) claimAnswered(ctx context.Context, e claimed) {
 	u.claiming = false
-	u.claimAt = bootTime() + claimRetry
+	u.claimAt = u.node.now() + claimRetry
 	if e.err != nil {
 		u.log.Warn().Err(e.err).Uint64("epoch", e.claim.Epoch).Msg("pool.claim_failed")
 		return
@@ -265,7 +266,7 @@
 		return // another instance was faster
 	}
 	u.claimAt = 0
-	u.ownerHeard = bootTime()
+	u.ownerHeard = u.node.now()
 	u.replica.claim = e.claim
 	u.own = newOwnership(ctx, u, e.claim, e.offset)
 	u.node.setOwned(u.topic.Part, true)
@@ -279,7 +280,7 @@
 	u.own.close()
 	u.log.Info().Uint64("epoch", u.own.claim.Epoch).Str("reason", reason).Msg("pool.lost")
 	u.own = nil
-	u.ownerHeard = bootTime()
+	u.ownerHeard = u.node.now()
 	u.node.setOwned(u.topic.Part, false)
 }
 
@@ -294,7 +295,7 @@
 	return s, ok, false, u.fresh()
 }
 
-func (u *unit) fresh() bool { return u.healthy != 0 && bootTime()-u.lastRead < freshFor }
+func (u *unit) fresh() bool { return u.healthy != 0 && u.node.now()-u.lastRead < freshFor }
 
 func (u *unit) pending(queue string) (int, bool) {
 	if u.own != nil && u.own.settledReplica() {
--- a/pool/ends.go
+++ b/pool/ends.go
@@ -1,6 +1,9 @@
 package pool
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // failurePause delays the next run of a task after one that failed, so that a
 // task that fails at once doesn't take a worker's attention for nothing.
@@ -100,20 +103,21 @@
 	if s.spec.Gang {
 		c.stopGang(s, "a member failed")
 		t = s.tasks[0]
-		if t.failedRun() >= number {
-			return // counted with another member of the same run
-		}
 		s.notBefore = c.now + failurePause
 	}
-	t.failed++
-	s.lastFailed = number
-	if attempts := c.queues[s.job.Queue].Attempts; !s.spec.LongRunning && attempts > 0 && t.failed >= attempts {
+	// A gang's run is counted with its first member. And an end that a
+	// predecessor has stored, but could not note at the worker, is listed again:
+	// counted twice, it would make a job fail that may still be tried. Workers
+	// list ends in any order, so the newest number alone doesn't tell.
+	if slices.Contains(t.failed, number) {
+		return
+	}
+	t.failed = append(t.failed, number)
+	if attempts := c.queues[s.job.Queue].Attempts; !s.spec.LongRunning && attempts > 0 && len(t.failed) >= attempts {
 		c.fail(s.job, "a task failed too often")
 	}
 }
 
-func (t *task) failedRun() int { return t.step.lastFailed }
-
 // stopGang stops what is left of a gang's run: its members work only together.
 func (c *Core) stopGang(s *step, reason string) {
 	for _, m := range s.tasks {
--- a/pool/records.go
+++ b/pool/records.go
@@ -76,8 +76,8 @@
 	// Done has a 1 for each task that is done; in full only while some are.
 	Done string `json:"d,omitempty"`
 	All  bool   `json:"all,omitempty"`
-	// Failed counts the failed runs of a task, or of the gang under 0.
-	Failed map[int]int `json:"f,omitempty"`
+	// Failed holds the numbers of a task's failed runs, or of the gang's under 0.
+	Failed map[int][]int `json:"f,omitempty"`
 	// Saved holds the newest checkpoint of a task, or of the gang under 0.
 	Saved map[int]string `json:"c,omitempty"`
 }
@@ -121,9 +121,9 @@
 			done[i] = '1'
 			any = true
 		}
-		if t.failed > 0 {
+		if len(t.failed) > 0 {
 			if p.Failed == nil {
-				p.Failed = map[int]int{}
+				p.Failed = map[int][]int{}
 			}
 			p.Failed[i] = t.failed
 		}
--- a/pool/state.go
+++ b/pool/state.go
@@ -25,15 +25,14 @@
 }
 
 type step struct {
-	job        *job
-	occ        *occurrence
-	id         StepID
-	spec       *StepSpec
-	tasks      []*task
-	remaining  int // tasks that aren't done
-	gangRun    int // number of the gang's newest run
-	lastFailed int // number of the newest failed run of a gang
-	advice     advice
+	job       *job
+	occ       *occurrence
+	id        StepID
+	spec      *StepSpec
+	tasks     []*task
+	remaining int // tasks that aren't done
+	gangRun   int // number of the gang's newest run
+	advice    advice
 	// waitingSince is when the step's turn came.
 	waitingSince time.Duration
 	turn         bool
@@ -45,7 +44,7 @@
 	step    *step
 	ordinal int
 	done    bool
-	failed  int    // failed runs; of the whole gang in task 0
+	failed  []int  // numbers of the failed runs; of the whole gang's in task 0
 	saved   string // newest checkpoint; of the whole gang in task 0
 	lastRun int
 	run     *run
--- a/pool/worker.go
+++ b/pool/worker.go
@@ -256,11 +256,15 @@
 	r := &run{number: a.Run, worker: w, phase: running, settled: c.now}
 	t := c.task(a.Task)
 	if t == nil {
-		// Unknown here, so nothing may run: it only takes room until it has stopped.
+		// Unknown here, so nothing of it may run. How much room it takes is
+		// unknown too: until it has stopped the worker counts as full.
 		t = &task{step: &step{id: StepID{a.Task.Job, a.Task.K, a.Task.Step}, spec: &StepSpec{}, job: &job{state: Cancelled}}, ordinal: a.Task.Ordinal, done: true}
 	}
 	r.task = t
 	r.need = t.step.spec.Reserved()
+	if t.step.occ == nil {
+		r.need = w.Capacity
+	}
 	c.occupy(r)
 	if t.done || t.run != nil || t.step.job.state.Ended() {
 		c.note("run.unwanted", r, "not the run that this owner wants")
--- /dev/null
+++ b/standin/machines/store.go
@@ -0,0 +1,241 @@
+package machines
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/knapweedweir/knapweedweir/node"
+	"github.com/knapweedweir/knapweedweir/pool"
+)
+
+var (
+	configTopic  = node.Topic{Name: "config"}
+	workersTopic = node.Topic{Name: "workers"}
+)
+
+// repeats is how many of a writer's appends are answered again when repeated.
+const repeats = 5
+
+// store keeps streams of keyed records in memory.
+type store struct {
+	streams map[node.Topic]*stream
+}
+
+type stream struct {
+	records []node.Stored
+	first   int64
+	newest  map[string]node.Stored
+	writers map[string]*writerState
+	grown   chan struct{}
+}
+
+type writerState struct {
+	epoch   uint64
+	next    uint64
+	offsets []int64 // of the last appends
+	any     bool
+}
+
+func newStore() *store { return &store{streams: map[node.Topic]*stream{}} }
+
+func (s *store) stream(t node.Topic) *stream {
+	st := s.streams[t]
+	if st == nil {
+		st = &stream{newest: map[string]node.Stored{}, writers: map[string]*writerState{}, grown: make(chan struct{})}
+		s.streams[t] = st
+	}
+	return st
+}
+
+func (s *store) put(t node.Topic, records ...pool.Record) int64 { return s.stream(t).put(records) }
+
+func (st *stream) end() int64 { return st.first + int64(len(st.records)) }
+
+func (st *stream) put(records []pool.Record) int64 {
+	at := st.end()
+	for _, r := range records {
+		rec := node.Stored{Offset: st.end(), Record: r}
+		st.records = append(st.records, rec)
+		if len(r.Value) == 0 {
+			delete(st.newest, r.Key)
+		} else {
+			st.newest[r.Key] = rec
+		}
+	}
+	close(st.grown)
+	st.grown = make(chan struct{})
+	return at
+}
+
+// append applies the conditions of a writer.
+func (st *stream) append(records []pool.Record, w *node.Writer) (int64, error) {
+	if w == nil {
+		return st.put(records), nil
+	}
+	state := st.writers[w.Name]
+	if state == nil {
+		state = &writerState{}
+		st.writers[w.Name] = state
+	}
+	switch {
+	case state.any && w.Epoch < state.epoch:
+		return 0, node.ErrFenced
+	case !state.any || w.Epoch > state.epoch:
+		state.epoch, state.offsets, state.any = w.Epoch, nil, true
+	case w.Sequence < state.next && state.next-w.Sequence <= uint64(len(state.offsets)):
+		return state.offsets[len(state.offsets)-int(state.next-w.Sequence)], nil
+	case w.Sequence != state.next:
+		return 0, node.SequenceError{Expected: state.next}
+	}
+	at := st.put(records)
+	state.next = w.Sequence + 1
+	state.offsets = append(state.offsets, at)
+	if len(state.offsets) > repeats {
+		state.offsets = state.offsets[1:]
+	}
+	return at, nil
+}
+
+// Forget drops the history: only the newest record of each key is left.
+func (w *World) Forget() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, st := range w.store.streams {
+		st.first, st.records = st.end(), nil
+	}
+}
+
+// StoreFault is how the store treats one instance.
+type StoreFault int
+
+// The ways of the store.
+const (
+	StoreUp StoreFault = iota
+	// StoreBusy refuses everything.
+	StoreBusy
+	// StoreSilent answers nothing and does nothing.
+	StoreSilent
+	// StoreLossy does everything and loses some answers.
+	StoreLossy
+	// StoreLate does some appends seconds later, without an answer.
+	StoreLate
+)
+
+// call passes a call through the instance's fault. It reports whether the call
+// is carried out now, and whether its answer arrives.
+func (v *View) call(ctx context.Context) (carriedOut, answered bool, err error) {
+	if !pause(ctx, wayBack+v.storeDelay()) {
+		return false, false, node.ErrInDoubt
+	}
+	switch v.StoreFault() {
+	case StoreBusy:
+		return false, false, node.ErrRefused
+	case StoreSilent:
+		<-ctx.Done()
+		return false, false, node.ErrInDoubt
+	case StoreLossy:
+		return true, !v.w.Chance(lostShare), nil
+	}
+	return true, true, nil
+}
+
+// lostShare is the share of answers lost by a lossy store.
+const lostShare = 0.35
+
+// Append implements node.Store.
+func (v *View) Append(ctx context.Context, to node.Topic, records []pool.Record, writer *node.Writer) (int64, error) {
+	do, answered, err := v.call(ctx)
+	if !do {
+		return 0, err
+	}
+	if v.StoreFault() == StoreLate && v.w.Chance(lostShare) {
+		late := time.Second + time.Duration(v.w.IntN(5000))*time.Millisecond
+		time.AfterFunc(late, func() {
+			v.w.mu.Lock()
+			defer v.w.mu.Unlock()
+			_, _ = v.w.store.stream(to).append(records, writer) // nobody waits for its outcome
+		})
+		<-ctx.Done()
+		return 0, node.ErrInDoubt
+	}
+	v.w.mu.Lock()
+	at, err := v.w.store.stream(to).append(records, writer)
+	v.w.mu.Unlock()
+	if !answered {
+		<-ctx.Done()
+		return 0, node.ErrInDoubt
+	}
+	return at, err
+}
+
+// Newest implements node.Store.
+func (v *View) Newest(ctx context.Context, from node.Topic, after string) ([]node.Stored, bool, int64, error) {
+	if do, answered, err := v.call(ctx); !do || !answered {
+		return nil, false, 0, orInDoubt(err)
+	}
+	v.w.mu.Lock()
+	defer v.w.mu.Unlock()
+	st := v.w.store.stream(from)
+	var page []node.Stored
+	for key, rec := range st.newest {
+		if key > after {
+			page = append(page, rec)
+		}
+	}
+	slices.SortFunc(page, func(a, b node.Stored) int { return cmp.Compare(a.Key, b.Key) })
+	const most = 40 // small, so that tests read several pages
+	more := len(page) > most
+	return page[:min(most, len(page))], more, st.end(), nil
+}
+
+// Read implements node.Store.
+func (v *View) Read(ctx context.Context, from node.Topic, offset int64, wait time.Duration) ([]node.Stored, int64, error) {
+	if do, answered, err := v.call(ctx); !do || !answered {
+		return nil, 0, orInDoubt(err)
+	}
+	timeout := time.After(wait)
+	for {
+		v.w.mu.Lock()
+		st := v.w.store.stream(from)
+		if offset < st.first {
+			v.w.mu.Unlock()
+			return nil, 0, node.ErrTrimmed
+		}
+		if offset < st.end() {
+			page := slices.Clone(st.records[offset-st.first:])
+			end := st.end()
+			v.w.mu.Unlock()
+			return page, end, nil
+		}
+		grown, end := st.grown, st.end()
+		v.w.mu.Unlock()
+		select {
+		case <-grown:
+		case <-timeout:
+			return nil, end, nil
+		case <-ctx.Done():
+			return nil, 0, node.ErrInDoubt
+		}
+	}
+}
+
+func orInDoubt(err error) error {
+	if err == nil {
+		return node.ErrInDoubt
+	}
+	return err
+}
+
+// pause waits, and reports whether the context still lives.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/standin/machines/worker.go
@@ -0,0 +1,305 @@
+package machines
+
+import (
+	"fmt"
+	"hash/fnv"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/knapweedweir/knapweedweir/pool"
+)
+
+// ticketValidity is how long a ticket holds.
+const ticketValidity = 1500 * time.Millisecond
+
+// goodShare of the workers may run a step, in percent.
+const goodShare = 75
+
+type worker struct {
+	w        *World
+	id       string
+	capacity pool.Resources
+	kind     string
+	rack     string
+	alive    bool
+	dark     bool // runs on, but nobody reaches it
+	listed   bool
+	died     time.Time
+	token    uint64
+	lease    time.Time
+	runs     []*run
+	ends     []pool.EndedRun
+	numbers  uint64
+	over     map[pool.TaskID]int // the newest run stopped or ended
+	tickets  map[string]time.Time
+	ended    chan struct{}
+}
+
+// run is one run of a task. Its work is in its payload: see Work.
+type run struct {
+	task       pool.TaskID
+	number     int
+	spec       *pool.StepSpec
+	payload    string
+	began      time.Time
+	work       time.Duration // what is left at began
+	fails      bool
+	stopAt     time.Time // zero: not stopping
+	checkpoint string
+	percent    int
+	waiting    bool // for the other members of its gang
+}
+
+func newWorker(w *World, id string, capacity pool.Resources, kind, rack string) *worker {
+	return &worker{w: w, id: id, capacity: capacity, kind: kind, rack: rack, alive: true,
+		over: map[pool.TaskID]int{}, tickets: map[string]time.Time{}, ended: make(chan struct{})}
+}
+
+func (x *worker) info() pool.WorkerInfo {
+	return pool.WorkerInfo{ID: x.id, Addr: x.id, Service: Service, Zone: "z", Rack: x.rack, Kind: x.kind,
+		Labels: []string{x.kind, x.rack}, Capacity: x.capacity}
+}
+
+// clock is the worker's own, in milliseconds.
+func (x *worker) clock() int64 { return int64(x.w.Since()/time.Millisecond) + 1000 }
+
+func (x *worker) at(clockMs int64) time.Time {
+	return x.w.began.Add(time.Duration(clockMs-1000) * time.Millisecond)
+}
+
+// Work is the payload of a job whose tasks take some time; poisoned ones fail
+// in every run, and flaky ones in their first.
+func Work(d time.Duration, poisoned, flaky bool) string {
+	return fmt.Sprintf("%d %t %t", d.Milliseconds(), poisoned, flaky)
+}
+
+func parseWork(payload string) (d time.Duration, poisoned, flaky bool) {
+	f := strings.Fields(payload)
+	if len(f) != 3 {
+		return time.Second, false, false
+	}
+	ms, _ := strconv.Atoi(f[0]) // written by Work
+	return time.Duration(ms) * time.Millisecond, f[1] == "true", f[2] == "true"
+}
+
+func mayRun(s pool.StepID, worker string) bool {
+	h := fnv.New32a()
+	_, _ = fmt.Fprint(h, s.Job, s.Step, worker) // a hash takes everything
+	return h.Sum32()%100 < goodShare
+}
+
+func ticketName(s pool.StepID, worker string) string {
+	return fmt.Sprintf("%s.%d.%d@%s", s.Job, s.K, s.Step, worker)
+}
+
+func (x *worker) newTicket(s pool.StepID) string {
+	name := ticketName(s, x.id)
+	x.tickets[name] = time.Now().Add(ticketValidity)
+	return name
+}
+
+func (x *worker) seen(token uint64) bool {
+	if token < x.token {
+		return false
+	}
+	x.token = token
+	return true
+}
+
+func (x *worker) extend(deadlineMs int64) {
+	if deadlineMs == 0 {
+		return
+	}
+	until := x.at(deadlineMs)
+	if most := time.Now().Add(HoldMax); until.After(most) {
+		until = most
+	}
+	if until.After(x.lease) {
+		x.lease = until
+	}
+}
+
+func (x *worker) find(task pool.TaskID, number int) *run {
+	for _, r := range x.runs {
+		if r.task == task && r.number == number {
+			return r
+		}
+	}
+	return nil
+}
+
+func (x *worker) start(s pool.Start, sender string) pool.Outcome {
+	if !x.alive {
+		return pool.NoAnswer
+	}
+	if !x.seen(s.Token) {
+		return pool.Fenced
+	}
+	if s.DeadlineMs <= x.clock() {
+		return pool.Late
+	}
+	if x.find(s.Task, s.Run) != nil {
+		return pool.OK
+	}
+	if s.Run <= x.over[s.Task] {
+		return pool.Old
+	}
+	if x.w.Advised {
+		until, ok := x.tickets[s.Ticket]
+		step := pool.StepID{Job: s.Task.Job, K: s.Task.K, Step: s.Task.Step}
+		if !ok || time.Now().After(until) || s.Ticket != ticketName(step, x.id) {
+			return pool.BadTicket
+		}
+	}
+	x.extend(s.DeadlineMs)
+	job := x.w.Referee.started(x, s, sender)
+	if job == nil {
+		return pool.Rejected
+	}
+	work, poisoned, flaky := parseWork(s.Payload)
+	r := &run{task: s.Task, number: s.Run, spec: &job.Steps[s.Task.Step], payload: s.Payload, began: time.Now(), work: work,
+		fails: poisoned || (flaky && s.Checkpoint == "" && s.Run == 1), checkpoint: s.Checkpoint, percent: 100}
+	r.waiting = r.spec.Gang
+	x.runs = append(x.runs, r)
+	return pool.OK
+}
+
+func (x *worker) stop(s pool.Stop) pool.Outcome {
+	if !x.alive {
+		return pool.NoAnswer
+	}
+	if !x.seen(s.Token) {
+		return pool.Fenced
+	}
+	x.over[s.Task] = max(x.over[s.Task], s.Run)
+	if r := x.find(s.Task, s.Run); r != nil && r.stopAt.IsZero() {
+		r.stopAt = time.Now().Add(StopTime)
+	}
+	return pool.OK
+}
+
+func (x *worker) pace(p pool.Pace) pool.Outcome {
+	if !x.seen(p.Token) {
+		return pool.Fenced
+	}
+	if r := x.find(p.Task, p.Run); r != nil {
+		r.percent = p.Percent
+	}
+	return pool.OK
+}
+
+// hold answers a hold, and reports whether there are ends that the caller has
+// not seen.
+func (x *worker) hold(h pool.Hold, answer *pool.HoldAnswered) (bool, <-chan struct{}) {
+	if !x.alive {
+		answer.Outcome = pool.NoAnswer
+		return true, nil
+	}
+	if !x.seen(h.Token) {
+		answer.Outcome = pool.Fenced
+		return true, nil
+	}
+	x.extend(h.DeadlineMs)
+	for len(x.ends) > 0 && x.ends[0].Number <= h.Ack {
+		x.w.Referee.noted(x, x.ends[0])
+		x.ends = x.ends[1:]
+	}
+	answer.Outcome, answer.ClockMs = pool.OK, x.clock()
+	answer.Active = nil
+	for _, r := range x.runs {
+		answer.Active = append(answer.Active, pool.ActiveRun{Task: r.task, Run: r.number, Checkpoint: r.checkpoint, Percent: r.percent})
+	}
+	answer.Ended = slices.Clone(x.ends)
+	return len(x.ends) > 0 || h.Wait == 0, x.ended
+}
+
+func (x *worker) crash() {
+	if !x.alive {
+		return
+	}
+	x.alive = false
+	x.died = time.Now()
+	for _, r := range x.runs {
+		x.w.Referee.gone(x, r)
+	}
+	x.runs = nil
+	close(x.ended)
+	x.ended = make(chan struct{})
+}
+
+// tick ends what is due to end.
+func (x *worker) tick() {
+	if !x.alive {
+		return
+	}
+	now := time.Now()
+	if len(x.runs) > 0 && now.After(x.lease) {
+		for _, r := range slices.Clone(x.runs) {
+			x.end(r, pool.Lapsed)
+		}
+	}
+	for _, r := range slices.Clone(x.runs) {
+		switch {
+		case !r.stopAt.IsZero() && now.After(r.stopAt):
+			x.end(r, pool.Stopped)
+		case r.waiting:
+			x.waitForGang(r, now)
+		case !r.spec.LongRunning && now.Sub(r.began) >= r.work:
+			x.end(r, endOf(r))
+		}
+	}
+}
+
+func endOf(r *run) pool.How {
+	if r.fails {
+		return pool.RunFailed
+	}
+	return pool.Done
+}
+
+func (x *worker) waitForGang(r *run, now time.Time) {
+	if x.w.Referee.gangComplete(r) {
+		r.waiting, r.began = false, now
+		return
+	}
+	if now.Sub(r.began) > gangPatience {
+		x.end(r, pool.Alone)
+	}
+}
+
+func (x *worker) end(r *run, how pool.How) {
+	i := slices.Index(x.runs, r)
+	if i < 0 {
+		return
+	}
+	x.runs = slices.Delete(x.runs, i, i+1)
+	x.over[r.task] = max(x.over[r.task], r.number)
+	x.numbers++
+	e := pool.EndedRun{Number: x.numbers, Task: r.task, Run: r.number, How: how}
+	if how == pool.Stopped && r.spec.Checkpoints {
+		e.Checkpoint = "saved"
+	}
+	x.ends = append(x.ends, e)
+	x.w.Referee.ended(x, r, e)
+	close(x.ended)
+	x.ended = make(chan struct{})
+	if r.spec.Gang {
+		x.endGang(r, how)
+	}
+}
+
+// endGang ends the other members of a gang's run: they work only together.
+func (x *worker) endGang(r *run, how pool.How) {
+	if how != pool.Done {
+		how = pool.Broken
+	}
+	for _, other := range x.w.order {
+		for _, o := range slices.Clone(other.runs) {
+			if o.task.Job == r.task.Job && o.task.Step == r.task.Step && o.number == r.number && o != r {
+				other.end(o, how)
+			}
+		}
+	}
+}
