pool: ends of an ended job wait for its save; a refused gang starts anew

Cause (found by random histories in virtual time): (1) ends of a job that had just ended were noted at the worker before the job's end was stored; after the loss of the owner a gang ran again. (2) a start refused after one without an answer kept its run in the phase that only an answer ends, so its gang hung.

--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -144,7 +144,6 @@
 // any instance.
 func (c *cluster) submit(j pool.Job, pick func() *member) bool {
 	j.Queue, j.Service = queueName, machines.Service
-	c.world.Referee.Submitted(j, 3)
 	for range 4 {
 		j.AcceptedMs = time.Now().UnixMilli()
 		ctx, cancel := context.WithTimeout(c.ctx, 3*time.Second)
@@ -154,6 +153,7 @@
 			time.Sleep(time.Second)
 			continue
 		}
+		c.world.Referee.Submitted(j, 3)
 		verdict := m.node.Submit(ctx, j)
 		cancel()
 		c.world.Referee.Answered(j.ID, verdict == node.Accepted, verdict == node.NotRun)
--- a/node/peers.go
+++ b/node/peers.go
@@ -47,7 +47,13 @@
 	mu    sync.Mutex
 	byKey map[string]peerEntry
 	links map[string]*link
-	gone  map[int64]bool // lives of processes that no longer answer
+	gone  map[process]bool // processes that no longer answer
+}
+
+// process is one life of an instance.
+type process struct {
+	node string
+	life int64
 }
 
 // link is the connection to one peer.
@@ -62,7 +68,7 @@
 }
 
 func newPeers(n *Node) *peers {
-	return &peers{node: n, byKey: map[string]peerEntry{}, links: map[string]*link{}, gone: map[int64]bool{}}
+	return &peers{node: n, byKey: map[string]peerEntry{}, links: map[string]*link{}, gone: map[process]bool{}}
 }
 
 func (p *peers) run(ctx context.Context) {
@@ -395,7 +401,7 @@
 	}
 	if err == nil || errors.Is(err, errRefused) {
 		n.peers.mu.Lock()
-		n.peers.gone[c.Life] = true
+		n.peers.gone[process{c.Node, c.Life}] = true
 		n.peers.mu.Unlock()
 	}
 }
@@ -403,5 +409,5 @@
 func (n *Node) isGone(c claim) bool {
 	n.peers.mu.Lock()
 	defer n.peers.mu.Unlock()
-	return n.peers.gone[c.Life]
+	return n.peers.gone[process{c.Node, c.Life}]
 }
--- a/pool/ends.go
+++ b/pool/ends.go
@@ -59,7 +59,10 @@
 	j := t.step.job
 	c.do(Noted{Event: "run.ended", Job: j.ID, Task: &x.Task, Run: x.Run, Worker: w.ID, Reason: x.How.String()})
 	if j.state.Ended() {
-		return false
+		// How the job ended may not be stored yet. An end that was noted before
+		// it would be forgotten by the worker and unknown to a successor, which
+		// would run the task again.
+		return j.dirty
 	}
 	c.markDirty(j)
 	j.begun = true
--- a/pool/worker.go
+++ b/pool/worker.go
@@ -473,12 +473,12 @@
 	}
 	if r.tries > 1 {
 		// An earlier copy had no answer and may still arrive.
+		r.phase = doubtful
 		c.stop(r, "refused after a start without an answer")
-		return
+	} else {
+		c.vacate(r)
 	}
-	gang := r.task.step.spec.Gang
-	c.vacate(r)
-	if gang {
+	if r.task.step.spec.Gang {
 		c.stopGang(r.task.step, "a member was refused")
 	}
 }
