pool: failing workers left alone, standing ones get nothing new, fillers paced

A false alarm of the stall check before a run's first look, mended. Tests: three in pool/worker_test.go, each shown failing without its part.

--- a/node/unit.go
+++ b/node/unit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
 	"sync/atomic"
@@ -230,9 +231,12 @@
 	return ""
 }
 
-// claimDelay spreads the claims: instances without a pool first.
+// claimDelay spreads the claims: instances without a pool first, the others in
+// an order that differs by pool and generation.
 func (u *unit) claimDelay() time.Duration {
-	d := time.Duration(rand.Int64N(int64(claimSpread)))
+	h := fnv.New32a()
+	_, _ = fmt.Fprint(h, u.node.set.Name, u.topic.Part, u.replica.claim.Generation) // a hash takes everything
+	d := claimSpread * time.Duration(h.Sum32()%1000) / 1000
 	return d + time.Duration(u.node.owned())*claimLater
 }
 
--- a/pool/ends.go
+++ b/pool/ends.go
@@ -51,6 +51,7 @@
 	t.lastRun = max(t.lastRun, x.Run)
 	t.step.gangRun = max(t.step.gangRun, x.Run)
 	if r != nil {
+		c.learn(r, x.How)
 		c.vacate(r)
 	}
 	if x.Checkpoint != "" {
@@ -79,6 +80,15 @@
 	return true
 }
 
+func (c *Core) learn(r *run, how How) {
+	switch how {
+	case Done:
+		c.learnDone(r)
+	case RunFailed:
+		c.learnFailed(r)
+	}
+}
+
 func (c *Core) taskDone(t *task) {
 	s := t.step
 	if s.spec.LongRunning {
--- a/pool/place.go
+++ b/pool/place.go
@@ -297,6 +297,9 @@
 	// besideServing keeps filling tasks and serving tasks apart while there
 	// is room elsewhere: a filler slows what serves.
 	besideServing = 3
+	// failedHere sends the tasks of a step elsewhere than where one has failed:
+	// it may have been the worker's fault, and attempts are few.
+	failedHere = 4
 	// sameStep spreads the tasks of a lasting step, so that one worker's loss
 	// takes few of them.
 	sameStep = 0.2
@@ -308,11 +311,15 @@
 	if s.spec.DataRack != "" && w.Rack != s.spec.DataRack {
 		score += awayFromData
 	}
+	if s.failedOn[w.ID] {
+		score += failedHere
+	}
 	if s.spec.Fills {
 		// Fillers live off unused processors: the emptiest worker, and few fillers on each.
 		score += c.fullness(w) + float64((w.fills+extra)*s.spec.Need.CPU)/float64(max(1, w.Capacity.CPU))
 		return score + besideServing*float64(min(1, w.serving))
 	}
+	score += max(0, w.slowness)
 	left := free.Minus(s.spec.Reserved())
 	// Best fit: the least room left, so that large tasks find whole workers.
 	score += float64(left.CPU) / float64(max(1, w.Capacity.CPU))
@@ -335,7 +342,8 @@
 		number = s.gangRun // all members carry the same
 	}
 	t.lastRun = number
-	r := &run{task: t, number: number, worker: w, need: s.spec.Reserved(), settled: c.now}
+	r := &run{task: t, number: number, worker: w, need: s.spec.Reserved(), settled: c.now,
+		resumed: t.checkpoint() != "", pace: fullPace}
 	t.run = r
 	r.ticket = s.advice.verdicts[w.ID].ticket
 	c.occupy(r)
--- a/pool/state.go
+++ b/pool/state.go
@@ -38,6 +38,11 @@
 	turn         bool
 	notBefore    time.Duration
 	booked       []booking
+	// failedOn are the workers on which a run failed.
+	failedOn map[string]bool
+	// doneRuns and doneTime sum the runs that ended as done.
+	doneRuns int
+	doneTime time.Duration
 }
 
 type task struct {
--- a/pool/worker.go
+++ b/pool/worker.go
@@ -72,6 +72,10 @@
 	stopped  time.Duration
 	percent  int
 	usage    int
+	// progressAt is when percent last changed.
+	progressAt time.Duration
+	resumed    bool // from a checkpoint, so its time says little
+	pace       int  // of a filling task, in percent
 }
 
 type end struct {
@@ -103,10 +107,18 @@
 	answered time.Duration
 	fills    int // filling tasks
 	serving  int // tasks that serve under a latency target
+	// pace is that of its filling tasks, in percent, since paceAt.
+	pace   int
+	paceAt time.Duration
+	// strikes are jobs that failed here in a row, and nowhere else.
+	strikes map[string]bool
+	// slowness is how much longer than elsewhere tasks take here: 0 is usual,
+	// 0.5 half as long again.
+	slowness float64
 }
 
 func (c *Core) newWorker(info WorkerInfo) *worker {
-	w := &worker{WorkerInfo: info, runs: map[runKey]*run{}, inherited: !c.listed}
+	w := &worker{WorkerInfo: info, runs: map[runKey]*run{}, inherited: !c.listed, pace: fullPace}
 	// A predecessor may have renewed the lease until we took over.
 	w.lapse = max(c.now, c.took) + time.Duration(float64(c.set.HoldMax)*slowClock) + lapseSlack
 	c.workers[info.ID] = w
@@ -219,6 +231,9 @@
 	c.takeActive(w, e)
 	c.takeEnds(w, e)
 	c.findVanished(w, e)
+	c.checkRuns(w)
+	c.adjustPace(w)
+
 	w.fenced = true
 	w.nextHold = c.now
 	if len(w.ends) > 0 {
@@ -245,7 +260,8 @@
 			r.phase = running
 			r.settled = c.now
 		}
-		r.percent, r.usage = a.Percent, a.Usage
+		c.observe(r, a.Percent)
+		r.usage = a.Usage
 		if a.Checkpoint != "" && r.task != nil {
 			r.task.save(a.Checkpoint)
 		}
@@ -253,7 +269,8 @@
 }
 
 func (c *Core) adopt(w *worker, a ActiveRun) *run {
-	r := &run{number: a.Run, worker: w, phase: running, settled: c.now}
+	// Its pace is unknown, so that it is set anew; its time is too.
+	r := &run{number: a.Run, worker: w, phase: running, settled: c.now, resumed: true}
 	t := c.task(a.Task)
 	if t == nil {
 		// Unknown here, so nothing of it may run. How much room it takes is
--- a/pool/worker_test.go
+++ b/pool/worker_test.go
@@ -35,3 +35,82 @@
 	assert.Equal(t, again[0].Worker, other)
 	assert.Equal(t, again[0].Run, 2)
 }
+
+// Two jobs fail on one worker, one after the other, and nowhere else. A third
+// job's task must not go there for a while: each run there costs a job one of its
+// few attempts, and after the last one the caller is told that the job failed.
+func TestWorkerThatFailsSeveralJobsIsLeftAlone(t *testing.T) {
+	r := newRig(t, box("bad"), box("good"))
+	r.save()
+	r.hold("bad", nil)
+	r.hold("good", nil)
+	r.core.workers["good"].pause = r.now + time.Hour // so that both jobs go to the bad one
+	var ended []EndedRun
+	for n, id := range []string{"j1", "j2"} {
+		r.submit(id, small(1))
+		assert.Equal(t, len(r.starts()), 1)
+		ended = append(ended, EndedRun{Number: uint64(n + 1), Task: taskOf(id, 0), Run: 1, How: RunFailed})
+		r.hold("bad", nil, ended...)
+		r.save()
+		r.pass(300 * time.Millisecond)
+		take[Start](r)
+	}
+	r.core.workers["good"].pause = 0
+	r.core.workers["good"].answered = r.now
+	r.submit("j3", small(1))
+	for _, s := range r.starts() {
+		assert.Equal(t, s.Worker, "good", "%s went to the bad worker", s.Task.Job)
+	}
+}
+
+// A task on a worker shows no progress. The worker gets no new tasks meanwhile,
+// as they would stand there too; only a task that stands for long is moved.
+func TestNothingNewOnAWorkerThatStandsStill(t *testing.T) {
+	r := newRig(t, box("w1"))
+	r.save()
+	r.hold("w1", nil)
+	r.submit("j1", small(1))
+	assert.Equal(t, len(r.starts()), 1)
+	for range 4 {
+		r.pass(500 * time.Millisecond)
+		r.hold("w1", []ActiveRun{{Task: taskOf("j1", 0), Run: 1, Percent: 40}})
+	}
+	r.submit("j2", small(1))
+	assert.Equal(t, len(r.starts()), 0)
+	assert.Equal(t, len(take[Stop](r)), 0)
+	for range 16 {
+		r.pass(500 * time.Millisecond)
+		r.hold("w1", []ActiveRun{{Task: taskOf("j1", 0), Run: 1, Percent: 40}})
+	}
+	stops := take[Stop](r) // one order, repeated as it gets no answer
+	assert.Assert(t, len(stops) > 0)
+	for _, s := range stops {
+		assert.Equal(t, s.Task, taskOf("j1", 0))
+	}
+}
+
+// A filling task slows a serving task beside it. The filler's pace goes down while
+// the serving task is over its target, to a standstill within two looks, and comes
+// back slowly once the target is kept with room to spare.
+func TestFillersGiveWayToServingTasks(t *testing.T) {
+	r := newRig(t, box("w1"))
+	r.save()
+	r.hold("w1", nil)
+	serving := small(1)
+	serving.LongRunning, serving.TargetMs = true, 100
+	filler := small(1)
+	filler.Fills = true
+	r.submit("serve", serving)
+	r.submit("fill", filler)
+	assert.Equal(t, len(r.starts()), 2)
+	look := func(tail int) []Pace {
+		r.pass(time.Second)
+		r.hold("w1", []ActiveRun{{Task: taskOf("serve", 0), Run: 1, Percent: 100, Usage: tail}, {Task: taskOf("fill", 0), Run: 1, Percent: int(r.now / time.Second)}})
+		return take[Pace](r)
+	}
+	assert.Equal(t, len(look(50)), 0)
+	assert.Equal(t, look(130)[0].Percent, 30)
+	assert.Equal(t, look(130)[0].Percent, 0)
+	assert.Equal(t, len(look(90)), 0, "near the target it stays")
+	assert.Equal(t, look(50)[0].Percent, 20)
+}
