node: records follow a pool to its new owner; direct appends in batches

Cause: after a hand-over instances sent records to the old owner until they had read the new claim, were told "not the owner", and appended each record to the store themselves. On a slow store (86 ms an append) that filled its queue past every timeout; 182 requests got no answer and their repeats kept it full. Change: the old owner names its heir; a refused instance follows; records that still go to the store directly go in one append at a time an instance; rounds of tries pause 250 ms; what was certainly not appended is not in doubt. Ruled out: longer timeouts (the queue grows with them).

--- a/node/intake.go
+++ b/node/intake.go
@@ -31,10 +31,10 @@
 	// and every other way would only add to its queue. A caller waits for 3 s.
 	ownerTry     = 700 * time.Millisecond
 	slowOwnerTry = 2300 * time.Millisecond
-	// storeTry bounds one try to store what a caller handed in.
-	storeTry = 600 * time.Millisecond
-	// storePause is the pause between two tries.
-	storePause = 50 * time.Millisecond
+	// storePause is the pause between two rounds of tries.
+	storePause = 250 * time.Millisecond
+	// redirects is how often a caller's record follows a pool that moves.
+	redirects = 3
 	// stateTimeout bounds the question to a pool's owner.
 	stateTimeout = 500 * time.Millisecond
 )
@@ -49,15 +49,21 @@
 
 // submitAndWait stores a record as the pool's owner and waits until it is stored.
 func (u *unit) submitAndWait(ctx context.Context, rec pool.Record) error {
+	return u.await(ctx, rec, func(_ context.Context, s submission) { u.submit(s) })
+}
+
+// await gives a record to one of the unit's ways to store it, and waits for the
+// outcome.
+func (u *unit) await(ctx context.Context, rec pool.Record, store func(context.Context, submission)) error {
 	stored := make(chan error, 1)
-	ctx = withTimeout(ctx, slowOwnerTry)
-	if err := u.ask(ctx, func() { u.submit(submission{record: rec, stored: stored}) }); err != nil {
+	waiting := withTimeout(ctx, slowOwnerTry)
+	if err := u.ask(waiting, func() { store(u.ctx, submission{record: rec, stored: stored}) }); err != nil {
 		return err
 	}
 	select {
 	case err := <-stored:
 		return err
-	case <-ctx.Done():
+	case <-waiting.Done():
 		return ErrInDoubt
 	}
 }
@@ -69,17 +75,25 @@
 	if u == nil {
 		return errNotOwner
 	}
-	var c claim
-	if err := u.ask(ctx, func() { c = u.replica.claim }); err != nil {
+	var addr string
+	if err := u.ask(ctx, func() { addr = u.ownerAddr() }); err != nil {
 		return err
 	}
-	switch c.Addr {
-	case "":
-		return errNotOwner
-	case n.set.PeerAddr:
-		return u.submitAndWait(ctx, rec)
+	for range redirects {
+		if addr == "" {
+			return errNotOwner
+		}
+		if addr == n.set.PeerAddr {
+			return u.submitAndWait(ctx, rec)
+		}
+		var r SubmitReply
+		err := n.peers.callWhileAlive(ctx, addr, "Submit", StoreArgs{Part: part, Record: rec}, &r, ownerTry, slowOwnerTry)
+		if err != nil || r.Stored {
+			return err
+		}
+		addr = r.Owner
 	}
-	return n.peers.callWhileAlive(ctx, c.Addr, "Submit", StoreArgs{Part: part, Record: rec}, &Empty{}, ownerTry, slowOwnerTry)
+	return errNotOwner
 }
 
 // persist stores a record: through the pool's owner, else here, else through a
@@ -121,8 +135,7 @@
 	if u := n.unit(part); u == nil || !u.reads.Load() {
 		return ErrRefused
 	}
-	_, err := n.store.Append(withTimeout(ctx, storeTry), Topic{Name: topicName, Part: part}, []pool.Record{rec}, nil)
-	return err
+	return n.unit(part).await(ctx, rec, n.unit(part).storeDirect)
 }
 
 // throughPeer has a peer store a record.
--- a/node/node.go
+++ b/node/node.go
@@ -141,7 +141,7 @@
 	part := partOf(service, n.set.Parts)
 	u := n.units[part]
 	if u == nil {
-		u = newUnit(n, part)
+		u = newUnit(ctx, n, part)
 		n.units[part] = u
 		n.waits++
 		go u.run(ctx)
@@ -222,7 +222,10 @@
 		}) != nil || c.Addr == "" {
 			continue
 		}
-		n.peers.handOver(ctx, u.topic.Part, c.Epoch)
+		if heir := n.peers.handOver(ctx, u.topic.Part, c.Epoch); heir != "" {
+			// The next instance has it; who still comes here is sent there.
+			_ = u.ask(ctx, func() { u.heir = heir })
+		}
 	}
 	n.peers.leave(ctx)
 }
--- a/node/owner.go
+++ b/node/owner.go
@@ -77,10 +77,12 @@
 	intakeSave
 )
 
-// saveDone tells that the store holds a save, or why it never will.
+// saveDone tells that the store holds a save, or why it never will. Certain tells
+// that no try of it went without an answer.
 type saveDone struct {
 	pendingSave
-	err error
+	err     error
+	certain bool
 }
 
 func newOwnership(ctx context.Context, u *unit, c claim, offset int64) *ownership {
@@ -99,13 +101,10 @@
 	return o
 }
 
-// close ends the ownership. Callers that wait learn that nothing is certain;
-// they store their records themselves.
+// close ends the ownership. What has not been sent to the store is for another.
 func (o *ownership) close() {
 	o.cancel()
-	for _, s := range o.intake {
-		s.stored <- ErrInDoubt
-	}
+	answerAll(o.intake, errNotOwner)
 	o.intake = nil
 }
 
@@ -189,7 +188,11 @@
 // While the store turns this instance away, it is refused at once: nothing of it
 // was sent, so the caller may come back, and another instance may store it.
 func (o *ownership) submit(s submission) {
-	if o.turnedAway {
+	switch {
+	case o.unit.heir != "":
+		s.stored <- errNotOwner
+		return
+	case o.turnedAway:
 		s.stored <- ErrRefused
 		return
 	}
@@ -213,18 +216,20 @@
 // refuseIntake tells callers that the store did nothing.
 func (o *ownership) refuseIntake(save pendingSave) {
 	o.appending = false
-	for _, s := range append(save.waiting, o.intake...) {
-		s.stored <- ErrRefused
-	}
+	answerAll(append(save.waiting, o.intake...), ErrRefused)
 	o.intake = nil
 }
 
+func answerAll(waiting []submission, err error) {
+	for _, s := range waiting {
+		s.stored <- err
+	}
+}
+
 // intakeStored answers the callers and tells the core.
 func (o *ownership) intakeStored(save pendingSave) {
 	o.appending = false
-	for _, s := range save.waiting {
-		s.stored <- nil
-	}
+	answerAll(save.waiting, nil)
 	// Before the core knows what a predecessor did, a repeated request would
 	// look like a new job, and its tasks would be started a second time. It is
 	// read back from the store then.
@@ -253,6 +258,11 @@
 		return
 	}
 	if e.err != nil {
+		why := ErrInDoubt
+		if e.certain {
+			why = errNotOwner
+		}
+		answerAll(e.waiting, why)
 		o.unit.dropOwnership(e.err.Error())
 		return
 	}
@@ -274,11 +284,11 @@
 		select {
 		case s := <-o.saves:
 			o.sequence++
-			err := o.appendUntilDone(s)
+			certain, err := o.appendUntilDone(s)
 			if o.ctx.Err() != nil {
 				return
 			}
-			o.send(saveDone{pendingSave: s, err: err})
+			o.send(saveDone{pendingSave: s, err: err, certain: certain})
 			if errors.Is(err, ErrRefused) {
 				o.sequence-- // the store has not seen it
 			} else if err != nil {
@@ -291,32 +301,30 @@
 }
 
 // appendUntilDone repeats an append until its outcome is certain. What callers
-// handed in is given up instead if the store has certainly done nothing.
-func (o *ownership) appendUntilDone(s pendingSave) error {
-	inDoubt := false
+// handed in is given up instead if the store has certainly done nothing. It
+// reports whether no try went without an answer.
+func (o *ownership) appendUntilDone(s pendingSave) (certain bool, err error) {
+	certain = true
 	for {
-		_, err := o.unit.node.store.Append(withTimeout(o.ctx, appendTimeout), o.unit.topic, s.records,
+		_, err = o.unit.node.store.Append(withTimeout(o.ctx, appendTimeout), o.unit.topic, s.records,
 			&Writer{Name: "owner", Epoch: o.claim.Epoch, Sequence: o.sequence})
 		if away := err != nil; away != o.away {
 			o.away = away
 			o.unit.send(o.ctx, func() { o.turnedAway = away })
 		}
-		inDoubt = inDoubt || (err != nil && !errors.Is(err, ErrRefused))
 		var wrong SequenceError
 		switch {
 		case err == nil:
-			return nil
-		case s.kind == intakeSave && !inDoubt:
-			return err
-		case errors.As(err, &wrong):
-			if wrong.Expected > o.sequence {
-				return nil // an earlier try took effect
-			}
-			return err
-		case errors.Is(err, ErrFenced):
-			return err
-		case o.ctx.Err() != nil:
-			return o.ctx.Err()
+			return certain, nil
+		case errors.As(err, &wrong) && wrong.Expected > o.sequence:
+			return certain, nil // an earlier try took effect
+		case errors.As(err, &wrong), errors.Is(err, ErrFenced):
+			return certain, err
+		case !errors.Is(err, ErrRefused):
+			certain = false
+		}
+		if s.kind == intakeSave && certain || o.ctx.Err() != nil {
+			return certain, err
 		}
 		sleep(o.ctx, appendRetry)
 	}
--- a/node/peers.go
+++ b/node/peers.go
@@ -291,6 +291,11 @@
 		Part   int
 		Record pool.Record
 	}
+	// SubmitReply tells that a record is stored, or who owns its pool.
+	SubmitReply struct {
+		Stored bool
+		Owner  string // empty if nobody is known
+	}
 	// TakeArgs asks a peer to claim a pool that its owner leaves.
 	TakeArgs struct {
 		Part  int
@@ -359,13 +364,22 @@
 	return s.n.throughStore(context.Background(), a.Part, a.Record)
 }
 
-// Submit stores a record as the owner of its pool.
-func (s Peer) Submit(a StoreArgs, _ *Empty) error {
+// Submit stores a record as the owner of its pool, or tells who owns it.
+func (s Peer) Submit(a StoreArgs, r *SubmitReply) error {
 	u := s.n.unit(a.Part)
 	if u == nil {
-		return errNotOwner
+		return nil
 	}
-	return u.submitAndWait(context.Background(), a.Record)
+	err := u.submitAndWait(context.Background(), a.Record)
+	if errors.Is(err, errNotOwner) {
+		return u.ask(withTimeout(context.Background(), aliveTimeout), func() {
+			if addr := u.ownerAddr(); addr != s.n.set.PeerAddr {
+				r.Owner = addr
+			}
+		})
+	}
+	r.Stored = err == nil
+	return err
 }
 
 // Take claims a pool that its owner leaves.
@@ -430,14 +444,15 @@
 	return r
 }
 
-// handOver asks the peers in turn to claim a pool.
-func (p *peers) handOver(ctx context.Context, part int, epoch uint64) {
+// handOver asks the peers in turn to claim a pool, and returns who does.
+func (p *peers) handOver(ctx context.Context, part int, epoch uint64) string {
 	for _, addr := range p.addrs() {
 		if p.call(ctx, addr, "Take", TakeArgs{Part: part, Epoch: epoch}, &Empty{}, peerTimeout) == nil {
 			p.node.log.Info().Int("pool", part).Str("to", addr).Msg("pool.handed_over")
-			return
+			return addr
 		}
 	}
+	return ""
 }
 
 // probe finds out whether a silent owner's process is gone, or only slow.
--- a/node/unit.go
+++ b/node/unit.go
@@ -62,6 +62,7 @@
 // owns it. One goroutine runs it; others put questions through ask.
 type unit struct {
 	node    *Node
+	ctx     context.Context // of its run
 	topic   Topic
 	log     zerolog.Logger
 	events  chan any
@@ -77,11 +78,17 @@
 	claimAt    time.Duration // 0: no claim is due
 	claiming   bool
 	own        *ownership
+	// heir is the instance to which this one has handed the pool over, until
+	// its claim is read.
+	heir string
+	// direct holds records that this instance stores without the owner.
+	direct     []submission
+	directBusy bool // some are on their way
 }
 
-func newUnit(n *Node, part int) *unit {
+func newUnit(ctx context.Context, n *Node, part int) *unit {
 	u := &unit{
-		node: n, topic: Topic{Name: topicName, Part: part},
+		node: n, ctx: ctx, topic: Topic{Name: topicName, Part: part},
 		log:    n.log.With().Int("pool", part).Logger(),
 		events: make(chan any, 1024), replica: newReplica(),
 	}
@@ -134,6 +141,10 @@
 		u.take(ctx, e)
 	case claimed:
 		u.claimAnswered(ctx, e)
+	case directDone:
+		u.directBusy = false
+		answerAll(e.waiting, e.err)
+		u.appendDirect(ctx)
 	case fromOwner:
 		if u.own == e.own {
 			u.own.handle(e.event)
@@ -188,6 +199,9 @@
 // one whose own claim has come back from the store.
 func (u *unit) followClaim() {
 	c := u.replica.claim
+	if c.Addr != u.node.set.PeerAddr {
+		u.heir = ""
+	}
 	if u.own != nil && c.Epoch > u.own.claim.Epoch {
 		u.dropOwnership("another instance has claimed the pool")
 	}
@@ -295,6 +309,7 @@
 		return // another instance was faster
 	}
 	u.claimAt = 0
+	u.heir = ""
 	u.ownerHeard = u.node.now()
 	u.replica.claim = e.claim
 	u.own = newOwnership(ctx, u, e.claim, e.offset)
@@ -342,4 +357,43 @@
 	u.own.submit(s)
 }
 
+// ownerAddr is where the pool's owner is, as far as is known here.
+func (u *unit) ownerAddr() string {
+	if u.heir != "" {
+		return u.heir
+	}
+	return u.replica.claim.Addr
+}
+
+// directDone tells what came of an append without the owner.
+type directDone struct {
+	waiting []submission
+	err     error
+}
+
+// storeDirect stores a record without the owner, one append at a time with all
+// that have come meanwhile. One append for each of them let a slow store's queue
+// grow past all timeouts, and the repeats kept it there.
+func (u *unit) storeDirect(ctx context.Context, s submission) {
+	u.direct = append(u.direct, s)
+	u.appendDirect(ctx)
+}
+
+func (u *unit) appendDirect(ctx context.Context) {
+	if u.directBusy || len(u.direct) == 0 {
+		return
+	}
+	done := directDone{waiting: u.direct}
+	records := make([]pool.Record, 0, len(u.direct))
+	for _, s := range u.direct {
+		records = append(records, s.record)
+	}
+	u.direct = nil
+	u.directBusy = true
+	go func() {
+		_, done.err = u.node.store.Append(withTimeout(ctx, appendTimeout), u.topic, records, nil)
+		u.send(ctx, done)
+	}()
+}
+
 var errNotOwner = errors.New("this instance doesn't own the pool")
