pool: workers are kept for large tasks that find no room

Cause: under load small tasks took each gap first; tasks that need half of a worker or more waited until they were worth nothing (GPU steps were the worst kind on the second site). Ruled out: order alone (the large step was first in line all the while).

--- a/pool/core.go
+++ b/pool/core.go
@@ -49,6 +49,8 @@
 	saving   bool
 	lastSave time.Duration
 	replan   bool
+	pass     int // number of the newest pass over what waits
+	reserved int // workers kept in it
 	planned  time.Duration
 	deposed  bool
 	ended    []*job // ended jobs, oldest first
--- a/pool/place.go
+++ b/pool/place.go
@@ -58,6 +58,8 @@
 		}
 	}
 	c.sortByUrgency(waiting)
+	c.pass++
+	c.reserved = 0
 	for _, s := range waiting {
 		c.placeStep(s)
 	}
@@ -102,6 +104,7 @@
 	}
 	if left := len(tasks) - len(picks); left > 0 {
 		c.askFor(s, left)
+		c.reserve(s, left-len(s.booked))
 	}
 }
 
@@ -178,7 +181,7 @@
 func (c *Core) pick(s *step, n int, least permission) []*worker {
 	var candidates []*worker
 	for _, w := range c.byID {
-		if c.fits(s, w) && c.inTouch(w) && c.permission(s, w) <= least {
+		if c.fits(s, w) && c.inTouch(w) && c.permission(s, w) <= least && !c.keptForOther(s, w) {
 			candidates = append(candidates, w)
 		}
 	}
--- a/pool/worker.go
+++ b/pool/worker.go
@@ -104,9 +104,12 @@
 	used     Resources
 	booked   Resources     // kept while tickets are fetched
 	pause    time.Duration // no new tasks before
-	answered time.Duration
-	fills    int // filling tasks
-	serving  int // tasks that serve under a latency target
+	// reservedFor has this worker kept for it, if in the newest pass.
+	reservedFor *step
+	reservedIn  int
+	answered    time.Duration
+	fills       int // filling tasks
+	serving     int // tasks that serve under a latency target
 	// pace is that of its filling tasks, in percent, since paceAt.
 	pace   int
 	paceAt time.Duration
