node: counters, latency histograms, and a log that never blocks

Cause: on-call engineers have only logs and metrics, and kw-node had no counters; a slow reader of its output would have held up its control goroutine. Change: submissions by verdict, decisions by event, appends, waits of steps; submissions carry the configuration's version, starts how long the step waited; lines that the reader doesn't take are dropped and counted on standard error. Unused fields out.

--- a/cmd/kw-node/main.go
+++ b/cmd/kw-node/main.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog/diode"
 
 	"github.com/knapweedweir/knapweedweir/daemon"
 	"github.com/knapweedweir/knapweedweir/node"
@@ -27,6 +28,9 @@
 	stopMargin = 1500 * time.Millisecond
 	// idleTimeout closes callers' connections that nobody uses.
 	idleTimeout = 15 * time.Second
+	// logLines is how many lines may wait for the log's reader: ten seconds'
+	// worth at 400 decisions a second, 1 MB.
+	logLines = 4096
 	// headerTimeout bounds the reading of a request's header.
 	headerTimeout = 5 * time.Second
 )
@@ -44,8 +48,16 @@
 }
 
 func run(path string, set *platform.Settings) error {
-	p := daemon.New("kw-node", set.Node, os.Stdout)
-	n := node.New(set.ForNode(), p.Log, platform.NewStore(set.Store.Address), platform.NewWorkers(p.Log),
+	// A reader of the log that is slow must not hold up decisions: lines that it
+	// doesn't take in time are dropped and counted.
+	out := diode.NewWriter(os.Stdout, logLines, 0, func(missed int) {
+		fmt.Fprintf(os.Stderr, `{"level":"warn","message":"log.dropped","lines":%d}`+"\n", missed)
+	})
+	defer out.Close()
+	p := daemon.New("kw-node", set.Node, out)
+	forNode := set.ForNode()
+	forNode.Metrics = p.Metrics
+	n := node.New(forNode, p.Log, platform.NewStore(set.Store.Address), platform.NewWorkers(p.Log),
 		platform.NewAdvisor(set.Advice), platform.Directory{})
 	p.AddLoop(n.Run)
 	if err := servePeers(p, n); err != nil {
--- a/node/intake.go
+++ b/node/intake.go
@@ -42,8 +42,12 @@
 // Submit stores a job. Any instance can: the first record of an ID counts.
 func (n *Node) Submit(ctx context.Context, j pool.Job) Verdict {
 	part := partOf(j.Service, n.set.Parts)
+	began := time.Now()
 	v := n.persist(ctx, part, pool.Record{Key: pool.JobKey(j.ID), Value: pool.Encode(j)})
-	n.log.Info().Str("job", j.ID).Str("queue", j.Queue).Stringer("verdict", v).Msg("job.submitted")
+	took := time.Since(began)
+	n.measures.submitted(v, took)
+	n.log.Info().Str("job", j.ID).Str("queue", j.Queue).Int("pool", part).Int64("version", n.Config().Version).
+		Int64("at_ms", j.AcceptedMs).Dur("took", took).Stringer("verdict", v).Msg("job.submitted")
 	return v
 }
 
@@ -193,7 +197,7 @@
 	if !state.Ended() {
 		v = n.persist(ctx, partOf(service, n.set.Parts), pool.Record{Key: pool.CancelKey(job), Value: []byte("1")})
 	}
-	n.log.Info().Str("job", job).Str("state", string(state)).Stringer("verdict", v).Msg("job.cancel")
+	n.log.Info().Str("job", job).Str("state", string(state)).Stringer("verdict", v).Msg("job.cancel_asked")
 	return v
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/knapweedweir/knapweedweir/pool"
 )
@@ -27,6 +28,8 @@
 	Now func() time.Duration
 	// Dial connects to a peer; nil: over TCP.
 	Dial Dialer
+	// Metrics is where counters and histograms go; nil: nowhere.
+	Metrics tally.Scope
 	// Grace is how long a stopping process has until it is killed.
 	Grace time.Duration
 }
@@ -46,6 +49,7 @@
 	config    atomic.Pointer[Config]
 	stopping  atomic.Bool
 	peers     *peers
+	measures  *measures
 	// adviseNow holds one token: the advice service serves one call of a
 	// machine at a time.
 	adviseNow chan struct{}
@@ -61,6 +65,9 @@
 	if set.Now == nil {
 		set.Now = bootTime
 	}
+	if set.Metrics == nil {
+		set.Metrics = tally.NoopScope
+	}
 	if set.Dial == nil {
 		set.Dial = func(addr string, timeout time.Duration) (net.Conn, error) {
 			return net.DialTimeout("tcp", addr, timeout)
@@ -70,6 +77,8 @@
 		set: set, log: log, store: store, workers: workers, advisor: advisor, directory: directory,
 		life: time.Now().UnixNano(), adviseNow: make(chan struct{}, 1), units: map[int]*unit{}, ownedParts: map[int]bool{},
 	}
+	n.measures = newMeasures(set.Metrics)
+	n.store = timedStore{Store: store, measures: n.measures}
 	n.peers = newPeers(n)
 	return n
 }
@@ -182,12 +191,6 @@
 	}
 }
 
-func (n *Node) owns(part int) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.ownedParts[part]
-}
-
 func (n *Node) owned() int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -196,6 +199,7 @@
 
 // logDecision writes one line for a decision about a job.
 func (n *Node) logDecision(u *unit, d pool.Noted) {
+	n.measures.decided(d)
 	e := u.log.Info().Str("job", d.Job)
 	if d.Task != nil {
 		e = e.Int("k", d.Task.K).Int("step", d.Task.Step).Int("task", d.Task.Ordinal).Int("run", d.Run).Str("worker", d.Worker)
@@ -203,6 +207,9 @@
 	if d.Reason != "" {
 		e = e.Str("reason", d.Reason)
 	}
+	if d.Waited > 0 {
+		e = e.Dur("waited", d.Waited)
+	}
 	if u.own != nil {
 		e = e.Uint64("epoch", u.own.claim.Epoch)
 	}
--- a/pool/core.go
+++ b/pool/core.go
@@ -51,7 +51,6 @@
 	replan   bool
 	pass     int // number of the newest pass over what waits
 	reserved int // workers kept in it
-	planned  time.Duration
 	deposed  bool
 	ended    []*job // ended jobs, oldest first
 	out      []Action
--- a/pool/events.go
+++ b/pool/events.go
@@ -244,6 +244,8 @@
 	Run    int
 	Worker string
 	Reason string
+	// Waited is how long the task's step had been waiting, at a start.
+	Waited time.Duration
 }
 
 func (Hold) action()    {}
--- a/pool/place.go
+++ b/pool/place.go
@@ -350,7 +350,8 @@
 	t.run = r
 	r.ticket = s.advice.verdicts[w.ID].ticket
 	c.occupy(r)
-	c.note("run.start", r, "")
+	id := t.id()
+	c.do(Noted{Event: "run.start", Job: id.Job, Task: &id, Run: number, Worker: w.ID, Waited: c.now - s.waitingSince})
 	c.sendStart(r)
 }
 
--- a/pool/rig_test.go
+++ b/pool/rig_test.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -125,11 +124,3 @@
 }
 
 func taskOf(job string, ordinal int) TaskID { return TaskID{Job: job, Ordinal: ordinal} }
-
-func names(starts []Start) []string {
-	var list []string
-	for _, s := range starts {
-		list = append(list, fmt.Sprintf("%s/%d.%d run %d on %s", s.Task.Job, s.Task.Step, s.Task.Ordinal, s.Run, s.Worker))
-	}
-	return list
-}
--- a/pool/state.go
+++ b/pool/state.go
@@ -5,7 +5,6 @@
 type job struct {
 	Job
 	inherited   bool
-	queue       Queue
 	occurrences []*occurrence
 	state       State
 	// shown is the newest state that the store holds. Callers see an end
