An owner keeps up with 252 workers: one plan for several events, strong machines own

And the machines differ: the owner sat on one of 0.19 core and used 0.16. Change: Plan is apart from Step and follows all events that have come; what needs more than is free anywhere is passed over; weak machines claim later.

--- a/node/node.go
+++ b/node/node.go
@@ -24,6 +24,8 @@
 	Parts       int
 	HoldMax     time.Duration // the longest lease that a worker grants
 	StopTimeout time.Duration // how long a worker takes to stop a run
+	// Power is this machine's processor share, in cores.
+	Power float64
 	// Now is a clock that runs on while the machine sleeps; nil: the system's.
 	Now func() time.Duration
 	// Dial connects to a peer; nil: over TCP.
--- a/node/owner.go
+++ b/node/owner.go
@@ -372,6 +372,12 @@
 	}
 }
 
+func (o *ownership) plan() {
+	for _, a := range o.core.Plan(o.unit.node.now()) {
+		o.carryOut(a)
+	}
+}
+
 func (o *ownership) carryOut(a pool.Action) {
 	w := o.unit.node.workers
 	switch a := a.(type) {
--- a/node/unit.go
+++ b/node/unit.go
@@ -36,6 +36,11 @@
 	// claimLater keeps an instance that owns a pool from claiming another
 	// before those that own none.
 	claimLater = 250 * time.Millisecond
+	// claimWeak is how much later a machine without processor time claims than
+	// one with ampleShare of a core: an owner of 252 workers needs 0.16 of a core
+	// on a calm day, and the smallest machines have 0.19.
+	claimWeak  = 600 * time.Millisecond
+	ampleShare = 0.8
 	// claimRetry is the pause after a claim that failed.
 	claimRetry = 300 * time.Millisecond
 	// tickEvery is how often a core sees time pass.
@@ -121,6 +126,7 @@
 		select {
 		case ev := <-u.events:
 			u.handle(ctx, ev)
+			u.handleWaiting(ctx)
 		case <-ticker.C:
 			u.tick(ctx)
 		case <-ctx.Done():
@@ -129,6 +135,27 @@
 	}
 }
 
+// eventsAtOnce bounds how many events come before the next plan, so that room is
+// used within milliseconds also while events never cease.
+const eventsAtOnce = 64
+
+// handleWaiting handles the events that have come meanwhile, and plans once for
+// all of them.
+func (u *unit) handleWaiting(ctx context.Context) {
+	for range eventsAtOnce {
+		select {
+		case ev := <-u.events:
+			u.handle(ctx, ev)
+			continue
+		default:
+		}
+		break
+	}
+	if u.own != nil {
+		u.own.plan()
+	}
+}
+
 func (u *unit) send(ctx context.Context, ev any) {
 	select {
 	case u.events <- ev:
@@ -211,6 +238,7 @@
 func (u *unit) tick(ctx context.Context) {
 	if u.own != nil {
 		u.own.tick()
+		u.own.plan()
 		u.own.asks.send()
 		return
 	}
@@ -272,7 +300,8 @@
 	h := fnv.New32a()
 	_, _ = fmt.Fprint(h, u.node.set.Name, u.topic.Part, u.replica.claim.Generation) // a hash takes everything
 	d := claimSpread * time.Duration(h.Sum32()%1000) / 1000
-	return d + time.Duration(u.node.owned())*claimLater
+	weak := max(0, 1-u.node.set.Power/ampleShare)
+	return d + time.Duration(u.node.owned())*claimLater + time.Duration(weak*float64(claimWeak))
 }
 
 // claimed is the answer to a claim.
--- a/pool/advice.go
+++ b/pool/advice.go
@@ -87,6 +87,7 @@
 	}
 	if c.mayPlace(s) {
 		// Its own room first: it was kept for these tickets.
+		c.largest = c.largestFree()
 		c.placeStep(s)
 	}
 	c.replan = true
--- a/pool/core.go
+++ b/pool/core.go
@@ -49,8 +49,9 @@
 	saving   bool
 	lastSave time.Duration
 	replan   bool
-	pass     int // number of the newest pass over what waits
-	reserved int // workers kept in it
+	pass     int       // number of the newest pass over what waits
+	reserved int       // workers kept in it
+	largest  Resources // free on any worker, by resource, at its beginning
 	deposed  bool
 	ended    []*job // ended jobs, oldest first
 	out      []Action
@@ -68,7 +69,8 @@
 }
 
 // Step takes in an event and returns what is to be done. The time never goes
-// back and runs on while the machine sleeps.
+// back and runs on while the machine sleeps. Plan has to follow, after this event
+// or some more.
 func (c *Core) Step(now time.Duration, ev Event) []Action {
 	c.now = max(c.now, now)
 	c.out = nil
@@ -76,11 +78,22 @@
 		return nil
 	}
 	c.handle(ev)
-	if c.replan {
+	c.flush()
+	return c.out
+}
+
+// Plan starts what can be started after the events since the last call. It goes
+// over all that waits, so one call for several events keeps an owner up with them
+// when much waits: with one for each event, a pool of 252 workers fell behind for
+// good.
+func (c *Core) Plan(now time.Duration) []Action {
+	c.now = max(c.now, now)
+	c.out = nil
+	if c.replan && !c.deposed {
 		c.replan = false
 		c.place()
+		c.flush()
 	}
-	c.flush()
 	return c.out
 }
 
--- a/pool/place.go
+++ b/pool/place.go
@@ -60,6 +60,7 @@
 	c.sortByUrgency(waiting)
 	c.pass++
 	c.reserved = 0
+	c.largest = c.largestFree()
 	for _, s := range waiting {
 		c.placeStep(s)
 	}
@@ -84,6 +85,20 @@
 	return list
 }
 
+// largestFree is, by resource, the most that is free on any worker. Most passes
+// come while the pool is full; what needs more than this is passed over at once.
+func (c *Core) largestFree() Resources {
+	var most Resources
+	for _, w := range c.byID {
+		if !w.listed || w.Draining || !c.inTouch(w) {
+			continue
+		}
+		free := w.free()
+		most = Resources{CPU: max(most.CPU, free.CPU), Mem: max(most.Mem, free.Mem), GPU: max(most.GPU, free.GPU)}
+	}
+	return most
+}
+
 func (c *Core) placeStep(s *step) {
 	tasks := s.waitingTasks(c.now)
 	if len(tasks) == 0 {
@@ -92,7 +107,10 @@
 	if s.spec.Gang && len(tasks) < len(s.tasks) {
 		return // members of the last run are still there
 	}
-	picks := c.pick(s, len(tasks), allowed)
+	var picks []*worker
+	if s.spec.Reserved().Within(c.largest) {
+		picks = c.pick(s, len(tasks), allowed)
+	}
 	if s.spec.Gang && len(picks) < len(tasks) {
 		picks = nil
 	}
@@ -114,7 +132,10 @@
 	if c.queues[s.job.Queue].Advice == nil || s.advice.asking || c.now < s.advice.retryAt {
 		return
 	}
-	picks := c.pick(s, left, renewable)
+	var picks []*worker
+	if s.spec.Reserved().Within(c.largest) {
+		picks = c.pick(s, left, renewable)
+	}
 	if s.spec.Gang && len(picks) < left {
 		picks = nil
 	}
--- a/pool/rig_test.go
+++ b/pool/rig_test.go
@@ -33,6 +33,7 @@
 
 func (r *rig) step(ev Event) {
 	r.acts = append(r.acts, r.core.Step(r.now, ev)...)
+	r.acts = append(r.acts, r.core.Plan(r.now)...)
 }
 
 // pass lets time pass in ticks.
