--- a/node/owner.go
+++ b/node/owner.go
@@ -20,7 +20,8 @@
 	orderTimeout = 400 * time.Millisecond
 	// holdSlack is how late the answer to a hold may be.
 	holdSlack = 700 * time.Millisecond
-	// stopTimeout is used while the settings give none.
+	// keepEnded is how long an ended job's state can be asked for: the users
+	// promise their callers two minutes.
 	keepEnded = 120 * time.Second
 	// workersPause is how often the list of workers is read at most.
 	workersPause = 250 * time.Millisecond
--- /dev/null
+++ b/node/service.go
@@ -0,0 +1,181 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+
+	"github.com/pkg/errors"
+
+	"github.com/knapweedweir/knapweedweir/pool"
+)
+
+// Arguments and replies between instances.
+type (
+	// StateArgs asks for a job's state.
+	StateArgs struct {
+		Part int
+		Job  string
+	}
+	// StateReply is the owner's answer.
+	StateReply struct {
+		State pool.State
+		Found bool
+		Sure  bool
+	}
+	// PendingArgs asks how many jobs of a queue have not begun.
+	PendingArgs struct {
+		Part  int
+		Queue string
+	}
+	// PendingReply is the owner's answer.
+	PendingReply struct{ Count int }
+	// AdviseArgs asks a peer to ask the advice service.
+	AdviseArgs struct{ Ask pool.Advise }
+	// AdviseReply is what the service said.
+	AdviseReply struct {
+		Answer pool.Advised
+		Busy   bool // with another question
+	}
+	// StoreArgs asks a peer to store a record, for one that the store turns away.
+	StoreArgs struct {
+		Part   int
+		Record pool.Record
+	}
+	// SubmitReply tells that a record is stored, or who owns its pool.
+	SubmitReply struct {
+		Stored bool
+		Owner  string // empty if nobody is known
+	}
+	// TakeArgs asks a peer to claim a pool that its owner leaves.
+	TakeArgs struct {
+		Part  int
+		Epoch uint64
+	}
+	// OwnerArgs asks whether an instance works as a pool's owner.
+	OwnerArgs struct{ Part int }
+	// LifeReply tells which process answers, and whether it owns the pool that
+	// it was asked about and the store takes what it writes.
+	LifeReply struct {
+		Life  int64
+		Works bool
+	}
+	// Empty is nothing.
+	Empty struct{}
+)
+
+// Peer is what an instance does for the others.
+type Peer struct{ n *Node }
+
+// State answers for a pool that this instance owns.
+func (s Peer) State(a StateArgs, r *StateReply) error {
+	u := s.n.unit(a.Part)
+	if u == nil {
+		return errNotOwner
+	}
+	var owner bool
+	err := u.ask(withTimeout(context.Background(), peerTimeout), func() {
+		r.State, r.Found, owner, r.Sure = u.jobState(a.Job)
+	})
+	if err == nil && !owner {
+		return errNotOwner
+	}
+	return err
+}
+
+// Pending answers for a pool that this instance owns.
+func (s Peer) Pending(a PendingArgs, r *PendingReply) error {
+	u := s.n.unit(a.Part)
+	if u == nil {
+		return errNotOwner
+	}
+	var owner bool
+	err := u.ask(withTimeout(context.Background(), peerTimeout), func() { r.Count, owner = u.pending(a.Queue) })
+	if err == nil && !owner {
+		return errNotOwner
+	}
+	return err
+}
+
+// Advise asks the advice service, unless this instance is asking already.
+func (s Peer) Advise(a AdviseArgs, r *AdviseReply) error {
+	select {
+	case s.n.adviseNow <- struct{}{}:
+		defer func() { <-s.n.adviseNow }()
+	default:
+		r.Busy = true
+		return nil
+	}
+	r.Answer = s.n.advisor.Advise(withTimeout(context.Background(), a.Ask.Cost+adviceSlack), a.Ask)
+	return nil
+}
+
+// Store stores a record.
+func (s Peer) Store(a StoreArgs, _ *Empty) error {
+	return s.n.throughStore(context.Background(), a.Part, a.Record)
+}
+
+// Submit stores a record as the owner of its pool, or tells who owns it.
+func (s Peer) Submit(a StoreArgs, r *SubmitReply) error {
+	u := s.n.unit(a.Part)
+	if u == nil {
+		return nil
+	}
+	err := u.submitAndWait(context.Background(), a.Record)
+	if errors.Is(err, errNotOwner) {
+		return u.ask(withTimeout(context.Background(), aliveTimeout), func() {
+			if addr := u.ownerAddr(); addr != s.n.set.PeerAddr {
+				r.Owner = addr
+			}
+		})
+	}
+	r.Stored = err == nil
+	return err
+}
+
+// Take claims a pool that its owner leaves.
+func (s Peer) Take(a TakeArgs, _ *Empty) error {
+	u := s.n.unit(a.Part)
+	if u == nil || s.n.stopping.Load() {
+		return errNotOwner
+	}
+	return u.ask(withTimeout(context.Background(), peerTimeout), func() {
+		if u.own == nil && !u.claiming && u.replica.claim.Epoch <= a.Epoch {
+			u.replica.claim.Epoch = a.Epoch
+			u.claim(context.Background(), "its owner is stopping")
+		}
+	})
+}
+
+// Owner tells which process answers, and whether it works as the pool's owner.
+func (s Peer) Owner(a OwnerArgs, r *LifeReply) error {
+	r.Life = s.n.life
+	u := s.n.unit(a.Part)
+	if u == nil {
+		return nil
+	}
+	return u.ask(withTimeout(context.Background(), aliveTimeout), func() {
+		r.Works = u.own != nil && !u.own.turnedAway
+	})
+}
+
+// Life tells which process answers.
+func (s Peer) Life(_ Empty, r *LifeReply) error {
+	r.Life = s.n.life
+	return nil
+}
+
+// Serve answers peers until the listener is closed.
+func (n *Node) Serve(l net.Listener) error {
+	server := rpc.NewServer()
+	if err := server.RegisterName("Peer", Peer{n}); err != nil {
+		return err
+	}
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return err
+		}
+		go server.ServeConn(conn)
+	}
+}
