--- a/node/owner.go
+++ b/node/owner.go
@@ -17,9 +17,9 @@
 	appendRetry = 60 * time.Millisecond
 	// orderTimeout bounds a start or stop; workers answer in 3 ms. Asking
 	// again early is cheap, as a worker has a run once.
-	orderTimeout = 400 * time.Millisecond
+	orderTimeout = 250 * time.Millisecond
 	// holdSlack is how late the answer to a hold may be.
-	holdSlack = 700 * time.Millisecond
+	holdSlack = 400 * time.Millisecond
 	// keepEnded is how long an ended job's state can be asked for: the users
 	// promise their callers two minutes.
 	keepEnded = 120 * time.Second
--- a/pool/worker.go
+++ b/pool/worker.go
@@ -16,7 +16,7 @@
 	leaseLength = 5 * time.Second
 	// holdTimeout is how late an answer may be before the worker counts as
 	// silent; workers answer within milliseconds.
-	holdTimeout = holdWait + 700*time.Millisecond
+	holdTimeout = holdWait + 400*time.Millisecond
 	// unsavedPause is the pause between holds while ends wait for the store;
 	// a hold would be answered at once with the same ends.
 	unsavedPause = 250 * time.Millisecond
@@ -221,8 +221,13 @@
 		c.removeWorker(w)
 		return
 	default:
+		// An order may get lost, so the first question after one without an
+		// answer follows at once.
+		if w.silent {
+			w.nextHold = c.now + retryPause
+		}
 		w.silent = true
-		w.nextHold = c.now + retryPause
+		c.tickWorker(w)
 		return
 	}
 	if w.silent || !w.fenced {
