Waves of upkeep

Ruled out: one coordinator for all pools (it would need the other pool's tasks); counting together over the store (slower than a wave is long).

--- a/cmd/kw-node/main.go
+++ b/cmd/kw-node/main.go
@@ -57,6 +57,9 @@
 	p := daemon.New("kw-node", set.Node, out)
 	forNode := set.ForNode()
 	forNode.Metrics = p.Metrics
+	if set.Cloud.Address != "" {
+		forNode.Cloud = platform.NewCloud(set.Cloud.Address)
+	}
 	n := node.New(forNode, p.Log, platform.NewStore(set.Store.Address), platform.NewWorkers(p.Log),
 		platform.NewAdvisor(set.Advice), platform.Directory{})
 	p.AddLoop(n.Run)
--- a/node/machines.go
+++ b/node/machines.go
@@ -77,6 +77,14 @@
 	Advise(ctx context.Context, a pool.Advise) pool.Advised
 }
 
+// Cloud lists machines and orders their upkeep.
+type Cloud interface {
+	// Machines returns all machines.
+	Machines(ctx context.Context) ([]pool.MachineInfo, error)
+	// Upkeep orders a machine down; holder names who orders.
+	Upkeep(ctx context.Context, holder string, u pool.Upkeep) pool.Outcome
+}
+
 // Route leads the requests of one queue.
 type Route struct {
 	Host   string
@@ -108,6 +116,12 @@
 	ConfigTopic() Topic
 	// DecodeConfig returns nil for a record that holds no configuration.
 	DecodeConfig(r pool.Record) (*Config, error)
+	// DecodeWave returns nil for a record that asks for no wave.
+	DecodeWave(r pool.Record) (*pool.Wave, error)
+	// StatusTopic holds what the operators read.
+	StatusTopic() Topic
+	// EncodeWave is the record that shows a wave's state.
+	EncodeWave(number int, completed bool) pool.Record
 	WorkersTopic() Topic
 	DecodeWorker(r pool.Record) (pool.WorkerInfo, error)
 }
--- a/node/node.go
+++ b/node/node.go
@@ -32,6 +32,8 @@
 	Dial Dialer
 	// Metrics is where counters and histograms go; nil: nowhere.
 	Metrics tally.Scope
+	// Cloud lists machines and orders upkeep; nil: there is none.
+	Cloud Cloud
 	// Grace is how long a stopping process has until it is killed.
 	Grace time.Duration
 }
@@ -56,6 +58,8 @@
 	// machine at a time.
 	adviseNow chan struct{}
 
+	waves atomic.Pointer[[]pool.Wave]
+
 	mu         sync.Mutex
 	units      map[int]*unit
 	ownedParts map[int]bool
@@ -122,6 +126,7 @@
 		if len(rec.Value) == 0 {
 			continue
 		}
+		n.takeWave(ctx, rec.Record)
 		cfg, err := n.directory.DecodeConfig(rec.Record)
 		if err != nil {
 			n.log.Error().Err(err).Str("key", rec.Key).Msg("config.unreadable")
--- a/node/owner.go
+++ b/node/owner.go
@@ -140,6 +140,7 @@
 	for _, ev := range later {
 		o.step(ev)
 	}
+	o.askWaves()
 	o.listWorkers()
 }
 
@@ -411,5 +412,7 @@
 		}()
 	case pool.Noted:
 		o.unit.node.logDecision(o.unit, a)
+	default:
+		o.carryOutWave(a)
 	}
 }
--- a/node/replica.go
+++ b/node/replica.go
@@ -150,6 +150,14 @@
 		return e, errors.Wrapf(err, "progress of job %s", id)
 	case pool.CancelRecord:
 		return pool.CancelStored{Job: id}, nil
+	case pool.WaveRecord:
+		var e pool.WaveStored
+		var ok bool
+		if e.Wave, ok = pool.ParseWave(rec.Key); !ok {
+			return nil, errors.Errorf("wave %q", id)
+		}
+		err := json.Unmarshal(rec.Value, &e.Done)
+		return e, errors.Wrapf(err, "wave %s", id)
 	case pool.HeldRecord:
 		var e pool.WorkersInherited
 		err := json.Unmarshal(rec.Value, &e.Workers)
--- a/pool/core.go
+++ b/pool/core.go
@@ -42,7 +42,7 @@
 	heldNew  bool // held has changed since it was last saved
 	dirty    []*job
 	inSave   []*job   // what the save on its way holds
-	drop     []Record // keys whose time is over
+	drop     []Record // other records to save: keys whose time is over, waves
 	saveSeq  uint64
 	savedSeq uint64
 	listed   bool // the list of workers has come at least once
@@ -54,6 +54,7 @@
 	largest  Resources // free on any worker, by resource, at its beginning
 	deposed  bool
 	ended    []*job // ended jobs, oldest first
+	waves    waves
 	out      []Action
 }
 
@@ -120,6 +121,14 @@
 		c.stopAnswered(e)
 	case Advised:
 		c.advised(e)
+	case WavesAsked:
+		c.wavesAsked(e)
+	case WaveStored:
+		c.waveStored(e)
+	case MachinesListed:
+		c.machinesListed(e)
+	case UpkeepAnswered:
+		c.upkeepAnswered(e)
 	case Saved:
 		c.saved(e.Seq)
 	case Tick:
@@ -146,6 +155,7 @@
 	for _, w := range c.byID {
 		c.tickWorker(w)
 	}
+	c.runWaves()
 	c.forgetWorkers()
 	c.forgetJobs()
 	c.replan = true
--- a/pool/place.go
+++ b/pool/place.go
@@ -175,7 +175,7 @@
 
 // fits reports whether a worker could run the step's tasks when empty.
 func (c *Core) fits(s *step, w *worker) bool {
-	return w.Service == s.job.Service && w.listed && !w.Draining && s.spec.Reserved().Within(w.Capacity) &&
+	return w.Service == s.job.Service && w.listed && !w.Draining && !w.leaving && s.spec.Reserved().Within(w.Capacity) &&
 		(s.spec.Label == "" || slices.Contains(w.Labels, s.spec.Label))
 }
 
--- a/pool/records.go
+++ b/pool/records.go
@@ -11,6 +11,7 @@
 	jobPrefix      = "j/"
 	progressPrefix = "p/"
 	cancelPrefix   = "c/"
+	wavePrefix     = "w/"
 	// OwnerKey holds the claim of the pool's owner.
 	OwnerKey = "owner"
 	// HeldKey holds the workers on which the owner may have started tasks.
@@ -37,9 +38,16 @@
 	CancelRecord
 	OwnerRecord
 	HeldRecord
+	WaveRecord
 )
 
-// ParseKey returns what a key holds and the job that it belongs to.
+// ParseWave returns the number of the wave that a wave's key names.
+func ParseWave(key string) (int, bool) {
+	_, suffix := ParseKey(key)
+	return parseWave(suffix)
+}
+
+// ParseKey returns what a key holds and the job or wave that it belongs to.
 func ParseKey(key string) (KeyKind, string) {
 	switch {
 	case key == OwnerKey:
@@ -50,6 +58,8 @@
 		return JobRecord, key[len(jobPrefix):]
 	case strings.HasPrefix(key, progressPrefix):
 		return ProgressRecord, key[len(progressPrefix):]
+	case strings.HasPrefix(key, wavePrefix):
+		return WaveRecord, key[len(wavePrefix):]
 	case strings.HasPrefix(key, cancelPrefix):
 		return CancelRecord, key[len(cancelPrefix):]
 	}
--- a/pool/worker.go
+++ b/pool/worker.go
@@ -86,8 +86,9 @@
 
 type worker struct {
 	WorkerInfo
-	listed bool
-	fenced bool // it has answered under this owner's token
+	listed  bool
+	leaving bool // its machine is emptied for upkeep
+	fenced  bool // it has answered under this owner's token
 	// inherited workers may run what a predecessor started.
 	inherited bool
 	silent    bool // its last hold had no answer
--- a/standin/machines/view.go
+++ b/standin/machines/view.go
@@ -104,6 +104,15 @@
 	return &cfg, json.Unmarshal(r.Value, &cfg)
 }
 
+// DecodeWave implements node.Directory.
+func (v *View) DecodeWave(pool.Record) (*pool.Wave, error) { return nil, nil }
+
+// StatusTopic implements node.Directory.
+func (v *View) StatusTopic() node.Topic { return node.Topic{Name: "status"} }
+
+// EncodeWave implements node.Directory.
+func (v *View) EncodeWave(int, bool) pool.Record { return pool.Record{} }
+
 // DecodeWorker implements node.Directory.
 func (v *View) DecodeWorker(r pool.Record) (pool.WorkerInfo, error) {
 	var info pool.WorkerInfo
