node: claims wait only for machines known to be stronger; pools keep apart

Cause: the delay for weak machines was against a fixed 0.8 core, so on sites of equal machines every takeover came 0.3 s later; and on the grown sites both pools went to the one strong machine. Change: weakness against the strongest instance known; a second pool is claimed 0.5 s later (0.25 before) and handed over only if nobody else takes it; a peer that does not claim says so.

--- a/node/claiming.go
+++ b/node/claiming.go
@@ -68,8 +68,17 @@
 	h := fnv.New32a()
 	_, _ = fmt.Fprint(h, u.node.set.Name, u.topic.Part, u.replica.claim.Generation) // a hash takes everything
 	d := claimSpread * time.Duration(h.Sum32()%1000) / 1000
-	weak := max(0, 1-u.node.set.Power/ampleShare)
-	return d + time.Duration(u.node.owned())*claimLater + time.Duration(weak*float64(claimWeak))
+	return d + time.Duration(u.node.owned())*claimLater + time.Duration(u.weakness()*float64(claimWeak))
+}
+
+// weakness is how much weaker this machine is than the strongest known: 0 is as
+// strong. Before the first owner, instances may not know of each other yet.
+func (u *unit) weakness() float64 {
+	strongest := u.node.peers.mostPower()
+	if u.replica.claim.Addr == "" {
+		strongest = max(strongest, ampleShare)
+	}
+	return max(0, 1-u.node.set.Power/strongest)
 }
 
 // claimed is the answer to a claim.
--- a/node/peers.go
+++ b/node/peers.go
@@ -24,6 +24,8 @@
 	peerTimeout = 700 * time.Millisecond
 	// aliveTimeout bounds the question whether a peer lives.
 	aliveTimeout = 250 * time.Millisecond
+	// leastPower stands for a machine that doesn't say how strong it is, in cores.
+	leastPower = 0.01
 	// redialPause is how long a peer that can't be reached is left alone.
 	redialPause = 500 * time.Millisecond
 )
@@ -200,6 +202,17 @@
 	return r
 }
 
+// mostPower is the processor share of the strongest machine, this one included.
+func (p *peers) mostPower() float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	most := max(p.node.set.Power, leastPower)
+	for _, e := range p.byKey {
+		most = max(most, e.Power)
+	}
+	return most
+}
+
 // strongest returns the other instances that answer, the strongest machines first.
 func (p *peers) strongest() []string {
 	list := p.addrs()
@@ -217,10 +230,15 @@
 // machines come first: a pool of 252 workers that went to one of 0.19 core fell
 // behind for good.
 func (p *peers) handOver(ctx context.Context, part int, epoch uint64) string {
-	for _, addr := range p.strongest() {
-		if p.call(ctx, addr, "Take", TakeArgs{Part: part, Epoch: epoch}, &Empty{}, peerTimeout) == nil {
-			p.node.log.Info().Int("pool", part).Str("to", addr).Msg("pool.handed_over")
-			return addr
+	list := p.strongest()
+	// First to one that owns no pool yet: two pools are much for one machine.
+	for _, second := range []bool{false, true} {
+		for _, addr := range list {
+			args := TakeArgs{Part: part, Epoch: epoch, Second: second}
+			if p.call(ctx, addr, "Take", args, &Empty{}, peerTimeout) == nil {
+				p.node.log.Info().Int("pool", part).Str("to", addr).Msg("pool.handed_over")
+				return addr
+			}
 		}
 	}
 	return ""
--- a/node/service.go
+++ b/node/service.go
@@ -51,6 +51,8 @@
 	TakeArgs struct {
 		Part  int
 		Epoch uint64
+		// Second asks one too that owns another pool.
+		Second bool
 	}
 	// OwnerArgs asks whether an instance works as a pool's owner.
 	OwnerArgs struct{ Part int }
@@ -136,15 +138,20 @@
 // Take claims a pool that its owner leaves.
 func (s Peer) Take(a TakeArgs, _ *Empty) error {
 	u := s.n.unit(a.Part)
-	if u == nil || s.n.stopping.Load() {
+	if u == nil || s.n.stopping.Load() || (s.n.owned() > 0 && !a.Second) {
 		return errNotOwner
 	}
-	return u.ask(withTimeout(context.Background(), peerTimeout), func() {
-		if u.own == nil && !u.claiming && u.replica.claim.Epoch <= a.Epoch {
+	taken := false
+	err := u.ask(withTimeout(context.Background(), peerTimeout), func() {
+		if taken = u.own == nil && !u.claiming && u.replica.claim.Epoch <= a.Epoch; taken {
 			u.replica.claim.Epoch = a.Epoch
-			u.claim(context.Background(), "its owner is stopping")
+			u.claim(u.ctx, "its owner is stopping")
 		}
 	})
+	if err == nil && !taken {
+		return errNotOwner
+	}
+	return err
 }
 
 // Owner tells which process answers, and whether it works as the pool's owner.
--- a/node/unit.go
+++ b/node/unit.go
@@ -32,7 +32,7 @@
 	claimSpread = 300 * time.Millisecond
 	// claimLater keeps an instance that owns a pool from claiming another
 	// before those that own none.
-	claimLater = 250 * time.Millisecond
+	claimLater = 500 * time.Millisecond
 	// claimWeak is how much later a machine without processor time claims than
 	// one with ampleShare of a core: an owner of 252 workers needs 0.16 of a core
 	// on a calm day, and the smallest machines have 0.19.
