--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -27,9 +27,11 @@
 	world   *machines.World
 	ctx     context.Context
 	cancel  context.CancelFunc
+	mu      sync.Mutex // guards the members
 	members map[string]*member
 	logs    lockedBuffer
-	luck    *rand.Rand
+	// luck draws what callers do, bad what befalls the cluster.
+	luck, bad *rand.Rand
 }
 
 type member struct {
@@ -64,7 +66,7 @@
 }
 
 func newCluster(t *testing.T, seed uint64, advised bool, names ...string) *cluster {
-	c := &cluster{t: t, world: machines.New(seed), members: map[string]*member{}, luck: rand.New(rand.NewPCG(seed, 2))}
+	c := &cluster{t: t, world: machines.New(seed), members: map[string]*member{}, luck: rand.New(rand.NewPCG(seed, 2)), bad: rand.New(rand.NewPCG(seed, 3))}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.world.Advised = advised
 	go c.world.Run(c.ctx)
@@ -81,6 +83,8 @@
 }
 
 func (c *cluster) start(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	m := c.members[name]
 	m.view.Troubled()
 	began := time.Now()
@@ -103,6 +107,8 @@
 }
 
 func (c *cluster) kill(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	m := c.members[name]
 	if m.stop != nil {
 		m.stop()
@@ -119,11 +125,15 @@
 	return list
 }
 
+// up returns copies of the members that run.
 func (c *cluster) up() []*member {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	var list []*member
 	for _, name := range c.names() {
 		if m := c.members[name]; m.stop != nil {
-			list = append(list, m)
+			now := *m
+			list = append(list, &now)
 		}
 	}
 	return list
@@ -131,10 +141,8 @@
 
 // close ends everything, so that the bubble can end.
 func (c *cluster) close() {
-	for _, m := range c.members {
-		if m.stop != nil {
-			m.stop()
-		}
+	for _, name := range c.names() {
+		c.kill(name)
 	}
 	c.cancel()
 	time.Sleep(time.Minute) // virtual: whatever still waits runs out
--- a/node/history_test.go
+++ b/node/history_test.go
@@ -158,11 +158,11 @@
 // faults troubles the cluster.
 func (c *cluster) faults() {
 	for c.world.Since() < trouble {
-		time.Sleep(time.Duration(500+c.luck.IntN(2500)) * time.Millisecond)
-		name := c.names()[c.luck.IntN(3)]
+		time.Sleep(time.Duration(500+c.bad.IntN(2500)) * time.Millisecond)
+		name := c.names()[c.bad.IntN(3)]
 		m := c.members[name]
-		lasting := time.Duration(500+c.luck.IntN(6000)) * time.Millisecond
-		switch c.luck.IntN(9) {
+		lasting := time.Duration(500+c.bad.IntN(6000)) * time.Millisecond
+		switch c.bad.IntN(9) {
 		case 0, 1:
 			c.kill(name)
 			go func() { time.Sleep(lasting / 4); c.restart(name) }()
@@ -177,7 +177,7 @@
 				}
 			}()
 		case 3, 4:
-			m.view.SetStore([]machines.StoreFault{machines.StoreBusy, machines.StoreSilent, machines.StoreLossy, machines.StoreLate}[c.luck.IntN(4)])
+			m.view.SetStore([]machines.StoreFault{machines.StoreBusy, machines.StoreSilent, machines.StoreLossy, machines.StoreLate}[c.bad.IntN(4)])
 			go func() { time.Sleep(lasting); m.view.SetStore(machines.StoreUp) }()
 		case 5:
 			for _, other := range c.members {
@@ -194,8 +194,8 @@
 			go func() { time.Sleep(lasting); m.view.CutWorkers(false) }()
 		case 7:
 			workers := c.world.Workers()
-			c.world.Crash(workers[c.luck.IntN(len(workers))])
-			c.addWorker(c.luck.IntN(8))
+			c.world.Crash(workers[c.bad.IntN(len(workers))])
+			c.addWorker(c.bad.IntN(8))
 		case 8:
 			c.world.Forget()
 			m.view.SlowStore(200 * time.Millisecond)
@@ -205,7 +205,10 @@
 }
 
 func (c *cluster) restart(name string) {
-	if c.members[name].stop == nil && c.ctx.Err() == nil {
+	c.mu.Lock()
+	down := c.members[name].stop == nil && c.ctx.Err() == nil
+	c.mu.Unlock()
+	if down {
 		c.start(name)
 	}
 }
--- a/standin/load/load_test.go
+++ b/standin/load/load_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -115,9 +116,13 @@
 			st := stream()
 			st.Count, st.Retries, st.Idempotent = 1, 3, tt.idempotent
 			rows := r.Run(Sample{Streams: []Stream{st}})
-			assert.Equal(t, len(ids), tt.want)
+			// A handler that broke off may still be about to release the lock.
+			mu.Lock()
+			seen := slices.Clone(ids)
+			mu.Unlock()
+			assert.Equal(t, len(seen), tt.want)
 			assert.Equal(t, rows[0].Retried, tt.want-1)
-			for _, id := range ids {
+			for _, id := range seen {
 				assert.Equal(t, id, "quote-0")
 			}
 		})
