node: names and comments that no longer fitted

Cause: read as a newcomer; settledReplica said nothing of what it tells, and a comment told of a step that claimAnswered takes now. Run: go test ./node ./pool, vet and staticcheck clean. Conclusion: behaviour as before.

--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -20,8 +20,9 @@
 
 const queueName = "quotes"
 
-// cluster is a world with instances of the product in it. It lives in a bubble
-// of virtual time.
+// cluster is a world with instances of the product in it. It lives in a bubble of
+// virtual time: a sleep there takes no real time, and ends when nothing else can
+// happen before it, the same in each run.
 type cluster struct {
 	t       *testing.T
 	world   *machines.World
--- a/node/owner.go
+++ b/node/owner.go
@@ -144,9 +144,6 @@
 	o.listWorkers()
 }
 
-// settledReplica reports whether the core knows all stored jobs.
-func (o *ownership) settledReplica() bool { return o.loaded }
-
 // take hands new records to the core. Its own come back too and are passed over.
 func (o *ownership) take(fresh []Stored) {
 	if !o.loaded {
--- a/node/unit.go
+++ b/node/unit.go
@@ -163,7 +163,7 @@
 func (u *unit) handle(ctx context.Context, ev any) {
 	switch e := ev.(type) {
 	case batch:
-		u.take(ctx, e)
+		u.take(e)
 	case claimed:
 		u.claimAnswered(ctx, e)
 	case directDone:
@@ -180,7 +180,7 @@
 }
 
 // take takes in what the store holds.
-func (u *unit) take(ctx context.Context, b batch) {
+func (u *unit) take(b batch) {
 	now := u.node.now()
 	if b.err != nil {
 		if u.healthy != 0 {
@@ -220,8 +220,7 @@
 	}
 }
 
-// followClaim ends an ownership that another claim has replaced, and begins
-// one whose own claim has come back from the store.
+// followClaim ends an ownership that another claim has replaced.
 func (u *unit) followClaim() {
 	c := u.replica.claim
 	if c.Addr != u.node.set.PeerAddr {
@@ -256,7 +255,7 @@
 // jobState answers from the core if this instance owns the pool, else from
 // the copy. Sure tells that a job which isn't found doesn't exist.
 func (u *unit) jobState(job string) (state pool.State, found, owner, sure bool) {
-	if u.own != nil && u.own.settledReplica() {
+	if u.own != nil && u.own.loaded {
 		s, ok := u.own.core.JobState(job)
 		return s, ok, true, u.fresh()
 	}
@@ -267,7 +266,7 @@
 func (u *unit) fresh() bool { return u.healthy != 0 && u.node.now()-u.lastRead < freshFor }
 
 func (u *unit) pending(queue string) (int, bool) {
-	if u.own != nil && u.own.settledReplica() {
+	if u.own != nil && u.own.loaded {
 		return u.own.core.Pending(queue), true
 	}
 	return u.replica.pending(queue), false
--- a/pool/worker.go
+++ b/pool/worker.go
@@ -233,7 +233,6 @@
 	c.findVanished(w, e)
 	c.checkRuns(w)
 	c.adjustPace(w)
-
 	w.fenced = true
 	w.nextHold = c.now
 	if len(w.ends) > 0 {
