--- a/pool/wave.go
+++ b/pool/wave.go
@@ -130,7 +130,6 @@
 	active   map[int]*wave
 	order    []int
 	machines map[string]MachineInfo
-	services map[string]bool // of this pool
 	listing  bool
 	listed   time.Duration
 }
