--- a/node/history_test.go
+++ b/node/history_test.go
@@ -57,7 +57,7 @@
 		c.addWorker(n)
 	}
 	if seed%3 == 0 {
-		c.world.LateOrders = 0.06
+		c.world.SetLateOrders(0.06)
 	}
 	go c.callers()
 	c.world.Referee.Troubled = true
@@ -215,7 +215,7 @@
 
 // heal ends all trouble.
 func (c *cluster) heal() {
-	c.world.LateOrders = 0
+	c.world.SetLateOrders(0)
 	for _, name := range slices.Clone(c.names()) {
 		c.members[name].view.SetStore(machines.StoreUp)
 		c.members[name].view.CutWorkers(false)
--- a/node/peers.go
+++ b/node/peers.go
@@ -143,7 +143,8 @@
 	return l
 }
 
-// call asks a peer and waits for its answer.
+// call asks a peer and waits for its answer. After an error the reply must not be
+// read: an answer that comes late is still written to it.
 func (p *peers) call(ctx context.Context, addr, method string, args, reply any, timeout time.Duration) error {
 	return p.callWhileAlive(ctx, addr, method, args, reply, timeout, timeout)
 }
@@ -197,7 +198,9 @@
 func (p *peers) advise(ctx context.Context, addr string, a pool.Advise) AdviseReply {
 	var r AdviseReply
 	if err := p.call(ctx, addr, "Advise", AdviseArgs{Ask: a}, &r, a.Cost+2*adviceSlack); err != nil {
-		r.Answer.Failed = true
+		// The peer's answer may still come, and be written to r while others
+		// read it. Nobody may see r after an error.
+		return AdviseReply{Answer: pool.Advised{Failed: true}}
 	}
 	return r
 }
--- a/standin/machines/view.go
+++ b/standin/machines/view.go
@@ -128,12 +128,13 @@
 	v.w.mu.Lock()
 	x := v.w.workers[id]
 	alive := x != nil && x.alive && !x.dark
+	lateOrders := v.w.lateOrders
 	v.w.mu.Unlock()
 	if !alive || v.isCut() {
 		<-ctx.Done()
 		return nil
 	}
-	if late != nil && v.w.Chance(v.w.LateOrders) {
+	if late != nil && v.w.Chance(lateOrders) {
 		time.AfterFunc(2*time.Second+time.Duration(v.w.IntN(10000))*time.Millisecond, late)
 		<-ctx.Done()
 		return nil
--- a/standin/machines/world.go
+++ b/standin/machines/world.go
@@ -45,11 +45,9 @@
 	nets    map[string]*pipeListener
 	views   map[string]*View
 	// Advised tells that a queue's steps need advice.
-	Advised bool
-	nextID  int
-	// LateOrders is the share of orders that get no answer and are carried
-	// out 2 to 12 s later.
-	LateOrders float64
+	Advised    bool
+	nextID     int
+	lateOrders float64
 	Referee    *Referee
 }
 
@@ -122,6 +120,14 @@
 	return ids
 }
 
+// SetLateOrders sets the share of orders that get no answer and are carried out 2
+// to 12 s later.
+func (w *World) SetLateOrders(share float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lateOrders = share
+}
+
 // Chance draws from the world's luck.
 func (w *World) Chance(p float64) bool {
 	w.mu.Lock()
