pool: upkeep that was done for a predecessor is not waited for

Ruled out: advice (the workers that may run them were known), machines given back too late (they were, again and again). Test: TestUpkeepThatWasDoneBeforeIsNoLongerWaitedFor, failing before.

--- a/pool/wave.go
+++ b/pool/wave.go
@@ -25,6 +25,9 @@
 	// and giveBackFor how long it then works before it is tried again.
 	emptyMost   = 8 * time.Second
 	giveBackFor = 2 * time.Second
+	// showsAfter is when a taken order certainly shows in the list of machines;
+	// it does so at once.
+	showsAfter = 1500 * time.Millisecond
 	// upkeepRetry is the pause after an order that was not taken.
 	upkeepRetry = 500 * time.Millisecond
 )
@@ -283,13 +286,23 @@
 	case m.phase == machineDone:
 	case !listed:
 		c.machineDone(wv, m)
-	case m.phase == machineOrdered && m.taken && info.Up && info.Worker != m.worker && c.waves.listed > m.since:
+	case m.phase == machineOrdered && m.taken && c.isBack(m, info):
 		c.machineDone(wv, m)
 	case m.phase < machineOrdered:
 		m.worker = info.Worker
 	}
 }
 
+// isBack reports whether a machine whose order was taken is up again. A taken order
+// shows at once, so one that is up with the same worker well after it was done
+// before, for a predecessor.
+func (c *Core) isBack(m *waveMachine, info MachineInfo) bool {
+	if !info.Up || c.waves.listed <= m.since {
+		return false
+	}
+	return info.Worker != m.worker || c.waves.listed > m.since+showsAfter
+}
+
 func (c *Core) machineDone(wv *wave, m *waveMachine) {
 	m.phase = machineDone
 	var done []string
--- a/pool/wave_test.go
+++ b/pool/wave_test.go
@@ -177,3 +177,22 @@
 	assert.Equal(t, len(w.orders), 1)
 	assert.Equal(t, w.orders[0].Machine, "m1")
 }
+
+// A predecessor had a machine's upkeep done and died before it could store that.
+// The successor orders it again and is told that all is well, but nothing happens
+// any more: the machine stays up with the worker that it has. Waited for like one
+// that goes down, it held its place under the cap for good, and machines emptied
+// for a turn that never came kept large tasks waiting.
+func TestUpkeepThatWasDoneBeforeIsNoLongerWaitedFor(t *testing.T) {
+	w := newWaveRig(t, 1)
+	w.step(WavesAsked{Waves: []Wave{{Number: 1, Machines: w.names(), Duration: 20 * time.Second, Cap: 1}}})
+	finished := 0
+	w.pass(12*time.Second, func() {
+		for _, o := range w.orders {
+			w.step(UpkeepAnswered{Wave: 1, Machine: o.Machine})
+		}
+		w.orders = nil
+		finished += len(take[WaveFinished](w.rig))
+	})
+	assert.Equal(t, finished, 1)
+}
