pool: the test of questions in a full pool has more workers than one question names

Change: ten workers more than a question names. Figures: it fails with both safeguards taken out (questions only with room, only about workers with room) and passes with either.

--- a/pool/advice_test.go
+++ b/pool/advice_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -45,10 +46,15 @@
 // advice service's time, which other jobs need, and none of its answers could let
 // a task start. So the job asks once, when its turn comes.
 func TestNoQuestionsWhileThePoolIsFull(t *testing.T) {
-	r := newAdvisedRig(t, "w1", "w2")
-	r.submit("first", whole(2))
-	r.answer("w1", "w2")
-	assert.Equal(t, len(r.starts()), 2)
+	var names []string
+	for n := range maxNamed + 10 { // more than one question names
+		names = append(names, fmt.Sprintf("w%d", n))
+	}
+	r := newAdvisedRig(t, names...)
+	r.submit("first", whole(len(names)))
+	for started := 0; started < len(names); started += len(r.starts()) {
+		assert.Equal(t, len(r.answer(names...)), 1)
+	}
 	r.submit("second", whole(1))
 	assert.Equal(t, len(r.answer("w1")), 1)
 	for range 100 {
