pool: a silent worker's tasks are stored, so a new owner need not wait for all others

Cause: after a takeover all older jobs wait for the longest lease, 6.4 s, while any worker that the predecessor used is silent. Change: an owner stores what a worker may run when it falls silent, and starts nothing there until the store has forgotten the note; a successor waits for the noted tasks only.

--- a/node/replica.go
+++ b/node/replica.go
@@ -158,6 +158,10 @@
 		}
 		err := json.Unmarshal(rec.Value, &e.Done)
 		return e, errors.Wrapf(err, "wave %s", id)
+	case pool.SilentRecord:
+		e := pool.SilenceStored{Worker: id}
+		err := json.Unmarshal(rec.Value, &e.Tasks)
+		return e, errors.Wrapf(err, "silence of worker %s", id)
 	case pool.HeldRecord:
 		var e pool.WorkersInherited
 		err := json.Unmarshal(rec.Value, &e.Workers)
--- a/node/unit.go
+++ b/node/unit.go
@@ -224,7 +224,7 @@
 	heard := false
 	for _, rec := range fresh {
 		switch kind, _ := pool.ParseKey(rec.Key); kind {
-		case pool.OwnerRecord, pool.ProgressRecord, pool.HeldRecord:
+		case pool.OwnerRecord, pool.ProgressRecord, pool.HeldRecord, pool.SilentRecord:
 			heard = true
 		}
 	}
--- a/pool/core.go
+++ b/pool/core.go
@@ -41,7 +41,8 @@
 	workers  map[string]*worker
 	byID     []*worker // in the order they were first seen
 	held     map[string]HeldWorker
-	heldNew  bool // held has changed since it was last saved
+	notes    []*worker // whose silence, or its end, is to be stored
+	heldNew  bool      // held has changed since it was last saved
 	dirty    []*job
 	inSave   []*job   // what the save on its way holds
 	drop     []Record // other records to save: keys whose time is over, waves
@@ -123,6 +124,8 @@
 		c.listWorkers(e.Workers)
 	case WorkersInherited:
 		c.inheritWorkers(e.Workers)
+	case SilenceStored:
+		c.silenceStored(e)
 	case HoldAnswered:
 		c.holdAnswered(e)
 	case StartAnswered:
@@ -176,7 +179,7 @@
 	if c.saving || c.now-c.lastSave < saveEvery || c.deposed {
 		return
 	}
-	if len(c.dirty) == 0 && len(c.drop) == 0 && !c.heldNew {
+	if len(c.dirty) == 0 && len(c.drop) == 0 && len(c.notes) == 0 && !c.heldNew {
 		return
 	}
 	c.saveSeq++
@@ -186,12 +189,19 @@
 		save.Records = append(save.Records, Record{Key: ProgressKey(j.ID), Value: Encode(j.progress())})
 	}
 	c.inSave, c.dirty = c.dirty, nil
+	// With all that changed so far, so that an end which a worker listed before it
+	// fell silent is stored no later than the note of its silence.
+	save.Records = append(save.Records, c.saveNotes()...)
 	save.Records = append(save.Records, c.drop...)
 	c.drop = nil
 	if c.heldNew {
 		c.heldNew = false
 		save.Records = append(save.Records, Record{Key: HeldKey, Value: Encode(c.heldList())})
 	}
+	if len(save.Records) == 0 {
+		c.saveSeq--
+		return
+	}
 	for _, w := range c.byID {
 		w.saveEnds(c.saveSeq)
 	}
@@ -219,6 +229,7 @@
 		}
 	}
 	c.inSave = nil
+	c.notesSaved(seq)
 	for _, w := range c.byID {
 		c.ackSaved(w, seq)
 	}
--- a/pool/events.go
+++ b/pool/events.go
@@ -45,6 +45,13 @@
 // tasks, as it stored them.
 type WorkersInherited struct{ Workers []HeldWorker }
 
+// SilenceStored restores what a predecessor stored of a silent worker: nothing but
+// these tasks may run there.
+type SilenceStored struct {
+	Worker string
+	Tasks  []TaskID
+}
+
 // Outcome tells what came of a call to a worker.
 type Outcome int
 
@@ -161,6 +168,7 @@
 func (QueuesChanged) event()    {}
 func (WorkersListed) event()    {}
 func (WorkersInherited) event() {}
+func (SilenceStored) event()    {}
 func (HoldAnswered) event()     {}
 func (StartAnswered) event()    {}
 func (StopAnswered) event()     {}
--- a/pool/place.go
+++ b/pool/place.go
@@ -19,7 +19,7 @@
 		return false
 	}
 	for _, w := range c.byID {
-		if w.inherited && !w.fenced && c.now < w.lapse {
+		if w.inherited && !w.fenced && !w.noted && c.now < w.lapse {
 			return false
 		}
 	}
@@ -232,7 +232,7 @@
 
 // inTouch reports whether a worker takes new tasks now.
 func (c *Core) inTouch(w *worker) bool {
-	return w.fenced && !w.silent && c.now-w.answered < silentAfter && c.now >= w.pause
+	return w.fenced && !w.silent && !w.note.stored && c.now-w.answered < silentAfter && c.now >= w.pause
 }
 
 func (w *worker) free() Resources {
--- a/pool/records.go
+++ b/pool/records.go
@@ -12,6 +12,7 @@
 	progressPrefix = "p/"
 	cancelPrefix   = "c/"
 	wavePrefix     = "w/"
+	silentPrefix   = "s/"
 	// OwnerKey holds the claim of the pool's owner.
 	OwnerKey = "owner"
 	// HeldKey holds the workers on which the owner may have started tasks.
@@ -27,6 +28,9 @@
 // ProgressKey is the key of what is known of a job's tasks.
 func ProgressKey(id string) string { return progressPrefix + id }
 
+// SilentKey is the key of what a silent worker may run.
+func SilentKey(worker string) string { return silentPrefix + worker }
+
 // KeyKind tells what a key holds.
 type KeyKind int
 
@@ -39,6 +43,7 @@
 	OwnerRecord
 	HeldRecord
 	WaveRecord
+	SilentRecord
 )
 
 // ParseWave returns the number of the wave that a wave's key names.
@@ -47,7 +52,7 @@
 	return parseWave(suffix)
 }
 
-// ParseKey returns what a key holds and the job or wave that it belongs to.
+// ParseKey returns what a key holds and the job, wave or worker that it belongs to.
 func ParseKey(key string) (KeyKind, string) {
 	switch {
 	case key == OwnerKey:
@@ -60,6 +65,8 @@
 		return ProgressRecord, key[len(progressPrefix):]
 	case strings.HasPrefix(key, wavePrefix):
 		return WaveRecord, key[len(wavePrefix):]
+	case strings.HasPrefix(key, silentPrefix):
+		return SilentRecord, key[len(silentPrefix):]
 	case strings.HasPrefix(key, cancelPrefix):
 		return CancelRecord, key[len(cancelPrefix):]
 	}
--- /dev/null
+++ b/pool/silence.go
@@ -0,0 +1,102 @@
+package pool
+
+// A new owner doesn't know what its predecessor started, so it asks every worker,
+// and while one is silent any task of an older job might run there unseen: all of
+// them would wait for the worker's longest lease, 6.4 s. So an owner stores what a
+// worker may run when it falls silent, and starts nothing more there until the
+// store has forgotten that note. Its successor then waits for the tasks in the note
+// only. A worker that falls silent at the same time as the owner has no note; there
+// the long wait is needed.
+
+// note is what the store knows of a worker's silence.
+type note struct {
+	due    bool   // the next save is to write it, or to take it back
+	stored bool   // the store may hold it
+	taken  uint64 // the save that takes it back; 0: none
+	// tasks of a predecessor's note, which may run on the worker unseen.
+	tasks []*task
+}
+
+// noteSilence has the worker's silence stored, or its end.
+func (c *Core) noteSilence(w *worker) {
+	if !w.fenced || (!w.silent && !w.note.stored) {
+		w.note.due = false
+		return
+	}
+	if !w.note.due {
+		w.note.due = true
+		c.notes = append(c.notes, w)
+	}
+}
+
+// saveNotes returns the notes for a save.
+func (c *Core) saveNotes() []Record {
+	var records []Record
+	for _, w := range c.notes {
+		if !w.note.due || c.workers[w.ID] != w {
+			continue
+		}
+		w.note.due = false
+		if w.silent {
+			w.note.stored, w.note.taken = true, 0
+			records = append(records, Record{Key: SilentKey(w.ID), Value: Encode(w.tasks())})
+			continue
+		}
+		w.note.taken = c.saveSeq
+		records = append(records, Record{Key: SilentKey(w.ID)})
+	}
+	c.notes = nil
+	return records
+}
+
+// notesSaved lets workers take tasks again whose notes the store has forgotten.
+func (c *Core) notesSaved(seq uint64) {
+	for _, w := range c.byID {
+		if w.note.taken != 0 && w.note.taken <= seq {
+			w.note.taken, w.note.stored = 0, false
+			c.replan = true
+		}
+	}
+}
+
+// tasks names what the worker may run.
+func (w *worker) tasks() []TaskID {
+	list := []TaskID{}
+	for _, r := range w.sortedRuns() {
+		list = append(list, r.task.id())
+	}
+	return list
+}
+
+// silenceStored takes in a predecessor's note. Its tasks wait until the worker has
+// answered, or can't run anything of a predecessor any more.
+func (c *Core) silenceStored(e SilenceStored) {
+	w := c.workers[e.Worker]
+	if w == nil {
+		w = c.newWorker(WorkerInfo{ID: e.Worker})
+	}
+	w.note.stored, w.noted = true, true
+	for _, id := range e.Tasks {
+		t := c.task(id)
+		switch {
+		case t != nil && !t.done:
+			t.unseenOn = w
+			w.note.tasks = append(w.note.tasks, t)
+		case t == nil && c.jobs[id.Job] != nil && !c.jobs[id.Job].state.Ended():
+			// An occurrence that is due by the predecessor's clock and not yet by
+			// ours: there is no task yet that could wait, so all do.
+			w.noted = false
+		}
+	}
+}
+
+// unblock frees the tasks of a predecessor's note.
+func (c *Core) unblock(w *worker) {
+	for _, t := range w.note.tasks {
+		if t.unseenOn == w {
+			t.unseenOn = nil
+			c.replan = true
+		}
+	}
+	w.note.tasks = nil
+}
--- /dev/null
+++ b/pool/silence_test.go
@@ -0,0 +1,101 @@
+package pool
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// notes returns what the waiting saves store of silent workers, by key; nil stands
+// for a note that is taken back.
+func (r *rig) notes() map[string][]TaskID {
+	r.t.Helper()
+	found := map[string][]TaskID{}
+	for _, a := range r.acts {
+		save, ok := a.(Save)
+		if !ok {
+			continue
+		}
+		for _, rec := range save.Records {
+			if kind, worker := ParseKey(rec.Key); kind == SilentRecord {
+				var tasks []TaskID
+				if len(rec.Value) > 0 {
+					assert.NilError(r.t, json.Unmarshal(rec.Value, &tasks))
+				}
+				found[worker] = tasks
+			}
+		}
+	}
+	return found
+}
+
+// A worker falls silent while it runs a task. The owner stores what it may run, and
+// starts nothing more there before the store has forgotten that: a successor that
+// trusts the note would run such a task a second time.
+func TestNothingStartsOnAWorkerWhileItsSilenceIsStored(t *testing.T) {
+	r := newRig(t, box("w1"))
+	r.hold("w1", nil)
+	r.submit("a", small(1))
+	assert.Equal(t, len(r.starts()), 1)
+	r.pass(time.Second)
+	r.save()
+	r.silence("w1")
+	r.pass(100 * time.Millisecond)
+	assert.DeepEqual(t, r.notes(), map[string][]TaskID{"w1": {taskOf("a", 0)}})
+	r.save()
+
+	running := ActiveRun{Task: taskOf("a", 0), Run: 1}
+	r.pass(time.Second)
+	r.hold("w1", []ActiveRun{running})
+	r.submit("b", small(1))
+	r.pass(100 * time.Millisecond)
+	assert.Equal(t, len(r.starts()), 0, "its note is still stored")
+	assert.DeepEqual(t, r.notes(), map[string][]TaskID{"w1": nil})
+	r.save()
+	assert.Equal(t, len(r.starts()), 1)
+}
+
+// The owner dies while a worker is silent of which it has stored that it may run one
+// task. The successor starts all others as soon as the other workers have answered,
+// and this one only when it can't run there any more.
+func TestSuccessorWaitsOnlyForWhatASilentWorkerMayRun(t *testing.T) {
+	inherit := func() *rig {
+		r := newRig(t)
+		r.step(JobStored{Job: Job{ID: "j", Queue: "q", Service: "s", Steps: []StepSpec{small(2)}}, Inherited: true})
+		r.step(WorkersInherited{Workers: []HeldWorker{{ID: "dark", Addr: "dark:1", Service: "s"}, {ID: "w1", Addr: "w1:1", Service: "s"}}})
+		r.step(SilenceStored{Worker: "dark", Tasks: []TaskID{taskOf("j", 0)}})
+		r.step(WorkersListed{Workers: []WorkerInfo{box("w1")}})
+		r.pass(50 * time.Millisecond)
+		r.hold("w1", nil)
+		r.pass(50 * time.Millisecond)
+		return r
+	}
+	r := inherit()
+	starts := r.starts()
+	assert.Equal(t, len(starts), 1)
+	assert.Equal(t, starts[0].Task, taskOf("j", 1))
+	for r.now < time.Hour+8*time.Second {
+		r.pass(500 * time.Millisecond)
+		r.hold("w1", []ActiveRun{{Task: taskOf("j", 1), Run: starts[0].Run, Percent: int(r.now / time.Second)}})
+		for _, s := range r.starts() {
+			assert.Equal(t, s.Task, taskOf("j", 0))
+			assert.Assert(t, r.now-time.Hour > 6*time.Second, "started after %v", r.now-time.Hour)
+			return
+		}
+	}
+	t.Fatal("the task never ran again")
+}
+
+// Without a note any task may run on the silent worker, so all wait.
+func TestSuccessorWaitsForAllWithoutANote(t *testing.T) {
+	r := newRig(t)
+	r.step(JobStored{Job: Job{ID: "j", Queue: "q", Service: "s", Steps: []StepSpec{small(2)}}, Inherited: true})
+	r.step(WorkersInherited{Workers: []HeldWorker{{ID: "dark", Addr: "dark:1", Service: "s"}}})
+	r.step(WorkersListed{Workers: []WorkerInfo{box("w1")}})
+	r.pass(50 * time.Millisecond)
+	r.hold("w1", nil)
+	r.pass(5 * time.Second)
+	assert.Equal(t, len(r.starts()), 0)
+}
--- a/pool/state.go
+++ b/pool/state.go
@@ -57,6 +57,8 @@
 	run     *run
 	// notBefore delays the next run after one that failed.
 	notBefore time.Duration
+	// unseenOn is a silent worker on which a predecessor's run may go on.
+	unseenOn *worker
 }
 
 func (t *task) id() TaskID {
@@ -82,7 +84,7 @@
 
 // waits reports whether the task could be started now.
 func (t *task) waits(now time.Duration) bool {
-	return !t.done && t.run == nil && now >= t.notBefore
+	return !t.done && t.run == nil && t.unseenOn == nil && now >= t.notBefore
 }
 
 func (c *Core) addJob(e JobStored) {
--- a/pool/worker.go
+++ b/pool/worker.go
@@ -93,6 +93,8 @@
 	// inherited workers may run what a predecessor started.
 	inherited bool
 	silent    bool // its last hold had no answer
+	note      note
+	noted     bool // a predecessor's note tells what it may run
 	clockMs   int64
 	readAt    time.Duration
 	// lapse is when all that was ever sent there is over for certain.
@@ -155,17 +157,24 @@
 
 func (c *Core) inheritWorkers(list []HeldWorker) {
 	for _, h := range list {
-		if c.workers[h.ID] == nil {
-			c.newWorker(WorkerInfo{ID: h.ID, Addr: h.Addr, Service: h.Service})
-			c.held[h.ID] = h
+		w := c.workers[h.ID]
+		if w == nil {
+			w = c.newWorker(WorkerInfo{ID: h.ID})
+		}
+		if !w.listed {
+			w.Addr, w.Service = h.Addr, h.Service
 		}
+		c.held[h.ID] = h
 	}
 }
 
 // tickWorker does what is due at a worker.
 func (c *Core) tickWorker(w *worker) {
-	if c.now >= w.lapse && len(w.runs) > 0 {
-		c.loseRuns(w, "lease over")
+	if c.now >= w.lapse {
+		if len(w.runs) > 0 {
+			c.loseRuns(w, "lease over")
+		}
+		c.unblock(w)
 	}
 	for _, r := range w.sortedRuns() {
 		if r.stopping && r.stopped == 0 && c.now-r.stopSent >= orderRetry {
@@ -219,8 +228,10 @@
 		// answer follows at once.
 		if w.silent {
 			w.nextHold = c.now + retryPause
+		} else {
+			w.silent = true
+			c.noteSilence(w)
 		}
-		w.silent = true
 		c.tickWorker(w)
 		return
 	}
@@ -236,6 +247,8 @@
 	c.checkRuns(w)
 	c.adjustPace(w)
 	w.fenced = true
+	c.unblock(w)
+	c.noteSilence(w)
 	w.nextHold = c.now
 	if len(w.ends) > 0 {
 		w.nextHold = c.now + unsavedPause
@@ -363,6 +376,9 @@
 		c.note("run.lost", r, reason)
 		c.vacate(r)
 	}
+	if w.silent {
+		c.noteSilence(w) // nothing runs there any more
+	}
 }
 
 // sortedRuns returns the runs in an order that doesn't depend on map order.
@@ -385,6 +401,10 @@
 		delete(c.held, w.ID)
 		c.heldNew = true
 	}
+	if w.note.stored {
+		c.drop = append(c.drop, Record{Key: SilentKey(w.ID)})
+	}
+	c.unblock(w)
 	c.replan = true
 }
 
