node: an owner that the store turns away hands its pool over

Jobs handed in elsewhere were stored and began 1.9 s later, when the owner's silence had been noticed. Change: after 0.25 s in which its appends fail an owner asks the others, in the order in which they should own the pool, to claim it, and gives it up once a claim is stored. Ruled out: a shorter patience with silence (a slow store would make owners replace each other again, see slowSilent).

--- a/node/claiming.go
+++ b/node/claiming.go
@@ -34,7 +34,7 @@
 		}
 	}
 	if now >= u.claimAt {
-		u.claim(ctx, reason)
+		u.claim(ctx, reason, u.rank())
 	}
 }
 
@@ -217,6 +217,41 @@
 	}()
 }
 
+// escapeStore hands the pool over while the store turns this instance away: it can
+// neither take in what callers hand in elsewhere nor store what ends. Noticed by
+// its silence only, an owner was replaced after 1.9 s, in which such jobs waited.
+// An instance that the store turns away too finds out when it claims the pool, and
+// nothing is lost but a question to the store.
+func (u *unit) escapeStore(ctx context.Context) {
+	now := u.node.now()
+	o := u.own
+	if !o.turnedAway {
+		o.awaySince = now
+		return
+	}
+	if now-o.awaySince < turnedAwayFor || now-u.heirSought < escapeEvery || u.heir != "" {
+		return
+	}
+	u.heirSought = now
+	epoch, list := o.claim.Epoch, u.heirs()
+	go func() {
+		for _, to := range list[:min(len(list), escapeTries)] {
+			args := TakeArgs{Part: u.topic.Part, Epoch: epoch, Second: true, Wait: true}
+			if err := u.node.peers.call(ctx, to.addr, "Take", args, &Empty{}, peerTimeout); err != nil {
+				u.log.Debug().Err(err).Str("to", to.addr).Msg("pool.not_handed_over")
+				continue
+			}
+			u.send(ctx, func() {
+				if u.own == o {
+					u.dropOwnership("handed over to " + to.addr + ", since the store turns this instance away")
+					u.heir, u.heirSince = to.addr, u.node.now()
+				}
+			})
+			return
+		}
+	}()
+}
+
 // handedOver notes that another instance is claiming the pool; who still comes
 // here is sent there.
 func (u *unit) handedOver(to string, epoch uint64) {
@@ -240,14 +275,16 @@
 
 // claim makes this instance the owner, if the store has seen no newer epoch. The
 // low bits differ between instances, so two claims never carry the same epoch.
-func (u *unit) claim(ctx context.Context, reason string) {
+//
+// Rank is how many others may be claiming it too.
+func (u *unit) claim(ctx context.Context, reason string, rank int) {
 	old := u.replica.claim
 	c := claim{
 		Node: u.node.set.Name, Addr: u.node.set.PeerAddr, Life: u.node.life,
 		Epoch: (old.Epoch>>16+1)<<16 | uint64(rand.Uint32N(1<<16)), Generation: old.Generation + 1,
 	}
 	u.claiming = true
-	next, rank := u.replica.next, u.rank()
+	next := u.replica.next
 	u.log.Info().Str("reason", reason).Str("before", old.Node).Uint64("epoch", c.Epoch).Msg("pool.claim")
 	go func() {
 		result := claimed{claim: c}
@@ -298,6 +335,10 @@
 
 func (u *unit) claimAnswered(ctx context.Context, e claimed) {
 	u.claiming = false
+	for _, tell := range u.claimEnds {
+		tell <- e.err
+	}
+	u.claimEnds = nil
 	u.claimAt = u.node.now() + claimRetry
 	if errors.Is(e.err, ErrFenced) || errors.Is(e.err, errBeaten) {
 		// Somebody has claimed it. The claim is still to be read here.
--- a/node/claiming_test.go
+++ b/node/claiming_test.go
@@ -126,3 +126,24 @@
 		assert.Assert(t, c.ownedAfter() < 200*time.Millisecond)
 	})
 }
+
+// The store turns the owner away and serves the others. What callers hand in at
+// other instances is stored, but the owner can't read it. It hands the pool over;
+// found out by its silence, those jobs would begin two seconds late.
+func TestOwnerThatTheStoreTurnsAwayHandsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, false, "a", "b", "c", "d")
+		defer c.close()
+		time.Sleep(3 * time.Second)
+		first := c.owner()
+		c.members[first].view.SetStore(machines.StoreBusy)
+		began := c.world.Since()
+		took := time.Duration(0)
+		for c.members[first].node.OwnsAny() && took < 10*time.Second {
+			time.Sleep(10 * time.Millisecond)
+			took = c.world.Since() - began
+		}
+		assert.Assert(t, c.ownedAfter() == 0, "somebody else owns it already")
+		assert.Assert(t, took < time.Second, "handed over after %v", took)
+	})
+}
--- a/node/owner.go
+++ b/node/owner.go
@@ -63,6 +63,7 @@
 	// turnedAway tells that the newest append failed; away is the same for
 	// the goroutine that appends.
 	turnedAway, away bool
+	awaySince        time.Duration // an append last succeeded, as far as is known
 }
 
 // submission is a record that a caller waits for.
--- a/node/service.go
+++ b/node/service.go
@@ -53,6 +53,8 @@
 		Epoch uint64
 		// Second asks one too that owns another pool.
 		Second bool
+		// Wait asks for the answer only when the claim is stored.
+		Wait bool
 	}
 	// OwnerArgs asks whether an instance works as a pool's owner.
 	OwnerArgs struct{ Part int }
@@ -138,20 +140,30 @@
 // Take claims a pool that its owner leaves.
 func (s Peer) Take(a TakeArgs, _ *Empty) error {
 	u := s.n.unit(a.Part)
-	if u == nil || s.n.stopping.Load() || (s.n.owned() > 0 && !a.Second) {
+	if u == nil || s.n.stopping.Load() || !u.reads.Load() || (s.n.owned() > 0 && !a.Second) {
 		return errNotOwner
 	}
 	taken := false
+	ended := make(chan error, 1)
 	err := u.ask(withTimeout(context.Background(), peerTimeout), func() {
 		if taken = u.own == nil && !u.claiming && u.replica.claim.Epoch <= a.Epoch; taken {
 			u.replica.claim.Epoch = a.Epoch
-			u.claim(u.ctx, "its owner is stopping")
+			u.claimEnds = append(u.claimEnds, ended)
+			u.claim(u.ctx, "its owner hands it over", 0)
 		}
 	})
-	if err == nil && !taken {
+	switch {
+	case err == nil && !taken:
+		return errNotOwner
+	case err != nil || !a.Wait:
+		return err
+	}
+	select {
+	case err = <-ended:
+		return err
+	case <-withTimeout(u.ctx, slowOwnerTry).Done():
 		return errNotOwner
 	}
-	return err
 }
 
 // Owner tells which process answers, and whether it works as the pool's owner.
--- a/node/unit.go
+++ b/node/unit.go
@@ -53,6 +53,14 @@
 	// heirClaims is how long an heir may take to claim the pool; its claim takes
 	// 12 ms, and 1.5 s on slow days.
 	heirClaims = 3 * time.Second
+	// turnedAwayFor is how long the store must have turned an owner away until it
+	// hands over: a few tries, so that one that was refused for the rate of all
+	// calls together doesn't count.
+	turnedAwayFor = 250 * time.Millisecond
+	// escapeEvery and escapeTries bound how often and to how many instances in
+	// turn it tries to hand over; two of seven are turned away at once at most days.
+	escapeEvery = 500 * time.Millisecond
+	escapeTries = 4
 	// weakShare of the strongest machine's processor share makes a machine too
 	// weak for a pool.
 	weakShare = 0.5
@@ -100,8 +108,9 @@
 	ownerHeard time.Duration
 	ownerWorks time.Duration // when the owner last said that it works
 	probed     time.Duration
-	claimAt    time.Duration // 0: no claim is due
-	dropped    uint64        // epoch of the last ownership that ended here
+	claimAt    time.Duration  // 0: no claim is due
+	claimEnds  []chan<- error // get the outcome of the claim that is on its way
+	dropped    uint64         // epoch of the last ownership that ended here
 	claiming   bool
 	own        *ownership
 	// heir is the instance to which this one has handed the pool over, until
@@ -263,6 +272,7 @@
 		u.own.plan()
 		u.own.asks.send()
 		u.considerHeir(ctx)
+		u.escapeStore(ctx)
 		return
 	}
 	u.watchOwner(ctx)
