soak: the real program as processes, troubled from outside

Change: platform/wirestand serves the stand-in of the machines over the published protocol; scenario/soak starts kw-node several times against it and harms it from outside: proxies that delay, break, silence or cut connections one way, SIGKILL, SIGTERM, SIGSTOP, SIGHUP and starts in overlapping series, workers that crash, a store that loses its history, late orders. In the node: saves that wait are stored in one append (on a slow store, 156 ms each, callers' jobs and ends of tasks waited for each other).

--- a/node/owner.go
+++ b/node/owner.go
@@ -285,21 +285,15 @@
 	}
 }
 
-// saveLoop appends one save after the other. An append without an answer is
-// repeated under the same number: the store has it once.
+// saveLoop appends what is to be stored, one append after the other, each with all
+// that has come since. A part of the store takes one append at a time: on a slow
+// one (156 ms each) jobs that callers hand in and ends of tasks waited for each
+// other, twice as long.
 func (o *ownership) saveLoop() {
 	for {
 		select {
 		case s := <-o.saves:
-			o.sequence++
-			certain, err := o.appendUntilDone(s)
-			if o.ctx.Err() != nil {
-				return
-			}
-			o.send(saveDone{pendingSave: s, err: err, certain: certain})
-			if errors.Is(err, ErrRefused) {
-				o.sequence-- // the store has not seen it
-			} else if err != nil {
+			if !o.appendUntilDone(o.withWaiting(s)) {
 				return
 			}
 		case <-o.ctx.Done():
@@ -308,34 +302,84 @@
 	}
 }
 
-// appendUntilDone repeats an append until its outcome is certain. What callers
-// handed in is given up instead if the store has certainly done nothing. It
-// reports whether no try went without an answer.
-func (o *ownership) appendUntilDone(s pendingSave) (certain bool, err error) {
-	certain = true
+// withWaiting returns a save and those that wait behind it.
+func (o *ownership) withWaiting(s pendingSave) []pendingSave {
+	batch := []pendingSave{s}
 	for {
-		_, err = o.unit.node.store.Append(withTimeout(o.ctx, appendTimeout), o.unit.topic, s.records,
-			&Writer{Name: "owner", Epoch: o.claim.Epoch, Sequence: o.sequence})
-		if away := err != nil; away != o.away {
-			o.away = away
-			o.unit.send(o.ctx, func() { o.turnedAway = away })
+		select {
+		case s = <-o.saves:
+			batch = append(batch, s)
+		default:
+			return batch
 		}
+	}
+}
+
+// appendUntilDone repeats an append until its outcome is certain. An append without
+// an answer is repeated under the same number: the store has it once. What callers
+// handed in is given up if the store has certainly done nothing. It reports whether
+// the store still takes this owner's appends.
+func (o *ownership) appendUntilDone(batch []pendingSave) bool {
+	o.sequence++
+	certain := true // no try went without an answer
+	for len(batch) > 0 {
+		err := o.append(batch)
 		var wrong SequenceError
 		switch {
-		case err == nil:
-			return certain, nil
-		case errors.As(err, &wrong) && wrong.Expected > o.sequence:
-			return certain, nil // an earlier try took effect
+		case o.ctx.Err() != nil:
+			return false
+		case err == nil, errors.As(err, &wrong) && wrong.Expected > o.sequence: // an earlier try took effect
+			for _, s := range batch {
+				o.send(saveDone{pendingSave: s})
+			}
+			return true
 		case errors.As(err, &wrong), errors.Is(err, ErrFenced):
-			return certain, err
+			all := pendingSave{}
+			for _, s := range batch {
+				all.waiting = append(all.waiting, s.waiting...)
+			}
+			o.send(saveDone{pendingSave: all, err: err, certain: certain})
+			return false
 		case !errors.Is(err, ErrRefused):
 			certain = false
+		case certain:
+			batch = o.refuseCallers(batch, err)
 		}
-		if s.kind == intakeSave && certain || o.ctx.Err() != nil {
-			return certain, err
+		if len(batch) > 0 {
+			sleep(o.ctx, appendRetry)
+		}
+	}
+	o.sequence-- // the store has not seen it
+	return true
+}
+
+// append tries once, and tells the unit when the store begins or ceases to turn
+// this instance away.
+func (o *ownership) append(batch []pendingSave) error {
+	var records []pool.Record
+	for _, s := range batch {
+		records = append(records, s.records...)
+	}
+	_, err := o.unit.node.store.Append(withTimeout(o.ctx, appendTimeout), o.unit.topic, records,
+		&Writer{Name: "owner", Epoch: o.claim.Epoch, Sequence: o.sequence})
+	if away := err != nil; away != o.away {
+		o.away = away
+		o.unit.send(o.ctx, func() { o.turnedAway = away })
+	}
+	return err
+}
+
+// refuseCallers gives up what callers handed in and returns the rest.
+func (o *ownership) refuseCallers(batch []pendingSave, err error) []pendingSave {
+	var rest []pendingSave
+	for _, s := range batch {
+		if s.kind == intakeSave {
+			o.send(saveDone{pendingSave: s, err: err, certain: true})
+		} else {
+			rest = append(rest, s)
 		}
-		sleep(o.ctx, appendRetry)
 	}
+	return rest
 }
 
 func (o *ownership) takeWorkers(b batch) {
--- /dev/null
+++ b/scenario/soak/kw-soak/main.go
@@ -0,0 +1,86 @@
+// Command kw-soak plays seeds of the fault soak, several at a time, and keeps the
+// logs of those that find something.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/knapweedweir/knapweedweir/scenario/soak"
+)
+
+func main() {
+	first := flag.Uint64("first", uint64(time.Now().UnixNano()%1_000_000), "the first seed; fresh ones if not given")
+	seeds := flag.Int("seeds", 12, "how many seeds are played")
+	atOnce := flag.Int("at-once", 4, "how many are played at a time")
+	trouble := flag.Duration("trouble", 15*time.Second, "how long faults come")
+	instances := flag.Int("instances", 5, "processes of each seed")
+	workers := flag.Int("workers", 10, "workers of each seed")
+	dir := flag.String("dir", "", "where logs are kept; a new directory if not given")
+	flag.Parse()
+	if err := play(*first, *seeds, *atOnce, *dir, soak.Options{Trouble: *trouble, Calm: 40 * time.Second, Instances: *instances, Workers: *workers}); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func play(first uint64, seeds, atOnce int, dir string, o soak.Options) error {
+	if dir == "" {
+		var err error
+		if dir, err = os.MkdirTemp("", "kw-soak-"); err != nil {
+			return err
+		}
+	}
+	o.Binary = filepath.Join(dir, "kw-node")
+	if out, err := exec.Command("go", "build", "-o", o.Binary, soak.Program).CombinedOutput(); err != nil {
+		return fmt.Errorf("build: %w\n%s", err, out)
+	}
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	bad := 0
+	turn := make(chan struct{}, atOnce)
+	for seed := first; seed < first+uint64(seeds); seed++ {
+		turn <- struct{}{}
+		group.Go(func() {
+			defer func() { <-turn }()
+			mine := o
+			mine.Seed, mine.Dir = seed, filepath.Join(dir, fmt.Sprint(seed))
+			line, ok := one(mine)
+			mu.Lock()
+			defer mu.Unlock()
+			fmt.Println(line)
+			if !ok {
+				bad++
+			}
+		})
+	}
+	group.Wait()
+	fmt.Printf("%d seeds from %d on, %d with findings, logs in %s\n", seeds, first, bad, dir)
+	if bad > 0 {
+		return fmt.Errorf("%d seeds found something", bad)
+	}
+	return nil
+}
+
+func one(o soak.Options) (string, bool) {
+	if err := os.MkdirAll(o.Dir, 0o700); err != nil {
+		return err.Error(), false
+	}
+	report, err := soak.Run(context.Background(), o)
+	if err != nil {
+		return fmt.Sprintf("seed %d: %v", o.Seed, err), false
+	}
+	if len(report.Findings) == 0 {
+		_ = os.RemoveAll(o.Dir) // logs of a run without findings; what is left harms nobody
+		return fmt.Sprintf("seed %d: %d jobs accepted, %d faults, nothing found", o.Seed, report.Accepted, len(report.Faults)), true
+	}
+	return fmt.Sprintf("seed %d: %d jobs accepted\n  %s\n  faults:\n  %s", o.Seed, report.Accepted,
+		strings.Join(report.Findings[:min(8, len(report.Findings))], "\n  "), strings.Join(report.Faults, "\n  ")), false
+}
--- /dev/null
+++ b/scenario/soak/process.go
@@ -0,0 +1,156 @@
+package soak
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/knapweedweir/knapweedweir/platform"
+	"github.com/knapweedweir/knapweedweir/platform/wirestand"
+)
+
+const (
+	// readyWithin is how long an instance may take to say that it is ready.
+	readyWithin = 15 * time.Second
+	// graceful is how long a stopped instance has before it is killed.
+	graceful = 6 * time.Second
+)
+
+// instance is one process of the program, with what stands between it and others.
+type instance struct {
+	set     wirestand.Instance
+	binary  string
+	dir     string
+	store   *proxy
+	callers *proxy
+
+	mu    sync.Mutex
+	cmd   *exec.Cmd
+	ended chan struct{}
+	// meant tells that we ended it; an end of its own is a finding.
+	meant bool
+	died  func(name string, state *os.ProcessState)
+}
+
+func freePorts(n int) ([]int, error) {
+	var ports []int
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer l.Close()
+		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
+	}
+	return ports, nil
+}
+
+// start runs the process, unless it runs.
+func (i *instance) start() error {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.cmd != nil {
+		return nil
+	}
+	path := filepath.Join(i.dir, i.set.Name+".toml")
+	if err := os.WriteFile(path, i.set.Settings(), 0o600); err != nil {
+		return err
+	}
+	log, err := os.OpenFile(filepath.Join(i.dir, i.set.Name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command(i.binary)
+	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+path)
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		return errors.Wrap(err, i.set.Name)
+	}
+	ended := make(chan struct{})
+	i.cmd, i.ended, i.meant = cmd, ended, false
+	go func() {
+		_ = cmd.Wait() // how it ended is in its state
+		_ = log.Close()
+		i.mu.Lock()
+		meant := i.meant
+		i.cmd = nil
+		i.mu.Unlock()
+		if !meant {
+			i.died(i.set.Name, cmd.ProcessState)
+		}
+		close(ended)
+	}()
+	return nil
+}
+
+// signal sends a signal to the process, if it runs.
+func (i *instance) signal(s syscall.Signal) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.cmd == nil {
+		return
+	}
+	if s == syscall.SIGKILL || s == syscall.SIGTERM {
+		i.meant = true
+	}
+	_ = i.cmd.Process.Signal(s) // it may have ended just now
+}
+
+// kill ends the process and waits until it is gone.
+func (i *instance) kill() {
+	i.mu.Lock()
+	ended := i.ended
+	running := i.cmd != nil
+	i.mu.Unlock()
+	if running {
+		i.signal(syscall.SIGKILL)
+		<-ended
+	}
+}
+
+// stop asks the process to end, and kills it if it doesn't.
+func (i *instance) stop() {
+	i.mu.Lock()
+	ended := i.ended
+	running := i.cmd != nil
+	i.mu.Unlock()
+	if !running {
+		return
+	}
+	i.signal(syscall.SIGTERM)
+	select {
+	case <-ended:
+	case <-time.After(graceful):
+		i.kill()
+	}
+}
+
+func (i *instance) awaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyWithin)
+	defer cancel()
+	for {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+i.set.Ready+wirestand.ReadyPath, nil)
+		if err != nil {
+			return err
+		}
+		if resp, err := http.DefaultClient.Do(req); err == nil {
+			_ = resp.Body.Close() // it is empty
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Errorf("%s is not ready within %v", i.set.Name, readyWithin)
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
--- /dev/null
+++ b/scenario/soak/soak.go
@@ -0,0 +1,220 @@
+// Package soak runs the real program as several processes on one machine, against
+// the stand-in of the users' machines, and troubles them from outside: connections
+// are delayed, broken, silenced or cut one way by a proxy; processes are killed,
+// stopped, paused and started again by signals; workers crash, the store loses its
+// history, orders are carried out late. A referee checks the users' promises from
+// what callers and workers see. What happens follows a seed; when exactly it takes
+// effect does not.
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/knapweedweir/knapweedweir/node"
+	"github.com/knapweedweir/knapweedweir/platform/wirestand"
+	"github.com/knapweedweir/knapweedweir/pool"
+	"github.com/knapweedweir/knapweedweir/standin/machines"
+)
+
+// Options of a run.
+type Options struct {
+	Binary    string // the program
+	Dir       string // for settings and logs
+	Seed      uint64
+	Instances int
+	Workers   int
+	Trouble   time.Duration // how long faults come
+	Calm      time.Duration // how long all that was accepted then has to end, at most
+}
+
+// Report is what a run has found.
+type Report struct {
+	Findings []string
+	Accepted int
+	Faults   []string // in their order
+}
+
+// Program is the package of the program under trial.
+const Program = "github.com/knapweedweir/knapweedweir/cmd/kw-node"
+
+const (
+	host   = "soak.example"
+	prefix = "/jobs/"
+	queue  = "jobs"
+	// attempts is how often a task may fail.
+	attempts = 3
+)
+
+type run struct {
+	Options
+	world     *machines.World
+	wire      *wirestand.Server
+	instances []*instance
+	workers   map[string]*proxy // guarded by mu
+	client    wirestand.Client
+	mu        sync.Mutex
+	report    Report
+	jobs      map[string]bool // accepted, and whether they have been seen to end
+}
+
+// Run plays one seed.
+func Run(ctx context.Context, o Options) (Report, error) {
+	r := &run{Options: o, world: machines.New(o.Seed), workers: map[string]*proxy{}, jobs: map[string]bool{}}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer r.close()
+	if err := r.begin(ctx); err != nil {
+		return r.report, err
+	}
+	var callers sync.WaitGroup
+	callers.Go(func() { r.callers(ctx, &callers) })
+	r.trouble(ctx)
+	r.heal()
+	callers.Wait()
+	r.awaitEnds(ctx)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.report.Findings = append(r.report.Findings, r.world.Referee.Findings...)
+	for _, job := range r.world.Referee.Unfinished() {
+		r.report.Findings = append(r.report.Findings, fmt.Sprintf("LOST: job %s was accepted and has not ended", job))
+	}
+	return r.report, nil
+}
+
+func (r *run) finding(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.report.Findings = append(r.report.Findings, fmt.Sprintf("%v ", r.world.Since().Round(time.Millisecond))+fmt.Sprintf(format, args...))
+}
+
+// begin starts the world and the instances, and waits until they are ready.
+func (r *run) begin(ctx context.Context) error {
+	r.wire = wirestand.New(r.world)
+	r.wire.Between = r.between
+	r.world.Advised = r.Seed%2 == 0
+	r.world.Referee.Troubled = true
+	q := pool.Queue{Name: queue, Service: machines.Service, Attempts: attempts, Slack: 2, Target: time.Second}
+	if r.world.Advised {
+		q.Advice = &pool.AdviceTerms{Decision: 20 * time.Millisecond, PerWorker: time.Millisecond, Validity: 1500 * time.Millisecond}
+	}
+	route := node.Route{Host: host, Prefix: prefix, Queue: q}
+	r.client = wirestand.Client{HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}, Route: route}
+	go r.world.Run(ctx)
+	r.world.Configure(node.Config{Version: 1, Services: []string{machines.Service}, Routes: []node.Route{route}})
+	for n := range r.Workers {
+		r.addWorker(n)
+	}
+	store, advice := r.wire.Store(), r.wire.Advice()
+	for n := range r.Instances {
+		i, err := r.newInstance(n, store, advice)
+		if err != nil {
+			return err
+		}
+		r.instances = append(r.instances, i)
+		if err := i.start(); err != nil {
+			return err
+		}
+	}
+	for _, i := range r.instances {
+		if err := i.awaitReady(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *run) newInstance(n int, store, advice string) (*instance, error) {
+	ports, err := freePorts(4)
+	if err != nil {
+		return nil, err
+	}
+	addr := func(k int) string { return fmt.Sprintf("127.0.0.1:%d", ports[k]) }
+	i := &instance{binary: r.Binary, dir: r.Dir, died: func(name string, s *os.ProcessState) {
+		r.finding("END: %s ended by itself: %v", name, s)
+	}}
+	if i.store, err = newProxy(store); err != nil {
+		return nil, err
+	}
+	if i.callers, err = newProxy(addr(0)); err != nil {
+		return nil, err
+	}
+	// The first of its ports is for its peers, the last for its counters.
+	i.set = wirestand.Instance{Name: fmt.Sprintf("i%d", n), Callers: addr(0), Ready: addr(1), Ports: [2]int{ports[2], max(ports[2], ports[3])},
+		Store: i.store.addr(), Advice: advice, HoldMaxMs: machines.HoldMax.Milliseconds(), StopMs: machines.StopTime.Milliseconds()}
+	if ports[3] < ports[2] {
+		i.set.Ports = [2]int{ports[3], ports[2]}
+	}
+	return i, nil
+}
+
+func (r *run) addWorker(n int) {
+	r.world.AddWorker(pool.Resources{CPU: 8000, Mem: 16000, GPU: n % 3 * 4}, []string{"a", "b"}[n%2], fmt.Sprintf("r%d", n%3))
+}
+
+// between puts a proxy in front of a worker.
+func (r *run) between(worker, addr string) string {
+	p, err := newProxy(addr)
+	if err != nil {
+		panic(err) // no port is free
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.workers[worker] = p
+	return p.addr()
+}
+
+func (r *run) heal() {
+	for _, i := range r.instances {
+		i.signal(syscall.SIGCONT)
+		i.store.set(passes)
+		i.callers.set(passes)
+		if err := i.start(); err != nil {
+			r.finding("START: %v", err)
+		}
+	}
+	r.world.SetLateOrders(0)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range r.workers {
+		p.set(passes)
+	}
+}
+
+// awaitEnds waits until all that was accepted has ended.
+func (r *run) awaitEnds(ctx context.Context) {
+	for began := time.Now(); time.Since(began) < r.Calm && len(r.world.Referee.Unfinished()) > 0; {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(200 * time.Millisecond):
+		}
+	}
+}
+
+func (r *run) close() {
+	for _, i := range r.instances {
+		i.signal(syscall.SIGCONT)
+		i.kill()
+		i.store.close()
+		i.callers.close()
+	}
+	if r.wire != nil {
+		r.wire.Close()
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range r.workers {
+		p.close()
+	}
+}
+
+// luck returns a source of chance of its own, so that what one part draws doesn't
+// depend on how fast another is.
+func (r *run) luck(part uint64) *rand.Rand { return rand.New(rand.NewPCG(r.Seed, part)) }
--- a/standin/machines/worker.go
+++ b/standin/machines/worker.go
@@ -69,7 +69,11 @@
 }
 
 func (x *worker) info() pool.WorkerInfo {
-	return pool.WorkerInfo{ID: x.id, Addr: x.id, Service: Service, Zone: "z", Rack: x.rack, Kind: x.kind,
+	addr := x.id
+	if x.w.AddrOf != nil {
+		addr = x.w.AddrOf(x.id)
+	}
+	return pool.WorkerInfo{ID: x.id, Addr: addr, Service: Service, Zone: "z", Rack: x.rack, Kind: x.kind,
 		Labels: []string{x.kind, x.rack}, Capacity: x.capacity}
 }
 
--- a/standin/machines/world.go
+++ b/standin/machines/world.go
@@ -46,7 +46,9 @@
 	nets    map[string]*pipeListener
 	views   map[string]*View
 	// Advised tells that a queue's steps need advice.
-	Advised    bool
+	Advised bool
+	// AddrOf tells where a worker listens; nil: its ID stands for its address.
+	AddrOf     func(worker string) string
 	nextID     int
 	lateOrders float64
 	appendTime time.Duration // of each append to a stream, one after the other
