--- a/node/claiming.go
+++ b/node/claiming.go
@@ -3,10 +3,7 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
-	"hash/fnv"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -14,6 +11,37 @@
 	"github.com/knapweedweir/knapweedweir/pool"
 )
 
+const (
+	// ownerSilent is how long an owner may not be heard of in the store, by
+	// one that reads it all the while, until another takes over: three beats
+	// and the pause between two reads.
+	ownerSilent = 1300 * time.Millisecond
+	// slowSilent replaces it while the owner says that the store takes what
+	// it writes: the store is slow then. Without it, on a store 43 times slower
+	// than usual, owners replaced each other 9 times in 5 s, and 13 % of the
+	// day's requests failed.
+	slowSilent = 6 * time.Second
+	// worksFor is how long such a word of the owner counts.
+	worksFor = 800 * time.Millisecond
+	// claimSpread separates the claims of several instances.
+	claimSpread = 100 * time.Millisecond
+	// firstSpread does so for the first claims, for which there is no order yet.
+	firstSpread = 300 * time.Millisecond
+	// claimStep is how long an instance leaves a claim to each that comes before
+	// it: a look, an append and the others' next look take 12 ms.
+	claimStep = 120 * time.Millisecond
+	// slowLook is a look at the store that takes long: it usually takes 4 ms.
+	slowLook = 60 * time.Millisecond
+	// slowestRead is how long an instance waits to read a claim that has beaten
+	// its own; a read takes 0.3 s on slow days, and there is a pause between two.
+	slowestRead = time.Second
+	// claimLater keeps an instance that owns a pool from claiming another
+	// before those that own none.
+	claimLater = 500 * time.Millisecond
+	// claimRetry is the pause after a claim that failed.
+	claimRetry = 300 * time.Millisecond
+)
+
 // considerClaim claims the pool if nobody owns it or its owner is gone.
 func (u *unit) considerClaim(ctx context.Context) {
 	now := u.node.now()
@@ -116,156 +144,6 @@
 	return jitter*claimSpread/time.Second + time.Duration(u.rank())*claimStep
 }
 
-// lot draws an instance's place among equals. It differs by pool and generation.
-func (u *unit) lot(name string) uint32 {
-	h := fnv.New32a()
-	_, _ = fmt.Fprint(h, name, u.topic.Part, u.replica.claim.Generation) // a hash takes everything
-	return h.Sum32()
-}
-
-// rank is how many instances should rather own the pool than this one.
-func (u *unit) rank() int {
-	before := 0
-	self := u.candidate(u.node.peers.self())
-	owner := u.replica.claim
-	for _, p := range u.node.peers.alive() {
-		if p.name == owner.Node && p.Life != owner.Life {
-			before++ // it has been started again, and claims at once
-		} else if p.Addr != owner.Addr && u.candidate(p).before(self) {
-			before++
-		}
-	}
-	return before
-}
-
-// candidate is an instance that could own a pool.
-type candidate struct {
-	weak bool // no machine for a pool while there are stronger ones
-	owns int  // other pools
-	lot  uint32
-	name string
-}
-
-func (u *unit) candidate(p peerEntry) candidate {
-	return candidate{
-		weak: p.Power < weakShare*u.node.peers.mostPower(), owns: u.node.ownedBy(p.Addr),
-		lot: u.lot(p.name), name: p.name,
-	}
-}
-
-// before orders candidates. Two pools are much for one machine, yet a strong one
-// carries them rather than a weak one carries the one.
-func (c candidate) before(o candidate) bool {
-	switch {
-	case c.weak != o.weak:
-		return !c.weak
-	case c.owns != o.owns:
-		return c.owns < o.owns
-	case c.lot != o.lot:
-		return c.lot < o.lot
-	}
-	return c.name < o.name
-}
-
-// heirs returns the other instances in the order in which they should own the pool.
-func (u *unit) heirs() []heir {
-	var list []heir
-	for _, p := range u.node.peers.alive() {
-		list = append(list, heir{addr: p.Addr, candidate: u.candidate(p)})
-	}
-	slices.SortFunc(list, func(a, b heir) int {
-		if a.before(b.candidate) {
-			return -1
-		}
-		return 1 // no two have one name
-	})
-	return list
-}
-
-// heir is an instance that a pool may be handed over to.
-type heir struct {
-	addr string
-	candidate
-}
-
-// considerHeir hands the pool over to a strong instance that owns none, if this one
-// is weak or owns another pool. After many losses at once a pool falls to whoever
-// is left: one of 252 workers that fell to a machine of 0.19 core stayed there for
-// 16 s, in which callers waited 30 s for what takes one.
-func (u *unit) considerHeir(ctx context.Context) {
-	now := u.node.now()
-	if u.heir != "" && now-u.heirSince > heirClaims && !u.node.stopping.Load() {
-		u.heir = "" // it has not claimed the pool
-	}
-	if !u.own.loaded || u.heir != "" || now-u.heirSought < heirEvery || u.node.stopping.Load() {
-		return
-	}
-	u.heirSought = now
-	self := u.candidate(u.node.peers.self())
-	if !self.weak && self.owns < 2 {
-		return
-	}
-	list := u.heirs()
-	if len(list) == 0 || list[0].weak || list[0].owns > 0 {
-		return
-	}
-	epoch := u.own.claim.Epoch
-	go func() {
-		if to := u.node.peers.handOver(ctx, u.topic.Part, epoch, list[:1]); to != "" {
-			u.send(ctx, func() { u.handedOver(to, epoch) })
-		}
-	}()
-}
-
-// escapeStore hands the pool over while the store turns this instance away: it can
-// neither take in what callers hand in elsewhere nor store what ends. Noticed by
-// its silence only, an owner was replaced after 1.9 s, in which such jobs waited.
-// An instance that the store turns away too finds out when it claims the pool, and
-// nothing is lost but a question to the store.
-func (u *unit) escapeStore(ctx context.Context) {
-	now := u.node.now()
-	o := u.own
-	if !o.turnedAway {
-		o.awaySince = now
-		return
-	}
-	if now-o.awaySince < turnedAwayFor || now-u.heirSought < escapeEvery || u.heir != "" {
-		return
-	}
-	u.heirSought = now
-	epoch, list := o.claim.Epoch, u.heirs()
-	go func() {
-		for _, to := range list[:min(len(list), escapeTries)] {
-			args := TakeArgs{Part: u.topic.Part, Epoch: epoch, Second: true, Wait: true}
-			if err := u.node.peers.call(ctx, to.addr, "Take", args, &Empty{}, peerTimeout); err != nil {
-				u.log.Debug().Err(err).Str("to", to.addr).Msg("pool.not_handed_over")
-				continue
-			}
-			u.send(ctx, func() {
-				if u.own == o {
-					u.dropOwnership("handed over to " + to.addr + ", since the store turns this instance away")
-					u.heir, u.heirSince = to.addr, u.node.now()
-				}
-			})
-			return
-		}
-	}()
-}
-
-// handedOver notes that another instance is claiming the pool; who still comes
-// here is sent there.
-func (u *unit) handedOver(to string, epoch uint64) {
-	if u.own != nil && u.own.claim.Epoch == epoch {
-		u.heir, u.heirSince = to, u.node.now()
-	}
-}
-
-// weakness is how much weaker this machine is than the strongest known: 0 is as
-// strong. Before the first owner, instances may not know of each other yet.
-func (u *unit) weakness() float64 {
-	return max(0, 1-u.node.set.Power/max(u.node.peers.mostPower(), ampleShare))
-}
-
 // claimed is the answer to a claim.
 type claimed struct {
 	claim  claim
--- a/node/owner.go
+++ b/node/owner.go
@@ -4,17 +4,10 @@
 	"context"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/knapweedweir/knapweedweir/pool"
 )
 
 const (
-	// appendTimeout bounds an append; the store answers in 4 ms, and in
-	// 240 ms on slow days.
-	appendTimeout = 1200 * time.Millisecond
-	// appendRetry is the pause after an append that failed.
-	appendRetry = 60 * time.Millisecond
 	// orderTimeout bounds a start or stop; workers answer in 3 ms. Asking
 	// again early is cheap, as a worker has a run once.
 	orderTimeout = 250 * time.Millisecond
@@ -66,35 +59,6 @@
 	awaySince        time.Duration // an append last succeeded, as far as is known
 }
 
-// submission is a record that a caller waits for.
-type submission struct {
-	record pool.Record
-	stored chan<- error // gets one value
-}
-
-type pendingSave struct {
-	kind    saveKind
-	seq     uint64 // the core's number
-	records []pool.Record
-	waiting []submission
-}
-
-type saveKind int
-
-const (
-	coreSave saveKind = iota
-	heartbeat
-	intakeSave
-)
-
-// saveDone tells that the store holds a save, or why it never will. Certain tells
-// that no try of it went without an answer.
-type saveDone struct {
-	pendingSave
-	err     error
-	certain bool
-}
-
 func newOwnership(ctx context.Context, u *unit, c claim, offset int64) *ownership {
 	o := &ownership{unit: u, claim: c, offset: offset, saves: make(chan pendingSave, 8), workers: map[string]pool.WorkerInfo{}}
 	o.ctx, o.cancel = context.WithCancel(ctx)
@@ -188,67 +152,6 @@
 	}
 }
 
-// submit stores a record that a caller handed in, together with all others that
-// come while an append is on its way. A part of the store takes one append after
-// the other; with one append a job, 40 jobs a second were more than a slow store
-// took (26 times its usual 2 ms), and callers got no answer.
-//
-// While the store turns this instance away, it is refused at once: nothing of it
-// was sent, so the caller may come back, and another instance may store it.
-func (o *ownership) submit(s submission) {
-	switch {
-	case o.unit.heir != "":
-		s.stored <- errNotOwner
-		return
-	case o.turnedAway:
-		s.stored <- ErrRefused
-		return
-	}
-	o.intake = append(o.intake, s)
-	o.appendIntake()
-}
-
-func (o *ownership) appendIntake() {
-	if o.appending || len(o.intake) == 0 {
-		return
-	}
-	save := pendingSave{kind: intakeSave, waiting: o.intake}
-	for _, s := range o.intake {
-		save.records = append(save.records, s.record)
-	}
-	o.intake = nil
-	o.appending = true
-	o.saves <- save
-}
-
-// refuseIntake tells callers that the store did nothing.
-func (o *ownership) refuseIntake(save pendingSave) {
-	o.appending = false
-	answerAll(append(save.waiting, o.intake...), ErrRefused)
-	o.intake = nil
-}
-
-func answerAll(waiting []submission, err error) {
-	for _, s := range waiting {
-		s.stored <- err
-	}
-}
-
-// intakeStored answers the callers and tells the core.
-func (o *ownership) intakeStored(save pendingSave) {
-	o.appending = false
-	answerAll(save.waiting, nil)
-	// Before the core knows what a predecessor did, a repeated request would
-	// look like a new job, and its tasks would be started a second time. It is
-	// read back from the store then.
-	if o.loaded {
-		for _, rec := range save.records {
-			o.takeRecord(rec, fromCaller)
-		}
-	}
-	o.appendIntake()
-}
-
 func (o *ownership) handle(ev any) {
 	switch e := ev.(type) {
 	case batch:
@@ -260,128 +163,6 @@
 	}
 }
 
-func (o *ownership) saveAnswered(e saveDone) {
-	if errors.Is(e.err, ErrRefused) {
-		o.refuseIntake(e.pendingSave)
-		return
-	}
-	if e.err != nil {
-		why := ErrInDoubt
-		if e.certain {
-			why = errNotOwner
-		}
-		answerAll(e.waiting, why)
-		o.unit.dropOwnership(e.err.Error())
-		return
-	}
-	o.lastBeat = o.unit.node.now()
-	switch e.kind {
-	case heartbeat:
-		o.beating = false
-	case intakeSave:
-		o.intakeStored(e.pendingSave)
-	default:
-		o.step(pool.Saved{Seq: e.seq})
-	}
-}
-
-// saveLoop appends what is to be stored, one append after the other, each with all
-// that has come since. A part of the store takes one append at a time: on a slow
-// one (156 ms each) jobs that callers hand in and ends of tasks waited for each
-// other, twice as long.
-func (o *ownership) saveLoop() {
-	for {
-		select {
-		case s := <-o.saves:
-			if !o.appendUntilDone(o.withWaiting(s)) {
-				return
-			}
-		case <-o.ctx.Done():
-			return
-		}
-	}
-}
-
-// withWaiting returns a save and those that wait behind it.
-func (o *ownership) withWaiting(s pendingSave) []pendingSave {
-	batch := []pendingSave{s}
-	for {
-		select {
-		case s = <-o.saves:
-			batch = append(batch, s)
-		default:
-			return batch
-		}
-	}
-}
-
-// appendUntilDone repeats an append until its outcome is certain. An append without
-// an answer is repeated under the same number: the store has it once. What callers
-// handed in is given up if the store has certainly done nothing. It reports whether
-// the store still takes this owner's appends.
-func (o *ownership) appendUntilDone(batch []pendingSave) bool {
-	o.sequence++
-	certain := true // no try went without an answer
-	for len(batch) > 0 {
-		err := o.append(batch)
-		var wrong SequenceError
-		switch {
-		case o.ctx.Err() != nil:
-			return false
-		case err == nil, errors.As(err, &wrong) && wrong.Expected > o.sequence: // an earlier try took effect
-			for _, s := range batch {
-				o.send(saveDone{pendingSave: s})
-			}
-			return true
-		case errors.As(err, &wrong), errors.Is(err, ErrFenced):
-			all := pendingSave{}
-			for _, s := range batch {
-				all.waiting = append(all.waiting, s.waiting...)
-			}
-			o.send(saveDone{pendingSave: all, err: err, certain: certain})
-			return false
-		case !errors.Is(err, ErrRefused):
-			certain = false
-		case certain:
-			batch = o.refuseCallers(batch, err)
-		}
-		if len(batch) > 0 {
-			sleep(o.ctx, appendRetry)
-		}
-	}
-	o.sequence-- // the store has not seen it
-	return true
-}
-
-// append tries once, and tells the unit when the store begins or ceases to turn
-// this instance away.
-func (o *ownership) append(batch []pendingSave) error {
-	var records []pool.Record
-	for _, s := range batch {
-		records = append(records, s.records...)
-	}
-	_, err := o.unit.node.store.Append(withTimeout(o.ctx, appendTimeout), o.unit.topic, records,
-		&Writer{Name: "owner", Epoch: o.claim.Epoch, Sequence: o.sequence})
-	if away := err != nil; away != o.away {
-		o.away = away
-		o.unit.send(o.ctx, func() { o.turnedAway = away })
-	}
-	return err
-}
-
-// refuseCallers gives up what callers handed in and returns the rest.
-func (o *ownership) refuseCallers(batch []pendingSave, err error) []pendingSave {
-	var rest []pendingSave
-	for _, s := range batch {
-		if s.kind == intakeSave {
-			o.send(saveDone{pendingSave: s, err: err, certain: true})
-		} else {
-			rest = append(rest, s)
-		}
-	}
-	return rest
-}
-
 func (o *ownership) takeWorkers(b batch) {
 	if b.err != nil {
 		return // the list stays as it was; the unit reports the store's loss
--- a/node/unit.go
+++ b/node/unit.go
@@ -17,55 +17,6 @@
 	topicName = "keyed.pools"
 	// ownerBeat is how often an owner's word stands in the store, at least.
 	ownerBeat = 300 * time.Millisecond
-	// ownerSilent is how long an owner may not be heard of in the store, by
-	// one that reads it all the while, until another takes over: three beats
-	// and the pause between two reads.
-	ownerSilent = 1300 * time.Millisecond
-	// slowSilent replaces it while the owner says that the store takes what
-	// it writes: the store is slow then. Without it, on a store 43 times slower
-	// than usual, owners replaced each other 9 times in 5 s, and 13 % of the
-	// day's requests failed.
-	slowSilent = 6 * time.Second
-	// worksFor is how long such a word of the owner counts.
-	worksFor = 800 * time.Millisecond
-	// claimSpread separates the claims of several instances.
-	claimSpread = 100 * time.Millisecond
-	// firstSpread does so for the first claims, for which there is no order yet.
-	firstSpread = 300 * time.Millisecond
-	// claimStep is how long an instance leaves a claim to each that comes before
-	// it: a look, an append and the others' next look take 12 ms.
-	claimStep = 120 * time.Millisecond
-	// slowLook is a look at the store that takes long: it usually takes 4 ms.
-	slowLook = 60 * time.Millisecond
-	// slowestRead is how long an instance waits to read a claim that has beaten
-	// its own; a read takes 0.3 s on slow days, and there is a pause between two.
-	slowestRead = time.Second
-	// claimLater keeps an instance that owns a pool from claiming another
-	// before those that own none.
-	claimLater = 500 * time.Millisecond
-	// claimWeak is how much later a machine without processor time claims than
-	// one with ampleShare of a core: an owner of 252 workers needs 0.16 of a core
-	// on a calm day, and the smallest machines have 0.19.
-	claimWeak  = 600 * time.Millisecond
-	ampleShare = 0.8
-	// heirEvery is how often an owner that is no good one looks for a better.
-	heirEvery = time.Second
-	// heirClaims is how long an heir may take to claim the pool; its claim takes
-	// 12 ms, and 1.5 s on slow days.
-	heirClaims = 3 * time.Second
-	// turnedAwayFor is how long the store must have turned an owner away until it
-	// hands over: a few tries, so that one that was refused for the rate of all
-	// calls together doesn't count.
-	turnedAwayFor = 250 * time.Millisecond
-	// escapeEvery and escapeTries bound how often and to how many instances in
-	// turn it tries to hand over; two of seven are turned away at once at most days.
-	escapeEvery = 500 * time.Millisecond
-	escapeTries = 4
-	// weakShare of the strongest machine's processor share makes a machine too
-	// weak for a pool.
-	weakShare = 0.5
-	// claimRetry is the pause after a claim that failed.
-	claimRetry = 300 * time.Millisecond
 	// tickEvery is how often a core sees time pass.
 	tickEvery = 50 * time.Millisecond
 	// followerPause is how often an instance reads a pool's state: often
--- a/scenario/soak/process.go
+++ b/scenario/soak/process.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -40,19 +39,6 @@
 	died  func(name string, state *os.ProcessState)
 }
 
-func freePorts(n int) ([]int, error) {
-	var ports []int
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		defer l.Close()
-		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
-	}
-	return ports, nil
-}
-
 // start runs the process, unless it runs.
 func (i *instance) start() error {
 	i.mu.Lock()
--- a/scenario/soak/soak.go
+++ b/scenario/soak/soak.go
@@ -11,6 +11,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"sync"
@@ -20,6 +21,7 @@
 	"github.com/knapweedweir/knapweedweir/node"
 	"github.com/knapweedweir/knapweedweir/platform/wirestand"
 	"github.com/knapweedweir/knapweedweir/pool"
+	"github.com/knapweedweir/knapweedweir/standin/cell"
 	"github.com/knapweedweir/knapweedweir/standin/machines"
 )
 
@@ -48,6 +50,8 @@
 	host   = "soak.example"
 	prefix = "/jobs/"
 	queue  = "jobs"
+	// portsEach is how many ports an instance listens on.
+	portsEach = 4
 	// attempts is how often a task may fail.
 	attempts = 3
 )
@@ -57,6 +61,7 @@
 	world     *machines.World
 	wire      *wirestand.Server
 	instances []*instance
+	ports     net.Listener      // holds the block of ports
 	workers   map[string]*proxy // guarded by mu
 	client    wirestand.Client
 	mu        sync.Mutex
@@ -112,8 +117,13 @@
 		r.addWorker(n)
 	}
 	store, advice := r.wire.Store(), r.wire.Advice()
+	var addrs []string
+	var err error
+	if r.ports, addrs, err = cell.ClaimBlock(r.Instances * portsEach); err != nil {
+		return err
+	}
 	for n := range r.Instances {
-		i, err := r.newInstance(n, store, advice)
+		i, err := r.newInstance(n, addrs[n*portsEach:], store, advice)
 		if err != nil {
 			return err
 		}
@@ -130,27 +140,18 @@
 	return nil
 }
 
-func (r *run) newInstance(n int, store, advice string) (*instance, error) {
-	ports, err := freePorts(4)
-	if err != nil {
-		return nil, err
-	}
-	addr := func(k int) string { return fmt.Sprintf("127.0.0.1:%d", ports[k]) }
-	i := &instance{binary: r.Binary, dir: r.Dir, died: func(name string, s *os.ProcessState) {
+func (r *run) newInstance(n int, addrs []string, store, advice string) (i *instance, err error) {
+	i = &instance{binary: r.Binary, dir: r.Dir, died: func(name string, s *os.ProcessState) {
 		r.finding("END: %s ended by itself: %v", name, s)
 	}}
 	if i.store, err = newProxy(store); err != nil {
 		return nil, err
 	}
-	if i.callers, err = newProxy(addr(0)); err != nil {
+	if i.callers, err = newProxy(addrs[0]); err != nil {
 		return nil, err
 	}
-	// The first of its ports is for its peers, the last for its counters.
-	i.set = wirestand.Instance{Name: fmt.Sprintf("i%d", n), Callers: addr(0), Ready: addr(1), Ports: [2]int{ports[2], max(ports[2], ports[3])},
+	i.set = wirestand.Instance{Name: fmt.Sprintf("i%d", n), Callers: addrs[0], Ready: addrs[1], Peers: addrs[2], Metrics: addrs[3],
 		Store: i.store.addr(), Advice: advice, HoldMaxMs: machines.HoldMax.Milliseconds(), StopMs: machines.StopTime.Milliseconds()}
-	if ports[3] < ports[2] {
-		i.set.Ports = [2]int{ports[3], ports[2]}
-	}
 	return i, nil
 }
 
@@ -208,6 +209,9 @@
 	if r.wire != nil {
 		r.wire.Close()
 	}
+	if r.ports != nil {
+		_ = r.ports.Close() // it only kept others away
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, p := range r.workers {
--- a/standin/cell/cell.go
+++ b/standin/cell/cell.go
@@ -174,7 +174,7 @@
 	for _, g := range spec.Runners {
 		total += g.Count
 	}
-	block, addrs, err := claimBlock(total)
+	block, addrs, err := ClaimBlock(total)
 	if err != nil {
 		return nil, err
 	}
--- a/standin/cell/ports.go
+++ b/standin/cell/ports.go
@@ -18,9 +18,9 @@
 	blockTries = 200
 )
 
-// claimBlock returns a listener that holds a block of ports against other cells
+// ClaimBlock returns a listener that holds a block of ports against other cells
 // of this machine until it is closed, and addresses of the block.
-func claimBlock(n int) (net.Listener, []string, error) {
+func ClaimBlock(n int) (net.Listener, []string, error) {
 	if n >= blockPorts {
 		return nil, nil, errors.Errorf("a cell has at most %d addresses, not %d", blockPorts-1, n)
 	}
