node: what waits for the store goes with the next append, whatever its kind

Cause: on a store 26 times slower than usual, handing in took 455 ms though an append takes 156 ms: what callers handed in and the core's saves took turns. Change: one queue, from which each append takes all. Test: TestCallersWaitForTwoAppendsAtMost fails without it.

--- a/node/owner.go
+++ b/node/owner.go
@@ -43,16 +43,13 @@
 	loaded   bool // the core knows all that was stored before the claim
 	listed   bool // the list of workers has been read
 	sequence uint64
-	saves    chan pendingSave
+	saves    *saveQueue
 	lastBeat time.Duration
 	// planAfter is when the next plan may follow.
 	planAfter time.Duration
 	beating   bool
 	workers   map[string]pool.WorkerInfo
 	asks      *askQueue
-	// intake holds what callers hand in until the next append.
-	intake    []submission
-	appending bool // intake is on its way
 	// turnedAway tells that the newest append failed; away is the same for
 	// the goroutine that appends.
 	turnedAway, away bool
@@ -60,7 +57,7 @@
 }
 
 func newOwnership(ctx context.Context, u *unit, c claim, offset int64) *ownership {
-	o := &ownership{unit: u, claim: c, offset: offset, saves: make(chan pendingSave, 8), workers: map[string]pool.WorkerInfo{}}
+	o := &ownership{unit: u, claim: c, offset: offset, saves: newSaveQueue(), workers: map[string]pool.WorkerInfo{}}
 	o.ctx, o.cancel = context.WithCancel(ctx)
 	set := u.node.set
 	o.core = pool.New(pool.Settings{
@@ -78,8 +75,9 @@
 // close ends the ownership. What has not been sent to the store is for another.
 func (o *ownership) close() {
 	o.cancel()
-	answerAll(o.intake, errNotOwner)
-	o.intake = nil
+	for _, s := range o.saves.take() {
+		answerAll(s.waiting, errNotOwner)
+	}
 }
 
 func (o *ownership) send(ev any) { o.unit.send(o.ctx, fromOwner{own: o, event: ev}) }
@@ -148,7 +146,7 @@
 	if now := o.unit.node.now(); !o.beating && now-o.lastBeat > ownerBeat {
 		o.beating = true
 		o.lastBeat = now
-		o.saves <- pendingSave{kind: heartbeat, records: []pool.Record{{Key: pool.OwnerKey, Value: pool.Encode(o.claim)}}}
+		o.saves.add(pendingSave{kind: heartbeat, records: []pool.Record{{Key: pool.OwnerKey, Value: pool.Encode(o.claim)}}})
 	}
 }
 
@@ -239,7 +237,7 @@
 	case pool.Advise:
 		o.asks.add(a)
 	case pool.Save:
-		o.saves <- pendingSave{kind: coreSave, seq: a.Seq, records: a.Records}
+		o.saves.add(pendingSave{kind: coreSave, seq: a.Seq, records: a.Records})
 	case pool.Deposed:
 		own := o
 		go func() {
--- a/node/saves.go
+++ b/node/saves.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -45,6 +46,34 @@
 	certain bool
 }
 
+// saveQueue holds what waits for the next append.
+type saveQueue struct {
+	mu      sync.Mutex
+	waiting []pendingSave
+	grown   chan struct{}
+}
+
+func newSaveQueue() *saveQueue { return &saveQueue{grown: make(chan struct{}, 1)} }
+
+func (q *saveQueue) add(s pendingSave) {
+	q.mu.Lock()
+	q.waiting = append(q.waiting, s)
+	q.mu.Unlock()
+	select {
+	case q.grown <- struct{}{}:
+	default:
+	}
+}
+
+// take returns all that waits.
+func (q *saveQueue) take() []pendingSave {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	batch := q.waiting
+	q.waiting = nil
+	return batch
+}
+
 // submit stores a record that a caller handed in, together with all others that
 // come while an append is on its way. A part of the store takes one append after
 // the other; with one append a job, 40 jobs a second were more than a slow store
@@ -56,33 +85,11 @@
 	switch {
 	case o.unit.heir != "":
 		s.stored <- errNotOwner
-		return
 	case o.turnedAway:
 		s.stored <- ErrRefused
-		return
-	}
-	o.intake = append(o.intake, s)
-	o.appendIntake()
-}
-
-func (o *ownership) appendIntake() {
-	if o.appending || len(o.intake) == 0 {
-		return
-	}
-	save := pendingSave{kind: intakeSave, waiting: o.intake}
-	for _, s := range o.intake {
-		save.records = append(save.records, s.record)
+	default:
+		o.saves.add(pendingSave{kind: intakeSave, records: []pool.Record{s.record}, waiting: []submission{s}})
 	}
-	o.intake = nil
-	o.appending = true
-	o.saves <- save
-}
-
-// refuseIntake tells callers that the store did nothing.
-func (o *ownership) refuseIntake(save pendingSave) {
-	o.appending = false
-	answerAll(append(save.waiting, o.intake...), ErrRefused)
-	o.intake = nil
 }
 
 func answerAll(waiting []submission, err error) {
@@ -93,7 +100,6 @@
 
 // intakeStored answers the callers and tells the core.
 func (o *ownership) intakeStored(save pendingSave) {
-	o.appending = false
 	answerAll(save.waiting, nil)
 	// Before the core knows what a predecessor did, a repeated request would
 	// look like a new job, and its tasks would be started a second time. It is
@@ -103,12 +109,11 @@
 			o.takeRecord(rec, fromCaller)
 		}
 	}
-	o.appendIntake()
 }
 
 func (o *ownership) saveAnswered(e saveDone) {
 	if errors.Is(e.err, ErrRefused) {
-		o.refuseIntake(e.pendingSave)
+		answerAll(e.waiting, ErrRefused)
 		return
 	}
 	if e.err != nil {
@@ -132,14 +137,13 @@
 }
 
 // saveLoop appends what is to be stored, one append after the other, each with all
-// that has come since. A part of the store takes one append at a time: on a slow
-// one (156 ms each) jobs that callers hand in and ends of tasks waited for each
-// other, twice as long.
+// that has come since. On a slow store, where an append takes 156 ms, what callers
+// hand in and ends of tasks would otherwise take turns, and each wait twice as long.
 func (o *ownership) saveLoop() {
 	for {
 		select {
-		case s := <-o.saves:
-			if !o.appendUntilDone(o.withWaiting(s)) {
+		case <-o.saves.grown:
+			if batch := o.saves.take(); len(batch) > 0 && !o.appendUntilDone(batch) {
 				return
 			}
 		case <-o.ctx.Done():
@@ -148,19 +152,6 @@
 	}
 }
 
-// withWaiting returns a save and those that wait behind it.
-func (o *ownership) withWaiting(s pendingSave) []pendingSave {
-	batch := []pendingSave{s}
-	for {
-		select {
-		case s = <-o.saves:
-			batch = append(batch, s)
-		default:
-			return batch
-		}
-	}
-}
-
 // appendUntilDone repeats an append until its outcome is certain. An append without
 // an answer is repeated under the same number: the store has it once. What callers
 // handed in is given up if the store has certainly done nothing. It reports whether
