node: instances that would not take over read the pools less often

Change: only the first two in the order of owners read that often, the others each second, with as much more patience before they call an owner silent. Ruled out: the others not reading at all (they answer for jobs while the owner can't).

--- a/node/claiming.go
+++ b/node/claiming.go
@@ -83,7 +83,7 @@
 	case now-max(u.ownerHeard, u.healthy) > u.patience(now):
 		return "its owner is silent"
 	}
-	if now-max(u.ownerHeard, u.healthy) > ownerSilent/2 && now-u.probed > ownerBeat {
+	if now-max(u.ownerHeard, u.healthy) > ownerSilent/2+u.pause()-followerPause && now-u.probed > ownerBeat {
 		u.probed = now
 		go u.node.probe(ctx, u, c)
 	}
@@ -124,7 +124,7 @@
 	if u.ownerWorks != 0 && now-u.ownerWorks < worksFor {
 		return slowSilent
 	}
-	return ownerSilent
+	return ownerSilent + u.pause() - followerPause
 }
 
 // claimDelay is how long this instance leaves the claim to others: instances that
@@ -233,6 +233,7 @@
 	u.heir = ""
 	u.ownerHeard = u.node.now()
 	u.replica.claim = e.claim
+	u.leisure.Store(false)
 	u.own = newOwnership(ctx, u, e.claim, e.offset)
 	select {
 	case u.readNow <- struct{}{}: // up to the claim, after which the work begins
--- a/node/unit.go
+++ b/node/unit.go
@@ -25,10 +25,17 @@
 	// they couldn't reach it. Each read is paid for; at 5 ms for the owner and
 	// 300 ms for the others, reads were most of 207 calls a second.
 	followerPause = 350 * time.Millisecond
+	// leisurePause replaces it for instances that are not among the nextOwners: those
+	// would take over, so only they need to see the silence at once. All other
+	// instances together make most of the reads.
+	leisurePause = time.Second
+	nextOwners   = 2
+	// rankEvery is how often an instance looks whether it is one of them.
+	rankEvery = time.Second
 	// freshFor is how old the last word of the store may be for an answer
-	// that a job doesn't exist. The owner's beats bring one each second; a job
-	// that another instance stored longer ago than this is known.
-	freshFor = 1500 * time.Millisecond
+	// that a job doesn't exist: two reads. A job that another instance stored
+	// longer ago than this is known, and callers are promised that after 3 s.
+	freshFor = 2 * time.Second
 )
 
 // partOf returns the part of the topic that holds a service's pool.
@@ -53,6 +60,8 @@
 	watched process
 
 	reads      atomic.Bool // the store answers this instance's reads
+	leisure    atomic.Bool // others would take over before this instance
+	rankedAt   time.Duration
 	caughtUp   bool
 	lastRead   time.Duration // the store last answered a read
 	healthy    time.Duration // since when it answers without a failure
@@ -100,7 +109,7 @@
 }
 
 func (u *unit) run(ctx context.Context) {
-	f := &follower{store: u.node.store, topic: u.topic, wait: readWait, pause: func() time.Duration { return followerPause }, wake: u.readNow}
+	f := &follower{store: u.node.store, topic: u.topic, wait: readWait, pause: u.pause, wake: u.readNow}
 	go f.run(ctx, func(b batch) { u.send(ctx, b) })
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
@@ -227,9 +236,21 @@
 		return
 	}
 	u.watchOwner(ctx)
+	if now := u.node.now(); now-u.rankedAt > rankEvery {
+		u.rankedAt = now
+		u.leisure.Store(u.rank() >= nextOwners)
+	}
 	u.considerClaim(ctx)
 }
 
+// pause is how long the follower rests between two reads.
+func (u *unit) pause() time.Duration {
+	if u.leisure.Load() {
+		return leisurePause
+	}
+	return followerPause
+}
+
 func (u *unit) dropOwnership(reason string) {
 	if u.own == nil {
 		return
