node: an owner's silence counts only while the store is proven to answer

Reads wait for seconds, so instances didn't notice: 20 of them claimed both pools in vain, and 0.3 s after its return one replaced an owner whose append still hung; two more take-overs followed. Change: while an owner isn't heard of, the store is asked each 0.3 s; its silence counts after 0.65 s in which the store answers, or 1.5 s if the owner itself answers its peers (its append is given up and sent again in that time). An heir takes a pool from an owner that the store turns away only if the store has served the heir without a gap. Ruled out: shorter timeouts of the owner's appends (on a slow store each repeat takes its turn in the stream's queue). Test: TestOwnerKeepsThePoolThroughAnOutage fails without it (another owner after 2.5 s).

--- a/node/claiming.go
+++ b/node/claiming.go
@@ -23,6 +23,9 @@
 	slowSilent = 6 * time.Second
 	// worksFor is how long such a word of the owner counts.
 	worksFor = 800 * time.Millisecond
+	// checkTimeout bounds the check whether the store answers; it does in 4 ms, and
+	// in 0.3 s on slow days.
+	checkTimeout = 600 * time.Millisecond
 	// claimSpread separates the claims of several instances.
 	claimSpread = 100 * time.Millisecond
 	// firstSpread does so for the first claims, for which there is no order yet.
@@ -80,16 +83,44 @@
 		return "a claim of this instance took effect late"
 	case u.node.isGone(c), u.node.peers.hasRestarted(process{c.Node, c.Life}):
 		return "its owner's process is gone"
-	case now-max(u.ownerHeard, u.healthy) > u.patience(now):
+	case now-max(u.ownerHeard, u.healthy) > u.patience(now) && u.storeProven(now):
 		return "its owner is silent"
 	}
 	if now-max(u.ownerHeard, u.healthy) > ownerSilent/2+u.pause()-followerPause && now-u.probed > ownerBeat {
 		u.probed = now
 		go u.node.probe(ctx, u, c)
+		go u.checkStore(ctx, u.replica.next)
 	}
 	return ""
 }
 
+// checkStore finds out whether the store answers while the owner isn't heard of.
+func (u *unit) checkStore(ctx context.Context, next int64) {
+	asked := u.node.now()
+	_, _, err := u.node.store.Read(withTimeout(ctx, checkTimeout), u.topic, next, 0)
+	u.send(ctx, func() {
+		switch {
+		case err != nil:
+			u.seenSince = 0
+		case u.seenSince == 0:
+			u.seenSince = asked
+		}
+	})
+}
+
+// storeProven reports whether the store has answered long enough for the owner's
+// silence to mean something. Reads wait for seconds, so they don't show an outage:
+// in one, ever more instances claimed the pool, and right after it one of them
+// replaced an owner whose append still hung. An owner that answers its peers gets the
+// time in which such an append is given up and sent again.
+func (u *unit) storeProven(now time.Duration) bool {
+	proof := ownerSilent / 2
+	if u.ownerAlive != 0 && now-u.ownerAlive < worksFor {
+		proof = appendTimeout + ownerBeat
+	}
+	return u.seenSince != 0 && now-u.seenSince >= proof
+}
+
 // watchOwner keeps a question open at the pool's owner. If its process ends, the
 // connection ends with it, and the owner is known to be gone within milliseconds;
 // noticed by its silence in the store, that took 0.7 to 1 s.
--- a/node/claiming_test.go
+++ b/node/claiming_test.go
@@ -147,3 +147,28 @@
 		assert.Assert(t, took < time.Second, "handed over after %v", took)
 	})
 }
+
+// The store answers nobody for three seconds. The owner's append hangs until it
+// times out, so for a second after the store's return the owner is still not heard
+// of there. Whoever takes that for its end replaces an owner that works, and has to
+// ask all workers before older jobs go on.
+func TestOwnerKeepsThePoolThroughAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, false, "a", "b", "c", "d", "e", "f")
+		defer c.close()
+		for _, outage := range []time.Duration{2500 * time.Millisecond, 3100 * time.Millisecond, 4700 * time.Millisecond} {
+			time.Sleep(5 * time.Second)
+			first, before := c.owner(), c.claimsSent()
+			for _, m := range c.members {
+				m.view.SetStore(machines.StoreSilent)
+			}
+			time.Sleep(outage)
+			for _, m := range c.members {
+				m.view.SetStore(machines.StoreUp)
+			}
+			time.Sleep(4 * time.Second)
+			assert.Equal(t, c.owner(), first, "after an outage of %v\n%s", outage, c.logs.about(`"pool.`))
+			assert.Equal(t, c.claimsSent(), before)
+		}
+	})
+}
--- a/node/handover.go
+++ b/node/handover.go
@@ -85,6 +85,14 @@
 	}()
 }
 
+// storeServes reports whether the store has served this instance all the while in
+// which it turned an owner away that wants to hand over. After an outage of the
+// store for all, owners that still wait for an append need no heir.
+func (u *unit) storeServes() bool {
+	now := u.node.now()
+	return u.healthy != 0 && now-u.lastRead < leisurePause+turnedAwayFor && now-u.steady > appendTimeout+turnedAwayFor
+}
+
 // handedOver notes that another instance is claiming the pool; who still comes
 // here is sent there.
 func (u *unit) handedOver(to string, epoch uint64) {
--- a/node/peers.go
+++ b/node/peers.go
@@ -264,8 +264,13 @@
 	var r LifeReply
 	err := n.peers.call(ctx, c.Addr, "Owner", OwnerArgs{Part: u.topic.Part}, &r, aliveTimeout)
 	switch {
-	case err == nil && r.Life == c.Life && r.Works:
-		u.send(ctx, func() { u.ownerWorks = n.now() })
+	case err == nil && r.Life == c.Life:
+		u.send(ctx, func() {
+			u.ownerAlive = n.now()
+			if r.Works {
+				u.ownerWorks = n.now()
+			}
+		})
 	case err == nil && r.Life != c.Life, errors.Is(err, errRefused):
 		n.peers.mu.Lock()
 		n.peers.gone[process{c.Node, c.Life}] = true
--- a/node/service.go
+++ b/node/service.go
@@ -146,6 +146,9 @@
 	taken := false
 	ended := make(chan error, 1)
 	err := u.ask(withTimeout(context.Background(), peerTimeout), func() {
+		if a.Wait && !u.storeServes() {
+			return
+		}
 		if taken = u.own == nil && !u.claiming && u.replica.claim.Epoch <= a.Epoch; taken {
 			u.replica.claim.Epoch = a.Epoch
 			u.claimEnds = append(u.claimEnds, ended)
--- a/node/unit.go
+++ b/node/unit.go
@@ -30,6 +30,9 @@
 	// instances together make most of the reads.
 	leisurePause = time.Second
 	nextOwners   = 2
+	// longestGap is the longest time between two answers of a store that is there: a
+	// read that waits in vain, and a pause.
+	longestGap = readWait + leisurePause/2
 	// rankEvery is how often an instance looks whether it is one of them.
 	rankEvery = time.Second
 	// freshFor is how old the last word of the store may be for an answer
@@ -67,12 +70,17 @@
 	healthy    time.Duration // since when it answers without a failure
 	ownerHeard time.Duration
 	ownerWorks time.Duration // when the owner last said that it works
-	probed     time.Duration
-	claimAt    time.Duration  // 0: no claim is due
-	claimEnds  []chan<- error // get the outcome of the claim that is on its way
-	dropped    uint64         // epoch of the last ownership that ended here
-	claiming   bool
-	own        *ownership
+	ownerAlive time.Duration // when it last answered at all
+	// seenSince is since when the store answers checks, while the owner is not
+	// heard of; 0: it doesn't, or the owner is.
+	seenSince time.Duration
+	steady    time.Duration // since when the store answers reads without a gap
+	probed    time.Duration
+	claimAt   time.Duration  // 0: no claim is due
+	claimEnds []chan<- error // get the outcome of the claim that is on its way
+	dropped   uint64         // epoch of the last ownership that ended here
+	claiming  bool
+	own       *ownership
 	// heir is the instance to which this one has handed the pool over, until
 	// its claim is read.
 	heir       string
@@ -189,6 +197,9 @@
 		u.log.Info().Int64("next", b.next).Msg("store.regained")
 	}
 	u.reads.Store(true)
+	if now-u.lastRead > longestGap {
+		u.steady = now
+	}
 	u.lastRead = now
 	fresh, err := u.replica.apply(b)
 	if err != nil {
@@ -203,6 +214,7 @@
 	}
 	if heard {
 		u.ownerHeard = now
+		u.seenSince = 0
 	}
 	if !u.caughtUp {
 		u.caughtUp = true
