pool: a gang's tickets are renewed together

Change: a gang asks about all the workers that it is about to use. Ruled out: notes of silence or reserved workers that stick (none such in the log; the cases of both are cleared by time). Test: TestGangRenewsAllItsTicketsTogether, with a question that takes longer than a ticket holds: never begins without it.

--- a/pool/advice_test.go
+++ b/pool/advice_test.go
@@ -97,3 +97,43 @@
 	assert.Equal(t, len(r.answer("x1", "x2")), 1)
 	assert.Equal(t, len(r.starts()), 3)
 }
+
+// Tickets hold for two seconds, and a question takes longer, since it waits for its
+// turn. A gang needs two workers: by the time the answer about the second is there,
+// the first one's ticket is over, and so on in turns: the gang never begins. Asked
+// about both at once, both tickets are new at the same time.
+func TestGangRenewsAllItsTicketsTogether(t *testing.T) {
+	r := newAdvisedRig(t, "w1")
+	gang := whole(2)
+	gang.Gang = true
+	r.submit("gang", gang)
+	r.answerAsked()
+	r.pass(time.Second)
+	r.hold("w1", nil)
+	r.step(WorkersListed{Workers: []WorkerInfo{box("w1"), box("w2")}})
+	for range 6 {
+		for range 3 { // the time that a question takes
+			r.hold("w1", nil)
+			r.hold("w2", nil)
+			r.pass(700 * time.Millisecond)
+		}
+		r.hold("w1", nil)
+		r.hold("w2", nil)
+		r.answerAsked()
+		if len(r.starts()) == 2 {
+			return
+		}
+	}
+	t.Fatal("the gang never began")
+}
+
+// answerAsked answers all questions: whoever is named may run the step.
+func (r *rig) answerAsked() {
+	for _, a := range take[Advise](r) {
+		var tickets []Ticket
+		for _, id := range a.Workers {
+			tickets = append(tickets, Ticket{Worker: id, Ticket: "t"})
+		}
+		r.step(Advised{Step: a.Step, Asked: a.Workers, Good: tickets, Validity: 2 * time.Second})
+	}
+}
--- a/pool/place.go
+++ b/pool/place.go
@@ -169,7 +169,9 @@
 	var names []string
 	for _, w := range picks {
 		c.book(s, w)
-		if c.permission(s, w) == renewable && !slices.Contains(names, w.ID) {
+		// All of a gang's tickets are renewed together: in turns, the first would be
+		// over when the last arrives, and the gang would never begin.
+		if (s.spec.Gang || c.permission(s, w) == renewable) && !slices.Contains(names, w.ID) {
 			names = append(names, w.ID)
 		}
 	}
