node: questions to the advice service rise with their age

Cause: questions went strictly by what their job can still earn, so those of jobs that are late waited for as long as others came. Ruled out: fewer dear questions at a time (they have two thirds of the instances already). Change: one key orders them, the time of asking put off by tier, priority and cost, so that each is put after a bounded wait.

--- a/node/asks.go
+++ b/node/asks.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -26,6 +25,14 @@
 	keptForCheap = 3
 	// thisInstance stands for this instance among the callers.
 	thisInstance = ""
+	// tierDelay, priorityDelay and the question's cost, costDelayMost at most, are
+	// how much later a question counts as asked: so much older is one of a less
+	// urgent kind when it comes first all the same. At eight seconds for a job that
+	// is worth nothing any more, its callers still get an answer; a priority is
+	// worth more than the longest question, so that costs decide only among equals.
+	tierDelay     = 4 * time.Second
+	priorityDelay = 1500 * time.Millisecond
+	costDelayMost = time.Second
 )
 
 // askQueue spreads an owner's questions over the instances: the advice service
@@ -39,6 +46,15 @@
 type question struct {
 	pool.Advise
 	tries int
+	// turn orders the questions that wait, see turnOf.
+	turn time.Duration
+}
+
+// turnOf is when a question was asked, put off by all that makes others more urgent.
+// Strictly by urgency, questions of jobs that are late waited for as long as others
+// came: a gang's last one stood for 34 s on a busy day while the room for it was free.
+func turnOf(a pool.Advise, asked time.Duration) time.Duration {
+	return asked + time.Duration(a.Tier)*tierDelay + time.Duration(a.Priority)*priorityDelay + min(a.Cost, costDelayMost)
 }
 
 type caller struct {
@@ -53,12 +69,20 @@
 
 // add queues a question: those first whose jobs can still be in time, urgent ones
 // before others, cheap ones before dear ones, so that a quote doesn't wait behind
-// three questions of half a second each.
+// three questions of half a second each; and none for good.
 func (q *askQueue) add(a pool.Advise) {
-	q.waiting = append(q.waiting, question{Advise: a})
-	slices.SortStableFunc(q.waiting, func(x, y question) int {
-		return cmp.Or(cmp.Compare(x.Tier, y.Tier), cmp.Compare(x.Priority, y.Priority), cmp.Compare(x.Cost, y.Cost))
+	q.put(question{Advise: a, turn: turnOf(a, q.own.unit.node.now())})
+}
+
+// put places a question among those that wait.
+func (q *askQueue) put(a question) {
+	at, _ := slices.BinarySearchFunc(q.waiting, a, func(x, y question) int {
+		if x.turn <= y.turn {
+			return -1
+		}
+		return 1
 	})
+	q.waiting = slices.Insert(q.waiting, at, a)
 	q.send()
 }
 
@@ -77,7 +101,7 @@
 		q.waiting = slices.Delete(q.waiting, i, i+1)
 		c := q.callers[addr]
 		c.busy, c.dear = true, next.dear()
-		go q.put(addr, next)
+		go q.ask(addr, next)
 	}
 }
 
@@ -123,7 +147,8 @@
 	return n
 }
 
-func (q *askQueue) put(addr string, a question) {
+// ask has an instance put a question to the advice service.
+func (q *askQueue) ask(addr string, a question) {
 	n := q.own.unit.node
 	var r AdviseReply
 	if addr == thisInstance {
@@ -141,13 +166,13 @@
 	now := q.own.unit.node.now()
 	if r.Busy {
 		c.until = now + busyPause
-		q.again(a)
+		q.put(a)
 		return
 	}
 	if r.Answer.Failed {
 		c.until = now + callerPause
 		if a.tries++; a.tries < adviceTries {
-			q.again(a)
+			q.put(a)
 			return
 		}
 	}
@@ -156,9 +181,3 @@
 		q.own.handle(r.Answer)
 	}
 }
-
-// again puts a question first that was not answered.
-func (q *askQueue) again(a question) {
-	q.waiting = append([]question{a}, q.waiting...)
-	q.send()
-}
