pool: workers are kept for gangs until all of their room is free; tickets are asked ahead

Cause: gangs starved. And a gang asked for its tickets only once its room was there, which stood idle for 0.55 s. TestGangFindsRoomAmongSmallTasks fails on the code before, TestGangAsksBeforeItsRoomIsFree without the question ahead.

--- a/pool/advice.go
+++ b/pool/advice.go
@@ -1,6 +1,9 @@
 package pool
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// maxNamed is how many workers one question to the advice service names
@@ -76,16 +79,38 @@
 	terms := c.policy(s).Advice
 	why := "its turn has come"
 	if s.advice.begun {
-		why = "room without a ticket"
+		why = "room without a ticket, now or soon"
 	}
 	c.do(Noted{Event: "advice.asked", Job: s.job.ID, Reason: why, Workers: len(names), Waited: c.now - s.waitingSince})
 	s.advice.asking, s.advice.begun = true, true
 	c.do(Advise{
 		Step: s.id, Workers: names, Tier: c.urgencyOf(s).tier, Priority: c.policy(s).Priority,
-		Cost: terms.Decision + time.Duration(len(names))*terms.PerWorker,
+		Cost: terms.cost(len(names)),
 	})
 }
 
+// askAhead asks for a gang's tickets so early that they come when its room is free.
+// Asked for only then, its room stands idle meanwhile: 0.55 s of 7 s that a gang runs,
+// and jobs earned 0.025 to 0.03 less of all that was owed (kw-pool-load, 40 plays).
+func (c *Core) askAhead(s *step, slots []slot) {
+	terms := c.policy(s).Advice
+	if terms == nil || s.advice.asking || !s.advice.begun || c.now < s.advice.retryAt {
+		return
+	}
+	begins := slots[len(slots)-1].at
+	var names []string
+	valid := true
+	for _, x := range slots {
+		if !slices.Contains(names, x.worker.ID) {
+			names = append(names, x.worker.ID)
+			valid = valid && s.advice.of(x.worker).until > begins
+		}
+	}
+	if !valid && begins-c.now <= terms.cost(len(names)) {
+		c.ask(s, names)
+	}
+}
+
 func (c *Core) advised(e Advised) {
 	t := c.task(TaskID{Job: e.Step.Job, K: e.Step.K, Step: e.Step.Step})
 	if t == nil {
--- a/pool/advice_test.go
+++ b/pool/advice_test.go
@@ -127,6 +127,36 @@
 	t.Fatal("the gang never began")
 }
 
+// A gang waits for a worker whose task ends in 2 s, and its question takes 0.7 s. Put
+// only once the room is there, the room stands idle for as long as the question takes,
+// on all of the gang's workers. Put ahead, the tickets are there when the room is.
+func TestGangAsksBeforeItsRoomIsFree(t *testing.T) {
+	r := newAdvisedRig(t, "w1", "w2")
+	blocker := whole(1)
+	blocker.EstimateMs = 5000
+	r.submit("blocker", blocker)
+	r.answer("w1")
+	assert.Equal(t, len(r.starts()), 1)
+	gang := whole(2)
+	gang.Gang = true
+	r.submit("gang", gang)
+	r.answerAsked()
+	began := r.now
+	task := taskOf("blocker", 0)
+	for r.now < began+4500*time.Millisecond {
+		r.pass(50 * time.Millisecond)
+		if done := r.now - began; done%time.Second == 0 {
+			r.hold("w1", []ActiveRun{{Task: task, Run: 1, Percent: int(done * 100 / (5 * time.Second))}})
+			r.hold("w2", nil)
+		}
+		if len(take[Advise](r)) > 0 {
+			assert.Assert(t, r.now >= began+4*time.Second, "tickets that are over when the room is free")
+			return
+		}
+	}
+	t.Fatal("nobody was asked before the room was free")
+}
+
 // answerAsked answers all questions: whoever is named may run the step.
 func (r *rig) answerAsked() {
 	for _, a := range take[Advise](r) {
--- a/pool/core.go
+++ b/pool/core.go
@@ -52,9 +52,14 @@
 	saving   bool
 	lastSave time.Duration
 	replan   bool
-	pass     int          // number of the newest pass over what waits
-	reserved int          // workers kept in it
-	takers   []openWorker // of new tasks, in this pass
+	// reserved counts the workers that are kept, decided at reservedAt;
+	// reserving tells that it is decided in this pass.
+	reserved   int
+	reservedAt time.Duration
+	reserving  bool
+	// ratios are, by queue, how much longer tasks run than estimated.
+	ratios map[string]float64
+	takers []openWorker // of new tasks, in this pass
 	// candidates is pick's list, kept so that it isn't allocated for each step.
 	candidates []*worker
 	largest    Resources // free on any worker, by resource, at its beginning
@@ -76,6 +81,7 @@
 		jobs:    map[string]*job{},
 		workers: map[string]*worker{},
 		held:    map[string]HeldWorker{},
+		ratios:  map[string]float64{},
 	}
 }
 
--- a/pool/health.go
+++ b/pool/health.go
@@ -73,6 +73,7 @@
 		return
 	}
 	took := c.now - r.settled
+	c.learnRatio(s, took)
 	if usual := s.usual(); usual > 0 {
 		w.slowness += slownessShare * (float64(took)/float64(usual) - 1 - w.slowness)
 	}
--- a/pool/job.go
+++ b/pool/job.go
@@ -126,6 +126,11 @@
 	Validity  time.Duration
 }
 
+// cost is how long a question takes that names so many workers.
+func (t *AdviceTerms) cost(workers int) time.Duration {
+	return t.Decision + time.Duration(workers)*t.PerWorker
+}
+
 // Queue is the policy of the jobs of one queue.
 type Queue struct {
 	Name     string
--- a/pool/place.go
+++ b/pool/place.go
@@ -58,9 +58,8 @@
 		}
 	}
 	c.sortByUrgency(waiting)
-	c.pass++
-	c.reserved = 0
 	c.measureRoom()
+	c.dropReservations()
 	for _, s := range waiting {
 		c.placeStep(s)
 	}
@@ -120,7 +119,7 @@
 
 func (c *Core) placeStep(s *step) {
 	roomSomewhere := s.spec.Reserved().Within(c.largest)
-	if !roomSomewhere && !c.wantsAdvice(s, roomSomewhere) && !s.spec.isLarge(c.smallest) {
+	if !roomSomewhere && !c.wantsAdvice(s, roomSomewhere) && !(c.reserving && c.needsReserve(s)) {
 		return
 	}
 	tasks := s.waitingTasks(c.now)
--- a/pool/reserve.go
+++ b/pool/reserve.go
@@ -3,44 +3,171 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 )
 
-// A step whose tasks need much of a worker finds no room while small tasks keep
-// every worker partly filled: each gap that opens goes to a small one first. So
-// the workers that are nearest to having room are kept for the most urgent steps
-// of that kind, and drain towards them.
+// Tasks that need much of a worker, and gangs, whose members need room at the same
+// time, find none while small tasks keep every worker partly filled: each gap that
+// opens goes to a small one first. So workers are kept for the most urgent steps of
+// that kind. Until such a step is expected to begin, others may use them if they will
+// surely have ended by then.
+//
+// A gang keeps all workers that it may use, not only those where its room will be free
+// first: run times are known so badly that it begins sooner on whichever come first.
+// With a third of the work in gangs, three workers in ten good for each, and 80 % of
+// the processors asked for, what the jobs earned rose from 0.896 to 0.931 of all that
+// was owed, and from 0.861 to 0.911 at 90 % (kw-pool-load, 40 plays). Keeping only
+// the soonest slots, beside which others took what was left: 0.900 and 0.867.
 const (
 	// largeShare of a worker's capacity makes a task large.
 	largeShare = 0.45
-	// reservedShare bounds the part of a pool's workers that is kept.
-	reservedShare = 0.35
+	// reservedShare bounds the part of a pool's workers that is kept. All of them
+	// earn as much; at 0.5 it is 0.01 to 0.03 less.
+	reservedShare = 0.8
+	// reserveEvery is how often it is decided anew which workers are kept. That
+	// changes with ends of tasks that last seconds, and a pool of 350 workers takes
+	// some milliseconds to go through.
+	reserveEvery = 100 * time.Millisecond
+	// surely is how many times its expected run time a task must have before a kept
+	// worker is needed. At 1 it is 0.006 to 0.013 less, since one that runs longer
+	// than expected holds up all of a gang.
+	surely = 2
 )
 
-// reserve keeps workers for tasks that found no room, until the next pass.
+// reservation keeps a worker for a step.
+type reservation struct {
+	step *step
+	// at is when the step can begin there, as far as is known.
+	at time.Duration
+}
+
+// slot is room for one task on a worker, free from some time on.
+type slot struct {
+	worker *worker
+	at     time.Duration
+}
+
+// needsReserve reports whether a step finds no room for good unless some is kept.
+func (c *Core) needsReserve(s *step) bool { return s.spec.Gang || s.spec.isLarge(c.smallest) }
+
+// dropReservations forgets what was kept, from time to time, so that it is decided
+// anew in this pass.
+func (c *Core) dropReservations() {
+	c.reserving = c.now-c.reservedAt >= reserveEvery
+	if !c.reserving {
+		return
+	}
+	c.reservedAt = c.now
+	c.reserved = 0
+	for _, w := range c.byID {
+		w.kept = nil
+	}
+}
+
+// reserve keeps workers for tasks of a step that found no room.
 func (c *Core) reserve(s *step, tasks int) {
-	if tasks <= 0 || !s.spec.isLarge(c.smallest) {
+	if tasks <= 0 || !c.reserving || !c.needsReserve(s) {
+		return
+	}
+	candidates, pool := c.reservable(s)
+	most := int(reservedShare * float64(pool))
+	if c.reserved >= most {
+		return
+	}
+	slots := c.soonest(s, tasks, candidates)
+	if !s.spec.Gang {
+		for _, x := range slots {
+			c.keep(x.worker, reservation{step: s, at: x.at}, most)
+		}
+		return
+	}
+	if len(slots) < tasks {
+		return // it can't begin on these workers at all
+	}
+	c.askAhead(s, slots)
+	for _, w := range candidates {
+		c.keep(w, reservation{step: s, at: slots[len(slots)-1].at}, most)
+	}
+}
+
+func (c *Core) keep(w *worker, r reservation, most int) {
+	if w.kept != nil || c.reserved >= most {
 		return
 	}
-	var candidates []*worker
-	pool := 0
+	c.reserved++
+	w.kept = &r
+}
+
+// reservable returns the workers that may be kept for a step, and how many there are
+// in its pool.
+func (c *Core) reservable(s *step) (candidates []*worker, pool int) {
 	for _, w := range c.byID {
 		if w.Service != s.job.Service || !w.listed {
 			continue
 		}
 		pool++
-		if w.reservedIn == c.pass || !c.fits(s, w) || !c.inTouch(w) || c.permission(s, w) > renewable || !s.spec.isLarge(w.Capacity) {
-			continue
+		if w.kept == nil && c.fits(s, w) && c.inTouch(w) && c.permission(s, w) <= renewable {
+			candidates = append(candidates, w)
 		}
-		candidates = append(candidates, w)
 	}
-	slices.SortStableFunc(candidates, func(a, b *worker) int { return cmp.Compare(c.fullness(a), c.fullness(b)) })
-	for _, w := range candidates[:min(len(candidates), max(0, tasks))] {
-		if float64(c.reserved+1) > reservedShare*float64(pool) {
-			return
+	return candidates, pool
+}
+
+// soonest returns the slots for a step's tasks that are free first.
+func (c *Core) soonest(s *step, tasks int, candidates []*worker) []slot {
+	if !s.spec.Gang || !s.spec.SameRack {
+		return c.soonestAmong(s, tasks, candidates)
+	}
+	racks := map[string][]*worker{}
+	for _, w := range candidates {
+		racks[w.Rack] = append(racks[w.Rack], w)
+	}
+	var best []slot
+	for _, w := range candidates { // in an order that doesn't depend on map order
+		among := racks[w.Rack]
+		delete(racks, w.Rack)
+		slots := c.soonestAmong(s, tasks, among)
+		if len(slots) == tasks && (best == nil || slots[tasks-1].at < best[tasks-1].at) {
+			best = slots
+		}
+	}
+	return best
+}
+
+func (c *Core) soonestAmong(s *step, tasks int, candidates []*worker) []slot {
+	var all []slot
+	for _, w := range candidates {
+		all = c.appendSlots(all, s, w)
+	}
+	slices.SortStableFunc(all, func(a, b slot) int { return cmp.Compare(a.at, b.at) })
+	return all[:min(len(all), tasks)]
+}
+
+// appendSlots adds the slots that a worker will have for a step's tasks as the runs
+// there end.
+func (c *Core) appendSlots(all []slot, s *step, w *worker) []slot {
+	free := w.free()
+	copies := c.copiesWithin(s, free)
+	for range copies {
+		all = append(all, slot{worker: w, at: c.now})
+	}
+	for _, e := range c.expectedEnds(w) {
+		free = free.Plus(e.need)
+		for range c.copiesWithin(s, free) - copies {
+			copies++
+			all = append(all, slot{worker: w, at: e.at})
 		}
-		c.reserved++
-		w.reservedIn, w.reservedFor = c.pass, s
 	}
+	return all
+}
+
+// keptForOther reports whether a worker is kept from a step.
+func (c *Core) keptForOther(s *step, w *worker) bool {
+	r := w.kept
+	if r == nil || r.step == s || r.step.job.state.Ended() || r.step.remaining == 0 || s.rated.moreUrgentThan(r.step.rated) {
+		return false
+	}
+	return c.now+surely*c.expected(s) > r.at
 }
 
 // isLarge reports whether a task needs much of a worker.
@@ -56,8 +183,3 @@
 	}
 	return float64(part) / float64(whole)
 }
-
-// keptForOther reports whether a worker is kept for another step.
-func (c *Core) keptForOther(s *step, w *worker) bool {
-	return w.reservedIn == c.pass && w.reservedFor != s
-}
--- a/pool/reserve_test.go
+++ b/pool/reserve_test.go
@@ -3,22 +3,42 @@
 import (
 	"testing"
 	"time"
+
+	"gotest.tools/v3/assert"
 )
 
-// Both workers are partly filled, and a job comes whose task needs most of one.
-// Small jobs keep coming and fit into every gap. Unless one worker is kept for the
-// large task, it never finds room, and its caller waits for good.
+// Workers are partly filled, and a job comes whose task needs most of one. Small jobs
+// keep coming and fit into every gap. Unless a worker is kept for the large task, it
+// never finds room, and its caller waits for good.
 func TestLargeTaskFindsRoomAmongSmallOnes(t *testing.T) {
+	large := small(1)
+	large.Need.CPU = 3500
+	assert.Assert(t, startsAmongSmallOnes(t, large), "the large task never started")
+}
+
+// The same with a gang: each of its tasks fits into many a gap, but its four need room
+// at the same time, and by then the first gaps are taken. Its caller waits for good
+// unless workers are kept until all four have room.
+func TestGangFindsRoomAmongSmallTasks(t *testing.T) {
+	gang := small(4)
+	gang.Need.CPU = 1700
+	gang.Gang = true
+	assert.Assert(t, startsAmongSmallOnes(t, gang), "the gang never started")
+}
+
+// startsAmongSmallOnes plays three workers that small tasks keep filled to 10 of 12
+// places, and reports whether a step handed in after a while ever starts.
+func startsAmongSmallOnes(t *testing.T, step StepSpec) bool {
 	r := newRig(t, box("w1"), box("w2"), box("w3"))
 	r.save()
 	active := map[string]map[TaskID]time.Duration{"w1": {}, "w2": {}, "w3": {}}
 	ends := map[string]uint64{}
-	place := func() (large bool) {
+	place := func() (started bool) {
 		for _, s := range r.starts() {
 			active[s.Worker][s.Task] = r.now
-			large = large || s.Task.Job == "large"
+			started = started || s.Task.Job == "big"
 		}
-		return large
+		return started
 	}
 	for _, w := range []string{"w1", "w2", "w3"} {
 		r.hold(w, nil)
@@ -26,18 +46,15 @@
 	job := 0
 	for round := range 160 {
 		if round == 30 {
-			big := small(1)
-			big.Need.CPU = 3500
-			r.submit("large", big)
+			r.submit("big", step)
 		}
-		// 10 small tasks of 1 s a second fill 10 of 12 places, and end one after
-		// the other.
+		// 10 small tasks of 1 s a second, which end one after the other.
 		if round%2 == 0 {
 			job++
 			r.submit(jobName(job), small(1))
 		}
 		if place() {
-			return
+			return true
 		}
 		for _, w := range []string{"w1", "w2", "w3"} {
 			var still []ActiveRun
@@ -56,10 +73,34 @@
 		r.save()
 		r.pass(50 * time.Millisecond)
 		if place() {
-			return
+			return true
 		}
 	}
-	t.Fatal("the large task never started")
+	return false
+}
+
+// A gang waits for a worker that runs a task for another 2 s. Until then the rest of
+// it would stand idle: a task that surely ends before is let in, and one that may run
+// longer isn't, since the gang would wait for that one too.
+func TestKeptWorkerTakesWhatSurelyEndsBefore(t *testing.T) {
+	r := newRig(t, box("w1"))
+	r.save()
+	r.hold("w1", nil)
+	long := small(1)
+	long.Need.CPU, long.EstimateMs = 3000, 2000
+	r.submit("before", long)
+	assert.Equal(t, len(r.starts()), 1)
+	gang := small(2)
+	gang.Gang = true
+	gang.Need.CPU = 2000
+	r.submit("gang", gang)
+	r.pass(150 * time.Millisecond)
+	r.submit("short", StepSpec{Count: 1, Need: Resources{CPU: 1000}, EstimateMs: 700})
+	r.submit("long", StepSpec{Count: 1, Need: Resources{CPU: 1000}, EstimateMs: 1500})
+	r.pass(100 * time.Millisecond)
+	list := r.starts()
+	assert.Equal(t, len(list), 1)
+	assert.Equal(t, list[0].Task.Job, "short")
 }
 
 func jobName(n int) string {
--- a/pool/state.go
+++ b/pool/state.go
@@ -32,8 +32,9 @@
 	remaining int // tasks that aren't done
 	gangRun   int // number of the gang's newest run
 	policy    policy
-	chainMs   int64 // longest chain of declared work of the job
-	leftMs    int64 // the same from this step on
+	rated     urgency // as of the newest pass
+	chainMs   int64   // longest chain of declared work of the job
+	leftMs    int64   // the same from this step on
 	advice    advice
 	// waitingSince is when the step's turn came.
 	waitingSince time.Duration
--- a/pool/urgency.go
+++ b/pool/urgency.go
@@ -26,6 +26,12 @@
 	due      int64 // Unix milliseconds
 }
 
+// moreUrgentThan tells whether a step is of a more urgent kind than another, not just
+// due sooner.
+func (u urgency) moreUrgentThan(o urgency) bool {
+	return cmp.Or(cmp.Compare(u.tier, o.tier), cmp.Compare(u.priority, o.priority)) < 0
+}
+
 // urgencyOf rates a step by what its job can still earn.
 func (c *Core) urgencyOf(s *step) urgency {
 	q := c.policy(s)
@@ -70,7 +76,8 @@
 		s *step
 	}, len(steps))
 	for i, s := range steps {
-		rated[i].u, rated[i].s = c.urgencyOf(s), s
+		s.rated = c.urgencyOf(s)
+		rated[i].u, rated[i].s = s.rated, s
 	}
 	slices.SortStableFunc(rated, func(a, b struct {
 		u urgency
--- a/pool/worker.go
+++ b/pool/worker.go
@@ -108,12 +108,14 @@
 	used     Resources
 	booked   Resources     // kept while tickets are fetched
 	pause    time.Duration // no new tasks before
-	// reservedFor has this worker kept for it, if in the newest pass.
-	reservedFor *step
-	reservedIn  int
-	answered    time.Duration
-	fills       int // filling tasks
-	serving     int // tasks that serve under a latency target
+	// kept keeps it for a step.
+	kept *reservation
+	// expectedEnds are those of its runs, as worked out at endsAt.
+	expectedEnds []expectedEnd
+	endsAt       time.Duration
+	answered     time.Duration
+	fills        int // filling tasks
+	serving      int // tasks that serve under a latency target
 	// pace is that of its filling tasks, in percent, since paceAt.
 	pace   int
 	paceAt time.Duration
--- /dev/null
+++ b/standin/cmd/kw-pool-load/main.go
@@ -0,0 +1,76 @@
+// Command kw-pool-load plays a pool's core against a synthetic load in virtual time
+// and prints what the jobs earned, as a mean over several plays.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"os"
+	"slices"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/knapweedweir/knapweedweir/pool/experiment"
+)
+
+func main() {
+	plays := flag.Int("plays", 24, "how many plays")
+	burst := flag.Float64("burst", 1.8, "how many times as many of the kind -of come for 4 s; 1: none")
+	of := flag.String("of", "reconcile", "the kind that comes in a burst")
+	factor := flag.Float64("load", 1, "arrivals of all kinds, as a multiple")
+	flag.Parse()
+	load := experiment.Wholesaler()
+	for i := range load.Kinds {
+		load.Kinds[i].PerSec *= *factor
+	}
+	load.Bursts = []experiment.Burst{{Kind: *of, At: 15 * time.Second, For: 4 * time.Second, Multiple: *burst}}
+	print(load, play(load, *plays))
+}
+
+func play(load experiment.Load, plays int) []experiment.Result {
+	results := make([]experiment.Result, plays)
+	var wait sync.WaitGroup
+	for n := range plays {
+		wait.Go(func() { results[n] = experiment.Play(load, uint64(n+1)) })
+	}
+	wait.Wait()
+	return results
+}
+
+// print writes one row a queue and one for all.
+func print(load experiment.Load, results []experiment.Result) {
+	t := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "queue\tjobs\tearned\tin time\tlate\tp50 s\tp95 s\t")
+	for _, k := range load.Kinds {
+		var jobs, inTime, late int
+		var shares float64
+		var took []time.Duration
+		for _, r := range results {
+			q := r.Queues[k.Name]
+			jobs, inTime, late = jobs+q.Jobs, inTime+q.InTime, late+q.Late
+			shares += q.Share()
+			took = append(took, q.Took...)
+		}
+		slices.Sort(took)
+		fmt.Fprintf(t, "%s\t%d\t%.4f\t%.3f\t%.3f\t%.2f\t%.2f\t\n", k.Name, jobs, shares/float64(len(results)),
+			float64(inTime)/float64(jobs), float64(late)/float64(jobs), took[len(took)/2].Seconds(), took[len(took)*95/100].Seconds())
+	}
+	mean, square := 0.0, 0.0
+	var all experiment.Result
+	for _, r := range results {
+		mean += r.Share() / float64(len(results))
+		square += r.Share() * r.Share() / float64(len(results))
+		all.Used += r.Used / float64(len(results))
+		all.Wasted += r.Wasted / float64(len(results))
+		all.Starts += r.Starts
+		all.Questions += r.Questions
+		all.Asked += r.Asked / time.Duration(len(results))
+		all.Overfilled += r.Overfilled
+	}
+	fmt.Fprintf(t, "all\t\t%.4f\t\t\t\t\t\n", mean)
+	_ = t.Flush() // of standard output: there is nobody to tell
+	fmt.Printf("standard error of a play's share %.4f; in use %.3f; thrown away %.0f core-seconds; a play has %d starts and %d questions of %.0f s; beyond a worker's room %d\n",
+		math.Sqrt(max(0, square-mean*mean)/float64(max(1, len(results)-1))), all.Used, all.Wasted, all.Starts/len(results), all.Questions/len(results), all.Asked.Seconds(), all.Overfilled)
+}
