node: who doesn't own a pool names its owner to those that ask

Cause: an instance that the store turns away doesn't read of a new owner. Change: questions for a state or a count follow the owner's name as hand-ins do, and ask two others if the one taken for the owner is gone; who answered as the owner is asked first until the store is read again.

--- a/node/intake.go
+++ b/node/intake.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"time"
 
@@ -35,6 +36,9 @@
 	storePause = 250 * time.Millisecond
 	// redirects is how often a caller's record follows a pool that moves.
 	redirects = 3
+	// ownerHops is how many instances are asked for a pool's owner: the one taken for
+	// it, its successor, and two of the others if that one is gone.
+	ownerHops = 4
 	// stateTimeout bounds the question to a pool's owner.
 	stateTimeout = 500 * time.Millisecond
 )
@@ -163,16 +167,20 @@
 	}
 	var state pool.State
 	var found, owner, sure bool
-	var c claim
+	var addr string
 	if err := u.ask(ctx, func() {
 		state, found, owner, sure = u.jobState(job)
-		c = u.replica.claim
+		addr = u.ownerAddr()
 	}); err != nil {
 		return "", NotRun
 	}
-	if !owner && !(found && state.Ended()) && c.Addr != "" && c.Addr != n.set.PeerAddr {
+	if !owner && !(found && state.Ended()) {
 		var r StateReply
-		if err := n.peers.call(ctx, c.Addr, "State", StateArgs{Part: part, Job: job}, &r, stateTimeout); err == nil {
+		if u.askOwner(addr, func(at string) (string, error) {
+			r = StateReply{}
+			err := n.peers.call(ctx, at, "State", StateArgs{Part: part, Job: job}, &r, stateTimeout)
+			return r.Owner, err
+		}) {
 			if r.Found {
 				return r.State, Accepted
 			}
@@ -210,20 +218,55 @@
 	}
 	var count int
 	var owner bool
-	var c claim
-	if err := u.ask(ctx, func() { count, owner = u.pending(q.Name); c = u.replica.claim }); err != nil {
+	var addr string
+	if err := u.ask(ctx, func() { count, owner = u.pending(q.Name); addr = u.ownerAddr() }); err != nil {
 		return 0, false
 	}
-	if owner || c.Addr == "" || c.Addr == n.set.PeerAddr {
+	if owner {
 		return count, true
 	}
 	var r PendingReply
-	if err := n.peers.call(ctx, c.Addr, "Pending", PendingArgs{Part: part, Queue: q.Name}, &r, stateTimeout); err == nil {
+	if u.askOwner(addr, func(at string) (string, error) {
+		r = PendingReply{}
+		err := n.peers.call(ctx, at, "Pending", PendingArgs{Part: part, Queue: q.Name}, &r, stateTimeout)
+		return r.Owner, err
+	}) {
 		return r.Count, true
 	}
 	return count, true
 }
 
+// askOwner puts a question to the pool's owner, first where this instance takes it to
+// be. Whoever doesn't own the pool names the owner that it knows; if the one asked
+// doesn't answer, a few others are. It reports whether the owner answered.
+//
+// An instance that the store turns away doesn't read of a new owner. Without asking on,
+// its callers were shown the states of 10 s before: their jobs were long done.
+func (u *unit) askOwner(addr string, ask func(addr string) (owner string, err error)) bool {
+	tried := map[string]bool{"": true, u.node.set.PeerAddr: true}
+	var others []string
+	for range ownerHops {
+		if tried[addr] {
+			if others == nil {
+				others = u.node.peers.addrs()
+			}
+			others = slices.DeleteFunc(others, func(a string) bool { return tried[a] })
+			if len(others) == 0 {
+				return false
+			}
+			addr = others[0]
+		}
+		tried[addr] = true
+		owner, err := ask(addr)
+		if err == nil && owner == "" {
+			u.send(u.ctx, func() { u.answeredAsOwner = addr })
+			return true
+		}
+		addr = owner
+	}
+	return false
+}
+
 // String names a verdict in logs.
 func (v Verdict) String() string {
 	return [...]string{"accepted", "not run", "unknown", "no such job"}[v]
--- a/node/service.go
+++ b/node/service.go
@@ -22,6 +22,9 @@
 		State pool.State
 		Found bool
 		Sure  bool
+		// Owner is who owns the pool, as far as is known, if the one that replies
+		// doesn't; the rest says nothing then.
+		Owner string
 	}
 	// PendingArgs asks how many jobs of a queue have not begun.
 	PendingArgs struct {
@@ -29,7 +32,11 @@
 		Queue string
 	}
 	// PendingReply is the owner's answer.
-	PendingReply struct{ Count int }
+	PendingReply struct {
+		Count int
+		// Owner is as in StateReply.
+		Owner string
+	}
 	// AdviseArgs asks a peer to ask the advice service.
 	AdviseArgs struct{ Ask pool.Advise }
 	// AdviseReply is what the service said.
@@ -80,11 +87,9 @@
 	var owner bool
 	err := u.ask(withTimeout(context.Background(), peerTimeout), func() {
 		r.State, r.Found, owner, r.Sure = u.jobState(a.Job)
+		r.Owner = u.ownerAddr()
 	})
-	if err == nil && !owner {
-		return errNotOwner
-	}
-	return err
+	return s.nameOwner(err, owner, &r.Owner)
 }
 
 // Pending answers for a pool that this instance owns.
@@ -94,11 +99,25 @@
 		return errNotOwner
 	}
 	var owner bool
-	err := u.ask(withTimeout(context.Background(), peerTimeout), func() { r.Count, owner = u.pending(a.Queue) })
-	if err == nil && !owner {
+	err := u.ask(withTimeout(context.Background(), peerTimeout), func() {
+		r.Count, owner = u.pending(a.Queue)
+		r.Owner = u.ownerAddr()
+	})
+	return s.nameOwner(err, owner, &r.Owner)
+}
+
+// nameOwner leaves an owner's name in a reply only if it is another instance's, and
+// turns away who asks an instance that knows of none.
+func (s Peer) nameOwner(err error, owner bool, name *string) error {
+	switch {
+	case err != nil:
+		return err
+	case owner:
+		*name = ""
+	case *name == "" || *name == s.n.set.PeerAddr:
 		return errNotOwner
 	}
-	return err
+	return nil
 }
 
 // Advise asks the advice service, unless this instance is asking already.
--- a/node/unit.go
+++ b/node/unit.go
@@ -86,6 +86,9 @@
 	heir       string
 	heirSince  time.Duration
 	heirSought time.Duration // when a better owner was last looked for
+	// answeredAsOwner is an instance that has answered as the owner since the store was
+	// last read; empty: none.
+	answeredAsOwner string
 	// direct holds records that this instance stores without the owner.
 	direct     []submission
 	directBusy bool // some are on their way
@@ -201,6 +204,7 @@
 		u.steady = now
 	}
 	u.lastRead = now
+	u.answeredAsOwner = ""
 	fresh, err := u.replica.apply(b)
 	if err != nil {
 		u.log.Error().Err(err).Msg("record.unreadable")
@@ -306,8 +310,11 @@
 
 // ownerAddr is where the pool's owner is, as far as is known here.
 func (u *unit) ownerAddr() string {
-	if u.heir != "" {
+	switch {
+	case u.heir != "":
 		return u.heir
+	case u.answeredAsOwner != "":
+		return u.answeredAsOwner
 	}
 	return u.replica.claim.Addr
 }
