node: what waits in an outage of the store is withdrawn for certain, and its end is found at once

After the store's return the hung append was still waited for: nothing was accepted for 1.4 s. Answers that the store lost held all up for 1.2 s. Change: a submission that no append has taken is withdrawn after 0.4 of its caller's time, and its caller told for certain; until then it is tried again each 0.1 s. Reads beside a hung append tell whether the store answers: if so it is sent again under its number, if not the owner counts as turned away after 0.6 s. Another way than the owner's is taken only where the store answers a check. Ruled out: a longer time to return: callers come back after 0.4 to 1 s whatever it says.

--- a/node/handover.go
+++ b/node/handover.go
@@ -90,7 +90,7 @@
 // store for all, owners that still wait for an append need no heir.
 func (u *unit) storeServes() bool {
 	now := u.node.now()
-	return u.healthy != 0 && now-u.lastRead < leisurePause+turnedAwayFor && now-u.steady > appendTimeout+turnedAwayFor
+	return u.healthy != 0 && now-u.lastRead < longestGap && now-u.steady > appendTimeout+turnedAwayFor
 }
 
 // handedOver notes that another instance is claiming the pool; who still comes
--- a/node/intake.go
+++ b/node/intake.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -34,6 +35,14 @@
 	slowOwnerTry = 2300 * time.Millisecond
 	// storePause is the pause between two rounds of tries.
 	storePause = 250 * time.Millisecond
+	// holdShare of a caller's time is how long it is held while nothing can be stored.
+	// Callers come back up to four times, a second later; held for less than half of
+	// what is left each time, they cover all but the last tenth of it.
+	holdShare = 0.4
+	// leastHold is enough for an append, which takes 4 to 20 ms.
+	leastHold = 50 * time.Millisecond
+	// refusedPause is the pause between two rounds of tries that certainly did nothing.
+	refusedPause = 100 * time.Millisecond
 	// redirects is how often a caller's record follows a pool that moves.
 	redirects = 3
 	// ownerHops is how many instances are asked for a pool's owner: the one taken for
@@ -56,29 +65,45 @@
 }
 
 // submitAndWait stores a record as the pool's owner and waits until it is stored.
-func (u *unit) submitAndWait(ctx context.Context, rec pool.Record) error {
-	return u.await(ctx, rec, func(_ context.Context, s submission) { u.submit(s) })
+func (u *unit) submitAndWait(ctx context.Context, rec pool.Record, hold time.Duration) error {
+	return u.await(ctx, rec, hold, func(_ context.Context, s *submission) { u.submit(s) })
 }
 
 // await gives a record to one of the unit's ways to store it, and waits for the
-// outcome.
-func (u *unit) await(ctx context.Context, rec pool.Record, store func(context.Context, submission)) error {
-	stored := make(chan error, 1)
+// outcome. What no append has taken after the hold is withdrawn: it was not stored and
+// never will be. Kept on in an outage, each caller's whole time went by, and none of
+// them could be told for certain that nothing was stored, though nearly all was not.
+func (u *unit) await(ctx context.Context, rec pool.Record, hold time.Duration, store func(context.Context, *submission)) error {
+	s := newSubmission(rec)
 	waiting := withTimeout(ctx, slowOwnerTry)
-	if err := u.ask(waiting, func() { store(u.ctx, submission{record: rec, stored: stored}) }); err != nil {
+	if err := u.ask(waiting, func() { store(u.ctx, s) }); err != nil {
+		if s.withdraw() {
+			return ErrRefused
+		}
 		return err
 	}
-	select {
-	case err := <-stored:
-		return err
-	case <-waiting.Done():
-		return ErrInDoubt
+	held := time.NewTimer(hold)
+	defer held.Stop()
+	for {
+		select {
+		case err := <-s.stored:
+			return err
+		case <-held.C:
+			if s.withdraw() {
+				return ErrRefused
+			}
+		case <-waiting.Done():
+			if s.withdraw() {
+				return ErrRefused
+			}
+			return ErrInDoubt
+		}
 	}
 }
 
 // throughOwner stores a record through the pool's owner, which appends all that
 // come at the same time at once.
-func (n *Node) throughOwner(ctx context.Context, part int, rec pool.Record) error {
+func (n *Node) throughOwner(ctx context.Context, part int, rec pool.Record, hold time.Duration) error {
 	u := n.unit(part)
 	if u == nil {
 		return errNotOwner
@@ -92,10 +117,10 @@
 			return errNotOwner
 		}
 		if addr == n.set.PeerAddr {
-			return u.submitAndWait(ctx, rec)
+			return u.submitAndWait(ctx, rec, hold)
 		}
 		var r SubmitReply
-		err := n.peers.callWhileAlive(ctx, addr, "Submit", StoreArgs{Part: part, Record: rec}, &r, ownerTry, slowOwnerTry)
+		err := n.peers.callWhileAlive(ctx, addr, "Submit", StoreArgs{Part: part, Record: rec, Hold: hold}, &r, ownerTry, slowOwnerTry)
 		if err != nil || r.Stored {
 			return err
 		}
@@ -105,28 +130,49 @@
 }
 
 // persist stores a record: through the pool's owner, else here, else through a
-// peer. If all of them certainly did nothing, the caller is told so at once. Once
-// a try had no answer the record may be stored at any time, so it is tried until
-// it is certain.
+// peer. While all of them certainly do nothing it is tried again for a part of the
+// caller's time, so that it is stored as soon as the store is back; then the caller is
+// told that it was not, early enough to come back. Once a try had no answer the record
+// may be stored at any time, so it is tried until it is certain.
 func (n *Node) persist(ctx context.Context, part int, rec pool.Record) Verdict {
+	refuseAt := n.now() + holdFor(ctx)
 	inDoubt := false
 	for {
-		for _, way := range []func(context.Context, int, pool.Record) error{n.throughOwner, n.throughStore, n.throughPeer} {
-			err := way(ctx, part, rec)
+		for _, way := range []func(context.Context, int, pool.Record, time.Duration) error{n.throughOwner, n.throughStore, n.throughPeer} {
+			if !inDoubt && n.now() >= refuseAt {
+				return NotRun
+			}
+			err := way(ctx, part, rec, max(leastHold, refuseAt-n.now()))
 			if err == nil {
 				return Accepted
 			}
 			inDoubt = inDoubt || !didNothing(err)
 		}
+		pause := storePause
 		if !inDoubt {
-			return NotRun
+			if n.now()+refusedPause >= refuseAt {
+				return NotRun
+			}
+			pause = refusedPause
 		}
-		if sleep(ctx, storePause); ctx.Err() != nil {
-			return Unknown
+		if sleep(ctx, pause); ctx.Err() != nil {
+			if inDoubt {
+				return Unknown
+			}
+			return NotRun
 		}
 	}
 }
 
+// holdFor is how long a caller is held at most while nothing can be stored.
+func holdFor(ctx context.Context) time.Duration {
+	until, limited := ctx.Deadline()
+	if !limited {
+		return slowOwnerTry
+	}
+	return time.Duration(holdShare * float64(time.Until(until)))
+}
+
 // didNothing reports whether an error says that nothing was or will be done. An
 // error that a peer sends arrives as its text.
 func didNothing(err error) bool {
@@ -137,25 +183,25 @@
 	return text == errNotOwner.Error() || strings.HasSuffix(text, ErrRefused.Error())
 }
 
-// throughStore stores a record from this instance, unless the store is known to
-// turn it away.
-func (n *Node) throughStore(ctx context.Context, part int, rec pool.Record) error {
-	if u := n.unit(part); u == nil || !u.reads.Load() {
+// throughStore stores a record from this instance, if the store answers it just now.
+// An append to a store that doesn't would leave the caller in doubt.
+func (n *Node) throughStore(ctx context.Context, part int, rec pool.Record, hold time.Duration) error {
+	u := n.unit(part)
+	if u == nil || !u.reads.Load() || !u.storeAnswers(withTimeout(ctx, hold)) {
 		return ErrRefused
 	}
-	return n.unit(part).await(ctx, rec, n.unit(part).storeDirect)
+	return u.await(ctx, rec, hold, u.storeDirect)
 }
 
-// throughPeer has a peer store a record.
-func (n *Node) throughPeer(ctx context.Context, part int, rec pool.Record) error {
-	err := errors.Wrap(errNoPeer, "nobody is known")
-	for _, addr := range n.peers.addrs() {
-		err = n.peers.call(ctx, addr, "Store", StoreArgs{Part: part, Record: rec}, &Empty{}, peerTimeout)
-		if err == nil || !didNothing(err) {
-			return err
-		}
+// throughPeer has a peer store a record; one at random, since the store may turn away
+// any of them, and each costs time.
+func (n *Node) throughPeer(ctx context.Context, part int, rec pool.Record, hold time.Duration) error {
+	peers := n.peers.addrs()
+	if len(peers) == 0 {
+		return errors.Wrap(errNoPeer, "nobody is known")
 	}
-	return err
+	addr := peers[rand.IntN(len(peers))]
+	return n.peers.call(ctx, addr, "Store", StoreArgs{Part: part, Record: rec, Hold: min(hold, peerTimeout/2)}, &Empty{}, peerTimeout)
 }
 
 // State returns a job's state.
--- a/node/owner.go
+++ b/node/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/knapweedweir/knapweedweir/pool"
@@ -50,15 +51,19 @@
 	beating   bool
 	workers   map[string]pool.WorkerInfo
 	asks      *askQueue
-	// turnedAway tells that the newest append failed; away is the same for
-	// the goroutine that appends.
-	turnedAway, away bool
-	awaySince        time.Duration // an append last succeeded, as far as is known
+	// turnedAway tells that the newest append failed, or has no answer for long; away
+	// is the same for the goroutines that append and watch.
+	turnedAway bool
+	away       atomic.Bool
+	// end is the stream's end after the newest append.
+	end       atomic.Int64
+	awaySince time.Duration // an append last succeeded, as far as is known
 }
 
 func newOwnership(ctx context.Context, u *unit, c claim, offset int64) *ownership {
 	o := &ownership{unit: u, claim: c, offset: offset, saves: newSaveQueue(), workers: map[string]pool.WorkerInfo{}}
 	o.ctx, o.cancel = context.WithCancel(ctx)
+	o.end.Store(offset + 1)
 	set := u.node.set
 	o.core = pool.New(pool.Settings{
 		Token: c.Epoch, Generation: c.Generation, HoldMax: set.HoldMax, StopTimeout: set.StopTimeout, KeepEnded: keepEnded,
--- a/node/saves.go
+++ b/node/saves.go
@@ -1,7 +1,10 @@
 package node
 
 import (
+	"context"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -15,19 +18,49 @@
 	appendTimeout = 1200 * time.Millisecond
 	// appendRetry is the pause after an append that failed.
 	appendRetry = 60 * time.Millisecond
+	// appendDoubtful is when an append is looked after that has no answer; it has one
+	// after 4 to 20 ms. A read every probeEvery tells then whether the store answers.
+	appendDoubtful = 150 * time.Millisecond
+	probeEvery     = 100 * time.Millisecond
+	// lostAfter is how many times as long as a read an append may take: on a store 60
+	// times slower than usual a read takes 0.24 s, and an append up to three times as
+	// long while others are before it.
+	lostAfter = 4
+	// silentStore is an append without an answer after which the owner counts as
+	// turned away, unless a read is answered.
+	silentStore = 600 * time.Millisecond
 )
 
-// submission is a record that a caller waits for.
+// submission is a record that a caller waits for. Until it is taken for an append it
+// can be withdrawn: its caller is then told for certain that it was not stored.
 type submission struct {
 	record pool.Record
-	stored chan<- error // gets one value
+	stored chan error // gets one value
+	state  atomic.Int32
 }
 
+// The states of a submission.
+const (
+	waitsForAppend int32 = iota
+	takenForAppend
+	withdrawn
+)
+
+func newSubmission(rec pool.Record) *submission {
+	return &submission{record: rec, stored: make(chan error, 1)}
+}
+
+// take reports whether the submission may be sent to the store.
+func (s *submission) take() bool { return s.state.CompareAndSwap(waitsForAppend, takenForAppend) }
+
+// withdraw reports whether the submission has not been sent and never will be.
+func (s *submission) withdraw() bool { return s.state.CompareAndSwap(waitsForAppend, withdrawn) }
+
 type pendingSave struct {
 	kind    saveKind
 	seq     uint64 // the core's number
 	records []pool.Record
-	waiting []submission
+	waiting []*submission
 }
 
 type saveKind int
@@ -65,11 +98,13 @@
 	}
 }
 
-// take returns all that waits.
+// take returns all that waits, but for what callers have withdrawn.
 func (q *saveQueue) take() []pendingSave {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	batch := q.waiting
+	batch := slices.DeleteFunc(q.waiting, func(s pendingSave) bool {
+		return s.kind == intakeSave && !s.waiting[0].take()
+	})
 	q.waiting = nil
 	return batch
 }
@@ -81,18 +116,18 @@
 //
 // While the store turns this instance away, it is refused at once: nothing of it
 // was sent, so the caller may come back, and another instance may store it.
-func (o *ownership) submit(s submission) {
+func (o *ownership) submit(s *submission) {
 	switch {
 	case o.unit.heir != "":
 		s.stored <- errNotOwner
 	case o.turnedAway:
 		s.stored <- ErrRefused
 	default:
-		o.saves.add(pendingSave{kind: intakeSave, records: []pool.Record{s.record}, waiting: []submission{s}})
+		o.saves.add(pendingSave{kind: intakeSave, records: []pool.Record{s.record}, waiting: []*submission{s}})
 	}
 }
 
-func answerAll(waiting []submission, err error) {
+func answerAll(waiting []*submission, err error) {
 	for _, s := range waiting {
 		s.stored <- err
 	}
@@ -111,6 +146,22 @@
 	}
 }
 
+// refuseIntake gives up what callers handed in and no append has taken, so that it is
+// stored another way.
+func (q *saveQueue) refuseIntake() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.waiting = slices.DeleteFunc(q.waiting, func(s pendingSave) bool {
+		if s.kind != intakeSave {
+			return false
+		}
+		if s.waiting[0].withdraw() {
+			answerAll(s.waiting, ErrRefused)
+		}
+		return true
+	})
+}
+
 func (o *ownership) saveAnswered(e saveDone) {
 	if errors.Is(e.err, ErrRefused) {
 		answerAll(e.waiting, ErrRefused)
@@ -197,15 +248,77 @@
 	for _, s := range batch {
 		records = append(records, s.records...)
 	}
-	_, err := o.unit.node.store.Append(withTimeout(o.ctx, appendTimeout), o.unit.topic, records,
+	ctx, cancel := context.WithTimeout(o.ctx, appendTimeout)
+	defer cancel()
+	over := make(chan struct{})
+	defer close(over)
+	go o.watchAppend(over, cancel)
+	offset, err := o.unit.node.store.Append(ctx, o.unit.topic, records,
 		&Writer{Name: "owner", Epoch: o.claim.Epoch, Sequence: o.sequence})
-	if away := err != nil; away != o.away {
-		o.away = away
-		o.unit.send(o.ctx, func() { o.turnedAway = away })
+	o.setAway(err != nil)
+	if err == nil {
+		o.end.Store(offset + int64(len(records)))
 	}
 	return err
 }
 
+// setAway tells the unit when the store begins or ceases to turn this instance away.
+func (o *ownership) setAway(away bool) {
+	if o.away.Swap(away) != away {
+		o.unit.send(o.ctx, func() {
+			if o.turnedAway = away; away {
+				o.saves.refuseIntake()
+			}
+		})
+	}
+}
+
+// watchAppend ends an append that hangs although the store answers: its answer was
+// lost, or it was sent while the store was away, and no answer will come. It is sent
+// again then, under the same number. Left to its timeout, the owner stored nothing
+// for up to 1.2 s after each outage and after each answer that was lost.
+//
+// On a slow store reads take longer too, so the append has several times as long. And
+// if the store answers nothing at all, the owner counts as turned away.
+func (o *ownership) watchAppend(over <-chan struct{}, giveUp func()) {
+	sent := o.unit.node.now()
+	answered := make(chan time.Duration, appendTimeout/probeEvery+1)
+	heard := false
+	t := time.NewTicker(probeEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-over:
+			return
+		case <-o.ctx.Done():
+			return
+		case took := <-answered:
+			heard = true
+			if waited := o.unit.node.now() - sent; waited > appendDoubtful+lostAfter*took {
+				giveUp()
+				return
+			}
+		case <-t.C:
+			waited := o.unit.node.now() - sent
+			if waited > silentStore && !heard {
+				o.setAway(true)
+			}
+			if waited >= appendDoubtful {
+				go o.probe(answered)
+			}
+		}
+	}
+}
+
+// probe asks the store for nothing, and tells how long the answer took.
+func (o *ownership) probe(answered chan<- time.Duration) {
+	began := o.unit.node.now()
+	if _, _, err := o.unit.node.store.Read(withTimeout(o.ctx, checkTimeout), o.unit.topic, o.end.Load(), 0); err != nil && !errors.Is(err, ErrTrimmed) {
+		return
+	}
+	answered <- o.unit.node.now() - began
+}
+
 // refuseCallers gives up what callers handed in and returns the rest.
 func (o *ownership) refuseCallers(batch []pendingSave, err error) []pendingSave {
 	var rest []pendingSave
--- a/node/service.go
+++ b/node/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/rpc"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -48,6 +49,8 @@
 	StoreArgs struct {
 		Part   int
 		Record pool.Record
+		// Hold is how long the record may wait for an append.
+		Hold time.Duration
 	}
 	// SubmitReply tells that a record is stored, or who owns its pool.
 	SubmitReply struct {
@@ -135,7 +138,7 @@
 
 // Store stores a record.
 func (s Peer) Store(a StoreArgs, _ *Empty) error {
-	return s.n.throughStore(context.Background(), a.Part, a.Record)
+	return s.n.throughStore(context.Background(), a.Part, a.Record, a.Hold)
 }
 
 // Submit stores a record as the owner of its pool, or tells who owns it.
@@ -144,7 +147,7 @@
 	if u == nil {
 		return nil
 	}
-	err := u.submitAndWait(context.Background(), a.Record)
+	err := u.submitAndWait(context.Background(), a.Record, a.Hold)
 	if errors.Is(err, errNotOwner) {
 		return u.ask(withTimeout(context.Background(), aliveTimeout), func() {
 			if addr := u.ownerAddr(); addr != s.n.set.PeerAddr {
@@ -162,6 +165,9 @@
 	if u == nil || s.n.stopping.Load() || !u.reads.Load() || (s.n.owned() > 0 && !a.Second) {
 		return errNotOwner
 	}
+	if a.Wait && !u.storeAnswers(u.ctx) {
+		return errNotOwner
+	}
 	taken := false
 	ended := make(chan error, 1)
 	err := u.ask(withTimeout(context.Background(), peerTimeout), func() {
--- a/node/unit.go
+++ b/node/unit.go
@@ -90,7 +90,8 @@
 	// last read; empty: none.
 	answeredAsOwner string
 	// direct holds records that this instance stores without the owner.
-	direct     []submission
+	check      storeCheck
+	direct     []*submission
 	directBusy bool // some are on their way
 }
 
@@ -300,7 +301,7 @@
 }
 
 // submit stores a record as the pool's owner.
-func (u *unit) submit(s submission) {
+func (u *unit) submit(s *submission) {
 	if u.own == nil {
 		s.stored <- errNotOwner
 		return
