kwctl: delays tells where jobs' time went, by queue

Cause: where worth is lost was found by eye, job by job. The table gives, by queue, the time until the store held a job, until its first start, its last end and its completion, and the jobs that were never accepted or never began. Ruled out: a second log format for it; it reads the lines that why reads.

--- a/cmd/kwctl/console.go
+++ b/cmd/kwctl/console.go
@@ -41,6 +41,7 @@
 Usage: kwctl GROUP COMMAND [flags] [arguments]
        kwctl doctor [flags]
        kwctl why [-logs FILE] JOB
+       kwctl delays [-logs FILE]
 
 Every command asks one entry: -entry ADDRESS, or $KW_ENTRY. Flags may stand
 before or after the command and its arguments. Tables are for people; -o json is for programs.
@@ -93,7 +94,7 @@
 }
 
 func (c *console) commands() []subcommands.Command {
-	return []subcommands.Command{c.jobGroup(), c.settingsGroup(), c.keysGroup(), c.instanceGroup(), c.workerGroup(), c.dumpGroup(), c.doctorCommand(), c.whyCommand()}
+	return []subcommands.Command{c.jobGroup(), c.settingsGroup(), c.keysGroup(), c.instanceGroup(), c.workerGroup(), c.dumpGroup(), c.doctorCommand(), c.whyCommand(), c.delaysCommand()}
 }
 
 func (c *console) flags(f *flag.FlagSet) {
--- /dev/null
+++ b/cmd/kwctl/delays.go
@@ -0,0 +1,187 @@
+package main
+
+import (
+	"cmp"
+	"context"
+	"flag"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+func (c *console) delaysCommand() *verb {
+	var logs string
+	return &verb{console: c, name: "delays", least: 0, most: 0,
+		run: func(context.Context, []string) error { return c.delays(logs) },
+		flags: func(f *flag.FlagSet) {
+			f.StringVar(&logs, "logs", "-", "file with the instances' logs, - is standard input")
+		},
+		synopsis: "tell where jobs' time went, by queue, from the instances' logs",
+		help: "Reads what kw-node processes wrote, as why does. A row is one queue and one part of its jobs'\n" +
+			"time: until the store held them, until their first task started, until their last task ended,\n" +
+			"and until that was stored; beside the middle and the slowest twentieth, the sum over all jobs.\n" +
+			"Under them stand the jobs that were never accepted, by what their callers were last told, and\n" +
+			"those that were accepted and had not begun, or not ended, when the logs end."}
+}
+
+// jobTimes is one job's way, as the logs tell it; the zero time stands for never.
+type jobTimes struct {
+	queue, verdict                             string
+	handedIn, accepted, began, ended, complete time.Time
+	cancelled                                  bool
+}
+
+// stage is a part of a job's time.
+type stage struct {
+	name     string
+	from, to func(*jobTimes) time.Time
+}
+
+var stages = []stage{
+	{"hand-in to stored", func(j *jobTimes) time.Time { return j.handedIn }, func(j *jobTimes) time.Time { return j.accepted }},
+	{"stored to first start", func(j *jobTimes) time.Time { return j.accepted }, func(j *jobTimes) time.Time { return j.began }},
+	{"first start to last end", func(j *jobTimes) time.Time { return j.began }, func(j *jobTimes) time.Time { return j.ended }},
+	{"last end to completed", func(j *jobTimes) time.Time { return j.ended }, func(j *jobTimes) time.Time { return j.complete }},
+	{"in all", func(j *jobTimes) time.Time { return j.handedIn }, func(j *jobTimes) time.Time { return j.complete }},
+}
+
+// delayRow is one line of the table.
+type delayRow struct {
+	Queue string        `json:"queue"`
+	Part  string        `json:"part"`
+	Jobs  int           `json:"jobs"`
+	P50   time.Duration `json:"p50_ns,omitempty"`
+	P95   time.Duration `json:"p95_ns,omitempty"`
+	Sum   time.Duration `json:"sum_ns,omitempty"`
+}
+
+func (c *console) delays(logs string) error {
+	data, err := c.file(logs)
+	if err != nil {
+		return err
+	}
+	rows := delayRows(timesOf(parseLog(data)))
+	if len(rows) == 0 {
+		return errors.Errorf("%s says nothing of any job", logs)
+	}
+	table := make([][]string, 0, len(rows))
+	for _, r := range rows {
+		line := []string{r.Queue, r.Part, fmt.Sprint(r.Jobs), "", "", ""}
+		if r.Sum > 0 {
+			line = append(line[:3], inMs(r.P50), inMs(r.P95), fmt.Sprintf("%.1f", r.Sum.Seconds()))
+		}
+		table = append(table, line)
+	}
+	return c.table(rows, "QUEUE\tPART\tJOBS\tP50_MS\tP95_MS\tSUM_S", table)
+}
+
+func inMs(d time.Duration) string { return fmt.Sprintf("%.0f", float64(d)/float64(time.Millisecond)) }
+
+// timesOf follows each job through the lines.
+func timesOf(lines []logLine) []*jobTimes {
+	byID := map[string]*jobTimes{}
+	var list []*jobTimes
+	for _, l := range lines {
+		if l.Job == "" {
+			continue
+		}
+		j := byID[l.Job]
+		if j == nil {
+			j = &jobTimes{}
+			byID[l.Job] = j
+			list = append(list, j)
+		}
+		j.take(l)
+	}
+	return slices.DeleteFunc(list, func(j *jobTimes) bool { return j.queue == "" })
+}
+
+func (j *jobTimes) take(l logLine) {
+	switch l.Event {
+	case "job.submitted":
+		j.queue = l.Queue
+		if came := l.Time.Add(-time.Duration(l.Took * float64(time.Millisecond))); j.handedIn.IsZero() || came.Before(j.handedIn) {
+			j.handedIn = came
+		}
+		if j.accepted.IsZero() {
+			j.verdict = l.Verdict
+		}
+		if l.Verdict == "accepted" && j.accepted.IsZero() {
+			j.accepted = l.Time
+		}
+	case "run.start":
+		if j.began.IsZero() {
+			j.began = l.Time
+		}
+	case "run.ended":
+		j.ended = l.Time
+	case "job.completed":
+		j.complete = l.Time
+	case "job.cancelled", "job.failed":
+		j.cancelled = true
+	}
+}
+
+func delayRows(jobs []*jobTimes) []delayRow {
+	queues := map[string][]*jobTimes{}
+	var names []string
+	for _, j := range jobs {
+		if queues[j.queue] == nil {
+			names = append(names, j.queue)
+		}
+		queues[j.queue] = append(queues[j.queue], j)
+	}
+	slices.Sort(names)
+	var rows []delayRow
+	for _, name := range names {
+		for _, s := range stages {
+			rows = append(rows, s.row(name, queues[name]))
+		}
+		rows = append(rows, leftOver(name, queues[name])...)
+	}
+	return rows
+}
+
+// row sums one stage over the jobs that were completed.
+func (s stage) row(queue string, jobs []*jobTimes) delayRow {
+	r := delayRow{Queue: queue, Part: s.name}
+	var took []time.Duration
+	for _, j := range jobs {
+		from, to := s.from(j), s.to(j)
+		if j.complete.IsZero() || from.IsZero() || to.IsZero() {
+			continue
+		}
+		d := max(0, to.Sub(from))
+		took = append(took, d)
+		r.Sum += d
+	}
+	if r.Jobs = len(took); r.Jobs > 0 {
+		slices.Sort(took)
+		r.P50, r.P95 = took[len(took)/2], took[len(took)*95/100]
+	}
+	return r
+}
+
+// leftOver counts the jobs that were not completed, by how far they came.
+func leftOver(queue string, jobs []*jobTimes) []delayRow {
+	counts := map[string]int{}
+	for _, j := range jobs {
+		switch {
+		case !j.complete.IsZero() || j.cancelled:
+		case j.accepted.IsZero():
+			counts["never accepted, last told: "+j.verdict]++
+		case j.began.IsZero():
+			counts["accepted, not begun"]++
+		default:
+			counts["begun, not completed"]++
+		}
+	}
+	var rows []delayRow
+	for part, n := range counts {
+		rows = append(rows, delayRow{Queue: queue, Part: part, Jobs: n})
+	}
+	slices.SortFunc(rows, func(a, b delayRow) int { return cmp.Compare(a.Part, b.Part) })
+	return rows
+}
--- a/cmd/kwctl/why.go
+++ b/cmd/kwctl/why.go
@@ -39,6 +39,7 @@
 	Run      int       `json:"run"`
 	Worker   string    `json:"worker"`
 	Reason   string    `json:"reason"`
+	Queue    string    `json:"queue"`
 	Verdict  string    `json:"verdict"`
 	Error    string    `json:"error"`
 	Epoch    uint64    `json:"epoch"`
