node: an owner without power is found out by those that would take over

Cause: an owner whose machine loses power or is removed ends no connection. Change: the two instances that would take over ask the owner each 0.15 s whether it is there. One that answers neither them for 0.5 s nor writes to a store that answers quickly is replaced. One that only its peers miss stays, and one whose store is slow or away too. Tests: TestDarkOwnerIsReplacedSoon (under 0.8 s; fails before), TestOwnerThatOnlyItsPeersMissStays. Ruled out: less patience with silence in the store alone: owners replaced each other on a slow store.

--- a/node/claiming.go
+++ b/node/claiming.go
@@ -26,6 +26,11 @@
 	// checkTimeout bounds the check whether the store answers; it does in 4 ms, and
 	// in 0.3 s on slow days.
 	checkTimeout = 600 * time.Millisecond
+	// pingEvery is how often those that would take over ask the owner whether it is
+	// there, and deadAfter how long it may answer none of them: three questions, and
+	// longer than the 0.3 s between two of its words in the store.
+	pingEvery = 150 * time.Millisecond
+	deadAfter = 500 * time.Millisecond
 	// claimSpread separates the claims of several instances.
 	claimSpread = 100 * time.Millisecond
 	// firstSpread does so for the first claims, for which there is no order yet.
@@ -83,6 +88,8 @@
 		return "a claim of this instance took effect late"
 	case u.node.isGone(c), u.node.peers.hasRestarted(process{c.Node, c.Life}):
 		return "its owner's process is gone"
+	case u.unreachable(now):
+		return "its owner answers neither here nor at the store"
 	case now-max(u.ownerHeard, u.healthy) > u.patience(now) && u.storeProven(now):
 		return "its owner is silent"
 	}
@@ -98,7 +105,9 @@
 func (u *unit) checkStore(ctx context.Context, next int64) {
 	asked := u.node.now()
 	_, _, err := u.node.store.Read(withTimeout(ctx, checkTimeout), u.topic, next, 0)
+	took := u.node.now() - asked
 	u.send(ctx, func() {
+		u.checkTook = took
 		switch {
 		case err != nil:
 			u.seenSince = 0
@@ -121,6 +130,39 @@
 	return u.seenSince != 0 && now-u.seenSince >= proof
 }
 
+// pingOwner asks the owner whether it is there, if this instance would take over. An
+// owner whose machine has lost power or is cut off ends no connection; by its silence
+// in the store alone it was replaced after 1.7 s, in which no job began.
+func (u *unit) pingOwner(ctx context.Context) {
+	c := u.replica.claim
+	now := u.node.now()
+	if u.leisure.Load() || c.Addr == "" || c.Addr == u.node.set.PeerAddr || now-u.pingedAt < pingEvery {
+		return
+	}
+	if owner := (process{c.Node, c.Life}); u.pinged != owner {
+		u.pinged, u.ownerAlive = owner, now
+	}
+	u.pingedAt = now
+	go u.node.probe(ctx, u, c)
+	if now-u.ownerAlive > deadAfter/2 {
+		// Its newest word, if there is one, must be known before it counts as dead.
+		select {
+		case u.readNow <- struct{}{}:
+		default:
+		}
+		go u.checkStore(ctx, u.replica.next)
+	}
+}
+
+// unreachable reports whether the owner answers this instance as little as it writes to
+// a store that answers quickly. One that is only cut off from this instance goes on
+// writing, and one whose store is slow or away goes on answering.
+func (u *unit) unreachable(now time.Duration) bool {
+	c := u.replica.claim
+	return u.pinged == process{c.Node, c.Life} && !u.leisure.Load() && now-u.ownerAlive > deadAfter &&
+		now-max(u.ownerHeard, u.healthy) > deadAfter && u.seenSince != 0 && now-u.seenSince >= pingEvery && u.checkTook < slowLook
+}
+
 // watchOwner keeps a question open at the pool's owner. If its process ends, the
 // connection ends with it, and the owner is known to be gone within milliseconds;
 // noticed by its silence in the store, that took 0.7 to 1 s.
--- a/node/claiming_test.go
+++ b/node/claiming_test.go
@@ -172,3 +172,43 @@
 		}
 	})
 }
+
+// The owner's machine loses power: its connections stay open, and nobody answers there
+// any more. Callers wait for the next owner, small jobs with a second to spare at most.
+// Those that would take over find that it answers neither them nor the store.
+func TestDarkOwnerIsReplacedSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, false, "a", "b", "c", "d", "e")
+		defer c.close()
+		time.Sleep(3 * time.Second)
+		c.darken(c.owner())
+		assert.Assert(t, c.ownedAfter() < 800*time.Millisecond)
+	})
+}
+
+// The owner no longer hears its peers, but its store does. It works on and must stay:
+// a new owner would have to ask all workers before older jobs go on.
+func TestOwnerThatOnlyItsPeersMissStays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, false, "a", "b", "c", "d", "e")
+		defer c.close()
+		time.Sleep(3 * time.Second)
+		first, before := c.owner(), c.claimsSent()
+		c.world.Silence(first)
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, c.owner(), first)
+		assert.Equal(t, c.claimsSent(), before)
+	})
+}
+
+// darken takes an instance's power: nothing goes out or comes in, and no connection
+// ends.
+func (c *cluster) darken(name string) {
+	c.world.Silence(name)
+	c.members[name].view.SetStore(machines.StoreSilent)
+	c.members[name].view.CutWorkers(true)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.dark = append(c.dark, c.members[name].stop)
+	c.members[name].stop = nil // nobody counts it as up
+}
--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -31,6 +31,7 @@
 	mu      sync.Mutex // guards the members
 	members map[string]*member
 	logs    lockedBuffer
+	dark    []func() // ends instances that have lost power
 	// luck draws what callers do, bad what befalls the cluster.
 	luck, bad *rand.Rand
 }
@@ -153,6 +154,9 @@
 	for _, name := range c.names() {
 		c.kill(name)
 	}
+	for _, end := range c.dark {
+		end()
+	}
 	c.cancel()
 	time.Sleep(time.Minute) // virtual: whatever still waits runs out
 }
--- a/node/unit.go
+++ b/node/unit.go
@@ -71,6 +71,10 @@
 	ownerHeard time.Duration
 	ownerWorks time.Duration // when the owner last said that it works
 	ownerAlive time.Duration // when it last answered at all
+	// pinged is the owner that is asked whether it is there, last at pingedAt.
+	pinged    process
+	pingedAt  time.Duration
+	checkTook time.Duration // the newest check of the store
 	// seenSince is since when the store answers checks, while the owner is not
 	// heard of; 0: it doesn't, or the owner is.
 	seenSince time.Duration
@@ -253,6 +257,7 @@
 		return
 	}
 	u.watchOwner(ctx)
+	u.pingOwner(ctx)
 	if now := u.node.now(); now-u.rankedAt > rankEvery {
 		u.rankedAt = now
 		u.leisure.Store(u.rank() >= nextOwners)
--- a/standin/machines/world.go
+++ b/standin/machines/world.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -173,6 +174,7 @@
 	conns  chan net.Conn
 	closed chan struct{}
 	once   sync.Once
+	silent atomic.Bool
 }
 
 // Listen returns the listener of an instance.
@@ -184,11 +186,23 @@
 	return l
 }
 
+// Silence has an instance take in nothing from its peers, as one without power does:
+// its connections stay open.
+func (w *World) Silence(addr string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.nets[addr].silent.Store(true)
+}
+
 // Dial connects to an instance.
 func (w *World) Dial(addr string, timeout time.Duration) (net.Conn, error) {
 	w.mu.Lock()
 	l := w.nets[addr]
 	w.mu.Unlock()
+	if l != nil && l.silent.Load() {
+		time.Sleep(timeout)
+		return nil, fmt.Errorf("dial %s: timeout", addr)
+	}
 	if l == nil {
 		return nil, fmt.Errorf("dial %s: %w", addr, syscall.ECONNREFUSED)
 	}
@@ -207,7 +221,7 @@
 func (l *pipeListener) Accept() (net.Conn, error) {
 	select {
 	case c := <-l.conns:
-		return &boundConn{Conn: c, closed: l.closed}, nil
+		return &boundConn{Conn: c, closed: l.closed, silent: &l.silent}, nil
 	case <-l.closed:
 		return nil, net.ErrClosed
 	}
@@ -218,12 +232,18 @@
 	net.Conn
 	closed chan struct{}
 	once   sync.Once
+	silent *atomic.Bool
 }
 
 // Read implements net.Conn.
 func (c *boundConn) Read(b []byte) (int, error) {
 	c.once.Do(func() { go func() { <-c.closed; _ = c.Conn.Close() }() })
-	return c.Conn.Read(b)
+	n, err := c.Conn.Read(b)
+	if c.silent.Load() {
+		<-c.closed
+		return 0, net.ErrClosed
+	}
+	return n, err
 }
 
 // Close implements net.Listener.
