pool: a predecessor's leases count as long as owners ask for, not as long as workers grant

Cause: after a restart of all processes a worker that had left for good answered nothing, and any task of an older job might have run there: all of them waited for the longest lease that workers grant, 10 s here. No owner asks for more than 5 s. Change: such a worker is waited for as long as an owner's lease and the 1.5 s in which a predecessor may go on renewing. Where workers grant 6 s nothing changes.

--- a/pool/worker.go
+++ b/pool/worker.go
@@ -25,6 +25,9 @@
 	// firstRetry replaces it while a new owner has no answer from a worker yet: all
 	// older jobs wait for it.
 	firstRetry = 50 * time.Millisecond
+	// deposedWithin is how long a predecessor may go on renewing leases: it asks each
+	// worker once in 1 s, and one of them is reached by both owners.
+	deposedWithin = 1500 * time.Millisecond
 	// slowClock is how much slower than ours a worker's clock may run, plus
 	// what our estimate of it may be ahead: 2 % and 1 %.
 	slowClock = 1.03
@@ -131,14 +134,23 @@
 
 func (c *Core) newWorker(info WorkerInfo) *worker {
 	w := &worker{WorkerInfo: info, slot: c.slots, runs: map[runKey]*run{}, inherited: !c.listed, pace: fullPace}
-	// A predecessor may have renewed the lease until we took over.
-	w.lapse = max(c.now, c.took) + time.Duration(float64(c.set.HoldMax)*slowClock) + lapseSlack
+	w.lapse = max(c.now, c.took) + c.longestInherited()
 	c.workers[info.ID] = w
 	c.byID = append(c.byID, w)
 	c.slots++
 	return w
 }
 
+// longestInherited is how long after a new owner's claim a predecessor's leases may go
+// on. It grants what we grant, and renews until a worker that has seen the new owner
+// turns it away. Taken for the longest lease that workers grant, where that is 10 s, all
+// older jobs waited 10.5 s after each restart of all processes for one worker that had
+// left: half a day's large jobs were late.
+func (c *Core) longestInherited() time.Duration {
+	longest := min(leaseLength+deposedWithin, c.set.HoldMax)
+	return time.Duration(float64(longest)*slowClock) + lapseSlack
+}
+
 func (c *Core) listWorkers(list []WorkerInfo) {
 	for _, w := range c.workers {
 		w.listed = false
--- a/pool/worker_test.go
+++ b/pool/worker_test.go
@@ -140,3 +140,32 @@
 		assert.Equal(t, len(take[Start](r)), 0, "it started a second time")
 	}
 }
+
+// All processes were killed, and one worker has left for good meanwhile. Any task of an
+// older job might run there unseen, so all of them wait. Workers grant leases of up to
+// 10 s, but no owner asks for as long: what may run there is over after 7 s, and the
+// jobs' callers need not wait for 10.5 s.
+func TestOlderJobsWaitOnlyForLeasesThatAreAskedFor(t *testing.T) {
+	r := &rig{t: t, now: time.Hour}
+	r.core = New(Settings{Token: rigToken, Generation: 3, HoldMax: 10 * time.Second, StopTimeout: 200 * time.Millisecond,
+		KeepEnded: 2 * time.Minute}, r.now)
+	r.step(Tick{UnixMs: r.unixMs()})
+	r.step(QueuesChanged{Queues: map[string]Queue{"q": {Name: "q", Service: "s", Attempts: 3, Slack: 2, Target: time.Second}}})
+	r.step(JobStored{Job: Job{ID: "old", Queue: "q", Service: "s", Payload: "p", Steps: []StepSpec{small(1)}}, Inherited: true})
+	r.step(WorkersInherited{Workers: []HeldWorker{{ID: "gone", Addr: "gone:1", Service: "s"}}})
+	r.step(WorkersListed{Workers: []WorkerInfo{box("w1")}})
+	began := r.now
+	for r.now < began+12*time.Second {
+		r.silence("gone")
+		if len(take[Hold](r)) > 0 {
+			r.step(HoldAnswered{Worker: "w1", SentAt: r.now, ClockMs: r.now.Milliseconds()})
+		}
+		r.pass(50 * time.Millisecond)
+		if len(r.starts()) > 0 {
+			waited := r.now - began
+			assert.Assert(t, waited > leaseLength+deposedWithin && waited < 7*time.Second, "waited %v", waited)
+			return
+		}
+	}
+	t.Fatal("the older job never started")
+}
