--- a/node/intake.go
+++ b/node/intake.go
@@ -56,7 +56,10 @@
 func (n *Node) Submit(ctx context.Context, j pool.Job) Verdict {
 	part := partOf(j.Service, n.set.Parts)
 	began := time.Now()
-	v := n.persist(ctx, part, pool.Record{Key: pool.JobKey(j.ID), Value: pool.Encode(j)})
+	v := Accepted
+	if !n.holds(ctx, part, j.ID) {
+		v = n.persist(ctx, part, pool.Record{Key: pool.JobKey(j.ID), Value: pool.Encode(j)})
+	}
 	took := time.Since(began)
 	n.measures.submitted(v, took)
 	n.log.Info().Str("job", j.ID).Str("queue", j.Queue).Int("pool", part).Int64("version", n.configVersion()).
@@ -64,6 +67,18 @@
 	return v
 }
 
+// holds reports whether the store is known to hold a job. Callers repeat requests that
+// were accepted; they are answered without the store, also while it is away.
+func (n *Node) holds(ctx context.Context, part int, job string) bool {
+	u := n.unit(part)
+	if u == nil {
+		return false
+	}
+	known := false
+	err := u.ask(ctx, func() { _, known, _, _ = u.jobState(job) })
+	return err == nil && known
+}
+
 // submitAndWait stores a record as the pool's owner and waits until it is stored.
 func (u *unit) submitAndWait(ctx context.Context, rec pool.Record, hold time.Duration) error {
 	return u.await(ctx, rec, hold, func(_ context.Context, s *submission) { u.submit(s) })
--- a/node/outage_test.go
+++ b/node/outage_test.go
@@ -113,3 +113,26 @@
 		c.check()
 	})
 }
+
+// A job is accepted, the store goes away, and the caller's request comes once more, as
+// it does after a broken connection. The job is stored, so the caller must not be told
+// to come back, nor wait.
+func TestRepeatedRequestIsAcceptedWhileTheStoreIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, false, "a", "b", "c")
+		defer c.close()
+		time.Sleep(3 * time.Second)
+		for _, a := range c.handIn(1) {
+			assert.Equal(t, a.verdict, node.Accepted)
+		}
+		time.Sleep(2 * time.Second)
+		c.setStores(machines.StoreSilent)
+		time.Sleep(2 * time.Second)
+		for range 3 {
+			for _, a := range c.handIn(1) {
+				assert.Equal(t, a.verdict, node.Accepted)
+				assert.Assert(t, a.took < 100*time.Millisecond, "after %v", a.took)
+			}
+		}
+	})
+}
