pool: members of a gang that is done get no stop

Cause: when a gang's first end was listed, every other member was stopped, though all end at the same moment: five calls a gang of six, a tenth of all orders, and at 900 starts a second an owner's processor is what binds. Change: only another run of the same gang is stopped. TestOnlyAnotherRunOfADoneGangIsStopped.

--- a/pool/ends.go
+++ b/pool/ends.go
@@ -69,7 +69,7 @@
 	j.begun = true
 	switch x.How {
 	case Done:
-		c.taskDone(t)
+		c.taskDone(t, x.Run)
 	case RunFailed:
 		c.taskFailed(t, x.Run)
 	default:
@@ -89,12 +89,13 @@
 	}
 }
 
-func (c *Core) taskDone(t *task) {
+func (c *Core) taskDone(t *task, number int) {
 	s := t.step
 	if s.spec.LongRunning {
 		return // it starts again
 	}
 	if s.spec.Gang {
+		s.doneRun = number
 		for _, m := range s.tasks {
 			s.finish(m)
 		}
--- a/pool/ends_test.go
+++ b/pool/ends_test.go
@@ -131,3 +131,29 @@
 	assert.Equal(t, len(again), 2)
 	assert.Equal(t, again[0].Run, 2)
 }
+
+// Two members of a gang end as done on two workers, and the first end is listed. The
+// second needs no stop: it has ended too. But a run of the gang that began later, since
+// a predecessor's end was not yet known, goes on beside it and must be stopped.
+func TestOnlyAnotherRunOfADoneGangIsStopped(t *testing.T) {
+	for _, c := range []struct {
+		ended, stops int
+	}{{ended: 1, stops: 0}, {ended: 0, stops: 2}} {
+		r := newRig(t, box("w1"), box("w2"))
+		r.save()
+		r.hold("w1", nil)
+		r.hold("w2", nil)
+		gang := small(2)
+		gang.Gang, gang.PerWorker = true, 1
+		r.submit("j", gang)
+		starts := r.starts()
+		assert.Equal(t, len(starts), 2)
+		first := starts[0]
+		still := running1(first.Task, 1)
+		if c.ended == 1 {
+			still = nil
+		}
+		r.hold(first.Worker, still, EndedRun{Number: 1, Task: first.Task, Run: c.ended, How: Done})
+		assert.Equal(t, len(take[Stop](r)), c.stops)
+	}
+}
--- a/pool/state.go
+++ b/pool/state.go
@@ -31,6 +31,7 @@
 	tasks     []*task
 	remaining int // tasks that aren't done
 	gangRun   int // number of the gang's newest run
+	doneRun   int // number of the gang's run that ended as done; 0: none did
 	policy    policy
 	rated     urgency // as of the newest pass
 	chainMs   int64   // longest chain of declared work of the job
@@ -40,7 +41,9 @@
 	waitingSince time.Duration
 	turn         bool
 	notBefore    time.Duration
-	booked       []booking
+	// lookAgain is when room for the step is looked for again.
+	lookAgain time.Duration
+	booked    []booking
 	// failedOn are the workers on which a run failed.
 	failedOn map[string]bool
 	// doneRuns and doneTime sum the runs that ended as done.
@@ -234,7 +237,7 @@
 		for _, s := range occ.steps {
 			c.unbook(s)
 			for _, t := range s.tasks {
-				if t.run != nil {
+				if t.run != nil && !t.run.endedWithGang() {
 					c.stop(t.run, string(j.state))
 				}
 			}
@@ -243,6 +246,12 @@
 	c.replan = true
 }
 
+// endedWithGang reports whether a run was one of a gang that is done: its members end at
+// the same moment, so one whose end is still to be listed needs no stop. Stopped all
+// the same, they cost a call each: a tenth of all orders. Another run of the same gang
+// may still go on and has to be stopped.
+func (r *run) endedWithGang() bool { return r.task.step.spec.Gang && r.number == r.task.step.doneRun }
+
 // forgetJobs drops jobs whose state nobody can ask for any more.
 func (c *Core) forgetJobs() {
 	for len(c.ended) > 0 && c.now-c.ended[0].endedAt > c.set.KeepEnded {
