--- a/node/outage_test.go
+++ b/node/outage_test.go
@@ -61,10 +61,10 @@
 		time.Sleep(3 * time.Second)
 		c.owner()
 		c.setStores(machines.StoreSilent)
-		var returned time.Duration
+		returned := make(chan time.Duration, 1)
 		time.AfterFunc(4*time.Second, func() {
 			c.setStores(machines.StoreUp)
-			returned = c.world.Since()
+			returned <- c.world.Since()
 		})
 		list := c.handIn(100)
 		first := time.Hour
@@ -80,7 +80,8 @@
 			}
 		}
 		assert.Assert(t, inDoubt <= 2, "%d callers are in doubt", inDoubt)
-		assert.Assert(t, first-returned < 300*time.Millisecond, "nothing was stored for %v after the store's return", first-returned)
+		waited := first - <-returned
+		assert.Assert(t, waited < 300*time.Millisecond, "nothing was stored for %v after the store's return", waited)
 		time.Sleep(10 * time.Second)
 		c.check()
 	})
