--- a/node/intake.go
+++ b/node/intake.go
@@ -74,16 +74,17 @@
 	return Answer{Verdict: v, ComeBack: comeBack}
 }
 
-// holds reports whether the store is known to hold a job. Callers repeat requests that
-// were accepted; they are answered without the store, also while it is away.
+// holds reports whether the store is known to hold a job, in whichever pool. Callers
+// repeat requests that were accepted; they are answered without the store, also while it
+// is away.
 func (n *Node) holds(ctx context.Context, part int, job string) bool {
-	u := n.unit(part)
-	if u == nil {
-		return false
+	for _, u := range n.unitsFrom(part) {
+		known := false
+		if err := u.ask(ctx, func() { _, known, _ = u.jobState(job) }); err == nil && known {
+			return true
+		}
 	}
-	known := false
-	err := u.ask(ctx, func() { _, known, _ = u.jobState(job) })
-	return err == nil && known
+	return false
 }
 
 // intake is a record that is to be stored for a caller.
@@ -249,12 +250,12 @@
 
 // Cancel stores a job's cancellation.
 func (n *Node) Cancel(ctx context.Context, service, job string) Verdict {
-	state, v := n.State(ctx, service, job)
+	part, state, v := n.find(ctx, service, job)
 	if v != Accepted {
 		return v
 	}
 	if !state.Ended() {
-		v, _ = n.persist(ctx, partOf(service, n.set.Parts), pool.Record{Key: pool.CancelKey(job), Value: []byte("1")})
+		v, _ = n.persist(ctx, part, pool.Record{Key: pool.CancelKey(job), Value: []byte("1")})
 	}
 	n.log.Info().Str("job", job).Str("state", string(state)).Stringer("verdict", v).Msg("job.cancel_asked")
 	return v
--- a/node/lookup.go
+++ b/node/lookup.go
@@ -23,23 +23,60 @@
 // State returns a job's state: the owner's word, else what this instance has read, else
 // what the store holds now. A job is denied only by the last.
 func (n *Node) State(ctx context.Context, service, job string) (pool.State, Verdict) {
-	u := n.unit(partOf(service, n.set.Parts))
-	if u == nil {
-		return "", CantTell
+	_, state, v := n.find(ctx, service, job)
+	return state, v
+}
+
+// find looks for a job and tells in which pool's part it is stored: that of its queue's
+// service, or another one, as a job stays where it is when a new configuration sends its
+// queue to another service. Looked for in the new service's pool only, it was denied while
+// it ran. A denial needs a read of each pool.
+func (n *Node) find(ctx context.Context, service, job string) (part int, state pool.State, v Verdict) {
+	home := partOf(service, n.set.Parts)
+	units := n.unitsFrom(home)
+	if len(units) == 0 || units[0].topic.Part != home {
+		return home, "", CantTell
 	}
-	l, err := u.lookUp(ctx, job)
-	if err != nil {
-		return "", CantTell
+	looked := make([]lookup, len(units))
+	for i, u := range units {
+		var err error
+		if looked[i], err = u.lookUp(ctx, job); err != nil {
+			return home, "", CantTell
+		}
+		if looked[i].found {
+			return u.topic.Part, u.ownersWord(ctx, &looked[i]), Accepted
+		}
+	}
+	if state = units[0].ownersWord(ctx, &looked[0]); state != "" {
+		return home, state, Accepted
+	}
+	for i, u := range units {
+		if state, v = u.readState(ctx, looked[i]); v != NoSuchJob {
+			return u.topic.Part, state, v
+		}
 	}
-	if !l.owner && !(l.found && l.state.Ended()) {
-		if r, answered := u.askOwnerState(ctx, &l); answered && r.Found {
-			return r.State, Accepted
+	return home, "", NoSuchJob
+}
+
+// ownersWord is the state that a pool's owner shows of a job, else the one that was found
+// here; empty: neither knows it.
+func (u *unit) ownersWord(ctx context.Context, l *lookup) pool.State {
+	if !l.owner && !l.state.Ended() {
+		if r, answered := u.askOwnerState(ctx, l); answered && r.Found {
+			return r.State
 		}
 	}
-	if l.found {
-		return l.state, Accepted
+	return l.state
+}
+
+// unitsFrom returns the pools that this instance follows, that of a part first.
+func (n *Node) unitsFrom(part int) []*unit {
+	units := n.allUnits()
+	if i := slices.IndexFunc(units, func(u *unit) bool { return u.topic.Part == part }); i > 0 {
+		home := units[i]
+		units = slices.Insert(slices.Delete(units, i, i+1), 0, home)
 	}
-	return u.readState(ctx, l)
+	return units
 }
 
 // lookup is how a job's state was looked for.
@@ -142,16 +179,30 @@
 }
 
 // Pending counts a queue's jobs that have not begun, or reports that nobody can tell.
+// Some may wait in another pool than that of its service, see find.
 func (n *Node) Pending(ctx context.Context, q pool.Queue) (int, bool) {
-	part := partOf(q.Service, n.set.Parts)
-	u := n.unit(part)
-	if u == nil {
+	home := partOf(q.Service, n.set.Parts)
+	units := n.unitsFrom(home)
+	if len(units) == 0 || units[0].topic.Part != home {
 		return 0, false
 	}
+	sum := 0
+	for _, u := range units {
+		count, sure := u.countPending(ctx, q.Name)
+		if !sure {
+			return 0, false
+		}
+		sum += count
+	}
+	return sum, true
+}
+
+// countPending counts a queue's jobs in one pool that have not begun.
+func (u *unit) countPending(ctx context.Context, queue string) (int, bool) {
 	var count int
 	var owner, sure bool
 	var addr string
-	if err := u.ask(ctx, func() { count, owner, sure = u.pending(q.Name); addr = u.ownerAddr() }); err != nil {
+	if err := u.ask(ctx, func() { count, owner, sure = u.pending(queue); addr = u.ownerAddr() }); err != nil {
 		return 0, false
 	}
 	if owner {
@@ -160,7 +211,7 @@
 	var told int
 	if u.askOwner(addr, func(at string) (string, error) {
 		r := new(PendingReply) // its own: an answer that comes too late is still written to it
-		err := n.peers.call(ctx, at, "Pending", PendingArgs{Part: part, Queue: q.Name}, r, stateTimeout)
+		err := u.node.peers.call(ctx, at, "Pending", PendingArgs{Part: u.topic.Part, Queue: queue}, r, stateTimeout)
 		if err != nil {
 			return "", err
 		}
