--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -34,6 +34,8 @@
 	dark    []func() // ends instances that have lost power
 	// luck draws what callers do, bad what befalls the cluster.
 	luck, bad *rand.Rand
+	// reach is how an instance reaches the store and its peers; nil: directly.
+	reach func(*member) (node.Store, node.Dialer)
 }
 
 type member struct {
@@ -97,7 +99,12 @@
 	defer c.mu.Unlock()
 	m := c.members[name]
 	m.view.Troubled()
-	m.node = c.newNode(m, m.view, c.world.Dial)
+	var store node.Store = m.view
+	dial := c.world.Dial
+	if c.reach != nil {
+		store, dial = c.reach(m)
+	}
+	m.node = c.newNode(m, store, dial)
 	ctx, cancel := context.WithCancel(c.ctx)
 	l := c.world.Listen(name)
 	n := m.node
