--- a/node/denial_internal_test.go
+++ b/node/denial_internal_test.go
@@ -71,13 +71,15 @@
 				}
 				u.send(t.Context(), batch{records: []Stored{{Offset: 7, Record: rec}}, next: 8, asOf: n.now()})
 
-				state, v := n.State(t.Context(), job.Service, job.ID)
+				ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+				defer cancel()
+				state, v := n.State(ctx, job.Service, job.ID)
 				assert.Check(t, v == Accepted && state == pool.Queued, "its own caller is told: %v, %q", v, state)
 				var r StateReply
 				err := Peer{n}.State(StateArgs{Job: job.ID}, &r)
 				assert.Check(t, err != nil || r.Owner != "" || r.Found, "a peer is told by the owner that it isn't known")
-				assert.Check(t, !n.isNew(t.Context(), intake{rec: rec}), "a repeated request counts as certainly not stored")
-				assert.Check(t, n.Cancel(t.Context(), job.Service, job.ID) != NoSuchJob, "its cancel is denied")
+				assert.Check(t, !n.isNew(ctx, intake{rec: rec}), "a repeated request counts as certainly not stored")
+				assert.Check(t, n.Cancel(ctx, job.Service, job.ID) != NoSuchJob, "its cancel is denied")
 			})
 		})
 	}
--- a/node/intake.go
+++ b/node/intake.go
@@ -82,7 +82,7 @@
 		return false
 	}
 	known := false
-	err := u.ask(ctx, func() { _, known, _ = u.jobState(job) })
+	err := u.ask(ctx, func() { known = u.holds(job) })
 	return err == nil && known
 }
 
--- a/node/lookup.go
+++ b/node/lookup.go
@@ -203,15 +203,36 @@
 	return false
 }
 
-// jobState answers from the core if this instance owns the pool, else from
-// the copy. A job that isn't found may still exist, see readState.
+// owns reports whether this instance's core speaks for the pool. Once a worker has seen a
+// newer owner it takes nothing in any more: callers would be told its last word, and that
+// what was stored since isn't there, until the order to give the pool up is carried out.
+func (u *unit) owns() bool {
+	return u.own != nil && u.own.loaded && !u.own.core.IsDeposed()
+}
+
+// jobState answers from the core if this instance owns the pool, and from the copy what
+// isn't there. Whatever lies before the copy's end and isn't found here is denied, so an
+// owner must know no less than others have read: it denied a job whose record had been
+// spoilt, which its core passes over. A job that isn't found may still exist, see readState.
 func (u *unit) jobState(job string) (state pool.State, found, owner bool) {
-	if u.own != nil && u.own.loaded {
-		state, found = u.own.core.JobState(job)
-		return state, found, true
+	if owner = u.owns(); owner {
+		if state, found = u.own.core.JobState(job); found {
+			return state, found, owner
+		}
 	}
 	state, found = u.replica.state(job)
-	return state, found, false
+	return state, found, owner
+}
+
+// holds reports whether a job need not be stored again. An owner whose core doesn't have
+// it stores it anew: a repeated request mends a record that was spoilt.
+func (u *unit) holds(job string) bool {
+	if u.owns() {
+		_, known := u.own.core.JobState(job)
+		return known
+	}
+	_, known := u.replica.state(job)
+	return known
 }
 
 // fresh reports whether the copy holds all that was stored until just now.
@@ -222,7 +243,7 @@
 // pending counts a queue's jobs that have not begun; sure tells that none is missing but
 // those that were accepted just now.
 func (u *unit) pending(queue string) (count int, owner, sure bool) {
-	if u.own != nil && u.own.loaded {
+	if u.owns() {
 		return u.own.core.Pending(queue), true, u.fresh()
 	}
 	return u.replica.pending(queue), false, u.fresh()
--- a/pool/core.go
+++ b/pool/core.go
@@ -122,6 +122,9 @@
 // FellBehind tells that events come faster than they are taken in.
 func (c *Core) FellBehind(now time.Duration) { c.behindAt = max(c.behindAt, now) }
 
+// IsDeposed reports whether a worker has seen a newer owner: this one takes nothing in.
+func (c *Core) IsDeposed() bool { return c.deposed }
+
 func (c *Core) handle(ev Event) {
 	switch e := ev.(type) {
 	case JobStored:
