--- a/node/claiming.go
+++ b/node/claiming.go
@@ -80,7 +80,7 @@
 }
 
 // claim makes this instance the owner, if the store has seen no newer epoch. The
-// low bits differ between instances, so two claims never carry the same epoch.
+// low bits are drawn, so that claims at the same time hardly ever carry the same epoch.
 //
 // Rank is how many others may be claiming it too.
 func (u *unit) claim(ctx context.Context, reason string, rank int) {
@@ -96,13 +96,32 @@
 	go func() {
 		result := claimed{claim: c}
 		if result.err = u.lookBeforeClaim(ctx, next, old, rank); result.err == nil {
-			result.offset, result.err = u.node.store.Append(withTimeout(ctx, appendTimeout), u.topic,
-				[]pool.Record{{Key: pool.OwnerKey, Value: pool.Encode(c)}}, &Writer{Name: "owner", Epoch: c.Epoch})
+			result.offset, result.err = u.storeClaim(ctx, c)
 		}
 		u.send(ctx, result)
 	}()
 }
 
+// storeClaim stores a claim and reads it back. Two that drew the same epoch, one pair in
+// 65,536, are one append and its repeat to the store, which answers both; as it did what
+// the two owners stored later: it kept one of each two appends and answered both, so that
+// jobs were accepted which weren't there. The record tells whose claim it has kept.
+func (u *unit) storeClaim(ctx context.Context, c claim) (offset int64, err error) {
+	offset, err = u.node.store.Append(withTimeout(ctx, appendTimeout), u.topic,
+		[]pool.Record{{Key: pool.OwnerKey, Value: pool.Encode(c)}}, &Writer{Name: "owner", Epoch: c.Epoch})
+	if err != nil {
+		return 0, err
+	}
+	page, _, err := u.node.store.Read(withTimeout(ctx, appendTimeout), u.topic, offset, 0)
+	if err != nil || len(page) == 0 {
+		return 0, ErrInDoubt // read later, it counts as one that took effect late
+	}
+	if kept, err := checkRecord(page[0]); err != nil || kept == nil || *kept != c {
+		return 0, errBeaten
+	}
+	return offset, nil
+}
+
 // nextGeneration is one more than the newest claim's. Where that can't be read, as
 // another writer's entry has come in its place, the store turns away what begins anew:
 // counting up by one, the pool had no owner for as many tries as it had had owners.
