--- a/node/intake.go
+++ b/node/intake.go
@@ -80,7 +80,7 @@
 func (n *Node) holds(ctx context.Context, part int, job string) bool {
 	for _, u := range n.unitsFrom(part) {
 		known := false
-		if err := u.ask(ctx, func() { _, known, _ = u.jobState(job) }); err == nil && known {
+		if err := u.ask(ctx, func() { known = u.holds(job) }); err == nil && known {
 			return true
 		}
 	}
