--- a/node/node.go
+++ b/node/node.go
@@ -272,6 +272,9 @@
 	if d.Workers > 0 {
 		e = e.Int("workers", d.Workers)
 	}
+	if d.Steps > 0 {
+		e = e.Int("steps", d.Steps)
+	}
 	if d.Reason != "" {
 		e = e.Str("reason", d.Reason)
 	}
--- a/pool/advice.go
+++ b/pool/advice.go
@@ -121,12 +121,21 @@
 	}
 }
 
+func (c *Core) noteAnswer(s *step, e *Advised) {
+	why := "answered"
+	if e.Failed {
+		why = "failed"
+	}
+	c.do(Noted{Event: "advice.answered", Job: s.job.ID, Reason: why, Workers: len(e.Good), Waited: c.now - s.advice.askedAt})
+}
+
 func (c *Core) advised(e Advised) {
 	t := c.task(TaskID{Job: e.Step.Job, K: e.Step.K, Step: e.Step.Step})
 	if t == nil {
 		return
 	}
 	s := t.step
+	c.noteAnswer(s, &e)
 	c.headroom.answered(c.now, s.job.Queue, c.policy(s).Priority, s.advice.price, &e)
 	s.advice.asking = false
 	c.unbook(s)
--- a/pool/core.go
+++ b/pool/core.go
@@ -52,7 +52,9 @@
 	saving   bool
 	lastSave time.Duration
 	replan   bool
-	behindAt time.Duration // when this owner last fell behind
+	// waitingNoted is when it was last logged what steps wait for.
+	waitingNoted time.Duration
+	behindAt     time.Duration // when this owner last fell behind
 	// lookAtAll has the next pass look for room for all that waits: a worker has come.
 	lookAtAll bool
 	// reserved counts the workers that are kept, decided at reservedAt;
--- a/pool/events.go
+++ b/pool/events.go
@@ -283,10 +283,13 @@
 	Task   *TaskID
 	Run    int
 	Worker string
-	// Workers is how many workers a question names.
+	// Workers is how many workers a question names, or an answer lets the step use.
 	Workers int
-	Reason  string
-	// Waited is how long the task's step had been waiting, at a start or a question.
+	// Steps is how many steps wait for the same.
+	Steps  int
+	Reason string
+	// Waited is how long the task's step had been waiting, at a start or a question, or
+	// the question at its answer.
 	Waited time.Duration
 }
 
--- a/pool/place.go
+++ b/pool/place.go
@@ -74,6 +74,7 @@
 	for _, s := range waiting {
 		c.placeStep(s)
 	}
+	c.noteWaiting(settled)
 }
 
 func (s *step) anyWaiting(now time.Duration) bool {
