--- /dev/null
+++ b/pool/gang_test.go
@@ -0,0 +1,80 @@
+package pool
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// advise lets a question be answered later: named workers may run its step.
+func (r *rig) advise(a Advise, good ...string) {
+	var tickets []Ticket
+	for _, id := range good {
+		tickets = append(tickets, Ticket{Worker: id, Ticket: "t"})
+	}
+	r.step(Advised{Step: a.Step, Asked: a.Workers, Good: tickets, Validity: 2 * time.Second})
+}
+
+// gangOf is a gang of tasks of so many thousandths of a core.
+func gangOf(n, cpu int, estimate time.Duration) StepSpec {
+	return StepSpec{Count: n, Need: Resources{CPU: cpu, Mem: 100}, EstimateMs: estimate.Milliseconds(), Gang: true}
+}
+
+// started are the tasks of a job among those that are started now.
+func (r *rig) started(job string) int {
+	n := 0
+	for _, s := range r.starts() {
+		if s.Task.Job == job {
+			n++
+		}
+	}
+	return n
+}
+
+// A caller's gang has waited for room. It is there now, and booked while the tickets are
+// renewed; the question waits for its turn. Meanwhile another gang comes that needs the
+// same workers a little later, and they are kept for it. When the tickets come the first
+// gang's room is free, and yet it may not use it: it asks anew, books the same room, and
+// so on for as long as gangs come, while the room stands idle.
+func TestRoomBookedForTicketsIsTheStepsOwn(t *testing.T) {
+	r := newAdvisedRig(t, "w1", "w2")
+	active := map[string][]ActiveRun{}
+	run := func(job, worker string, cpu int, estimate time.Duration) {
+		r.submit(job, StepSpec{Count: 1, Need: Resources{CPU: cpu, Mem: 100}, EstimateMs: estimate.Milliseconds()})
+		r.answer(worker)
+		assert.Equal(t, r.started(job), 1)
+		active[worker] = append(active[worker], ActiveRun{Task: taskOf(job, 0), Run: 1})
+	}
+	run("stays", "w1", 900, 30*time.Second)
+	run("also", "w2", 900, 30*time.Second)
+	run("first", "w1", 2500, 30*time.Second)
+	run("second", "w2", 2500, 30*time.Second)
+	r.submit("waiting", gangOf(2, 2000, 20*time.Second))
+	r.answer("w1", "w2")
+	for range 3 { // until its tickets are over
+		r.pass(time.Second)
+		for _, w := range []string{"w1", "w2"} {
+			for i := range active[w] {
+				active[w][i].Percent += 3 // of 30 s
+			}
+			r.hold(w, active[w])
+		}
+		assert.Equal(t, len(take[Advise](r)), 0)
+	}
+	r.step(CancelStored{Job: "first"})
+	r.step(CancelStored{Job: "second"})
+	r.hold("w1", active["w1"][:1], EndedRun{Number: 1, Task: taskOf("first", 0), Run: 1, How: Stopped})
+	r.hold("w2", active["w2"][:1], EndedRun{Number: 1, Task: taskOf("second", 0), Run: 1, How: Stopped})
+	r.pass(50 * time.Millisecond)
+	asked := take[Advise](r)
+	assert.Equal(t, len(asked), 1)
+	assert.Equal(t, asked[0].Step.Job, "waiting")
+	r.submit("another", gangOf(2, 1500, 100*time.Millisecond))
+	r.answer("w1", "w2")
+	r.pass(300 * time.Millisecond)
+	r.hold("w1", active["w1"][:1])
+	r.hold("w2", active["w2"][:1])
+	r.advise(asked[0], "w1", "w2")
+	assert.Equal(t, r.started("waiting"), 2)
+}
