--- a/pool/advice.go
+++ b/pool/advice.go
@@ -76,6 +76,11 @@
 	s.booked = nil
 }
 
+// owns reports whether room on a worker was booked for the tickets that have just come.
+func (s *step) owns(w *worker) bool {
+	return slices.ContainsFunc(s.own, func(b booking) bool { return b.worker == w })
+}
+
 // ask names workers to the advice service.
 func (c *Core) ask(s *step, names []string) {
 	terms := c.policy(s).Advice
@@ -138,6 +143,7 @@
 	c.noteAnswer(s, &e)
 	c.headroom.answered(c.now, s.job.Queue, c.policy(s).Priority, s.advice.price, &e)
 	s.advice.asking = false
+	own := s.booked
 	c.unbook(s)
 	if e.Failed {
 		s.advice.retryAt = c.now + adviceRetry
@@ -154,9 +160,11 @@
 		}
 	}
 	if c.mayPlace(s) {
-		// Its own room first: it was kept for these tickets.
+		// Its own room first: it was booked for these tickets.
 		c.measureRoom()
+		s.own = own
 		c.placeStep(s)
+		s.own = nil
 	}
 	c.replan = true
 }
--- a/pool/reserve.go
+++ b/pool/reserve.go
@@ -174,9 +174,15 @@
 	return all
 }
 
-// keptForOther reports whether a worker is kept from a step.
+// keptForOther reports whether a worker is kept from a step. One on which room was booked
+// for the step isn't, once its tickets are there: kept for another since the question, the
+// room stood idle and the gang asked anew, in six of ten renewals on 350 busy workers
+// (kw-pool-load -shape grown).
 func (c *Core) keptForOther(s *step, w *worker) bool {
 	r := w.kept
+	if s.owns(w) {
+		return false
+	}
 	if r == nil || r.step == s || r.step.job.state.Ended() || r.step.remaining == 0 || s.rated.moreUrgentThan(r.step.rated) {
 		return false
 	}
