--- a/pool/experiment/workload.go
+++ b/pool/experiment/workload.go
@@ -140,16 +140,17 @@
 }
 
 // WholesalerGrown is the same customer's load on a larger pool: 160 jobs and 900 starts
-// a second.
+// a second, and questions that cost more by themselves and for each worker named.
 func WholesalerGrown() Load {
 	l := Wholesaler()
 	for i, grown := range []Kind{
-		{PerSec: 3.8, Width: 20, MaxWidth: 120, CPU: 18000, Mem: 26000},
-		{PerSec: 12.3, Width: 25, MaxWidth: 150, CPU: 6900, Mem: 10000},
-		{PerSec: 110, Width: 3, MaxWidth: 18, CPU: 9900, Mem: 14000},
+		{PerSec: 3.8, Width: 20, MaxWidth: 120, CPU: 18000, Mem: 26000, Decision: 702 * time.Millisecond, PerWorker: 10010 * time.Microsecond},
+		{PerSec: 12.3, Width: 25, MaxWidth: 150, CPU: 6900, Mem: 10000, Decision: 104 * time.Millisecond, PerWorker: 1430 * time.Microsecond},
+		{PerSec: 110, Width: 3, MaxWidth: 18, CPU: 9900, Mem: 14000, Decision: 11700 * time.Microsecond, PerWorker: 169 * time.Microsecond},
 	} {
 		k := &l.Kinds[i]
 		k.PerSec, k.Width, k.MaxWidth, k.CPU, k.Mem = grown.PerSec, grown.Width, grown.MaxWidth, grown.CPU, grown.Mem
+		k.Decision, k.PerWorker = grown.Decision, grown.PerWorker
 	}
 	l.Workers, l.Callers = 350, 39
 	return l
