--- a/pool/gang_test.go
+++ b/pool/gang_test.go
@@ -78,3 +78,27 @@
 	r.advise(asked[0], "w1", "w2")
 	assert.Equal(t, r.started("waiting"), 2)
 }
+
+// A gang's first question is under way. Meanwhile a gang of the same kind that comes after
+// it is known to have its room in half a minute, and the workers are kept for that. The
+// answer comes, and there is room for the first gang now. Kept from it, the gang asks about
+// more workers and finds those kept as well when it knows them: its caller waits for as
+// long as gangs come after it.
+func TestNoRoomIsKeptFromAGangForOneThatComesAfterIt(t *testing.T) {
+	r := newAdvisedRig(t, "w1", "w2")
+	for n, w := range []string{"w1", "w2"} {
+		job := jobName(n)
+		r.submit(job, StepSpec{Count: 1, Need: Resources{CPU: 900, Mem: 100}, EstimateMs: 30000})
+		r.answer(w)
+		assert.Equal(t, r.started(job), 1)
+	}
+	r.submit("first", gangOf(2, 2000, 20*time.Second))
+	asked := take[Advise](r)
+	assert.Equal(t, len(asked), 1)
+	r.pass(100 * time.Millisecond)
+	r.submit("after", gangOf(2, 3500, 40*time.Second))
+	r.answer("w1", "w2")
+	r.pass(300 * time.Millisecond)
+	r.advise(asked[0], "w1", "w2")
+	assert.Equal(t, r.started("first"), 2)
+}
