--- a/pool/reserve.go
+++ b/pool/reserve.go
@@ -177,18 +177,22 @@
 // keptForOther reports whether a worker is kept from a step. One on which room was booked
 // for the step isn't, once its tickets are there: kept for another since the question, the
 // room stood idle and the gang asked anew, in six of ten renewals on 350 busy workers
-// (kw-pool-load -shape grown).
+// (kw-pool-load -shape grown). Nor is one that is kept for a step of the same kind behind this
+// one, if workers would be kept for this one as well: while its question is under way it isn't
+// known which, and they are kept for others. What needs no such help would take each gap.
 func (c *Core) keptForOther(s *step, w *worker) bool {
 	r := w.kept
-	if s.owns(w) {
-		return false
-	}
-	if r == nil || r.step == s || r.step.job.state.Ended() || r.step.remaining == 0 || s.rated.moreUrgentThan(r.step.rated) {
+	if r == nil || r.step == s || r.step.job.state.Ended() || r.step.remaining == 0 || s.owns(w) || c.goesAhead(s, r.step) {
 		return false
 	}
 	return c.now+surely*c.expected(s) > r.at
 }
 
+// goesAhead reports whether a step may use what is kept for another.
+func (c *Core) goesAhead(s, keeper *step) bool {
+	return s.rated.moreUrgentThan(keeper.rated) || (c.needsReserve(s) && s.rated.compare(keeper.rated) < 0)
+}
+
 // isLarge reports whether a task needs much of a worker.
 func (s *StepSpec) isLarge(capacity Resources) bool {
 	need := s.Reserved()
--- a/pool/urgency.go
+++ b/pool/urgency.go
@@ -29,6 +29,11 @@
 	worthUntil int64
 }
 
+// compare orders two steps.
+func (u urgency) compare(o urgency) int {
+	return cmp.Or(cmp.Compare(u.tier, o.tier), cmp.Compare(u.priority, o.priority), cmp.Compare(u.due, o.due))
+}
+
 // moreUrgentThan tells whether a step is of a more urgent kind than another, not just
 // due sooner.
 func (u urgency) moreUrgentThan(o urgency) bool {
@@ -86,7 +91,7 @@
 		u urgency
 		s *step
 	}) int {
-		return cmp.Or(cmp.Compare(a.u.tier, b.u.tier), cmp.Compare(a.u.priority, b.u.priority), cmp.Compare(a.u.due, b.u.due))
+		return a.u.compare(b.u)
 	})
 	for i := range rated {
 		steps[i] = rated[i].s
