--- a/pool/gang_test.go
+++ b/pool/gang_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -102,3 +103,53 @@
 	r.advise(asked[0], "w1", "w2")
 	assert.Equal(t, r.started("first"), 2)
 }
+
+// manyWorkers has many empty workers, of which a gang may use so many in ten.
+func manyWorkers(t *testing.T, inTen int) (r *rig, names []string, mayUse map[string]bool) {
+	mayUse = map[string]bool{}
+	for n := range 120 {
+		names = append(names, fmt.Sprintf("w%03d", n))
+		mayUse[names[n]] = n%10 < inTen
+	}
+	return newAdvisedRig(t, names...), names, mayUse
+}
+
+// askedUntil answers a job's questions, each so late that the tickets before it are over,
+// until its tasks start, and returns how many there were.
+func (r *rig) askedUntil(job string, tasks, most int, names []string, mayUse map[string]bool) int {
+	r.t.Helper()
+	for n := 1; n <= most; n++ {
+		asked := take[Advise](r)
+		assert.Equal(r.t, len(asked), 1, "question %d", n)
+		for range 3 { // it waits for its turn
+			r.pass(time.Second)
+			for _, id := range names {
+				r.hold(id, nil)
+			}
+		}
+		var good []string
+		for _, id := range asked[0].Workers {
+			if mayUse[id] {
+				good = append(good, id)
+			}
+		}
+		r.advise(asked[0], good...)
+		if r.started(job) == tasks {
+			return n
+		}
+	}
+	r.t.Fatalf("%s didn't begin within %d questions", job, most)
+	return 0
+}
+
+// A gang needs 20 workers, all workers are empty, and it may use three in ten of them. It is
+// asked about 48, of which 14 may be used: nothing can begin. The next question waits for its
+// turn behind all others, and when the second 14 are known the tickets of the first are over.
+// On a busy pool three in four answers about gangs started nothing, each for 1.2 s of the
+// advice service, and gangs that could run stood for a minute. One question names as many
+// workers as the gang can be expected to need.
+func TestWideGangOnIdleWorkersBeginsWithOneAnswer(t *testing.T) {
+	r, names, mayUse := manyWorkers(t, 3)
+	r.submit("gang", gangOf(20, 4000, time.Second))
+	assert.Equal(t, r.askedUntil("gang", 20, 3, names, mayUse), 1)
+}
