--- a/pool/gang_test.go
+++ b/pool/gang_test.go
@@ -153,3 +153,32 @@
 	r.submit("gang", gangOf(20, 4000, time.Second))
 	assert.Equal(t, r.askedUntil("gang", 20, 3, names, mayUse), 1)
 }
+
+// All workers are full for long, and a gang of 10 is told of fewer workers that may run it,
+// though it asked about many: one in ten may. Its room can't be kept, as it isn't known
+// where, and while small jobs take each gap no ten workers are ever free at once. It asks
+// about more workers until it knows enough, and no more then.
+func TestGangThatItsWorkersCannotHoldAsksForMore(t *testing.T) {
+	r, names, mayUse := manyWorkers(t, 1)
+	r.submit("blocker", whole(len(names)))
+	for started := 0; started < len(names); started += len(r.starts()) {
+		r.answerAsked()
+	}
+	r.submit("gang", gangOf(10, 4000, time.Second))
+	known := 0
+	for range 20 {
+		for _, a := range take[Advise](r) {
+			assert.Assert(t, known < 10, "enough are known, and none has room")
+			var good []string
+			for _, id := range a.Workers {
+				if mayUse[id] {
+					good = append(good, id)
+				}
+			}
+			known += len(good)
+			r.advise(a, good...)
+		}
+		r.pass(50 * time.Millisecond)
+	}
+	assert.Assert(t, known >= 10, "%d workers known that may run it", known)
+}
--- a/pool/place.go
+++ b/pool/place.go
@@ -191,7 +191,7 @@
 		names = c.addRenewable(s, names)
 	}
 	if len(picks) < left && c.moreWouldHelp(s, left) {
-		names = append(names, c.unknownWorkers(s, maxNamed-len(names))...)
+		names = append(names, c.unknownWorkers(s, left, maxNamed-len(names))...)
 	}
 	if len(names) == 0 {
 		c.unbook(s)
@@ -234,24 +234,26 @@
 // gangs that waited for 5 of them took 0.7 s of the advice service for each
 // question, 13 s a second in all, and small jobs waited 4 s for theirs.
 func (c *Core) moreWouldHelp(s *step, left int) bool {
-	return !s.spec.Gang || !s.advice.begun || len(c.pick(s, left, unknown)) == left
+	return !s.spec.Gang || !s.advice.begun || c.cantHold(s, left) || c.couldBegin(s, left)
 }
 
 // unknownWorkers names workers that the advice service has not been asked about
 // and that could run the step when empty, those with most free room first. After
-// the first question only those count that have room now.
-func (c *Core) unknownWorkers(s *step, most int) []string {
-	if most <= 0 {
-		return nil
-	}
+// the first question only those count that have room now, unless the step can't be
+// held by those that are known.
+func (c *Core) unknownWorkers(s *step, left, most int) []string {
 	need := s.spec.Reserved()
+	full := !s.advice.begun || c.cantHold(s, left)
 	var list []*worker
 	for _, w := range c.byID {
-		if c.permission(s, w) == unknown && c.fits(s, w) && (!s.advice.begun || need.Within(w.free())) {
+		if c.permission(s, w) == unknown && c.fits(s, w) && (full || need.Within(w.free())) {
 			list = append(list, w)
 		}
 	}
 	slices.SortStableFunc(list, func(a, b *worker) int { return cmp.Compare(c.fullness(a), c.fullness(b)) })
+	if s.spec.Gang {
+		most = max(most, c.gangNames(s, list, left, s.advice.begun && full))
+	}
 	var names []string
 	for _, w := range list[:min(len(list), max(0, most))] {
 		names = append(names, w.ID)
