--- a/pool/advice_test.go
+++ b/pool/advice_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -209,3 +210,37 @@
 	assert.Equal(t, len(starts), 1)
 	assert.Equal(t, starts[0].Worker, "w2")
 }
+
+// All workers are full, and a wide step may run on none of the 48 that its first question
+// named. The others get room one after the other. Asked about each alone, the step puts a
+// question for every worker of the pool, most of which cost the service as much as one about
+// many: on a busy pool steps asked ten times and more in two seconds, about 1 to 15 workers
+// each, and others waited for half a minute for their turn. One question names all the rest.
+func TestFurtherQuestionNamesWorkersWithoutRoomToo(t *testing.T) {
+	var names []string
+	for n := range maxNamed + 40 {
+		names = append(names, fmt.Sprintf("w%02d", n))
+	}
+	r := newAdvisedRig(t, names...)
+	r.submit("blocker", whole(len(names)))
+	on := map[string]TaskID{}
+	for len(on) < len(names) {
+		r.answer(names...)
+		for _, s := range r.starts() {
+			on[s.Worker] = s.Task
+		}
+	}
+	r.submit("wide", whole(60))
+	first := r.answer()
+	assert.Equal(t, len(first), 1, "its turn has come")
+	questions := 0
+	for _, id := range names {
+		if slices.Contains(first[0].Workers, id) {
+			continue
+		}
+		r.hold(id, nil, EndedRun{Number: 1, Task: on[id], Run: 1, How: Done})
+		r.pass(50 * time.Millisecond)
+		questions += len(r.answer())
+	}
+	assert.Equal(t, questions, 1)
+}
