--- a/pool/drain_test.go
+++ b/pool/drain_test.go
@@ -95,3 +95,127 @@
 	})
 	assert.Equal(t, d.runsElsewhere(), 3)
 }
+
+// Two lasting tasks of different jobs are on workers that drain, and there is room for
+// one elsewhere. The other is at work where it is until its worker leaves: stopped, it
+// would serve nobody meanwhile.
+func TestTaskStaysOnAWorkerThatDrainsWhileThereIsNoRoom(t *testing.T) {
+	d := newDrainRig(t, 2, Resources{CPU: 1000, Mem: 8000})
+	d.submit("j1", lasting(1))
+	d.submit("j2", lasting(1))
+	d.pass(2*time.Second, func() {})
+	assert.Equal(t, d.drain(), 2)
+	stays := func() {
+		for _, id := range []string{"j1", "j2"} {
+			assert.Equal(t, d.runsOf(taskOf(id, 0)), 1, "%s is away", id)
+		}
+	}
+	d.pass(2*time.Second, stays)
+	d.machines = append(d.machines, MachineInfo{ID: "more", Service: "s", Up: true, Worker: "more"})
+	d.announce()
+	d.pass(2*time.Second, func() {})
+	stays()
+	assert.Equal(t, d.runsElsewhere(), 1)
+}
+
+// A lasting task is told to stop on its worker, which drains, and the worker takes its
+// time. The only room elsewhere is wanted by another job meanwhile. It
+// is kept for the lasting task, which would be without a worker.
+func TestRoomElsewhereIsKeptUntilTheTaskHasStopped(t *testing.T) {
+	d := newDrainRig(t, 2, Resources{CPU: 1000, Mem: 8000})
+	d.submit("j", lasting(1))
+	d.pass(2*time.Second, func() {})
+	assert.Equal(t, d.drain(), 1)
+	d.rig.pass(50 * time.Millisecond)
+	assert.Equal(t, len(take[Stop](d.rig)), 1)
+	d.submit("short", small(1))
+	d.rig.pass(100 * time.Millisecond)
+	assert.Equal(t, len(take[Start](d.rig)), 0, "the room is gone, and the task has not stopped yet")
+	d.pass(2*time.Second, func() {})
+	assert.Equal(t, d.runsOf(taskOf("j", 0)), 1)
+	assert.Equal(t, d.runsElsewhere(), 1)
+}
+
+// A worker that drains runs a task that ends by itself, and a gang. Both are left there:
+// the worker serves on for seconds, and what they have done would be lost.
+func TestTasksThatEndByThemselvesStayOnAWorkerThatDrains(t *testing.T) {
+	d := newDrainRig(t, 2, Resources{CPU: 4000, Mem: 8000})
+	gang := lasting(2)
+	gang.Gang, gang.PerWorker = true, 0
+	d.submit("short", small(1))
+	d.submit("gang", gang)
+	d.pass(time.Second, func() {})
+	d.drain()
+	d.pass(3*time.Second, func() { assert.Equal(t, d.runsElsewhere(), 0) })
+	assert.Equal(t, d.runsOf(taskOf("short", 0)), 1)
+}
+
+// The worker of a lasting task that saves its progress drains. The stopped run lists the
+// checkpoint that it made at its stop; the next one, elsewhere, has to carry it.
+func TestTaskThatLeavesAWorkerThatDrainsKeepsItsCheckpoint(t *testing.T) {
+	r := newRig(t, box("w1"), box("w2"))
+	r.save()
+	r.hold("w1", nil)
+	r.hold("w2", nil)
+	step := lasting(1)
+	step.Checkpoints = true
+	r.submit("j", step)
+	first := r.starts()[0]
+	list := []WorkerInfo{box("w1"), box("w2")}
+	for i := range list {
+		list[i].Draining = list[i].ID == first.Worker
+	}
+	r.step(WorkersListed{Workers: list})
+	stops := take[Stop](r)
+	assert.Equal(t, len(stops), 1)
+	assert.Equal(t, len(take[Start](r)), 0, "its last run goes on")
+	r.step(StopAnswered{Worker: first.Worker, Task: first.Task, Run: first.Run})
+	assert.Equal(t, len(take[Start](r)), 0, "the worker may take its time to stop it")
+	r.hold(first.Worker, nil, EndedRun{Number: 1, Task: first.Task, Run: first.Run, How: Stopped, Checkpoint: "saved"})
+	next := take[Start](r)
+	assert.Equal(t, len(next), 1)
+	assert.Assert(t, next[0].Worker != first.Worker)
+	assert.Equal(t, next[0].Checkpoint, "saved")
+}
+
+// Only the advice service knows which workers may run a queue's tasks. The worker of such
+// a lasting task drains, and its ticket for the other one is over. The task works on
+// until there is a new one: stopped before, it would serve nobody while the question waits.
+func TestTicketIsAskedForBeforeATaskLeavesAWorkerThatDrains(t *testing.T) {
+	names := []string{"w1", "w2", "w3"}
+	r := newAdvisedRig(t, names...)
+	r.save()
+	r.submit("j", lasting(1))
+	assert.Equal(t, len(r.answer("w1", "w2")), 1)
+	first := r.starts()[0]
+	hold := func() {
+		r.pass(time.Second)
+		for _, id := range names {
+			var active []ActiveRun
+			if id == first.Worker {
+				active = []ActiveRun{{Task: first.Task, Run: first.Run, Percent: atWork}}
+			}
+			r.hold(id, active)
+		}
+	}
+	for range 3 { // until its tickets are over
+		hold()
+	}
+	var list []WorkerInfo
+	for _, id := range names {
+		w := box(id)
+		w.Draining = id == first.Worker
+		list = append(list, w)
+	}
+	r.step(WorkersListed{Workers: list})
+	r.pass(100 * time.Millisecond)
+	assert.Equal(t, len(take[Stop](r)), 0, "no ticket yet")
+	assert.Equal(t, len(r.answer("w1", "w2")), 1, "one question")
+	assert.Equal(t, len(take[Stop](r)), 1)
+	r.step(StopAnswered{Worker: first.Worker, Task: first.Task, Run: first.Run})
+	r.pass(100 * time.Millisecond)
+	r.hold(first.Worker, nil, EndedRun{Number: 1, Task: first.Task, Run: first.Run, How: Stopped})
+	next := take[Start](r)
+	assert.Equal(t, len(next), 1)
+	assert.Assert(t, next[0].Worker != first.Worker && next[0].Worker != "w3", next[0].Worker)
+}
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -112,6 +112,11 @@
 			count++
 		}
 	}
+	for _, b := range s.kept {
+		if b.worker == w {
+			count++
+		}
+	}
 	for _, r := range w.runs {
 		if r.task.step == s {
 			count++
--- a/pool/place.go
+++ b/pool/place.go
@@ -74,6 +74,7 @@
 	for _, s := range waiting {
 		c.placeStep(s)
 	}
+	c.leaveDraining()
 }
 
 func (s *step) anyWaiting(now time.Duration) bool {
--- a/pool/run.go
+++ b/pool/run.go
@@ -45,6 +45,8 @@
 	progressAt time.Duration
 	resumed    bool // from a checkpoint, so its time says little
 	pace       int  // of a filling task, in percent
+	// kept is the room that its task is to get elsewhere once it has stopped.
+	kept *booking
 }
 
 // takeActive adopts what a predecessor started, and stops what must not run.
@@ -114,6 +116,7 @@
 		return
 	}
 	delete(w.runs, key)
+	r.giveBack()
 	w.used = w.used.Minus(r.need)
 	if r.task.step.spec.Fills {
 		w.fills--
--- a/pool/state.go
+++ b/pool/state.go
@@ -48,6 +48,8 @@
 	// lookAgain is when room for the step is looked for again.
 	lookAgain time.Duration
 	booked    []booking
+	// kept is the room for tasks that are on their way from workers that drain.
+	kept []*booking
 	// failedOn are the workers on which a run failed.
 	failedOn map[string]bool
 	// doneRuns and doneTime sum the runs that ended as done.
--- a/pool/upkeep.go
+++ b/pool/upkeep.go
@@ -101,12 +101,18 @@
 
 // mayMiss reports whether one more lasting task of a step may be away by our
 // doing. A task counts as away until it is seen at work.
-func (s *step) mayMiss() bool {
+func (s *step) mayMiss() bool { return s.mayMissBut(nil) }
+
+// mayMissBut is mayMiss for one of the step's own tasks, which may be away already.
+func (s *step) mayMissBut(own *task) bool {
 	if s.spec.MaxUnavailable == 0 {
 		return true
 	}
 	away := 0
 	for _, t := range s.tasks {
+		if t == own {
+			continue
+		}
 		if t.run == nil || t.run.phase != running || t.run.stopping || t.run.percent < atWork {
 			away++
 		}
