--- a/cmd/kw-node/main.go
+++ b/cmd/kw-node/main.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog/diode"
 
 	"github.com/knapweedweir/knapweedweir/daemon"
+	_ "github.com/knapweedweir/knapweedweir/daemon/hangup" // ignores SIGHUP until main asks for it
 	"github.com/knapweedweir/knapweedweir/node"
 	"github.com/knapweedweir/knapweedweir/platform"
 )
@@ -45,8 +46,8 @@
 )
 
 func main() {
-	// Before anything else: until somebody asks for the signal it ends the process,
-	// and operators signal changed settings at any moment, to starting processes too.
+	// Before the settings are read: operators signal changed settings at any moment, to
+	// starting processes too, and what came before this line was dropped.
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	path := os.Getenv(platform.SettingsVariable)
--- /dev/null
+++ b/standin/cell/signals.go
@@ -0,0 +1,34 @@
+package cell
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"syscall"
+
+	"github.com/pkg/errors"
+)
+
+// TakesSignal reports whether a process ignores or catches a signal, by the kernel. Until
+// it does, the signal takes its default way, whatever the program means to do about it.
+func TakesSignal(pid int, s syscall.Signal) (bool, error) {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return false, errors.Wrap(err, "read a process's status")
+	}
+	for line := range strings.Lines(string(status)) {
+		name, mask, _ := strings.Cut(strings.TrimSpace(line), ":\t")
+		if name != "SigIgn" && name != "SigCgt" {
+			continue
+		}
+		taken, err := strconv.ParseUint(mask, 16, 64)
+		if err != nil {
+			return false, errors.Wrap(err, name)
+		}
+		if taken&(1<<(s-1)) != 0 {
+			return true, nil
+		}
+	}
+	return false, nil
+}
