--- a/standin/machines/referee.go
+++ b/standin/machines/referee.go
@@ -153,6 +153,9 @@
 	if !x.spoiledAt.IsZero() && time.Since(x.spoiledAt) > readBound && r.w.views[sender].calmFor() > readsAgain && !r.w.everLate {
 		r.finding("ROUTE", "%v started on %s, whose entry names no worker for %v", s.Task, x.id, time.Since(x.spoiledAt))
 	}
+	if !x.drainsAt.IsZero() && time.Since(x.drainsAt) > readBound && r.w.views[sender].calmFor() > readsAgain && !r.w.everLate {
+		r.finding("DRAIN", "%v started on %s, which has drained for %v", s.Task, x.id, time.Since(x.drainsAt))
+	}
 	r.checkOrder(j, s)
 	r.checkOnce(x, j, s)
 	r.checkRoom(x, j, s)
--- a/standin/machines/worker.go
+++ b/standin/machines/worker.go
@@ -29,6 +29,7 @@
 	died     time.Time
 	// spoiledAt is when an entry of another writer came in place of its own; zero: none.
 	spoiledAt time.Time
+	drainsAt  time.Time // when it said that it drains; zero: it doesn't
 	token     uint64
 	lease     time.Time
 	runs      []*run
@@ -76,7 +77,7 @@
 		addr = x.w.AddrOf(x.id)
 	}
 	return pool.WorkerInfo{ID: x.id, Addr: addr, Service: Service, Zone: "z", Rack: x.rack, Kind: x.kind,
-		Labels: []string{x.kind, x.rack}, Capacity: x.capacity}
+		Labels: []string{x.kind, x.rack}, Capacity: x.capacity, Draining: !x.drainsAt.IsZero()}
 }
 
 // clock is the worker's own, in milliseconds.
