--- a/pool/headroom.go
+++ b/pool/headroom.go
@@ -136,10 +136,14 @@
 	asking     map[int]float64
 	runsDone   float64
 	runsFailed float64
+	// newest is each queue's newest job that was judged, and refusals are the newest
+	// ones: for operators, see Outlook.
+	newest   map[string]*Job
+	refusals []Refusal
 }
 
 func newHeadroom() headroom {
-	return headroom{tries: map[string]int64{}, offered: map[string]*inflow{}, advised: map[string]advised{}, asks: map[int]*meter{}, delays: map[string]*delays{}, refusing: map[string]time.Duration{}}
+	return headroom{tries: map[string]int64{}, offered: map[string]*inflow{}, advised: map[string]advised{}, asks: map[int]*meter{}, delays: map[string]*delays{}, refusing: map[string]time.Duration{}, newest: map[string]*Job{}}
 }
 
 // Admit tells whether a job that a caller hands in can be served in time. A job that is
@@ -162,10 +166,12 @@
 	if _, again := h.tries[j.ID]; !again {
 		c.offered(claim)
 	}
+	h.judged(j)
 	a := c.estimate(&j, q, claim, runs)
 	if a.Refused {
 		c.remember(j.ID)
 		h.refusing[j.Queue] = c.now
+		h.refused(&j, c.unixMs, a)
 		return a
 	}
 	h.admitted = append(h.admitted, admitted{job: j.ID, at: c.now, claim: claim})
