--- a/cmd/kw-node/main.go
+++ b/cmd/kw-node/main.go
@@ -84,7 +84,8 @@
 	if err := serve(p, set.Listen.Callers, front); err != nil {
 		return err
 	}
-	if err := serve(p, set.Listen.Ready, &http.Server{Handler: readiness(n)}); err != nil {
+	p.OnDump(func() (any, error) { return n.Dump(context.Background()), nil })
+	if err := serve(p, set.Listen.Ready, &http.Server{Handler: readiness(p, n.Ready)}); err != nil {
 		return err
 	}
 	if err := serve(p, set.MetricsAddr(), &http.Server{Handler: p.Mux()}); err != nil {
@@ -144,9 +145,13 @@
 	return nil
 }
 
-func readiness(n *node.Node) http.HandlerFunc {
+// readiness answers the balancer, and notes the answer: the dump, the log and the gauge of
+// conditions say of an instance what the balancer was told.
+func readiness(p *daemon.Process, ready func() bool) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) {
-		if !n.Ready() {
+		is := ready()
+		p.SetReady(is)
+		if !is {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	}
--- a/cmd/kw-node/main_test.go
+++ b/cmd/kw-node/main_test.go
@@ -1,6 +1,9 @@
 package main
 
 import (
+	"io"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -9,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/knapweedweir/knapweedweir/daemon"
 	"github.com/knapweedweir/knapweedweir/platform"
 )
 
@@ -33,3 +37,21 @@
 	assert.NilError(t, w.Close())
 	assert.ErrorContains(t, cmd.Wait(), "exit status 1")
 }
+
+// An operator looks at the dump of an instance that serves. It must not say that it isn't
+// ready, as it did of every instance for good when nothing noted the balancer's answers.
+func TestReadinessIsWhatTheBalancerWasTold(t *testing.T) {
+	p := daemon.New("kw-node", "edge-1", io.Discard)
+	ready := false
+	ask := func() int {
+		w := httptest.NewRecorder()
+		readiness(p, func() bool { return ready })(w, httptest.NewRequest(http.MethodGet, "/", nil))
+		return w.Code
+	}
+	assert.Equal(t, ask(), http.StatusServiceUnavailable)
+	assert.Equal(t, len(p.Status().Conditions), 1)
+	ready = true
+	assert.Equal(t, ask(), http.StatusOK)
+	assert.Assert(t, p.Status().Ready)
+	assert.Equal(t, len(p.Status().Conditions), 0)
+}
--- a/node/admission.go
+++ b/node/admission.go
@@ -27,8 +27,7 @@
 // owner can't judge is taken: other records than jobs, all before it knows the pool,
 // and what may be stored already.
 func (o *ownership) admit(s *submission) error {
-	now := o.unit.node.now()
-	if kind, _ := pool.ParseKey(s.record.Key); kind != pool.JobRecord || s.inDoubt || !o.loaded || now-o.unit.completeAt > staleAfter {
+	if kind, _ := pool.ParseKey(s.record.Key); kind != pool.JobRecord || s.inDoubt || o.unjudged() != "" {
 		return nil
 	}
 	ev, err := event(s.record, fromCaller)
@@ -36,7 +35,7 @@
 	if err != nil || !isJob {
 		return nil // it is reported when it is taken in
 	}
-	a := o.core.Admit(now, stored.Job)
+	a := o.core.Admit(o.unit.node.now(), stored.Job)
 	if !a.Refused {
 		return nil
 	}
@@ -44,6 +43,17 @@
 	return &OverloadError{ComeBack: a.ComeBack}
 }
 
+// unjudged tells why this owner takes all jobs; empty: it judges them.
+func (o *ownership) unjudged() string {
+	switch {
+	case !o.loaded:
+		return "this owner has not read the pool's state yet"
+	case o.unit.node.now()-o.unit.completeAt > staleAfter:
+		return "this owner's newest read of the store is older than " + staleAfter.String()
+	}
+	return ""
+}
+
 // logRefusal writes what a refusal was decided by.
 func (o *ownership) logRefusal(j *pool.Job, a pool.Admission) {
 	o.unit.node.measures.refused(j.Queue, a.Scarce)
