--- /dev/null
+++ b/cmd/kwctl/room.go
@@ -0,0 +1,237 @@
+package main
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/knapweedweir/knapweedweir/daemon"
+	"github.com/knapweedweir/knapweedweir/node"
+	"github.com/knapweedweir/knapweedweir/pool"
+)
+
+func (c *console) roomCommand() *verb {
+	var dumps, job string
+	return &verb{console: c, name: "room", args: "[ADDRESS...]", most: unlimited,
+		run: func(ctx context.Context, args []string) error { return c.room(ctx, args, dumps, job) },
+		flags: func(f *flag.FlagSet) {
+			f.StringVar(&dumps, "dump", "", "`file` with dumps of instances, one after the other, - is standard input; nobody is asked then")
+			f.StringVar(&job, "job", "", "print the grounds on which this `job` was refused")
+		},
+		synopsis: "tell each queue's head room, whether it refuses jobs now, and when callers should return",
+		help: "ADDRESS is where a kw-node serves its counters; without one $KW_ENTRY is asked. Only a pool's\n" +
+			"owner knows its room, so name all instances, or any one, which names the owners.\n" +
+			"A row is what the queue's next job finds: the work ahead of it that can still be in time, the\n" +
+			"cores that work it off, and how long it would wait for room, for advice and for starts, beside\n" +
+			"the wait that is seen; SCARCE is the longest. HANDED_IN is the work handed in of late over the\n" +
+			"room. REFUSES and RETURN_MS tell what a job like the queue's newest would be told now."}
+}
+
+// nodeDump is what kwctl reads of a kw-node's dump.
+type nodeDump struct {
+	Process daemon.Status `json:"process"`
+	node.Dump
+}
+
+// ownedPool is a pool as its owner sees it; without an outlook, as another instance does.
+type ownedPool struct {
+	// Told is the instance whose dump it is from.
+	Told string `json:"told"`
+	node.PoolDump
+}
+
+func (c *console) room(ctx context.Context, addrs []string, file, job string) error {
+	dumps, errs := c.nodeDumps(ctx, addrs, file)
+	pools := newestPools(dumps)
+	if len(pools) == 0 {
+		return worst(append(errs, errors.New("no dump names a pool; is it a kw-node's?")))
+	}
+	if job != "" {
+		return c.refusalOf(pools, job)
+	}
+	if c.output == outputJSON {
+		if err := c.json(pools); err != nil {
+			return err
+		}
+		return worst(errs)
+	}
+	for _, p := range pools {
+		if err := c.poolRoom(p); err != nil {
+			return err
+		}
+	}
+	return worst(errs)
+}
+
+// nodeDumps reads dumps from a file, or asks the instances.
+func (c *console) nodeDumps(ctx context.Context, addrs []string, file string) (dumps []nodeDump, errs []error) {
+	if file != "" {
+		data, err := c.file(file)
+		if err != nil {
+			return nil, []error{err}
+		}
+		dumps, err = decodeDumps(data)
+		if err != nil {
+			return dumps, []error{errors.Wrap(err, file)}
+		}
+		return dumps, nil
+	}
+	if len(addrs) == 0 && c.entry == "" {
+		return nil, []error{&usageError{"which instance? give an ADDRESS, -entry, $KW_ENTRY or -dump"}}
+	}
+	if len(addrs) == 0 {
+		addrs = []string{c.entry}
+	}
+	answers, failed := make([]nodeDump, len(addrs)), make([]error, len(addrs))
+	each(addrs, func(i int, addr string) {
+		failed[i] = errors.Wrap(c.get(ctx, addr, "/dump", &answers[i]), addr)
+	})
+	for i := range addrs {
+		if failed[i] != nil {
+			errs = append(errs, failed[i])
+			continue
+		}
+		dumps = append(dumps, answers[i])
+	}
+	return dumps, errs
+}
+
+// decodeDumps reads JSON documents that stand one after the other.
+func decodeDumps(data []byte) ([]nodeDump, error) {
+	var dumps []nodeDump
+	dec := json.NewDecoder(bytes.NewReader(data))
+	for {
+		var d nodeDump
+		err := dec.Decode(&d)
+		if errors.Is(err, io.EOF) {
+			return dumps, nil
+		}
+		if err != nil {
+			return dumps, errors.Wrapf(err, "dump %d", len(dumps)+1)
+		}
+		dumps = append(dumps, d)
+	}
+}
+
+// newestPools returns each pool once: as its owner of the newest epoch sees it, else as
+// somebody else does who knows who owns it.
+func newestPools(dumps []nodeDump) []ownedPool {
+	best := map[int]ownedPool{}
+	for _, d := range dumps {
+		for _, p := range d.Pools {
+			if old, known := best[p.Pool]; !known || knowsMore(p, old.PoolDump) {
+				best[p.Pool] = ownedPool{Told: d.Process.ID, PoolDump: p}
+			}
+		}
+	}
+	list := make([]ownedPool, 0, len(best))
+	for _, p := range best {
+		list = append(list, p)
+	}
+	slices.SortFunc(list, func(a, b ownedPool) int { return cmp.Compare(a.Pool, b.Pool) })
+	return list
+}
+
+func knowsMore(a, b node.PoolDump) bool {
+	if a.Owned != b.Owned {
+		return a.Owned
+	}
+	return a.Epoch > b.Epoch
+}
+
+// poolRoom prints one pool's queues.
+func (c *console) poolRoom(p ownedPool) error {
+	switch {
+	case p.Error != "":
+		c.say("pool %d: %s says: %s", p.Pool, p.Told, p.Error)
+		return nil
+	case !p.Owned:
+		c.say("pool %d is owned by %s, as %s knows; ask it for its head room", p.Pool, cmp.Or(p.Owner, "nobody"), p.Told)
+		return nil
+	}
+	c.say("pool %d, owned by %s under epoch %d", p.Pool, p.Told, p.Epoch)
+	if p.Unjudged != "" {
+		c.say("takes all jobs: %s", p.Unjudged)
+	}
+	if p.Outlook == nil {
+		return nil
+	}
+	var rows [][]string
+	for _, q := range p.Queues {
+		rows = append(rows, queueRow(q))
+	}
+	return c.table(nil, "QUEUE PRIORITY NOT_BEGUN AHEAD_CORE_S ROOM_CORES ROOM_MS ADVICE_MS STARTS_MS DELAY_MS SCARCE HANDED_IN REFUSES RETURN_MS", rows)
+}
+
+func queueRow(q pool.QueueOutlook) []string {
+	row := []string{q.Queue, fmt.Sprint(q.Priority), fmt.Sprint(q.NotBegun)}
+	if q.Unjudged != "" {
+		return append(row, "-", "-", "-", "-", "-", "-", "-", "-", "no: "+q.Unjudged, "-")
+	}
+	row = append(row, fmt.Sprintf("%.1f", q.Ahead.Cores), fmt.Sprintf("%.1f", q.Room.Cores))
+	for _, by := range []pool.Scarce{pool.RoomScarce, pool.AdviceScarce, pool.StartsScarce, pool.DelayScarce} {
+		row = append(row, fmt.Sprint(q.WaitMillis[by]))
+	}
+	refuses, comeBack := "no", "-"
+	switch {
+	case q.Newest == nil:
+		refuses = "-" // no job of it has been judged
+	case q.Refuses:
+		refuses, comeBack = "yes", fmt.Sprint(q.Newest.ComeBackMillis)
+	}
+	return append(row, orDash(string(q.Scarce)), fmt.Sprintf("%.2f", q.HandedIn), refuses, comeBack)
+}
+
+// refusalOf prints on what grounds one job was refused, each time.
+func (c *console) refusalOf(pools []ownedPool, job string) error {
+	found := []pool.Refusal{}
+	for _, p := range pools {
+		if p.Outlook == nil {
+			continue
+		}
+		for _, r := range p.Refusals {
+			if r.Job == job {
+				found = append(found, r)
+			}
+		}
+	}
+	if len(found) == 0 {
+		return errors.Errorf("job %s is not among the newest refusals; the logs have all: kwctl why -logs FILE %s", job, job)
+	}
+	if c.output == outputJSON {
+		return c.json(found)
+	}
+	for _, r := range found {
+		c.say("%s queue %s: %s", time.UnixMilli(r.AtUnixMillis).UTC().Format("15:04:05.000"), r.Queue, groundsText(r.Grounds))
+	}
+	return nil
+}
+
+// wanting says what a refused job would have waited for.
+var wanting = map[pool.Scarce]string{
+	pool.RoomScarce:   "for want of room",
+	pool.AdviceScarce: "for want of answers of the advice service",
+	pool.StartsScarce: "for want of starts by the owner",
+	pool.DelayScarce:  "by the wait that is seen in its queue",
+}
+
+// groundsText says why a job was refused.
+func groundsText(g pool.Grounds) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s: would wait %d ms and run %d ms", cmp.Or(wanting[g.Scarce], string(g.Scarce)), g.WaitMillis, g.RunsMillis)
+	fmt.Fprintf(&b, ", has %d ms", g.LimitMillis)
+	if g.SinceFirstMillis > 0 {
+		fmt.Fprintf(&b, " less the %d since its first try", g.SinceFirstMillis)
+	}
+	fmt.Fprintf(&b, "; %.1f core-seconds ahead at %.1f cores; come back in %d ms", g.AheadCoreSeconds, g.RoomCores, g.ComeBackMillis)
+	return b.String()
+}
--- /dev/null
+++ b/cmd/kwctl/room_test.go
@@ -0,0 +1,133 @@
+package main
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/knapweedweir/knapweedweir/daemon"
+	"github.com/knapweedweir/knapweedweir/node"
+	"github.com/knapweedweir/knapweedweir/pool"
+)
+
+// refusedQuote are the grounds of a refusal of a recorded day.
+var refusedQuote = pool.Grounds{Scarce: pool.RoomScarce, WaitMillis: 3392, RunsMillis: 2349, LimitMillis: 6168, SinceFirstMillis: 726,
+	AheadCoreSeconds: 488, RoomCores: 832, ComeBackMillis: 1661}
+
+// ownersDump is the dump of an instance that owns pool 3, whose queue of quotes refuses,
+// whose queue of reports has not been asked for anything, and whose queue of maps has no
+// workers. It knows the owner of pool 1.
+func ownersDump() nodeDump {
+	ago := int64(12)
+	return nodeDump{Process: daemon.Status{ID: "edge-1"}, Dump: node.Dump{Version: 8, Pools: []node.PoolDump{
+		{Pool: 3, Owner: "edge-1", Epoch: 77, Owned: true, Outlook: &pool.Outlook{
+			Queues: []pool.QueueOutlook{
+				{Queue: "maps", Priority: 2, Unjudged: "no worker of its service is listed, or all are leaving"},
+				{Queue: "quotes", Priority: 0, NotBegun: 106, Ahead: pool.Amounts{Cores: 488}, Room: pool.Amounts{Cores: 832},
+					WaitMillis: map[pool.Scarce]int64{pool.RoomScarce: 3392, pool.AdviceScarce: 40, pool.DelayScarce: 210}, Scarce: pool.RoomScarce,
+					HandedIn: 3.408, RefusesFrom: 1.5, Newest: &refusedQuote, Refuses: true, RefusedAgoMillis: &ago},
+				{Queue: "reports", Priority: 1, Room: pool.Amounts{Cores: 416}, WaitMillis: map[pool.Scarce]int64{pool.RoomScarce: 0, pool.AdviceScarce: 0, pool.StartsScarce: 0, pool.DelayScarce: 0}},
+			},
+			Refusals: []pool.Refusal{{Job: "b244", Queue: "quotes", AtUnixMillis: 1767348010500, Grounds: refusedQuote}},
+		}},
+		{Pool: 1, Owner: "edge-2", Epoch: 12},
+	}}}
+}
+
+func rows(text string) (list []string) {
+	for _, line := range strings.Split(strings.TrimSpace(text), "\n") {
+		list = append(list, strings.Join(strings.Fields(line), " "))
+	}
+	return list
+}
+
+// Callers of the quotes complain of refusals. The operator asks an instance and sees
+// what is ahead of the next quote, what works it off, what is scarce, and when a caller
+// that comes now is told to return.
+func TestRoomTellsHeadRoomAndTimeToReturn(t *testing.T) {
+	f := newFakeEntry(t)
+	f.answer("GET /dump", 200, ownersDump())
+	r := kwctl(t, "", "", "room", f.addr)
+	assert.Equal(t, r.status, exitOK, r.errs)
+	assert.DeepEqual(t, rows(r.out), []string{
+		"pool 1 is owned by edge-2, as edge-1 knows; ask it for its head room",
+		"pool 3, owned by edge-1 under epoch 77",
+		"QUEUE PRIORITY NOT_BEGUN AHEAD_CORE_S ROOM_CORES ROOM_MS ADVICE_MS STARTS_MS DELAY_MS SCARCE HANDED_IN REFUSES RETURN_MS",
+		"maps 2 0 - - - - - - - - no: no worker of its service is listed, or all are leaving -",
+		"quotes 0 106 488.0 832.0 3392 40 0 210 room 3.41 yes 1661",
+		"reports 1 0 0.0 416.0 0 0 0 0 - 0.00 - -",
+	})
+}
+
+// All instances are asked; one of them is down, and one still takes itself for the owner
+// of a pool that another has claimed. What the others know is shown, the newest owner's
+// word counts, and the status says that not all answered.
+func TestRoomOfSeveralInstances(t *testing.T) {
+	f, g := newFakeEntry(t), newFakeEntry(t)
+	f.answer("GET /dump", 200, ownersDump())
+	newer := ownersDump()
+	newer.Process.ID = "edge-2"
+	newer.Pools = []node.PoolDump{{Pool: 3, Owner: "edge-2", Epoch: 78, Owned: true, Unjudged: "this owner has not read the pool's state yet"},
+		{Pool: 1, Error: "no answer of the pool's goroutine: context deadline exceeded"}}
+	g.answer("GET /dump", 200, newer)
+	r := kwctl(t, f.addr, "", "room", f.addr, g.addr, "127.0.0.1:1")
+	assert.Equal(t, r.status, exitFailure)
+	assert.Assert(t, strings.Contains(r.errs, "127.0.0.1:1: call entry"), r.errs)
+	assert.DeepEqual(t, rows(r.out), []string{
+		"pool 1 is owned by edge-2, as edge-1 knows; ask it for its head room",
+		"pool 3, owned by edge-2 under epoch 78",
+		"takes all jobs: this owner has not read the pool's state yet",
+	})
+}
+
+// A dump was saved during the incident. One caller's refusal is explained from it, and of
+// a job that is not in it the answer says where to look.
+func TestRoomTellsTheGroundsOfOneRefusal(t *testing.T) {
+	data, err := json.Marshal(ownersDump())
+	assert.NilError(t, err)
+	file := filepath.Join(t.TempDir(), "dumps")
+	assert.NilError(t, os.WriteFile(file, append([]byte(`{"process":{"id":"edge-9"},"pools":[]}`+"\n"), data...), 0o600))
+	r := kwctl(t, "", "", "room", "-dump", file, "-job", "b244")
+	assert.Equal(t, r.status, exitOK, r.errs)
+	assert.Equal(t, r.out, "10:00:10.500 queue quotes: for want of room: would wait 3392 ms and run 2349 ms, has 6168 ms less the 726 since its first try; "+
+		"488.0 core-seconds ahead at 832.0 cores; come back in 1661 ms\n")
+	r = kwctl(t, "", "", "room", "-dump", file, "-job", "dead")
+	assert.Equal(t, r.status, exitFailure)
+	assert.Assert(t, strings.Contains(r.errs, "kwctl why -logs FILE dead"), r.errs)
+}
+
+func TestRoomSaysWhatIsWrong(t *testing.T) {
+	f := newFakeEntry(t)
+	f.answer("GET /dump", 200, map[string]any{"offset": 9}) // another process's
+	broken := filepath.Join(t.TempDir(), "dumps")
+	assert.NilError(t, os.WriteFile(broken, []byte(`{"pools":[]} {"pools":7}`), 0o600))
+	for _, tt := range []struct {
+		entry string
+		args  []string
+		want  string
+	}{
+		{"", nil, "which instance?"},
+		{f.addr, nil, "no dump names a pool"},
+		{"", []string{"-dump", broken}, "dump 2: json: cannot unmarshal number"},
+		{"", []string{"-dump", filepath.Join(t.TempDir(), "none")}, "no such file"},
+	} {
+		r := kwctl(t, tt.entry, "", append([]string{"room"}, tt.args...)...)
+		assert.Assert(t, r.status != exitOK)
+		assert.Assert(t, strings.Contains(r.errs, tt.want), "%q not in %s", tt.want, r.errs)
+	}
+}
+
+// For programs, the whole state.
+func TestRoomAsJSON(t *testing.T) {
+	f := newFakeEntry(t)
+	f.answer("GET /dump", 200, ownersDump())
+	r := kwctl(t, f.addr, "", "room", "-o", "json")
+	assert.Equal(t, r.status, exitOK, r.errs)
+	var pools []ownedPool
+	assert.NilError(t, json.Unmarshal([]byte(r.out), &pools))
+	assert.DeepEqual(t, pools[1].PoolDump, ownersDump().Pools[0])
+}
--- a/cmd/kwctl/why.go
+++ b/cmd/kwctl/why.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/knapweedweir/knapweedweir/pool"
 )
 
 func (c *console) whyCommand() *verb {
@@ -24,9 +26,13 @@
 		synopsis: "tell one job's story in order, from the instances' logs",
 		help: "Reads what kw-node processes wrote, of all instances and in any order, also where each line\n" +
 			"begins with something else. Printed are the job's own lines, and those of its pool between\n" +
-			"them that say who owned it and whether the store answered. No instance is asked."}
+			"them that say who owned it and whether the store answered; a refusal is printed with its grounds.\n" +
+			"No instance is asked."}
 }
 
+// refusedEvent is the line of a pool's owner that refuses a job.
+const refusedEvent = "job.refused"
+
 // logLine is one line of a kw-node's log.
 type logLine struct {
 	Time     time.Time `json:"time"`
@@ -46,6 +52,26 @@
 	// Waited and Took are in milliseconds.
 	Waited float64 `json:"waited"`
 	Took   float64 `json:"took"`
+	refusalGrounds
+}
+
+// refusalGrounds are what a refusal was decided by, as its line has them; times are in
+// milliseconds.
+type refusalGrounds struct {
+	Scarce        pool.Scarce `json:"scarce,omitempty"`
+	Wait          float64     `json:"wait,omitempty"`
+	Runs          float64     `json:"runs,omitempty"`
+	Limit         float64     `json:"limit,omitempty"`
+	SinceFirstTry float64     `json:"since_first_try,omitempty"`
+	AheadCoreS    float64     `json:"ahead_core_s,omitempty"`
+	RoomCores     float64     `json:"room_cores,omitempty"`
+	// ComeBack is in the line of a caller's request too.
+	ComeBack float64 `json:"come_back,omitempty"`
+}
+
+func (g refusalGrounds) text() string {
+	return groundsText(pool.Grounds{Scarce: g.Scarce, WaitMillis: int64(g.Wait), RunsMillis: int64(g.Runs), LimitMillis: int64(g.Limit),
+		SinceFirstMillis: int64(g.SinceFirstTry), AheadCoreSeconds: g.AheadCoreS, RoomCores: g.RoomCores, ComeBackMillis: int64(g.ComeBack)})
 }
 
 // why prints a job's story.
@@ -114,7 +140,10 @@
 
 // what names the piece of the job that a line is about.
 func (l logLine) what() string {
-	if l.Task == nil {
+	switch {
+	case l.Event == refusedEvent:
+		return "queue " + l.Queue
+	case l.Task == nil:
 		return l.Verdict
 	}
 	return fmt.Sprintf("step %d task %d run %d on %s", l.Step, *l.Task, l.Run, l.Worker)
@@ -122,6 +151,9 @@
 
 // how says what decided it.
 func (l logLine) how() string {
+	if l.Event == refusedEvent {
+		return l.text()
+	}
 	parts := []string{cmp.Or(l.Reason, l.Error)}
 	if l.Waited > 0 {
 		parts = append(parts, fmt.Sprintf("waited %.0f ms", l.Waited))
@@ -129,6 +161,9 @@
 	if l.Took > 0 {
 		parts = append(parts, fmt.Sprintf("took %.0f ms", l.Took))
 	}
+	if l.ComeBack > 0 {
+		parts = append(parts, fmt.Sprintf("come back in %.0f ms", l.ComeBack))
+	}
 	if l.Epoch > 0 && l.Job == "" {
 		parts = append(parts, fmt.Sprintf("epoch %d", l.Epoch))
 	}
--- a/cmd/kwctl/why_test.go
+++ b/cmd/kwctl/why_test.go
@@ -46,3 +46,19 @@
 	assert.Equal(t, status, exitFailure)
 	assert.Assert(t, strings.Contains(errs.String(), "says nothing of job dead"), errs.String())
 }
+
+// A caller's job was refused twice. The story names the grounds, and what the caller was
+// told.
+func TestWhyNamesTheGroundsOfARefusal(t *testing.T) {
+	const log = `{"id":"edge-1","pool":0,"job":"0be0","queue":"quotes","scarce":"delay","wait":76.681438,"runs":122,"limit":433,"since_first_try":726,"ahead_core_s":48.26,"room_cores":22400,"come_back":1599.25,"epoch":107211,"time":"2026-01-02T10:00:01Z","message":"job.refused"}
+{"id":"edge-2","pool":0,"job":"0be0","queue":"quotes","verdict":"not run","took":12.4,"come_back":1599.25,"time":"2026-01-02T10:00:01.1Z","message":"job.submitted"}
+`
+	r := kwctl(t, "", log, "why", "0be0")
+	assert.Equal(t, r.status, exitOK, r.errs)
+	assert.DeepEqual(t, rows(r.out)[1:], []string{
+		"10:00:01.000 edge-1 job.refused queue quotes by the wait that is seen in its queue: would wait 76 ms and run 122 ms, " +
+			"has 433 ms less the 726 since its first try; 48.3 core-seconds ahead at 22400.0 cores; come back in 1599 ms",
+		"10:00:01.100 edge-2 job.submitted not run took 12 ms, come back in 1599 ms",
+	})
+	assert.Assert(t, strings.Contains(kwctl(t, "", log, "why", "-o", "json", "0be0").out, `"scarce": "delay"`))
+}
