--- a/cmd/kwctl/console.go
+++ b/cmd/kwctl/console.go
@@ -41,7 +41,7 @@
 Usage: kwctl GROUP COMMAND [flags] [arguments]
        kwctl doctor [flags]
        kwctl why [-logs FILE] JOB
-       kwctl delays [-logs FILE]
+       kwctl delays [-logs FILE] [-plot FILE.svg]
        kwctl room [-dump FILE] [-job JOB] [ADDRESS...]
 
 Every command asks one entry: -entry ADDRESS, or $KW_ENTRY. Flags may stand
--- a/cmd/kwctl/delays.go
+++ b/cmd/kwctl/delays.go
@@ -12,18 +12,22 @@
 )
 
 func (c *console) delaysCommand() *verb {
-	var logs string
+	var logs, plotFile string
 	return &verb{console: c, name: "delays", least: 0, most: 0,
-		run: func(context.Context, []string) error { return c.delays(logs) },
+		run: func(context.Context, []string) error { return c.delays(logs, plotFile) },
 		flags: func(f *flag.FlagSet) {
 			f.StringVar(&logs, "logs", "-", "file with the instances' logs, - is standard input")
+			f.StringVar(&plotFile, "plot", "", "draw waits and refusals over time, by queue, into this `file` (.svg or .png)")
 		},
 		synopsis: "tell where jobs' time went, by queue, from the instances' logs",
 		help: "Reads what kw-node processes wrote, as why does. A row is one queue and one part of its jobs'\n" +
 			"time: until the store held them, until their first task started, until their last task ended,\n" +
 			"and until that was stored; beside the middle and the slowest twentieth, the sum over all jobs.\n" +
 			"Under them stand the jobs that were never accepted, by what their callers were last told, and\n" +
-			"those that were accepted and had not begun, or not ended, when the logs end."}
+			"those that were accepted and had not begun, or not ended, when the logs end.\n" +
+			"-plot also draws the day: how long half and 95 of 100 of the jobs waited from hand-in to first\n" +
+			"start, and how many a second were refused or not run. A job that never began counts with its\n" +
+			"wait until the logs end."}
 }
 
 // jobTimes is one job's way, as the logs tell it; the zero time stands for never.
@@ -57,14 +61,22 @@
 	Sum   time.Duration `json:"sum_ns,omitempty"`
 }
 
-func (c *console) delays(logs string) error {
+var errNoJobs = errors.New("says nothing of any job")
+
+func (c *console) delays(logs, plotFile string) error {
 	data, err := c.file(logs)
 	if err != nil {
 		return err
 	}
-	rows := delayRows(timesOf(parseLog(data)))
+	lines := parseLog(data)
+	rows := delayRows(timesOf(lines))
 	if len(rows) == 0 {
-		return errors.Errorf("%s says nothing of any job", logs)
+		return errors.Wrap(errNoJobs, logs)
+	}
+	if plotFile != "" {
+		if err := plotLines(lines, plotFile); err != nil {
+			return errors.Wrap(err, logs)
+		}
 	}
 	table := make([][]string, 0, len(rows))
 	for _, r := range rows {
