--- a/node/dump.go
+++ b/node/dump.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -65,7 +66,14 @@
 	d.Epoch = u.own.claim.Epoch
 	if d.Unjudged = u.own.unjudged(); u.own.loaded {
 		outlook := u.own.core.Outlook(u.node.now())
+		outlook.Queues = slices.DeleteFunc(outlook.Queues, u.isOthers)
 		d.Outlook = &outlook
 	}
 	return d
 }
+
+// isOthers reports whether a queue's jobs go to another pool: a core is told of all queues,
+// and would say of those that none of their workers is listed.
+func (u *unit) isOthers(q pool.QueueOutlook) bool {
+	return partOf(q.Service, u.node.set.Parts) != u.topic.Part
+}
