--- a/cmd/kwctl/room.go
+++ b/cmd/kwctl/room.go
@@ -155,7 +155,7 @@
 		c.say("pool %d: %s says: %s", p.Pool, p.Told, p.Error)
 		return nil
 	case !p.Owned:
-		c.say("pool %d is owned by %s, as %s knows; ask it for its head room", p.Pool, cmp.Or(p.Owner, "nobody"), p.Told)
+		c.say("%s", othersPool(p))
 		return nil
 	}
 	c.say("pool %d, owned by %s under epoch %d", p.Pool, p.Told, p.Epoch)
@@ -172,6 +172,15 @@
 	return c.table(nil, "QUEUE PRIORITY NOT_BEGUN AHEAD_CORE_S ROOM_CORES ROOM_MS ADVICE_MS STARTS_MS DELAY_MS SCARCE HANDED_IN REFUSES RETURN_MS", rows)
 }
 
+// othersPool says who owns a pool whose owner was not asked.
+func othersPool(p ownedPool) string {
+	owner := cmp.Or(p.Owner, p.OwnerAddress)
+	if owner == "" {
+		return fmt.Sprintf("pool %d has no owner that %s knows of", p.Pool, p.Told)
+	}
+	return fmt.Sprintf("pool %d is owned by %s, as %s knows; ask it for its head room", p.Pool, owner, p.Told)
+}
+
 func queueRow(q pool.QueueOutlook) []string {
 	row := []string{q.Queue, fmt.Sprint(q.Priority), fmt.Sprint(q.NotBegun)}
 	if q.Unjudged != "" {
--- a/cmd/kwctl/room_test.go
+++ b/cmd/kwctl/room_test.go
@@ -34,7 +34,7 @@
 			},
 			Refusals: []pool.Refusal{{Job: "b244", Queue: "quotes", AtUnixMillis: 1767348010500, Grounds: refusedQuote}},
 		}},
-		{Pool: 1, Owner: "edge-2", Epoch: 12},
+		{Pool: 1, Owner: "edge-2", OwnerAddress: "10.0.0.2:7010", Epoch: 12},
 	}}}
 }
 
@@ -84,6 +84,19 @@
 	})
 }
 
+// An instance that has just begun knows an owner's address, or none, before its name.
+func TestRoomNamesTheOwnerAsFarAsItIsKnown(t *testing.T) {
+	f := newFakeEntry(t)
+	f.answer("GET /dump", 200, nodeDump{Process: daemon.Status{ID: "edge-3"}, Dump: node.Dump{Pools: []node.PoolDump{
+		{Pool: 0}, {Pool: 1, OwnerAddress: "10.0.0.2:7010"}}}})
+	r := kwctl(t, f.addr, "", "room")
+	assert.Equal(t, r.status, exitOK, r.errs)
+	assert.DeepEqual(t, rows(r.out), []string{
+		"pool 0 has no owner that edge-3 knows of",
+		"pool 1 is owned by 10.0.0.2:7010, as edge-3 knows; ask it for its head room",
+	})
+}
+
 // A dump was saved during the incident. One caller's refusal is explained from it, and of
 // a job that is not in it the answer says where to look.
 func TestRoomTellsTheGroundsOfOneRefusal(t *testing.T) {
