--- a/cmd/kw-node/main_test.go
+++ b/cmd/kw-node/main_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"bytes"
+	"io"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"os/signal"
@@ -14,6 +17,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/knapweedweir/knapweedweir/daemon"
 	"github.com/knapweedweir/knapweedweir/platform"
 	"github.com/knapweedweir/knapweedweir/platform/wirestand"
 	"github.com/knapweedweir/knapweedweir/standin/cell"
@@ -167,3 +171,21 @@
 	assert.NilError(t, err)
 	assert.NilError(t, w.Close())
 }
+
+// An operator looks at the dump of an instance that serves. It must not say that it isn't
+// ready, as it did of every instance for good when nothing noted the balancer's answers.
+func TestReadinessIsWhatTheBalancerWasTold(t *testing.T) {
+	p := daemon.New("kw-node", "edge-1", io.Discard)
+	ready := false
+	ask := func() int {
+		w := httptest.NewRecorder()
+		readiness(p, func() bool { return ready })(w, httptest.NewRequest(http.MethodGet, "/", nil))
+		return w.Code
+	}
+	assert.Equal(t, ask(), http.StatusServiceUnavailable)
+	assert.Equal(t, len(p.Status().Conditions), 1)
+	ready = true
+	assert.Equal(t, ask(), http.StatusOK)
+	assert.Assert(t, p.Status().Ready)
+	assert.Equal(t, len(p.Status().Conditions), 0)
+}
--- a/pool/place.go
+++ b/pool/place.go
@@ -45,7 +45,7 @@
 
 // place starts what can be started, most urgent first.
 func (c *Core) place() {
-	var waiting []*step
+	waiting := c.waiting[:0]
 	settled := c.settled()
 	lookAtAll := c.lookAtAll || c.reserveDue()
 	c.lookAtAll = false
@@ -76,6 +76,8 @@
 	}
 	c.noteWaiting(settled)
 	c.leaveDraining()
+	clear(waiting) // a job that has ended is held by no list
+	c.waiting = waiting
 }
 
 func (s *step) anyWaiting(now time.Duration) bool {
@@ -251,8 +253,7 @@
 	further := s.advice.begun
 	full := !further || c.cantHold(s, left)
 	need := s.spec.Reserved()
-	var list []*worker
-	room := false
+	list, room := c.unknown[:0], false
 	for _, w := range c.byID {
 		if c.permission(s, w) != unknown || !c.fits(s, w) {
 			continue
@@ -263,6 +264,7 @@
 			list = append(list, w)
 		}
 	}
+	c.unknown = list
 	if !full && !room {
 		return nil
 	}
@@ -273,8 +275,9 @@
 	case further:
 		most += mostNamed - maxNamed
 	}
-	var names []string
-	for _, w := range list[:min(len(list), max(0, most))] {
+	list = list[:min(len(list), max(0, most))]
+	names := make([]string, 0, len(list))
+	for _, w := range list {
 		names = append(names, w.ID)
 	}
 	return names
