--- a/node/denial_restart_test.go
+++ b/node/denial_restart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -36,6 +37,8 @@
 	askEvery = 50 * time.Millisecond
 )
 
+var restarts = flag.Int("restarts", 8, "how many series of restarts are played, from the first seed on")
+
 // denials are accepted jobs that callers were told don't exist.
 type denials struct {
 	mu      sync.Mutex
@@ -154,7 +157,7 @@
 // peers' answers come too late. So each answers for a while from a copy that lacks jobs. A caller
 // that is told "no such job" then never comes back for its job, which runs.
 func TestAcceptedJobsAreKnownThroughRestartsAndALossOfAll(t *testing.T) {
-	for seed := range uint64(8) {
+	for seed := *firstSeed; seed < *firstSeed+uint64(*restarts); seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				luck := rand.New(rand.NewPCG(seed, 6))
