--- a/node/denial_restart_test.go
+++ b/node/denial_restart_test.go
@@ -33,6 +33,8 @@
 	storedBefore = 1200
 	// handInEvery is the pause between two jobs.
 	handInEvery = 25 * time.Millisecond
+	// troubledEvery: in one series of so many the store also turns instances away.
+	troubledEvery = 2
 	// askEvery is how often an instance is asked for one of the jobs promised.
 	askEvery = 50 * time.Millisecond
 )
@@ -128,6 +130,21 @@
 	}
 }
 
+// troubleStore has the store turn an instance away for a while, lose answers or do appends
+// late, or drops its history.
+func (c *cluster) troubleStore(luck *rand.Rand) {
+	name := c.names()[luck.IntN(len(c.members))]
+	lasting := time.Duration(500+luck.IntN(3000)) * time.Millisecond
+	kind := luck.IntN(5)
+	if kind == 4 {
+		c.world.Forget()
+		return
+	}
+	view := c.members[name].view
+	view.SetStore([]machines.StoreFault{machines.StoreBusy, machines.StoreSilent, machines.StoreLossy, machines.StoreLate}[kind])
+	go func() { time.Sleep(lasting); view.SetStore(machines.StoreUp) }()
+}
+
 // newWeakFleet returns a fleet of which most instances have a thin link.
 func newWeakFleet(t *testing.T, instances int) *cluster {
 	c := newFleet(t, 0)
@@ -154,7 +171,8 @@
 // on; then all are killed at once and start again. Callers hand jobs in all the while, and
 // ask everywhere for those that were accepted 3 s before or more. Most instances have a
 // thin link: it takes them 5 s to read what is stored, and as long as they read, their
-// peers' answers come too late. So each answers for a while from a copy that lacks jobs. A caller
+// peers' answers come too late. In every other series the store also turns some instances
+// away, one after the other. So each answers for a while from a copy that lacks jobs. A caller
 // that is told "no such job" then never comes back for its job, which runs.
 func TestAcceptedJobsAreKnownThroughRestartsAndALossOfAll(t *testing.T) {
 	for seed := *firstSeed; seed < *firstSeed+uint64(*restarts); seed++ {
@@ -172,6 +190,9 @@
 					if n == slowFrom {
 						c.slowStore(slowAnswer)
 					}
+					if seed%troubledEvery == 0 {
+						c.troubleStore(luck)
+					}
 					go c.restartGracefully(name)
 					time.Sleep(restartGap)
 				}
