--- a/pool/advice.go
+++ b/pool/advice.go
@@ -84,6 +84,7 @@
 // ask names workers to the advice service.
 func (c *Core) ask(s *step, names []string) {
 	terms := c.policy(s).Advice
+	names = c.asManyAsTaken(s, names)
 	why := "its turn has come"
 	if s.advice.begun {
 		why = "room without a ticket, now or soon"
--- a/pool/gang_test.go
+++ b/pool/gang_test.go
@@ -182,3 +182,27 @@
 	}
 	assert.Assert(t, known >= 10, "%d workers known that may run it", known)
 }
+
+// A gang needs 120 workers, and the advice service takes 100 in one question: it turns a
+// question about more away, each time it is put. The gang knows them all, and the tickets of
+// most are over: asked for all 120 again, it would never begin. It asks about as many as the
+// service takes, those first whose tickets end first.
+func TestGangThatNeedsMoreWorkersThanAQuestionTakes(t *testing.T) {
+	r, names, _ := manyWorkers(t, 10)
+	r.submit("gang", gangOf(120, 4000, time.Second))
+	started := 0
+	for _, waits := range []int{0, 2, 0} { // seconds until the answer
+		asked := take[Advise](r)
+		assert.Equal(t, len(asked), 1)
+		assert.Assert(t, len(asked[0].Workers) <= 100, "%d workers named", len(asked[0].Workers))
+		for range waits {
+			r.pass(time.Second)
+			for _, id := range names {
+				r.hold(id, nil)
+			}
+		}
+		r.advise(asked[0], asked[0].Workers...)
+		started += r.started("gang")
+	}
+	assert.Equal(t, started, 120)
+}
--- a/pool/gangask.go
+++ b/pool/gangask.go
@@ -1,5 +1,11 @@
 package pool
 
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
 // A gang begins whole or not at all: an answer that leaves it with too few workers starts
 // nothing, and the next question waits behind all others. So a question about a gang names
 // as many workers as the gang can be expected to need, and is put again only if the answer
@@ -42,6 +48,19 @@
 	return sum
 }
 
+// asManyAsTaken returns as many of the named workers as a question may name, those whose
+// tickets end first. The service turns a question about more away, so that a gang on more
+// workers would never begin; the others' tickets are renewed by the next.
+func (c *Core) asManyAsTaken(s *step, names []string) []string {
+	if len(names) <= mostNamed {
+		return names
+	}
+	until := func(id string) time.Duration { return s.advice.of(c.workers[id]).until }
+	names = slices.Clone(names)
+	slices.SortStableFunc(names, func(a, b string) int { return cmp.Compare(until(a), until(b)) })
+	return names[:mostNamed]
+}
+
 // cantHold reports whether the workers that a gang is known to be allowed on are too few for
 // it even when they are empty, while with others they could be enough. None can be kept for
 // it then.
