--- a/pool/drain.go
+++ b/pool/drain.go
@@ -12,8 +12,8 @@
 // Gangs stay: their members would have to find room together.
 //
 // On a day on which half of a grown pool's workers are replaced in turn, 25 and 33 lasting
-// tasks were without a run for 6.3 s and up to 1.6 s more; now none, and the 39 and 48 that
-// are moved for 0.27 and 0.29 s in the mean, from the order to stop until the next start (two
+// tasks were without a run for 6.3 s and up to 1.6 s more; now none, and the 23 and 35 that
+// are moved for 0.30 and 0.27 s in the mean, from the order to stop until the next start (two
 // seeds, by the logs). On one where workers leave 2 s after their notice 34 were, now none.
 // What the days are worth doesn't change by more than they scatter.
 
