--- /dev/null
+++ b/node/slowstore_test.go
@@ -0,0 +1,88 @@
+package node_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/knapweedweir/knapweedweir/node"
+	"github.com/knapweedweir/knapweedweir/pool"
+	"github.com/knapweedweir/knapweedweir/standin/machines"
+)
+
+const (
+	// slowAnswer and slowAppend are an answer of a store 40 times as slow as usual, and
+	// how long a stream of it takes for one append.
+	slowAnswer = 160 * time.Millisecond
+	slowAppend = 80 * time.Millisecond
+)
+
+// slowStore makes the store 40 times as slow as usual for all instances.
+func (c *cluster) slowStore() {
+	for _, m := range c.members {
+		m.view.SlowStore(slowAnswer)
+	}
+	c.world.SlowAppends(slowAppend)
+}
+
+// handInEvery hands jobs in at the given instances in turn, and returns what the callers
+// were told, in the order in which they came. A caller tries once.
+func (c *cluster) handInEvery(pause time.Duration, jobs int, at []*member) []answered {
+	list := make([]answered, jobs)
+	var callers sync.WaitGroup
+	for n := range jobs {
+		callers.Go(func() {
+			j := pool.Job{ID: jobID(n), Queue: queueName, Service: machines.Service, AcceptedMs: time.Now().UnixMilli(),
+				Payload: machines.Work(100*time.Millisecond, false, false),
+				Steps:   []pool.StepSpec{{Count: 1, Need: pool.Resources{CPU: 100, Mem: 10}, EstimateMs: 100}}}
+			began := c.world.Since()
+			ctx, cancel := context.WithTimeout(c.ctx, callersPatience)
+			defer cancel()
+			c.world.Referee.Submitted(j, 3)
+			v := at[n%len(at)].node.Submit(ctx, j)
+			c.world.Referee.Answered(j.ID, v == node.Accepted, v == node.NotRun)
+			list[n] = answered{verdict: v, at: c.world.Since(), took: c.world.Since() - began}
+		})
+		time.Sleep(pause)
+	}
+	callers.Wait()
+	return list
+}
+
+// The store is 40 times as slow as usual, forty callers a second hand jobs in at 24
+// instances, and the pool's owner leaves as planned. While the heir's claim is on its way
+// each instance that stores by itself takes 80 ms of the stream's time: 24 appends at once
+// are the two seconds after which the stream refuses what comes. Neither the heir nor what
+// it stores gets through then, so all go on storing by themselves, and callers hear that
+// their jobs never run, or nothing, beside free workers, until the store is quick again.
+func TestPoolIsHandedOverOnASlowStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newFleet(t, 24)
+		defer c.close()
+		c.slowStore()
+		time.Sleep(time.Second)
+		first := c.owner()
+		var others []*member
+		for _, m := range c.up() {
+			if m.name != first {
+				others = append(others, m)
+			}
+		}
+		time.AfterFunc(2*time.Second, func() {
+			c.members[first].node.Stop(c.ctx)
+			time.Sleep(2500 * time.Millisecond)
+			c.kill(first)
+		})
+		told := map[node.Verdict]int{}
+		for _, a := range c.handInEvery(25*time.Millisecond, 400, others) {
+			told[a.verdict]++
+		}
+		assert.Equal(t, told[node.Accepted], 400, "callers were told %v\n%s", told, c.logs.about(`"pool.`))
+		assert.Assert(t, c.owner() != first)
+		c.check()
+	})
+}
