--- a/node/intake.go
+++ b/node/intake.go
@@ -42,6 +42,11 @@
 	holdShare = 0.4
 	// leastHold is enough for an append, which takes 4 to 20 ms.
 	leastHold = 50 * time.Millisecond
+	// doubtHold is the least for a record that may be stored already. Its caller can't be
+	// refused, so nothing is gained by taking it back early; on a store 40 times as slow a
+	// check and the append under way take 0.25 s. Held for leastHold, 7 of 400 callers were
+	// left in doubt by an owner that lost power (TestPoolKeepsTakingJobsOnASlowStore); so none.
+	doubtHold = 600 * time.Millisecond
 	// refusedPause is the pause between two rounds of tries that certainly did nothing.
 	refusedPause = 100 * time.Millisecond
 	// redirects is how often a caller's record follows a pool that moves.
@@ -180,6 +185,9 @@
 				return NotRun, 0
 			}
 			in.hold = max(leastHold, refuseAt-n.now())
+			if in.inDoubt {
+				in.hold = max(in.hold, doubtHold)
+			}
 			err := way(ctx, in)
 			if err == nil {
 				return Accepted, 0
@@ -234,7 +242,7 @@
 // more than waits for 2 s: as soon as an owner left, 39 instances filled that by
 // themselves, and neither the next owner's claim nor its appends got through until the
 // store was quick again. 106 of 400 callers were accepted in place of 400
-// (TestPoolIsHandedOverOnASlowStore). With one of them the stream's queue stays short.
+// (TestPoolKeepsTakingJobsOnASlowStore). With one of them the stream's queue stays short.
 func (n *Node) throughStore(ctx context.Context, in intake) error {
 	u := n.unit(in.part)
 	if u == nil || !u.reads.Load() {
--- a/node/slowstore_test.go
+++ b/node/slowstore_test.go
@@ -55,37 +55,46 @@
 }
 
 // The store is 40 times as slow as usual, forty callers a second hand jobs in at 24
-// instances, and the pool's owner leaves as planned. While the heir's claim is on its way
-// each instance that stores by itself takes 80 ms of the stream's time: 24 appends at once
-// are the two seconds after which the stream refuses what comes. Neither the heir nor what
-// it stores gets through then, so all go on storing by themselves, and callers hear that
-// their jobs never run, or nothing, beside free workers, until the store is quick again.
-func TestPoolIsHandedOverOnASlowStore(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newFleet(t, 24)
-		defer c.close()
-		c.slowStore()
-		time.Sleep(time.Second)
-		first := c.owner()
-		var others []*member
-		for _, m := range c.up() {
-			if m.name != first {
-				others = append(others, m)
-			}
-		}
-		time.AfterFunc(2*time.Second, func() {
-			c.members[first].node.Stop(c.ctx)
+// instances, and the pool's owner leaves as planned, is killed, or loses power. Until its
+// heir has claimed the pool, each instance that stores by itself takes 80 ms of the stream's
+// time: 24 appends at once are the two seconds after which the stream refuses what comes.
+// Neither the claim nor the heir's appends get through then, so all go on storing by
+// themselves, and callers hear that their jobs never run, or nothing, beside free workers,
+// until the store is quick again.
+func TestPoolKeepsTakingJobsOnASlowStore(t *testing.T) {
+	for name, lose := range map[string]func(c *cluster, owner string){
+		"leaves": func(c *cluster, owner string) {
+			c.members[owner].node.Stop(c.ctx)
 			time.Sleep(2500 * time.Millisecond)
-			c.kill(first)
+			c.kill(owner)
+		},
+		"killed":      func(c *cluster, owner string) { c.kill(owner) },
+		"loses power": func(c *cluster, owner string) { c.darken(owner) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newFleet(t, 24)
+				defer c.close()
+				c.slowStore()
+				time.Sleep(time.Second)
+				first := c.owner()
+				var others []*member
+				for _, m := range c.up() {
+					if m.name != first {
+						others = append(others, m)
+					}
+				}
+				time.AfterFunc(2*time.Second, func() { lose(c, first) })
+				told := map[node.Verdict]int{}
+				for _, a := range c.handInEvery(25*time.Millisecond, 400, others) {
+					told[a.verdict]++
+				}
+				assert.Equal(t, told[node.Accepted], 400, "callers were told %v\n%s", told, c.logs.about(`"pool.`))
+				assert.Assert(t, c.owner() != first)
+				c.check()
+			})
 		})
-		told := map[node.Verdict]int{}
-		for _, a := range c.handInEvery(25*time.Millisecond, 400, others) {
-			told[a.verdict]++
-		}
-		assert.Equal(t, told[node.Accepted], 400, "callers were told %v\n%s", told, c.logs.about(`"pool.`))
-		assert.Assert(t, c.owner() != first)
-		c.check()
-	})
+	}
 }
 
 // The store is 40 times as slow as usual, and a job takes 0.1 s. Forty callers a second
