--- a/pool/run.go
+++ b/pool/run.go
@@ -77,7 +77,7 @@
 	}
 	r.task = t
 	r.need = t.step.spec.Reserved()
-	if t.step.occ == nil {
+	if r.unknown() {
 		r.need = w.Capacity
 	}
 	c.occupy(r)
@@ -94,6 +94,9 @@
 	return r
 }
 
+// unknown reports whether a run is of a task that this owner doesn't know.
+func (r *run) unknown() bool { return r.task.step.occ == nil }
+
 func (c *Core) occupy(r *run) {
 	w := r.worker
 	w.runs[runKey{r.task.id(), r.number}] = r
--- a/pool/worker.go
+++ b/pool/worker.go
@@ -115,6 +115,7 @@
 			w = c.newWorker(info)
 		}
 		w.WorkerInfo = info
+		w.fillUp()
 		w.listed = true
 		if _, ok := c.held[info.ID]; !ok {
 			c.held[info.ID] = HeldWorker{ID: info.ID, Addr: info.Addr, Service: info.Service}
@@ -126,6 +127,19 @@
 	c.replan = true
 }
 
+// fillUp has runs of which nothing is known take all of the worker. Its size may come to
+// be known after them: a new owner asks what its predecessor's workers run before it has
+// read their list. Such a run took no room then, and tasks were started into its place
+// while it stopped, beyond what the worker has.
+func (w *worker) fillUp() {
+	for _, r := range w.runs {
+		if r.unknown() {
+			w.used = w.used.Minus(r.need).Plus(w.Capacity)
+			r.need = w.Capacity
+		}
+	}
+}
+
 func (c *Core) inheritWorkers(list []HeldWorker) {
 	for _, h := range list {
 		w := c.workers[h.ID]
--- a/pool/worker_test.go
+++ b/pool/worker_test.go
@@ -169,3 +169,21 @@
 	}
 	t.Fatal("the older job never started")
 }
+
+// A new owner asks the workers of its predecessor what they run before it has read the list
+// of workers. One answers that it still stops a task of a job that has ended, of which no
+// more than that is known. How much room that takes is unknown, so the worker counts as
+// full until the end is listed; but how large the worker is isn't known yet either. Once
+// it is, tasks must not be started into the room of the one that stops.
+func TestUnknownRunFillsAWorkerOfUnknownSize(t *testing.T) {
+	r := newRig(t)
+	r.step(WorkersInherited{Workers: []HeldWorker{{ID: "w1", Addr: "w1:1", Service: "s"}}})
+	r.pass(50 * time.Millisecond)
+	r.hold("w1", running1(taskOf("gone", 0), 1))
+	r.step(WorkersListed{Workers: []WorkerInfo{box("w1")}})
+	r.submit("j", small(4))
+	assert.Equal(t, len(r.starts()), 0)
+	r.pass(50 * time.Millisecond)
+	r.hold("w1", nil, EndedRun{Number: 1, Task: taskOf("gone", 0), Run: 1, How: Stopped})
+	assert.Equal(t, len(r.starts()), 4, "the room of an unknown run isn't freed with its end")
+}
