--- a/node/storecheck.go
+++ b/node/storecheck.go
@@ -16,6 +16,15 @@
 	answerTimeout = 400 * time.Millisecond
 )
 
+// crowded is half of what may wait at a stream before it refuses appends.
+const crowded = time.Second
+
+// crowd is how long appends wait at a stream to which each instance sends one, by how long
+// an answer takes now: an append takes half of that, 80 of 160 ms or 2 of 4.
+func (u *unit) crowd(answer time.Duration) time.Duration {
+	return answer / 2 * time.Duration(1+len(u.node.peers.addrs()))
+}
+
 // storeCheck finds out whether the store answers this instance, for all that want to
 // know at the same time.
 type storeCheck struct {
@@ -30,7 +39,7 @@
 
 const (
 	storeAway storeState = iota // it gives no answer
-	storeSlow                   // its answers take longer than slowLook
+	storeSlow                   // too slow for all instances to store by themselves, see crowd
 	storeQuick
 )
 
@@ -86,7 +95,7 @@
 	switch {
 	case err != nil && !errors.Is(err, ErrTrimmed):
 		c.outcome = storeAway
-	case c.at-asked >= slowLook:
+	case u.crowd(c.at-asked) >= crowded:
 		c.outcome = storeSlow
 	default:
 		c.outcome = storeQuick
