--- a/pool/core.go
+++ b/pool/core.go
@@ -244,6 +244,7 @@
 	for _, j := range c.inSave {
 		if !j.dirty {
 			j.shown = j.state
+			j.endedAt = c.now // callers hear of an end from now on
 		}
 	}
 	c.inSave = nil
--- a/pool/state.go
+++ b/pool/state.go
@@ -269,9 +269,10 @@
 // may still go on and has to be stopped.
 func (r *run) endedWithGang() bool { return r.task.step.spec.Gang && r.number == r.task.step.doneRun }
 
-// forgetJobs drops jobs whose state nobody can ask for any more.
+// forgetJobs drops jobs whose state nobody can ask for any more. An end that isn't stored yet
+// hasn't been shown to anybody.
 func (c *Core) forgetJobs() {
-	for len(c.ended) > 0 && c.now-c.ended[0].endedAt > c.set.KeepEnded {
+	for len(c.ended) > 0 && c.ended[0].shown.Ended() && c.now-c.ended[0].endedAt > c.set.KeepEnded {
 		j := c.ended[0]
 		c.ended = c.ended[1:]
 		delete(c.jobs, j.ID)
