--- a/node/asks_internal_test.go
+++ b/node/asks_internal_test.go
@@ -50,3 +50,19 @@
 		q.callers[addr].busy = true
 	}
 }
+
+// No other instance reaches the advice service, and this one does. Dear questions are put by
+// others, to leave this one's turn to cheap ones: each fails three times and is asked anew, and
+// the gangs that they are about never begin.
+func TestDearQuestionsAreAskedHereIfNobodyElseCan(t *testing.T) {
+	q := newTestQueue(t)
+	now := q.own.unit.node.now()
+	for addr, c := range q.callers {
+		c.busy = false
+		if addr != thisInstance {
+			c.until = now + callerPause // as after a question that failed
+		}
+	}
+	addr, ok := q.idle(true)
+	assert.Assert(t, ok && addr == thisInstance, "%q, %v", addr, ok)
+}
