--- a/node/lookup.go
+++ b/node/lookup.go
@@ -143,17 +143,21 @@
 // owner refuses jobs by what it has read: of one that another instance has stored since,
 // whose caller repeats its request, it would say that it never runs, while it runs.
 func (n *Node) isNew(ctx context.Context, in intake) bool {
-	u := n.unit(in.part)
-	if u == nil {
-		return false
-	}
 	_, id := pool.ParseKey(in.rec.Key)
-	l, err := u.lookUp(ctx, id)
-	if err != nil || l.found || !l.copied {
+	units := n.unitsFrom(in.part)
+	if len(units) == 0 || units[0].topic.Part != in.part {
 		return false
 	}
-	_, verdict := u.readSince(ctx, l)
-	return verdict == NoSuchJob
+	for _, u := range units { // a job stays in the pool of its queue's former service, see find
+		l, err := u.lookUp(ctx, id)
+		if err != nil || l.found || !l.copied {
+			return false
+		}
+		if _, verdict := u.readSince(ctx, l); verdict != NoSuchJob {
+			return false
+		}
+	}
+	return true
 }
 
 // readSince looks for a job in the records from an offset on.
