--- a/pool/core.go
+++ b/pool/core.go
@@ -265,6 +265,7 @@
 		for _, j := range c.saves[0].jobs {
 			if !j.dirty && j.savedIn <= seq {
 				j.shown = j.state
+				j.endedAt = c.now // callers hear of an end from now on
 			}
 		}
 		c.saves = c.saves[1:]
