--- a/pool/gangask.go
+++ b/pool/gangask.go
@@ -21,6 +21,10 @@
 	// tell. It counts like answers about guessedFor workers.
 	guessedGood = 0.25
 	guessedFor  = maxNamed
+	// unlikelyAfter is how long after a question about a gang one is put that can't be
+	// expected to let it begin, while there is room for it. Three questions of the longest
+	// kind, a second, so that such questions take a third of an instance's time at most.
+	unlikelyAfter = 3 * time.Second
 )
 
 // goodShare is the share of workers that a queue's steps may use, by its answers so far.
@@ -29,23 +33,45 @@
 	return (a.good + guessedGood*guessedFor) / (a.asked + guessedFor)
 }
 
-// places is how many tasks of a step a worker has room for, now or when it is empty.
-func (c *Core) places(s *step, w *worker, empty bool) float64 {
-	if empty {
-		return float64(c.copiesWithin(s, w.Capacity))
+// places is how many tasks of a step a worker has room for, now or once all that ends by
+// itself there has ended. Lasting tasks stay: a gang whose workers they filled waited for
+// these as long as they ran, and was asked about no others.
+func (c *Core) places(s *step, w *worker, emptied bool) float64 {
+	if emptied {
+		return float64(c.copiesWithin(s, w.Capacity.Minus(w.lasting)))
 	}
 	return float64(c.copiesWithin(s, w.free()))
 }
 
-// placesOf is how many tasks the workers hold that have at least the given permission.
-func (c *Core) placesOf(s *step, least permission, empty bool) float64 {
-	sum := 0.0
+// placesOf is how many tasks of a gang the workers hold that have at least the given
+// permission: all of them, or those of the rack that holds most if the gang wants one.
+func (c *Core) placesOf(s *step, least permission, emptied bool) float64 {
+	sum := placesSum{byRack: s.spec.SameRack}
 	for _, w := range c.byID {
 		if c.permission(s, w) <= least && c.fits(s, w) {
-			sum += c.places(s, w, empty)
+			sum.add(w, c.places(s, w, emptied))
 		}
 	}
-	return sum
+	return sum.most
+}
+
+// placesSum adds up places, in all or for each rack.
+type placesSum struct {
+	byRack bool
+	racks  map[string]float64
+	most   float64 // of any rack
+}
+
+func (p *placesSum) add(w *worker, places float64) {
+	if !p.byRack {
+		p.most += places
+		return
+	}
+	if p.racks == nil {
+		p.racks = map[string]float64{}
+	}
+	p.racks[w.Rack] += places
+	p.most = max(p.most, p.racks[w.Rack])
 }
 
 // asManyAsTaken returns as many of the named workers as a question may name, those whose
@@ -62,14 +88,13 @@
 }
 
 // cantHold reports whether the workers that a gang is known to be allowed on are too few for
-// it even when they are empty, while with others they could be enough. None can be kept for
-// it then.
+// it even once what ends by itself there has ended, while with others they could be enough.
+// None can be kept for it then.
 func (c *Core) cantHold(s *step, tasks int) bool {
-	if !s.spec.Gang || s.spec.SameRack {
+	if !s.spec.Gang {
 		return false
 	}
-	known := c.placesOf(s, renewable, true)
-	return known < float64(tasks) && c.placesOf(s, unknown, true) >= float64(tasks)
+	return c.placesOf(s, renewable, true) < float64(tasks) && c.placesOf(s, unknown, true) >= float64(tasks)
 }
 
 // gangNames is how many workers of a list a question about a gang names, at least.
@@ -85,12 +110,18 @@
 }
 
 // couldBegin reports whether a gang can be expected to begin now with an answer about the
-// workers that have room.
+// workers that have room. What is expected may be wrong for this gang, as the queue's other
+// steps may use other workers; so it puts the next question off, and doesn't keep it from
+// being put.
 func (c *Core) couldBegin(s *step, tasks int) bool {
 	if len(c.pick(s, tasks, unknown)) < tasks {
 		return false
 	}
-	share, expected, named := c.goodShare(s.job.Queue), 0.0, 0
+	if c.now-s.advice.askedAt >= unlikelyAfter {
+		return true
+	}
+	share, named := c.goodShare(s.job.Queue), 0
+	expected := placesSum{byRack: s.spec.SameRack}
 	for _, w := range c.candidates {
 		p := c.places(s, w, false)
 		if c.permission(s, w) == unknown {
@@ -99,7 +130,7 @@
 			}
 			p *= share
 		}
-		expected += p
+		expected.add(w, p)
 	}
-	return expected >= float64(tasks)
+	return expected.most >= float64(tasks)
 }
--- a/pool/place.go
+++ b/pool/place.go
@@ -224,12 +224,13 @@
 // wantsAdvice reports whether the advice service is to be asked about a step. It is
 // asked when the step's turn comes, and again only once a task could start: asked
 // on, each of the hundreds of steps that wait for a full pool of 252 workers went
-// over all of them in each pass, and a pass over 300 steps took 10 ms.
+// over all of them in each pass, and a pass over 300 steps took 10 ms. A gang that those it
+// knows can't hold is asked about more in a full pool too, as none could be kept for it.
 func (c *Core) wantsAdvice(s *step, roomSomewhere bool) bool {
 	if c.policy(s).Advice == nil || s.advice.asking || c.now < s.advice.retryAt {
 		return false
 	}
-	return roomSomewhere || !s.advice.begun
+	return roomSomewhere || !s.advice.begun || (c.reserving && c.cantHold(s, s.spec.Count))
 }
 
 // moreWouldHelp reports whether more allowed workers could let tasks start now. A
--- a/pool/run.go
+++ b/pool/run.go
@@ -103,6 +103,9 @@
 	w := r.worker
 	w.runs[runKey{r.task.id(), r.number}] = r
 	w.used = w.used.Plus(r.need)
+	if r.task.step.spec.LongRunning {
+		w.lasting = w.lasting.Plus(r.need)
+	}
 	if r.task.step.spec.Fills {
 		w.fills++
 	}
@@ -121,6 +124,9 @@
 	delete(w.runs, key)
 	r.giveBack()
 	w.used = w.used.Minus(r.need)
+	if r.task.step.spec.LongRunning {
+		w.lasting = w.lasting.Minus(r.need)
+	}
 	if r.task.step.spec.Fills {
 		w.fills--
 	}
--- a/pool/worker.go
+++ b/pool/worker.go
@@ -66,6 +66,7 @@
 	ends     []end
 	runs     map[runKey]*run
 	used     Resources
+	lasting  Resources     // the part of used whose runs don't end by themselves
 	booked   Resources     // kept while tickets are fetched
 	pause    time.Duration // no new tasks before
 	// kept keeps it for a step.
