--- a/node/asks.go
+++ b/node/asks.go
@@ -91,18 +91,28 @@
 		order = peers
 	}
 	for _, addr := range order {
-		c := q.callers[addr]
-		if c == nil {
-			c = &caller{}
-			q.callers[addr] = c
-		}
-		if !c.busy && now >= c.until {
+		if c := q.caller(addr); !c.busy && now >= c.until {
 			return addr, true
 		}
 	}
+	// Where only this instance reaches the advice service, dear questions failed at all
+	// others for as long as that lasted, and the gangs that they are about never began.
+	failing := func(addr string) bool { return now < q.caller(addr).until }
+	if c := q.caller(thisInstance); dear && !c.busy && now >= c.until && !slices.ContainsFunc(peers, func(a string) bool { return !failing(a) }) {
+		return thisInstance, true
+	}
 	return "", false
 }
 
+func (q *askQueue) caller(addr string) *caller {
+	c := q.callers[addr]
+	if c == nil {
+		c = &caller{}
+		q.callers[addr] = c
+	}
+	return c
+}
+
 func (q *askQueue) dearUnderWay() int {
 	n := 0
 	for _, c := range q.callers {
--- a/node/lookup.go
+++ b/node/lookup.go
@@ -87,6 +87,7 @@
 	owner    bool   // this instance owns the pool
 	addr     string // where the owner is, as far as is known
 	copied   bool   // there is a copy that holds all that was stored before next
+	spoilt   bool   // what it holds under the job's keys can't be read
 	next     int64
 	asked    []string // the instances asked for the owner's answer, in turn
 	answered bool     // the last of them is the owner
@@ -98,7 +99,7 @@
 	err := u.ask(ctx, func() {
 		l.state, l.found, l.owner = u.jobState(job)
 		l.addr = u.ownerAddr()
-		l.copied, l.next = u.copied, u.replica.next
+		l.copied, l.next, l.spoilt = u.copied, u.replica.next, u.replica.mayHold(job)
 	})
 	return l, err
 }
@@ -126,7 +127,7 @@
 func (u *unit) readState(ctx context.Context, l lookup) (pool.State, Verdict) {
 	state, verdict := pool.State(""), CantTell
 	if again, err := u.lookUp(ctx, l.job); err == nil && again.copied {
-		l.next = again.next
+		l.next, l.spoilt = again.next, again.spoilt
 		state, verdict = again.state, Accepted
 		if !again.found {
 			state, verdict = u.readSince(ctx, l)
@@ -176,7 +177,7 @@
 	if state, found := since.state(l.job); found {
 		return state, Accepted
 	}
-	if unreadable || l.next+int64(len(page)) < end {
+	if unreadable || l.spoilt || l.next+int64(len(page)) < end {
 		return "", CantTell // it may be in what can't be read, or behind what one answer holds
 	}
 	return "", NoSuchJob
--- a/node/replica.go
+++ b/node/replica.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"cmp"
 	"encoding/json"
+	"maps"
 	"slices"
 
 	"github.com/pkg/errors"
@@ -24,11 +25,14 @@
 // replica is one instance's copy of a pool's stored state.
 type replica struct {
 	records map[string]Stored
-	claim   claim
-	next    int64
+	// spoilt are the keys whose newest record can't be one of ours, while nothing better is
+	// known of them. There may be a job under them: passed over, a copy denied it.
+	spoilt map[string]bool
+	claim  claim
+	next   int64
 }
 
-func newReplica() *replica { return &replica{records: map[string]Stored{}} }
+func newReplica() *replica { return &replica{records: map[string]Stored{}, spoilt: map[string]bool{}} }
 
 // apply takes in a batch and returns the records that were new. One that can't be a
 // record of ours is told, and the one before it stays: a job that was accepted, or what
@@ -45,8 +49,12 @@
 		c, err := checkRecord(rec)
 		if err != nil {
 			bad(rec, err)
+			if _, known := r.records[rec.Key]; !known {
+				r.spoilt[rec.Key] = true
+			}
 			continue
 		}
+		delete(r.spoilt, rec.Key)
 		fresh = append(fresh, rec)
 		if len(rec.Value) == 0 {
 			delete(r.records, rec.Key)
@@ -122,11 +130,14 @@
 	for _, rec := range newest {
 		keep[rec.Key] = true
 	}
-	for key := range r.records {
-		if !keep[key] {
-			delete(r.records, key)
-		}
-	}
+	gone := func(key string) bool { return !keep[key] }
+	maps.DeleteFunc(r.records, func(key string, _ Stored) bool { return gone(key) })
+	maps.DeleteFunc(r.spoilt, func(key string, _ bool) bool { return gone(key) })
+}
+
+// mayHold reports whether a job may be stored of which no record can be read.
+func (r *replica) mayHold(job string) bool {
+	return r.spoilt[pool.JobKey(job)] || r.spoilt[pool.ProgressKey(job)]
 }
 
 // state tells a job's state as far as the store holds it.
