--- a/node/asks.go
+++ b/node/asks.go
@@ -34,7 +34,7 @@
 
 type caller struct {
 	busy  bool
-	dear  bool          // the question under way is
+	dear  bool          // the question under way is, and has no kept instance
 	until time.Duration // not used before
 }
 
@@ -43,7 +43,7 @@
 }
 
 func (q *askQueue) add(a pool.Advise) {
-	q.put(pool.NewQuestion(a, q.own.unit.node.now()))
+	q.put(pool.NewQuestion(a))
 }
 
 func (q *askQueue) put(a pool.Question) {
@@ -54,12 +54,12 @@
 // send puts as many questions as there are instances that could ask.
 func (q *askQueue) send() {
 	for q.waiting.Len() > 0 {
-		cheapTo, free := q.idle(false)
+		cheapTo, free := q.idle(q.callersOf(pool.CheapTurn))
 		if !free {
 			return
 		}
-		dearTo, dear := q.idle(true)
-		next, found := q.waiting.Next(q.own.unit.node.now(), dear)
+		turn, dearTo := q.dearTurn()
+		next, found := q.waiting.Next(q.own.unit.node.now(), turn)
 		if !found {
 			return
 		}
@@ -68,28 +68,42 @@
 			addr = dearTo
 		}
 		c := q.callers[addr]
-		c.busy, c.dear = true, next.IsDear()
+		c.busy, c.dear = true, next.IsDear() && turn == pool.AnyTurn
 		go q.ask(addr, next)
 	}
 }
 
-// idle returns an instance that isn't asking for this owner now. This instance's
-// own turn at the service is kept for cheap questions: half a second's question
-// ahead of them was what most quotes waited for (0.54 s at most, 0.33 s for one
-// in ten). Pools go round the peers from different ends.
-func (q *askQueue) idle(dear bool) (string, bool) {
-	now := q.own.unit.node.now()
+// dearTurn returns which dear questions may be put now, and by whom.
+func (q *askQueue) dearTurn() (pool.Turn, string) {
+	addr, free := q.idle(q.callersOf(pool.AnyTurn))
+	peers := len(q.own.unit.node.peers.addrs())
+	switch {
+	case !free:
+		return pool.CheapTurn, ""
+	case peers > 0 && q.dearUnderWay() >= peers-peers/keptForCheap:
+		return pool.LateTurn, addr
+	}
+	return pool.AnyTurn, addr
+}
+
+// callersOf returns the instances that put the questions of a turn, in the order in which
+// they are tried. This instance's own turn at the service is kept for cheap questions:
+// half a second's question ahead of them was what most quotes waited for (0.54 s at most,
+// 0.33 s for one in ten). Pools go round the peers from different ends.
+func (q *askQueue) callersOf(turn pool.Turn) []string {
 	peers := q.own.unit.node.peers.addrs()
 	if q.own.unit.topic.Part%2 == 1 {
 		slices.Reverse(peers)
 	}
-	order := append([]string{thisInstance}, peers...)
-	if dear && len(peers) > 0 {
-		if q.dearUnderWay() >= len(peers)-len(peers)/keptForCheap {
-			return "", false
-		}
-		order = peers
+	if turn != pool.CheapTurn && len(peers) > 0 {
+		return peers
 	}
+	return append([]string{thisInstance}, peers...)
+}
+
+// idle returns the first instance that isn't asking for this owner now.
+func (q *askQueue) idle(order []string) (string, bool) {
+	now := q.own.unit.node.now()
 	for _, addr := range order {
 		c := q.callers[addr]
 		if c == nil {
--- a/node/asks_internal_test.go
+++ b/node/asks_internal_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
+
+	"github.com/knapweedweir/knapweedweir/pool"
 )
 
 // newTestQueue returns the questions of an owner that knows six other instances,
@@ -35,8 +37,8 @@
 	}
 	dear := 0
 	for {
-		addr, ok := q.idle(true)
-		if !ok {
+		turn, addr := q.dearTurn()
+		if turn != pool.AnyTurn {
 			break
 		}
 		assert.Assert(t, addr != thisInstance)
@@ -45,8 +47,34 @@
 	}
 	assert.Equal(t, dear, 4)
 	for range 3 {
-		addr, ok := q.idle(false)
+		addr, ok := q.idle(q.callersOf(pool.CheapTurn))
 		assert.Assert(t, ok, "nobody is left for cheap questions")
 		q.callers[addr].busy = true
 	}
 }
+
+// Four of six peers put dear questions, and no cheap one waits. Questions of late jobs wait
+// behind all others meanwhile, for as long as those come, while two peers that are kept for
+// cheap ones are idle: their callers see jobs wait with room free and instances idle. The
+// late ones get the two peers. This instance is left for cheap ones that come.
+func TestLateQuestionsUseInstancesKeptForCheapOnes(t *testing.T) {
+	q := newTestQueue(t)
+	for _, c := range q.callers {
+		c.busy = false
+	}
+	for range 4 {
+		_, addr := q.dearTurn()
+		q.callers[addr].busy, q.callers[addr].dear = true, true
+	}
+	for range 2 {
+		turn, addr := q.dearTurn()
+		assert.Equal(t, turn, pool.LateTurn)
+		assert.Assert(t, addr != thisInstance)
+		q.callers[addr].busy = true
+	}
+	turn, _ := q.dearTurn()
+	assert.Equal(t, turn, pool.CheapTurn)
+	addr, ok := q.idle(q.callersOf(pool.CheapTurn))
+	assert.Assert(t, ok)
+	assert.Equal(t, addr, thisInstance)
+}
--- a/pool/experiment/world.go
+++ b/pool/experiment/world.go
@@ -133,7 +133,7 @@
 	case pool.Save:
 		w.save(a.Seq)
 	case pool.Advise:
-		w.questions.Add(pool.NewQuestion(a, w.now), w.now)
+		w.questions.Add(pool.NewQuestion(a), w.now)
 		w.askNext()
 	case pool.Noted:
 		if a.Event == "job.completed" {
@@ -146,11 +146,12 @@
 // askNext puts as many questions as there are callers.
 func (w *world) askNext() {
 	for w.asking < w.load.Callers {
-		q, found := w.questions.Next(w.now, w.dear < w.load.Callers*2/3)
+		turn := w.turn()
+		q, found := w.questions.Next(w.now, turn)
 		if !found {
 			return
 		}
-		dear := q.IsDear()
+		dear := q.IsDear() && turn == pool.AnyTurn
 		w.asking++
 		if dear {
 			w.dear++
@@ -168,6 +169,18 @@
 	}
 }
 
+// turn keeps a third of the callers for cheap questions, and all but one of these put late
+// ones meanwhile.
+func (w *world) turn() pool.Turn {
+	switch {
+	case w.dear < w.load.Callers*2/3:
+		return pool.AnyTurn
+	case w.asking < w.load.Callers-1:
+		return pool.LateTurn
+	}
+	return pool.CheapTurn
+}
+
 func (w *world) answer(q pool.Advise) {
 	e := pool.Advised{Step: q.Step, Asked: q.Workers, Validity: ticketsHold}
 	for _, id := range q.Workers {
--- a/pool/questions.go
+++ b/pool/questions.go
@@ -10,18 +10,19 @@
 	// cheapQuestion divides the questions: quotes cost 30 ms, all others from
 	// 180 ms on.
 	cheapQuestion = 100 * time.Millisecond
-	// oldestShare of the time that the instances spend on asking goes to the question
-	// that has waited longest. Strictly by urgency, those of jobs that are late waited
-	// for as long as others came: a gang's last one stood for 34 s on a busy day while
-	// the room for it was free. A question of the longest kind, a second, is paid for by
-	// 8 s of others', so one that has become the oldest waits no longer for its turn with
-	// one instance that asks, and 1.2 s with seven, whatever comes; a dear one goes when
-	// the next dear one is answered. A load of six times what they carry earned as much
-	// with it as without (0.436 and 0.438 of what was owed, 3 plays).
-	oldestShare = 0.125
-	// oldestCreditMost bounds what is saved up for the oldest question: one of the
-	// longest kind.
-	oldestCreditMost = time.Second
+	// overtaken bounds the work of younger questions that are put before one, by the work
+	// that waited when it was asked. Strictly by urgency, those of late jobs waited for as
+	// long as others came: a gang's last one stood for 34 s on a busy day while the room
+	// for it was free. Counted in work, the bound holds at any load and with any number of
+	// instances. A question that in the order of asking would be answered by its job's
+	// objective is answered before the job is worth nothing. At two, four and eight times
+	// the load that seven instances carry, 0.942, 0.769 and 0.491 of all questions are
+	// answered in time, with an eighth of the work for the oldest in place of a bound 0.938,
+	// 0.833 and 0.526 (TestQuestionsInOverload, kept instances used for late ones in both).
+	overtaken = worthlessAfter - 1
+	// overtakenLeast may be put before one that found nothing waiting. A question of the
+	// longest kind, a second, waits for 8 s with one instance that asks, 1.2 s with seven.
+	overtakenLeast = 8 * time.Second
 	// putKept is how many questions may stay in the lists once they are put, beside as
 	// many as wait: removed one by one, each costs a pass over all.
 	putKept = 64
@@ -32,12 +33,15 @@
 	Advise
 	// Tries counts the instances that failed to put it.
 	Tries int
-	// asked is when it was asked first.
-	asked time.Duration
+	// limit is the work (see byLimit) after which it is put before all younger ones; 0:
+	// it has not been added before.
+	limit time.Duration
+	// turn is the one in which it was put last.
+	turn Turn
 }
 
-// NewQuestion returns a question that is asked now.
-func NewQuestion(a Advise, now time.Duration) Question { return Question{Advise: a, asked: now} }
+// NewQuestion returns a question that has not been put.
+func NewQuestion(a Advise) Question { return Question{Advise: a} }
 
 // IsDear tells whether a question holds up cheap ones that wait behind it.
 func (q Question) IsDear() bool { return q.Cost > cheapQuestion }
@@ -54,12 +58,37 @@
 // Times are those of the owner's clock. The zero value is ready.
 type Questions struct {
 	lines []*questionLine // by tier and priority
-	// ages holds all that wait, the longest first, and some that were put since.
-	ages   []*waitingQuestion
-	count  int
-	credit time.Duration // of the oldest
+	// cheap and dear hold all that wait, and some that were put since.
+	cheap, dear byLimit
+	count       int
+	waits       time.Duration // the work of all that wait
 }
 
+// byLimit are questions of one kind in the order of their limits.
+type byLimit struct {
+	list []*waitingQuestion
+	// put is the work of all questions, of either kind, put in turns that one of these
+	// could have had.
+	put time.Duration
+}
+
+// Turn tells which questions the instances that are free may put.
+type Turn int
+
+// The turns; each takes what those before it take.
+const (
+	// CheapTurn takes cheap questions.
+	CheapTurn Turn = iota
+	// LateTurn takes dear ones of late jobs too, when no cheap one waits. An instance
+	// that is kept for cheap ones is idle for most of the time. With two of seven
+	// put to use so, late questions waited for 29, 72 and 121 s at two, four and eight
+	// times the load, without for 60, 102 and 160 s, and as many others were in time
+	// (TestQuestionsInOverload).
+	LateTurn
+	// AnyTurn takes all.
+	AnyTurn
+)
+
 // questionLine is a part of what waits, those due first ahead.
 type questionLine struct {
 	tier     Tier
@@ -76,15 +105,30 @@
 // Len is how many wait.
 func (q *Questions) Len() int { return q.count }
 
-// Add places a question among those that wait.
+// Add places a question among those that wait, also one that was put in vain: that took
+// nobody's turn.
 func (q *Questions) Add(a Question, now time.Duration) {
 	w := &waitingQuestion{Question: a}
+	of := q.kind(w)
+	if w.limit == 0 {
+		w.limit = of.put + q.waits + time.Duration(overtaken*float64(q.waits)) + overtakenLeast
+	} else {
+		q.tookTurn(w.turn, -w.Cost)
+	}
 	q.count++
-	at, _ := slices.BinarySearchFunc(q.ages, w, func(x, y *waitingQuestion) int { return compareOrBefore(x.asked, y.asked) })
-	q.ages = slices.Insert(q.ages, at, w)
+	q.waits += w.Cost
+	at, _ := slices.BinarySearchFunc(of.list, w, func(x, y *waitingQuestion) int { return compareOrBefore(x.limit, y.limit) })
+	of.list = slices.Insert(of.list, at, w)
 	q.enter(w, now)
 }
 
+func (q *Questions) kind(w *waitingQuestion) *byLimit {
+	if w.IsDear() {
+		return &q.dear
+	}
+	return &q.cheap
+}
+
 // compareOrBefore compares two times and takes equal ones for earlier, so that what is
 // inserted comes behind its equals.
 func compareOrBefore(x, y time.Duration) int {
@@ -115,43 +159,93 @@
 	return l
 }
 
-// Next removes and returns the question that is to be put now; dear tells whether it
-// may be a dear one.
-func (q *Questions) Next(now time.Duration, dear bool) (Question, bool) {
+// Next removes and returns the question that is to be put now.
+func (q *Questions) Next(now time.Duration, turn Turn) (Question, bool) {
 	q.sortOut(now)
-	if w := q.oldest(); w != nil && (dear || !w.IsDear()) && q.credit >= min(w.Cost, oldestCreditMost) {
-		q.credit -= min(w.Cost, oldestCreditMost)
-		return q.take(w), true
+	w := q.overdue(turn)
+	if w == nil {
+		w = q.mostUrgent(turn == AnyTurn)
+	}
+	if w == nil && turn == LateTurn {
+		w = q.late(now)
 	}
-	w := q.mostUrgent(dear)
 	if w == nil {
 		return Question{}, false
 	}
-	q.credit = min(oldestCreditMost, q.credit+time.Duration(oldestShare*float64(w.Cost)))
-	return q.take(w), true
+	q.take(w, turn)
+	return w.Question, true
+}
+
+// overdue returns the question that is furthest beyond its limit.
+func (q *Questions) overdue(turn Turn) *waitingQuestion {
+	var most *waitingQuestion
+	var by time.Duration
+	for _, of := range q.in(turn) {
+		if w := of.first(); w != nil && of.put >= w.limit && (most == nil || of.put-w.limit > by) {
+			most, by = w, of.put-w.limit
+		}
+	}
+	return most
 }
 
-func (q *Questions) take(w *waitingQuestion) Question {
+// in returns the kinds that a turn takes.
+func (q *Questions) in(turn Turn) []*byLimit {
+	if turn == CheapTurn {
+		return []*byLimit{&q.cheap}
+	}
+	return []*byLimit{&q.cheap, &q.dear}
+}
+
+// late returns the dear question nearest to its limit, if its job is late.
+func (q *Questions) late(now time.Duration) *waitingQuestion {
+	w := q.dear.first()
+	if w == nil || w.TierAt(now+w.Cost) == InTime {
+		return nil
+	}
+	return w
+}
+
+func (q *Questions) take(w *waitingQuestion, turn Turn) {
 	w.put = true
 	q.count--
-	if len(q.ages) > 2*q.count+putKept {
-		isPut := func(w *waitingQuestion) bool { return w.put }
-		q.ages = slices.DeleteFunc(q.ages, isPut)
-		for _, l := range q.lines {
-			l.list = slices.DeleteFunc(l.list, isPut)
-		}
+	q.waits -= w.Cost
+	if turn == LateTurn && !w.IsDear() {
+		turn = CheapTurn // kept for it: no dear one was overtaken
+	}
+	w.turn = turn
+	q.tookTurn(turn, w.Cost)
+	q.tidy()
+}
+
+// tookTurn counts work that was put in a turn.
+func (q *Questions) tookTurn(turn Turn, work time.Duration) {
+	for _, of := range q.in(turn) {
+		of.put += work
+	}
+}
+
+// tidy removes from the lists what was put.
+func (q *Questions) tidy() {
+	if len(q.cheap.list)+len(q.dear.list) <= 2*q.count+putKept {
+		return
+	}
+	isPut := func(w *waitingQuestion) bool { return w.put }
+	for _, of := range q.in(AnyTurn) {
+		of.list = slices.DeleteFunc(of.list, isPut)
+	}
+	for _, l := range q.lines {
+		l.list = slices.DeleteFunc(l.list, isPut)
 	}
-	return w.Question
 }
 
-func (q *Questions) oldest() *waitingQuestion {
-	for len(q.ages) > 0 && q.ages[0].put {
-		q.ages = behindFirst(q.ages)
+func (l *byLimit) first() *waitingQuestion {
+	for len(l.list) > 0 && l.list[0].put {
+		l.list = behindFirst(l.list)
 	}
-	if len(q.ages) == 0 {
+	if len(l.list) == 0 {
 		return nil
 	}
-	return q.ages[0]
+	return l.list[0]
 }
 
 // behindFirst returns a list without its first question. Thousands wait in overload:
--- a/pool/questions_test.go
+++ b/pool/questions_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -13,7 +14,7 @@
 // put removes the question that is to be put now.
 func put(t *testing.T, q *Questions, now time.Duration) Question {
 	t.Helper()
-	next, found := q.Next(now, true)
+	next, found := q.Next(now, AnyTurn)
 	assert.Assert(t, found)
 	return next
 }
@@ -28,7 +29,7 @@
 		a := Advise{Step: StepID{Step: i}, Cost: 40 * time.Millisecond,
 			InTimeUntil: now + until[tier], WorthUntil: now + until[tier] + 10*time.Second}
 		assert.Equal(t, a.TierAt(now), tier)
-		q.Add(NewQuestion(a, now), now)
+		q.Add(NewQuestion(a), now)
 	}
 	var order []int
 	for q.Len() > 0 {
@@ -44,9 +45,9 @@
 func TestQuestionOfALateJobIsPutWhileOthersCome(t *testing.T) {
 	var q Questions
 	now := time.Hour
-	q.Add(NewQuestion(Advise{Step: StepID{Job: "late"}, Priority: 1, Cost: 900 * time.Millisecond}, now), now)
+	q.Add(NewQuestion(Advise{Step: StepID{Job: "late"}, Priority: 1, Cost: 900 * time.Millisecond}), now)
 	fresh := func() Question {
-		return NewQuestion(Advise{Step: StepID{Job: "fresh"}, Cost: 40 * time.Millisecond, InTimeUntil: now + time.Minute, WorthUntil: now + 3*time.Minute}, now)
+		return NewQuestion(Advise{Step: StepID{Job: "fresh"}, Cost: 40 * time.Millisecond, InTimeUntil: now + time.Minute, WorthUntil: now + 3*time.Minute})
 	}
 	for range 20 {
 		q.Add(fresh(), now)
@@ -80,7 +81,9 @@
 	luck   *rand.Rand
 	events questionEvents
 	free   int // instances that are not asking
-	dear   int // that put a dear question
+	cheap  int // that put a cheap question
+	dear   int // that put a dear one
+	late   int // of those kept for cheap ones, that put a dear one of a late job
 
 	asked, inTime, inTimeAfter, askedAfter int
 	// dearWork is the time that all dear questions take, lateWork that of late ones
@@ -92,9 +95,11 @@
 const (
 	questionCallers = 7
 	dearCallers     = 4
-	burstFrom       = time.Hour + time.Second
-	burstTo         = burstFrom + 12*time.Second
-	calmUntil       = burstTo + 60*time.Second
+	// lateCallers of those kept for cheap questions put late ones meanwhile.
+	lateCallers = 2
+	burstFrom   = time.Hour + time.Second
+	burstTo     = burstFrom + 12*time.Second
+	calmUntil   = burstTo + 60*time.Second
 	// calmLoad is what comes outside the burst, as a part of what the callers carry.
 	calmLoad = 0.5
 )
@@ -154,12 +159,13 @@
 		l.dearWork += k.cost
 	}
 	l.queue.Add(NewQuestion(Advise{Step: StepID{Job: fmt.Sprint(k.name, l.asked)}, Priority: k.priority, Cost: k.cost,
-		InTimeUntil: l.now + k.slack, WorthUntil: l.now + 4*k.slack}, l.now), l.now)
+		InTimeUntil: l.now + k.slack, WorthUntil: l.now + 4*k.slack}), l.now)
 }
 
 func (l *questionLoad) send() {
 	for l.free > 0 {
-		next, found := l.queue.Next(l.now, l.dear < dearCallers)
+		turn := l.turn()
+		next, found := l.queue.Next(l.now, turn)
 		if !found {
 			return
 		}
@@ -167,18 +173,30 @@
 		if next.TierAt(l.now+next.Cost) != InTime && l.now > (burstFrom+burstTo)/2 && l.now < burstTo {
 			l.lateWork += next.Cost
 		}
+		under := &l.cheap
 		if next.IsDear() {
-			l.dear++
+			under = &l.dear
+			if turn == LateTurn {
+				under = &l.late
+			}
 		}
-		heap.Push(&l.events, questionEvent{l.now + next.Cost, func() { l.answered(next) }})
+		*under++
+		heap.Push(&l.events, questionEvent{l.now + next.Cost, func() { *under--; l.answered(next) }})
+	}
+}
+
+func (l *questionLoad) turn() Turn {
+	switch {
+	case l.dear < dearCallers:
+		return AnyTurn
+	case l.late < lateCallers:
+		return LateTurn
 	}
+	return CheapTurn
 }
 
 func (l *questionLoad) answered(a Question) {
 	l.free++
-	if a.IsDear() {
-		l.dear--
-	}
 	asked := l.askedAt(a)
 	if l.now <= a.InTimeUntil {
 		l.inTime++
@@ -231,7 +249,7 @@
 			now := time.Hour
 			add := func() {
 				k := questionKinds[luck.IntN(len(questionKinds))]
-				q.Add(NewQuestion(Advise{Priority: k.priority, Cost: k.cost, InTimeUntil: now + k.slack, WorthUntil: now + 3*k.slack}, now), now)
+				q.Add(NewQuestion(Advise{Priority: k.priority, Cost: k.cost, InTimeUntil: now + k.slack, WorthUntil: now + 3*k.slack}), now)
 			}
 			for range waiting {
 				add()
@@ -241,7 +259,7 @@
 			for b.Loop() {
 				now += time.Millisecond
 				add()
-				q.Next(now, luck.IntN(2) == 0)
+				q.Next(now, Turn(luck.IntN(3)))
 			}
 		})
 	}
@@ -261,3 +279,82 @@
 		})
 	}
 }
+
+// Questions of all kinds come for twenty seconds, at up to eight times what one to twelve
+// instances carry. A job's question waits while those of younger, more urgent jobs are put,
+// and its caller sees others' jobs begin that were handed in later. What is put before it
+// is bounded by what waited when it was asked, whatever the load and however few instances
+// are left; but a question of the longest kind may be
+// under way at each, and one reach its own bound first.
+func TestYoungerQuestionsOvertakeByABoundedWork(t *testing.T) {
+	for seed := range uint64(40) {
+		luck := rand.New(rand.NewPCG(seed, 1))
+		l := overtakingLoad{luck: luck, now: time.Hour, callers: 1 + luck.IntN(12), load: 0.5 + 7.5*luck.Float64()}
+		l.play()
+		underWay := time.Duration(l.callers+1) * 500 * time.Millisecond
+		assert.Check(t, l.excess <= underWay, "seed %d: %d instances, %.1f times their load: a question was overtaken by %v more than its bound",
+			seed, l.callers, l.load, l.excess)
+	}
+}
+
+// overtakingLoad books for each question that waits how much younger work was put before it.
+type overtakingLoad struct {
+	luck    *rand.Rand
+	now     time.Duration
+	callers int
+	load    float64 // times what the callers carry
+
+	queue  Questions
+	waits  []*overtakenQuestion // the oldest first
+	excess time.Duration        // over the bound, of the worst one
+}
+
+type overtakenQuestion struct {
+	job         string
+	cost        time.Duration
+	ahead, over time.Duration
+}
+
+func (l *overtakingLoad) play() {
+	const step = 10 * time.Millisecond
+	begin := l.now
+	var capacity time.Duration // that the callers have and haven't used
+	for asked := 0; l.now < begin+20*time.Second || l.queue.Len() > 0; l.now += step {
+		for work := l.load * float64(l.callers) * step.Seconds(); l.now < begin+20*time.Second && work > 0; asked++ {
+			k := questionKinds[l.luck.IntN(len(questionKinds))]
+			work -= k.cost.Seconds()
+			if work < 0 && l.luck.Float64() > 1+work/k.cost.Seconds() {
+				break
+			}
+			l.add(fmt.Sprint(asked), k)
+		}
+		for capacity += time.Duration(l.callers) * step; capacity > 0; {
+			next, found := l.queue.Next(l.now, AnyTurn)
+			if !found {
+				capacity = 0
+				break
+			}
+			capacity -= next.Cost
+			l.put(next)
+		}
+	}
+}
+
+func (l *overtakingLoad) add(job string, k questionKind) {
+	w := &overtakenQuestion{job: job, cost: k.cost}
+	for _, x := range l.waits {
+		w.ahead += x.cost
+	}
+	l.waits = append(l.waits, w)
+	l.queue.Add(NewQuestion(Advise{Step: StepID{Job: job}, Priority: k.priority, Cost: k.cost,
+		InTimeUntil: l.now + k.slack, WorthUntil: l.now + 3*k.slack}), l.now)
+}
+
+func (l *overtakingLoad) put(next Question) {
+	at := slices.IndexFunc(l.waits, func(x *overtakenQuestion) bool { return x.job == next.Step.Job })
+	for _, older := range l.waits[:at] {
+		older.over += next.Cost
+		l.excess = max(l.excess, older.over-overtaken*older.ahead-overtakenLeast)
+	}
+	l.waits = slices.Delete(l.waits, at, at+1)
+}
