node: a reader of the store says when it goes blind and by which question it sees again

A read that fails left no line at all, but for a pool's stream, and no line told when the read was put that brought a configuration. So the log of the late configuration couldn't tell a read that waits for a lost answer from one that was answered with an old state, or from a configuration that was read and not applied. reader.lost and reader.regained do, for each stream; config.unread, a debug line for one of them, goes.

--- a/node/follow.go
+++ b/node/follow.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
 )
 
 const (
@@ -34,7 +35,9 @@
 	// after its question: dated by their arrival, pages that took 4.4 s over a slow link
 	// passed for the store's state, and jobs that were accepted meanwhile were denied.
 	asOf time.Duration
-	err  error // the store could not be read
+	// asked is when the question was put that brought this.
+	asked time.Duration
+	err   error // the store could not be read
 }
 
 // follower reads a topic from its newest records on.
@@ -49,6 +52,31 @@
 	wait  time.Duration
 	// wake ends a pause early; nil: nothing does.
 	wake chan struct{}
+	log  zerolog.Logger
+	sight
+}
+
+// sight is what a follower knows of its own blindness.
+type sight struct {
+	failed     int           // questions in a row
+	blindSince time.Duration // when the first of them was put
+}
+
+// note logs that the follower has become blind, or sees again.
+func (f *follower) note(b batch) {
+	s := &f.sight
+	switch {
+	case b.err != nil:
+		if s.failed == 0 {
+			s.blindSince = b.asked
+			f.log.Warn().Str("topic", f.topic.Name).Int("part", f.topic.Part).Dur("waited", f.now()-b.asked).Err(b.err).Msg("reader.lost")
+		}
+		s.failed++
+	case s.failed > 0:
+		f.log.Info().Str("topic", f.topic.Name).Int("part", f.topic.Part).Dur("blind", f.now()-s.blindSince).Dur("asked", f.now()-b.asked).
+			Int("failed", s.failed).Int("records", len(b.records)).Msg("reader.regained")
+		s.failed = 0
+	}
 }
 
 // run hands on batches until the context ends.
@@ -81,6 +109,7 @@
 			retry = followRetry
 			behind = b.reset || b.asOf == 0 // pages take a while, and a backlog comes in pieces
 		}
+		f.note(b)
 		deliver(b)
 		switch {
 		case b.err != nil:
@@ -104,13 +133,13 @@
 }
 
 func (f *follower) newest(ctx context.Context) batch {
-	b := batch{reset: true, next: -1}
 	asked := f.now()
+	b := batch{reset: true, next: -1, asked: asked}
 	after := ""
 	for {
 		page, more, end, err := f.store.Newest(withTimeout(ctx, newestTimeout), f.topic, after)
 		if err != nil {
-			return batch{err: err}
+			return batch{err: err, asked: asked}
 		}
 		if b.next < 0 {
 			// Pages are no snapshot: reading on from the first page's end
@@ -130,9 +159,9 @@
 	asked := f.now()
 	page, end, err := f.store.Read(withTimeout(ctx, wait+readTimeout-readWait), f.topic, from, wait)
 	if err != nil {
-		return batch{err: err}
+		return batch{err: err, asked: asked}
 	}
-	b := batch{records: page, next: from}
+	b := batch{records: page, next: from, asked: asked}
 	if len(page) > 0 {
 		b.next = page[len(page)-1].Offset + 1
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -101,7 +101,7 @@
 // Run serves until the context ends.
 func (n *Node) Run(ctx context.Context) error {
 	f := &follower{store: n.store, topic: n.directory.ConfigTopic(), now: n.now, wait: readWait,
-		pause: func() time.Duration { return 0 }}
+		pause: func() time.Duration { return 0 }, log: n.log}
 	go n.peers.run(ctx)
 	f.run(ctx, func(b batch) { n.takeConfig(ctx, b) })
 	return nil
@@ -132,8 +132,7 @@
 
 func (n *Node) takeConfig(ctx context.Context, b batch) {
 	if b.err != nil {
-		n.log.Debug().Err(b.err).Msg("config.unread")
-		return
+		return // the configuration in force stays, and the follower says that it is blind
 	}
 	for _, rec := range b.records {
 		if err := n.takeOperators(ctx, rec); err != nil {
--- a/node/peers.go
+++ b/node/peers.go
@@ -74,7 +74,7 @@
 func (p *peers) run(ctx context.Context) {
 	go p.announce(ctx)
 	f := &follower{store: p.node.store, topic: Topic{Name: peersTopicName}, now: p.node.now, wait: 10 * readWait,
-		pause: func() time.Duration { return followerPause }}
+		pause: func() time.Duration { return followerPause }, log: p.node.log}
 	f.run(ctx, p.take)
 }
 
--- a/node/unit.go
+++ b/node/unit.go
@@ -133,7 +133,7 @@
 }
 
 func (u *unit) run(ctx context.Context) {
-	f := &follower{store: u.node.store, topic: u.topic, now: u.node.now, wait: readWait, pause: u.pause, wake: u.readNow}
+	f := &follower{store: u.node.store, topic: u.topic, now: u.node.now, wait: readWait, pause: u.pause, wake: u.readNow, log: u.node.log}
 	go f.run(ctx, func(b batch) { u.send(ctx, b) })
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
