node: known red: readers are blind for seconds after the store was silent

Callers are told 404 for a route that was confirmed more than 2 s before. Two tests in virtual time: the course of the record (a change, 6.7 s of silence, more changes), and all readers (configuration, list of instances, list of workers, pools' state) over silences, resets and refusals of 0.3 to 10 s at 20 moments each. Bounds: 0.6 s for the configuration, 1 s for the others, from the store's return until a reader holds what is stored by then.

It answered waiting reads in the silence until now. StoreReset is new.

--- /dev/null
+++ b/node/blind_test.go
@@ -0,0 +1,211 @@
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/knapweedweir/knapweedweir/node"
+	"github.com/knapweedweir/knapweedweir/standin/machines"
+)
+
+// Bounds on the time from the moment when the store answers again until a reader holds
+// what was stored by then.
+const (
+	// configSeen is of the configuration: callers may ask for a new route 2 s after its
+	// confirmation.
+	configSeen = 600 * time.Millisecond
+	// othersSeen is of the list of instances, the list of workers and the pools' state.
+	othersSeen = time.Second
+)
+
+// watchedStore notes how far an instance has read each stream.
+type watchedStore struct {
+	*machines.View
+	mu    sync.Mutex
+	upTo  map[node.Topic]int64
+	reads int
+}
+
+// Newest implements node.Store.
+func (s *watchedStore) Newest(ctx context.Context, from node.Topic, after string) ([]node.Stored, bool, int64, error) {
+	page, more, end, err := s.View.Newest(ctx, from, after)
+	if err == nil && !more {
+		s.note(from, end)
+	}
+	return page, more, end, err
+}
+
+// Read implements node.Store.
+func (s *watchedStore) Read(ctx context.Context, from node.Topic, offset int64, wait time.Duration) ([]node.Stored, int64, error) {
+	s.mu.Lock()
+	s.reads++
+	s.mu.Unlock()
+	page, end, err := s.View.Read(ctx, from, offset, wait)
+	if len(page) > 0 {
+		s.note(from, page[len(page)-1].Offset+1)
+	}
+	return page, end, err
+}
+
+func (s *watchedStore) note(topic node.Topic, upTo int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.upTo[topic] = max(s.upTo[topic], upTo)
+}
+
+func (s *watchedStore) holds(topic node.Topic, upTo int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.upTo[topic] >= upTo
+}
+
+// watchedCluster is a cluster that notes what its instances have read.
+type watchedCluster struct {
+	*cluster
+	stores map[string]*watchedStore
+}
+
+func newWatchedCluster(t *testing.T, names ...string) *watchedCluster {
+	c := &watchedCluster{cluster: newCluster(t, 1, false), stores: map[string]*watchedStore{}}
+	c.reach = func(m *member) (node.Store, node.Dialer) {
+		c.stores[m.name] = &watchedStore{View: m.view, upTo: map[node.Topic]int64{}}
+		return c.stores[m.name], c.world.Dial
+	}
+	for _, name := range names {
+		c.join(name, 1)
+	}
+	c.addWorker(0)
+	time.Sleep(3 * time.Second)
+	return c
+}
+
+// blindness is how long the readers of each topic took to see what was stored last, the
+// slowest of all instances that read it.
+type blindness map[string]time.Duration
+
+const (
+	// longestBlind is how long a reader is watched.
+	longestBlind = 25 * time.Second
+	lookEvery    = 5 * time.Millisecond
+)
+
+// storeEverywhere adds a record to each topic, and returns how long its readers took.
+func (c *watchedCluster) storeEverywhere() blindness {
+	stored := c.world.Since()
+	waiting := map[node.Topic]int64{}
+	for _, topic := range c.world.Topics() {
+		waiting[topic] = c.world.Put(topic, "of nobody", nil) + 1 // takes back a key that never was: it changes nothing
+	}
+	seen := blindness{}
+	for c.world.Since() < stored+longestBlind && len(waiting) > 0 {
+		time.Sleep(lookEvery)
+		for topic, upTo := range waiting {
+			if c.heldBy(topic, upTo) {
+				seen[topic.Name] = max(seen[topic.Name], c.world.Since()-stored)
+				delete(waiting, topic)
+			}
+		}
+	}
+	for topic := range waiting {
+		seen[topic.Name] = longestBlind
+	}
+	return seen
+}
+
+// heldBy reports whether all instances that read a topic have read so far.
+func (c *watchedCluster) heldBy(topic node.Topic, upTo int64) bool {
+	owner := c.owner()
+	for name, s := range c.stores {
+		if topic.Name == machines.WorkersTopic.Name && name != owner {
+			continue
+		}
+		if !s.holds(topic, upTo) {
+			return false
+		}
+	}
+	return true
+}
+
+// The store answers nobody for a while, and the operators' change is confirmed the moment it
+// is back. Callers ask for the new route 2 s later, and some instances say that there is none:
+// a read that was put into the silence never has an answer, and was waited for until it
+// timed out after 3.2 s, with a pause of up to 0.4 s behind it. All instances had read
+// the change before within the same 20 ms, so all of them were blind at once. One that reads
+// the list of instances waits 21 s.
+func TestReadersSeeWhatIsStoredSoonAfterTheStoreIsBack(t *testing.T) {
+	for _, fault := range []struct {
+		name string
+		how  machines.StoreFault
+	}{{"silent", machines.StoreSilent}, {"reset", machines.StoreReset}, {"busy", machines.StoreBusy}} {
+		for _, outage := range []time.Duration{300 * time.Millisecond, 1300 * time.Millisecond, 2600 * time.Millisecond, 3900 * time.Millisecond,
+			6500 * time.Millisecond, 10 * time.Second} {
+			t.Run(fmt.Sprintf("%s/%s", fault.name, outage), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					c := newWatchedCluster(t, "a", "b", "c")
+					defer c.close()
+					worst := c.worstAfter(fault.how, outage, 20, rand.New(rand.NewPCG(1, uint64(outage))))
+					for topic, blind := range worst {
+						bound := othersSeen
+						if topic == machines.ConfigTopic.Name {
+							bound = configSeen
+						}
+						assert.Check(t, blind <= bound, "%s: blind for %v", topic, blind)
+					}
+				})
+			})
+		}
+	}
+}
+
+// A change of the configuration, then the store answers nobody for 6.7 s, then more
+// changes. All instances have read the first within milliseconds of each other, so from
+// then on they read in step, and each puts a read 0.2 s before the store is back. None
+// knows the new route 2 s after its confirmation: callers are told that it doesn't exist.
+func TestNewRoutesAreServedAfterTheStoreWasSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newWatchedCluster(t, "a", "b", "c")
+		defer c.close()
+		const inForceWithin = 2 * time.Second
+		configure := func(version int64) {
+			c.world.Configure(node.Config{Version: version, Services: []string{machines.Service}, Routes: []node.Route{{Prefix: fmt.Sprintf("/%d", version)}}})
+		}
+		configure(2)
+		time.Sleep(200 * time.Millisecond)
+		c.setStores(machines.StoreSilent)
+		time.Sleep(6700 * time.Millisecond)
+		c.setStores(machines.StoreUp)
+		time.Sleep(200 * time.Millisecond)
+		for version := int64(3); version <= 5; version++ {
+			configure(version)
+			time.Sleep(inForceWithin)
+			for _, m := range c.up() {
+				assert.Check(t, m.node.Config().Version >= version, "%s has version %d, %d was confirmed %v ago", m.name, m.node.Config().Version, version, inForceWithin)
+			}
+		}
+	})
+}
+
+// worstAfter plays outages of one length, each at another moment, and returns the longest
+// blindness behind them.
+func (c *watchedCluster) worstAfter(how machines.StoreFault, outage time.Duration, times int, luck *rand.Rand) blindness {
+	worst := blindness{}
+	for range times {
+		c.storeEverywhere()
+		time.Sleep(time.Duration(luck.IntN(3000)) * time.Millisecond)
+		c.setStores(how)
+		time.Sleep(outage)
+		c.setStores(machines.StoreUp)
+		for topic, blind := range c.storeEverywhere() {
+			worst[topic] = max(worst[topic], blind)
+		}
+		time.Sleep(5 * time.Second)
+	}
+	return worst
+}
--- a/standin/machines/drain.go
+++ b/standin/machines/drain.go
@@ -12,14 +12,14 @@
 	w.mu.Lock()
 	x := w.workers[id]
 	x.drainsAt = time.Now()
-	w.store.put(workersTopic, pool.Record{Key: id, Value: pool.Encode(x.info())})
+	w.store.put(WorkersTopic, pool.Record{Key: id, Value: pool.Encode(x.info())})
 	w.mu.Unlock()
 	time.Sleep(lasting)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	x.crash()
 	x.listed = false
-	w.store.put(workersTopic, pool.Record{Key: id})
+	w.store.put(WorkersTopic, pool.Record{Key: id})
 }
 
 // RunningToStay counts a job's runs on workers that don't drain.
--- a/standin/machines/spoil.go
+++ b/standin/machines/spoil.go
@@ -51,7 +51,7 @@
 		}
 		info = x.info()
 	}
-	w.store.put(workersTopic, pool.Record{Key: id, Value: strangers[kind%len(strangers)](info)})
+	w.store.put(WorkersTopic, pool.Record{Key: id, Value: strangers[kind%len(strangers)](info)})
 }
 
 // Restore takes an entry of another writer back: the worker's own follows it, if there
@@ -66,10 +66,10 @@
 	x := w.workers[id]
 	switch {
 	case x == nil:
-		w.store.put(workersTopic, pool.Record{Key: id})
+		w.store.put(WorkersTopic, pool.Record{Key: id})
 	case x.alive && !x.spoiledAt.IsZero():
 		x.spoiledAt = time.Time{}
-		w.store.put(workersTopic, pool.Record{Key: id, Value: pool.Encode(x.info())})
+		w.store.put(WorkersTopic, pool.Record{Key: id, Value: pool.Encode(x.info())})
 	}
 }
 
@@ -86,14 +86,14 @@
 func (w *World) SpoilConfig(kind int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.store.put(configTopic, pool.Record{Key: configKey, Value: strangers[kind%len(strangers)](pool.WorkerInfo{})})
+	w.store.put(ConfigTopic, pool.Record{Key: configKey, Value: strangers[kind%len(strangers)](pool.WorkerInfo{})})
 }
 
 // RestoreConfig writes the newest configuration once more.
 func (w *World) RestoreConfig() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.store.put(configTopic, pool.Record{Key: configKey, Value: w.config})
+	w.store.put(ConfigTopic, pool.Record{Key: configKey, Value: w.config})
 }
 
 // decodeWorker refuses what is no worker's own entry.
@@ -127,11 +127,11 @@
 	return len(w.workers[id].runs)
 }
 
-// Put stores a record as another writer does.
-func (w *World) Put(to node.Topic, key string, value []byte) {
+// Put stores a record as another writer does, and returns its offset.
+func (w *World) Put(to node.Topic, key string, value []byte) int64 {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.store.put(to, pool.Record{Key: key, Value: value})
+	return w.store.put(to, pool.Record{Key: key, Value: value})
 }
 
 // Topics returns the topics that hold anything.
--- a/standin/machines/store.go
+++ b/standin/machines/store.go
@@ -11,8 +11,8 @@
 )
 
 var (
-	configTopic  = node.Topic{Name: "config"}
-	workersTopic = node.Topic{Name: "workers"}
+	ConfigTopic  = node.Topic{Name: "config"}
+	WorkersTopic = node.Topic{Name: "workers"}
 )
 
 // configKey is the key of the configuration.
@@ -119,8 +119,11 @@
 	StoreUp StoreFault = iota
 	// StoreBusy refuses everything.
 	StoreBusy
-	// StoreSilent answers nothing and does nothing.
+	// StoreSilent answers nothing and does nothing. A call that comes meanwhile never has
+	// an answer; a read that waited before has its own when the silence is over.
 	StoreSilent
+	// StoreReset ends all connections, also those of reads that wait.
+	StoreReset
 	// StoreLossy does everything and loses some answers.
 	StoreLossy
 	// StoreLate does some appends seconds later, without an answer.
@@ -139,6 +142,8 @@
 	case StoreSilent:
 		<-ctx.Done()
 		return false, false, node.ErrInDoubt
+	case StoreReset:
+		return false, false, node.ErrInDoubt
 	case StoreLossy:
 		return true, !v.w.Chance(lostShare), nil
 	}
@@ -235,30 +240,44 @@
 	}
 	timeout := after(wait)
 	for {
-		v.w.mu.Lock()
-		st := v.w.store.stream(from)
-		if offset < st.first {
-			v.w.mu.Unlock()
-			return nil, 0, node.ErrTrimmed
-		}
-		if offset < st.end() {
-			page := slices.Clone(st.records[offset-st.first:])
-			end := st.end()
-			v.w.mu.Unlock()
-			return page, end, nil
+		fault, faultEnds := v.whileFault()
+		page, end, grown, err := v.w.readNow(from, offset)
+		elapsed := timeout
+		switch {
+		case fault == StoreSilent: // what it would answer is held back
+			grown, elapsed = nil, nil
+		case err != nil || len(page) > 0:
+			return page, end, err
 		}
-		grown, end := st.grown, st.end()
-		v.w.mu.Unlock()
 		select {
 		case <-grown:
-		case <-timeout:
+		case <-elapsed:
 			return nil, end, nil
+		case <-faultEnds:
+			if v.StoreFault() == StoreReset {
+				return nil, 0, node.ErrInDoubt
+			}
 		case <-ctx.Done():
 			return nil, 0, node.ErrInDoubt
 		}
 	}
 }
 
+// readNow returns the records from an offset on, the stream's end, and what is closed when
+// it grows.
+func (w *World) readNow(from node.Topic, offset int64) (page []node.Stored, end int64, grown <-chan struct{}, err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	st := w.store.stream(from)
+	if offset < st.first {
+		return nil, 0, nil, node.ErrTrimmed
+	}
+	if offset < st.end() {
+		page = slices.Clone(st.records[offset-st.first:])
+	}
+	return page, st.end(), st.grown, nil
+}
+
 func orInDoubt(err error) error {
 	if err == nil {
 		return node.ErrInDoubt
--- a/standin/machines/view.go
+++ b/standin/machines/view.go
@@ -15,8 +15,10 @@
 	name  string
 	mu    sync.Mutex
 	fault StoreFault
-	delay time.Duration
-	cut   bool // from the workers
+	// faultEnds is closed when another fault begins, or none.
+	faultEnds chan struct{}
+	delay     time.Duration
+	cut       bool // from the workers
 	// calmSince is when the last trouble of the instance ended.
 	calmSince time.Time
 }
@@ -25,7 +27,7 @@
 func (w *World) View(name string) *View {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	v := &View{w: w, name: name}
+	v := &View{w: w, name: name, faultEnds: make(chan struct{})}
 	w.views[name] = v
 	return v
 }
@@ -59,6 +61,8 @@
 	defer v.mu.Unlock()
 	v.fault = f
 	v.calmSince = time.Now()
+	close(v.faultEnds)
+	v.faultEnds = make(chan struct{})
 }
 
 // SlowStore delays every answer of the store.
@@ -84,6 +88,13 @@
 	return v.fault
 }
 
+// whileFault returns how the store treats the instance and what is closed when that ends.
+func (v *View) whileFault() (StoreFault, <-chan struct{}) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.fault, v.faultEnds
+}
+
 func (v *View) storeDelay() time.Duration {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -97,10 +108,10 @@
 }
 
 // ConfigTopic implements node.Directory.
-func (v *View) ConfigTopic() node.Topic { return configTopic }
+func (v *View) ConfigTopic() node.Topic { return ConfigTopic }
 
 // WorkersTopic implements node.Directory.
-func (v *View) WorkersTopic() node.Topic { return workersTopic }
+func (v *View) WorkersTopic() node.Topic { return WorkersTopic }
 
 // DecodeConfig implements node.Directory.
 func (v *View) DecodeConfig(r pool.Record) (*node.Config, error) {
--- a/standin/machines/world.go
+++ b/standin/machines/world.go
@@ -160,10 +160,10 @@
 		switch {
 		case x.alive && !x.listed:
 			x.listed = true
-			w.store.put(workersTopic, pool.Record{Key: x.id, Value: pool.Encode(x.info())})
+			w.store.put(WorkersTopic, pool.Record{Key: x.id, Value: pool.Encode(x.info())})
 		case !x.alive && x.listed && time.Since(x.died) > listedAfter:
 			x.listed = false
-			w.store.put(workersTopic, pool.Record{Key: x.id})
+			w.store.put(WorkersTopic, pool.Record{Key: x.id})
 		}
 	}
 }
@@ -173,7 +173,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.config = pool.Encode(cfg)
-	w.store.put(configTopic, pool.Record{Key: configKey, Value: w.config})
+	w.store.put(ConfigTopic, pool.Record{Key: configKey, Value: w.config})
 }
 
 // pipeListener accepts connections that never leave the process.
