--- a/node/blind_test.go
+++ b/node/blind_test.go
@@ -241,7 +241,6 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := newWatchedCluster(t, "a", "b", "c")
 		defer c.close()
-		const inForceWithin = 2 * time.Second
 		configure := func(version int64) {
 			c.world.Configure(node.Config{Version: version, Services: []string{machines.Service}, Routes: []node.Route{{Prefix: fmt.Sprintf("/%d", version)}}})
 		}
--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -34,6 +34,7 @@
 	dark    []func() // ends instances that have lost power
 	// luck draws what callers do, bad what befalls the cluster.
 	luck, bad *rand.Rand
+	config    node.Config // the newest; one goroutine changes it
 	// reach is how an instance reaches the store and its peers; nil: directly.
 	reach func(*member) (node.Store, node.Dialer)
 }
@@ -79,7 +80,8 @@
 	if advised {
 		q.Advice = &pool.AdviceTerms{Decision: 30 * time.Millisecond, PerWorker: time.Millisecond, Validity: 1500 * time.Millisecond}
 	}
-	c.world.Configure(node.Config{Version: 1, Services: []string{machines.Service}, Routes: []node.Route{{Queue: q}}})
+	c.config = node.Config{Version: 1, Services: []string{machines.Service}, Routes: []node.Route{{Queue: q}}}
+	c.world.Configure(c.config)
 	for _, name := range names {
 		c.join(name, 1)
 	}
--- a/node/history_test.go
+++ b/node/history_test.go
@@ -23,6 +23,8 @@
 // failedOnce are seeds whose history once broke a promise, each with its cause.
 var failedOnce = map[uint64]string{
 	406: "a cancellation that was read before its job went for nothing",
+	143: "a read that a silent store had lost was waited for, and a configuration was late",
+	351: "the same, at two instances at once",
 }
 
 // Callers hand jobs in, ask for them and cancel some, while instances are killed,
@@ -57,6 +59,10 @@
 // from a source of their own, so that all others play what they always played.
 const strangersEvery = 3
 
+// operatorsEvery is one in how many histories has changes of the configuration. They draw
+// from a source of their own too.
+const operatorsEvery = 4
+
 func playHistory(t *testing.T, seed uint64) {
 	c := newCluster(t, seed, seed%2 == 0, "a", "b", "c")
 	defer c.close()
@@ -71,6 +77,9 @@
 	if seed%strangersEvery == 1 {
 		go c.strangers(rand.New(rand.NewPCG(seed, 4)))
 	}
+	if seed%operatorsEvery == 3 {
+		go c.operators(rand.New(rand.NewPCG(seed, 5)))
+	}
 	c.faults()
 	c.heal()
 	time.Sleep(calm)
@@ -242,6 +251,28 @@
 	}
 }
 
+// inForceWithin is how soon after its confirmation each instance that has no trouble serves by
+// a configuration.
+const inForceWithin = 2 * time.Second
+
+// operators change the configuration, and ask every instance for it when it has to be in
+// force there.
+func (c *cluster) operators(luck *rand.Rand) {
+	for c.world.Since() < trouble+calm/2 {
+		time.Sleep(time.Duration(100+luck.IntN(3000)) * time.Millisecond)
+		c.config.Version++
+		c.world.Configure(c.config)
+		version := c.config.Version
+		time.AfterFunc(inForceWithin, func() {
+			for _, m := range c.up() {
+				if has := m.node.Dump(c.ctx).Version; m.view.InTouch() && has < version {
+					c.t.Errorf("CONFIG: %v: %s has version %d, %d was confirmed %v ago", c.world.Since(), m.name, has, version, inForceWithin)
+				}
+			}
+		})
+	}
+}
+
 func (c *cluster) restart(name string) {
 	c.mu.Lock()
 	down := c.members[name].stop == nil && c.ctx.Err() == nil
--- a/standin/machines/referee.go
+++ b/standin/machines/referee.go
@@ -147,7 +147,7 @@
 	if j.refused > 0 && j.answered == 0 && j.trying == 0 {
 		r.finding("REFUSED", "%v started, and all tries to hand it in were refused", s.Task)
 	}
-	if !j.cancelled.IsZero() && time.Since(j.cancelled) > cancelBound && r.w.views[sender].inTouch() {
+	if !j.cancelled.IsZero() && time.Since(j.cancelled) > cancelBound && r.w.views[sender].InTouch() {
 		r.finding("UNASKED", "%v started %v after its cancellation", s.Task, time.Since(j.cancelled))
 	}
 	if !x.spoiledAt.IsZero() && time.Since(x.spoiledAt) > readBound && r.w.views[sender].calmFor() > readsAgain && !r.w.everLate {
--- a/standin/machines/view.go
+++ b/standin/machines/view.go
@@ -36,7 +36,9 @@
 // promises that have a bound in time.
 const inTouchAfter = 3 * time.Second
 
-func (v *View) inTouch() bool { return v.calmFor() > inTouchAfter }
+// InTouch reports whether the instance has been without trouble for so long that what is
+// promised within a time holds for it.
+func (v *View) InTouch() bool { return v.calmFor() > inTouchAfter }
 
 // calmFor is how long the instance has been without trouble.
 func (v *View) calmFor() time.Duration {
