node, kwctl: an instance tells how old its knowledge of the store is

An operator could not see which instance was behind with the configuration: the dump had the version in force, and nothing of the readers. The dump now has each reader's age, offset and unanswered questions, and kwctl readers compares those of several instances and names who is behind. What a reader knows of itself moves from the follower to readers.go.

--- a/cmd/kwctl/console.go
+++ b/cmd/kwctl/console.go
@@ -43,6 +43,7 @@
        kwctl why [-logs FILE] JOB
        kwctl delays [-logs FILE] [-plot FILE.svg]
        kwctl room [-dump FILE] [-job JOB] [ADDRESS...]
+       kwctl readers [-dump FILE] [ADDRESS...]
 
 Every command asks one entry: -entry ADDRESS, or $KW_ENTRY. Flags may stand
 before or after the command and its arguments. Tables are for people; -o json is for programs.
@@ -95,7 +96,7 @@
 }
 
 func (c *console) commands() []subcommands.Command {
-	return []subcommands.Command{c.jobGroup(), c.settingsGroup(), c.keysGroup(), c.instanceGroup(), c.workerGroup(), c.dumpGroup(), c.doctorCommand(), c.whyCommand(), c.delaysCommand(), c.roomCommand()}
+	return []subcommands.Command{c.jobGroup(), c.settingsGroup(), c.keysGroup(), c.instanceGroup(), c.workerGroup(), c.dumpGroup(), c.doctorCommand(), c.whyCommand(), c.delaysCommand(), c.roomCommand(), c.readersCommand()}
 }
 
 func (c *console) flags(f *flag.FlagSet) {
--- a/node/blind_test.go
+++ b/node/blind_test.go
@@ -259,3 +259,29 @@
 		}
 	})
 }
+
+// The store answers nobody, and an operator asks an instance for its state: each of its readers
+// says that its questions have no answer and how old its knowledge is. Soon after the return
+// each knows all again.
+func TestDumpTellsHowOldTheKnowledgeIs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newWatchedCluster(t, "a", "b", "c")
+		defer c.close()
+		owner := c.members[c.owner()].node
+		const silence = 20 * time.Second // longer than any reader waits
+		c.setStores(machines.StoreSilent)
+		time.Sleep(silence)
+		topics := map[string]bool{}
+		for _, r := range owner.Dump(c.ctx).Readers {
+			topics[r.Topic] = true
+			assert.Check(t, r.Failed > 0, "%+v", r)
+			assert.Check(t, r.AgeMs >= silence.Milliseconds(), "%+v", r)
+		}
+		assert.Equal(t, len(topics), 4, "%v", topics)
+		c.setStores(machines.StoreUp)
+		time.Sleep(othersSeen)
+		for _, r := range owner.Dump(c.ctx).Readers {
+			assert.Check(t, r.Failed == 0 && r.AgeMs <= othersSeen.Milliseconds(), "%+v", r)
+		}
+	})
+}
--- a/node/dump.go
+++ b/node/dump.go
@@ -19,6 +19,8 @@
 	// Version is the configuration's; 0 before the first.
 	Version int64      `json:"version"`
 	Pools   []PoolDump `json:"pools"`
+	// Readers tell how far this instance has read the store.
+	Readers []ReaderDump `json:"readers"`
 }
 
 // PoolDump is one pool as an instance sees it.
@@ -40,7 +42,7 @@
 
 // Dump returns this instance's state for operators.
 func (n *Node) Dump(ctx context.Context) Dump {
-	d := Dump{Version: n.configVersion(), Pools: []PoolDump{}}
+	d := Dump{Version: n.configVersion(), Pools: []PoolDump{}, Readers: n.readers.dump()}
 	for _, u := range n.allUnits() {
 		d.Pools = append(d.Pools, u.dump(ctx))
 	}
--- a/node/follow.go
+++ b/node/follow.go
@@ -52,39 +52,17 @@
 	wake chan struct{}
 	// bulky tells that the topic holds megabytes: whoever is behind reads much at once.
 	bulky bool
-	// regained is shared by the readers of an instance.
-	regained *broadcast
-	log      zerolog.Logger
-	sight
-}
-
-// sight is what a follower knows of its own blindness.
-type sight struct {
-	failed     int           // questions in a row
-	blindSince time.Duration // when the first of them was put
-}
-
-// note logs that the follower has become blind, or sees again.
-func (f *follower) note(b batch) {
-	s := &f.sight
-	switch {
-	case b.err != nil:
-		if s.failed == 0 {
-			s.blindSince = b.asked
-			f.log.Warn().Str("topic", f.topic.Name).Int("part", f.topic.Part).Dur("waited", f.now()-b.asked).Err(b.err).Msg("reader.lost")
-		}
-		s.failed++
-	case s.failed > 0:
-		f.log.Info().Str("topic", f.topic.Name).Int("part", f.topic.Part).Dur("blind", f.now()-s.blindSince).Dur("asked", f.now()-b.asked).
-			Int("failed", s.failed).Int("records", len(b.records)).Msg("reader.regained")
-		s.failed = 0
-	}
+	// readers are those of the instance, this one among them.
+	readers *readers
+	log     zerolog.Logger
 }
 
 // run hands on batches until the context ends.
 func (f *follower) run(ctx context.Context, deliver func(batch)) {
+	r := f.readers.begin(f)
+	defer f.readers.end(r)
 	failed := func(b batch) {
-		f.note(b)
+		r.note(b)
 		deliver(b)
 	}
 	next := int64(-1)
@@ -98,7 +76,7 @@
 	// wait is over.
 	rested := false
 	for ctx.Err() == nil {
-		q := inquiry{question: f.newest, large: behind && f.bulky, retryMost: retryMost, regained: f.regained, failed: failed}
+		q := inquiry{question: f.newest, large: behind && f.bulky, retryMost: retryMost, regained: &f.readers.regained, failed: failed}
 		if next >= 0 {
 			from := next
 			q.question = func(ctx context.Context, wait time.Duration) batch { return f.read(ctx, from, wait) }
@@ -121,7 +99,7 @@
 		next = b.next
 		retryMost = followRetryMost
 		behind = b.reset || b.asOf == 0 // pages take a while, and a backlog comes in pieces
-		f.note(b)
+		r.note(b)
 		deliver(b)
 		rested = false
 		switch {
--- a/node/node.go
+++ b/node/node.go
@@ -61,8 +61,7 @@
 	// machine at a time.
 	adviseNow chan struct{}
 
-	// regained wakes the readers of the store when one of them is answered again.
-	regained broadcast
+	readers readers
 
 	waves atomic.Pointer[[]pool.Wave]
 
@@ -104,7 +103,7 @@
 // Run serves until the context ends.
 func (n *Node) Run(ctx context.Context) error {
 	f := &follower{store: n.store, topic: n.directory.ConfigTopic(), now: n.now, wait: readWait,
-		pause: func() time.Duration { return 0 }, regained: &n.regained, log: n.log}
+		pause: func() time.Duration { return 0 }, readers: &n.readers, log: n.log}
 	go n.peers.run(ctx)
 	f.run(ctx, func(b batch) { n.takeConfig(ctx, b) })
 	return nil
--- a/node/owner.go
+++ b/node/owner.go
@@ -105,7 +105,7 @@
 	o.asks = newAskQueue(o)
 	go o.saveLoop()
 	f := &follower{store: u.node.store, topic: u.node.directory.WorkersTopic(), now: u.node.now, wait: readWait,
-		pause: func() time.Duration { return workersPause }, regained: &u.node.regained, log: u.node.log}
+		pause: func() time.Duration { return workersPause }, readers: &u.node.readers, log: u.node.log}
 	go f.run(o.ctx, func(b batch) { o.send(b) })
 	o.load()
 	return o
--- a/node/peers.go
+++ b/node/peers.go
@@ -77,7 +77,7 @@
 func (p *peers) run(ctx context.Context) {
 	go p.announce(ctx)
 	f := &follower{store: p.node.store, topic: Topic{Name: peersTopicName}, now: p.node.now, wait: listWait,
-		pause: func() time.Duration { return followerPause }, regained: &p.node.regained, log: p.node.log}
+		pause: func() time.Duration { return followerPause }, readers: &p.node.readers, log: p.node.log}
 	f.run(ctx, p.take)
 }
 
--- a/node/unit.go
+++ b/node/unit.go
@@ -137,7 +137,7 @@
 
 func (u *unit) run(ctx context.Context) {
 	f := &follower{store: u.node.store, topic: u.topic, now: u.node.now, wait: poolWait, pause: u.pause, wake: u.readNow, bulky: true,
-		regained: &u.node.regained, log: u.node.log}
+		readers: &u.node.readers, log: u.node.log}
 	go f.run(ctx, func(b batch) { u.send(ctx, b) })
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
--- a/node/wait_internal_test.go
+++ b/node/wait_internal_test.go
@@ -43,7 +43,7 @@
 		began := time.Now()
 		for range busyFollowers {
 			f := &follower{store: busyStore{}, now: func() time.Duration { return time.Since(began) }, wait: readWait,
-				pause: func() time.Duration { return 0 }, regained: &broadcast{}}
+				pause: func() time.Duration { return 0 }, readers: &readers{}}
 			ctx, enough := context.WithCancel(ctx)
 			reads := 0
 			group.Go(func() {
