node: the follower's loop is split by what it decides

Where it stands, which question that asks for and when it rests were one loop of 50 lines with four variables. Now each has a name and a function.

--- a/node/follow.go
+++ b/node/follow.go
@@ -47,7 +47,8 @@
 	// pause is the shortest time between two reads that brought records.
 	// Each read is paid for, so those that can wait read in larger pieces.
 	pause func() time.Duration
-	wait  time.Duration
+	// wait is how long a read waits for a record.
+	wait time.Duration
 	// wake ends a pause early; nil: nothing does.
 	wake chan struct{}
 	// bulky tells that the topic holds megabytes: whoever is behind reads much at once.
@@ -57,66 +58,79 @@
 	log     zerolog.Logger
 }
 
+// position is where a follower stands in its topic.
+type position struct {
+	// next is the offset to read from; noOffset: the newest records of all keys come first.
+	next int64
+	// answered tells that the store has answered once.
+	answered bool
+	// behind tells that more is stored than is known. A follower that is behind reads without
+	// waiting for a record, since an answer that waited says nothing of the time in which it
+	// did. In a stream to which nothing comes, an instance whose pages took 2.4 s was
+	// never ready.
+	behind bool
+	// rested tells that there was a pause since the last answer.
+	rested bool
+}
+
 // run hands on batches until the context ends.
 func (f *follower) run(ctx context.Context, deliver func(batch)) {
 	r := f.readers.begin(f)
 	defer f.readers.end(r)
-	failed := func(b batch) {
+	handOn := func(b batch) {
 		r.note(b)
 		deliver(b)
 	}
-	next := int64(-1)
-	retryMost := followRetry // before the first answer an instance can't say that it is ready
-	// One that is behind reads without waiting for a record, since an answer that waited
-	// says nothing of the time in which it did. In a stream to which nothing comes, an
-	// instance whose pages took 2.4 s was never ready.
-	behind := true
-	// Only a question right behind an answer waits for long, since the store was there a
-	// moment ago. One put after a pause may meet a silence, which shows only when its
-	// wait is over.
-	rested := false
+	at := position{next: noOffset, behind: true}
 	for ctx.Err() == nil {
-		q := inquiry{question: f.newest, large: behind && f.bulky, retryMost: retryMost, regained: &f.readers.regained, failed: failed}
-		if next >= 0 {
-			from := next
-			q.question = func(ctx context.Context, wait time.Duration) batch { return f.read(ctx, from, wait) }
-		}
-		wait := f.wait
-		switch {
-		case behind:
-			wait = 0
-		case rested:
-			wait = min(wait, restedWait)
-		}
-		b := q.run(ctx, wait)
+		b := f.ask(ctx, at, handOn)
 		if ctx.Err() != nil {
 			return
 		}
 		if b.err != nil { // trimmed
-			next, behind = -1, true
+			at.next, at.behind = noOffset, true
 			continue
 		}
-		next = b.next
-		retryMost = followRetryMost
-		behind = b.reset || b.asOf == 0 // pages take a while, and a backlog comes in pieces
-		r.note(b)
-		deliver(b)
-		rested = false
-		switch {
-		case behind && (b.reset || len(b.records) > 0):
-			// It reads on at once: nobody can be told what is missing until it has caught up.
-		case behind:
-			sleep(ctx, followRetry) // the store says that there is more, and doesn't give it
-		case len(b.records) > 0:
-			f.rest(ctx)
-			rested = true
-		}
+		at.next, at.answered = b.next, true
+		at.behind = b.reset || b.asOf == 0 // pages take a while, and a backlog comes in pieces
+		handOn(b)
+		at.rested = f.rest(ctx, at, b)
 	}
 }
 
-// rest pauses between two reads.
-func (f *follower) rest(ctx context.Context) {
-	waitFor(ctx, f.pause(), f.wake)
+// ask reads on from a position; failed is told of each failure.
+func (f *follower) ask(ctx context.Context, at position, failed func(batch)) batch {
+	q := inquiry{question: f.newest, large: at.behind && f.bulky, retryMost: followRetryMost, regained: &f.readers.regained, failed: failed}
+	if at.next != noOffset {
+		q.question = func(ctx context.Context, wait time.Duration) batch { return f.read(ctx, at.next, wait) }
+	}
+	if !at.answered {
+		q.retryMost = followRetry // until then an instance can't say that it is ready
+	}
+	switch {
+	case at.behind:
+		return q.run(ctx, 0)
+	case at.rested:
+		// Only a question right behind an answer waits for long, since the store was there a
+		// moment ago. This one may meet a silence, which shows only when its wait is over.
+		return q.run(ctx, min(f.wait, restedWait))
+	}
+	return q.run(ctx, f.wait)
+}
+
+// rest pauses between two reads, and reports whether it did.
+func (f *follower) rest(ctx context.Context, at position, b batch) bool {
+	switch {
+	case at.behind && (b.reset || len(b.records) > 0):
+		return false // nobody can be told what is missing until it has caught up
+	case at.behind:
+		sleep(ctx, followRetry) // the store says that there is more, and doesn't give it
+		return true
+	case len(b.records) > 0 && f.pause() > 0:
+		waitFor(ctx, f.pause(), f.wake)
+		return true
+	}
+	return false
 }
 
 // newest reads all keys. It never waits, since there is always an answer.
