--- /dev/null
+++ b/scenario/soak/process_test.go
@@ -0,0 +1,76 @@
+package soak
+
+import (
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/knapweedweir/knapweedweir/platform/wirestand"
+	"github.com/knapweedweir/knapweedweir/standin/cell"
+)
+
+// newScript returns an instance whose program is a shell script, and what tells of its ends.
+func newScript(t *testing.T, body string) (*instance, chan string) {
+	t.Helper()
+	dir := t.TempDir()
+	path := filepath.Join(dir, "program")
+	assert.NilError(t, os.WriteFile(path, []byte("#!/bin/sh\n"+body+"\necho began\nwhile :; do sleep 0.1; done\n"), 0o700))
+	died := make(chan string, 10)
+	i := &instance{binary: path, dir: dir, early: true, set: wirestand.Instance{Name: "i0"},
+		died: func(name string, _ *os.ProcessState) { died <- name }}
+	t.Cleanup(i.end)
+	assert.NilError(t, i.start())
+	return i, died
+}
+
+// pid returns the process's number once it has written a line.
+func (i *instance) pid(t *testing.T) int {
+	t.Helper()
+	for range 1000 {
+		info, err := os.Stat(filepath.Join(i.dir, i.set.Name+".log"))
+		i.mu.Lock()
+		cmd, begun := i.cmd, err == nil && info.Size() > i.silent
+		i.mu.Unlock()
+		if cmd != nil && begun {
+			return cmd.Process.Pid
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("the process has not begun")
+	return 0
+}
+
+// A process is signalled while it takes the signal's default way, as all do in their loader,
+// and ends by it: that is no end of its own, and it is started again.
+func TestProcessHungUpInItsLoaderIsStartedAgain(t *testing.T) {
+	i, died := newScript(t, "")
+	first := i.pid(t)
+	taken, err := cell.TakesSignal(first, syscall.SIGHUP)
+	assert.NilError(t, err)
+	assert.Assert(t, !taken)
+	i.hangUp()
+	for i.pid(t) == first {
+		time.Sleep(10 * time.Millisecond)
+	}
+	assert.Equal(t, len(died), 0)
+}
+
+// A process has said that it takes the signal, and ends by it all the same, or by itself:
+// both are findings. A check that excused them would prove nothing.
+func TestProcessHungUpPastItsLoaderMustNotEnd(t *testing.T) {
+	for name, body := range map[string]string{
+		"by the signal": "trap 'trap - HUP; kill -HUP $$' HUP",
+		"by itself":     "trap 'exit 0' HUP",
+	} {
+		t.Run(name, func(t *testing.T) {
+			i, died := newScript(t, body)
+			i.pid(t)
+			i.hangUp()
+			assert.Equal(t, <-died, "i0")
+		})
+	}
+}
--- a/scenario/soak/soak_test.go
+++ b/scenario/soak/soak_test.go
@@ -31,8 +31,12 @@
 // ends once the trouble is over.
 func TestSoak(t *testing.T) { playSeeds(t, seeds) }
 
-// Operators change settings and signal it at any moment. A process that was told to start
-// and has not reached its first instruction is ended by the signal; it has to go on.
+// Operators change settings and signal it at any moment, also to a process that was told to
+// start just now. From its first instruction on, as the kernel shows it before the signal is
+// sent, none may end by that. Before, in the loader, the signal ends it whatever the
+// program does, and whoever started it starts it again; so does the soak, and all that was
+// promised holds. A process that was still there and paused when it was signalled ended when
+// it went on: that was taken for an end of its own.
 func TestSoakWithHangupsOfProcessesThatHaveJustBegun(t *testing.T) {
 	playSeeds(t, []Options{
 		{Seed: 13, Instances: 5, Workers: 10, Trouble: 15 * time.Second, EarlyHangups: true},
