node: a denial needs the list of the pools in use

Callers were told that accepted jobs don't exist by instances that had read every pool they knew of: jobs stay in the pool in which they were stored, and an instance follows the pools of the services in its configuration.

Each pool is listed in a topic of its own before anything is stored in it: no claim and no append around the owner before the listing is confirmed. An instance that starts follows what is listed before it says that it is ready, and a denial reads the list after the question; a pool that isn't followed yet makes it "can't tell", and is followed from then on. That holds however often a queue moves and whatever configuration is known, since the list depends on neither; a listing without an answer is repeated.

New: TestJobsAreKnownAfterTheirQueueMovedTwiceWhileAnswersAreLost, which failed before ("a denies job 1"). Cost: one append for each pool and life of an instance, one read a denial. Jobs that a version before this one stored in a pool that no configuration names any more are not listed.

--- a/node/blind_test.go
+++ b/node/blind_test.go
@@ -98,11 +98,26 @@
 	lookEvery    = 5 * time.Millisecond
 )
 
-// storeEverywhere adds a record to each topic, and returns how long its readers took.
+// followed are the topics that instances follow.
+func (c *watchedCluster) followed() map[node.Topic]bool {
+	topics := map[node.Topic]bool{}
+	for _, m := range c.up() {
+		for _, r := range m.node.Dump(c.ctx).Readers {
+			topics[node.Topic{Name: r.Topic, Part: r.Part}] = true
+		}
+	}
+	return topics
+}
+
+// storeEverywhere adds a record to each of them, and returns how long its readers took.
 func (c *watchedCluster) storeEverywhere() blindness {
 	stored := c.world.Since()
 	waiting := map[node.Topic]int64{}
+	followed := c.followed()
 	for _, topic := range c.world.Topics() {
+		if !followed[topic] {
+			continue
+		}
 		waiting[topic] = c.world.Put(topic, "of nobody", nil) + 1 // takes back a key that never was: it changes nothing
 	}
 	seen := blindness{}
--- a/node/claiming.go
+++ b/node/claiming.go
@@ -34,7 +34,7 @@
 // considerClaim claims the pool if nobody owns it or its owner is gone.
 func (u *unit) considerClaim(ctx context.Context) {
 	now := u.node.now()
-	if !u.copied || u.healthy == 0 || u.claiming || u.node.stopping.Load() {
+	if !u.listed.Load() || !u.copied || u.healthy == 0 || u.claiming || u.node.stopping.Load() {
 		return
 	}
 	reason := u.vacant(ctx, now)
@@ -149,6 +149,9 @@
 // again, so those that aren't first in the order leave the others more time, and
 // look once more.
 func (u *unit) lookBeforeClaim(ctx context.Context, next int64, old claim, rank int) error {
+	if !u.listed.Load() {
+		return errNotListed // a hand-over asks without considerClaim
+	}
 	began := u.node.now()
 	if err := u.look(ctx, next, old); err != nil {
 		return err
--- a/node/former_service_test.go
+++ b/node/former_service_test.go
@@ -82,6 +82,53 @@
 	})
 }
 
+// A queue goes to another service and back, and each configuration names one service only. The
+// store loses a third of its answers all the while, those to the listing of the second pool too.
+// Then all instances are killed and start anew: by their configuration nobody knows of the
+// second pool, in which one of the jobs waits.
+func TestJobsAreKnownAfterTheirQueueMovedTwiceWhileAnswersAreLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, false, "a", "b", "c")
+		defer c.close()
+		time.Sleep(3 * time.Second)
+		c.setStores(machines.StoreLossy)
+		for n, service := range []string{machines.Service, otherService, machines.Service} {
+			q := pool.Queue{Name: queueName, Service: service, Attempts: 3, Slack: 2, Target: time.Second}
+			c.world.Configure(node.Config{Version: int64(2 + n), Services: []string{service}, Routes: []node.Route{{Queue: q}}})
+			time.Sleep(5 * time.Second)
+			j := shortJob(jobID(n))
+			j.Queue, j.Service = queueName, service
+			for c.members["a"].node.Submit(c.ctx, j) != node.Accepted {
+				time.Sleep(time.Second)
+			}
+		}
+		for _, name := range c.names() {
+			c.kill(name)
+		}
+		time.Sleep(time.Second)
+		for _, name := range c.names() {
+			c.start(name)
+		}
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			for _, m := range c.up() {
+				for n := range 3 {
+					_, v := c.stateIn(machines.Service, jobID(n), m)
+					assert.Assert(t, v != node.NoSuchJob, "%s denies job %d", m.name, n)
+				}
+			}
+		}
+		c.setStores(machines.StoreUp)
+		time.Sleep(5 * time.Second)
+		for _, m := range c.up() {
+			for n := range 3 {
+				_, v := c.stateIn(machines.Service, jobID(n), m)
+				assert.Equal(t, v, node.Accepted, "%s: job %d", m.name, n)
+			}
+		}
+	})
+}
+
 // A caller hands a job in; the answer is lost on its way. A new configuration sends the queue
 // to another service at that moment, and the caller repeats its request at an instance that has
 // read it, while its copy of the former pool is a second old. That copy lacks the job, and no
--- a/node/intake.go
+++ b/node/intake.go
@@ -248,7 +248,7 @@
 // (TestPoolKeepsTakingJobsOnASlowStore). With one of them the stream's queue stays short.
 func (n *Node) throughStore(ctx context.Context, in intake) error {
 	u := n.unit(in.part)
-	if u == nil || !u.reads.Load() {
+	if u == nil || !u.reads.Load() || !u.listed.Load() {
 		return ErrRefused
 	}
 	switch u.storeAnswers(withTimeout(ctx, in.hold)) {
--- /dev/null
+++ b/node/inuse.go
@@ -0,0 +1,88 @@
+package node
+
+import (
+	"context"
+	"strconv"
+
+	"github.com/pkg/errors"
+
+	"github.com/knapweedweir/knapweedweir/pool"
+)
+
+// inUseTopicName lists the pools in which something may be stored, by their parts.
+const inUseTopicName = "keyed.pools-in-use"
+
+// Jobs stay in the pool in which they were stored. A configuration may send their queue
+// to another service and name the former one no more, so an instance that follows the pools
+// of its configuration only can miss some: one that has started since, or that has yet to read
+// the configuration. It denied the jobs that wait there, though it had read every pool that
+// it knew of. So each pool is listed in the store before anything is stored in it, and a
+// denial needs the list as it is after the question: whatever was accepted before is in
+// a pool of that list. That doesn't depend on any configuration, nor on how often a queue
+// moves; a listing without an answer is repeated until it has one.
+
+var errNotListed = errors.New("the pool is not listed as in use yet")
+
+// enlist lists this pool as in use.
+func (u *unit) enlist(ctx context.Context) {
+	rec := pool.Record{Key: strconv.Itoa(u.topic.Part), Value: []byte("1")}
+	for ctx.Err() == nil {
+		if _, err := u.node.store.Append(withTimeout(ctx, appendTimeout), Topic{Name: inUseTopicName}, []pool.Record{rec}, nil); err == nil {
+			u.listed.Store(true)
+			return
+		}
+		sleep(ctx, followRetry)
+	}
+}
+
+// poolsInUse reads the list as it is now.
+func (n *Node) poolsInUse(ctx context.Context) ([]int, error) {
+	b := (&follower{store: n.store, topic: Topic{Name: inUseTopicName}, now: n.now}).newest(ctx, 0)
+	if b.err != nil {
+		return nil, b.err
+	}
+	var parts []int
+	for _, rec := range b.records {
+		part, err := strconv.Atoi(rec.Key)
+		if rec.Unreadable != nil || err != nil || part < 0 || part >= n.set.Parts {
+			n.bad.found(inUseTopicName, rec.Key, rec.Offset, errors.New("no part of a pool"))
+			continue
+		}
+		parts = append(parts, part)
+	}
+	return parts, nil
+}
+
+// followInUse follows the pools in use when the instance starts. Until it knows them it isn't
+// ready.
+func (n *Node) followInUse(ctx context.Context) {
+	defer n.caughtUp()
+	for ctx.Err() == nil {
+		parts, err := n.poolsInUse(withTimeout(ctx, newestTimeout))
+		if err == nil {
+			for _, part := range parts {
+				n.unitAt(ctx, part)
+			}
+			return
+		}
+		sleep(ctx, followRetry)
+	}
+}
+
+// followsAllInUse reports whether this instance has followed all pools that are in use now,
+// and follows those that it hasn't from now on.
+func (n *Node) followsAllInUse(ctx context.Context) bool {
+	parts, err := n.poolsInUse(withTimeout(ctx, denialTimeout))
+	if err != nil {
+		return false
+	}
+	all := true
+	for _, part := range parts {
+		if n.unit(part) == nil {
+			all = false
+			n.log.Info().Int("pool", part).Msg("pool.found")
+			n.unitAt(n.running, part)
+		}
+	}
+	return all
+}
--- a/node/lookup.go
+++ b/node/lookup.go
@@ -30,7 +30,7 @@
 // find looks for a job and tells in which pool's part it is stored: that of its queue's
 // service, or another one, as a job stays where it is when a new configuration sends its
 // queue to another service. Looked for in the new service's pool only, it was denied while
-// it ran. A denial needs a read of each pool.
+// it ran. A denial needs a read of each pool in use, see poolsInUse.
 func (n *Node) find(ctx context.Context, service, job string) (part int, state pool.State, v Verdict) {
 	home := partOf(service, n.set.Parts)
 	units := n.unitsFrom(home)
@@ -55,6 +55,9 @@
 			return u.topic.Part, state, v
 		}
 	}
+	if !n.followsAllInUse(ctx) {
+		return home, "", CantTell
+	}
 	return home, "", NoSuchJob
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -62,6 +62,7 @@
 	adviseNow chan struct{}
 
 	readers readers
+	running context.Context // of Run
 
 	waves atomic.Pointer[[]pool.Wave]
 
@@ -69,7 +70,7 @@
 	units      map[int]*unit
 	ownedParts map[int]bool
 	owners     map[int]string // each pool's owner by its address, as read
-	waits      int            // units that have not read the store yet
+	waits      int            // what has not read the store yet: units, the list of pools in use
 }
 
 // New returns an instance that is not running yet.
@@ -91,7 +92,7 @@
 	n := &Node{
 		set: set, log: log, store: store, workers: workers, advisor: advisor, directory: directory,
 		life: time.Now().UnixNano(), adviseNow: make(chan struct{}, 1), units: map[int]*unit{},
-		ownedParts: map[int]bool{}, owners: map[int]string{},
+		ownedParts: map[int]bool{}, owners: map[int]string{}, waits: 1,
 	}
 	n.measures = newMeasures(set.Metrics)
 	n.store = timedStore{Store: store, measures: n.measures}
@@ -104,7 +105,9 @@
 func (n *Node) Run(ctx context.Context) error {
 	f := &follower{store: n.store, topic: n.directory.ConfigTopic(), now: n.now, wait: readWait,
 		pause: func() time.Duration { return 0 }, readers: &n.readers, log: n.log}
+	n.running = ctx
 	go n.peers.run(ctx)
+	go n.followInUse(ctx)
 	f.run(ctx, func(b batch) { n.takeConfig(ctx, b) })
 	return nil
 }
@@ -172,13 +175,14 @@
 // apply puts a configuration in force as a whole. An older version never
 // replaces a newer one.
 func (n *Node) apply(ctx context.Context, cfg *Config) {
-	if old := n.config.Load(); old != nil && old.Version >= cfg.Version {
+	old := n.config.Load()
+	if old != nil && old.Version >= cfg.Version {
 		return
 	}
 	n.config.Store(cfg)
 	n.log.Info().Int64("version", cfg.Version).Int("routes", len(cfg.Routes)).Msg("config.applied")
 	for _, service := range cfg.Services {
-		n.unitOf(ctx, service)
+		n.unitAt(ctx, partOf(service, n.set.Parts))
 	}
 	queues := cfg.Queues()
 	for _, u := range n.allUnits() {
@@ -191,18 +195,17 @@
 	}
 }
 
-func (n *Node) unitOf(ctx context.Context, service string) *unit {
+// unitAt follows a pool, if it isn't followed yet.
+func (n *Node) unitAt(ctx context.Context, part int) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	part := partOf(service, n.set.Parts)
-	u := n.units[part]
-	if u == nil {
-		u = newUnit(ctx, n, part)
-		n.units[part] = u
-		n.waits++
-		go u.run(ctx)
+	if n.units[part] != nil {
+		return
 	}
-	return u
+	u := newUnit(ctx, n, part)
+	n.units[part] = u
+	n.waits++
+	go u.run(ctx)
 }
 
 func (n *Node) unit(part int) *unit {
--- a/node/unit.go
+++ b/node/unit.go
@@ -68,6 +68,7 @@
 	watched process
 
 	reads      atomic.Bool // the store answers this instance's reads
+	listed     atomic.Bool // the pool stands in the list of those in use
 	leisure    atomic.Bool // others would take over before this instance
 	rankedAt   time.Duration
 	copied     bool          // the first copy has been read; it may be behind
@@ -139,6 +140,7 @@
 	f := &follower{store: u.node.store, topic: u.topic, now: u.node.now, wait: poolWait, pause: u.pause, wake: u.readNow, bulky: true,
 		readers: &u.node.readers, log: u.node.log}
 	go f.run(ctx, func(b batch) { u.send(ctx, b) })
+	go u.enlist(ctx)
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
 	for {
