node: a request repeated while its queue moves is stored once

A caller hands a job in, its answer is lost, and a configuration sends the queue to another service. Repeated at an instance that had read it, the request was stored a second time, in the new service's pool: the copy of the former pool was up to a second old and lacked the job. It counted twice among what waits, both pools ran its tasks, and a cancel reached one of them.

For 30 s after an instance has seen a queue move it looks for unknown jobs of that queue in the other pools, by reads that are asked for then; what it can't read leaves the request in doubt, so that its caller repeats it. Queues that haven't moved pay nothing.

Left: an instance that started after the move doesn't know of it, and an append to the former pool that takes effect seconds late comes behind any read.

--- a/node/intake.go
+++ b/node/intake.go
@@ -72,7 +72,7 @@
 	began := time.Now()
 	v, comeBack := Accepted, time.Duration(0)
 	if !n.holds(ctx, part, j.ID) {
-		v, comeBack = n.persist(ctx, part, pool.Record{Key: pool.JobKey(j.ID), Value: pool.Encode(j)})
+		v, comeBack = n.storeNew(ctx, part, j)
 	}
 	took := time.Since(began)
 	n.measures.submitted(v, took)
@@ -81,6 +81,19 @@
 	return Answer{Verdict: v, ComeBack: comeBack}
 }
 
+// storeNew stores a job of which nothing is known here.
+func (n *Node) storeNew(ctx context.Context, part int, j pool.Job) (v Verdict, comeBack time.Duration) {
+	if n.hasMoved(j.Queue) {
+		switch n.storedElsewhere(ctx, part, j.ID) {
+		case Accepted:
+			return Accepted, 0
+		case CantTell:
+			return Unknown, 0 // a try before may have stored it there
+		}
+	}
+	return n.persist(ctx, part, pool.Record{Key: pool.JobKey(j.ID), Value: pool.Encode(j)})
+}
+
 // holds reports whether the store is known to hold a job, in whichever pool. Callers
 // repeat requests that were accepted; they are answered without the store, also while it
 // is away.
