node: the list of pools in use is looked at before it is written

On a slow store a topic takes one append each 80 ms and refuses more than waits for 2 s: at the start of 39 instances their listings would fill that. Each looks first, so only the first start of a pool writes.

--- a/node/inuse.go
+++ b/node/inuse.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 
 	"github.com/pkg/errors"
@@ -23,11 +24,11 @@
 
 var errNotListed = errors.New("the pool is not listed as in use yet")
 
-// enlist lists this pool as in use.
+// enlist sees to it that this pool is listed as in use. It looks first: on a slow store,
+// the appends of all instances that start at the same time would fill the topic's queue.
 func (u *unit) enlist(ctx context.Context) {
-	rec := pool.Record{Key: strconv.Itoa(u.topic.Part), Value: []byte("1")}
 	for ctx.Err() == nil {
-		if _, err := u.node.store.Append(withTimeout(ctx, appendTimeout), Topic{Name: inUseTopicName}, []pool.Record{rec}, nil); err == nil {
+		if u.isListed(ctx) || u.list(ctx) {
 			u.listed.Store(true)
 			return
 		}
@@ -35,9 +36,26 @@
 	}
 }
 
-// poolsInUse reads the list as it is now.
+// isListed reports whether the store is known to list this pool.
+func (u *unit) isListed(ctx context.Context) bool {
+	parts, err := u.node.poolsInUse(ctx)
+	return err == nil && slices.Contains(parts, u.topic.Part)
+}
+
+// list reports whether the store has confirmed that this pool is listed.
+func (u *unit) list(ctx context.Context) bool {
+	rec := pool.Record{Key: strconv.Itoa(u.topic.Part), Value: []byte("1")}
+	_, err := u.node.store.Append(withTimeout(ctx, appendTimeout), Topic{Name: inUseTopicName}, []pool.Record{rec}, nil)
+	return err == nil
+}
+
+// poolsInUse reads the list as it is now, and again until it has an answer or the context ends.
 func (n *Node) poolsInUse(ctx context.Context) ([]int, error) {
-	b := (&follower{store: n.store, topic: Topic{Name: inUseTopicName}, now: n.now}).newest(ctx, 0)
+	f := &follower{store: n.store, topic: Topic{Name: inUseTopicName}, now: n.now}
+	q := inquiry{question: f.newest, retryMost: followRetryMost, regained: &n.readers.regained, failed: func(b batch) {
+		n.log.Debug().Err(b.err).Msg("pools.unread")
+	}}
+	b := q.run(ctx, 0)
 	if b.err != nil {
 		return nil, b.err
 	}
@@ -56,17 +74,14 @@
 // followInUse follows the pools in use when the instance starts. Until it knows them it isn't
 // ready.
 func (n *Node) followInUse(ctx context.Context) {
-	defer n.caughtUp()
-	for ctx.Err() == nil {
-		parts, err := n.poolsInUse(withTimeout(ctx, newestTimeout))
-		if err == nil {
-			for _, part := range parts {
-				n.unitAt(ctx, part)
-			}
-			return
-		}
-		sleep(ctx, followRetry)
+	parts, err := n.poolsInUse(ctx)
+	if err != nil {
+		return // the instance ends
+	}
+	for _, part := range parts {
+		n.unitAt(ctx, part)
 	}
+	n.caughtUp()
 }
 
 // followsAllInUse reports whether this instance has followed all pools that are in use now,
