node: a denial covers the pools that were looked into, not those followed by now

An instance that had just started looked for a job in the pools that it followed; the list of pools in use came in meanwhile and the second pool was followed; the check of the list then found every pool followed, and the job was denied though nobody had looked into the second.

--- a/node/inuse.go
+++ b/node/inuse.go
@@ -85,20 +85,22 @@
 	n.caughtUp()
 }
 
-// followsAllInUse reports whether this instance has followed all pools that are in use now,
-// and follows those that it hasn't from now on.
-func (n *Node) followsAllInUse(ctx context.Context) bool {
+// coverAllInUse reports whether these are all pools that are in use now, and follows those
+// that this instance hasn't followed yet. It is asked with the pools in which a job was looked
+// for: one that came to be followed since is followed, and was not looked into.
+func (n *Node) coverAllInUse(ctx context.Context, units []*unit) bool {
 	parts, err := n.poolsInUse(withTimeout(ctx, denialTimeout))
 	if err != nil {
 		return false
 	}
 	all := true
 	for _, part := range parts {
-		if n.unit(part) == nil {
-			all = false
-			n.log.Info().Int("pool", part).Msg("pool.found")
-			n.unitAt(n.running, part)
+		if slices.ContainsFunc(units, func(u *unit) bool { return u.topic.Part == part }) {
+			continue
 		}
+		all = false
+		n.log.Info().Int("pool", part).Msg("pool.found")
+		n.unitAt(n.running, part)
 	}
 	return all
 }
--- a/node/lookup.go
+++ b/node/lookup.go
@@ -55,7 +55,7 @@
 			return u.topic.Part, state, v
 		}
 	}
-	if !n.followsAllInUse(ctx) {
+	if !n.coverAllInUse(ctx, units) {
 		return home, "", CantTell
 	}
 	return home, "", NoSuchJob
