--- a/cmd/kwctl/readers_test.go
+++ b/cmd/kwctl/readers_test.go
@@ -14,7 +14,7 @@
 // serves by an older version. A fourth has just started.
 func TestReadersNameTheInstanceThatIsBehind(t *testing.T) {
 	reads := func(next, age int64, failed int) []node.ReaderDump {
-		return []node.ReaderDump{{Topic: "keyed.op", Next: next, AgeMs: age, Failed: failed}}
+		return []node.ReaderDump{{Topic: "config", Next: next, AgeMs: age, Failed: failed}}
 	}
 	var addrs []string
 	for _, d := range []nodeDump{
@@ -31,10 +31,10 @@
 	assert.Equal(t, r.status, exitOK, r.errs)
 	assert.DeepEqual(t, rows(r.out), []string{
 		"INSTANCE CONFIG TOPIC PART AGE_MS BEHIND_BY FAILED FINDING",
-		"edge-4 0 keyed.op 0 -1 40 0 it has not caught up yet; its configuration is older than version 8",
-		"edge-3 6 keyed.op 0 3100 4 2 the store doesn't answer it; it is behind others; its configuration is older than version 8",
-		"edge-1 8 keyed.op 0 1900 0 0 -",
-		"edge-2 8 keyed.op 0 12 0 0 -",
+		"edge-4 0 config 0 -1 40 0 it has not caught up yet; its configuration is older than version 8",
+		"edge-3 6 config 0 3100 4 2 the store doesn't answer it; it is behind others; its configuration is older than version 8",
+		"edge-1 8 config 0 1900 0 0 -",
+		"edge-2 8 config 0 12 0 0 -",
 	})
 }
 
