node: a pool takes in a queue's jobs only while all others that may hold them are closed

What callers saw: a request that was accepted, and repeated after its queue had moved to another service, was stored in the second pool too, and its work ran twice.

Cause: moves were remembered by each instance for 30 s (node/moved.go). Whoever had restarted or forgotten took the repeat for new.

What makes a request one request now lies in the store. Each pool's stream says whether the pool takes in jobs of a queue; only the pool's owner writes that, in the order of its appends. A queue's binding (keyed.queue-bindings, changed by appends that require the stream's end) names the pool that takes its jobs and all that ever did. The owner of the new pool opens it only after each former pool's owner has closed its own and after it has read that pool up to there. So nothing can come to a former pool afterwards, and what isn't found there isn't stored there. An owner's late append is fenced by its epoch; one of an instance that stores without the owner requires the stream's end, so that it stores nothing behind a close. Versions decide between openers, so an instance may be behind by any time; it is told where the queue is and sends the job there. No clock and no memory of an instance is asked, so restarts and a loss of all change nothing.

Cost: no read of the store per request. Per move one read and one append of the bindings, one append in each pool, one read of the former pool. A queue that never moved costs one append of its binding and one record in its pool.

The stand-in and the adapter learn the conditional append of the platform's protocol.

--- a/node/claimed_internal_test.go
+++ b/node/claimed_internal_test.go
@@ -25,6 +25,10 @@
 	return theirOffset, nil
 }
 
+func (takenStore) AppendAt(context.Context, Topic, []pool.Record, int64) (int64, error) {
+	return 0, EndError{End: theirOffset + 1}
+}
+
 func (s takenStore) Newest(context.Context, Topic, string) ([]Stored, bool, int64, error) {
 	return nil, false, theirOffset + 1, nil
 }
--- a/node/claiming.go
+++ b/node/claiming.go
@@ -76,7 +76,15 @@
 type claimed struct {
 	claim  claim
 	offset int64
-	err    error
+	// read is what was read of the stream for it, in order.
+	read []stretch
+	err  error
+}
+
+// stretch is what one read of a stream brought from an offset on.
+type stretch struct {
+	from int64
+	batch
 }
 
 // claim makes this instance the owner, if the store has seen no newer epoch. The
@@ -95,8 +103,10 @@
 	u.log.Info().Str("reason", reason).Str("before", old.Node).Uint64("epoch", c.Epoch).Msg("pool.claim")
 	go func() {
 		result := claimed{claim: c}
-		if result.err = u.lookBeforeClaim(ctx, next, old, rank); result.err == nil {
-			result.offset, result.err = u.storeClaim(ctx, c)
+		if result.read, result.err = u.lookBeforeClaim(ctx, next, old, rank); result.err == nil {
+			var own stretch
+			own, result.err = u.storeClaim(ctx, c)
+			result.offset, result.read = own.from, append(result.read, own)
 		}
 		u.send(ctx, result)
 	}()
@@ -106,20 +116,31 @@
 // 65,536, are one append and its repeat to the store, which answers both; as it did what
 // the two owners stored later: it kept one of each two appends and answered both, so that
 // jobs were accepted which weren't there. The record tells whose claim it has kept.
-func (u *unit) storeClaim(ctx context.Context, c claim) (offset int64, err error) {
-	offset, err = u.node.store.Append(withTimeout(ctx, appendTimeout), u.topic,
+func (u *unit) storeClaim(ctx context.Context, c claim) (stretch, error) {
+	offset, err := u.node.store.Append(withTimeout(ctx, appendTimeout), u.topic,
 		[]pool.Record{{Key: pool.OwnerKey, Value: pool.Encode(c)}}, &Writer{Name: "owner", Epoch: c.Epoch})
 	if err != nil {
-		return 0, err
+		return stretch{}, err
 	}
-	page, _, err := u.node.store.Read(withTimeout(ctx, appendTimeout), u.topic, offset, 0)
-	if err != nil || len(page) == 0 {
-		return 0, ErrInDoubt // read later, it counts as one that took effect late
+	u.send(ctx, func() {
+		u.claimedAt = offset
+		u.appendDirect(ctx)
+	})
+	own, err := u.readStretch(ctx, offset)
+	if err != nil || len(own.records) == 0 {
+		return stretch{}, ErrInDoubt // read later, it counts as one that took effect late
 	}
-	if kept, err := checkRecord(page[0]); err != nil || kept == nil || *kept != c {
-		return 0, errBeaten
+	if kept, err := checkRecord(own.records[0]); err != nil || kept == nil || *kept != c {
+		return stretch{}, errBeaten
 	}
-	return offset, nil
+	return own, nil
+}
+
+// readStretch reads what is stored from an offset on.
+func (u *unit) readStretch(ctx context.Context, from int64) (stretch, error) {
+	f := &follower{store: u.node.store, topic: u.topic, now: u.node.now}
+	b := f.read(ctx, from, 0)
+	return stretch{from: from, batch: b}, b.err
 }
 
 // nextGeneration is one more than the newest claim's. Where that can't be read, as
@@ -148,41 +169,44 @@
 // A look that takes long shows that the store is slow. A claim then takes as long
 // again, so those that aren't first in the order leave the others more time, and
 // look once more.
-func (u *unit) lookBeforeClaim(ctx context.Context, next int64, old claim, rank int) error {
+func (u *unit) lookBeforeClaim(ctx context.Context, next int64, old claim, rank int) ([]stretch, error) {
 	if !u.listed.Load() {
-		return errNotListed // a hand-over asks without considerClaim
+		return nil, errNotListed // a hand-over asks without considerClaim
 	}
 	began := u.node.now()
-	if err := u.look(ctx, next, old); err != nil {
-		return err
+	first, err := u.look(ctx, next, old)
+	if err != nil {
+		return nil, err
 	}
 	took := u.node.now() - began
 	if rank == 0 || took < slowLook {
-		return nil
+		return []stretch{first}, nil
 	}
 	sleep(ctx, time.Duration(min(rank, 3))*2*took)
-	return u.look(ctx, next, old)
+	second, err := u.look(ctx, first.next, old)
+	return []stretch{first, second}, err
 }
 
-func (u *unit) look(ctx context.Context, next int64, old claim) error {
-	page, end, err := u.node.store.Read(withTimeout(ctx, appendTimeout), u.topic, next, 0)
+func (u *unit) look(ctx context.Context, next int64, old claim) (stretch, error) {
+	s, err := u.readStretch(ctx, next)
 	if err != nil {
-		return err
+		return s, err
 	}
-	if next+int64(len(page)) < end {
-		return errBehind
+	if s.asOf == 0 {
+		return s, errBehind
 	}
-	for _, rec := range page {
+	for _, rec := range s.records {
 		var c claim
 		if rec.Key == pool.OwnerKey && json.Unmarshal(rec.Value, &c) == nil && c.Epoch > old.Epoch {
-			return errBeaten
+			return s, errBeaten
 		}
 	}
-	return nil
+	return s, nil
 }
 
 func (u *unit) claimAnswered(ctx context.Context, e claimed) {
 	u.claiming = false
+	defer u.appendDirect(ctx)
 	for _, tell := range u.claimEnds {
 		tell <- e.err
 	}
@@ -202,16 +226,25 @@
 	if u.replica.claim.Epoch > e.claim.Epoch {
 		return // another instance was faster
 	}
+	// A new owner that knows its pool up to its claim begins without another read of the store.
+	for _, s := range e.read {
+		u.takeStretch(s)
+	}
 	u.claimAt = 0
 	u.heir = ""
 	u.ownerHeard = u.node.now()
 	u.replica.claim = e.claim
 	u.leisure.Store(false)
 	u.own = newOwnership(ctx, u, e.claim, e.offset)
-	select {
-	case u.readNow <- struct{}{}: // up to the claim, after which the work begins
-	default:
-	}
+	u.wakeReader() // up to the claim, after which the work begins
 	u.node.setOwned(u.topic.Part, true)
 	u.log.Info().Uint64("epoch", e.claim.Epoch).Int64("offset", e.offset).Msg("pool.owned")
 }
+
+// takeStretch takes in what was read or stored beside the follower, if nothing is missing
+// before it.
+func (u *unit) takeStretch(s stretch) {
+	if s.from <= u.replica.next && s.next > u.replica.next {
+		u.replica.apply(s.batch, u.badRecord)
+	}
+}
--- a/node/denial_internal_test.go
+++ b/node/denial_internal_test.go
@@ -18,6 +18,9 @@
 func (quietStore) Append(context.Context, Topic, []pool.Record, *Writer) (int64, error) {
 	return 0, ErrFenced
 }
+func (s quietStore) AppendAt(context.Context, Topic, []pool.Record, int64) (int64, error) {
+	return 0, EndError{End: s.end}
+}
 func (s quietStore) Newest(context.Context, Topic, string) ([]Stored, bool, int64, error) {
 	return nil, false, s.end, nil
 }
@@ -31,7 +34,7 @@
 	u := newUnit(t.Context(), n, 0)
 	n.units[0] = u
 	u.own = &ownership{unit: u, core: pool.New(pool.Settings{KeepEnded: time.Minute}, n.now()), loaded: true, listed: true,
-		saves: newSaveQueue(), ctx: t.Context(), cancel: func() {}, claim: claim{Node: "self", Addr: "self", Epoch: 1 << 16}}
+		saves: newSaveQueue(), queues: newQueueTable(), ctx: t.Context(), cancel: func() {}, claim: claim{Node: "self", Addr: "self", Epoch: 1 << 16}}
 	u.replica.claim = u.own.claim
 	go func() {
 		for {
--- a/node/fuzz_internal_test.go
+++ b/node/fuzz_internal_test.go
@@ -13,10 +13,11 @@
 // FuzzRecord gives a core what lies in a pool's topic: what passes the check must not
 // crash it.
 func FuzzRecord(f *testing.F) {
-	for _, key := range []string{"j/j1", "p/j1", "c/j1", "w/1", "w/x", "s/w1", "held", "owner", "other"} {
+	for _, key := range []string{"j/j1", "p/j1", "c/j1", "w/1", "w/x", "s/w1", "held", "owner", "other", "q/q1"} {
 		for _, value := range []string{"1", "null", "[]", "{}", "\x00\xff", `{"id":"j1","q":"q","s":"s","st":[{"n":2},{"n":1,"a":[0],"gang":true}]}`,
 			`{"id":"j1","st":[{"n":1,"a":[-1]}]}`, `{"s":"running","t":[{"i":0,"d":"10","f":{"1":[1]}},{"k":3,"i":7,"all":true}]}`, `{"s":"queued","t":[{"k":-1,"i":-1}]}`,
-			`[{"Job":"j1","K":0,"Step":0,"Ordinal":1},{"Job":"j1","K":-1}]`, `[{"id":"w1","a":"w1:1","s":"s"}]`, `["m1"]`, `{"node":"a","addr":"a:1","life":1,"epoch":65537,"gen":1}`} {
+			`[{"Job":"j1","K":0,"Step":0,"Ordinal":1},{"Job":"j1","K":-1}]`, `[{"id":"w1","a":"w1:1","s":"s"}]`, `["m1"]`, `{"node":"a","addr":"a:1","life":1,"epoch":65537,"gen":1}`,
+			`{"queue":"q1","version":3,"open":true,"service":"s","former":[1]}`, `{"queue":"q2","version":-3}`} {
 			f.Add(key, []byte(value))
 		}
 	}
--- a/node/intake.go
+++ b/node/intake.go
@@ -68,11 +68,12 @@
 
 // HandIn stores a job. Any instance can: the first record of an ID counts.
 func (n *Node) HandIn(ctx context.Context, j pool.Job) Answer {
+	queue := n.queueRef(&j)
 	part := partOf(j.Service, n.set.Parts)
 	began := time.Now()
 	v, comeBack := Accepted, time.Duration(0)
 	if !n.holds(ctx, part, j.ID) {
-		v, comeBack = n.storeNew(ctx, part, j)
+		v, comeBack = n.persist(ctx, part, pool.Record{Key: pool.JobKey(j.ID), Value: pool.Encode(j)}, queue)
 	}
 	took := time.Since(began)
 	n.measures.submitted(v, took)
@@ -81,19 +82,6 @@
 	return Answer{Verdict: v, ComeBack: comeBack}
 }
 
-// storeNew stores a job of which nothing is known here.
-func (n *Node) storeNew(ctx context.Context, part int, j pool.Job) (v Verdict, comeBack time.Duration) {
-	if n.hasMoved(j.Queue) {
-		switch n.storedElsewhere(ctx, part, j.ID) {
-		case Accepted:
-			return Accepted, 0
-		case CantTell:
-			return Unknown, 0 // a try before may have stored it there
-		}
-	}
-	return n.persist(ctx, part, pool.Record{Key: pool.JobKey(j.ID), Value: pool.Encode(j)})
-}
-
 // holds reports whether the store is known to hold a job, in whichever pool. Callers
 // repeat requests that were accepted; they are answered without the store, also while it
 // is away.
@@ -115,6 +103,8 @@
 	hold time.Duration
 	// inDoubt tells that a try had no answer: it may be stored already.
 	inDoubt bool
+	// queue is the job's; without a name for other records.
+	queue QueueRef
 }
 
 // submitAndWait stores a record as the pool's owner and waits until it is stored.
@@ -130,6 +120,13 @@
 	s := newSubmission(r.rec)
 	s.inDoubt = r.inDoubt
 	waiting := withTimeout(ctx, slowOwnerTry)
+	if r.queue.Name != "" {
+		opened, stored, err := u.checkQueue(waiting, r)
+		if err != nil || stored {
+			return err
+		}
+		s.queue, s.opened = r.queue.Name, opened
+	}
 	if err := u.ask(waiting, func() { store(u.ctx, s) }); err != nil {
 		if s.withdraw() {
 			return ErrRefused
@@ -170,19 +167,29 @@
 			return u.submitAndWait(ctx, in)
 		}
 		var r SubmitReply
-		args := StoreArgs{Part: in.part, Record: in.rec, Hold: in.hold, InDoubt: in.inDoubt}
+		args := in.args()
 		err := n.peers.callWhileAlive(ctx, addr, "Submit", args, &r, ownerTry, slowOwnerTry)
 		if err != nil || r.Stored {
 			return err
 		}
-		if r.ComeBack > 0 {
+		switch {
+		case r.ComeBack > 0:
 			return &OverloadError{ComeBack: r.ComeBack}
+		case r.Moved != nil:
+			return &MovedError{To: *r.Moved}
+		case r.NotOpen:
+			return errQueueNotOpen
 		}
 		addr = r.Owner
 	}
 	return errNotOwner
 }
 
+// args asks a peer to store the record.
+func (in intake) args() StoreArgs {
+	return StoreArgs{Part: in.part, Record: in.rec, Hold: in.hold, InDoubt: in.inDoubt, Queue: in.queue}
+}
+
 // persist stores a record: through the pool's owner, else here, else through a
 // peer. While all of them certainly do nothing it is tried again for a part of the
 // caller's time, so that it is stored as soon as the store is back; then the caller is
@@ -192,11 +199,14 @@
 // What the owner refuses for want of room is stored by no other way: stored around it,
 // the job would run though its caller was told that it never does. The caller is told
 // when to return, once a read of the store has proved that nothing of the job is there.
-func (n *Node) persist(ctx context.Context, part int, rec pool.Record) (v Verdict, comeBack time.Duration) {
+func (n *Node) persist(ctx context.Context, part int, rec pool.Record, queue QueueRef) (v Verdict, comeBack time.Duration) {
 	refuseAt := n.now() + holdFor(ctx)
-	in := intake{part: part, rec: rec}
+	in := intake{part: part, rec: rec, queue: queue}
 	for {
 		for _, way := range []func(context.Context, intake) error{n.throughOwner, n.throughStore, n.throughPeer} {
+			if in.inDoubt && n.hasRead(in) {
+				return Accepted, 0
+			}
 			if !in.inDoubt && n.now() >= refuseAt {
 				return NotRun, 0
 			}
@@ -214,6 +224,9 @@
 			}
 			// A refusal of what may be stored already leaves it in doubt: the owner takes it then.
 			in.inDoubt = in.inDoubt || !didNothing(err)
+			if n.redirect(&in, err) || errors.Is(err, errQueueNotOpen) {
+				break // the other ways lead to the same pool
+			}
 		}
 		pause := storePause
 		if !in.inDoubt {
@@ -223,14 +236,33 @@
 			pause = refusedPause
 		}
 		if sleep(ctx, pause); ctx.Err() != nil {
-			if in.inDoubt {
-				return Unknown, 0
+			switch {
+			case !in.inDoubt:
+				return NotRun, 0
+			case n.hasRead(in):
+				return Accepted, 0
 			}
-			return NotRun, 0
+			return Unknown, 0
 		}
 	}
 }
 
+// hasRead reports whether a record that may be stored has been read from the store, also after
+// its caller's time.
+func (n *Node) hasRead(in intake) bool {
+	kind, id := pool.ParseKey(in.rec.Key)
+	if kind == pool.JobRecord {
+		return n.holds(n.running, in.part, id)
+	}
+	u := n.unit(in.part)
+	if u == nil {
+		return false
+	}
+	read := false
+	err := u.ask(n.running, func() { _, read = u.replica.records[in.rec.Key] })
+	return err == nil && read
+}
+
 // holdFor is how long a caller is held at most while nothing can be stored.
 func holdFor(ctx context.Context) time.Duration {
 	until, limited := ctx.Deadline()
@@ -290,7 +322,25 @@
 		}
 		addr = next
 	}
-	return n.peers.call(ctx, addr, "Store", StoreArgs{Part: in.part, Record: in.rec, Hold: min(in.hold, peerTimeout/2)}, &Empty{}, peerTimeout)
+	args := in.args()
+	args.Hold = min(in.hold, peerTimeout/2)
+	return n.peers.call(ctx, addr, "Store", args, &Empty{}, peerTimeout)
+}
+
+// hearsOwner reports whether another instance owns a pool and was heard of in the store just
+// now. Beside an owner that appends, an append that requires the stream's end hardly ever gets
+// through on a slow store.
+func (n *Node) hearsOwner(ctx context.Context, part int) bool {
+	u := n.unit(part)
+	if u == nil {
+		return false
+	}
+	heard := false
+	err := u.ask(ctx, func() {
+		addr := u.replica.claim.Addr
+		heard = addr != "" && addr != n.set.PeerAddr && n.now()-u.ownerHeard < worksFor
+	})
+	return err == nil && heard
 }
 
 // Cancel stores a job's cancellation.
@@ -300,7 +350,7 @@
 		return v
 	}
 	if !state.Ended() {
-		v, _ = n.persist(ctx, part, pool.Record{Key: pool.CancelKey(job), Value: []byte("1")})
+		v, _ = n.persist(ctx, part, pool.Record{Key: pool.CancelKey(job), Value: []byte("1")}, QueueRef{})
 	}
 	n.log.Info().Str("job", job).Str("state", string(state)).Stringer("verdict", v).Msg("job.cancel_asked")
 	return v
--- a/node/machines.go
+++ b/node/machines.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -30,6 +31,12 @@
 
 func (e SequenceError) Error() string { return "the store expects another append" }
 
+// EndError means that the store did nothing, since the stream ends elsewhere than an append
+// required.
+type EndError struct{ End int64 }
+
+func (e EndError) Error() string { return "the stream ends at offset " + strconv.FormatInt(e.End, 10) }
+
 // Topic names a stream of keyed records; the newest of each key is kept.
 type Topic struct {
 	Name string
@@ -65,6 +72,9 @@
 type Store interface {
 	// Append stores records, all or none, and returns the first one's offset.
 	Append(ctx context.Context, to Topic, records []pool.Record, writer *Writer) (int64, error)
+	// AppendAt stores records, all or none, if the stream ends at an offset, else it returns an
+	// EndError.
+	AppendAt(ctx context.Context, to Topic, records []pool.Record, at int64) (int64, error)
 	// Newest returns the newest record of each key after a key, whether there
 	// are more, and the end of the stream.
 	Newest(ctx context.Context, from Topic, after string) (page []Stored, more bool, end int64, err error)
@@ -121,6 +131,16 @@
 	return queues
 }
 
+// queue returns a queue's policy.
+func (c *Config) queue(name string) (pool.Queue, bool) {
+	for _, r := range c.Routes {
+		if r.Queue.Name == name {
+			return r.Queue, true
+		}
+	}
+	return pool.Queue{}, false
+}
+
 // Directory tells where the platform keeps its configuration and its list of
 // workers, and reads them.
 type Directory interface {
--- a/node/measures.go
+++ b/node/measures.go
@@ -69,10 +69,22 @@
 func (s timedStore) Append(ctx context.Context, to Topic, records []pool.Record, writer *Writer) (int64, error) {
 	began := time.Now()
 	offset, err := s.Store.Append(ctx, to, records, writer)
+	s.measures.appendEnded(time.Since(began), err)
+	return offset, err
+}
+
+// AppendAt implements Store.
+func (s timedStore) AppendAt(ctx context.Context, to Topic, records []pool.Record, at int64) (int64, error) {
+	began := time.Now()
+	offset, err := s.Store.AppendAt(ctx, to, records, at)
+	s.measures.appendEnded(time.Since(began), err)
+	return offset, err
+}
+
+func (m *measures) appendEnded(took time.Duration, err error) {
 	if err != nil {
-		s.measures.appendFail.Inc(1)
-	} else {
-		s.measures.appended.RecordDuration(time.Since(began))
+		m.appendFail.Inc(1)
+		return
 	}
-	return offset, err
+	m.appended.RecordDuration(took)
 }
--- a/node/node.go
+++ b/node/node.go
@@ -69,9 +69,8 @@
 	mu         sync.Mutex
 	units      map[int]*unit
 	ownedParts map[int]bool
-	owners     map[int]string           // each pool's owner by its address, as read
-	movedAt    map[string]time.Duration // when queues were sent to another service
-	waits      int                      // what has not read the store yet: units, the list of pools in use
+	owners     map[int]string // each pool's owner by its address, as read
+	waits      int            // what has not read the store yet: units, the list of pools in use
 }
 
 // New returns an instance that is not running yet.
@@ -93,7 +92,7 @@
 	n := &Node{
 		set: set, log: log, store: store, workers: workers, advisor: advisor, directory: directory,
 		life: time.Now().UnixNano(), adviseNow: make(chan struct{}, 1), units: map[int]*unit{},
-		ownedParts: map[int]bool{}, owners: map[int]string{}, movedAt: map[string]time.Duration{}, waits: 1,
+		ownedParts: map[int]bool{}, owners: map[int]string{}, waits: 1,
 	}
 	n.measures = newMeasures(set.Metrics)
 	n.store = timedStore{Store: store, measures: n.measures}
@@ -180,7 +179,6 @@
 	if old != nil && old.Version >= cfg.Version {
 		return
 	}
-	n.noteMoves(old, cfg)
 	n.config.Store(cfg)
 	n.log.Info().Int64("version", cfg.Version).Int("routes", len(cfg.Routes)).Msg("config.applied")
 	for _, service := range cfg.Services {
@@ -191,6 +189,7 @@
 		go u.send(ctx, func() {
 			if u.own != nil && u.own.loaded {
 				u.own.step(pool.QueuesChanged{Queues: queues})
+				u.own.wantConfigured(cfg)
 				u.own.listWorkers() // the services may have changed
 			}
 		})
--- a/node/owner.go
+++ b/node/owner.go
@@ -91,11 +91,14 @@
 	// end is the stream's end after the newest append.
 	end       atomic.Int64
 	awaySince time.Duration // an append last succeeded, as far as is known
+	queues    queueTable
+	// ready is closed once the ownership has loaded.
+	ready chan struct{}
 }
 
 func newOwnership(ctx context.Context, u *unit, c claim, offset int64) *ownership {
 	o := &ownership{unit: u, claim: c, offset: offset, saves: newSaveQueue(), workers: map[string]pool.WorkerInfo{},
-		firstHolds: make(chan struct{}, firstHoldsAtOnce)}
+		firstHolds: make(chan struct{}, firstHoldsAtOnce), queues: newQueueTable(), ready: make(chan struct{})}
 	o.ctx, o.cancel = context.WithCancel(ctx)
 	o.end.Store(offset + 1)
 	set := u.node.set
@@ -129,8 +132,10 @@
 	}
 	o.loaded = true
 	o.step(pool.Tick{UnixMs: time.Now().UnixMilli()})
+	o.queues.load(o.unit.replica)
 	if cfg := o.unit.node.Config(); cfg != nil {
 		o.step(pool.QueuesChanged{Queues: cfg.Queues()})
+		o.wantConfigured(cfg)
 	}
 	var later []pool.Event
 	for _, rec := range o.unit.replica.inOrder() {
@@ -150,6 +155,7 @@
 	for _, ev := range later {
 		o.step(ev)
 	}
+	close(o.ready)
 	o.askWaves()
 	o.listWorkers()
 }
@@ -188,6 +194,7 @@
 func (o *ownership) tick() {
 	if o.loaded {
 		o.step(pool.Tick{UnixMs: time.Now().UnixMilli()})
+		o.bindWanted()
 	}
 	if now := o.unit.node.now(); !o.beating && now-o.lastBeat > ownerBeat {
 		o.beating = true
@@ -202,6 +209,8 @@
 		o.takeWorkers(e)
 	case saveDone:
 		o.saveAnswered(e)
+	case queuesBound:
+		o.takeBound(e)
 	case pool.Event:
 		o.step(e)
 	}
--- /dev/null
+++ b/node/queuestate.go
@@ -0,0 +1,275 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/knapweedweir/knapweedweir/pool"
+)
+
+// QueueRef names a queue, and the service that serves it by a version of the configuration.
+type QueueRef struct {
+	Name    string
+	Service string
+	Version int64
+}
+
+// queueState is a pool's record of whether it takes in jobs of a queue. Only the pool's owner
+// writes it, so its place in the stream divides the jobs that were taken in from those that
+// were not.
+//
+// A request that is repeated while its queue moves between pools has to be found where its
+// first try was stored. Instances put configurations in force at different times, some of them
+// much later, and an append may take effect after its caller has given up. So a pool is opened
+// for a queue only after all others that may hold jobs of it are closed, and after this
+// instance has read them up to there: nothing can be added to them any more, and what isn't
+// found in them isn't stored there.
+type queueState struct {
+	Queue string `json:"queue"`
+	// Version is that of the configuration by which the pool was opened or closed.
+	Version int64 `json:"version"`
+	Open    bool  `json:"open"`
+	// Service serves the queue by that version.
+	Service string `json:"service"`
+	// Former lists the other pools that may hold jobs of the queue, by their parts.
+	Former []int `json:"former,omitempty"`
+}
+
+func (s queueState) record() pool.Record {
+	return pool.Record{Key: pool.QueueKey(s.Queue), Value: pool.Encode(s)}
+}
+
+func decodeQueueState(rec pool.Record) (queueState, error) {
+	var s queueState
+	if err := json.Unmarshal(rec.Value, &s); err != nil {
+		return s, errors.Wrap(err, "queue state")
+	}
+	if s.Queue == "" || s.Service == "" || s.Version < 0 || pool.QueueKey(s.Queue) != rec.Key {
+		return s, errors.New("queue state: no queue, service or version of this key")
+	}
+	return s, nil
+}
+
+// queueState returns what a pool's owner has stored of a queue.
+func (r *replica) queueState(queue string) (queueState, bool) {
+	rec, ok := r.records[pool.QueueKey(queue)]
+	if !ok {
+		return queueState{}, false
+	}
+	s, err := decodeQueueState(rec.Record)
+	return s, err == nil // checked when the record was read
+}
+
+// errQueueNotOpen means that a pool doesn't take in jobs of a queue yet.
+var errQueueNotOpen = errors.Wrap(ErrRefused, "the pool is not open for the queue yet")
+
+// MovedError means that a newer configuration sends a queue to another service, whose pool
+// takes in its jobs. Nothing was stored.
+type MovedError struct{ To QueueRef }
+
+func (e *MovedError) Error() string {
+	return "the queue " + e.To.Name + " has moved to " + e.To.Service + ": " + ErrRefused.Error()
+}
+
+// Unwrap returns ErrRefused.
+func (e *MovedError) Unwrap() error { return ErrRefused }
+
+// queueRef sends a job to the service that the configuration in force names for its queue.
+func (n *Node) queueRef(j *pool.Job) QueueRef {
+	ref := QueueRef{Name: j.Queue, Service: j.Service}
+	cfg := n.Config()
+	if cfg == nil {
+		return ref
+	}
+	if q, known := cfg.queue(j.Queue); known {
+		j.Service = q.Service
+		ref.Service, ref.Version = q.Service, cfg.Version
+	}
+	return ref
+}
+
+// redirect sends a job to the pool that a newer configuration names, and reports whether an
+// error told of one.
+func (n *Node) redirect(in *intake, err error) bool {
+	var moved *MovedError
+	if !errors.As(err, &moved) || moved.To.Version < in.queue.Version || moved.To.Service == in.queue.Service {
+		return false
+	}
+	var j pool.Job
+	if json.Unmarshal(in.rec.Value, &j) != nil {
+		return false // it was encoded here
+	}
+	j.Service = moved.To.Service
+	in.queue, in.part, in.rec.Value = moved.To, partOf(j.Service, n.set.Parts), pool.Encode(j)
+	n.unitAt(n.running, in.part)
+	n.log.Info().Str("job", j.ID).Str("queue", j.Queue).Str("service", j.Service).Int64("version", moved.To.Version).Msg("job.redirected")
+	return true
+}
+
+// checkQueue finds out whether the pool takes a job in: by which version it is open for the
+// job's queue, and whether the job is stored in a pool that was open for it before.
+func (u *unit) checkQueue(ctx context.Context, in intake) (opened int64, stored bool, err error) {
+	state, err := u.openState(ctx, in)
+	if err != nil || len(state.Former) == 0 {
+		return state.Version, false, err
+	}
+	_, job := pool.ParseKey(in.rec.Key)
+	for _, part := range state.Former {
+		found, err := u.node.foundInFormer(ctx, part, state, job)
+		if err != nil || found {
+			return state.Version, found, err
+		}
+	}
+	return state.Version, false, nil
+}
+
+// openState returns the pool's state of a job's queue if it is open. An owner that hasn't read
+// what its predecessors have stored doesn't know it yet.
+func (u *unit) openState(ctx context.Context, in intake) (queueState, error) {
+	var loading <-chan struct{}
+	state, err := queueState{}, error(nil)
+	look := func() {
+		loading = nil
+		if u.own != nil && !u.own.loaded {
+			loading = u.own.ready
+			return
+		}
+		state, err = u.lookUpQueue(in.queue)
+	}
+	if askErr := u.ask(ctx, look); askErr != nil {
+		return state, errors.Wrap(ErrRefused, askErr.Error())
+	}
+	if loading == nil {
+		return state, err
+	}
+	waitFor(ctx, in.hold, loading)
+	if askErr := u.ask(ctx, look); askErr != nil || loading != nil {
+		return state, errors.Wrap(ErrRefused, "the pool's owner has not read its state")
+	}
+	return state, err
+}
+
+// lookUpQueue returns the pool's state of a queue if it is open, else why it isn't.
+func (u *unit) lookUpQueue(ref QueueRef) (queueState, error) {
+	if u.own != nil {
+		return u.own.lookUpQueue(ref)
+	}
+	state, known := u.replica.queueState(ref.Name)
+	switch {
+	case known && state.Open:
+		return state, nil
+	case known && state.Version >= ref.Version:
+		return state, &MovedError{To: QueueRef{Name: ref.Name, Service: state.Service, Version: state.Version}}
+	}
+	return state, errQueueNotOpen
+}
+
+// foundInFormer looks for a job in a pool that was open for its queue before.
+func (n *Node) foundInFormer(ctx context.Context, part int, open queueState, job string) (bool, error) {
+	n.unitAt(n.running, part)
+	u := n.unit(part)
+	var closed, found, spoilt, remind bool
+	err := u.ask(ctx, func() {
+		closed = u.isClosed(open.Queue, open.Version)
+		if remind = !closed && n.now()-u.remindedAt > bindRetry; remind {
+			u.remindedAt = n.now()
+		}
+		_, found = u.replica.state(job)
+		spoilt = u.replica.mayHold(job)
+	})
+	switch {
+	case err != nil:
+		return false, errors.Wrap(ErrRefused, err.Error())
+	case found:
+		return true, nil
+	case spoilt:
+		return false, ErrInDoubt // it may have been accepted, and run
+	case !closed:
+		u.wakeReader()
+		if remind {
+			go u.askToClose(n.running, []QueueRef{{Name: open.Queue, Service: open.Service, Version: open.Version}})
+		}
+		return false, errQueueNotOpen
+	}
+	return false, nil
+}
+
+// isClosed reports whether this instance has read the pool up to the place from which it takes
+// in no jobs of a queue that were sent there by versions before the given one.
+func (u *unit) isClosed(queue string, version int64) bool {
+	state, known := u.replica.queueState(queue)
+	return known && !state.Open && state.Version >= version
+}
+
+// wakeReader has the follower read without a pause.
+func (u *unit) wakeReader() {
+	select {
+	case u.readNow <- struct{}{}:
+	default:
+	}
+}
+
+// bindRetry is the pause after an attempt to open the pool for queues that failed.
+const bindRetry = 200 * time.Millisecond
+
+// queueTable is what a pool's owner knows of queues.
+type queueTable struct {
+	states map[string]queueState
+	// newer holds queues that a newer configuration sends elsewhere, though the pool has never
+	// been open for them.
+	newer map[string]QueueRef
+	// wanted are queues for which the pool is to be opened.
+	wanted  map[string]QueueRef
+	binding bool // some of them just now
+	retryAt time.Duration
+}
+
+func newQueueTable() queueTable {
+	return queueTable{states: map[string]queueState{}, newer: map[string]QueueRef{}, wanted: map[string]QueueRef{}}
+}
+
+// load takes over what former owners have stored.
+func (t *queueTable) load(r *replica) {
+	for key, rec := range r.records {
+		if kind, _ := pool.ParseKey(key); kind != pool.QueueRecord {
+			continue
+		}
+		if s, err := decodeQueueState(rec.Record); err == nil {
+			t.states[s.Queue] = s
+		}
+	}
+}
+
+// takes reports whether a record is still taken in. A job was looked for in the former pools
+// by the version by which the pool was open then.
+func (t *queueTable) takes(s *submission) bool {
+	if s.queue == "" {
+		return true
+	}
+	state := t.states[s.queue]
+	return state.Open && state.Version == s.opened
+}
+
+// want notes that the pool is to be opened for a queue, unless a newer version of the
+// configuration has sent it elsewhere.
+func (t *queueTable) want(ref QueueRef) {
+	state, known := t.states[ref.Name]
+	if known && (state.Open || state.Version >= ref.Version) || t.newer[ref.Name].Version > ref.Version {
+		return
+	}
+	if t.wanted[ref.Name].Version <= ref.Version {
+		t.wanted[ref.Name] = ref
+	}
+}
+
+// set puts a state in force if it is newer than the one known.
+func (t *queueTable) set(s queueState) bool {
+	if old, known := t.states[s.Queue]; known && old.Version >= s.Version {
+		return false
+	}
+	t.states[s.Queue] = s
+	return true
+}
--- a/node/replica.go
+++ b/node/replica.go
@@ -43,6 +43,9 @@
 	}
 	var fresh []Stored
 	for _, rec := range b.records {
+		if !b.reset && rec.Offset < r.next {
+			continue // read before, beside the follower
+		}
 		if old, ok := r.records[rec.Key]; ok && old.Offset >= rec.Offset {
 			continue
 		}
@@ -233,6 +236,9 @@
 	case pool.SilentRecord:
 		e := pool.SilenceStored{Worker: id}
 		return checked(e, decodeList(rec.Value, &e.Tasks))
+	case pool.QueueRecord:
+		_, err := decodeQueueState(rec)
+		return nil, err
 	case pool.HeldRecord:
 		var e pool.WorkersInherited
 		if err := decodeList(rec.Value, &e.Workers); err != nil {
--- a/node/saves.go
+++ b/node/saves.go
@@ -39,6 +39,7 @@
 	coreSave saveKind = iota
 	heartbeat
 	intakeSave
+	queueSave
 )
 
 // saveDone tells that the store holds a save, or why it never will. Certain tells
@@ -92,6 +93,8 @@
 		s.stored <- errNotOwner
 	case o.turnedAway:
 		s.stored <- ErrRefused
+	case !o.queues.takes(s):
+		s.stored <- errQueueNotOpen
 	default:
 		if err := o.admit(s); err != nil {
 			s.stored <- err
@@ -157,6 +160,7 @@
 		o.beating = false
 	case intakeSave:
 		o.intakeStored(e.pendingSave)
+	case queueSave:
 	default:
 		o.step(pool.Saved{Seq: e.seq})
 	}
--- a/node/service.go
+++ b/node/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"net/rpc"
 	"time"
@@ -52,6 +53,7 @@
 		Hold time.Duration
 		// InDoubt tells that the record may be stored already: it is not refused then.
 		InDoubt bool
+		Queue   QueueRef
 	}
 	// SubmitReply tells that a record is stored, or who owns its pool.
 	SubmitReply struct {
@@ -60,7 +62,20 @@
 		// ComeBack tells that the owner refused the job, and when room is expected; 0: it
 		// didn't.
 		ComeBack time.Duration
+		// NotOpen tells that the pool doesn't take in jobs of the queue yet.
+		NotOpen bool
+		// Moved tells that a newer configuration sends the queue to another service; nil: none
+		// is known.
+		Moved *QueueRef
 	}
+	// CloseArgs asks a pool's owner to take in no more jobs of queues, which newer versions of
+	// the configuration send elsewhere.
+	CloseArgs struct {
+		Part   int
+		Queues []QueueRef
+	}
+	// CloseReply tells who owns the pool, as in StateReply.
+	CloseReply struct{ Owner string }
 	// TakeArgs asks a peer to claim a pool that its owner leaves.
 	TakeArgs struct {
 		Part  int
@@ -142,7 +157,37 @@
 
 // Store stores a record.
 func (s Peer) Store(a StoreArgs, _ *Empty) error {
-	return s.n.throughStore(context.Background(), intake{part: a.Part, rec: a.Record, hold: a.Hold})
+	ctx := withTimeout(context.Background(), slowOwnerTry)
+	err := s.n.throughStore(ctx, a.intake())
+	if errors.Is(err, errStreamGrew) && s.n.hearsOwner(ctx, a.Part) {
+		return s.n.throughOwner(ctx, a.intake())
+	}
+	return err
+}
+
+func (a StoreArgs) intake() intake {
+	in := intake{part: a.Part, rec: a.Record, hold: a.Hold, inDoubt: a.InDoubt, queue: a.Queue}
+	if kind, _ := pool.ParseKey(a.Record.Key); kind == pool.JobRecord && in.queue.Name == "" {
+		var j pool.Job
+		if json.Unmarshal(a.Record.Value, &j) == nil { // else readers pass it over
+			in.queue = QueueRef{Name: j.Queue, Service: j.Service}
+		}
+	}
+	return in
+}
+
+// CloseQueues has the pool take in no more jobs of queues. Whether it does shows in the store.
+func (s Peer) CloseQueues(a CloseArgs, r *CloseReply) error {
+	u := s.n.unit(a.Part)
+	if u == nil {
+		return errNotOwner
+	}
+	var owner bool
+	err := u.ask(withTimeout(context.Background(), peerTimeout), func() {
+		owner = u.closeQueues(a.Queues)
+		r.Owner = u.ownerAddr()
+	})
+	return s.nameOwner(err, owner, &r.Owner)
 }
 
 // Submit stores a record as the owner of its pool, or tells who owns it.
@@ -151,11 +196,19 @@
 	if u == nil {
 		return nil
 	}
-	err := u.submitAndWait(context.Background(), intake{part: a.Part, rec: a.Record, hold: a.Hold, inDoubt: a.InDoubt})
+	err := u.submitAndWait(context.Background(), a.intake())
 	var overload *OverloadError
-	if errors.As(err, &overload) {
+	var moved *MovedError
+	switch {
+	case errors.As(err, &overload):
 		r.ComeBack = overload.ComeBack
 		return nil
+	case errors.As(err, &moved):
+		r.Moved = &moved.To
+		return nil
+	case errors.Is(err, errQueueNotOpen):
+		r.NotOpen = true
+		return nil
 	}
 	if errors.Is(err, errNotOwner) {
 		return u.ask(withTimeout(context.Background(), aliveTimeout), func() {
--- a/node/submission.go
+++ b/node/submission.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"github.com/knapweedweir/knapweedweir/pool"
 )
@@ -14,6 +15,12 @@
 	state  atomic.Int32
 	// inDoubt tells that the record may be stored already.
 	inDoubt bool
+	// queue is the queue of a job, empty for other records, and opened the version by which the
+	// pool had it open when the job was looked for in its former pools.
+	queue  string
+	opened int64
+	// firstTry is when an append first came to nothing since the stream had grown; 0: none has.
+	firstTry time.Duration
 }
 
 // The states of a submission.
@@ -30,5 +37,8 @@
 // take reports whether the submission may be sent to the store.
 func (s *submission) take() bool { return s.state.CompareAndSwap(waitsForAppend, takenForAppend) }
 
+// release takes back a submission that the store has certainly not stored.
+func (s *submission) release() { s.state.CompareAndSwap(takenForAppend, waitsForAppend) }
+
 // withdraw reports whether the submission has not been sent and never will be.
 func (s *submission) withdraw() bool { return s.state.CompareAndSwap(waitsForAppend, withdrawn) }
--- a/node/unit.go
+++ b/node/unit.go
@@ -96,7 +96,12 @@
 	// fenced is the highest epoch with which the store has turned a claim away.
 	fenced   uint64
 	claiming bool
-	own      *ownership
+	// remindedAt is when the owner was last asked to store anew that the pool is closed for a
+	// queue, since this instance can't read that it is.
+	remindedAt time.Duration
+	// claimedAt is the offset of this instance's newest claim; -1: it has made none.
+	claimedAt int64
+	own       *ownership
 	// heir is the instance to which this one has handed the pool over, until
 	// its claim is read.
 	heir       string
@@ -109,13 +114,15 @@
 	check      storeCheck
 	direct     []*submission
 	directBusy bool // some are on their way
+	// directFrom is where the stream ended when an append found that it had grown.
+	directFrom int64
 }
 
 func newUnit(ctx context.Context, n *Node, part int) *unit {
 	u := &unit{
 		node: n, ctx: ctx, topic: Topic{Name: topicName, Part: part},
 		log:    n.log.With().Int("pool", part).Logger(),
-		events: make(chan any, 1024), replica: newReplica(), readNow: make(chan struct{}, 1),
+		events: make(chan any, 1024), replica: newReplica(), readNow: make(chan struct{}, 1), claimedAt: -1,
 	}
 	return u
 }
@@ -193,12 +200,11 @@
 	switch e := ev.(type) {
 	case batch:
 		u.take(e)
+		u.appendDirect(ctx)
 	case claimed:
 		u.claimAnswered(ctx, e)
 	case directDone:
-		u.directBusy = false
-		answerAll(e.waiting, e.err)
-		u.appendDirect(ctx)
+		u.directAppended(ctx, e)
 	case fromOwner:
 		if u.own == e.own {
 			u.own.handle(e.event)
@@ -219,6 +225,7 @@
 		}
 		u.healthy = 0
 		u.reads.Store(false)
+		u.refuseDirect()
 		return
 	}
 	if u.healthy == 0 {
@@ -312,11 +319,14 @@
 
 // submit stores a record as the pool's owner.
 func (u *unit) submit(s *submission) {
-	if u.own == nil {
+	switch {
+	case u.own != nil:
+		u.own.submit(s)
+	case u.claiming && u.replica.claim.Life == u.node.life:
+		u.storeDirect(u.ctx, s) // others have read the claim before this instance has its answer
+	default:
 		s.stored <- errNotOwner
-		return
 	}
-	u.own.submit(s)
 }
 
 // ownerAddr is where the pool's owner is, as far as is known here.
--- a/pool/records.go
+++ b/pool/records.go
@@ -1,6 +1,8 @@
 package pool
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"strings"
 
@@ -15,6 +17,7 @@
 	cancelPrefix   = "c/"
 	wavePrefix     = "w/"
 	silentPrefix   = "s/"
+	queuePrefix    = "q/"
 	// OwnerKey holds the claim of the pool's owner.
 	OwnerKey = "owner"
 	// HeldKey holds the workers on which the owner may have started tasks.
@@ -33,6 +36,19 @@
 // SilentKey is the key of what a silent worker may run.
 func SilentKey(worker string) string { return silentPrefix + worker }
 
+// longestQueueKey is how long a queue's name may be in a key, in bytes; keys of the store have
+// at most 255.
+const longestQueueKey = 200
+
+// QueueKey is the key of whether the pool takes in jobs of a queue.
+func QueueKey(queue string) string {
+	if len(queue) > longestQueueKey {
+		sum := sha256.Sum256([]byte(queue))
+		queue = "sha256:" + hex.EncodeToString(sum[:])
+	}
+	return queuePrefix + queue
+}
+
 // KeyKind tells what a key holds.
 type KeyKind int
 
@@ -46,6 +62,7 @@
 	HeldRecord
 	WaveRecord
 	SilentRecord
+	QueueRecord
 )
 
 // ParseWave returns the number of the wave that a wave's key names.
@@ -69,6 +86,8 @@
 		return WaveRecord, key[len(wavePrefix):]
 	case strings.HasPrefix(key, silentPrefix):
 		return SilentRecord, key[len(silentPrefix):]
+	case strings.HasPrefix(key, queuePrefix):
+		return QueueRecord, key[len(queuePrefix):]
 	case strings.HasPrefix(key, cancelPrefix):
 		return CancelRecord, key[len(cancelPrefix):]
 	}
--- a/standin/machines/store.go
+++ b/standin/machines/store.go
@@ -187,6 +187,20 @@
 
 // Append implements node.Store.
 func (v *View) Append(ctx context.Context, to node.Topic, records []pool.Record, writer *node.Writer) (int64, error) {
+	return v.append(ctx, to, func(st *stream) (int64, error) { return st.append(records, writer) })
+}
+
+// AppendAt implements node.Store.
+func (v *View) AppendAt(ctx context.Context, to node.Topic, records []pool.Record, at int64) (int64, error) {
+	return v.append(ctx, to, func(st *stream) (int64, error) {
+		if st.end() != at {
+			return 0, node.EndError{End: st.end()}
+		}
+		return st.put(records), nil
+	})
+}
+
+func (v *View) append(ctx context.Context, to node.Topic, put func(*stream) (int64, error)) (int64, error) {
 	do, answered, err := v.call(ctx)
 	if !do {
 		return 0, err
@@ -196,7 +210,7 @@
 		time.AfterFunc(late, func() {
 			v.w.mu.Lock()
 			defer v.w.mu.Unlock()
-			_, _ = v.w.store.stream(to).append(records, writer) // nobody waits for its outcome
+			_, _ = put(v.w.store.stream(to)) // nobody waits for its outcome
 		})
 		<-ctx.Done()
 		return 0, node.ErrInDoubt
@@ -205,7 +219,7 @@
 		return 0, node.ErrRefused
 	}
 	v.w.mu.Lock()
-	at, err := v.w.store.stream(to).append(records, writer)
+	at, err := put(v.w.store.stream(to))
 	v.w.mu.Unlock()
 	if !answered || ctx.Err() != nil {
 		<-ctx.Done()
