node: a pool whose entry can't be read counts as in use

What callers saw: none has; found by reading each answer of the form "there is none". An entry of another writer in place of a pool's own on the list of pools in use took the pool off the list, for each instance that started afterwards. Jobs that wait there were then denied by a list that had been read after the question.

Cause: poolsInUse passed over each entry whose value can't be read, though its key alone says which pool was listed. TestPoolWhoseEntryIsUnreadableCountsAsInUse failed before (parts [0], now [0 3]).

Why it holds: nothing ever takes a pool off the list, so a key of a pool means that it was listed, whatever has come in its place. An entry without a key is still passed over: each of ours that is replaced keeps its key. An entry that another writer deletes is gone; nothing here can tell.

--- a/node/inuse.go
+++ b/node/inuse.go
@@ -63,11 +63,11 @@
 	var parts []int
 	for _, rec := range b.records {
 		part, err := strconv.Atoi(rec.Key)
-		if rec.Unreadable != nil || err != nil || part < 0 || part >= n.set.Parts {
+		if err != nil || part < 0 || part >= n.set.Parts {
 			n.bad.found(inUseTopicName, rec.Key, rec.Offset, errors.New("no part of a pool"))
 			continue
 		}
-		parts = append(parts, part)
+		parts = append(parts, part) // whatever stands there: its key says that the pool was listed
 	}
 	return parts, nil
 }
