node: an owner knows the jobs that it stored without an owner before its claim

An instance takes in its own appends without reading them. The append was sent before the claim was answered, and its answer came when the instance owned the pool: the job went into its copy, but not to its core, and when the follower brought the record it was passed over as known.

TestOwnerKnowsTheJobsThatItStoredBeforeItsClaim, which needs no race, failed before. What an instance takes in beside its follower now goes to the owner's core as what the follower brings does; a record that comes twice is passed over by the copy.

--- a/node/claiming.go
+++ b/node/claiming.go
@@ -244,7 +244,11 @@
 // takeStretch takes in what was read or stored beside the follower, if nothing is missing
 // before it.
 func (u *unit) takeStretch(s stretch) {
-	if s.from <= u.replica.next && s.next > u.replica.next {
-		u.replica.apply(s.batch, u.badRecord)
+	if s.from > u.replica.next || s.next <= u.replica.next {
+		return
+	}
+	fresh := u.replica.apply(s.batch, u.badRecord)
+	if u.own != nil {
+		u.own.take(fresh) // the follower brings them once more, and they are passed over
 	}
 }
--- /dev/null
+++ b/node/direct_internal_test.go
@@ -0,0 +1,24 @@
+package node
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/knapweedweir/knapweedweir/pool"
+)
+
+// Guards against an accepted job that never starts, since the instance that has stored it without
+// an owner has become the owner before it had the answer.
+func TestOwnerKnowsTheJobsThatItStoredBeforeItsClaim(t *testing.T) {
+	_, u := newOwner(t, quietStore{end: 9})
+	rec := pool.Record{Key: pool.JobKey("j1"), Value: pool.Encode(pool.Job{ID: "j1", Queue: "q", Service: "s", Steps: []pool.StepSpec{{Count: 1}}})}
+	u.replica.next = 8
+	known := false
+	assert.NilError(t, u.ask(t.Context(), func() {
+		u.directAppended(t.Context(), directDone{records: []Stored{{Offset: 8, Record: rec}}})
+		u.take(batch{records: []Stored{{Offset: 8, Record: rec}}, next: 9, asOf: u.node.now()})
+		_, known = u.own.core.JobState("j1")
+	}))
+	assert.Assert(t, known)
+}
