node: a count of waiting jobs covers all pools in use

What callers saw: none has; found by reading each answer of the form "there is none". Asked how many jobs of a queue wait, an instance that had yet to read the configuration counted those in the pools that it followed. Its queue had moved to a service of which it had never heard; 10 jobs waited there for 5 s, and it said 0, as a fact.

Cause: a denial of one job needs the list of the pools in use, a count didn't.

A count now needs a list of the pools in use that is at most as old as a copy of a pool may be to be counted by (2 s at the usual visible_ms): what was accepted before is in a pool of that list. The list is read once in that time at most, and only while somebody asks: 0.5 reads a second and instance, 19.5 for 39 instances, of 2,000. A pool that turns up is followed, and until it has been read the count is not known (503).

Looked at and left: State and Cancel (a read of each pool, and of the list, asked for after the question); a refusal for want of room (the owner has looked in the queue's former pools first, see checkQueue); kwctl why (says that these logs tell nothing of a job, not that there is none); 404 for a route that an old configuration doesn't have (bounded by the readers' bounds, measurements/readers.md).

--- a/node/inuse.go
+++ b/node/inuse.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"strconv"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -90,9 +91,36 @@
 // for: one that came to be followed since is followed, and was not looked into.
 func (n *Node) coverAllInUse(ctx context.Context, units []*unit) bool {
 	parts, err := n.poolsInUse(withTimeout(ctx, denialTimeout))
-	if err != nil {
-		return false
+	return err == nil && n.coverAll(parts, units)
+}
+
+// coverFresh is coverAllInUse by a list that may be as old as a copy of a pool that still
+// counts as fresh. The list is read once in that time at most.
+func (n *Node) coverFresh(ctx context.Context, units []*unit) bool {
+	n.mu.Lock()
+	list := n.inUse
+	n.mu.Unlock()
+	if asked := n.now(); list.asked == 0 || asked-list.asked > n.freshFor() {
+		parts, err := n.poolsInUse(withTimeout(ctx, denialTimeout))
+		if err != nil {
+			return false
+		}
+		list = inUseList{parts: parts, asked: asked}
+		n.mu.Lock()
+		n.inUse = list
+		n.mu.Unlock()
 	}
+	return n.coverAll(list.parts, units)
+}
+
+// inUseList is the list of pools in use as it was when it was asked for.
+type inUseList struct {
+	parts []int
+	asked time.Duration // 0: never
+}
+
+// coverAll reports whether units are those of all parts, and follows those that are missing.
+func (n *Node) coverAll(parts []int, units []*unit) bool {
 	all := true
 	for _, part := range parts {
 		if slices.ContainsFunc(units, func(u *unit) bool { return u.topic.Part == part }) {
--- a/node/lookup.go
+++ b/node/lookup.go
@@ -194,6 +194,9 @@
 	if len(units) == 0 || units[0].topic.Part != home {
 		return 0, false
 	}
+	if !n.coverFresh(ctx, units) {
+		return 0, false
+	}
 	sum := 0
 	for _, u := range units {
 		count, sure := u.countPending(ctx, q.Name)
--- a/node/node.go
+++ b/node/node.go
@@ -68,6 +68,7 @@
 
 	mu         sync.Mutex
 	units      map[int]*unit
+	inUse      inUseList
 	ownedParts map[int]bool
 	owners     map[int]string // each pool's owner by its address, as read
 	waits      int            // what has not read the store yet: units, the list of pools in use
