cell: ports are held from the look at them until the processes listen

Cause: a cell listened on each port to see that it is free and let it go again; its processes listened some time later. Between the two anybody could get the port. Cells of this machine exclude each other by a port of each block, so it was none of them. Who had it isn't known; the ports lie below the range that Linux gives to outgoing connections by default, which says nothing of a machine with another range.

Now a bound socket holds each port while the cell lives, also between the end of a process and its next start. Listeners of Go can bind beside it; the kernel gives the port to nobody. Left: a listener that names the port itself and allows sharing, as Go's do, can still take it; nothing but cells names ports of that range here.

--- a/cmd/kw-node/main_test.go
+++ b/cmd/kw-node/main_test.go
@@ -100,9 +100,10 @@
 // checked them again.
 func awaitReload(t *testing.T, binary string) {
 	t.Helper()
-	block, addrs, err := cell.ClaimBlock(5)
+	block, err := cell.ClaimBlock(5)
 	assert.NilError(t, err)
-	defer func() { _ = block.Close() }() // it only kept others away
+	defer block.Close()
+	addrs := block.Addrs
 	set := wirestand.Instance{Name: "i0", Callers: addrs[0], Ready: addrs[1], Peers: addrs[2], Metrics: addrs[3], Store: addrs[4],
 		HoldMaxMs: 6000, StopMs: 200}
 	path := filepath.Join(t.TempDir(), "boot.toml")
--- a/scenario/soak/soak.go
+++ b/scenario/soak/soak.go
@@ -13,7 +13,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"os"
 	"sync"
 	"syscall"
@@ -72,7 +71,7 @@
 	world     *machines.World
 	wire      *wirestand.Server
 	instances []*instance
-	ports     []net.Listener    // hold the blocks of ports
+	ports     []*cell.Block
 	workers   map[string]*proxy // guarded by mu
 	route     node.Route
 	// changes is held while the world is changed, which asks for mu itself.
@@ -183,11 +182,11 @@
 func (r *run) claimPorts() ([]string, error) {
 	var addrs []string
 	for left := r.Instances; left > 0; left -= instancesEach {
-		block, some, err := cell.ClaimBlock(min(left, instancesEach) * portsEach)
+		block, err := cell.ClaimBlock(min(left, instancesEach) * portsEach)
 		if err != nil {
 			return nil, err
 		}
-		r.ports, addrs = append(r.ports, block), append(addrs, some...)
+		r.ports, addrs = append(r.ports, block), append(addrs, block.Addrs...)
 	}
 	return addrs, nil
 }
@@ -262,7 +261,7 @@
 		r.wire.Close()
 	}
 	for _, block := range r.ports {
-		_ = block.Close() // it only kept others away
+		block.Close()
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/standin/cell/cell.go
+++ b/standin/cell/cell.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -68,7 +67,7 @@
 	Instances    []infra.Instance
 	Workers      []infra.Worker
 	authority    *authority.Authority
-	block        net.Listener
+	block        *Block
 }
 
 // Programs are the binaries that a cell needs, by name and package below the
@@ -174,12 +173,13 @@
 	for _, g := range spec.Runners {
 		total += g.Count
 	}
-	block, addrs, err := ClaimBlock(total)
+	block, err := ClaimBlock(total)
 	if err != nil {
 		return nil, err
 	}
 	c.block = block
-	c.PlatformAddr, addrs = addrs[0], addrs[1:]
+	addrs := block.Addrs[1:]
+	c.PlatformAddr = block.Addrs[0]
 	if addrs, err = c.startRunners(spec, addrs); err != nil {
 		return c, err
 	}
