scenario: a failing scenario keeps its cell's files, and processes can be paused at drawn moments

Five scenarios failed once each beside load, and none could be traced: only the last six lines of each log were printed. A failing scenario now copies all logs and settings of its cell to a folder that outlives the test and prints its name.

go test ./scenario -pauses SEED [-longest D] pauses one process of each cell after the other, each for a drawn time, and writes beside the logs which and when. It is for provoking what load does by chance; without the flag nothing changes.

--- a/scenario/commands_test.go
+++ b/scenario/commands_test.go
@@ -32,6 +32,8 @@
 	cell  *cell.Cell
 	calls map[string]chan string
 	loads map[string]*load.Steady
+	// endPauses ends the pauses of processes that the flag -pauses asks for.
+	endPauses func()
 }
 
 // cells bounds how many cells run at once, so that a scenario's waits are not
@@ -48,13 +50,27 @@
 	for name, l := range h.loads {
 		l.Stop(name)
 	}
+	if h.endPauses != nil {
+		h.endPauses()
+	}
 	h.cell.Close()
 	if f, ok := t.(interface{ Failed() bool }); ok && f.Failed() {
 		t.Log("last lines of the logs:\n" + h.cell.Tails(tailLines, os.ReadFile))
+		kept, err := keepFiles(h.cell.Dir)
+		t.Log("all logs and settings of the cell:", kept, err)
 	}
 	<-cells
 }
 
+// keepFiles copies a cell's files to a folder that outlives the test.
+func keepFiles(dir string) (string, error) {
+	kept, err := os.MkdirTemp("", "kw-scenario-failed-")
+	if err != nil {
+		return "", err
+	}
+	return kept, os.CopyFS(kept, os.DirFS(dir))
+}
+
 // commands are the words of the scenario language:
 //
 //	cell [pairs=N] [workers=N] [lease=D] [lag=D] [retention=N] [bare] [tls]
@@ -168,6 +184,8 @@
 	if _, bare := o["bare"]; !bare {
 		publishAndWait(ts, "1", "workshop", sharedSettings)
 	}
+	h.endPauses, err = startPauses(h.cell)
+	ts.Check(err)
 }
 
 // publishAndWait publishes settings and waits until every entry has them.
