dispatch: a stuck attempt is broken off only for a retry that can begin

Cause, by the core's own tests: an attempt that takes far too long is broken off if the retry budget has one left and another runner is known. With 7 entries an entry has one slot of each of three runners. If the other two are in use, the request had no slot to be retried in, and waited for its deadline: "no runner was free in time". - An attempt that couldn't be broken off when it got stuck was never looked at again, though a slot elsewhere came free soon: "the runner did not answer before the deadline".

Ruled out: the entry itself held up (its timers are late then, and nothing is broken off). Left: a runner that loses its slot between the two steps; the request then waits or is given up as before.

--- a/dispatch/outcomes.go
+++ b/dispatch/outcomes.go
@@ -43,6 +43,10 @@
 		return nil
 	}
 	s := c.service(r.Service)
+	if r.brokenOff {
+		r.brokenOff = false
+		c.budget = min(c.budget+1, maxRetryBudget) // the retry wasn't needed
+	}
 	c.judge(now, s, r, took, erred)
 	c.release(r)
 	if r.phase == ended {
@@ -91,7 +95,7 @@
 	case r.phase == ended:
 		c.forget(r)
 	case c.mayRetry(now, r, f):
-		c.budget -= retryCost(f)
+		c.payRetry(r, f)
 		return c.requeue(now, s, r)
 	default:
 		return append([]Action{c.giveUp(now, r, why)}, c.dispatch(now, s)...)
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -33,6 +33,8 @@
 	failedAt []infra.Instance
 	// stalled says that its attempt took far longer than expected.
 	stalled bool
+	// brokenOff says that its attempt is being broken off, and that the retry is paid for.
+	brokenOff bool
 	// mayRun says that a runner may have begun it.
 	mayRun bool
 	// left says that the caller has gone.
--- a/dispatch/retry.go
+++ b/dispatch/retry.go
@@ -29,7 +29,17 @@
 func (c *Core) mayRetry(now time.Duration, r *request, f Failure) bool {
 	safe := !r.mayRun || r.Idempotent
 	inTime := now < r.latestStart()
-	return safe && !r.left && inTime && c.budget >= retryCost(f) && c.hasOther(r)
+	paid := r.brokenOff || c.budget >= retryCost(f)
+	return safe && !r.left && inTime && paid && c.hasOther(r)
+}
+
+// payRetry takes a retry after a failure from the budget, unless it was when the attempt was
+// broken off.
+func (c *Core) payRetry(r *request, f Failure) {
+	if !r.brokenOff {
+		c.budget -= retryCost(f)
+	}
+	r.brokenOff = false
 }
 
 const (
@@ -61,13 +71,55 @@
 		c.timers.set(r, min(r.Deadline, now+r.stallsAfter()))
 		return nil
 	}
-	r.stalled = true
-	c.suspect(now, r, "an attempt got stuck")
+	if !r.stalled {
+		r.stalled = true
+		c.suspect(now, r, "an attempt got stuck")
+	}
+	if r.brokenOff || !r.Idempotent {
+		c.timers.set(r, r.Deadline)
+		return nil
+	}
+	if c.budget < 1 || !c.hasSlotElsewhere(r) {
+		c.timers.set(r, min(r.Deadline, now+minStall))
+		return nil
+	}
+	r.brokenOff = true
+	c.budget--
 	c.timers.set(r, r.Deadline)
-	if r.Idempotent && c.budget >= 1 && c.hasOther(r) {
-		return []Action{Cancel{r.ID}}
+	return []Action{Cancel{r.ID}}
+}
+
+// hasSlotElsewhere reports whether another runner has a free slot for a request, beside those
+// for requests whose attempts were broken off just now. The slot of an attempt that is broken
+// off stays taken until its runner must have stopped, so one without another slot would only
+// wait for its deadline.
+func (c *Core) hasSlotElsewhere(r *request) bool {
+	s := c.service(r.Service)
+	free := 0
+	for _, t := range s.runners {
+		switch {
+		case t == r.runner || !t.open() || r.avoids(t.ID):
+		case t.health.state == Probation:
+			free++
+		default:
+			free += t.ownFree()
+			if t.ownFree() == 0 && t.loanFor(r) != nil {
+				free++
+			}
+		}
+	}
+	return free > s.brokenOff(c.requests)
+}
+
+// brokenOff counts the service's requests whose attempts were broken off and have yet to end.
+func (s *service) brokenOff(requests map[uint64]*request) int {
+	n := 0
+	for _, r := range requests {
+		if r.brokenOff && r.runner != nil && slices.Contains(s.runners, r.runner) {
+			n++
+		}
 	}
-	return nil
+	return n
 }
 
 // suspect counts silence against a runner, unless half of the service's runners are in
