schedclient: a change waits for a scheduler that is held up

The operator had to find out whether the change was in force; it was sent, and the scheduler only needed longer. Two schedulers and an entry lost their connections to sched-1 within 0.1 s.

Cause: a heartbeat that is 0.4 s late ended each call on the connection, whether the connection had gone silent (new ones work, and nothing ever comes on this one) or the process was held up (an answer comes when it goes on). For a question that another scheduler can answer the two are one; a change can't be put again, and its operator was left in doubt for nothing. TestChangeWaitsForASchedulerThatIsHeldUp failed before: "Ask: use of closed network connection".

Now a late heartbeat is followed by one on a new connection. If that is answered, the old connection is silent unless it answers one more, and all calls on it end (TestSilentConnectionIsReplaced, unchanged; after 0.9 s instead of 0.5). If it isn't, the process is: changes (settings, keys, jobs, cancels) wait on for their own timeout of 8 s, and all others end as before, after at most 0.9 s instead of 0.5 s (TestQuestionEndsWhileItsSchedulerIsHeldUp).

Left: a scheduler that is held up for over 8 s, or ends meanwhile, still leaves its operator in doubt, which is true.

--- a/cmd/internal/entry/keys.go
+++ b/cmd/internal/entry/keys.go
@@ -33,6 +33,6 @@
 		badRequest(w, "the change could not be read: "+err.Error())
 		return
 	}
-	a, err := e.scheds.ask(api.PublishKeys{Change: c})
+	a, err := e.scheds.change(api.PublishKeys{Change: c})
 	e.respond(w, a, err, func() { writeJSON(w, http.StatusOK, AcceptedBody{a.Offset}) })
 }
--- a/cmd/internal/entry/operate.go
+++ b/cmd/internal/entry/operate.go
@@ -149,7 +149,7 @@
 	if file == "" {
 		file = r.PathValue("team") + ".jsonc"
 	}
-	a, err := e.scheds.ask(api.Publish{Change: settings.Change{Team: r.PathValue("team"), Base: infra.Offset(base), File: file, Document: string(doc), Signature: signature}})
+	a, err := e.scheds.change(api.Publish{Change: settings.Change{Team: r.PathValue("team"), Base: infra.Offset(base), File: file, Document: string(doc), Signature: signature}})
 	e.respond(w, a, err, func() { writeJSON(w, http.StatusOK, AcceptedBody{a.Offset}) })
 }
 
@@ -168,7 +168,7 @@
 		writeJSON(w, http.StatusBadRequest, ErrorBody{Code: api.Invalid, Message: "the job is not valid", Findings: findings})
 		return
 	}
-	a, err := e.scheds.ask(api.Submit{Job: spec})
+	a, err := e.scheds.change(api.Submit{Job: spec})
 	a.Findings = jsonc.Relocate(file, doc, a.Findings, &placement.JobSpec{})
 	e.respond(w, a, err, func() { writeJSON(w, http.StatusOK, AcceptedBody{a.Offset}) })
 }
@@ -208,7 +208,7 @@
 }
 
 func (e *Entry) jobCancel(w http.ResponseWriter, r *http.Request) {
-	a, err := e.scheds.ask(api.Cancel{Job: r.PathValue("id"), Reason: "cancelled by an operator"})
+	a, err := e.scheds.change(api.Cancel{Job: r.PathValue("id"), Reason: "cancelled by an operator"})
 	e.respond(w, a, err, func() { writeJSON(w, http.StatusOK, AcceptedBody{a.Offset}) })
 }
 
--- a/cmd/internal/entry/schedulers.go
+++ b/cmd/internal/entry/schedulers.go
@@ -38,10 +38,19 @@
 // question may have left this process it is not put to another one, as it may
 // already have taken effect.
 func (s *schedulers) ask(q api.Question) (api.Answer, error) {
+	return s.askFirst(q, (*schedclient.Client).Ask)
+}
+
+// change is ask for changes. A scheduler that answers late leaves nobody in doubt for that.
+func (s *schedulers) change(q api.Question) (api.Answer, error) {
+	return s.askFirst(q, (*schedclient.Client).Change)
+}
+
+func (s *schedulers) askFirst(q api.Question, put func(*schedclient.Client, api.Question, time.Duration) (api.Answer, error)) (api.Answer, error) {
 	var last error
 	var starting *api.Answer
 	for _, addr := range s.order {
-		a, err := s.client(addr).Ask(q, askTimeout)
+		a, err := put(s.client(addr), q, askTimeout)
 		if err == nil && a.Code == api.Starting {
 			starting = &a
 			continue
--- a/cmd/internal/schedclient/client.go
+++ b/cmd/internal/schedclient/client.go
@@ -62,8 +62,19 @@
 // Ask puts a question. After ErrNotSent the question was not asked; after any
 // other error it may have been.
 func (c *Client) Ask(q api.Question, timeout time.Duration) (api.Answer, error) {
+	return c.ask(q, timeout, untilSilent)
+}
+
+// Change puts a question that can't be put again, such as a change. While the scheduler is
+// silent it waits on for the answer, and ends sooner only if the connection has gone silent.
+// Errors are those of Ask.
+func (c *Client) Change(q api.Question, timeout time.Duration) (api.Answer, error) {
+	return c.ask(q, timeout, throughSilence)
+}
+
+func (c *Client) ask(q api.Question, timeout time.Duration, p silencePolicy) (api.Answer, error) {
 	var a api.Answer
-	err := c.call("Ask", api.Ask{Question: q}, &a, timeout)
+	err := c.call("Ask", api.Ask{Question: q}, &a, timeout, p)
 	if err != nil {
 		// A late reply may still be decoded into the variable.
 		return api.Answer{}, err
@@ -71,15 +82,26 @@
 	return a, nil
 }
 
+// silencePolicy says what a call does while its scheduler answers no heartbeat, on no connection.
+type silencePolicy int
+
+const (
+	untilSilent    silencePolicy = iota // it ends, so that another scheduler can be asked
+	throughSilence                      // it waits on
+)
+
+// errSilent means that the scheduler answered no heartbeat, on no connection.
+var errSilent = errors.Errorf("no heartbeat was answered for %v", heartbeatTimeout)
+
 // Deliver sends an envelope.
 func (c *Client) Deliver(e api.Envelope, timeout time.Duration) error {
-	return c.call("Deliver", e, &api.Ack{}, timeout)
+	return c.call("Deliver", e, &api.Ack{}, timeout, untilSilent)
 }
 
 // Watch returns the cell's state.
 func (c *Client) Watch(since uint64, timeout time.Duration) (api.State, error) {
 	var st api.State
-	err := c.call("Watch", api.Watch{Since: since}, &st, timeout)
+	err := c.call("Watch", api.Watch{Since: since}, &st, timeout, untilSilent)
 	if err != nil {
 		// A late reply may still be decoded into the variable.
 		return api.State{}, err
@@ -90,7 +112,7 @@
 // Dump returns the scheduler's state in JSON.
 func (c *Client) Dump(timeout time.Duration) ([]byte, error) {
 	var d api.DumpReply
-	err := c.call("Dump", api.DumpArgs{}, &d, timeout)
+	err := c.call("Dump", api.DumpArgs{}, &d, timeout, untilSilent)
 	if err != nil {
 		return nil, err
 	}
@@ -100,14 +122,14 @@
 // Snapshot returns the scheduler's whole state, or only its offset.
 func (c *Client) Snapshot(offsetOnly bool, timeout time.Duration) (api.SnapshotReply, error) {
 	var r api.SnapshotReply
-	if err := c.call("Snapshot", api.SnapshotArgs{OffsetOnly: offsetOnly}, &r, timeout); err != nil {
+	if err := c.call("Snapshot", api.SnapshotArgs{OffsetOnly: offsetOnly}, &r, timeout, untilSilent); err != nil {
 		// A late reply may still be decoded into the variable.
 		return api.SnapshotReply{}, err
 	}
 	return r, nil
 }
 
-func (c *Client) call(method string, args, reply any, timeout time.Duration) error {
+func (c *Client) call(method string, args, reply any, timeout time.Duration, p silencePolicy) error {
 	l, err := c.connect()
 	if err != nil {
 		return err
@@ -122,6 +144,7 @@
 	go l.rpc.Go(api.ServiceName+"."+method, args, reply, done)
 	slow := time.NewTicker(heartbeatEvery)
 	defer slow.Stop()
+	began := time.Now().UnixNano()
 	for {
 		select {
 		case call := <-done:
@@ -131,6 +154,9 @@
 			}
 			return errors.Wrapf(call.Error, "scheduler %s: %s", c.addr, method)
 		case <-slow.C:
+			if p == untilSilent && l.silentAt.Load() > began {
+				return errors.Wrapf(errSilent, "scheduler %s: %s", c.addr, method)
+			}
 			go c.heartbeat(l)
 		case <-timer.C:
 			return errors.Errorf("scheduler %s: %s: no answer within %s", c.addr, method, timeout)
@@ -144,6 +170,9 @@
 	rpc      *rpc.Client
 	pending  atomic.Int64
 	checking atomic.Bool
+	// silentAt is when the scheduler was last found to be silent, in nanoseconds since 1970; 0:
+	// never.
+	silentAt atomic.Int64
 	used     time.Time
 }
 
@@ -181,27 +210,63 @@
 // of them. A call on such a one would wait for its whole timeout, and so would
 // all that follow. The heartbeat is answered by the rpc server itself, however
 // long a question takes, so a late one means that the connection or the
-// process is silent; every waiting call then ends at once.
+// process is silent. If a new connection works it is the former, and every waiting call
+// ends at once. If none does, the calls that another scheduler can take end.
 func (c *Client) heartbeat(l *link) {
 	if !l.checking.CompareAndSwap(false, true) {
 		return
 	}
 	defer l.checking.Store(false)
-	if !l.alive() {
+	switch answer(l.rpc) {
+	case pingAnswered:
+	case pingFailed:
 		c.drop(l)
+	case pingLate:
+		switch {
+		case !c.answersAnew():
+			l.silentAt.Store(time.Now().UnixNano())
+		case answer(l.rpc) != pingAnswered: // the scheduler may have gone on just now
+			c.drop(l)
+		}
 	}
 }
 
-func (l *link) alive() bool {
+// answersAnew reports whether the scheduler answers on a new connection.
+func (c *Client) answersAnew() bool {
+	conn, err := c.dial(c.addr, heartbeatTimeout)
+	if err != nil {
+		return false
+	}
+	client := rpc.NewClient(conn)
+	defer func() {
+		_ = conn.Close() // first: rpc.Client.Close waits for a write in progress
+		_ = client.Close()
+	}()
+	return answer(client) == pingAnswered
+}
+
+// pingOutcome is what became of a heartbeat.
+type pingOutcome int
+
+const (
+	pingAnswered pingOutcome = iota
+	pingFailed               // the connection is broken
+	pingLate
+)
+
+func answer(client *rpc.Client) pingOutcome {
 	timer := time.NewTimer(heartbeatTimeout)
 	defer timer.Stop()
 	done := make(chan *rpc.Call, 1)
-	go l.rpc.Go(api.ServiceName+".Ping", api.PingArgs{}, &api.Ack{}, done)
+	go client.Go(api.ServiceName+".Ping", api.PingArgs{}, &api.Ack{}, done)
 	select {
 	case call := <-done:
-		return call.Error == nil
+		if call.Error != nil {
+			return pingFailed
+		}
+		return pingAnswered
 	case <-timer.C:
-		return false
+		return pingLate
 	}
 }
 
--- a/cmd/internal/schedclient/client_test.go
+++ b/cmd/internal/schedclient/client_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/rpc"
 	"os"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -125,6 +126,66 @@
 	assert.Equal(t, s.asked.Load(), int64(1))
 }
 
+// holding forwards connections to addr. Nothing passes, on any of them, until the returned
+// function is called; tried gets a value for each connection.
+func holding(t *testing.T, addr string) (at string, tried <-chan struct{}, release func()) {
+	t.Helper()
+	l := listen(t)
+	held, connected := make(chan struct{}), make(chan struct{}, 100)
+	go func() {
+		for {
+			in, err := l.Accept()
+			if err != nil {
+				return
+			}
+			connected <- struct{}{}
+			go func() {
+				<-held
+				out, err := net.Dial("tcp", addr)
+				if err != nil {
+					return
+				}
+				go pipe(in, out)
+				pipe(out, in)
+			}()
+		}
+	}()
+	return l.Addr().String(), connected, sync.OnceFunc(func() { close(held) })
+}
+
+// Guards against a change in doubt since its scheduler was held up for less than the change may take.
+func TestChangeWaitsForASchedulerThatIsHeldUp(t *testing.T) {
+	s := &sched{release: make(chan struct{})}
+	close(s.release)
+	addr, tried, release := holding(t, serve(t, s))
+	defer release()
+	c := New(addr)
+	defer c.Close()
+	go func() {
+		for range 3 { // the call's, and those of two late heartbeats
+			<-tried
+		}
+		release()
+	}()
+	a, err := c.Change(api.JobQuery{}, patience)
+	assert.NilError(t, err)
+	assert.Equal(t, a.Code, api.OK)
+	assert.Equal(t, s.asked.Load(), int64(1))
+}
+
+// Guards against a question that waits for a scheduler that is held up, while another could
+// answer it.
+func TestQuestionEndsWhileItsSchedulerIsHeldUp(t *testing.T) {
+	s := &sched{release: make(chan struct{})}
+	close(s.release)
+	addr, _, release := holding(t, serve(t, s))
+	defer release()
+	c := New(addr)
+	defer c.Close()
+	_, err := c.Ask(api.JobQuery{}, time.Hour)
+	assert.Assert(t, errors.Is(err, errSilent), "%v", err)
+}
+
 // Only a call that never left may be put to another scheduler. A scheduler that
 // dies with the question in hand may have carried it out; one that does not
 // listen has not seen it.
