pool: failures that were counted before a queue's policy was known use up its attempts

What callers see: a job whose work fails each time runs once more than its queue allows, beside others' work, and is shown as failed a run later.

A new owner took the pool at 19.64 s, read two failures, and was told of the third by a worker at 19.69 s; it counted and stored it. It read the configuration at 19.90 s. How many attempts the queue allows is asked when a failure is counted, and was not known then; afterwards nobody asked again. A successor that reads three stored failures has the same gap.

Now a waiting task's failures are held against its queue's policy before it is placed, whoever counted them and when. A policy that allows fewer attempts than before counts in the same way, for tasks that wait; what runs may still end as done.

--- a/node/history_test.go
+++ b/node/history_test.go
@@ -22,9 +22,11 @@
 
 // failedOnce are seeds whose history once broke a promise, each with its cause.
 var failedOnce = map[uint64]string{
-	406: "a cancellation that was read before its job went for nothing",
-	143: "a read that a silent store had lost was waited for, and a configuration was late",
-	351: "the same, at two instances at once",
+	406:  "a cancellation that was read before its job went for nothing",
+	143:  "a read that a silent store had lost was waited for, and a configuration was late",
+	351:  "the same, at two instances at once",
+	5008: "failures that a new owner counted before it knew the queue's policy left an attempt too many",
+	5068: "the same, for three tasks of a job",
 }
 
 // Callers hand jobs in, ask for them and cancel some, while instances are killed,
--- a/pool/ends.go
+++ b/pool/ends.go
@@ -129,8 +129,9 @@
 		return
 	}
 	t.failed = append(t.failed, number)
+	s.mostFailed = max(s.mostFailed, len(t.failed))
 	if attempts := c.queues[s.job.Queue].Attempts; !s.spec.LongRunning && attempts > 0 && len(t.failed) >= attempts {
-		c.fail(s.job, "a task failed too often")
+		c.fail(s.job, failedTooOften)
 	}
 }
 
--- a/pool/place.go
+++ b/pool/place.go
@@ -49,6 +49,7 @@
 	settled := c.settled()
 	lookAtAll := c.lookAtAll || c.reserveDue()
 	c.lookAtAll = false
+	var exhausted []*job
 	for _, j := range c.order {
 		if j.inherited && !settled {
 			continue
@@ -60,6 +61,8 @@
 			for _, s := range occ.steps {
 				switch {
 				case !c.mayPlace(s) || !s.anyWaiting(c.now):
+				case c.isExhausted(s):
+					exhausted = append(exhausted, j)
 				case c.now < s.lookAgain && !lookAtAll:
 					c.replan = true // with the next event
 				default:
@@ -68,6 +71,10 @@
 			}
 		}
 	}
+	for _, j := range exhausted {
+		c.fail(j, failedTooOften)
+	}
+	waiting = slices.DeleteFunc(waiting, func(s *step) bool { return s.job.state.Ended() })
 	c.sortByUrgency(waiting)
 	c.measureRoom()
 	c.dropReservations()
@@ -80,6 +87,19 @@
 	c.waiting = waiting
 }
 
+// failedTooOften is why a job failed.
+const failedTooOften = "a task failed too often"
+
+// isExhausted reports whether a waiting task has failed as often as its queue allows. A
+// failure may have been counted before the queue's policy was known, or under another one.
+func (c *Core) isExhausted(s *step) bool {
+	attempts := c.policy(s).Attempts
+	if s.spec.LongRunning || attempts <= 0 || s.mostFailed < attempts {
+		return false
+	}
+	return slices.ContainsFunc(s.tasks, func(t *task) bool { return t.waits(c.now) && len(t.failed) >= attempts })
+}
+
 func (s *step) anyWaiting(now time.Duration) bool {
 	for _, t := range s.tasks {
 		if t.waits(now) {
--- a/pool/records.go
+++ b/pool/records.go
@@ -216,6 +216,7 @@
 			s.finish(t)
 		}
 		t.failed = p.Failed[i]
+		s.mostFailed = max(s.mostFailed, len(t.failed))
 		t.saved = p.Saved[i]
 	}
 }
--- a/pool/state.go
+++ b/pool/state.go
@@ -36,11 +36,13 @@
 	remaining int // tasks that aren't done
 	gangRun   int // number of the gang's newest run
 	doneRun   int // number of the gang's run that ended as done; 0: none did
-	policy    policy
-	rated     urgency // as of the newest pass
-	chainMs   int64   // longest chain of declared work of the job
-	leftMs    int64   // the same from this step on
-	advice    advice
+	// mostFailed is the most failed runs of one of the tasks.
+	mostFailed int
+	policy     policy
+	rated      urgency // as of the newest pass
+	chainMs    int64   // longest chain of declared work of the job
+	leftMs     int64   // the same from this step on
+	advice     advice
 	// waitingSince is when the step's turn came.
 	waitingSince time.Duration
 	turn         bool
