soak: queues move between services

With -moves half of the soak's workers serve each of two services, and a configuration every 0.1 to 1.6 s sends the queue to the other one each second time, beside all other faults.

--- a/scenario/soak/kw-soak/main.go
+++ b/scenario/soak/kw-soak/main.go
@@ -26,8 +26,9 @@
 	binary := flag.String("binary", "", "the program, for one without a safeguard; built if not given")
 	dir := flag.String("dir", "", "where logs are kept; a new directory if not given")
 	eachHungUp := flag.Bool("hangups-of-each", false, "hang up each process once it can answer, in place of some also before their first instruction")
+	moves := flag.Bool("moves", false, "send the queue to another service and back all the while")
 	flag.Parse()
-	if err := play(*first, *seeds, *atOnce, *dir, soak.Options{Binary: *binary, Trouble: *trouble, Calm: 40 * time.Second, Instances: *instances, Workers: *workers, EarlyHangups: !*eachHungUp, HangupsOfEach: *eachHungUp}); err != nil {
+	if err := play(*first, *seeds, *atOnce, *dir, soak.Options{Binary: *binary, Trouble: *trouble, Calm: 40 * time.Second, Instances: *instances, Workers: *workers, EarlyHangups: !*eachHungUp, HangupsOfEach: *eachHungUp, Moves: *moves}); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
--- a/scenario/soak/soak.go
+++ b/scenario/soak/soak.go
@@ -39,6 +39,9 @@
 	// HangupsOfEach has each process told so at the first moment at which the kernel shows
 	// that it has said how it takes the signal, and any such process later.
 	HangupsOfEach bool
+	// Moves has configurations send the queue to another service and back all the while. Half of
+	// the workers serve each.
+	Moves bool
 }
 
 // Report is what a run has found.
@@ -101,6 +104,9 @@
 		watchers.Go(func() { r.askEverywhere(watching, i, luck) })
 	}
 	go r.strangers(ctx)
+	if r.Moves {
+		go r.move(ctx)
+	}
 	r.trouble(ctx)
 	r.heal()
 	callers.Wait()
@@ -135,6 +141,12 @@
 		more.Prefix, more.Queue.Name = "/more"+prefix, "more"
 		c.Routes = append(c.Routes, more)
 	}
+	if r.Moves {
+		c.Services = append(c.Services, machines.OtherService)
+		for i := range c.Routes {
+			c.Routes[i].Queue.Service = c.Services[r.version/2%2]
+		}
+	}
 	r.world.Configure(c)
 }
 
@@ -207,7 +219,11 @@
 }
 
 func (r *run) addWorker(n int) {
-	r.world.AddWorker(pool.Resources{CPU: 8000, Mem: 16000, GPU: n % 3 * 4}, []string{"a", "b"}[n%2], fmt.Sprintf("r%d", n%3))
+	service := machines.Service
+	if r.Moves && n/2%2 == 1 {
+		service = machines.OtherService
+	}
+	r.world.AddWorkerTo(service, pool.Resources{CPU: 8000, Mem: 16000, GPU: n % 3 * 4}, []string{"a", "b"}[n%2], fmt.Sprintf("r%d", n%3))
 }
 
 // between puts a proxy in front of a worker.
--- a/scenario/soak/soak_test.go
+++ b/scenario/soak/soak_test.go
@@ -47,6 +47,11 @@
 	})
 }
 
+// Guards against a request that is stored and run twice while its queue moves between services.
+func TestSoakWithQueuesThatMove(t *testing.T) {
+	playSeeds(t, []Options{{Seed: 100, Instances: 5, Workers: 10, Trouble: 15 * time.Second, Moves: true}})
+}
+
 func playSeeds(t *testing.T, seeds []Options) {
 	t.Helper()
 	binary := filepath.Join(t.TempDir(), "kw-node")
--- a/scenario/soak/trouble.go
+++ b/scenario/soak/trouble.go
@@ -79,6 +79,20 @@
 	}
 }
 
+// move changes the configuration again and again, each second time with another service for the
+// queue. It draws from a source of its own, as strangers does.
+func (r *run) move(ctx context.Context) {
+	luck := r.luck(6)
+	for {
+		sleep(ctx, time.Duration(100+luck.IntN(1500))*time.Millisecond)
+		if r.world.Since() >= r.Trouble || ctx.Err() != nil {
+			return
+		}
+		r.configure()
+		r.fault("another configuration")
+	}
+}
+
 func (r *run) fault(format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/standin/machines/worker.go
+++ b/standin/machines/worker.go
@@ -23,6 +23,7 @@
 	capacity pool.Resources
 	kind     string
 	rack     string
+	service  string
 	alive    bool
 	dark     bool // runs on, but nobody reaches it
 	listed   bool
@@ -76,7 +77,7 @@
 	if x.w.AddrOf != nil {
 		addr = x.w.AddrOf(x.id)
 	}
-	return pool.WorkerInfo{ID: x.id, Addr: addr, Service: Service, Zone: "z", Rack: x.rack, Kind: x.kind,
+	return pool.WorkerInfo{ID: x.id, Addr: addr, Service: x.service, Zone: "z", Rack: x.rack, Kind: x.kind,
 		Labels: []string{x.kind, x.rack}, Capacity: x.capacity, Draining: !x.drainsAt.IsZero()}
 }
 
--- a/standin/machines/world.go
+++ b/standin/machines/world.go
@@ -20,8 +20,9 @@
 )
 
 const (
-	// Service is the one pool of a world.
-	Service = "grinding"
+	// Service is the pool of a world's workers, OtherService that of those that are added to it.
+	Service      = "grinding"
+	OtherService = "mapping"
 	// tickEvery is the grain of the workers' time.
 	tickEvery = 10 * time.Millisecond
 	// wayBack is how long an answer takes.
@@ -101,10 +102,16 @@
 
 // AddWorker adds a worker and returns its ID.
 func (w *World) AddWorker(capacity pool.Resources, kind, rack string) string {
+	return w.AddWorkerTo(Service, capacity, kind, rack)
+}
+
+// AddWorkerTo is AddWorker for a service.
+func (w *World) AddWorkerTo(service string, capacity pool.Resources, kind, rack string) string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.nextID++
 	x := newWorker(w, fmt.Sprintf("w%d", w.nextID), capacity, kind, rack)
+	x.service = service
 	w.workers[x.id] = x
 	w.order = append(w.order, x)
 	w.list()
