node: a pool is opened for at most 1000 queues at once

Found by reading: a configuration with many thousands of queues bound them all by one append. A queue's binding and state take up to 600 bytes each with a long name, and the store takes 2 MB a call: an append that is too large is refused each time, and no queue of that configuration would ever have been open. Now 1000 are bound at a time, the next ones right behind.

The reader is woken in one place.

--- a/node/bind.go
+++ b/node/bind.go
@@ -42,10 +42,7 @@
 	if o.queues.binding || len(o.queues.wanted) == 0 || o.unit.node.now() < o.queues.retryAt || o.unit.heir != "" {
 		return
 	}
-	var refs []QueueRef
-	for _, ref := range o.queues.wanted {
-		refs = append(refs, ref)
-	}
+	refs := o.queues.nextWanted()
 	o.queues.binding = true
 	go func() { o.send(o.unit.bind(o.ctx, refs)) }()
 }
--- a/node/queuestate.go
+++ b/node/queuestate.go
@@ -215,6 +215,10 @@
 // bindRetry is the pause after an attempt to open the pool for queues that failed.
 const bindRetry = 200 * time.Millisecond
 
+// bindAtOnce bounds for how many queues a pool is opened at once: their records, of up to 600
+// bytes each, have to fit into one append of 2 MB beside others.
+const bindAtOnce = 1000
+
 // queueTable is what a pool's owner knows of queues.
 type queueTable struct {
 	states map[string]queueState
@@ -265,6 +269,18 @@
 	}
 }
 
+// nextWanted returns queues to open the pool for, as many as are opened at once.
+func (t *queueTable) nextWanted() []QueueRef {
+	refs := make([]QueueRef, 0, min(len(t.wanted), bindAtOnce))
+	for _, ref := range t.wanted {
+		if len(refs) == bindAtOnce {
+			break
+		}
+		refs = append(refs, ref)
+	}
+	return refs
+}
+
 // set puts a state in force if it is newer than the one known.
 func (t *queueTable) set(s queueState) bool {
 	if old, known := t.states[s.Queue]; known && old.Version >= s.Version {
--- a/node/vacancy.go
+++ b/node/vacancy.go
@@ -111,10 +111,7 @@
 	go u.ping(ctx, c)
 	if now-u.ownerAlive > deadAfter/2 {
 		// Its newest word, if there is one, must be known before it counts as dead.
-		select {
-		case u.readNow <- struct{}{}:
-		default:
-		}
+		u.wakeReader()
 		go u.checkStore(ctx, u.replica.next)
 	}
 }
