--- a/node/bind.go
+++ b/node/bind.go
@@ -11,7 +11,7 @@
 
 const (
 	// closeTimeout bounds one attempt to have another pool closed for queues: a request to its
-	// owner, an append and a read, which take 20 ms, and 0.8 s on slow days.
+	// owner, an append, and a read.
 	closeTimeout = 2 * time.Second
 	// closeLook is the pause between two looks whether it is closed.
 	closeLook = 20 * time.Millisecond
--- a/node/queuestate.go
+++ b/node/queuestate.go
@@ -215,8 +215,8 @@
 // bindRetry is the pause after an attempt to open the pool for queues that failed.
 const bindRetry = 200 * time.Millisecond
 
-// bindAtOnce bounds for how many queues a pool is opened at once: their records, of up to 600
-// bytes each, have to fit into one append of 2 MB beside others.
+// bindAtOnce bounds for how many queues a pool is opened at once: their records have to fit
+// into one append, of 2 MB at most, beside others.
 const bindAtOnce = 1000
 
 // queueTable is what a pool's owner knows of queues.
