--- a/cmd/internal/schedclient/client_test.go
+++ b/cmd/internal/schedclient/client_test.go
@@ -173,8 +173,7 @@
 	assert.Equal(t, s.asked.Load(), int64(1))
 }
 
-// Guards against a question that waits for a scheduler that is held up, while another could
-// answer it.
+// Guards against a question that waits for a scheduler that is held up while another could answer.
 func TestQuestionEndsWhileItsSchedulerIsHeldUp(t *testing.T) {
 	s := &sched{release: make(chan struct{})}
 	close(s.release)
--- a/dispatch/stuck_test.go
+++ b/dispatch/stuck_test.go
@@ -17,8 +17,7 @@
 	return actions
 }
 
-// Guards against callers told "unknown" long before their deadline, since two stuck attempts
-// were broken off for the one retry that the budget had left.
+// Guards against two stuck attempts that are broken off for the only retry that the budget has left.
 func TestNoMoreAttemptsAreBrokenOffThanMayBeRetried(t *testing.T) {
 	c := threeZones()
 	c.budget = 1
@@ -32,8 +31,7 @@
 	assert.Equal(t, only[Finished](t, c.Answered(second, other, second, false)).Outcome, Done)
 }
 
-// Guards against a request that waits until its deadline for a free slot, since its stuck attempt
-// was broken off when there was none elsewhere.
+// Guards against a stuck attempt that is broken off though no slot elsewhere is free for its retry.
 func TestStuckAttemptIsKeptWhileNoSlotIsFreeElsewhere(t *testing.T) {
 	c := threeZones()
 	const slots = 8
@@ -50,8 +48,7 @@
 	}
 }
 
-// Guards against an attempt that stays stuck until its deadline, since a slot elsewhere came free
-// only after it was found to be stuck.
+// Guards against an attempt that stays stuck until its deadline though a slot elsewhere came free.
 func TestStuckAttemptIsBrokenOffWhenASlotComesFree(t *testing.T) {
 	c := threeZones()
 	const slots = 8
--- a/node/direct_internal_test.go
+++ b/node/direct_internal_test.go
@@ -8,8 +8,7 @@
 	"github.com/knapweedweir/knapweedweir/pool"
 )
 
-// Guards against an accepted job that never starts, since the instance that has stored it without
-// an owner has become the owner before it had the answer.
+// Guards against an accepted job that never starts, as its instance stored it just before it became the owner.
 func TestOwnerKnowsTheJobsThatItStoredBeforeItsClaim(t *testing.T) {
 	_, u := newOwner(t, quietStore{end: 9})
 	rec := pool.Record{Key: pool.JobKey("j1"), Value: pool.Encode(pool.Job{ID: "j1", Queue: "q", Service: "s", Steps: []pool.StepSpec{{Count: 1}}})}
--- a/node/inuse_internal_test.go
+++ b/node/inuse_internal_test.go
@@ -11,8 +11,7 @@
 	"github.com/knapweedweir/knapweedweir/pool"
 )
 
-// Guards against a pool that counts as not in use, and whose jobs are denied, since its entry
-// can't be read.
+// Guards against denials of jobs in a pool whose entry on the list of those in use can't be read.
 func TestPoolWhoseEntryIsUnreadableCountsAsInUse(t *testing.T) {
 	n, _ := newOwner(t, listedStore{records: []Stored{
 		{Offset: 0, Record: pool.Record{Key: "0", Value: []byte("1")}},
--- a/node/moved_request_test.go
+++ b/node/moved_request_test.go
@@ -73,8 +73,7 @@
 	return c.member(name).node.Submit(ctx, j)
 }
 
-// Guards against a request that is stored in two pools when it is repeated at an instance that
-// knows of its queue's move by no memory of its own.
+// Guards against a repeated request that is stored in two pools since its queue has moved between the tries.
 func TestRequestRepeatedAfterItsQueueMovedIsStoredOnce(t *testing.T) {
 	courses := []struct {
 		name string
@@ -184,8 +183,7 @@
 	return len(s.waiting)
 }
 
-// Guards against a job that an append stores in the former pool after its repeat was stored in
-// the new one.
+// Guards against an append that stores a job in the former pool after its repeat was stored in the new one.
 func TestAppendThatTakesEffectAfterTheQueueMovedStoresNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, 1, false)
@@ -219,8 +217,7 @@
 	})
 }
 
-// Guards against any course of moves, restarts and troubles of the store in which a request is
-// stored in two pools, or stored though all its tries were refused.
+// Guards against requests stored in two pools, or though all their tries were refused, in any course of moves.
 func TestRequestsAreStoredOnceThroughMovesAndTroubles(t *testing.T) {
 	for seed := range uint64(40) {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
@@ -314,8 +311,7 @@
 	return v
 }
 
-// Guards against a queue that is refused for good since another writer's entry has come in place
-// of the former pool's.
+// Guards against a queue that is refused for good after another writer has replaced the former pool's entry.
 func TestQueueIsServedAfterItsFormerPoolsEntryWasSpoilt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := behindCluster(t)
--- a/node/pending_elsewhere_test.go
+++ b/node/pending_elsewhere_test.go
@@ -12,8 +12,7 @@
 	"github.com/knapweedweir/knapweedweir/standin/machines"
 )
 
-// Guards against an instance that counts no waiting jobs, since they wait in a pool that its old
-// configuration doesn't name.
+// Guards against a count that misses the jobs in a pool that the instance's old configuration doesn't name.
 func TestWaitingJobsOfANewServiceAreCountedByTheOldConfiguration(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, 1, false, "a", "b")
--- a/node/queuestate_internal_test.go
+++ b/node/queuestate_internal_test.go
@@ -7,8 +7,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// Guards against a configuration of many queues whose records don't fit into one append, so that
-// none of them is ever served.
+// Guards against a configuration of so many queues that their records don't fit into one append.
 func TestPoolIsOpenedForManyQueuesInParts(t *testing.T) {
 	table := newQueueTable()
 	const queues = 2*bindAtOnce + 1
--- a/pool/budget_test.go
+++ b/pool/budget_test.go
@@ -34,8 +34,7 @@
 	return r
 }
 
-// Guards against a task that is started more often than its queue allows, since its failures were
-// counted before the queue's policy was known.
+// Guards against starts beyond a queue's attempts after failures counted before its policy was known.
 func TestFailuresBeforeThePolicyIsKnownCount(t *testing.T) {
 	for name, stored := range map[string]bool{"listed by a worker": false, "stored by a predecessor": true} {
 		t.Run(name, func(t *testing.T) {
--- a/scenario/soak/process_test.go
+++ b/scenario/soak/process_test.go
@@ -73,8 +73,7 @@
 	}
 }
 
-// Guards against an end by the signal that is excused since the process doesn't take it any
-// more, though it did.
+// Guards against an excuse for a process that took the signal once and ends by it later.
 func TestProcessThatNoLongerTakesHangupsMustNotEndByOne(t *testing.T) {
 	i, died := newScript(t, "trap '' HUP; sleep 0.2; trap - HUP")
 	pid := i.pid(t)
