--- a/cmd/internal/schedclient/client.go
+++ b/cmd/internal/schedclient/client.go
@@ -217,22 +217,22 @@
 		return
 	}
 	defer l.checking.Store(false)
-	switch answer(l.rpc) {
+	switch ping(l.rpc) {
 	case pingAnswered:
 	case pingFailed:
 		c.drop(l)
 	case pingLate:
 		switch {
-		case !c.answersAnew():
+		case !c.answersNewConnection():
 			l.silentAt.Store(time.Now().UnixNano())
-		case answer(l.rpc) != pingAnswered: // the scheduler may have gone on just now
+		case ping(l.rpc) != pingAnswered: // the scheduler may have gone on just now
 			c.drop(l)
 		}
 	}
 }
 
-// answersAnew reports whether the scheduler answers on a new connection.
-func (c *Client) answersAnew() bool {
+// answersNewConnection reports whether the scheduler answers on a new connection.
+func (c *Client) answersNewConnection() bool {
 	conn, err := c.dial(c.addr, heartbeatTimeout)
 	if err != nil {
 		return false
@@ -242,7 +242,7 @@
 		_ = conn.Close() // first: rpc.Client.Close waits for a write in progress
 		_ = client.Close()
 	}()
-	return answer(client) == pingAnswered
+	return ping(client) == pingAnswered
 }
 
 // pingOutcome is what became of a heartbeat.
@@ -254,7 +254,8 @@
 	pingLate
 )
 
-func answer(client *rpc.Client) pingOutcome {
+// ping sends a heartbeat and waits for its answer.
+func ping(client *rpc.Client) pingOutcome {
 	timer := time.NewTimer(heartbeatTimeout)
 	defer timer.Stop()
 	done := make(chan *rpc.Call, 1)
--- a/dispatch/retry.go
+++ b/dispatch/retry.go
@@ -33,8 +33,8 @@
 	return safe && !r.left && inTime && paid && c.hasOther(r)
 }
 
-// payRetry takes a retry after a failure from the budget, unless it was when the attempt was
-// broken off.
+// payRetry takes a retry after a failure from the budget, unless that was done when the attempt
+// was broken off.
 func (c *Core) payRetry(r *request, f Failure) {
 	if !r.brokenOff {
 		c.budget -= retryCost(f)
