--- a/node/bind.go
+++ b/node/bind.go
@@ -221,7 +221,9 @@
 	}
 	return u.askOwner(addr, func(at string) (string, error) {
 		r := new(CloseReply) // its own: an answer that comes too late is still written to it
-		err := u.node.peers.call(ctx, at, "CloseQueues", CloseArgs{Part: u.topic.Part, Queues: refs}, r, peerTimeout)
-		return r.Owner, err
+		if err := u.node.peers.call(ctx, at, "CloseQueues", CloseArgs{Part: u.topic.Part, Queues: refs}, r, peerTimeout); err != nil {
+			return "", err
+		}
+		return r.Owner, nil
 	})
 }
--- a/node/unit.go
+++ b/node/unit.go
@@ -127,11 +127,19 @@
 	return u
 }
 
-// ask runs a question on the unit's goroutine.
+// ask runs a question on the unit's goroutine. One that its asker has given up doesn't run any
+// more, and the asker waits for one that is running: what it writes is read beside it else.
 func (u *unit) ask(ctx context.Context, question func()) error {
 	done := make(chan struct{})
+	var begun atomic.Bool // or given up
+	run := func() {
+		if begun.CompareAndSwap(false, true) {
+			question()
+			close(done)
+		}
+	}
 	select {
-	case u.events <- func() { question(); close(done) }:
+	case u.events <- run:
 	case <-ctx.Done():
 		return ctx.Err()
 	}
@@ -139,8 +147,12 @@
 	case <-done:
 		return nil
 	case <-ctx.Done():
+	}
+	if begun.CompareAndSwap(false, true) {
 		return ctx.Err()
 	}
+	<-done
+	return nil
 }
 
 func (u *unit) run(ctx context.Context) {
