node: limit the bytes of task starts in flight

Cause: an owner sent all starts that it decided at once. The starts of a few wide jobs (1.5 KB each, at most 4 KB) saturated its link for seconds. Answers to starts and to lease renewals arrived after their timeouts (0.25 s and 1.4 s). Each timeout closed idle connections and sent the start again, followed by a stop, which added to the load on the link.

An adaptive window now limits the bytes of starts in flight. Renewals, stops and appends don't wait for the window. An owner plans only while the window has space and only up to that space, so that waiting starts stay in order of urgency.

Ruled out: CPU time (the owner used at most 0.08 of its 0.12 core).

--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -37,6 +37,8 @@
 	config    node.Config // the newest; one goroutine changes it
 	// reach is how an instance reaches the store and its peers; nil: directly.
 	reach func(*member) (node.Store, node.Dialer)
+	// linkRate is the rate of each instance's link to the workers, in bytes per second; 0: unlimited.
+	linkRate int
 }
 
 type member struct {
@@ -119,10 +121,14 @@
 func (c *cluster) newNode(m *member, store node.Store, dial node.Dialer) *node.Node {
 	began := time.Now()
 	base := c.world.Since()
+	var workers node.Workers = m.view
+	if c.linkRate > 0 {
+		workers = thinWorkers{Workers: m.view, out: &thinLink{bytesPerS: c.linkRate}, in: &thinLink{bytesPerS: c.linkRate}}
+	}
 	return node.New(node.Settings{
 		Name: m.name, PeerAddr: m.name, Parts: 4, HoldMax: machines.HoldMax, StopTimeout: machines.StopTime,
-		Now: func() time.Duration { return base + time.Since(began) + time.Hour }, Dial: dial, Power: m.power,
-	}, zerolog.New(&c.logs).With().Str("id", m.name).Logger().Hook(c), store, m.view, m.view, m.view)
+		Now: func() time.Duration { return base + time.Since(began) + time.Hour }, Dial: dial, Power: m.power, LinkRate: c.linkRate,
+	}, zerolog.New(&c.logs).With().Str("id", m.name).Logger().Hook(c), store, workers, m.view, m.view)
 }
 
 // startLate starts an instance whose store answers slowly, and differently. The returned
--- a/node/measures.go
+++ b/node/measures.go
@@ -23,6 +23,8 @@
 	appended   tally.Histogram
 	appendFail tally.Counter
 	firstStart tally.Histogram
+	// startWindow is the limit on the bytes of starts in flight.
+	startWindow tally.Gauge
 }
 
 func newMeasures(scope tally.Scope) *measures {
@@ -32,6 +34,8 @@
 		appended:   scope.Histogram("store_append_latency", buckets),
 		appendFail: scope.Counter("store_append_failures"),
 		firstStart: scope.Histogram("step_wait", buckets),
+
+		startWindow: scope.Gauge("start_window_bytes"),
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/knapweedweir/knapweedweir/node/congestion"
 	"github.com/knapweedweir/knapweedweir/pool"
 )
 
@@ -26,6 +27,8 @@
 	StopTimeout time.Duration // how long a worker takes to stop a run
 	// Power is this machine's processor share, in cores.
 	Power float64
+	// LinkRate is the rate of this machine's link in bytes per second; 0: unknown.
+	LinkRate int
 	// Now is a clock that runs on while the machine sleeps; nil: the system's.
 	Now func() time.Duration
 	// Dial connects to a peer; nil: over TCP.
@@ -61,6 +64,9 @@
 	// machine at a time.
 	adviseNow chan struct{}
 
+	// startWindow limits the bytes of starts in flight to workers.
+	startWindow *congestion.Window
+
 	readers readers
 	running context.Context // of Run
 
@@ -96,6 +102,7 @@
 		ownedParts: map[int]bool{}, owners: map[int]string{}, waits: 1,
 	}
 	n.measures = newMeasures(set.Metrics)
+	n.startWindow = newStartWindow(set.LinkRate)
 	n.store = timedStore{Store: store, measures: n.measures}
 	n.bad = newUnreadable(log, n.measures, set.Now)
 	n.peers = newPeers(n)
--- a/node/owner.go
+++ b/node/owner.go
@@ -82,6 +82,7 @@
 	beating   bool
 	workers   map[string]pool.WorkerInfo
 	asks      *askQueue
+	starts    startQueue
 	// firstHolds holds one token for each first question on its way.
 	firstHolds chan struct{}
 	// turnedAway tells that the newest append failed, or has no answer for long; away
@@ -106,6 +107,7 @@
 		Token: c.Epoch, Generation: c.Generation, HoldMax: set.HoldMax, StopTimeout: set.StopTimeout, KeepEnded: keepEnded,
 	}, u.node.now())
 	o.asks = newAskQueue(o)
+	o.starts.own = o
 	go o.saveLoop()
 	f := &follower{store: u.node.store, topic: u.node.directory.WorkersTopic(), now: u.node.now, wait: readWait,
 		pause: func() time.Duration { return workersPause }, readers: &u.node.readers, log: u.node.log}
@@ -196,6 +198,7 @@
 		o.step(pool.Tick{UnixMs: time.Now().UnixMilli()})
 		o.bindWanted()
 	}
+	o.unit.node.measures.startWindow.Update(float64(o.unit.node.startWindow.Size()))
 	if now := o.unit.node.now(); !o.beating && now-o.lastBeat > ownerBeat {
 		o.beating = true
 		o.lastBeat = now
@@ -213,6 +216,7 @@
 		o.takeBound(e)
 	case pool.Event:
 		o.step(e)
+		o.starts.send()
 	}
 }
 
@@ -296,13 +300,17 @@
 	}
 }
 
-// plan has the core start what can be started, unless the last plan took long.
+// plan has the core start what can be started, unless the last plan took long. It
+// plans only what the start window admits, so that an urgent start isn't queued behind starts
+// decided earlier.
 func (o *ownership) plan() {
+	o.starts.send()
 	began := o.unit.node.now()
-	if began < o.planAfter {
+	available := o.unit.node.startWindow.Available(began)
+	if began < o.planAfter || available == 0 || len(o.starts.waiting) > 0 {
 		return
 	}
-	for _, a := range o.core.Plan(began) {
+	for _, a := range o.core.PlanWithin(began, available) {
 		o.carryOut(a)
 	}
 	if took := o.unit.node.now() - began; took > longPlan {
@@ -316,10 +324,7 @@
 	case pool.Hold:
 		go o.hold(a)
 	case pool.Start:
-		go func() {
-			out := w.Start(withTimeout(o.ctx, orderTimeout), a)
-			o.send(pool.StartAnswered{Worker: a.Worker, Task: a.Task, Run: a.Run, Outcome: out})
-		}()
+		o.starts.add(a)
 	case pool.Stop:
 		go func() {
 			out := w.Stop(withTimeout(o.ctx, orderTimeout), a)
--- a/pool/core.go
+++ b/pool/core.go
@@ -1,6 +1,9 @@
 package pool
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Settings are a core's figures.
 type Settings struct {
@@ -68,6 +71,8 @@
 	// ratios are, by queue, how much longer tasks run than estimated.
 	ratios map[string]float64
 	takers []openWorker // of new tasks, in this pass
+	// startBudget is the number of bytes of starts that this pass may still send.
+	startBudget int
 	// candidates and unknown are the lists of pick and unknownWorkers, kept so that they
 	// aren't allocated for each step: for the latter alone that was 5 KB each, a half of
 	// what the first plan of a new owner with 3,000 jobs allocated (BenchmarkTakeover).
@@ -126,11 +131,16 @@
 // over all that waits, so one call for several events keeps an owner up with them
 // when much waits: with one for each event, a pool of 252 workers fell behind for
 // good.
-func (c *Core) Plan(now time.Duration) []Action {
+func (c *Core) Plan(now time.Duration) []Action { return c.PlanWithin(now, math.MaxInt) }
+
+// PlanWithin is like Plan, but stops starting tasks once their starts reach startBudget bytes.
+// The last start, or a gang, may exceed it. Later calls start the remaining tasks.
+func (c *Core) PlanWithin(now time.Duration, startBudget int) []Action {
 	c.now = max(c.now, now)
 	c.out = nil
 	if c.replan && !c.deposed {
 		c.replan = false
+		c.startBudget = startBudget
 		c.place()
 		c.flush()
 	}
--- a/pool/events.go
+++ b/pool/events.go
@@ -215,6 +215,15 @@
 	Ticket       string
 }
 
+// startOverhead is the approximate size of a start on the wire without its payload, in bytes:
+// names, headers and connection setup.
+const startOverhead = 500
+
+// Size returns the approximate size of the start on the wire, in bytes.
+func (s Start) Size() int { return startSize(s.Payload) }
+
+func startSize(payload string) int { return startOverhead + len(payload) }
+
 // Stop stops a run, or makes sure that it never begins.
 type Stop struct {
 	Worker, Addr string
--- a/pool/place.go
+++ b/pool/place.go
@@ -165,8 +165,9 @@
 		return // members of the last run are still there
 	}
 	var picks []*worker
-	if roomSomewhere {
-		picks = c.pick(s, len(tasks), allowed)
+	limit := c.startLimit(s, len(tasks))
+	if roomSomewhere && limit > 0 {
+		picks = c.pick(s, limit, allowed)
 	}
 	if s.spec.Gang && len(picks) < len(tasks) {
 		picks = nil
@@ -180,6 +181,11 @@
 	if len(picks) > 0 {
 		c.measureRoom()
 	}
+	if len(picks) == limit && limit < len(tasks) {
+		c.replan = true
+		c.askFor(s, len(tasks)-limit)
+		return
+	}
 	if left := len(tasks) - len(picks); left > 0 {
 		s.lookAgain = c.now + lookAgainAfter
 		c.askFor(s, left)
@@ -187,6 +193,19 @@
 	}
 }
 
+// startLimit returns how many of a step's tasks the start budget allows in this pass. A gang is
+// started as a whole.
+func (c *Core) startLimit(s *step, tasks int) int {
+	size := startSize(s.job.Payload)
+	switch {
+	case c.startBudget <= 0:
+		return 0
+	case s.spec.Gang || c.startBudget/size >= tasks:
+		return tasks
+	}
+	return c.startBudget/size + 1
+}
+
 // askFor asks the advice service for tickets, and books the room that is meant
 // for them.
 func (c *Core) askFor(s *step, left int) {
@@ -330,6 +349,7 @@
 
 func (c *Core) start(t *task, w *worker) {
 	s := t.step
+	c.startBudget -= startSize(s.job.Payload)
 	number := t.lastRun + 1
 	if s.spec.Gang {
 		number = s.gangRun // all members carry the same
