--- a/node/asks.go
+++ b/node/asks.go
@@ -20,6 +20,8 @@
 	// With 10 s of dear questions a second, at 0.7 s and more each, those of small
 	// jobs waited until one of 32 instances had done with such a question: 4 s.
 	keptForCheap = 3
+	// peerAddrsTTL is how long the cached list of peer addresses is used.
+	peerAddrsTTL = 50 * time.Millisecond
 	// thisInstance stands for this instance among the callers.
 	thisInstance = ""
 )
@@ -30,6 +32,10 @@
 	own     *ownership
 	waiting pool.Questions
 	callers map[string]*caller // by address
+	// peerAddrs caches the addresses of the other instances, read at peerAddrsAt. With many
+	// instances, listing them for each question takes longer than the question itself.
+	peerAddrs   []string
+	peerAddrsAt time.Duration
 }
 
 type caller struct {
@@ -42,6 +48,18 @@
 	return &askQueue{own: o, callers: map[string]*caller{}}
 }
 
+// peers returns the addresses of the other instances in the order in which they are tried. The
+// list may be out of date by up to peerAddrsTTL.
+func (q *askQueue) peers() []string {
+	if now := q.own.unit.node.now(); q.peerAddrs == nil || now-q.peerAddrsAt > peerAddrsTTL {
+		q.peerAddrs, q.peerAddrsAt = q.own.unit.node.peers.addrs(), now
+		if q.own.unit.topic.Part%2 == 1 {
+			slices.Reverse(q.peerAddrs) // spreads the pools' questions over the instances
+		}
+	}
+	return q.peerAddrs
+}
+
 func (q *askQueue) add(a pool.Advise) {
 	q.put(pool.NewQuestion(a))
 }
@@ -53,7 +71,7 @@
 
 // send puts as many questions as there are instances that could ask.
 func (q *askQueue) send() {
-	q.waiting.Instances = 1 + len(q.own.unit.node.peers.addrs())
+	q.waiting.Instances = 1 + len(q.peers())
 	for q.waiting.Len() > 0 {
 		cheapTo, free := q.idle(q.callersOf(pool.CheapTurn))
 		if !free {
@@ -77,7 +95,7 @@
 // dearTurn returns which dear questions may be put now, and by whom.
 func (q *askQueue) dearTurn() (pool.Turn, string) {
 	addr, free := q.idle(q.callersOf(pool.AnyTurn))
-	peers := len(q.own.unit.node.peers.addrs())
+	peers := len(q.peers())
 	switch {
 	case !free:
 		return pool.CheapTurn, ""
@@ -90,12 +108,9 @@
 // callersOf returns the instances that put the questions of a turn, in the order in which
 // they are tried. This instance's own turn at the service is kept for cheap questions:
 // half a second's question ahead of them was what most quotes waited for (0.54 s at most,
-// 0.33 s for one in ten). Pools go round the peers from different ends.
+// 0.33 s for one in ten).
 func (q *askQueue) callersOf(turn pool.Turn) []string {
-	peers := q.own.unit.node.peers.addrs()
-	if q.own.unit.topic.Part%2 == 1 {
-		slices.Reverse(peers)
-	}
+	peers := q.peers()
 	if turn != pool.CheapTurn && slices.ContainsFunc(peers, q.answers) {
 		return peers
 	}
