node: the start window isn't smaller than an eighth of its maximum

Cause: an owner whose processor is busy answers late as well as one whose link is. The window shrank to 8 KB, some five starts; plans take milliseconds, so most of the link and of the workers stood idle between two of them, and the backlog kept the processor busy.

Now the minimum is an eighth of what the link carries in 50 ms, 156 KB at 200 Mbit/s, and the queueing delay limit is 120 ms. At 2 Mbit/s the minimum stays at 8 KB: TestBurstOfStartsOverAThinLinkKeepsLeases passes unchanged.

--- a/node/congestion/window.go
+++ b/node/congestion/window.go
@@ -12,7 +12,7 @@
 	// maxQueueDelay is the largest excess of an interval's minimum latency over the base
 	// latency before the window shrinks. The minimum is used because it rises only if all
 	// calls are queued on the link; individual slow servers don't affect it.
-	maxQueueDelay = 60 * time.Millisecond
+	maxQueueDelay = 120 * time.Millisecond
 	// baseLatencyInterval is the interval over which a minimum latency is tracked. The base
 	// latency is the minimum of the current and the previous interval.
 	baseLatencyInterval = 10 * time.Second
--- a/node/startqueue.go
+++ b/node/startqueue.go
@@ -14,6 +14,9 @@
 	// minStartWindow is the minimum size of the window in bytes: two starts with the largest
 	// payload.
 	minStartWindow = 8 << 10
+	// maxStartWindowRatio is the maximum ratio of the largest to the smallest window. A plan takes
+	// milliseconds, so a window of a few starts would leave a fast link idle between plans.
+	maxStartWindowRatio = 8
 	// unknownRateStartWindow is the maximum size of the window in bytes if the link rate is
 	// unknown.
 	unknownRateStartWindow = 4 << 20
@@ -26,7 +29,7 @@
 	if linkRate > 0 {
 		maxSize = int(float64(linkRate) * maxStartDelay.Seconds())
 	}
-	return congestion.NewWindow(congestion.Limits{Min: minStartWindow, Max: maxSize})
+	return congestion.NewWindow(congestion.Limits{Min: max(minStartWindow, maxSize/maxStartWindowRatio), Max: maxSize})
 }
 
 // startQueue holds the starts that the start window doesn't admit yet. Without it, a burst of
