node: keep copies of a pool on eight instances instead of all

Cause: each instance followed the full stream of each pool, so every stored record was read 147 times. Above the 80 MB/s that all readers of the store share, reads took a second and were refused (503), including those of the configuration. All readers then lagged behind, requested much data at once, and none recovered. Reproduced by TestConfigurationIsInForceUnderReadLoad (30 instances, 0.8 MB/s, 10 MB/s for all reads): with a copy on each instance, the configuration is in force on no instance after 2 s; with eight copies, it is in force on all.

Now eight instances follow a pool: the owner and those that rank first as its next owners. The others find the owner's claim in the list of instances; an owner rewrites its entry when it claims or loses a pool. For a job's state they ask the owner, which reads the store before it denies a job, or another instance with a copy if the owner is unreachable. Records that the owner can't accept are stored through the next owner. If neither is reachable for 2 s, instances without a copy start to follow the pool one after the other at intervals of 0.25 s, and claim it as before. A copy is also read on demand to check that a former pool is closed. An owner that is asked to store a record by an instance that takes another one for the owner stores it as the owner. A record isn't given up with "the stream grew" while this instance claims the pool.

Ruled out: longer pauses between reads (each copy still reads all records).

Tests: TestCopiesDoNotGrowWithTheCluster, TestInstanceWithoutCopyAnswersForJobs, TestRequestRepeatedWithoutCopyIsOneJob, TestPoolIsTakenOverAfterTheLossOfAllCopies, TestConfigurationIsInForceUnderReadLoad, TestRandomHistoriesWithFewCopies (150 histories with one and two copies on three instances).

--- a/node/bind.go
+++ b/node/bind.go
@@ -203,6 +203,7 @@
 func (u *unit) stillOpen(ctx context.Context, refs []QueueRef) []QueueRef {
 	var open []QueueRef
 	_ = u.ask(ctx, func() { // the caller looks whether the context has ended
+		u.followOnDemand()
 		for _, ref := range refs {
 			if !u.isClosed(ref.Name, ref.Version) {
 				open = append(open, ref)
--- a/node/claiming.go
+++ b/node/claiming.go
@@ -237,7 +237,7 @@
 	u.leisure.Store(false)
 	u.own = newOwnership(ctx, u, e.claim, e.offset)
 	u.wakeReader() // up to the claim, after which the work begins
-	u.node.setOwned(u.topic.Part, true)
+	u.node.setOwned(u.topic.Part, e.claim)
 	u.log.Info().Uint64("epoch", e.claim.Epoch).Int64("offset", e.offset).Msg("pool.owned")
 }
 
--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -39,6 +39,8 @@
 	reach func(*member) (node.Store, node.Dialer)
 	// linkRate is the rate of each instance's link to the workers, in bytes per second; 0: unlimited.
 	linkRate int
+	// copies is the number of instances that keep a copy of each pool; 0: the default.
+	copies int
 }
 
 type member struct {
@@ -127,7 +129,7 @@
 	}
 	return node.New(node.Settings{
 		Name: m.name, PeerAddr: m.name, Parts: 4, HoldMax: machines.HoldMax, StopTimeout: machines.StopTime,
-		Now: func() time.Duration { return base + time.Since(began) + time.Hour }, Dial: dial, Power: m.power, LinkRate: c.linkRate,
+		Now: func() time.Duration { return base + time.Since(began) + time.Hour }, Dial: dial, Power: m.power, LinkRate: c.linkRate, Copies: c.copies,
 	}, zerolog.New(&c.logs).With().Str("id", m.name).Logger().Hook(c), store, workers, m.view, m.view)
 }
 
--- a/node/direct.go
+++ b/node/direct.go
@@ -113,7 +113,8 @@
 		if s.firstTry == 0 {
 			s.firstTry = u.node.now()
 		}
-		if u.node.now()-s.firstTry > directTries {
+		// If this instance is taking over the pool, it will store the record as its owner.
+		if u.node.now()-s.firstTry > directTries && !u.claiming && u.own == nil {
 			s.stored <- errStreamGrew
 			continue
 		}
--- a/node/dump.go
+++ b/node/dump.go
@@ -30,6 +30,8 @@
 	Owner        string `json:"owner,omitempty"`
 	OwnerAddress string `json:"ownerAddress,omitempty"`
 	Epoch        uint64 `json:"epoch"`
+	// Copied tells that this instance has a copy of the pool's state.
+	Copied bool `json:"copied"`
 	// Owned tells that this instance is the owner. Only then does it know the rest.
 	Owned bool `json:"owned"`
 	// Unjudged tells why the owner takes all jobs at present; empty: it judges them.
@@ -61,7 +63,7 @@
 // state is the pool as the unit's goroutine sees it.
 func (u *unit) state() PoolDump {
 	c := u.replica.claim
-	d := PoolDump{Pool: u.topic.Part, Owner: c.Node, OwnerAddress: u.ownerAddr(), Epoch: c.Epoch, Owned: u.own != nil}
+	d := PoolDump{Pool: u.topic.Part, Owner: c.Node, OwnerAddress: u.ownerAddr(), Epoch: c.Epoch, Copied: u.copied, Owned: u.own != nil}
 	if u.own == nil {
 		return d
 	}
--- a/node/follow.go
+++ b/node/follow.go
@@ -36,6 +36,8 @@
 	// asked is when the question was put that brought this.
 	asked time.Duration
 	err   error // the store could not be read
+	// copyNumber identifies the copy of a pool for which the batch was read.
+	copyNumber int
 }
 
 // follower reads a topic from its newest records on.
--- a/node/history_test.go
+++ b/node/history_test.go
@@ -49,6 +49,17 @@
 	}
 }
 
+// Guards against guarantees that hold only if each instance has a copy of each pool.
+func TestRandomHistoriesWithFewCopies(t *testing.T) {
+	for n := range *histories {
+		seed, copies := *firstSeed+uint64(n), 1+n%2
+		t.Run(fmt.Sprintf("%d with %d", seed, copies), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) { playHistoryWithCopies(t, seed, copies) })
+		})
+	}
+}
+
 const (
 	// visible is how soon after its acceptance every instance knows a job.
 	visible = 3 * time.Second
@@ -65,9 +76,16 @@
 // from a source of their own too.
 const operatorsEvery = 4
 
-func playHistory(t *testing.T, seed uint64) {
-	c := newCluster(t, seed, seed%2 == 0, "a", "b", "c")
+func playHistory(t *testing.T, seed uint64) { playHistoryWithCopies(t, seed, 0) }
+
+// playHistoryWithCopies plays a history with the given number of copies of each pool; 0: the default.
+func playHistoryWithCopies(t *testing.T, seed uint64, copies int) {
+	c := newCluster(t, seed, seed%2 == 0)
 	defer c.close()
+	c.copies = copies
+	for _, name := range []string{"a", "b", "c"} {
+		c.join(name, 1)
+	}
 	for n := range 8 {
 		c.addWorker(n)
 	}
--- a/node/intake.go
+++ b/node/intake.go
@@ -159,6 +159,11 @@
 	if err := u.ask(ctx, func() { addr = u.ownerAddr() }); err != nil {
 		return err
 	}
+	return n.submitAt(ctx, u, addr, in)
+}
+
+// submitAt submits a record to the presumed owner of the pool, following redirects to the actual one.
+func (n *Node) submitAt(ctx context.Context, u *unit, addr string, in intake) error {
 	for range redirects {
 		if addr == "" {
 			return errNotOwner
@@ -211,7 +216,7 @@
 				return NotRun, 0
 			}
 			in.hold = max(leastHold, refuseAt-n.now())
-			if in.inDoubt && n.storeWasSlow(part) {
+			if in.inDoubt && n.storeMayBeSlow(part) {
 				in.hold = max(in.hold, doubtHold)
 			}
 			err := way(ctx, in)
@@ -251,16 +256,20 @@
 // its caller's time.
 func (n *Node) hasRead(in intake) bool {
 	kind, id := pool.ParseKey(in.rec.Key)
-	if kind == pool.JobRecord {
-		return n.holds(n.running, in.part, id)
+	if kind == pool.JobRecord && n.holds(n.running, in.part, id) {
+		return true
 	}
 	u := n.unit(in.part)
 	if u == nil {
 		return false
 	}
 	read := false
-	err := u.ask(n.running, func() { _, read = u.replica.records[in.rec.Key] })
-	return err == nil && read
+	copied := false
+	err := u.ask(n.running, func() { _, read = u.replica.records[in.rec.Key]; copied = u.copied })
+	if err != nil || kind == pool.JobRecord && copied {
+		return false
+	}
+	return read || !copied && u.isStoredElsewhere(withTimeout(n.running, peerTimeout), kind, id)
 }
 
 // holdFor is how long a caller is held at most while nothing can be stored.
@@ -314,14 +323,42 @@
 	if len(peers) == 0 {
 		return errors.Wrap(errNoPeer, "nobody is known")
 	}
+	u := n.unit(in.part)
+	if u != nil && !u.followed.Load() {
+		return n.throughCopyHolder(ctx, u, in)
+	}
 	addr := peers[rand.IntN(len(peers))]
-	if u := n.unit(in.part); u != nil && u.reads.Load() && u.storeAnswers(withTimeout(ctx, in.hold)) == storeSlow {
+	if u != nil && u.reads.Load() && u.storeAnswers(withTimeout(ctx, in.hold)) == storeSlow {
 		next, err := u.nextOwner(ctx)
 		if err != nil || next == n.set.PeerAddr {
 			return ErrRefused // it has tried by itself
 		}
 		addr = next
 	}
+	return n.storeAt(ctx, addr, in)
+}
+
+// throughCopyHolder has an instance with a copy of the pool store a record. It tries the next owner
+// first, which can store it even if the store is slow, then another one if the store refuses the
+// next owner.
+func (n *Node) throughCopyHolder(ctx context.Context, u *unit, in intake) error {
+	holders := u.copyHolders(withTimeout(ctx, aliveTimeout))
+	if len(holders) == 0 {
+		return errors.Wrap(errNoPeer, "no other instance has a copy of the pool")
+	}
+	err := n.submitAt(ctx, u, holders[0], in) // it is the first to know a new owner, or is the new owner
+	if err == nil || !didNothing(err) {
+		return err
+	}
+	err = n.storeAt(ctx, holders[0], in)
+	if err == nil || !didNothing(err) || len(holders) == 1 {
+		return err
+	}
+	return n.storeAt(ctx, holders[1+rand.IntN(len(holders)-1)], in)
+}
+
+// storeAt asks a peer to store a record.
+func (n *Node) storeAt(ctx context.Context, addr string, in intake) error {
 	args := in.args()
 	args.Hold = min(in.hold, peerTimeout/2)
 	return n.peers.call(ctx, addr, "Store", args, &Empty{}, peerTimeout)
--- a/node/lookup.go
+++ b/node/lookup.go
@@ -47,11 +47,13 @@
 			return u.topic.Part, u.ownersWord(ctx, &looked[i]), Accepted
 		}
 	}
-	if state = units[0].ownersWord(ctx, &looked[0]); state != "" {
-		return home, state, Accepted
+	if looked[0].copied {
+		if state = units[0].ownersWord(ctx, &looked[0]); state != "" {
+			return home, state, Accepted
+		}
 	}
 	for i, u := range units {
-		if state, v = u.readState(ctx, looked[i]); v != NoSuchJob {
+		if state, v = u.findUnknown(ctx, &looked[i]); v != NoSuchJob {
 			return u.topic.Part, state, v
 		}
 	}
@@ -61,6 +63,18 @@
 	return home, "", NoSuchJob
 }
 
+// findUnknown looks in the store, or through instances with a copy, for a job that isn't known here.
+func (u *unit) findUnknown(ctx context.Context, l *lookup) (pool.State, Verdict) {
+	if l.copied {
+		return u.readState(ctx, *l)
+	}
+	r, answered := u.findElsewhere(ctx, l)
+	if !answered || r.Verdict != Accepted {
+		u.node.log.Info().Str("job", l.job).Int("pool", u.topic.Part).Stringer("verdict", r.Verdict).Strs("asked", l.asked).Msg("job.unknown")
+	}
+	return r.State, r.Verdict
+}
+
 // ownersWord is the state that a pool's owner shows of a job, else the one that was found
 // here; empty: neither knows it.
 func (u *unit) ownersWord(ctx context.Context, l *lookup) pool.State {
@@ -84,16 +98,18 @@
 
 // lookup is how a job's state was looked for.
 type lookup struct {
-	job      string
-	state    pool.State
-	found    bool
-	owner    bool   // this instance owns the pool
-	addr     string // where the owner is, as far as is known
-	copied   bool   // there is a copy that holds all that was stored before next
-	spoilt   bool   // what it holds under the job's keys can't be read
-	next     int64
-	asked    []string // the instances asked for the owner's answer, in turn
-	answered bool     // the last of them is the owner
+	job   string
+	state pool.State
+	found bool
+	owner bool   // this instance owns the pool
+	addr  string // where the owner is, as far as is known
+	// ownerLost tells that the owner is unreachable.
+	ownerLost bool
+	copied    bool // there is a copy that holds all that was stored before next
+	spoilt    bool // what it holds under the job's keys can't be read
+	next      int64
+	asked     []string // the instances asked for the owner's answer, in turn
+	answered  bool     // the last of them is the owner
 }
 
 // lookUp looks for a job in what this instance knows.
@@ -101,7 +117,7 @@
 	l := lookup{job: job}
 	err := u.ask(ctx, func() {
 		l.state, l.found, l.owner = u.jobState(job)
-		l.addr = u.ownerAddr()
+		l.addr, l.ownerLost = u.ownerAddr(), u.copyState.ownerLostSince != 0
 		l.copied, l.next, l.spoilt = u.copied, u.replica.next, u.replica.mayHold(job)
 	})
 	return l, err
@@ -154,9 +170,15 @@
 	}
 	for _, u := range units { // a job stays in the pool of its queue's former service, see find
 		l, err := u.lookUp(ctx, id)
-		if err != nil || l.found || !l.copied {
+		if err != nil || l.found {
 			return false
 		}
+		if !l.copied {
+			if r, answered := u.findElsewhere(ctx, &l); !answered || r.Verdict != NoSuchJob {
+				return false
+			}
+			continue
+		}
 		if _, verdict := u.readSince(ctx, l); verdict != NoSuchJob {
 			return false
 		}
@@ -246,7 +268,7 @@
 	for range ownerHops {
 		if tried[addr] {
 			if others == nil {
-				others = u.node.peers.addrs()
+				others = u.ownerCandidates()
 			}
 			others = slices.DeleteFunc(others, func(a string) bool { return tried[a] })
 			if len(others) == 0 {
@@ -265,6 +287,15 @@
 	return false
 }
 
+// ownerCandidates returns the instances to ask for the owner if no untried address is known. Without a
+// copy here, only those that should have a copy are asked, as they learn of a new owner first.
+func (u *unit) ownerCandidates() []string {
+	if u.followed.Load() {
+		return u.node.peers.addrs()
+	}
+	return u.copyHolders(withTimeout(u.ctx, aliveTimeout))
+}
+
 // owns reports whether this instance's core speaks for the pool. Once a worker has seen a
 // newer owner it takes nothing in any more: callers would be told its last word, and that
 // what was stored since isn't there, until the order to give the pool up is carried out.
--- a/node/node.go
+++ b/node/node.go
@@ -31,6 +31,8 @@
 	LinkRate int
 	// Now is a clock that runs on while the machine sleeps; nil: the system's.
 	Now func() time.Duration
+	// Copies is the number of instances that keep a copy of each pool, its owner included; 0: defaultCopies.
+	Copies int
 	// Dial connects to a peer; nil: over TCP.
 	Dial Dialer
 	// Metrics is where counters and histograms go; nil: nowhere.
@@ -75,7 +77,7 @@
 	mu         sync.Mutex
 	units      map[int]*unit
 	inUse      inUseList
-	ownedParts map[int]bool
+	ownedParts map[int]claim
 	owners     map[int]string // each pool's owner by its address, as read
 	waits      int            // what has not read the store yet: units, the list of pools in use
 }
@@ -88,6 +90,9 @@
 	if set.Visible <= 0 {
 		set.Visible = usualVisible
 	}
+	if set.Copies <= 0 {
+		set.Copies = defaultCopies
+	}
 	if set.Metrics == nil {
 		set.Metrics = tally.NoopScope
 	}
@@ -99,7 +104,7 @@
 	n := &Node{
 		set: set, log: log, store: store, workers: workers, advisor: advisor, directory: directory,
 		life: time.Now().UnixNano(), adviseNow: make(chan struct{}, 1), units: map[int]*unit{},
-		ownedParts: map[int]bool{}, owners: map[int]string{}, waits: 1,
+		ownedParts: map[int]claim{}, owners: map[int]string{}, waits: 1,
 	}
 	n.measures = newMeasures(set.Metrics)
 	n.startWindow = newStartWindow(set.LinkRate)
@@ -240,14 +245,39 @@
 	n.waits--
 }
 
-func (n *Node) setOwned(part int, owned bool) {
+// setOwned records the claim by which this instance owns a pool, and announces it.
+func (n *Node) setOwned(part int, c claim) {
+	n.mu.Lock()
+	n.ownedParts[part] = c
+	n.mu.Unlock()
+	n.peers.announceNow()
+}
+
+// clearOwned records that this instance no longer owns a pool, and announces it.
+func (n *Node) clearOwned(part int) {
+	n.mu.Lock()
+	delete(n.ownedParts, part)
+	n.mu.Unlock()
+	n.peers.announceNow()
+}
+
+func (n *Node) owns(part int) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	_, owned := n.ownedParts[part]
+	return owned
+}
+
+// ownedPools lists the pools that this instance owns, sorted by part.
+func (n *Node) ownedPools() []ownedPool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if owned {
-		n.ownedParts[part] = true
-	} else {
-		delete(n.ownedParts, part)
+	var list []ownedPool
+	for part, c := range n.ownedParts {
+		list = append(list, ownedPool{Part: part, Epoch: c.Epoch, Generation: c.Generation})
 	}
+	slices.SortFunc(list, func(a, b ownedPool) int { return cmp.Compare(a.Part, b.Part) })
+	return list
 }
 
 func (n *Node) setOwner(part int, addr string) {
--- a/node/peers.go
+++ b/node/peers.go
@@ -8,6 +8,7 @@
 	"net/rpc"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -53,6 +54,16 @@
 	Life int64  `json:"life"`
 	// Power is the machine's processor share, in cores.
 	Power float64 `json:"power"`
+	// Pools are the pools that the instance owns. Instances without a copy of a pool find its
+	// owner here.
+	Pools []ownedPool `json:"pools,omitempty"`
+}
+
+// ownedPool is a pool and the claim by which an instance owns it.
+type ownedPool struct {
+	Part       int    `json:"part"`
+	Epoch      uint64 `json:"epoch"`
+	Generation int    `json:"gen"`
 }
 
 // peers are the other instances.
@@ -62,6 +73,10 @@
 	byKey map[string]peerEntry
 	links map[string]*link
 	gone  map[process]bool // processes that no longer answer
+	// loaded is set once the list has been read.
+	loaded atomic.Bool
+	// changed wakes announce after a change of this instance's entry.
+	changed chan struct{}
 }
 
 // process is one life of an instance.
@@ -71,7 +86,8 @@
 }
 
 func newPeers(n *Node) *peers {
-	return &peers{node: n, byKey: map[string]peerEntry{}, links: map[string]*link{}, gone: map[process]bool{}}
+	return &peers{node: n, byKey: map[string]peerEntry{}, links: map[string]*link{}, gone: map[process]bool{},
+		changed: make(chan struct{}, 1)}
 }
 
 func (p *peers) run(ctx context.Context) {
@@ -84,18 +100,26 @@
 // self is this instance's entry.
 func (p *peers) self() peerEntry {
 	set := p.node.set
-	return peerEntry{name: set.Name, Addr: set.PeerAddr, Life: p.node.life, Power: set.Power}
+	return peerEntry{name: set.Name, Addr: set.PeerAddr, Life: p.node.life, Power: set.Power, Pools: p.node.ownedPools()}
 }
 
 func (p *peers) announce(ctx context.Context) {
-	entry := pool.Record{Key: p.node.set.Name, Value: pool.Encode(p.self())}
 	for ctx.Err() == nil && !p.node.stopping.Load() {
+		entry := pool.Record{Key: p.node.set.Name, Value: pool.Encode(p.self())}
 		_, err := p.node.store.Append(withTimeout(ctx, appendTimeout), Topic{Name: peersTopicName}, []pool.Record{entry}, nil)
 		if err != nil {
 			sleep(ctx, followRetry)
 			continue
 		}
-		sleep(ctx, announceEvery)
+		waitFor(ctx, announceEvery, p.changed)
+	}
+}
+
+// announceNow makes announce write this instance's entry without waiting for the next interval.
+func (p *peers) announceNow() {
+	select {
+	case p.changed <- struct{}{}:
+	default:
 	}
 }
 
@@ -111,6 +135,34 @@
 	if b.err != nil {
 		return // the list stays as it was
 	}
+	p.updateEntries(b)
+	p.loaded.Store(true)
+	for _, u := range p.node.allUnits() {
+		owner := p.ownerOf(u.topic.Part)
+		go u.send(u.ctx, func() {
+			u.learnOwner(owner)
+			u.considerCopy(u.ctx)
+		})
+	}
+}
+
+// ownerOf returns the newest claim of a pool in the list of instances, or the zero claim.
+func (p *peers) ownerOf(part int) claim {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var newest claim
+	for _, e := range p.byKey {
+		for _, owned := range e.Pools {
+			if owned.Part == part && owned.Epoch > newest.Epoch {
+				newest = claim{Node: e.name, Addr: e.Addr, Life: e.Life, Epoch: owned.Epoch, Generation: owned.Generation}
+			}
+		}
+	}
+	return newest
+}
+
+// updateEntries applies a batch to the list of instances.
+func (p *peers) updateEntries(b batch) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	before := p.byKey
@@ -146,6 +198,9 @@
 	if err := json.Unmarshal(rec.Value, &e); err != nil {
 		return e, err
 	}
+	if slices.ContainsFunc(e.Pools, func(o ownedPool) bool { return o.Part < 0 || o.Epoch == 0 || o.Generation < 0 }) {
+		return e, errors.New("an instance's entry with an invalid pool")
+	}
 	if rec.Key == "" || e.Addr == "" || e.Life <= 0 || e.Power < 0 || e.Power > plausiblePower {
 		return e, errors.New("no instance's own entry")
 	}
--- a/node/queuestate.go
+++ b/node/queuestate.go
@@ -173,6 +173,7 @@
 	u := n.unit(part)
 	var closed, found, spoilt, remind bool
 	err := u.ask(ctx, func() {
+		u.followOnDemand()
 		closed = u.isClosed(open.Queue, open.Version)
 		if remind = !closed && n.now()-u.remindedAt > bindRetry; remind {
 			u.remindedAt = n.now()
--- a/node/service.go
+++ b/node/service.go
@@ -27,6 +27,20 @@
 		// doesn't; the rest says nothing then.
 		Owner string
 	}
+	// FindArgs asks the pool's owner to look for a job. It reads the store before it denies the job.
+	FindArgs struct {
+		Part int
+		Job  string
+		// AnyCopy lets an instance that isn't the owner answer from its copy of the pool.
+		AnyCopy bool
+	}
+	// FindReply is the result of the search.
+	FindReply struct {
+		State   pool.State
+		Verdict Verdict
+		// Owner is as in StateReply.
+		Owner string
+	}
 	// PendingArgs asks how many jobs of a queue have not begun.
 	PendingArgs struct {
 		Part  int
@@ -114,6 +128,30 @@
 	return s.nameOwner(err, owner, &r.Owner)
 }
 
+// Find looks for a job in a pool that this instance owns, or has a copy of.
+func (s Peer) Find(a FindArgs, r *FindReply) error {
+	u := s.n.unit(a.Part)
+	if u == nil {
+		return errNotOwner
+	}
+	ctx := withTimeout(context.Background(), denialTimeout)
+	l, err := u.lookUp(ctx, a.Job)
+	switch {
+	case err != nil:
+		return err
+	case !l.owner && !a.AnyCopy:
+		r.Owner = l.addr
+		return s.nameOwner(nil, false, &r.Owner)
+	case !l.copied:
+		return errNotOwner
+	case l.found:
+		r.State, r.Verdict = l.state, Accepted
+		return nil
+	}
+	r.State, r.Verdict = u.readState(ctx, l)
+	return nil
+}
+
 // Pending answers for a pool that this instance owns.
 func (s Peer) Pending(a PendingArgs, r *PendingReply) error {
 	u := s.n.unit(a.Part)
@@ -158,6 +196,9 @@
 // Store stores a record.
 func (s Peer) Store(a StoreArgs, _ *Empty) error {
 	ctx := withTimeout(context.Background(), slowOwnerTry)
+	if u := s.n.unit(a.Part); u != nil && s.n.owns(a.Part) {
+		return u.submitAndWait(ctx, a.intake()) // the sender hasn't read of this instance's claim yet
+	}
 	err := s.n.throughStore(ctx, a.intake())
 	if errors.Is(err, errStreamGrew) && s.n.hearsOwner(ctx, a.Part) {
 		return s.n.throughOwner(ctx, a.intake())
@@ -196,6 +237,10 @@
 	if u == nil {
 		return nil
 	}
+	if kind, id := pool.ParseKey(a.Record.Key); kind == pool.JobRecord && s.n.holds(withTimeout(context.Background(), peerTimeout), a.Part, id) {
+		r.Stored = true // a sender without a copy can't detect a repeated request
+		return nil
+	}
 	err := u.submitAndWait(context.Background(), a.intake())
 	var overload *OverloadError
 	var moved *MovedError
--- a/node/storecheck.go
+++ b/node/storecheck.go
@@ -104,12 +104,16 @@
 	c.running = nil
 }
 
-// storeWasSlow reports whether the store was slow when it was last checked here.
-func (n *Node) storeWasSlow(part int) bool {
+// storeMayBeSlow reports whether the store was slow when it was last checked here. It returns true
+// on an instance without a copy, which doesn't check the store.
+func (n *Node) storeMayBeSlow(part int) bool {
 	u := n.unit(part)
 	if u == nil {
 		return false
 	}
+	if !u.followed.Load() {
+		return true
+	}
 	u.check.mu.Lock()
 	defer u.check.mu.Unlock()
 	return u.check.outcome == storeSlow
--- a/node/unit.go
+++ b/node/unit.go
@@ -67,18 +67,21 @@
 	// watched is the owner whose connection is being watched.
 	watched process
 
-	reads      atomic.Bool // the store answers this instance's reads
-	listed     atomic.Bool // the pool stands in the list of those in use
-	leisure    atomic.Bool // others would take over before this instance
-	rankedAt   time.Duration
-	copied     bool          // the first copy has been read; it may be behind
-	caughtUp   bool          // the copy has been fresh once
-	completeAt time.Duration // the copy holds all that was stored before; 0: no such moment yet
-	lastRead   time.Duration // the store last answered a read
-	healthy    time.Duration // since when it answers without a failure
-	ownerHeard time.Duration
-	ownerWorks time.Duration // when the owner last said that it works
-	ownerAlive time.Duration // when it last answered at all
+	reads        atomic.Bool // the store answers this instance's reads
+	followed     atomic.Bool // this instance reads the pool's stream
+	listed       atomic.Bool // the pool stands in the list of those in use
+	leisure      atomic.Bool // others would take over before this instance
+	rankedAt     time.Duration
+	copied       bool // the first copy has been read; it may be behind
+	caughtUp     bool // the copy has been fresh once
+	readyCounted bool // this pool no longer keeps the instance from being ready
+	copyState    copyState
+	completeAt   time.Duration // the copy holds all that was stored before; 0: no such moment yet
+	lastRead     time.Duration // the store last answered a read
+	healthy      time.Duration // since when it answers without a failure
+	ownerHeard   time.Duration
+	ownerWorks   time.Duration // when the owner last said that it works
+	ownerAlive   time.Duration // when it last answered at all
 	// pinged is the owner that is asked whether it is there, last at pingedAt.
 	pinged      process
 	pingedEpoch uint64
@@ -156,10 +159,10 @@
 }
 
 func (u *unit) run(ctx context.Context) {
-	f := &follower{store: u.node.store, topic: u.topic, now: u.node.now, wait: poolWait, pause: u.pause, wake: u.readNow, bulky: true,
-		readers: &u.node.readers, log: u.node.log}
-	go f.run(ctx, func(b batch) { u.send(ctx, b) })
 	go u.enlist(ctx)
+	u.replica.claim = u.node.peers.ownerOf(u.topic.Part)
+	u.followClaim()
+	u.considerCopy(ctx)
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
 	for {
@@ -211,8 +214,10 @@
 func (u *unit) handle(ctx context.Context, ev any) {
 	switch e := ev.(type) {
 	case batch:
-		u.take(e)
-		u.appendDirect(ctx)
+		if e.copyNumber == u.copyState.number { // otherwise it was read for a dropped copy
+			u.take(e)
+			u.appendDirect(ctx)
+		}
 	case claimed:
 		u.claimAnswered(ctx, e)
 	case directDone:
@@ -251,7 +256,10 @@
 	u.lastRead = now
 	u.answeredAsOwner = ""
 	u.completeAt = max(u.completeAt, b.asOf)
-	u.copied = true
+	if !u.copied {
+		u.copied = true
+		u.replica.claim = claim{} // drops the claim from the list of instances, which may be outdated
+	}
 	fresh := u.replica.apply(b, u.badRecord)
 	heard := false
 	for _, rec := range fresh {
@@ -266,7 +274,7 @@
 	}
 	if !u.caughtUp && u.fresh() {
 		u.caughtUp = true
-		u.node.caughtUp()
+		u.markCaughtUp()
 	}
 	u.followClaim()
 	if u.own != nil {
@@ -300,12 +308,13 @@
 		u.escapeStore(ctx)
 		return
 	}
+	u.considerCopy(ctx)
+	if !u.follows() {
+		u.checkOwner(ctx)
+		return
+	}
 	u.watchOwner(ctx)
 	u.pingOwner(ctx)
-	if now := u.node.now(); now-u.rankedAt > rankEvery {
-		u.rankedAt = now
-		u.leisure.Store(u.rank() >= nextOwners)
-	}
 	u.considerClaim(ctx)
 }
 
@@ -326,7 +335,7 @@
 	u.dropped = u.own.claim.Epoch
 	u.own = nil
 	u.ownerHeard = u.node.now()
-	u.node.setOwned(u.topic.Part, false)
+	u.node.clearOwned(u.topic.Part)
 }
 
 // submit stores a record as the pool's owner.
--- a/standin/machines/store.go
+++ b/standin/machines/store.go
@@ -185,6 +185,54 @@
 	return true
 }
 
+// maxReadDelay is the longest wait for the shared read bandwidth; reads beyond it are refused.
+const maxReadDelay = time.Second
+
+// LimitReads limits the total rate of all reads, in bytes per second; 0: unlimited.
+func (w *World) LimitReads(bytesPerS int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.readRate = bytesPerS
+}
+
+// BytesRead returns the total size of the records that reads have returned.
+func (w *World) BytesRead() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.bytesRead
+}
+
+// throttleRead waits until the page has been transferred at the shared read rate. It returns false
+// without waiting if the reads queued before would take longer than maxReadDelay.
+func (w *World) throttleRead(page []node.Stored) bool {
+	w.mu.Lock()
+	size := 0
+	for _, rec := range page {
+		size += len(rec.Key) + len(rec.Value)
+	}
+	if w.readRate == 0 {
+		w.bytesRead += size
+		w.mu.Unlock()
+		return true
+	}
+	now := time.Now()
+	if w.readsDoneAt.Before(now) {
+		w.readsDoneAt = now
+	}
+	if w.readsDoneAt.Sub(now) > maxReadDelay {
+		w.mu.Unlock()
+		return false
+	}
+	w.bytesRead += size
+	w.readsDoneAt = w.readsDoneAt.Add(time.Duration(size) * time.Second / time.Duration(w.readRate))
+	wait := w.readsDoneAt.Sub(now)
+	w.mu.Unlock()
+	if wait > 0 {
+		time.Sleep(wait)
+	}
+	return true
+}
+
 // Append implements node.Store.
 func (v *View) Append(ctx context.Context, to node.Topic, records []pool.Record, writer *node.Writer) (int64, error) {
 	return v.append(ctx, to, func(st *stream) (int64, error) { return st.append(records, writer) })
@@ -233,18 +281,26 @@
 	if do, answered, err := v.call(ctx); !do || !answered {
 		return nil, false, 0, orInDoubt(err)
 	}
-	v.w.mu.Lock()
-	defer v.w.mu.Unlock()
-	st := v.w.store.stream(from)
-	var page []node.Stored
+	page, more, end := v.w.newestPage(from, after)
+	if !v.w.throttleRead(page) {
+		return nil, false, 0, node.ErrRefused
+	}
+	return page, more, end, nil
+}
+
+// newestPage returns a page of the newest records per key, starting after the given key.
+func (w *World) newestPage(from node.Topic, after string) (page []node.Stored, more bool, end int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	st := w.store.stream(from)
 	for key, rec := range st.newest {
 		if key > after {
 			page = append(page, rec)
 		}
 	}
 	slices.SortFunc(page, func(a, b node.Stored) int { return cmp.Compare(a.Key, b.Key) })
-	more := len(page) > v.w.PageSize
-	return page[:min(v.w.PageSize, len(page))], more, st.end(), nil
+	more = len(page) > w.PageSize
+	return page[:min(w.PageSize, len(page))], more, st.end()
 }
 
 // Read implements node.Store.
@@ -260,8 +316,13 @@
 		switch {
 		case fault == StoreSilent: // what it would answer is held back
 			grown, elapsed = nil, nil
-		case err != nil || len(page) > 0:
-			return page, end, err
+		case err != nil:
+			return nil, end, err
+		case len(page) > 0:
+			if !v.w.throttleRead(page) {
+				return nil, 0, node.ErrRefused
+			}
+			return page, end, nil
 		}
 		select {
 		case <-grown:
--- a/standin/machines/world.go
+++ b/standin/machines/world.go
@@ -60,7 +60,11 @@
 	everLate   bool          // some may still be on their way
 	config     []byte        // the newest
 	appendTime time.Duration // of each append to a stream, one after the other
-	Referee    *Referee
+	readRate   int           // total of all reads, in bytes per second; 0: unlimited
+	// readsDoneAt is when the reads queued so far will have been transferred.
+	readsDoneAt time.Time
+	bytesRead   int
+	Referee     *Referee
 }
 
 // New returns a world whose luck follows a seed.
