node: move a pool away from an instance with a slow link

An instance is now weak for a pool if its link rate is below half of the highest known one, the same rule as for the processor share: stronger instances precede it in the order of who should own the pool and keep copies, and it hands its pool over to one of them. Each instance publishes its link rate (from the settings) in its entry; an instance that doesn't is not weak for that reason. The highest values are computed when the list changes. Previously, the highest power was searched for among all entries for each candidate: quadratic in the number of instances, once a second.

TestPoolGoesFromAThinLinkToAFastOne failed before this change (the pool stayed on the instance with the slow link). Rejected: a link rate measured from calls, because an idle link shows none.

--- a/node/candidates.go
+++ b/node/candidates.go
@@ -14,8 +14,8 @@
 	// on a calm day, and the smallest machines have 0.19.
 	claimWeak  = 600 * time.Millisecond
 	ampleShare = 0.8
-	// weakShare of the strongest machine's processor share makes a machine too
-	// weak for a pool.
+	// weakShare is the fraction of the highest processor share or link rate below which a
+	// machine is too weak for a pool.
 	weakShare = 0.5
 )
 
@@ -68,11 +68,18 @@
 
 func (u *unit) candidate(p peerEntry) candidate {
 	return candidate{
-		weak: p.Power < weakShare*u.node.peers.mostPower(), owns: u.node.ownedBy(p.Addr),
+		weak: u.node.peers.isWeak(p), owns: u.node.ownedBy(p.Addr),
 		lot: u.lot(p.name), name: p.name,
 	}
 }
 
+// isWeak reports whether a machine's processor share or link rate is below weakShare of the
+// highest known one. An unknown link rate is ignored.
+func (p *peers) isWeak(e peerEntry) bool {
+	slowLink := e.LinkRate > 0 && float64(e.LinkRate) < weakShare*float64(p.fastestLinkRate())
+	return slowLink || e.Power < weakShare*p.mostPower()
+}
+
 // before orders candidates. Two pools are much for one machine, yet a strong one
 // carries them rather than a weak one carries the one.
 func (c candidate) before(o candidate) bool {
--- a/node/claiming_test.go
+++ b/node/claiming_test.go
@@ -71,6 +71,29 @@
 	})
 }
 
+// Guards against a pool staying on an instance whose link is too slow for the pool's task starts.
+func TestPoolGoesFromAThinLinkToAFastOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, false)
+		defer c.close()
+		for name, linkRate := range map[string]int{"thin": 250_000, "unknown": 0, "fast": 25_000_000} {
+			c.members[name] = &member{name: name, view: c.world.View(name), power: 1, linkRate: linkRate}
+		}
+		c.start("thin")
+		c.world.AddWorker(pool.Resources{CPU: 8000, Mem: 8000}, "x", "r1")
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, c.owner(), "thin")
+		c.start("fast")
+		time.Sleep(4 * time.Second)
+		assert.Equal(t, c.owner(), "fast")
+		c.start("unknown")
+		c.kill("fast")
+		time.Sleep(4 * time.Second)
+		assert.Equal(t, c.owner(), "unknown")
+		c.check()
+	})
+}
+
 // ownedAfter waits until somebody owns the pool, and returns how long that took.
 func (c *cluster) ownedAfter() time.Duration {
 	c.t.Helper()
--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -49,6 +50,8 @@
 	node  *node.Node
 	stop  func()  // nil while it is down
 	power float64 // the instance's processor share, in cores
+	// linkRate is the link rate reported in the settings, in bytes per second; 0: the cluster's linkRate.
+	linkRate int
 }
 
 type lockedBuffer struct {
@@ -129,7 +132,7 @@
 	}
 	return node.New(node.Settings{
 		Name: m.name, PeerAddr: m.name, Parts: 4, HoldMax: machines.HoldMax, StopTimeout: machines.StopTime,
-		Now: func() time.Duration { return base + time.Since(began) + time.Hour }, Dial: dial, Power: m.power, LinkRate: c.linkRate, Copies: c.copies,
+		Now: func() time.Duration { return base + time.Since(began) + time.Hour }, Dial: dial, Power: m.power, LinkRate: cmp.Or(m.linkRate, c.linkRate), Copies: c.copies,
 	}, zerolog.New(&c.logs).With().Str("id", m.name).Logger().Hook(c), store, workers, m.view, m.view)
 }
 
--- a/node/peers.go
+++ b/node/peers.go
@@ -54,6 +54,8 @@
 	Life int64  `json:"life"`
 	// Power is the machine's processor share, in cores.
 	Power float64 `json:"power"`
+	// LinkRate is the rate of the machine's link, in bytes per second; 0: unknown.
+	LinkRate int `json:"link,omitempty"`
 	// Pools are the pools that the instance owns. Instances without a copy of a pool find its
 	// owner here.
 	Pools []ownedPool `json:"pools,omitempty"`
@@ -73,6 +75,8 @@
 	byKey map[string]peerEntry
 	links map[string]*link
 	gone  map[process]bool // processes that no longer answer
+	// maxima holds the highest Power and LinkRate of all entries. updateEntries computes it.
+	maxima peerEntry
 	// loaded is set once the list has been read.
 	loaded atomic.Bool
 	// changed wakes announce after a change of this instance's entry.
@@ -100,7 +104,7 @@
 // self is this instance's entry.
 func (p *peers) self() peerEntry {
 	set := p.node.set
-	return peerEntry{name: set.Name, Addr: set.PeerAddr, Life: p.node.life, Power: set.Power, Pools: p.node.ownedPools()}
+	return peerEntry{name: set.Name, Addr: set.PeerAddr, Life: p.node.life, Power: set.Power, LinkRate: set.LinkRate, Pools: p.node.ownedPools()}
 }
 
 func (p *peers) announce(ctx context.Context) {
@@ -184,12 +188,19 @@
 		}
 		p.byKey[rec.Key] = e
 	}
+	p.maxima = peerEntry{}
+	for _, e := range p.byKey {
+		p.maxima.Power, p.maxima.LinkRate = max(p.maxima.Power, e.Power), max(p.maxima.LinkRate, e.LinkRate)
+	}
 }
 
 // plausiblePower bounds what an instance may say of its machine, in cores: four times
 // the largest on the market. More would make all others too weak for a pool.
 const plausiblePower = 4 * 1024
 
+// plausibleLinkRate bounds the link rate in an instance's entry, in bytes per second: 1 Tbit/s.
+const plausibleLinkRate = 125_000_000_000
+
 func decodePeer(rec Stored) (peerEntry, error) {
 	e := peerEntry{name: rec.Key}
 	if rec.Unreadable != nil {
@@ -201,7 +212,7 @@
 	if slices.ContainsFunc(e.Pools, func(o ownedPool) bool { return o.Part < 0 || o.Epoch == 0 || o.Generation < 0 }) {
 		return e, errors.New("an instance's entry with an invalid pool")
 	}
-	if rec.Key == "" || e.Addr == "" || e.Life <= 0 || e.Power < 0 || e.Power > plausiblePower {
+	if rec.Key == "" || e.Addr == "" || e.Life <= 0 || e.Power < 0 || e.Power > plausiblePower || e.LinkRate < 0 || e.LinkRate > plausibleLinkRate {
 		return e, errors.New("no instance's own entry")
 	}
 	return e, nil
@@ -329,11 +340,14 @@
 func (p *peers) mostPower() float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	most := max(p.node.set.Power, leastPower)
-	for _, e := range p.byKey {
-		most = max(most, e.Power)
-	}
-	return most
+	return max(p.node.set.Power, leastPower, p.maxima.Power)
+}
+
+// fastestLinkRate is the highest known link rate, this machine's included; 0: none is known.
+func (p *peers) fastestLinkRate() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return max(p.node.set.LinkRate, p.maxima.LinkRate)
 }
 
 // handOver asks instances in turn to claim a pool, and returns who does. What is
