--- a/node/thinworkers_test.go
+++ b/node/thinworkers_test.go
@@ -76,8 +76,7 @@
 	return out
 }
 
-// Guards against starts that saturate the owner's link, so that renewals time out, healthy
-// workers lose their leases and ended tasks run again.
+// Guards against starts that saturate a slow link, so that renewals time out and ended tasks run again.
 func TestBurstOfStartsOverAThinLinkKeepsLeases(t *testing.T) {
 	for _, link := range []struct {
 		name      string
