node: don't report a request that was never submitted as in doubt

A cancellation that timed out while the instance looked up the pool's owner was treated as possibly stored, and its caller was told that the outcome is unknown.

Cause: throughOwner returned the error of the owner address lookup unchanged. That error doesn't count as a certain refusal, although nothing had been submitted. A record in doubt is looked up once more with the context of Run, which was nil before Run. An HTTP request that arrives before Run uses the same nil context, and has a data race with Run.

throughOwner now returns ErrRefused for a failed lookup, which says that nothing was done. New creates the instance's context, which is canceled with the context of Run.

TestRequestWhoseTimeEndsBeforeItsSubmissionIsNotRun panics without the change.

--- a/node/intake.go
+++ b/node/intake.go
@@ -157,7 +157,8 @@
 	}
 	var addr string
 	if err := u.ask(ctx, func() { addr = u.ownerAddr() }); err != nil {
-		return err
+		// Nothing has been submitted, so the outcome of this attempt is certain.
+		return errors.Wrap(ErrRefused, "the owner wasn't looked up in time")
 	}
 	return n.submitAt(ctx, u, addr, in)
 }
--- a/node/node.go
+++ b/node/node.go
@@ -70,7 +70,10 @@
 	startWindow *congestion.Window
 
 	readers readers
-	running context.Context // of Run
+	// running is canceled with the context of Run. New creates it, since requests may
+	// arrive before Run is called.
+	running       context.Context
+	cancelRunning context.CancelFunc
 
 	waves atomic.Pointer[[]pool.Wave]
 
@@ -106,6 +109,7 @@
 		life: time.Now().UnixNano(), adviseNow: make(chan struct{}, 1), units: map[int]*unit{},
 		ownedParts: map[int]claim{}, owners: map[int]string{}, waits: 1,
 	}
+	n.running, n.cancelRunning = context.WithCancel(context.Background())
 	n.measures = newMeasures(set.Metrics)
 	n.startWindow = newStartWindow(set.LinkRate)
 	n.store = timedStore{Store: store, measures: n.measures}
@@ -118,7 +122,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	f := &follower{store: n.store, topic: n.directory.ConfigTopic(), now: n.now, wait: readWait,
 		pause: func() time.Duration { return 0 }, readers: &n.readers, log: n.log}
-	n.running = ctx
+	context.AfterFunc(ctx, n.cancelRunning)
 	go n.peers.run(ctx)
 	go n.followInUse(ctx)
 	f.run(ctx, func(b batch) { n.takeConfig(ctx, b) })
