pool: make planning cost depend on placements, not on workers and running tasks

In addition, picking scored all candidates again for each task.

Now a step with no waiting task isn't scanned again until a run ends or a delay is over. A question selects the least full workers without sorting the rest. After a placement, only the picked workers are measured. Workers are picked from a heap.

TestStepThatHadNoWaitingTaskIsScannedAfterARunEnds fails without the reset in vacate.

--- a/pool/core.go
+++ b/pool/core.go
@@ -77,7 +77,8 @@
 	// aren't allocated for each step: for the latter alone that was 5 KB each, a half of
 	// what the first plan of a new owner with 3,000 jobs allocated (BenchmarkTakeover).
 	candidates []*worker
-	unknown    []*worker
+	unknown    []rankedWorker
+	scored     scoreHeap // of pickAmong, reused between steps
 	// waiting and rated are a pass's lists of steps, kept so that they aren't allocated for
 	// each: with 3,000 jobs waiting that was 0.2 MB a pass (BenchmarkStored).
 	waiting  []*step
--- a/pool/experiment/experiment_test.go
+++ b/pool/experiment/experiment_test.go
@@ -60,3 +60,30 @@
 		assert.Assert(t, q.Share() >= 0.9, "%s earned %.3f", name, q.Share())
 	}
 }
+
+// Guards against urgent jobs waiting behind wide ones during a burst on a large pool, and against
+// tasks placed on full workers.
+func TestUrgentJobsInABurstOnHundredsOfWorkers(t *testing.T) {
+	r := Play(largeDeskBurst(), 1)
+	assert.Equal(t, r.Overfilled, 0)
+	for name, q := range r.Queues {
+		assert.Assert(t, q.Share() >= 0.75, "%s earned %.3f", name, q.Share())
+	}
+}
+
+func largeDeskBurst() Load {
+	load := LargeDesk()
+	load.Bursts = []Burst{{Kind: "quote", At: 15 * time.Second, For: 4 * time.Second, Multiple: 2.2}}
+	return load
+}
+
+// BenchmarkLargeDesk measures the core's time per started task on 792 workers.
+func BenchmarkLargeDesk(b *testing.B) {
+	starts, deciding := 0, time.Duration(0)
+	for n := range b.N {
+		r := Play(largeDeskBurst(), uint64(n+1))
+		starts += r.Starts
+		deciding += r.Deciding
+	}
+	b.ReportMetric(float64(deciding.Microseconds())/float64(starts), "us/start")
+}
--- a/pool/experiment/workload.go
+++ b/pool/experiment/workload.go
@@ -292,3 +292,21 @@
 	}
 	return 0
 }
+
+// LargeDesk is OrderDesk scaled to 792 workers: wide urgent jobs and wide jobs of long tasks that
+// together use seven tenths of the capacity.
+func LargeDesk() Load {
+	l := OrderDesk()
+	for i, large := range []Kind{
+		{PerSec: 43.7, Width: 13, MaxWidth: 80, CPU: 4200, Mem: 15000, Run: 880 * time.Millisecond, Target: 300 * time.Millisecond,
+			Decision: 33800 * time.Microsecond, PerWorker: 494 * time.Microsecond},
+		{PerSec: 4.58, Width: 29, MaxWidth: 140, CPU: 4500, Mem: 17000, Run: 5600 * time.Millisecond, Target: 3 * time.Second,
+			Decision: 182 * time.Millisecond, PerWorker: 2600 * time.Microsecond},
+	} {
+		k := &l.Kinds[i]
+		k.PerSec, k.Width, k.MaxWidth, k.CPU, k.Mem, k.Run, k.Target = large.PerSec, large.Width, large.MaxWidth, large.CPU, large.Mem, large.Run, large.Target
+		k.Decision, k.PerWorker = large.Decision, large.PerWorker
+	}
+	l.Workers, l.Callers, l.Capacity = 792, 147, pool.Resources{CPU: 18000, Mem: 65536}
+	return l
+}
--- a/pool/gangask.go
+++ b/pool/gangask.go
@@ -98,13 +98,13 @@
 }
 
 // gangNames is how many workers of a list a question about a gang names, at least.
-func (c *Core) gangNames(s *step, list []*worker, tasks int, empty bool) int {
+func (c *Core) gangNames(s *step, list []rankedWorker, tasks int, empty bool) int {
 	share, expected := c.goodShare(s.job.Queue), c.placesOf(s, renewable, empty)
 	for n, w := range list {
 		if n == mostNamed || expected >= gangMargin*float64(tasks) {
 			return n
 		}
-		expected += share * c.places(s, w, empty)
+		expected += share * c.places(s, w.worker, empty)
 	}
 	return min(mostNamed, len(list))
 }
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -1,6 +1,9 @@
 package pool
 
-import "slices"
+import (
+	"container/heap"
+	"slices"
+)
 
 // pick returns workers for up to n tasks of a step, one for each, among those
 // with at least the given permission. It may name a worker several times.
@@ -72,35 +75,70 @@
 	return max(0, copies)
 }
 
+// pickAmong picks the candidate with the lowest score for each of n tasks in turn; ties go to
+// the earlier candidate. A pick changes only the score of the picked worker, so a heap avoids
+// scoring all candidates again for each task.
 func (c *Core) pickAmong(s *step, n int, candidates []*worker) []*worker {
-	extra := map[*worker]int{}
 	need := s.spec.Reserved()
-	var picks []*worker
-	for range n {
-		var best *worker
-		var bestScore float64
-		for _, w := range candidates {
-			free := w.free()
-			for range extra[w] {
-				free = free.Minus(need)
-			}
-			if !need.Within(free) || !c.underLimit(s, w, extra[w]) {
-				continue
-			}
-			score := c.score(s, w, free, extra[w])
-			if best == nil || score < bestScore {
-				best, bestScore = w, score
-			}
+	scored := c.scored[:0]
+	for i, w := range candidates {
+		p := scoredWorker{worker: w, free: w.free(), order: i}
+		if need.Within(p.free) && c.underLimit(s, w, 0) {
+			p.score = c.score(s, w, p.free, 0)
+			scored = append(scored, p)
 		}
-		if best == nil {
-			return picks
+	}
+	c.scored = scored
+	heap.Init(&scored)
+	var picks []*worker
+	for len(picks) < n && len(scored) > 0 {
+		best := &scored[0]
+		picks = append(picks, best.worker)
+		best.free = best.free.Minus(need)
+		best.tasks++
+		if need.Within(best.free) && c.underLimit(s, best.worker, best.tasks) {
+			best.score = c.score(s, best.worker, best.free, best.tasks)
+			heap.Fix(&scored, 0)
+		} else {
+			heap.Pop(&scored)
 		}
-		extra[best]++
-		picks = append(picks, best)
 	}
 	return picks
 }
 
+// scoredWorker is a candidate of pickAmong with its score for the next task.
+type scoredWorker struct {
+	worker *worker
+	free   Resources // after subtracting the tasks picked for it
+	tasks  int       // number of tasks picked for it
+	score  float64
+	order  int // index among the candidates, breaks ties
+}
+
+// scoreHeap is a min-heap of workers by score.
+type scoreHeap []scoredWorker
+
+func (h scoreHeap) Len() int { return len(h) }
+
+func (h scoreHeap) Less(i, j int) bool {
+	if h[i].score != h[j].score {
+		return h[i].score < h[j].score
+	}
+	return h[i].order < h[j].order
+}
+
+func (h scoreHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *scoreHeap) Push(x any) { *h = append(*h, x.(scoredWorker)) }
+
+// Pop implements heap.Interface. It returns nil, since callers don't use the removed element.
+func (h *scoreHeap) Pop() any {
+	last := len(*h) - 1
+	*h = (*h)[:last]
+	return nil
+}
+
 // underLimit reports whether one more task of the step may run on the worker.
 func (c *Core) underLimit(s *step, w *worker, extra int) bool {
 	if s.spec.PerWorker == 0 {
--- /dev/null
+++ b/pool/pick_test.go
@@ -0,0 +1,99 @@
+package pool
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against picks from the heap that differ from those of a full scan for each task.
+func TestPickedWorkersHaveTheLowestScores(t *testing.T) {
+	for seed := range uint64(300) {
+		luck := rand.New(rand.NewPCG(seed, 1))
+		s := &step{job: &job{}, spec: &StepSpec{Count: 30, Need: Resources{CPU: 1 + luck.IntN(4), Mem: luck.IntN(3)},
+			PerWorker: luck.IntN(3), LongRunning: luck.IntN(2) == 0, Fills: luck.IntN(4) == 0}}
+		var workers []*worker
+		for n := range 1 + luck.IntN(20) {
+			workers = append(workers, &worker{WorkerInfo: WorkerInfo{ID: fmt.Sprint(n), Capacity: Resources{CPU: 4 + 4*luck.IntN(3), Mem: 8}},
+				used: Resources{CPU: luck.IntN(5)}, fills: luck.IntN(2), serving: luck.IntN(2)})
+		}
+		n := 1 + luck.IntN(40)
+		assert.DeepEqual(t, workerIDs((&Core{}).pickAmong(s, n, workers)), workerIDs(pickByScan(&Core{}, s, n, workers)))
+	}
+}
+
+// pickByScan is the reference for pickAmong: it scores all candidates again for each task.
+func pickByScan(c *Core, s *step, n int, candidates []*worker) []*worker {
+	need, picked := s.spec.Reserved(), map[*worker]int{}
+	var picks []*worker
+	for range n {
+		var best *worker
+		var lowest float64
+		for _, w := range candidates {
+			free := w.free()
+			for range picked[w] {
+				free = free.Minus(need)
+			}
+			if !need.Within(free) || !c.underLimit(s, w, picked[w]) {
+				continue
+			}
+			if score := c.score(s, w, free, picked[w]); best == nil || score < lowest {
+				best, lowest = w, score
+			}
+		}
+		if best == nil {
+			break
+		}
+		picked[best]++
+		picks = append(picks, best)
+	}
+	return picks
+}
+
+func workerIDs(workers []*worker) []string {
+	ids := make([]string, 0, len(workers))
+	for _, w := range workers {
+		ids = append(ids, w.ID)
+	}
+	return ids
+}
+
+// Guards against questions that name workers other than the least full ones.
+func TestLeastFullAreTheFirstOfTheSortedList(t *testing.T) {
+	for seed := range uint64(300) {
+		luck := rand.New(rand.NewPCG(seed, 2))
+		list := make([]rankedWorker, luck.IntN(60))
+		for i := range list {
+			list[i] = rankedWorker{worker: &worker{}, fullness: float64(luck.IntN(8)) / 8, order: i}
+		}
+		n := luck.IntN(70)
+		want := slices.Clone(list)
+		slices.SortStableFunc(want, compareRanked)
+		got := leastFull(list, n)
+		assert.Equal(t, len(got), min(n, len(list)))
+		for i := range got {
+			assert.Equal(t, got[i].order, want[i].order)
+		}
+	}
+}
+
+// Guards against a stale noneWaitingBefore, which would keep a task from being started again.
+func TestStepThatHadNoWaitingTaskIsScannedAfterARunEnds(t *testing.T) {
+	c := New(Settings{}, 0)
+	s := &step{job: &job{}, occ: &occurrence{}, spec: &StepSpec{Count: 1}}
+	first := &task{step: s}
+	s.tasks = []*task{first}
+	first.run = &run{task: first, worker: &worker{runs: map[runKey]*run{}}}
+	c.occupy(first.run)
+	assert.Assert(t, !s.anyWaiting(0))
+	c.vacate(first.run)
+	assert.Assert(t, s.anyWaiting(0))
+
+	first.notBefore = time.Second
+	assert.Assert(t, !s.anyWaiting(0))
+	assert.Assert(t, s.anyWaiting(time.Second))
+}
--- a/pool/place.go
+++ b/pool/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -100,11 +101,21 @@
 	return slices.ContainsFunc(s.tasks, func(t *task) bool { return t.waits(c.now) && len(t.failed) >= attempts })
 }
 
+// anyWaiting reports whether a task of the step could be started now. It caches a negative
+// result in noneWaitingBefore, so that the tasks of fully running steps aren't scanned in each pass.
 func (s *step) anyWaiting(now time.Duration) bool {
+	if now < s.noneWaitingBefore {
+		return false
+	}
+	s.noneWaitingBefore = math.MaxInt64
 	for _, t := range s.tasks {
 		if t.waits(now) {
+			s.noneWaitingBefore = 0
 			return true
 		}
+		if !t.done && t.run == nil && t.unseenOn == nil {
+			s.noneWaitingBefore = min(s.noneWaitingBefore, t.notBefore)
+		}
 	}
 	return false
 }
@@ -137,13 +148,34 @@
 			continue
 		}
 		free := w.free()
+		w.takerIndex = len(c.takers)
 		c.takers = append(c.takers, openWorker{worker: w, free: free})
-		c.largest = Resources{CPU: max(c.largest.CPU, free.CPU), Mem: max(c.largest.Mem, free.Mem), GPU: max(c.largest.GPU, free.GPU)}
+		c.largest = c.largest.largest(free)
 		c.smallest = Resources{CPU: least(c.smallest.CPU, w.Capacity.CPU), Mem: least(c.smallest.Mem, w.Capacity.Mem),
 			GPU: least(c.smallest.GPU, w.Capacity.GPU)}
 	}
 }
 
+// remeasureRoom updates the results of measureRoom after room on the picked workers was taken or
+// booked. It recomputes c.largest only if one of them had the most free room of some resource.
+func (c *Core) remeasureRoom(picks []*worker) {
+	largestReduced := false
+	for _, w := range picks {
+		taker := &c.takers[w.takerIndex]
+		before, now := taker.free, w.free()
+		taker.free = now
+		largestReduced = largestReduced || now.CPU < before.CPU && before.CPU == c.largest.CPU ||
+			now.Mem < before.Mem && before.Mem == c.largest.Mem || now.GPU < before.GPU && before.GPU == c.largest.GPU
+	}
+	if !largestReduced {
+		return
+	}
+	c.largest = Resources{}
+	for i := range c.takers {
+		c.largest = c.largest.largest(c.takers[i].free)
+	}
+}
+
 // least is the smaller of two amounts of which 0 stands for none.
 func least(a, b int) int {
 	if a == 0 || b == 0 {
@@ -178,9 +210,7 @@
 	for i, w := range picks {
 		c.start(tasks[i], w)
 	}
-	if len(picks) > 0 {
-		c.measureRoom()
-	}
+	c.remeasureRoom(picks)
 	if len(picks) == limit && limit < len(tasks) {
 		c.replan = true
 		c.askFor(s, len(tasks)-limit)
@@ -239,6 +269,7 @@
 		c.unbook(s)
 		return
 	}
+	c.remeasureRoom(picks)
 	c.ask(s, names)
 }
 
@@ -301,21 +332,23 @@
 		free := need.Within(w.free())
 		room = room || free
 		if full || free || !s.spec.Gang {
-			list = append(list, w)
+			list = append(list, rankedWorker{worker: w, fullness: c.fullness(w), order: len(list)})
 		}
 	}
 	c.unknown = list
 	if !full && !room {
 		return nil
 	}
-	slices.SortStableFunc(list, func(a, b *worker) int { return cmp.Compare(c.fullness(a), c.fullness(b)) })
-	switch {
-	case s.spec.Gang:
-		most = max(most, c.gangNames(s, list, left, further && full))
-	case further:
+	if further && !s.spec.Gang {
 		most += mostNamed - maxNamed
 	}
-	list = list[:min(len(list), max(0, most))]
+	if s.spec.Gang {
+		slices.SortFunc(list, compareRanked)
+		most = max(most, c.gangNames(s, list, left, further && full))
+		list = list[:min(len(list), max(0, most))]
+	} else {
+		list = leastFull(list, max(0, most))
+	}
 	names := make([]string, 0, len(list))
 	for _, w := range list {
 		names = append(names, w.ID)
@@ -323,6 +356,37 @@
 	return names
 }
 
+// rankedWorker is a worker with its sort key.
+type rankedWorker struct {
+	*worker
+	fullness float64
+	order    int // breaks ties of fullness
+}
+
+func compareRanked(a, b rankedWorker) int {
+	return cmp.Or(cmp.Compare(a.fullness, b.fullness), cmp.Compare(a.order, b.order))
+}
+
+// leastFull returns the n least full workers of a list, least full first. It overwrites the list.
+// The rest isn't sorted, since a question names only a few of a service's workers.
+func leastFull(list []rankedWorker, n int) []rankedWorker {
+	n = min(n, len(list))
+	if n == 0 {
+		return nil
+	}
+	least := list[:n]
+	slices.SortFunc(least, compareRanked)
+	for _, w := range list[n:] {
+		if compareRanked(w, least[n-1]) >= 0 {
+			continue
+		}
+		at, _ := slices.BinarySearchFunc(least, w, compareRanked)
+		copy(least[at+1:], least[at:n-1])
+		least[at] = w
+	}
+	return least
+}
+
 // fits reports whether a worker could run the step's tasks when empty.
 func (c *Core) fits(s *step, w *worker) bool {
 	return w.Service == s.job.Service && w.listed && !w.Draining && !w.leaving && s.spec.Reserved().Within(w.Capacity) &&
--- a/pool/run.go
+++ b/pool/run.go
@@ -135,6 +135,7 @@
 	}
 	if r.task.run == r {
 		r.task.run = nil
+		r.task.step.noneWaitingBefore = 0
 	}
 	c.replan = true
 }
--- a/pool/silence.go
+++ b/pool/silence.go
@@ -107,6 +107,7 @@
 	for _, t := range w.note.tasks {
 		if t.unseenOn == w {
 			t.unseenOn = nil
+			t.step.noneWaitingBefore = 0
 			c.replan = true
 		}
 	}
--- a/pool/state.go
+++ b/pool/state.go
@@ -49,6 +49,9 @@
 	// delayNoted tells that its wait counts among its queue's delays.
 	delayNoted bool
 	notBefore  time.Duration
+	// noneWaitingBefore is the earliest time at which a task can wait again; 0: unknown. It is
+	// reset when a run ends and when a silent worker's tasks are unblocked.
+	noneWaitingBefore time.Duration
 	// lookAgain is when room for the step is looked for again.
 	lookAgain time.Duration
 	booked    []booking
--- a/pool/worker.go
+++ b/pool/worker.go
@@ -49,6 +49,8 @@
 	listed  bool
 	leaving bool // its machine is emptied for upkeep
 	fenced  bool // it has answered under this owner's token
+	// takerIndex is the worker's index in Core.takers, valid only while it is listed there.
+	takerIndex int
 	// inherited workers may run what a predecessor started.
 	inherited bool
 	absent    int  // lists of machines in a row that left it out
--- a/standin/cmd/kw-pool-load/main.go
+++ b/standin/cmd/kw-pool-load/main.go
@@ -24,10 +24,10 @@
 	refuse := flag.Bool("refuse", false, "refuse what can't be in time by the core's estimate")
 	bounds := flag.Bool("bounds", false, "compare refusing with accepting all and with the best cut-off by true worth for true work")
 	length := flag.Duration("for", 4*time.Second, "how long the burst is")
-	shape := flag.String("shape", "wholesaler", "the load: wholesaler, grown (350 workers and 900 starts a second), desk, inspection")
+	shape := flag.String("shape", "wholesaler", "the load: wholesaler, grown (350 workers and 900 starts a second), desk, large-desk (792 workers), inspection")
 	flag.Parse()
 	shapes := map[string]func() experiment.Load{"wholesaler": experiment.Wholesaler, "grown": experiment.WholesalerGrown,
-		"desk": experiment.OrderDesk, "inspection": experiment.Inspection}
+		"desk": experiment.OrderDesk, "large-desk": experiment.LargeDesk, "inspection": experiment.Inspection}
 	newLoad, known := shapes[*shape]
 	if !known {
 		fmt.Fprintln(os.Stderr, "kw-pool-load: no such shape:", *shape)
