--- a/cmd/kw-node/main.go
+++ b/cmd/kw-node/main.go
@@ -74,7 +74,9 @@
 	if set.Cloud.Address != "" {
 		forNode.Cloud = platform.NewCloud(set.Cloud.Address)
 	}
-	n := node.New(forNode, p.Log, platform.NewStore(set.Store.Address), platform.NewWorkers(),
+	store := platform.NewStore(set.Store.Address)
+	store.PartsPerTopic = set.Store.Parts
+	n := node.New(forNode, p.Log, store, platform.NewWorkers(),
 		platform.NewAdvisor(set.Advice), platform.Directory{})
 	p.AddLoop(n.Run)
 	p.AddLoop(func(ctx context.Context) error { return tuneCollector(ctx, n) })
--- a/node/node.go
+++ b/node/node.go
@@ -21,7 +21,7 @@
 	Name     string
 	Zone     string
 	PeerAddr string // where the other instances reach this one
-	// Parts is how many parts a topic of the store has.
+	// Parts is the number of parts that services are hashed to. Each part holds one pool.
 	Parts       int
 	HoldMax     time.Duration // the longest lease that a worker grants
 	StopTimeout time.Duration // how long a worker takes to stop a run
