pool: steps that ask concurrently name different workers

Symptoms: in the large deployment, quotes were late after a burst.

Cause: a question names the least full workers, and that order ignored unanswered questions. All steps that asked within the 60 to 300 ms that an answer takes named the same 48 of 792 workers, whose room was used up when the later answers arrived. Each of these steps then asked again, which costs the owner processor time and the caller another answer.

A question's tasks now count as pending CPU demand on the workers it names, until it is answered or its job ends. Further questions order the workers by fullness including this demand. It doesn't reserve room.

--- a/pool/advice.go
+++ b/pool/advice.go
@@ -74,6 +74,34 @@
 		b.worker.booked = b.worker.booked.Minus(b.need)
 	}
 	s.booked = nil
+	for _, p := range s.pendingLoads {
+		p.worker.pendingCPU -= p.cpu
+	}
+	s.pendingLoads = s.pendingLoads[:0]
+}
+
+// pendingLoad is the share of an unanswered question's CPU demand that is attributed to one of the
+// workers it names.
+type pendingLoad struct {
+	worker *worker
+	cpu    int
+}
+
+// addPendingLoads spreads the CPU demand of a question's tasks evenly over the workers it names, until
+// unbook removes it. Otherwise, steps that ask concurrently would all name the same least full workers,
+// which don't have room for all of them.
+func (c *Core) addPendingLoads(s *step, names []string, tasks int) {
+	cpu := tasks * s.spec.Reserved().CPU / len(names)
+	for _, id := range names {
+		w := c.workers[id]
+		w.pendingCPU += cpu
+		s.pendingLoads = append(s.pendingLoads, pendingLoad{worker: w, cpu: cpu})
+	}
+}
+
+// pendingShare returns the pending CPU demand as a fraction of the worker's CPU capacity.
+func (w *worker) pendingShare() float64 {
+	return float64(w.pendingCPU) / float64(max(1, w.Capacity.CPU))
 }
 
 // owns reports whether room on a worker was booked for the tickets that have just come.
--- a/pool/place.go
+++ b/pool/place.go
@@ -270,6 +270,7 @@
 		return
 	}
 	c.remeasureRoom(picks)
+	c.addPendingLoads(s, names, left)
 	c.ask(s, names)
 }
 
@@ -332,7 +333,7 @@
 		free := need.Within(w.free())
 		room = room || free
 		if full || free || !s.spec.Gang {
-			list = append(list, rankedWorker{worker: w, fullness: c.fullness(w), order: len(list)})
+			list = append(list, rankedWorker{worker: w, fullness: c.fullness(w) + w.pendingShare(), order: len(list)})
 		}
 	}
 	c.unknown = list
--- a/pool/state.go
+++ b/pool/state.go
@@ -55,6 +55,8 @@
 	// lookAgain is when room for the step is looked for again.
 	lookAgain time.Duration
 	booked    []booking
+	// pendingLoads are the loads that the step's unanswered question adds to workers.
+	pendingLoads []pendingLoad
 	// own is what was booked for the answer that is being taken in.
 	own []booking
 	// kept is the room for tasks that are on their way from workers that drain.
--- a/pool/worker.go
+++ b/pool/worker.go
@@ -51,6 +51,8 @@
 	fenced  bool // it has answered under this owner's token
 	// takerIndex is the worker's index in Core.takers, valid only while it is listed there.
 	takerIndex int
+	// pendingCPU is the CPU demand attributed to the worker by unanswered questions, in thousandths of a core.
+	pendingCPU int
 	// inherited workers may run what a predecessor started.
 	inherited bool
 	absent    int  // lists of machines in a row that left it out
