pool: one line for what two tests guard against

Comments of TestUrgentJobsInABurstOnHundredsOfWorkers and TestStepsThatAskTogetherNameDifferentWorkers only: the house style allows one line.

--- a/pool/experiment/experiment_test.go
+++ b/pool/experiment/experiment_test.go
@@ -61,8 +61,7 @@
 	}
 }
 
-// Guards against urgent jobs waiting behind wide ones during a burst on a large pool, and against
-// tasks placed on full workers.
+// Guards against urgent jobs waiting behind wide ones during a burst on a large pool, and against overfilled workers.
 func TestUrgentJobsInABurstOnHundredsOfWorkers(t *testing.T) {
 	r := Play(largeDeskBurst(), 1)
 	assert.Equal(t, r.Overfilled, 0)
--- a/pool/pendingload_test.go
+++ b/pool/pendingload_test.go
@@ -7,8 +7,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// Guards against concurrent questions that all name the same workers, whose room is used up before the
-// later answers arrive, and against pending load that remains after an answer or a cancellation.
+// Guards against concurrent questions that all name the same workers, and against pending load that outlives its question.
 func TestStepsThatAskTogetherNameDifferentWorkers(t *testing.T) {
 	var ids []string
 	for n := range 4 * maxNamed {
