--- a/node/moved_request_test.go
+++ b/node/moved_request_test.go
@@ -221,6 +221,7 @@
 func TestRequestsAreStoredOnceThroughMovesAndTroubles(t *testing.T) {
 	for seed := range uint64(40) {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) { playMoves(t, seed) })
 		})
 	}
