node: log and count newest records that reach a pool's copy

What was missing: job.unknown names the verdict, the instances that were asked and the end of the copy, but no line said that newest records had replaced a copy, how old they were and how many stored keys they removed from it. So three hypotheses looked the same: the record was not stored, the copy had not read it yet, the copy had dropped it. It took a trial print in replica.apply.

copy.reset now says so, with the offsets up to which the newest records and the copy are complete, and whether they are stale; copy_resets counts it.

The rule of replica.apply is unchanged: its condition has a name (isStale), and the missing keys are a list so that they can be counted. The line is rare: one for each pool at the start of an instance, and one after a trim that overtakes a follower.

--- a/node/metrics.go
+++ b/node/metrics.go
@@ -61,6 +61,11 @@
 	m.scope.Tagged(map[string]string{"source": strings.ReplaceAll(string(from), ".", "_")}).Counter("unreadable_entries").Inc(1)
 }
 
+// recordReset counts newest records that were read for a copy, and those that were ignored as stale.
+func (m *metrics) recordReset(stale bool) {
+	m.scope.Tagged(map[string]string{"stale": strconv.FormatBool(stale)}).Counter("copy_resets").Inc(1)
+}
+
 // recordSubmission counts a caller's request and records its latency.
 func (m *metrics) recordSubmission(v Verdict, took time.Duration) {
 	m.scope.Tagged(map[string]string{"verdict": strings.ReplaceAll(v.String(), " ", "_")}).Counter("submissions").Inc(1)
--- a/node/poolcontroller.go
+++ b/node/poolcontroller.go
@@ -264,6 +264,9 @@
 		pc.copyLoaded = true
 		pc.replica.claim = claim{} // drops the claim from the list of instances, which may be outdated
 	}
+	if b.reset {
+		pc.reportReset(b)
+	}
 	fresh := pc.replica.apply(b, pc.reportBadRecord)
 	ownerSeen := false
 	for _, rec := range fresh {
@@ -286,6 +289,15 @@
 	}
 }
 
+// reportReset logs and counts newest records that are about to replace the copy's state. A stored
+// job that is reported as nonexistent afterwards may be among the missing ones.
+func (pc *poolController) reportReset(b batch) {
+	stale := pc.replica.isStale(b)
+	pc.node.metrics.recordReset(stale)
+	pc.log.Info().Int64("next", b.next).Int64("copy_next", pc.replica.next).Int("records", len(b.records)).
+		Int("missing", len(pc.replica.missingFrom(b.records))).Dur("took", pc.node.now()-b.askedAt).Bool("stale", stale).Msg("copy.reset")
+}
+
 // reportBadRecord logs a record of the pool's topic that can't be decoded or is invalid.
 func (pc *poolController) reportBadRecord(rec Stored, err error) {
 	pc.node.unreadable.report(source(pc.topic.Name), rec.Key, rec.Offset, err)
--- a/node/replica.go
+++ b/node/replica.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"cmp"
 	"encoding/json"
-	"maps"
 	"slices"
 
 	"github.com/pkg/errors"
@@ -40,10 +39,13 @@
 // tasks.
 func (r *replica) apply(b batch, bad func(Stored, error)) []Stored {
 	if b.reset {
-		if b.next < r.next {
-			return nil // older than what has been read beside the follower, up to r.next
+		if r.isStale(b) {
+			return nil
+		}
+		for _, key := range r.missingFrom(b.records) {
+			delete(r.records, key)
+			delete(r.invalid, key)
 		}
-		r.dropMissing(b.records)
 	}
 	var fresh []Stored
 	for _, rec := range b.records {
@@ -131,14 +133,28 @@
 	return &c, nil
 }
 
-func (r *replica) dropMissing(newest []Stored) {
-	keep := map[string]bool{}
+// isStale reports whether newest records are older than what has been read beside the follower, up
+// to r.next. They would hide records stored since.
+func (r *replica) isStale(b batch) bool { return b.reset && b.next < r.next }
+
+// missingFrom returns the keys that the replica holds and that are not among the newest records.
+func (r *replica) missingFrom(newest []Stored) []string {
+	listed := map[string]bool{}
 	for _, rec := range newest {
-		keep[rec.Key] = true
+		listed[rec.Key] = true
+	}
+	var missing []string
+	for key := range r.records {
+		if !listed[key] {
+			missing = append(missing, key)
+		}
+	}
+	for key := range r.invalid {
+		if !listed[key] {
+			missing = append(missing, key)
+		}
 	}
-	gone := func(key string) bool { return !keep[key] }
-	maps.DeleteFunc(r.records, func(key string, _ Stored) bool { return gone(key) })
-	maps.DeleteFunc(r.invalid, func(key string, _ bool) bool { return gone(key) })
+	return missing
 }
 
 // mayContain reports whether an unreadable record may be that of a job.
