node: a caller's lookup after stale newest records, in a forced order

What callers saw: an instance answered "no such job" for an accepted job, and as the pool's owner for as long as it owned the pool; the job did not run before the next takeover.

The store trims the follower's position, so the follower reads the newest records. Before they arrive the instance reads on for a claim, beside the follower; a job stored since the newest records were taken is among that. If another record precedes the claim, its core isn't loaded yet. Then the older newest records arrive, and the copy dropped all keys that they lack. The follower reads the job again, but its offset counts as read.

The test forces this order through a store that holds the newest records of one instance, and looks the job up at the new owner and at an instance without a copy.

--- /dev/null
+++ b/node/stale_newest_test.go
@@ -0,0 +1,203 @@
+package node_test
+
+import (
+	"context"
+	"net/rpc"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/knapweedweir/knapweedweir/node"
+	"github.com/knapweedweir/knapweedweir/pool"
+	"github.com/knapweedweir/knapweedweir/standin/machines"
+)
+
+// ownerHeartbeat is the maximum time between two records that an owner stores.
+const ownerHeartbeat = 300 * time.Millisecond
+
+// grindingPool holds the pool of the workers' service.
+var grindingPool = node.Topic{Name: "keyed.pools", Part: grindingPart}
+
+// heldStore is the store of one instance. It holds the newest records of a pool until they are
+// released, and stores the instance's claims late.
+type heldStore struct {
+	node.Store
+	mu sync.Mutex
+	// followedAt is when the instance's follower last read a record.
+	followedAt time.Time
+	// claimDelay is the delay of claims.
+	claimDelay time.Duration
+	// released is closed when newest records may arrive; nil: they aren't held.
+	released chan struct{}
+	// holding is set once newest records are held.
+	holding bool
+}
+
+// Newest implements node.Store.
+func (s *heldStore) Newest(ctx context.Context, from node.Topic, after string) ([]node.Stored, bool, int64, error) {
+	page, more, end, err := s.Store.Newest(ctx, from, after)
+	s.mu.Lock()
+	released := s.released
+	if held := from == grindingPool && err == nil && released != nil; !held {
+		s.mu.Unlock()
+		return page, more, end, err
+	}
+	s.holding = true
+	s.mu.Unlock()
+	select {
+	case <-released:
+		return page, more, end, err
+	case <-ctx.Done():
+		return nil, false, 0, node.ErrInDoubt
+	}
+}
+
+// Read implements node.Store.
+func (s *heldStore) Read(ctx context.Context, from node.Topic, offset int64, wait time.Duration) ([]node.Stored, int64, error) {
+	page, end, err := s.Store.Read(ctx, from, offset, wait)
+	if from == grindingPool && wait > 0 && len(page) > 0 { // others don't wait for a record
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.followedAt = time.Now()
+	}
+	return page, end, err
+}
+
+// Append implements node.Store.
+func (s *heldStore) Append(ctx context.Context, to node.Topic, records []pool.Record, writer *node.Writer) (int64, error) {
+	if to == grindingPool && slices.ContainsFunc(records, func(r pool.Record) bool { return r.Key == pool.OwnerKey }) {
+		s.mu.Lock()
+		delay := s.claimDelay
+		s.mu.Unlock()
+		time.Sleep(delay)
+	}
+	return s.Store.Append(ctx, to, records, writer)
+}
+
+// hold holds newest records from now on, and returns a function that releases them.
+func (s *heldStore) hold() (release func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	released := make(chan struct{})
+	s.released = released
+	return sync.OnceFunc(func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.released = nil
+		close(released)
+	})
+}
+
+// delayClaims delays the instance's claims from now on.
+func (s *heldStore) delayClaims(delay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.claimDelay = delay
+}
+
+// waitForFollower waits until the instance's follower reads a record.
+func (s *heldStore) waitForFollower(t *testing.T) {
+	start := time.Now()
+	waitUntil(t, "a read of the follower", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.followedAt.After(start)
+	})
+}
+
+// waitUntilHolding waits until newest records are held.
+func (s *heldStore) waitUntilHolding(t *testing.T) {
+	waitUntil(t, "a read of the newest records", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.holding
+	})
+}
+
+// waitUntil waits until a condition holds.
+func waitUntil(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	const limit = 5 * time.Second
+	for start := time.Now(); !holds(); time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Since(start) < limit, "not within %v: %s", limit, what)
+	}
+}
+
+// storeDirectly makes an instance store a job without the pool's owner.
+func (c *cluster) storeDirectly(j pool.Job, at *member) {
+	j.Queue, j.Service, j.AcceptedMs = queueName, machines.Service, time.Now().UnixMilli()
+	conn, err := c.world.Dial(at.name, time.Second)
+	assert.NilError(c.t, err)
+	peer := rpc.NewClient(conn)
+	defer peer.Close()
+	c.world.Referee.Submitted(j, 3)
+	args := node.StoreArgs{Part: grindingPart, Record: pool.Record{Key: pool.JobKey(j.ID), Value: pool.Encode(j)}, Hold: time.Second}
+	assert.NilError(c.t, peer.Call("Peer.Store", args, &node.Empty{}))
+	c.world.Referee.Answered(j.ID, true, false)
+}
+
+// Guards against an accepted job that is reported as nonexistent and never runs, because its next
+// owner receives older newest records after it has read the job for its claim.
+func TestAcceptedJobIsFoundAfterStaleNewestRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stores := map[string]*heldStore{}
+		c := newCluster(t, 1, false)
+		defer c.close()
+		c.copies = 2
+		c.storeAndDialer = func(m *member) (node.Store, node.Dialer) {
+			stores[m.name] = &heldStore{Store: m.view}
+			return stores[m.name], c.world.Dial
+		}
+		for _, name := range []string{"a", "b", "c"} {
+			c.join(name, 1)
+		}
+		time.Sleep(15 * time.Second)
+		owner := c.members[c.owner()]
+		with, without := c.copyHolders()
+		with = slices.DeleteFunc(with, func(m *member) bool { return m.name == owner.name })
+		assert.Assert(t, len(with) == 1 && len(without) == 1)
+		next, store := with[0], stores[with[0].name]
+
+		// The next owner's copy gets ahead of its follower, and the follower's position is trimmed.
+		store.waitForFollower(t)
+		release := store.hold()
+		defer release()
+		c.storeDirectly(shortJob(jobID(1)), next)
+		c.world.DropHistory()
+		store.waitUntilHolding(t)
+
+		// The job is stored after the newest records that are held, and read for the next owner's
+		// claim. A heartbeat of the former owner precedes the claim, so the new owner doesn't load
+		// its core before its follower has read up to the claim.
+		job := shortJob(jobID(2))
+		assert.Assert(t, c.submit(job, func() *member { return owner }))
+		store.delayClaims(2 * ownerHeartbeat)
+		owner.node.Stop(c.ctx)
+		waitUntil(t, "the claim", func() bool { return c.poolOf(next).Owned })
+		c.kill(owner.name)
+		release()
+		time.Sleep(lookupInterval)
+		stale := c.logs.linesContaining(`"stale":true`)
+		assert.Assert(t, strings.Contains(stale, `"copy.reset"`) && strings.Contains(stale, `"id":"`+next.name+`"`), "the newest records were not stale")
+
+		c.world.AddWorker(pool.Resources{CPU: 8000, Mem: 8000}, "x", "r1")
+		notFound := map[string]int{}
+		for range 100 {
+			for _, m := range []*member{next, without[0]} {
+				if _, v := c.state(job.ID, m); v == node.NoSuchJob {
+					notFound[m.name]++
+				}
+			}
+			time.Sleep(lookupInterval)
+		}
+		assert.Check(t, len(notFound) == 0, "lookups of an accepted job answered \"no such job\", by instance: %v; the owner is %s", notFound, next.name)
+		state, v := c.state(job.ID, next)
+		assert.Check(t, v == node.Accepted && state == pool.Completed, "5 s after the claim: %v, %q", v, state)
+		c.check()
+	})
+}
