node: one name for the topic of the workers' pool in tests

late_answer_test.go spelled out the topic that stale_newest_test.go names. No check changes; the two tests that use it and the one of stale newest records passed (one run).

--- a/node/late_answer_test.go
+++ b/node/late_answer_test.go
@@ -98,14 +98,13 @@
 		state: node.StateReply{State: pool.Running, Found: true}})
 	c.addStubPeer("owner", &Peer{delay: 100 * time.Millisecond})
 	writer := c.world.View("writer")
-	topic := node.Topic{Name: "keyed.pools", Part: grindingPart}
 	claim := []pool.Record{{Key: pool.OwnerKey, Value: []byte(`{"node":"former","addr":"former","life":1,"epoch":65536,"gen":1}`)}}
-	_, err := writer.Append(c.ctx, topic, claim, nil)
+	_, err := writer.Append(c.ctx, grindingPool, claim, nil)
 	assert.NilError(c.t, err)
 	ctx, cancel := context.WithCancel(c.ctx)
 	go func() {
 		for ctx.Err() == nil {
-			_, _ = writer.Append(ctx, topic, claim, nil) // fails only when ctx ends
+			_, _ = writer.Append(ctx, grindingPool, claim, nil) // fails only when ctx ends
 			time.Sleep(300 * time.Millisecond)
 		}
 	}()
