node: orders of answers to a copy include invalid records

One of the ways to "no such job" is an invalid record, which a copy notes in `invalid` unless it holds a valid one. The model had none. Now every ninth record is invalid, and a copy must hold its key or know of the invalid record, so that a lookup answers "can't tell".

--- a/node/replica_order_internal_test.go
+++ b/node/replica_order_internal_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bytes"
 	"context"
 	"flag"
 	"fmt"
@@ -8,6 +9,8 @@
 	"slices"
 	"testing"
 
+	"github.com/pkg/errors"
+
 	"github.com/knapweedweir/knapweedweir/pool"
 )
 
@@ -95,11 +98,18 @@
 	m.stream.first = max(m.stream.first, m.stream.end()-retained)
 }
 
-// record returns the next record of the stream: a job, or the removal of one.
+// invalidValue is no valid value of a record.
+var invalidValue = []byte("\x00\xff")
+
+// record returns the next record of the stream: a job, the removal of one, or an invalid record.
 func (m *copyModel) record() Stored {
 	id := m.jobs[m.rng.IntN(len(m.jobs))]
 	rec := Stored{Offset: m.stream.end(), Record: pool.Record{Key: pool.JobKey(id)}}
-	if m.rng.IntN(3) > 0 {
+	switch m.rng.IntN(9) {
+	case 0, 1, 2:
+	case 3:
+		rec.Value = invalidValue
+	default:
 		rec.Value = pool.Encode(pool.Job{ID: id, AcceptedMs: rec.Offset})
 	}
 	return rec
@@ -163,7 +173,7 @@
 }
 
 // check returns how the copy differs from the stream. Up to its end, the copy must hold what the
-// stream held there; of what has changed since it may hold either.
+// stream held there, and must know of invalid records; of what has changed since it may hold either.
 func (m *copyModel) check() error {
 	next := m.pc.replica.next
 	for _, id := range m.jobs {
@@ -173,8 +183,14 @@
 		}
 		want, stored := m.stream.newest(key, next)
 		got, held := m.pc.replica.records[key]
+		if bytes.Equal(want.Value, invalidValue) {
+			if !held && !m.pc.replica.mayContain(id) {
+				return errors.Errorf("job %s, of a copy up to %d: unknown, but its record at %d is invalid", id, next, want.Offset)
+			}
+			continue
+		}
 		if held != stored || held && got.Offset != want.Offset {
-			return fmt.Errorf("job %s, of a copy up to %d: held %v at %d, stored %v at %d", id, next, held, got.Offset, stored, want.Offset)
+			return errors.Errorf("job %s, of a copy up to %d: held %v at %d, stored %v at %d", id, next, held, got.Offset, stored, want.Offset)
 		}
 	}
 	return nil
--- a/node/stale_newest_test.go
+++ b/node/stale_newest_test.go
@@ -23,8 +23,8 @@
 // grindingPool holds the pool of the workers' service.
 var grindingPool = node.Topic{Name: "keyed.pools", Part: grindingPart}
 
-// heldStore is the store of one instance. It holds the newest records of a pool until they are
-// released, and stores the instance's claims late.
+// heldStore is the store of one instance. It can hold the newest records of a pool until they are
+// released, and store the instance's claims late.
 type heldStore struct {
 	node.Store
 	mu sync.Mutex
@@ -41,17 +41,19 @@
 // Newest implements node.Store.
 func (s *heldStore) Newest(ctx context.Context, from node.Topic, after string) ([]node.Stored, bool, int64, error) {
 	page, more, end, err := s.Store.Newest(ctx, from, after)
-	s.mu.Lock()
-	released := s.released
-	if held := from == grindingPool && err == nil && released != nil; !held {
-		s.mu.Unlock()
+	if from != grindingPool || err != nil {
 		return page, more, end, err
 	}
-	s.holding = true
+	s.mu.Lock()
+	released := s.released
+	s.holding = released != nil
 	s.mu.Unlock()
+	if released == nil {
+		return page, more, end, nil
+	}
 	select {
 	case <-released:
-		return page, more, end, err
+		return page, more, end, nil
 	case <-ctx.Done():
 		return nil, false, 0, node.ErrInDoubt
 	}
@@ -60,7 +62,7 @@
 // Read implements node.Store.
 func (s *heldStore) Read(ctx context.Context, from node.Topic, offset int64, wait time.Duration) ([]node.Stored, int64, error) {
 	page, end, err := s.Store.Read(ctx, from, offset, wait)
-	if from == grindingPool && wait > 0 && len(page) > 0 { // others don't wait for a record
+	if from == grindingPool && wait > 0 && len(page) > 0 { // only the follower's reads wait
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.followedAt = time.Now()
