node: the instance that stored a job without the owner, and stale newest records

Cause: the same as in the forced order of a claim, by a shorter way. Two records that an instance stores without the owner suffice: the first puts its copy ahead of its follower, whose position is trimmed, and the second is stored after the newest records that the follower waits for. No claim is needed.

The set-up of the forced order is shared by both tests now; the checks of the first are as they were.

--- a/node/stale_newest_test.go
+++ b/node/stale_newest_test.go
@@ -143,63 +143,103 @@
 	c.world.Referee.Answered(j.ID, true, false)
 }
 
+// staleNewestCluster is a cluster in which one instance is about to receive stale newest records.
+type staleNewestCluster struct {
+	*cluster
+	former *member // owns the pool at first
+	// next is the next owner, the only other instance with a copy of the pool. Its copy is ahead of
+	// its follower, whose position has been trimmed, and the newest records that the follower has
+	// asked for are held by its store.
+	next    *member
+	store   *heldStore
+	release func()
+	// without is an instance without a copy.
+	without *member
+}
+
+// newStaleNewestCluster returns a cluster without workers. The given function is called once the
+// follower of the next owner has just read the stream.
+func newStaleNewestCluster(t *testing.T, followed func(owner *member)) *staleNewestCluster {
+	c := &staleNewestCluster{cluster: newCluster(t, 1, false)}
+	stores := map[string]*heldStore{}
+	c.copies = 2
+	c.storeAndDialer = func(m *member) (node.Store, node.Dialer) {
+		stores[m.name] = &heldStore{Store: m.view}
+		return stores[m.name], c.world.Dial
+	}
+	for _, name := range []string{"a", "b", "c"} {
+		c.join(name, 1)
+	}
+	time.Sleep(15 * time.Second)
+	c.former = c.members[c.owner()]
+	with, without := c.copyHolders()
+	with = slices.DeleteFunc(with, func(m *member) bool { return m.name == c.former.name })
+	assert.Assert(t, len(with) == 1 && len(without) == 1)
+	c.next, c.store, c.without = with[0], stores[with[0].name], without[0]
+
+	c.store.waitForFollower(t)
+	followed(c.former)
+	c.release = c.store.hold()
+	c.cleanups = append(c.cleanups, c.release)
+	c.storeDirectly(shortJob(jobID(1)), c.next)
+	c.world.DropHistory()
+	c.store.waitUntilHolding(t)
+	return c
+}
+
+// lookUpAfterRelease releases the newest records, and looks a job up at the instance that receives
+// them and at the one without a copy, for 5 s. A worker that can run the job joins afterwards.
+func (c *staleNewestCluster) lookUpAfterRelease(job string) {
+	c.release()
+	time.Sleep(lookupInterval)
+	stale := c.logs.linesContaining(`"stale":true`)
+	assert.Assert(c.t, strings.Contains(stale, `"copy.reset"`) && strings.Contains(stale, `"id":"`+c.next.name+`"`), "the newest records were not stale")
+
+	notFound := map[string]int{}
+	for n := range 100 {
+		for _, m := range []*member{c.next, c.without} {
+			if _, v := c.state(job, m); v == node.NoSuchJob {
+				notFound[m.name]++
+			}
+		}
+		if n == 0 {
+			c.world.AddWorker(pool.Resources{CPU: 8000, Mem: 8000}, "x", "r1")
+		}
+		time.Sleep(lookupInterval)
+	}
+	assert.Check(c.t, len(notFound) == 0, "lookups of an accepted job answered \"no such job\", by instance: %v; %s received stale newest records", notFound, c.next.name)
+	state, v := c.state(job, c.next)
+	assert.Check(c.t, v == node.Accepted && state == pool.Completed, "5 s later: %v, %q", v, state)
+	c.check()
+}
+
 // Guards against an accepted job that is reported as nonexistent and never runs, because its next
 // owner receives older newest records after it has read the job for its claim.
 func TestAcceptedJobIsFoundAfterStaleNewestRecords(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		stores := map[string]*heldStore{}
-		c := newCluster(t, 1, false)
+		c := newStaleNewestCluster(t, func(*member) {})
 		defer c.close()
-		c.copies = 2
-		c.storeAndDialer = func(m *member) (node.Store, node.Dialer) {
-			stores[m.name] = &heldStore{Store: m.view}
-			return stores[m.name], c.world.Dial
-		}
-		for _, name := range []string{"a", "b", "c"} {
-			c.join(name, 1)
-		}
-		time.Sleep(15 * time.Second)
-		owner := c.members[c.owner()]
-		with, without := c.copyHolders()
-		with = slices.DeleteFunc(with, func(m *member) bool { return m.name == owner.name })
-		assert.Assert(t, len(with) == 1 && len(without) == 1)
-		next, store := with[0], stores[with[0].name]
-
-		// The next owner's copy gets ahead of its follower, and the follower's position is trimmed.
-		store.waitForFollower(t)
-		release := store.hold()
-		defer release()
-		c.storeDirectly(shortJob(jobID(1)), next)
-		c.world.DropHistory()
-		store.waitUntilHolding(t)
-
-		// The job is stored after the newest records that are held, and read for the next owner's
-		// claim. A heartbeat of the former owner precedes the claim, so the new owner doesn't load
-		// its core before its follower has read up to the claim.
 		job := shortJob(jobID(2))
-		assert.Assert(t, c.submit(job, func() *member { return owner }))
-		store.delayClaims(2 * ownerHeartbeat)
-		owner.node.Stop(c.ctx)
-		waitUntil(t, "the claim", func() bool { return c.poolOf(next).Owned })
-		c.kill(owner.name)
-		release()
-		time.Sleep(lookupInterval)
-		stale := c.logs.linesContaining(`"stale":true`)
-		assert.Assert(t, strings.Contains(stale, `"copy.reset"`) && strings.Contains(stale, `"id":"`+next.name+`"`), "the newest records were not stale")
-
-		c.world.AddWorker(pool.Resources{CPU: 8000, Mem: 8000}, "x", "r1")
-		notFound := map[string]int{}
-		for range 100 {
-			for _, m := range []*member{next, without[0]} {
-				if _, v := c.state(job.ID, m); v == node.NoSuchJob {
-					notFound[m.name]++
-				}
-			}
-			time.Sleep(lookupInterval)
-		}
-		assert.Check(t, len(notFound) == 0, "lookups of an accepted job answered \"no such job\", by instance: %v; the owner is %s", notFound, next.name)
-		state, v := c.state(job.ID, next)
-		assert.Check(t, v == node.Accepted && state == pool.Completed, "5 s after the claim: %v, %q", v, state)
-		c.check()
+		assert.Assert(t, c.submit(job, func() *member { return c.former }))
+		// A heartbeat of the former owner precedes the claim, so the new owner doesn't load its core
+		// before its follower has read up to the claim.
+		c.store.delayClaims(2 * ownerHeartbeat)
+		c.former.node.Stop(c.ctx)
+		waitUntil(t, "the claim", func() bool { return c.poolOf(c.next).Owned })
+		c.kill(c.former.name)
+		c.lookUpAfterRelease(job.ID)
+	})
+}
+
+// Guards against an accepted job that is reported as nonexistent by the instance that stored it
+// without the owner, because this instance receives older newest records afterwards.
+func TestJobStoredWithoutTheOwnerIsFoundAfterStaleNewestRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newStaleNewestCluster(t, func(owner *member) { owner.view.SetStore(machines.StoreSilent) })
+		defer c.close()
+		job := shortJob(jobID(2))
+		c.storeDirectly(job, c.next)
+		c.former.view.SetStore(machines.StoreUp)
+		c.lookUpAfterRelease(job.ID)
 	})
 }
