--- a/node/interfaces.go
+++ b/node/interfaces.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/knapweedweir/knapweedweir/organisation"
 	"github.com/knapweedweir/knapweedweir/pool"
 )
 
@@ -120,6 +121,8 @@
 	Host   string
 	Prefix string
 	Queue  pool.Queue
+	// NeedsKey is set if callers have to present a key of an organisation.
+	NeedsKey bool
 }
 
 // Config is one version of the operators' configuration.
@@ -129,6 +132,8 @@
 	// Services are the services that run jobs; each has a pool of workers.
 	Services []string
 	MaxBody  int64 // bytes
+	// Organisations are those whose keys callers present, and whose caps hold.
+	Organisations organisation.Set
 }
 
 // Queues returns the configured queues by name.
