organisations: caps hold over all pools

A cap holds over all pools, but each pool's owner decides alone. So each pool holds a share of each cap, as a fraction, so that changed caps need no transfer. At first one pool holds all (named once, by a record at offset 0); then pools give shares to each other. What a pool has given to another is a total that only grows: the giver lowers its share at once, stores the total with its next save, and tells the receiver only what is stored.

An owner counts a run from the decision until its end is known. Until a new owner knows what its predecessor started, the inherited tasks without a known run count, up to the capacity of the workers that haven't answered. The specification of a cancelled job stays stored while it has runs: without it, a successor can't tell what they use. A step that waits for its cap for a second is left what becomes free by less urgent steps of its organisation, unless the organisation uses less than half of its cap. Of two pools that both want more than there is, the one whose job is older gets enough for its next task or gang.

The organisation is stored with the job. The state and the cancellation of a job of another organisation are answered as if it didn't exist, and a second job with its ID with 409. A job that can never run within its organisation's cap is refused with 429, without a Retry-After, since no time is known.

--- a/node/dump.go
+++ b/node/dump.go
@@ -44,6 +44,8 @@
 	Crashes []pool.TaskCrashes `json:"crashes,omitempty"`
 	// Workers lists the pool's workers with their incarnations.
 	Workers []pool.WorkerReport `json:"workers,omitempty"`
+	// Caps lists the caps of organisations with the pool's shares of them.
+	Caps []pool.CapReport `json:"caps,omitempty"`
 	// Error says why this instance knows nothing of the pool.
 	Error string `json:"error,omitempty"`
 }
@@ -79,6 +81,7 @@
 		report := pc.own.core.AdmissionReport(pc.node.now())
 		report.Queues = slices.DeleteFunc(report.Queues, pc.belongsToOtherPool)
 		d.AdmissionReport = &report
+		d.Caps = pc.own.core.CapReports()
 		d.Crashes, d.Workers = pc.own.core.CrashReport(), pc.own.core.WorkerReports()
 	}
 	return d
--- a/node/history_test.go
+++ b/node/history_test.go
@@ -150,6 +150,7 @@
 	c.endFaults()
 	time.Sleep(recoveryPeriod)
 	c.check()
+	c.checkShares()
 	unfinished := c.world.Referee.Unfinished()
 	for _, job := range unfinished {
 		t.Errorf("LOST: job %s was accepted and never ended\n%s", job, c.logs.linesContaining(job))
--- a/node/intake.go
+++ b/node/intake.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"math/rand/v2"
 	"strings"
 	"time"
@@ -25,6 +26,8 @@
 	NoSuchJob
 	// CantTell means that it isn't known at present whether there is such a job.
 	CantTell
+	// OtherOrganisation means that another organisation has submitted a job with the same ID.
+	OtherOrganisation
 )
 
 const (
@@ -72,12 +75,14 @@
 	part := partOf(j.Service, n.opts.Parts)
 	start := time.Now()
 	v, retryAfter := Accepted, time.Duration(0)
-	if !n.knowsJob(ctx, part, j.ID) {
+	if known, org := n.knownJob(ctx, part, j.ID); !known {
 		v, retryAfter = n.persist(ctx, part, pool.Record{Key: pool.JobKey(j.ID), Value: pool.Encode(j)}, queue)
+	} else if !mayAccess(j.Organisation, org) {
+		v = OtherOrganisation
 	}
 	took := time.Since(start)
 	n.metrics.recordSubmission(v, took)
-	n.log.Info().Str("job", j.ID).Str("queue", j.Queue).Int("pool", part).Int64("version", n.configVersion()).
+	n.log.Info().Str("job", j.ID).Str("queue", j.Queue).Str("organisation", j.Organisation).Int("pool", part).Int64("version", n.configVersion()).
 		Int64("at_ms", j.AcceptedMs).Dur("took", took).Stringer("verdict", v).Dur("come_back", retryAfter).Msg("job.submitted")
 	return SubmitResult{Verdict: v, RetryAfter: retryAfter}
 }
@@ -85,15 +90,36 @@
 // knowsJob reports whether a job is known to be stored, in any pool. Callers repeat requests that
 // were accepted; these are answered without the store, so also during its outages.
 func (n *Node) knowsJob(ctx context.Context, part int, job string) bool {
+	known, _ := n.knownJob(ctx, part, job)
+	return known
+}
+
+// knownJob is like knowsJob, and returns the job's organisation if that is known.
+func (n *Node) knownJob(ctx context.Context, part int, job string) (known bool, organisation string) {
 	for _, pc := range n.controllersStartingWith(part) {
-		known := false
-		if err := pc.do(ctx, func() { known = pc.holds(job) }); err == nil && known {
-			return true
+		found, org := false, ""
+		if err := pc.do(ctx, func() { found, org = pc.holds(job), pc.organisationOf(job) }); err == nil && found {
+			return true, org
 		}
 	}
-	return false
+	return false, ""
 }
 
+// organisationOfRecord returns the organisation in a job's record.
+func organisationOfRecord(rec pool.Record) string {
+	var stored struct {
+		Organisation string `json:"o"`
+	}
+	if json.Unmarshal(rec.Value, &stored) != nil {
+		return "" // readers skip the record
+	}
+	return stored.Organisation
+}
+
+// errOtherOrganisation means that another organisation has submitted a job with the same ID. Nothing was
+// stored.
+var errOtherOrganisation = errors.Wrap(ErrRefused, "the ID is that of a job of another organisation")
+
 // intake is a record that is to be stored for a caller.
 type intake struct {
 	part   int
@@ -181,6 +207,8 @@
 		switch {
 		case r.ComeBack > 0:
 			return &OverloadError{RetryAfter: r.ComeBack}
+		case r.Foreign:
+			return errOtherOrganisation
 		case r.Moved != nil:
 			return &MovedError{To: *r.Moved}
 		case r.NotOpen:
@@ -224,6 +252,9 @@
 			if err == nil {
 				return Accepted, 0
 			}
+			if errors.Is(err, errOtherOrganisation) {
+				return OtherOrganisation, 0
+			}
 			var overload *OverloadError
 			if errors.As(err, &overload) && n.isNotStored(ctx, in) {
 				return NotRun, overload.RetryAfter
@@ -384,18 +415,31 @@
 
 // Cancel stores a job's cancellation.
 func (n *Node) Cancel(ctx context.Context, service, job string) Verdict {
-	part, state, v := n.find(ctx, service, job)
+	f, v := n.find(ctx, service, job)
+	return n.cancelFound(ctx, f, v, job)
+}
+
+// CancelFor stores the cancellation of a job for a caller of an organisation, as in StateFor.
+func (n *Node) CancelFor(ctx context.Context, organisation, service, job string) Verdict {
+	f, v := n.find(ctx, service, job)
+	if v == Accepted && !mayAccess(organisation, f.organisation) {
+		v = NoSuchJob
+	}
+	return n.cancelFound(ctx, f, v, job)
+}
+
+func (n *Node) cancelFound(ctx context.Context, f foundJob, v Verdict, job string) Verdict {
 	if v != Accepted {
 		return v
 	}
-	if !state.Ended() {
-		v, _ = n.persist(ctx, part, pool.Record{Key: pool.CancelKey(job), Value: []byte("1")}, QueueRef{})
+	if !f.state.Ended() {
+		v, _ = n.persist(ctx, f.part, pool.Record{Key: pool.CancelKey(job), Value: []byte("1")}, QueueRef{})
 	}
-	n.log.Info().Str("job", job).Str("state", string(state)).Stringer("verdict", v).Msg("job.cancel_asked")
+	n.log.Info().Str("job", job).Str("state", string(f.state)).Stringer("verdict", v).Msg("job.cancel_asked")
 	return v
 }
 
 // String names a verdict in logs.
 func (v Verdict) String() string {
-	return [...]string{"accepted", "not run", "unknown", "no such job", "can't tell"}[v]
+	return [...]string{"accepted", "not run", "unknown", "no such job", "can't tell", "other organisation"}[v]
 }
--- a/node/lookup.go
+++ b/node/lookup.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -26,8 +27,30 @@
 // State returns a job's state from the pool's owner, else from what this instance has read, else
 // from what the store holds now. Only the last can show that a job doesn't exist.
 func (n *Node) State(ctx context.Context, service, job string) (pool.State, Verdict) {
-	_, state, v := n.find(ctx, service, job)
-	return state, v
+	f, v := n.find(ctx, service, job)
+	return f.state, v
+}
+
+// StateFor returns a job's state to a caller of an organisation; empty: a caller without a key. A job
+// of another organisation doesn't exist for it.
+func (n *Node) StateFor(ctx context.Context, organisation, service, job string) (pool.State, Verdict) {
+	f, v := n.find(ctx, service, job)
+	if v == Accepted && !mayAccess(organisation, f.organisation) {
+		return "", NoSuchJob
+	}
+	return f.state, v
+}
+
+// mayAccess reports whether callers of an organisation may see and cancel the jobs of another one. Jobs
+// whose organisation isn't known are accessible to all callers: their route needs no key, or an older
+// version of this program has stored them.
+func mayAccess(caller, owner string) bool { return owner == "" || caller == owner }
+
+// foundJob is a job that was found, and the part of the pool in which it is stored.
+type foundJob struct {
+	part         int
+	state        pool.State
+	organisation string
 }
 
 // find looks for a job and returns the part of the pool in which it is stored. This is the pool of
@@ -35,45 +58,47 @@
 // its queue to another service. When only the new service's pool was searched, a running job was
 // reported as nonexistent. The answer that a job doesn't exist needs a read of each pool in use,
 // see poolsInUse.
-func (n *Node) find(ctx context.Context, service, job string) (part int, state pool.State, v Verdict) {
+func (n *Node) find(ctx context.Context, service, job string) (foundJob, Verdict) {
 	home := partOf(service, n.opts.Parts)
 	controllers := n.controllersStartingWith(home)
 	if len(controllers) == 0 || controllers[0].topic.Part != home {
-		return home, "", CantTell
+		return foundJob{part: home}, CantTell
 	}
 	lookups := make([]lookup, len(controllers))
 	for i, pc := range controllers {
 		var err error
 		if lookups[i], err = pc.lookUp(ctx, job); err != nil {
-			return home, "", CantTell
+			return foundJob{part: home}, CantTell
 		}
 		if lookups[i].found {
-			return pc.topic.Part, pc.ownerState(ctx, &lookups[i]), Accepted
+			state := pc.ownerState(ctx, &lookups[i])
+			return foundJob{pc.topic.Part, state, lookups[i].organisation}, Accepted
 		}
 	}
 	if lookups[0].copied {
-		if state = controllers[0].ownerState(ctx, &lookups[0]); state != "" {
-			return home, state, Accepted
+		if state := controllers[0].ownerState(ctx, &lookups[0]); state != "" {
+			return foundJob{home, state, lookups[0].organisation}, Accepted
 		}
 	}
 	for i, pc := range controllers {
-		if state, v = pc.findUnread(ctx, &lookups[i]); v != NoSuchJob {
-			return pc.topic.Part, state, v
+		if state, v := pc.findUnread(ctx, &lookups[i]); v != NoSuchJob {
+			return foundJob{pc.topic.Part, state, lookups[i].organisation}, v
 		}
 	}
 	if !n.coversPoolsInUse(ctx, controllers) {
-		return home, "", CantTell
+		return foundJob{part: home}, CantTell
 	}
-	return home, "", NoSuchJob
+	return foundJob{part: home}, NoSuchJob
 }
 
 // findUnread looks for a job that this instance hasn't read of, in the store or through instances
 // with a copy.
 func (pc *poolController) findUnread(ctx context.Context, l *lookup) (pool.State, Verdict) {
 	if l.copied {
-		return pc.readState(ctx, *l)
+		return pc.readState(ctx, l)
 	}
 	r, answered := pc.findRemotely(ctx, l)
+	l.organisation = r.Organisation
 	if !answered || r.Verdict != Accepted {
 		pc.node.log.Info().Str("job", l.job).Int("pool", pc.topic.Part).Stringer("verdict", r.Verdict).Strs("asked", l.asked).Msg("job.unknown")
 	}
@@ -85,6 +110,7 @@
 func (pc *poolController) ownerState(ctx context.Context, l *lookup) pool.State {
 	if !l.owner && !l.state.Ended() {
 		if r, answered := pc.askOwnerState(ctx, l); answered && r.Found {
+			l.organisation = cmp.Or(l.organisation, r.Organisation)
 			return r.State
 		}
 	}
@@ -107,8 +133,10 @@
 	job   string
 	state pool.State
 	found bool
-	owner bool   // this instance owns the pool
-	addr  string // address of the owner, as far as this instance knows
+	// organisation submitted the job; empty: it isn't known.
+	organisation string
+	owner        bool   // this instance owns the pool
+	addr         string // address of the owner, as far as this instance knows
 	// ownerLost means that the owner is unreachable.
 	ownerLost     bool
 	copied        bool // there is a copy that holds everything stored before next
@@ -124,6 +152,7 @@
 	l := lookup{job: job}
 	err := pc.do(ctx, func() {
 		l.state, l.found, l.owner = pc.jobState(job)
+		l.organisation = pc.organisationOf(job)
 		l.addr, l.ownerLost = pc.ownerAddr(), pc.copyState.ownerLostSince != 0
 		l.outdated = pc.node.now()-pc.completeAsOf > maxCopyAge
 		l.copied, l.next, l.unreadable = pc.copyLoaded, pc.replica.next, pc.replica.mayContain(job)
@@ -151,10 +180,10 @@
 // and so does the owner's knowledge of what others have stored. A caller whose cancellation is
 // answered from either with "no such job" assumes that the job is gone, while the job runs. The
 // proof costs one read; callers seldom ask for jobs that don't exist.
-func (pc *poolController) readState(ctx context.Context, l lookup) (pool.State, Verdict) {
+func (pc *poolController) readState(ctx context.Context, l *lookup) (pool.State, Verdict) {
 	state, verdict := pool.State(""), CantTell
 	if again, err := pc.lookUp(ctx, l.job); err == nil && again.copied {
-		l.next, l.unreadable, l.outdated = again.next, again.unreadable, again.outdated
+		l.next, l.unreadable, l.outdated, l.organisation = again.next, again.unreadable, again.outdated, again.organisation
 		state, verdict = again.state, Accepted
 		if !again.found {
 			state, verdict = pc.readSince(ctx, l)
@@ -187,7 +216,7 @@
 			}
 			continue
 		}
-		if _, verdict := pc.readSince(ctx, l); verdict != NoSuchJob {
+		if _, verdict := pc.readSince(ctx, &l); verdict != NoSuchJob {
 			return false
 		}
 	}
@@ -198,7 +227,7 @@
 //
 // It doesn't complete an outdated copy: after an outage, megabytes for each lookup would leave no
 // read bandwidth for the followers, which then never catch up.
-func (pc *poolController) readSince(ctx context.Context, l lookup) (pool.State, Verdict) {
+func (pc *poolController) readSince(ctx context.Context, l *lookup) (pool.State, Verdict) {
 	if l.outdated {
 		return "", CantTell
 	}
@@ -214,6 +243,7 @@
 		pc.reportBadRecord(rec, err)
 	})
 	if state, found := since.state(l.job); found {
+		l.organisation = since.organisation(l.job)
 		return state, Accepted
 	}
 	if unreadable || l.unreadable || l.next+int64(len(page)) < end {
@@ -333,6 +363,16 @@
 	return state, found, owner
 }
 
+// organisationOf returns the organisation that submitted a job; empty: it isn't known here.
+func (pc *poolController) organisationOf(job string) string {
+	if pc.owns() {
+		if org := pc.own.core.OrganisationOf(job); org != "" {
+			return org
+		}
+	}
+	return pc.replica.organisation(job)
+}
+
 // holds reports whether a job need not be stored again. An owner whose core doesn't know the job
 // stores it again, so a repeated request repairs a job record that can't be read.
 func (pc *poolController) holds(job string) bool {
--- a/node/node.go
+++ b/node/node.go
@@ -200,7 +200,7 @@
 		return
 	}
 	n.config.Store(cfg)
-	n.log.Info().Int64("version", cfg.Version).Int("routes", len(cfg.Routes)).Msg("config.applied")
+	n.log.Info().Int64("version", cfg.Version).Int("routes", len(cfg.Routes)).Int("organisations", len(cfg.Organisations.All())).Msg("config.applied")
 	for _, service := range cfg.Services {
 		n.ensureController(ctx, partOf(service, n.opts.Parts))
 	}
@@ -209,6 +209,7 @@
 		go pc.send(ctx, func() {
 			if pc.own != nil && pc.own.loaded {
 				pc.own.step(pool.QueuesChanged{Queues: queues})
+				pc.own.setOrganisations(cfg)
 				pc.own.requestConfiguredQueues(cfg)
 				pc.own.passWorkerList() // the set of services may have changed
 			}
--- a/node/owner.go
+++ b/node/owner.go
@@ -100,6 +100,8 @@
 	streamEnd   atomic.Int64
 	appendsOKAt time.Duration // time of the last successful append, as far as is known
 	queues      queueTable
+	// rootSought is set once the root of the shares of caps is being looked up.
+	rootSought  bool
 	crashCounts [2]int // as last recorded in the metrics
 	// ready is closed when the ownership has loaded.
 	ready chan struct{}
@@ -112,7 +114,7 @@
 	o.streamEnd.Store(offset + 1)
 	opts := pc.node.opts
 	o.core = pool.New(pool.Settings{
-		Token: c.Epoch, Generation: c.Generation, MaxLease: opts.MaxLease, StopTimeout: opts.StopTimeout, EndedRetention: endedJobRetention,
+		Pool: pc.topic.Part, Token: c.Epoch, Generation: c.Generation, MaxLease: opts.MaxLease, StopTimeout: opts.StopTimeout, EndedRetention: endedJobRetention,
 	}, pc.node.now())
 	o.adviceQueue = newAdviceQueue(o)
 	o.starts.own = o
@@ -147,6 +149,7 @@
 	o.queues.load(o.pc.replica)
 	if cfg := o.pc.node.Config(); cfg != nil {
 		o.step(pool.QueuesChanged{Queues: cfg.Queues()})
+		o.setOrganisations(cfg)
 		o.requestConfiguredQueues(cfg)
 	}
 	var later []pool.Event
@@ -209,6 +212,7 @@
 		o.step(pool.Tick{UnixMs: time.Now().UnixMilli()})
 		o.updateCrashMetrics(o.core.CrashCounts())
 		o.startBinding()
+		o.exchangeQuota()
 	}
 	o.pc.node.metrics.startWindow.Update(float64(o.pc.node.startWindow.Size()))
 	if now := o.pc.node.now(); !o.heartbeatPending && now-o.lastHeartbeat > heartbeatInterval {
--- a/node/replica.go
+++ b/node/replica.go
@@ -180,6 +180,19 @@
 	return pool.Queued, true
 }
 
+// organisation returns the organisation that submitted a job; empty: it isn't known.
+func (r *replica) organisation(job string) string {
+	var stored struct {
+		Organisation string `json:"o"`
+	}
+	for _, key := range []string{pool.JobKey(job), pool.ProgressKey(job)} {
+		if rec, ok := r.records[key]; ok && json.Unmarshal(rec.Value, &stored) == nil && stored.Organisation != "" {
+			break
+		}
+	}
+	return stored.Organisation
+}
+
 // pending counts a queue's jobs without stored progress.
 func (r *replica) pending(queue string) int {
 	n := 0
@@ -255,6 +268,15 @@
 	case pool.SilentRecord:
 		e := pool.SilenceStored{Worker: id}
 		return eventIfValid(e, decodeList(rec.Value, &e.Tasks))
+	case pool.QuotaRecord:
+		e := pool.QuotaStored{}
+		if err := json.Unmarshal(rec.Value, &e.Record); err != nil {
+			return nil, errors.Wrap(err, "quota")
+		}
+		if pool.QuotaKey(e.Record.Organisation) != rec.Key {
+			return nil, errors.New("quota: the organisation doesn't match the key")
+		}
+		return eventIfValid(e, e.Record.Check())
 	case pool.QueueRecord:
 		_, err := decodeQueueState(rec)
 		return nil, err
--- a/node/service.go
+++ b/node/service.go
@@ -23,6 +23,8 @@
 	StateReply struct {
 		State pool.State
 		Found bool
+		// Organisation submitted the job; empty: it isn't known.
+		Organisation string
 		// Owner is the address of the pool's owner, as far as is known, if the replying instance
 		// isn't the owner. The other fields are meaningless then.
 		Owner string
@@ -41,6 +43,8 @@
 	FindReply struct {
 		State   pool.State
 		Verdict Verdict
+		// Organisation is as in StateReply.
+		Organisation string
 		// Owner is as in StateReply.
 		Owner string
 	}
@@ -81,6 +85,8 @@
 		ComeBack time.Duration
 		// NotOpen means that the pool doesn't accept jobs of the queue yet.
 		NotOpen bool
+		// Foreign means that another organisation has submitted a job with this ID.
+		Foreign bool
 		// Moved is set if a newer configuration routes the queue to another service.
 		Moved *QueueRef
 	}
@@ -125,6 +131,7 @@
 	var owner bool
 	err := pc.do(withTimeout(context.Background(), peerTimeout), func() {
 		r.State, r.Found, owner = pc.jobState(a.Job)
+		r.Organisation = pc.organisationOf(a.Job)
 		r.Owner = pc.ownerAddr()
 	})
 	return s.replyOwner(err, owner, &r.Owner)
@@ -147,13 +154,14 @@
 	case !l.copied:
 		return errNotOwner
 	case l.found:
-		r.State, r.Verdict = l.state, Accepted
+		r.State, r.Verdict, r.Organisation = l.state, Accepted, l.organisation
 		return nil
 	case a.KnownOnly:
 		r.Verdict = CantTell
 		return nil
 	}
-	r.State, r.Verdict = pc.readState(ctx, l)
+	r.State, r.Verdict = pc.readState(ctx, &l)
+	r.Organisation = l.organisation
 	return nil
 }
 
@@ -243,9 +251,13 @@
 	if pc == nil {
 		return nil
 	}
-	if kind, id := pool.ParseKey(a.Record.Key); kind == pool.JobRecord && s.n.knowsJob(withTimeout(context.Background(), peerTimeout), a.Part, id) {
-		r.Stored = true // a sender without a copy can't detect a repeated request
-		return nil
+	if kind, id := pool.ParseKey(a.Record.Key); kind == pool.JobRecord {
+		if known, org := s.n.knownJob(withTimeout(context.Background(), peerTimeout), a.Part, id); known {
+			// A sender without a copy can't detect a repeated request.
+			r.Foreign = !mayAccess(organisationOfRecord(a.Record), org)
+			r.Stored = !r.Foreign
+			return nil
+		}
 	}
 	err := pc.submitAndWait(context.Background(), a.intake())
 	var overload *OverloadError
--- a/organisation/organisation.go
+++ b/organisation/organisation.go
@@ -42,6 +42,16 @@
 	return a
 }
 
+// Within reports whether no amount of a exceeds that of b.
+func (a Amounts) Within(b Amounts) bool {
+	for r := range a {
+		if a[r] > b[r] {
+			return false
+		}
+	}
+	return true
+}
+
 // Times returns a multiple of a.
 func (a Amounts) Times(n int64) Amounts {
 	for r := range a {
--- a/pool/core.go
+++ b/pool/core.go
@@ -7,6 +7,8 @@
 
 // Settings configures a Core.
 type Settings struct {
+	// Pool is the number of the pool's partition.
+	Pool int
 	// Token is the owner's fencing token.
 	Token uint64
 	// Generation counts the owners of the pool. It keeps the run numbers of successive owners
@@ -106,8 +108,10 @@
 	policyVersion int
 	deposed       bool
 	ended         []*job // ended jobs, oldest first
+	undropped     []*job // ended jobs whose stored records aren't removed yet
 	waves         waves
 	admission     admissionState
+	orgs          organisations
 	actions       []Action
 }
 
@@ -128,6 +132,7 @@
 		suspects:       map[*task]bool{},
 		runtimeRatios:  map[string]float64{},
 		admission:      newAdmissionState(),
+		orgs:           newOrganisations(set.Pool),
 	}
 }
 
@@ -182,6 +187,14 @@
 		c.queues = e.Queues
 		c.policyVersion++
 		c.replan = true
+	case OrganisationsChanged:
+		c.organisationsChanged(e)
+	case QuotaRootKnown:
+		c.quotaRootKnown(e)
+	case QuotaStored:
+		c.orgs.ledger.Restore(e.Record)
+	case QuotaOffered:
+		c.quotaOffered(e)
 	case WorkersListed:
 		c.listWorkers(e.Workers)
 		c.listedAsOf = e.AsOf
@@ -247,6 +260,7 @@
 	c.reachVerdicts()
 	c.forgetWorkers()
 	c.forgetCrashes()
+	c.dropUndropped()
 	c.forgetJobs()
 	c.replan = true
 }
@@ -257,7 +271,7 @@
 	if len(c.pendingSaves) >= maxPendingSaves || (c.now-c.lastSave < saveInterval && !c.saveAtOnce) || c.deposed {
 		return
 	}
-	if len(c.dirty) == 0 && len(c.otherRecords) == 0 && len(c.silenceChanges) == 0 && !c.trackedChanged {
+	if len(c.dirty) == 0 && len(c.otherRecords) == 0 && len(c.silenceChanges) == 0 && !c.trackedChanged && !c.orgs.ledger.HasChanges() {
 		return
 	}
 	c.saveSeq++
@@ -266,13 +280,14 @@
 		j.dirty = false
 		j.savedIn = c.saveSeq
 		save.Records = append(save.Records, Record{Key: ProgressKey(j.ID), Value: Encode(j.progress())})
-		save.Records = append(save.Records, j.dropRecords()...)
+		save.Records = append(save.Records, c.dropRecords(j)...)
 	}
 	jobs := c.dirty
 	c.dirty = nil
 	// The save includes all other changes so far, so that an end that a worker listed before
 	// it fell silent is stored no later than its silence record.
 	save.Records = append(save.Records, c.silenceRecords()...)
+	save.Records = append(save.Records, c.quotaRecords()...)
 	save.Records = append(save.Records, c.otherRecords...)
 	c.otherRecords = nil
 	if c.trackedChanged {
@@ -315,6 +330,9 @@
 		}
 		c.pendingSaves = c.pendingSaves[1:]
 	}
+	if c.orgs.ledger.Stored(seq) {
+		c.orgs.exchangeSoon = true
+	}
 	c.silenceRecordsSaved(seq)
 	c.trackedWorkersSaved()
 	c.startPlanned()
--- a/pool/job.go
+++ b/pool/job.go
@@ -90,11 +90,14 @@
 
 // Job is a submitted job as it is stored.
 type Job struct {
-	ID      string     `json:"id"`
-	Queue   string     `json:"q"`
-	Service string     `json:"s"`
-	Payload string     `json:"p"`
-	Steps   []StepSpec `json:"st"`
+	ID string `json:"id"`
+	// Organisation submitted the job; empty: a caller without a key did, or an older version of this
+	// program stored the job.
+	Organisation string     `json:"o,omitempty"`
+	Queue        string     `json:"q"`
+	Service      string     `json:"s"`
+	Payload      string     `json:"p"`
+	Steps        []StepSpec `json:"st"`
 	// AcceptedMs is when the job was submitted, in Unix milliseconds.
 	AcceptedMs int64 `json:"at"`
 	// Repeat is the number of occurrences; 0 means one that is due at once.
--- a/pool/place.go
+++ b/pool/place.go
@@ -83,6 +83,7 @@
 	c.sortByUrgency(waiting)
 	c.measureFreeCapacity()
 	c.resetReservations()
+	c.resetQuotaWaits(takenOver)
 	for _, s := range waiting {
 		c.placeStep(s)
 	}
@@ -197,6 +198,9 @@
 			return
 		}
 	}
+	if !c.capAdmitsAny(s) {
+		return
+	}
 	fitsSomewhere := s.spec.Reserved().Within(c.largestFree)
 	if !fitsSomewhere && !c.adviceDue(s, fitsSomewhere) && !(c.reserving && c.needsReservation(s)) {
 		return
@@ -208,6 +212,7 @@
 	if s.spec.Gang && len(tasks) < len(s.tasks) {
 		return // members of the previous run still exist
 	}
+	tasks = tasks[:c.tasksWithinCap(s, len(tasks))]
 	var picks []*worker
 	limit := c.startLimit(s, len(tasks))
 	if fitsSomewhere && limit > 0 {
--- a/pool/quarantine.go
+++ b/pool/quarantine.go
@@ -102,6 +102,9 @@
 	if len(calm) == 0 || (s.spec.Gang && len(calm) < len(tasks)) {
 		return
 	}
+	if calm = calm[:c.tasksWithinCap(s, len(calm))]; len(calm) == 0 {
+		return
+	}
 	c.isolationMode = isolated
 	defer func() { c.isolationMode = notIsolated }()
 	c.findIsolatedRacks()
--- a/pool/records.go
+++ b/pool/records.go
@@ -19,6 +19,7 @@
 	wavePrefix     = "w/"
 	silentPrefix   = "s/"
 	queuePrefix    = "q/"
+	quotaPrefix    = "u/"
 	// OwnerKey holds the claim of the pool's owner.
 	OwnerKey = "owner"
 	// TrackedWorkersKey holds the workers on which the owner may have started tasks.
@@ -37,17 +38,23 @@
 // SilentKey returns the key of a worker's silence record.
 func SilentKey(worker string) string { return silentPrefix + worker }
 
-// maxQueueKeyLen is the maximum length of a queue's name in a key, in bytes. The store limits
-// keys to 255 bytes.
-const maxQueueKeyLen = 200
+// maxNameInKey is the maximum length of the name of a queue or an organisation in a key, in bytes. The
+// store limits keys to 255 bytes.
+const maxNameInKey = 200
 
 // QueueKey returns the key that records whether the pool accepts jobs of a queue.
-func QueueKey(queue string) string {
-	if len(queue) > maxQueueKeyLen {
-		sum := sha256.Sum256([]byte(queue))
-		queue = "sha256:" + hex.EncodeToString(sum[:])
+func QueueKey(queue string) string { return queuePrefix + shortened(queue) }
+
+// QuotaKey returns the key of the pool's shares of an organisation's cap.
+func QuotaKey(organisation string) string { return quotaPrefix + shortened(organisation) }
+
+// shortened returns a name, or its hash if the name is too long for a key.
+func shortened(name string) string {
+	if len(name) <= maxNameInKey {
+		return name
 	}
-	return queuePrefix + queue
+	sum := sha256.Sum256([]byte(name))
+	return "sha256:" + hex.EncodeToString(sum[:])
 }
 
 // KeyKind is the kind of record that a key holds.
@@ -64,6 +71,7 @@
 	WaveRecord
 	SilentRecord
 	QueueRecord
+	QuotaRecord
 )
 
 // ParseWave returns the wave number in the key of a wave.
@@ -89,6 +97,8 @@
 		return SilentRecord, key[len(silentPrefix):]
 	case strings.HasPrefix(key, queuePrefix):
 		return QueueRecord, key[len(queuePrefix):]
+	case strings.HasPrefix(key, quotaPrefix):
+		return QuotaRecord, key[len(quotaPrefix):]
 	case strings.HasPrefix(key, cancelPrefix):
 		return CancelRecord, key[len(cancelPrefix):]
 	}
@@ -121,6 +131,8 @@
 	Steps []StepProgress `json:"t,omitempty"`
 	// GivenUp is set if the job failed because a task crashes its workers.
 	GivenUp *GivenUp `json:"g,omitempty"`
+	// Organisation is the job's once it has ended, since its specification is removed then.
+	Organisation string `json:"o,omitempty"`
 }
 
 // StepProgress is the stored progress of a step of which a run has ended, or may have ended.
@@ -177,7 +189,7 @@
 func (j *job) progress() Progress {
 	p := Progress{State: j.state}
 	if j.state.Ended() {
-		p.GivenUp = j.givenUp
+		p.GivenUp, p.Organisation = j.givenUp, j.Organisation
 		return p
 	}
 	for _, occ := range j.occurrences {
@@ -194,11 +206,16 @@
 // cancellation, since only its state is queried from then on, for EndedRetention (two minutes).
 // After 35 s of 40 jobs per second, an instance read for 1.3 s (at most 2.8 s, over 10 Mbit/s)
 // at its start until it was ready, and 0.23 s (at most 0.43 s) without those of ended jobs. They
-// follow the final state in the same append, so that a reader always finds one of the two.
-func (j *job) dropRecords() []Record {
+// follow the final state, at the earliest in the same append, so that a reader always finds one of
+// the two.
+func (c *Core) dropRecords(j *job) []Record {
 	if j.recordsDropped || !j.state.Ended() {
 		return nil
 	}
+	if c.mayHaveRuns(j) {
+		c.undropped = append(c.undropped, j)
+		return nil
+	}
 	j.recordsDropped = true
 	drop := []Record{{Key: JobKey(j.ID)}}
 	if j.state == Cancelled {
@@ -207,6 +224,21 @@
 	return drop
 }
 
+// mayHaveRuns reports whether runs may exist that count towards the cap of the job's organisation. A
+// successor has to know what they use, and needs the specification for that.
+func (c *Core) mayHaveRuns(j *job) bool {
+	return j.Organisation != "" && (j.runs > 0 || (j.inherited && !c.inheritedChecked))
+}
+
+// dropUndropped removes the records of ended jobs that had runs when their final state was saved.
+func (c *Core) dropUndropped() {
+	undropped := c.undropped
+	c.undropped = nil
+	for _, j := range undropped {
+		c.otherRecords = append(c.otherRecords, c.dropRecords(j)...)
+	}
+}
+
 func (s *step) progress() (StepProgress, bool) {
 	p := StepProgress{K: s.id.K, Step: s.id.Step}
 	if s.remaining == 0 {
--- a/pool/run.go
+++ b/pool/run.go
@@ -126,6 +126,8 @@
 	w := r.worker
 	w.runs[runKey{r.task.id(), r.number}] = r
 	w.used = w.used.Plus(r.need)
+	c.countUse(r, 1)
+	r.task.step.job.runs++
 	if r.task.step.spec.LongRunning {
 		w.longRunning = w.longRunning.Plus(r.need)
 	}
@@ -147,6 +149,8 @@
 	delete(w.runs, key)
 	r.releaseMigrationBooking()
 	w.used = w.used.Minus(r.need)
+	c.countUse(r, -1)
+	r.task.step.job.runs--
 	if r.task.step.spec.LongRunning {
 		w.longRunning = w.longRunning.Minus(r.need)
 	}
--- a/pool/state.go
+++ b/pool/state.go
@@ -17,6 +17,7 @@
 	dirty       bool
 	// savedIn is the sequence number of the newest save that holds the job's progress.
 	savedIn uint64
+	runs    int // that may exist
 	// recordsDropped is set once the removal of the job's stored records was ordered.
 	recordsDropped bool
 	endedAt        time.Duration
@@ -137,6 +138,7 @@
 	j := &job{Job: e.Job, inherited: e.Inherited, state: Queued, storedState: Queued}
 	if e.Inherited {
 		j.firstRun = c.settings.Generation * runsPerOwner
+		c.orgs.inheritedUseAt = -inheritedUseInterval // the estimate has to include its tasks
 	}
 	c.jobs[j.ID] = j
 	c.activeJobs = append(c.activeJobs, j)
@@ -208,6 +210,7 @@
 	if e.Progress.State.Ended() {
 		j.state, j.storedState, j.givenUp = e.Progress.State, e.Progress.State, e.Progress.GivenUp
 		c.endJob(j)
+		c.undropped = append(c.undropped, j)
 		return
 	}
 	for _, sp := range e.Progress.Steps {
@@ -233,7 +236,7 @@
 	if !e.Progress.State.Ended() {
 		return
 	}
-	j := &job{Job: Job{ID: e.Job}, inherited: true, state: e.Progress.State, storedState: e.Progress.State, givenUp: e.Progress.GivenUp, recordsDropped: true}
+	j := &job{Job: Job{ID: e.Job, Organisation: e.Progress.Organisation}, inherited: true, state: e.Progress.State, storedState: e.Progress.State, givenUp: e.Progress.GivenUp, recordsDropped: true}
 	c.jobs[j.ID] = j
 	c.recordJobEnd(j)
 }
@@ -360,6 +363,14 @@
 	return Queued, true
 }
 
+// OrganisationOf returns the organisation that submitted a job; empty: it isn't known.
+func (c *Core) OrganisationOf(id string) string {
+	if j := c.jobs[id]; j != nil {
+		return j.Organisation
+	}
+	return ""
+}
+
 // Pending returns the number of a queue's jobs of which no task has started.
 func (c *Core) Pending(queue string) int {
 	n := 0
--- a/pool/waiting.go
+++ b/pool/waiting.go
@@ -23,6 +23,7 @@
 	waitAdvice          = "the advice service's answer"
 	waitAdviceRetry     = "a pause after a failed advice request"
 	waitCapacity        = "room"
+	waitCap             = "its organisation's cap"
 	waitAllowedWorkers  = "more eligible workers"
 	waitReservedWorkers = "workers reserved for other steps"
 	waitWorkerList      = "a current list of workers"
@@ -55,7 +56,7 @@
 			}
 		}
 	}
-	for _, reason := range [...]string{waitOlderRuns, waitFailurePause, waitGangMembers, waitAdvice, waitAdviceRetry, waitCapacity, waitAllowedWorkers, waitReservedWorkers, waitWorkerList, waitIsolation, waitRunStored, waitVerdict} {
+	for _, reason := range [...]string{waitOlderRuns, waitFailurePause, waitGangMembers, waitAdvice, waitAdviceRetry, waitCapacity, waitCap, waitAllowedWorkers, waitReservedWorkers, waitWorkerList, waitIsolation, waitRunStored, waitVerdict} {
 		if w := waits[reason]; w.steps > 0 {
 			c.emit(LogEntry{Event: "steps.waiting", Job: w.oldest.job.ID, Steps: w.steps, Reason: reason, Waited: c.now - w.oldest.readySince})
 		}
@@ -107,6 +108,9 @@
 	if c.listOutdated() {
 		return waitWorkerList
 	}
+	if c.waitsForCap(s) {
+		return waitCap
+	}
 	if s.quarantined > 0 && len(s.waitingTasks(c.now)) == 0 {
 		return waitIsolation
 	}
--- a/standin/machines/invalidentries.go
+++ b/standin/machines/invalidentries.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/knapweedweir/knapweedweir/node"
+	"github.com/knapweedweir/knapweedweir/organisation"
 	"github.com/knapweedweir/knapweedweir/pool"
 )
 
@@ -108,16 +109,27 @@
 	return info, nil
 }
 
+// storedConfig is a configuration as it is stored, with the keys of the organisations.
+type storedConfig struct {
+	node.Config
+	Entries []organisation.Entry
+}
+
 // decodeConfig rejects records that are not a valid configuration.
 func decodeConfig(r pool.Record) (*node.Config, error) {
-	var cfg node.Config
+	var cfg storedConfig
 	if err := json.Unmarshal(r.Value, &cfg); err != nil {
 		return nil, err
 	}
 	if cfg.Version < 1 || len(cfg.Services) == 0 {
 		return nil, errors.New("not a valid configuration")
 	}
-	return &cfg, nil
+	set, err := organisation.NewSet(cfg.Entries)
+	if err != nil {
+		return nil, err
+	}
+	cfg.Organisations = set
+	return &cfg.Config, nil
 }
 
 // Running returns the number of a worker's runs.
--- a/standin/machines/referee.go
+++ b/standin/machines/referee.go
@@ -29,6 +29,8 @@
 	// OrdersMayBeLost is set if orders may be lost or delayed: a gang that starts only in
 	// part is no violation then.
 	OrdersMayBeLost bool
+	// caps are the caps of all versions of the configuration, oldest first.
+	caps []capsOfVersion
 }
 
 type jobRecord struct {
@@ -172,6 +174,7 @@
 	r.checkOrder(j, s)
 	r.checkExclusive(x, j, s)
 	r.checkCapacity(x, j, s)
+	r.checkCap(j, s)
 	if !j.Steps[s.Task.Step].LongRunning && j.failures[gangTask(j, s.Task)] >= j.attempts {
 		r.finding("BUDGET", "%v started after %d failed runs", s.Task, j.attempts)
 	}
--- a/standin/machines/world.go
+++ b/standin/machines/world.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/knapweedweir/knapweedweir/node"
+	"github.com/knapweedweir/knapweedweir/organisation"
 	"github.com/knapweedweir/knapweedweir/pool"
 )
 
@@ -64,6 +65,7 @@
 	lateOrders    float64
 	hadLateOrders bool          // some may still be in transit
 	config        []byte        // the newest one
+	organisations []organisation.Entry
 	appendTime    time.Duration // of each append to a stream, one after another
 	readRate      int           // total of all reads, in bytes per second; 0: unlimited
 	// readsDoneAt is when the reads queued so far will have been transferred.
@@ -188,10 +190,18 @@
 func (w *World) Configure(cfg node.Config) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.config = pool.Encode(cfg)
+	w.Referee.configured(w.organisations)
+	w.config = pool.Encode(storedConfig{Config: cfg, Entries: w.organisations})
 	w.store.put(ConfigTopic, pool.Record{Key: configKey, Value: w.config})
 }
 
+// SetOrganisations sets the organisations of the configurations that follow.
+func (w *World) SetOrganisations(list []organisation.Entry) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.organisations = slices.Clone(list)
+}
+
 // pipeListener accepts in-memory connections within the process.
 type pipeListener struct {
 	addr         string
