--- a/node/caps_test.go
+++ b/node/caps_test.go
@@ -18,11 +18,16 @@
 // otherQueueName is a queue whose jobs run in the second pool.
 const otherQueueName = "scans"
 
-// addOtherPool adds a second pool with workers and a queue.
-func (c *cluster) addOtherPool(workers int) {
-	for n := range workers {
+// addOtherWorkers adds workers to the second pool.
+func (c *cluster) addOtherWorkers(count int) {
+	for n := range count {
 		c.world.AddWorkerTo(machines.OtherService, pool.Resources{CPU: 8000, Mem: 16000, GPU: 4}, []string{labelledKind, "b"}[n%2], fmt.Sprintf("r%d", n%3))
 	}
+}
+
+// addOtherPool adds a second pool with workers and a queue.
+func (c *cluster) addOtherPool(workers int) {
+	c.addOtherWorkers(workers)
 	q := c.config.Routes[0].Queue
 	q.Name, q.Service = otherQueueName, machines.OtherService
 	c.config.Services = append(c.config.Services, machines.OtherService)
@@ -41,7 +46,7 @@
 	c.world.Configure(c.config)
 }
 
-// organisationTask is a job of tasks of two cores that take a second.
+// organisationJob returns a job of tasks of two cores that take a second.
 func organisationJob(n, tasks int, org, queue, service string) pool.Job {
 	return pool.Job{ID: jobID(n), Organisation: org, Queue: queue, Service: service, Payload: machines.Work(time.Second, false, false),
 		Steps: []pool.StepSpec{{Count: tasks, Need: pool.Resources{CPU: 2000, Mem: 100}, EstimateMs: 1000}}}
@@ -113,6 +118,9 @@
 		}
 	}
 	c.setCaps(6, 12, 20)
+	// Workers that crash are replaced in the first pool only. Without these, the advice could leave a gang
+	// of this pool too few workers for ever.
+	c.addOtherWorkers(6)
 }
 
 func (c *cluster) organisationJob(rng *rand.Rand, n int, caps []int64) pool.Job {
