pool: long tasks leave headroom under a cap for urgent ones

A priority inversion under the cap.

A step now leaves what its organisation's more urgent tasks used at the same time recently, as a peak that halves in 10 s; half of the cap stays open to all steps, so that nothing waits while most of it is unused. Nothing is set by hand: without urgent work there is no headroom.

--- a/pool/organisations.go
+++ b/pool/organisations.go
@@ -46,7 +46,8 @@
 	byName map[string]organisation.Organisation
 	ledger *quota.Ledger
 	// use is what the runs of each organisation's tasks use.
-	use map[string]organisation.Amounts
+	use    map[string]organisation.Amounts
+	urgent map[string]*urgentUse
 	// inheritedUse is what a predecessor's runs may use that this owner doesn't know of, as of this
 	// pass.
 	inheritedUse map[string]organisation.Amounts
@@ -64,7 +65,7 @@
 }
 
 func newOrganisations(pool int) organisations {
-	return organisations{ledger: quota.New(pool), use: map[string]organisation.Amounts{}, heldBack: map[string][organisation.Resources]bool{}, waiting: map[string]*step{}}
+	return organisations{ledger: quota.New(pool), use: map[string]organisation.Amounts{}, urgent: map[string]*urgentUse{}, heldBack: map[string][organisation.Resources]bool{}, waiting: map[string]*step{}}
 }
 
 // Amounts returns the resources as amounts of a cap.
@@ -177,7 +178,9 @@
 	if j.Organisation == "" {
 		return
 	}
-	sum := c.orgs.use[j.Organisation].Plus(r.task.step.spec.countedUse().Times(sign))
+	amounts := r.task.step.spec.countedUse().Times(sign)
+	c.urgentUse(j.Organisation).count(c.now, r.priority, amounts)
+	sum := c.orgs.use[j.Organisation].Plus(amounts)
 	if sum == (organisation.Amounts{}) {
 		delete(c.orgs.use, j.Organisation)
 		return
@@ -284,6 +287,7 @@
 	if !limited {
 		return tasks
 	}
+	free = c.leaveHeadroom(s, free)
 	heldBack := c.orgs.heldBack[s.job.Organisation]
 	fitting := int64(tasks)
 	for r, amount := range s.spec.countedUse() {
@@ -329,7 +333,7 @@
 // waitsForCap reports whether the next task of the step, or the gang, exceeds its organisation's cap.
 func (c *Core) waitsForCap(s *step) bool {
 	free, limited := c.freeUnderCap(s.job.Organisation)
-	return limited && !s.unitOfCap().Within(free)
+	return limited && !s.unitOfCap().Within(c.leaveHeadroom(s, free))
 }
 
 // unitOfCap returns what has to be free under the cap for the next task of the step, or the gang.
--- a/pool/run.go
+++ b/pool/run.go
@@ -31,6 +31,7 @@
 	number     int
 	worker     *worker
 	need       Resources
+	priority   int // of its queue when it was started or adopted
 	phase      phase
 	startsSent int
 	ticket     string
@@ -126,6 +127,7 @@
 	w := r.worker
 	w.runs[runKey{r.task.id(), r.number}] = r
 	w.used = w.used.Plus(r.need)
+	r.priority = c.policy(r.task.step).Priority
 	c.countUse(r, 1)
 	r.task.step.job.runs++
 	if r.task.step.spec.LongRunning {
