--- a/cmd/kwctl/console.go
+++ b/cmd/kwctl/console.go
@@ -95,7 +95,7 @@
 }
 
 func (c *console) commands() []subcommands.Command {
-	return []subcommands.Command{c.jobGroup(), c.settingsGroup(), c.keysGroup(), c.instanceGroup(), c.workerGroup(), c.dumpGroup(), c.doctorCommand(), c.whyCommand(), c.delaysCommand(), c.roomCommand(), c.readersCommand(), c.crashesCommand()}
+	return []subcommands.Command{c.jobGroup(), c.settingsGroup(), c.keysGroup(), c.instanceGroup(), c.workerGroup(), c.dumpGroup(), c.doctorCommand(), c.whyCommand(), c.delaysCommand(), c.roomCommand(), c.readersCommand(), c.crashesCommand(), c.organisationsGroup()}
 }
 
 func (c *console) flags(f *flag.FlagSet) {
