--- a/cmd/kw-node/main.go
+++ b/cmd/kw-node/main.go
@@ -84,7 +84,7 @@
 	if err := servePeers(p, n); err != nil {
 		return err
 	}
-	front := &http.Server{Handler: platform.Frontend{Node: n}, IdleTimeout: idleTimeout, ReadHeaderTimeout: headerTimeout}
+	front := &http.Server{Handler: platform.NewFrontend(n, p.Log, p.Metrics), IdleTimeout: idleTimeout, ReadHeaderTimeout: headerTimeout}
 	if err := serve(p, set.Listen.Callers, front); err != nil {
 		return err
 	}
--- a/node/intake.go
+++ b/node/intake.go
@@ -81,7 +81,7 @@
 		v = OtherOrganisation
 	}
 	took := time.Since(start)
-	n.metrics.recordSubmission(v, took)
+	n.metrics.recordSubmission(j.Organisation, v, took)
 	n.log.Info().Str("job", j.ID).Str("queue", j.Queue).Str("organisation", j.Organisation).Int("pool", part).Int64("version", n.configVersion()).
 		Int64("at_ms", j.AcceptedMs).Dur("took", took).Stringer("verdict", v).Dur("come_back", retryAfter).Msg("job.submitted")
 	return SubmitResult{Verdict: v, RetryAfter: retryAfter}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -66,15 +66,21 @@
 	m.scope.Tagged(map[string]string{"stale": strconv.FormatBool(stale)}).Counter("copy_resets").Inc(1)
 }
 
-// recordSubmission counts a caller's request and records its latency.
-func (m *metrics) recordSubmission(v Verdict, took time.Duration) {
-	m.scope.Tagged(map[string]string{"verdict": strings.ReplaceAll(v.String(), " ", "_")}).Counter("submissions").Inc(1)
+// recordSubmission counts a caller's request and records its latency. The organisation is one of the
+// configuration, or empty.
+func (m *metrics) recordSubmission(organisation string, v Verdict, took time.Duration) {
+	tags := map[string]string{"verdict": strings.ReplaceAll(v.String(), " ", "_")}
+	m.scope.Tagged(tags).Counter("submissions").Inc(1)
+	if organisation != "" {
+		tags["organisation"] = organisation
+		m.scope.Tagged(tags).Counter("organisation_submissions").Inc(1)
+	}
 	m.submitLatency.RecordDuration(took)
 }
 
-// recordRefusal counts a refused job by its queue and bottleneck.
-func (m *metrics) recordRefusal(queue string, by pool.Bottleneck) {
-	m.scope.Tagged(map[string]string{"queue": queue, "scarce": string(by)}).Counter("refusals").Inc(1)
+// recordRefusal counts a refused job by its queue, organisation and bottleneck.
+func (m *metrics) recordRefusal(j *pool.Job, by pool.Bottleneck) {
+	m.scope.Tagged(map[string]string{"queue": j.Queue, "organisation": j.Organisation, "scarce": string(by)}).Counter("refusals").Inc(1)
 }
 
 // timedStore wraps a Store and records the latency and failures of its appends.
