--- a/pool/admission.go
+++ b/pool/admission.go
@@ -15,44 +15,26 @@
 // each resource that can be a bottleneck. It errs towards accepting: resources about which nothing
 // is known count as free.
 const (
-	// waitSafetyFactor multiplies the estimated wait, because run times are known only roughly.
-	// At 3, 6 and 10 times the normal load, 99, 183 and 289 accepted jobs per simulation were
-	// never served with this factor and minWaitShare, and 140, 262 and 358 with a factor of 1
-	// and without minWaitShare; the value earned was the same (kw-pool-load, 4 and 6
-	// simulations).
-	//
-	// A job has to end by its objective. Up to 3 times the objective it still has some value, but
-	// admitting jobs up to 1.5 times their objective earned 0.294 and 0.249 of the offered value in
-	// place of 0.379 and 0.360 (2 simulations at 6 times the normal load), because nearly all jobs
-	// were late then.
+	// waitSafetyFactor multiplies the estimated wait, because run times are known only roughly. Jobs are
+	// admitted up to their objective: up to 3 times that they still have some value, but then nearly all
+	// are late.
 	waitSafetyFactor = 1.25
-	// minCapacityShare is the share of the capacity that a queue can count on whatever more
-	// urgent queues demanded recently, as that demand may end at any time. With 0.2, 3 of 223
-	// wide jobs were refused on a day of normal load, 1 with 0.5 (kw-pool-load, 1 simulation).
-	// With 1, 17 of 390 jobs were accepted but never served at 3 times the normal load, 11 with
-	// 0.5.
+	// minCapacityShare is the share of the capacity that a queue can count on whatever more urgent
+	// queues demanded recently, as that demand may end at any time.
 	minCapacityShare = 0.5
 	// overloadThreshold is the offered load, refused jobs included, as a multiple of the pool's
-	// capacity, from which on jobs are refused. Below it a job is refused only if running tasks
-	// leave no capacity in time for firstTasksShare of it, a hundredth. Smaller backlogs drain
-	// by themselves: at twice the normal load for 12 s, 13 to 18 of 842 jobs were refused
-	// without the threshold, and none with it. In three simulations of whole instances at 3
-	// times the normal load, a threshold of 1 earned 0.825, 0.882 and 0.846 of the offered
-	// value, 1.5 earned 0.854, 0.876 and 0.850, and accepting every job 0.873, 0.879 and 0.849.
-	// At 6 times it was 0.619, 0.594 and 0.624 with 1; 0.601, 0.590 and 0.626 with 1.5; 0.600,
-	// 0.565 and 0.604 with 2; and 0.576, 0.540 and 0.590 when every job was accepted.
+	// capacity, from which on jobs are refused. Below it a job is refused only if running tasks leave no
+	// capacity in time for firstTasksShare of it. Smaller backlogs drain by themselves.
 	overloadThreshold = 1.5
 	firstTasksShare   = 0.01
 	// minOfferedWindow is the shortest window over which a new owner averages the offered load.
 	minOfferedWindow = 8 * time.Second
-	// minWaitShare is the share of a job's limit that both its estimated wait and the observed wait
-	// of its queue's steps must reach before it is refused. If there is free capacity, a job is
-	// accepted even if its caller's earlier tries have used up its time. At 3 times the normal
-	// load, 82 of 712 small urgent jobs were refused without this, although within 0.85 of their
-	// objective, and none with this and waitSafetyFactor.
+	// minWaitShare is the share of a job's limit that both its estimated wait and the observed wait of
+	// its queue's steps must reach before it is refused. If there is free capacity, a job is accepted
+	// even if its caller's earlier tries have used up its time.
 	minWaitShare = 0.1
-	// resumeFactor is applied to the limit of a queue that refused a job within resumeWindow, so
-	// that the queue doesn't switch between accepting and refusing whenever a task ends.
+	// resumeFactor is applied to the limit of a queue that refused a job within resumeWindow, so that
+	// the queue doesn't switch between accepting and refusing whenever a task ends.
 	resumeFactor = 0.9
 	resumeWindow = time.Second
 	// maxFirstTries and firstTryRetention bound the memory of refused jobs' first submissions;
--- /dev/null
+++ b/pool/inheriteduse.go
@@ -0,0 +1,82 @@
+package pool
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/knapweedweir/knapweedweir/organisation"
+)
+
+// inheritedUseInterval is the time between two estimates of what a predecessor's runs may use. An older
+// estimate is never too low.
+const inheritedUseInterval = 50 * time.Millisecond
+
+// estimateInheritedUse bounds what a predecessor's runs may use that this owner doesn't know of yet:
+// the tasks that may have such a run, and for those that can only run on workers that haven't answered
+// yet, the capacity of these workers.
+func (c *Core) estimateInheritedUse(takenOver bool) {
+	known := takenOver && !c.hasBlockedTasks()
+	if known == c.orgs.inheritedUseFinal && (known || c.now-c.orgs.inheritedUseAt < inheritedUseInterval) {
+		return
+	}
+	c.orgs.inheritedUse, c.orgs.inheritedUseAt, c.orgs.inheritedUseFinal = nil, c.now, known
+	if known {
+		return
+	}
+	use := map[string]organisation.Amounts{}
+	blocked := map[string]organisation.Amounts{}
+	for _, j := range c.jobs {
+		if !j.inherited || j.Organisation == "" {
+			continue
+		}
+		for _, occ := range j.occurrences {
+			for _, s := range occ.steps {
+				for _, t := range s.tasks {
+					switch {
+					case t.done || t.run != nil:
+					case t.blockedBy != nil:
+						blocked[j.Organisation] = blocked[j.Organisation].Plus(s.spec.countedUse())
+					case !takenOver:
+						use[j.Organisation] = use[j.Organisation].Plus(s.spec.countedUse())
+					}
+				}
+			}
+		}
+	}
+	limit := c.unknownCapacity()
+	for org, amounts := range use {
+		for r := range amounts {
+			amounts[r] = min(amounts[r], limit[r])
+		}
+		use[org] = amounts
+	}
+	for org, amounts := range blocked {
+		use[org] = use[org].Plus(amounts)
+	}
+	c.orgs.inheritedUse = use
+}
+
+func (c *Core) hasBlockedTasks() bool {
+	return slices.ContainsFunc(c.workerList, func(w *worker) bool { return len(w.silence.blockedTasks) > 0 })
+}
+
+// unknownCapacity returns the capacity of the workers on which a predecessor's runs may be that this
+// owner doesn't know of. A best-effort task may use more CPU than a worker has free, and the capacity
+// of a worker that isn't listed is unknown.
+func (c *Core) unknownCapacity() (sum organisation.Amounts) {
+	unlimited := organisation.Amounts{math.MaxInt64, math.MaxInt64, math.MaxInt64}
+	if !c.listed {
+		return unlimited
+	}
+	for _, w := range c.workerList {
+		if !w.inherited || w.fenced || w.runsKnown || c.now >= w.leaseExpiry {
+			continue
+		}
+		if !w.listed {
+			return unlimited
+		}
+		sum = sum.Plus(w.Capacity.Amounts())
+	}
+	return sum
+}
