--- a/standin/machines/world.go
+++ b/standin/machines/world.go
@@ -63,8 +63,8 @@
 	reusedIDs     float64 // see ReuseIDs
 	nextID        int
 	lateOrders    float64
-	hadLateOrders bool          // some may still be in transit
-	config        []byte        // the newest one
+	hadLateOrders bool   // some may still be in transit
+	config        []byte // the newest one
 	organisations []organisation.Entry
 	appendTime    time.Duration // of each append to a stream, one after another
 	readRate      int           // total of all reads, in bytes per second; 0: unlimited
