--- a/organisation/organisation.go
+++ b/organisation/organisation.go
@@ -3,6 +3,7 @@
 package organisation
 
 import (
+	"encoding/json"
 	"maps"
 
 	"github.com/pkg/errors"
@@ -142,6 +143,9 @@
 // Equal reports whether two sets hold the same organisations with the same keys.
 func (s Set) Equal(o Set) bool { return maps.Equal(s.byName, o.byName) && maps.Equal(s.byKey, o.byKey) }
 
+// MarshalJSON encodes the organisations by name, without their keys.
+func (s Set) MarshalJSON() ([]byte, error) { return json.Marshal(s.byName) }
+
 // Get returns an organisation by its name.
 func (s Set) Get(name string) (Organisation, bool) {
 	o, ok := s.byName[name]
