node: the organisation ends the line of a refused job

TestDumpShowsAdmissionStateAndRefusals looks for the fields job, queue and scarce of job.refused side by side, as readers of the log may; it failed since the organisation had been put between them.

--- a/node/admission.go
+++ b/node/admission.go
@@ -58,7 +58,7 @@
 // logRefusal logs and counts a refusal with the figures that it is based on.
 func (o *ownership) logRefusal(j *pool.Job, a pool.Admission) {
 	o.pc.node.metrics.recordRefusal(j, a.Bottleneck)
-	o.pc.log.Info().Str("job", j.ID).Str("queue", j.Queue).Str("organisation", j.Organisation).Str("scarce", string(a.Bottleneck)).Dur("wait", a.Wait).Dur("runs", a.RunTime).
+	o.pc.log.Info().Str("job", j.ID).Str("queue", j.Queue).Str("scarce", string(a.Bottleneck)).Dur("wait", a.Wait).Dur("runs", a.RunTime).
 		Dur("limit", a.Limit).Dur("since_first_try", a.SinceFirstTry).Float64("ahead_core_s", a.BacklogCoreSeconds).Float64("room_cores", a.CapacityCores).
-		Dur("come_back", a.RetryAfter).Uint64("epoch", o.claim.Epoch).Msg("job.refused")
+		Dur("come_back", a.RetryAfter).Str("organisation", j.Organisation).Uint64("epoch", o.claim.Epoch).Msg("job.refused")
 }
