--- a/scenario/soak/organisations.go
+++ b/scenario/soak/organisations.go
@@ -14,7 +14,7 @@
 	// organisations is the number of organisations, whose jobs alternate.
 	organisations = 2
 	// capCores is the cap of the first organisation; each further one may use as much more.
-	capCores = 10
+	capCores = 25
 	// keyProbeInterval is the interval between two requests with a key that is not in force.
 	keyProbeInterval = 20 * time.Millisecond
 	// keyRemovalTime is the time after which no instance accepts a removed key, with faults of the
