node: histories with caps store configurations from one place

Nothing in the product changes.

Cause: the cluster of the tests had one goroutine that changes the configuration. The histories with caps added a second one, which lowers the caps; both raised `c.config.Version` without a lock, so two configurations could also get one version and the later one was ignored. All pairs of the detector's report are `changeConfiguration` and `setCaps` (25 histories: 3 races, no other).

`configureNext` raises the version and stores the configuration under a lock. `go test -race -run 'TestRandomHistoriesWithCaps|Organisation| TestConfigurationIsApplied|Keys' . -histories 60`: no race, no failure.

--- a/node/caps_test.go
+++ b/node/caps_test.go
@@ -42,8 +42,7 @@
 			Cap: organisation.Amounts{organisation.CPU: 1000 * limit}}})
 	}
 	c.world.SetOrganisations(list)
-	c.config.Version++
-	c.world.Configure(c.config)
+	c.configureNext()
 }
 
 // organisationJob returns a job of tasks of two cores that take a second.
--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -35,7 +35,8 @@
 	cleanups []func() // run by close: end instances that have lost power, and listeners
 	// rng draws what callers do, faultRNG the faults.
 	rng, faultRNG *rand.Rand
-	config        node.Config // the newest; only one goroutine changes it
+	config        node.Config // the newest
+	configMu      sync.Mutex  // guards config once instances run
 	// storeAndDialer returns an instance's access to the store and to its peers; nil: direct
 	// access.
 	storeAndDialer func(*member) (node.Store, node.Dialer)
@@ -98,6 +99,15 @@
 	return c
 }
 
+// configureNext stores the configuration under its next version, which it returns.
+func (c *cluster) configureNext() int64 {
+	c.configMu.Lock()
+	defer c.configMu.Unlock()
+	c.config.Version++
+	c.world.Configure(c.config)
+	return c.config.Version
+}
+
 // join adds an instance with a CPU share, in cores.
 func (c *cluster) join(name string, cores float64) {
 	c.mu.Lock()
--- a/node/copies_test.go
+++ b/node/copies_test.go
@@ -156,8 +156,7 @@
 			go c.submit(jobWithPayload(n, strings.Repeat(" ", 40_000)), func() *member { return up[n%len(up)] })
 			time.Sleep(50 * time.Millisecond)
 		}
-		c.config.Version++
-		c.world.Configure(c.config)
+		c.configureNext()
 		time.Sleep(configDeadline)
 		for _, m := range c.up() {
 			assert.Check(t, m.node.Dump(c.ctx).Version == c.config.Version, "%s has version %d", m.name, m.node.Dump(c.ctx).Version)
--- a/node/history_test.go
+++ b/node/history_test.go
@@ -387,9 +387,7 @@
 func (c *cluster) changeConfiguration(rng *rand.Rand) {
 	for c.world.Since() < faultPeriod+recoveryPeriod/2 {
 		time.Sleep(time.Duration(100+rng.IntN(3000)) * time.Millisecond)
-		c.config.Version++
-		c.world.Configure(c.config)
-		version := c.config.Version
+		version := c.configureNext()
 		time.AfterFunc(configDeadline, func() {
 			for _, m := range c.up() {
 				if has := m.node.Dump(c.ctx).Version; m.view.IsStable() && has < version {
--- a/node/organisation_test.go
+++ b/node/organisation_test.go
@@ -71,8 +71,7 @@
 		c.addWorker(0)
 		configure := func(keys ...string) {
 			c.world.SetOrganisations([]organisation.Entry{{Organisation: organisation.Organisation{Name: "o0", Cap: organisation.Amounts{20_000}}, Keys: keys}})
-			c.config.Version++
-			c.world.Configure(c.config)
+			c.configureNext()
 			time.Sleep(3 * time.Second)
 		}
 		configure("first")
@@ -102,13 +101,11 @@
 		c.addWorker(0)
 		const key = "verysecretkey"
 		c.world.SetOrganisations([]organisation.Entry{{Organisation: organisation.Organisation{Name: "o0", Cap: organisation.Amounts{20_000}}, Keys: []string{key}}})
-		c.config.Version++
-		c.world.Configure(c.config)
+		c.configureNext()
 		time.Sleep(3 * time.Second)
 		c.submitOrganisationJob(organisationJob(1, 3, "o0", queueName, machines.Service))
 		c.world.SetOrganisations([]organisation.Entry{{Organisation: organisation.Organisation{Name: ""}, Keys: []string{key, key}}})
-		c.config.Version++
-		c.world.Configure(c.config) // invalid
+		c.configureNext() // invalid
 		time.Sleep(3 * time.Second)
 		texts := map[string]string{"logs": c.logs.linesContaining("")}
 		for _, m := range c.up() {
