node: a job is stored through a new owner instead of beside it

Cause: an instance chose how to store a job by the owner that it knew when the job arrived. Learning of a new owner while it asked the old one or checked the store, it still appended without the owner. Such an append names the stream's end, so beside an owner that appends it fails, 0.4 s each time. A peer that was asked to store the job did the same.

Excluded: that the successor took no jobs yet, and that the instance's own claim kept the job back.

A job now carries the epoch of the newest owner that was asked. An instance or peer that knows a newer owner asks it at once. Instances of older versions send no epoch; theirs is taken from the receiver as before.

--- a/node/direct.go
+++ b/node/direct.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -17,6 +18,9 @@
 // errStreamGrew means that other writers kept appending to the stream.
 var errStreamGrew = errors.Wrap(ErrRefused, "the stream grew at each attempt")
 
+// errOwnerChanged means that the pool has another owner than the one that was asked to store the record.
+var errOwnerChanged = errors.Wrap(ErrRefused, "another instance has taken over the pool")
+
 // directResult is the outcome of an append without the owner.
 type directResult struct {
 	submissions []*submission
@@ -29,6 +33,7 @@
 // beyond all timeouts, and retries kept it there.
 func (pc *poolController) storeDirect(ctx context.Context, s *submission) {
 	pc.directPending = append(pc.directPending, s)
+	pc.refuseDirectWithOwner()
 	pc.appendDirect(ctx)
 }
 
@@ -113,19 +118,40 @@
 		if s.firstFailedAt == 0 {
 			s.firstFailedAt = pc.node.now()
 		}
-		// If this instance is taking over the pool, it will store the record as its owner.
-		if pc.node.now()-s.firstFailedAt > directRetryTimeout && !pc.claiming && pc.own == nil {
-			s.stored <- errStreamGrew
-			continue
-		}
 		pc.directPending = append(pc.directPending, s)
 	}
+	pc.refuseDirectWithOwner()
 	pc.directMinOffset = grown.End
 	if pc.replica.next < pc.directMinOffset {
 		pc.wakeReader()
 	}
 }
 
+// refuseDirectWithOwner gives up the records that the pool's owner may store sooner.
+func (pc *poolController) refuseDirectWithOwner() {
+	pc.directPending = slices.DeleteFunc(pc.directPending, func(s *submission) bool {
+		err := pc.directRefusal(s)
+		if err != nil {
+			s.stored <- err
+		}
+		return err != nil
+	})
+}
+
+// directRefusal returns why this instance doesn't append a record without the owner; nil: it does. An
+// instance that is taking over the pool keeps the record and will store it as the owner.
+func (pc *poolController) directRefusal(s *submission) error {
+	switch {
+	case pc.claiming || pc.own != nil:
+		return nil
+	case pc.replica.claim.Epoch > s.ownerEpoch:
+		return errOwnerChanged
+	case s.firstFailedAt != 0 && pc.node.now()-s.firstFailedAt > directRetryTimeout:
+		return errStreamGrew
+	}
+	return nil
+}
+
 // refuseDirect refuses the records that wait for the store to be read.
 func (pc *poolController) refuseDirect() {
 	for _, s := range pc.directPending {
--- a/node/intake.go
+++ b/node/intake.go
@@ -130,6 +130,21 @@
 	inDoubt bool
 	// queue is the job's queue; its name is empty for other records.
 	queue QueueRef
+	// ownerEpoch is the epoch of the newest owner that has been asked to store the record.
+	ownerEpoch uint64
+}
+
+// ownerEpoch returns the epoch of a pool's owner as far as this instance knows it; 0: it knows none.
+func (n *Node) ownerEpoch(ctx context.Context, part int) uint64 {
+	pc := n.controller(part)
+	if pc == nil {
+		return 0
+	}
+	var epoch uint64
+	if err := pc.do(ctx, func() { epoch = pc.replica.claim.Epoch }); err != nil {
+		return 0
+	}
+	return epoch
 }
 
 // submitAndWait stores a record as the pool's owner and waits for the outcome.
@@ -143,7 +158,7 @@
 // told for certain that nothing was stored, although nearly all records were not.
 func (pc *poolController) storeAndWait(ctx context.Context, r intake, store func(context.Context, *submission)) error {
 	s := newSubmission(r.record)
-	s.inDoubt = r.inDoubt
+	s.inDoubt, s.ownerEpoch = r.inDoubt, r.ownerEpoch
 	waiting := withTimeout(ctx, slowOwnerTimeout)
 	if r.queue.Name != "" {
 		opened, stored, err := pc.checkQueue(waiting, r)
@@ -221,7 +236,7 @@
 
 // args returns the arguments that ask a peer to store the record.
 func (in intake) args() StoreArgs {
-	return StoreArgs{Part: in.part, Record: in.record, Hold: in.appendWait, InDoubt: in.inDoubt, Queue: in.queue}
+	return StoreArgs{Part: in.part, Record: in.record, Hold: in.appendWait, InDoubt: in.inDoubt, Queue: in.queue, OwnerEpoch: in.ownerEpoch}
 }
 
 // persist stores a record: through the pool's owner, or else from this instance, or else through a
@@ -236,7 +251,9 @@
 func (n *Node) persist(ctx context.Context, part int, rec pool.Record, queue QueueRef) (v Verdict, retryAfter time.Duration) {
 	refuseAt := n.now() + maxAppendWait(ctx)
 	in := intake{part: part, record: rec, queue: queue}
+rounds:
 	for {
+		in.ownerEpoch = n.ownerEpoch(ctx, part)
 		for _, store := range []func(context.Context, intake) error{n.storeViaOwner, n.storeWithoutOwner, n.storeViaPeer} {
 			if in.inDoubt && n.hasRead(in) {
 				return Accepted, 0
@@ -252,8 +269,11 @@
 			if err == nil {
 				return Accepted, 0
 			}
-			if errors.Is(err, errOtherOrganisation) {
+			switch {
+			case errors.Is(err, errOtherOrganisation):
 				return OtherOrganisation, 0
+			case errors.Is(err, errOwnerChanged) && ctx.Err() == nil:
+				continue rounds
 			}
 			var overload *OverloadError
 			if errors.As(err, &overload) && n.isNotStored(ctx, in) {
@@ -362,6 +382,9 @@
 	}
 	addr := peers[rand.IntN(len(peers))]
 	if pc != nil && pc.storeReadable.Load() && pc.checkStoreState(withTimeout(ctx, in.appendWait)) == storeSlow {
+		if n.ownerEpoch(ctx, in.part) > in.ownerEpoch {
+			return errOwnerChanged
+		}
 		next, err := pc.nextOwner(ctx)
 		if err != nil || next == n.opts.PeerAddr {
 			return ErrRefused // this instance has tried already
--- a/node/service.go
+++ b/node/service.go
@@ -75,6 +75,8 @@
 		// InDoubt means that the record may already be stored; it is not refused then.
 		InDoubt bool
 		Queue   QueueRef
+		// OwnerEpoch is the epoch of the newest owner that the sender has asked; 0: unknown.
+		OwnerEpoch uint64
 	}
 	// SubmitReply says that a record is stored, or who owns its pool.
 	SubmitReply struct {
@@ -212,15 +214,19 @@
 	if pc := s.n.controller(a.Part); pc != nil && s.n.owns(a.Part) {
 		return pc.submitAndWait(ctx, a.intake()) // the sender hasn't read this instance's claim yet
 	}
-	err := s.n.storeWithoutOwner(ctx, a.intake())
-	if errors.Is(err, errStreamGrew) && s.n.otherOwnerIsActive(ctx, a.Part) {
-		return s.n.storeViaOwner(ctx, a.intake())
+	in := a.intake()
+	if in.ownerEpoch == 0 { // the sender knows no owner, or is of an older version
+		in.ownerEpoch = s.n.ownerEpoch(ctx, a.Part)
+	}
+	err := s.n.storeWithoutOwner(ctx, in)
+	if errors.Is(err, errOwnerChanged) || errors.Is(err, errStreamGrew) && s.n.otherOwnerIsActive(ctx, a.Part) {
+		return s.n.storeViaOwner(ctx, in)
 	}
 	return err
 }
 
 func (a StoreArgs) intake() intake {
-	in := intake{part: a.Part, record: a.Record, appendWait: a.Hold, inDoubt: a.InDoubt, queue: a.Queue}
+	in := intake{part: a.Part, record: a.Record, appendWait: a.Hold, inDoubt: a.InDoubt, queue: a.Queue, ownerEpoch: a.OwnerEpoch}
 	if kind, _ := pool.ParseKey(a.Record.Key); kind == pool.JobRecord && in.queue.Name == "" {
 		var j pool.Job
 		if json.Unmarshal(a.Record.Value, &j) == nil { // otherwise readers skip the record
--- a/node/submission.go
+++ b/node/submission.go
@@ -22,6 +22,8 @@
 	// firstFailedAt is when an append of the record was first rejected because the stream had
 	// grown; 0: never.
 	firstFailedAt time.Duration
+	// ownerEpoch is the epoch of the newest owner that has been asked to store the record.
+	ownerEpoch uint64
 }
 
 // States of a submission.
