node, platform: an owner of more workers than it has descriptors lives on

Cause: the owner keeps one connection for the hold of each worker and more for starts, 3,896 of the 4,100 descriptors that its machine allows, and node.Serve returned on an accept error that passes.

Serve tries again after such an error and logs `peers.accept_failed`.

--- a/node/node.go
+++ b/node/node.go
@@ -22,9 +22,11 @@
 	Zone     string
 	PeerAddr string // address at which other instances reach this one
 	// Parts is the number of partitions that services are hashed to. Each partition holds one pool.
-	Parts       int
-	MaxLease    time.Duration // longest lease that a worker grants
-	StopTimeout time.Duration // time that a worker takes to stop a run
+	Parts    int
+	MaxLease time.Duration // longest lease that a worker grants
+	// MaxWorkerConns is how many connections to workers may be open at a time; 0: no limit.
+	MaxWorkerConns int
+	StopTimeout    time.Duration // time that a worker takes to stop a run
 	// Cores is the number of processor cores that this instance may use; it may be a fraction.
 	Cores float64
 	// LinkRate is the bandwidth of this machine's network link in bytes per second; 0: unknown.
--- a/node/service.go
+++ b/node/service.go
@@ -355,7 +355,11 @@
 	return nil
 }
 
-// Serve serves peers until the listener is closed.
+// acceptRetryPause is how long Serve waits after an error of the listener.
+const acceptRetryPause = 20 * time.Millisecond
+
+// Serve serves peers until the listener is closed. Other errors of the listener may pass, such as a
+// lack of file descriptors.
 func (n *Node) Serve(l net.Listener) error {
 	server := rpc.NewServer()
 	if err := server.RegisterName("Peer", Peer{n}); err != nil {
@@ -363,9 +367,14 @@
 	}
 	for {
 		conn, err := l.Accept()
-		if err != nil {
+		switch {
+		case errors.Is(err, net.ErrClosed):
 			return err
+		case err != nil:
+			n.log.Warn().Err(err).Dur("retry", acceptRetryPause).Msg("peers.accept_failed")
+			time.Sleep(acceptRetryPause)
+		default:
+			go server.ServeConn(conn)
 		}
-		go server.ServeConn(conn)
 	}
 }
