pool: idle workers are polled while connections are scarce

An owner with fewer than two connections a worker lets holds of workers that run nothing and have nothing to report return at once, once a second: their connection is free for a start. A worker is held as before from its first start on. With enough connections nothing changes, as a hold that waits also shows the end of a worker's process at once.

--- a/node/owner.go
+++ b/node/owner.go
@@ -115,6 +115,7 @@
 	opts := pc.node.opts
 	o.core = pool.New(pool.Settings{
 		Pool: pc.topic.Part, Token: c.Epoch, Generation: c.Generation, MaxLease: opts.MaxLease, StopTimeout: opts.StopTimeout, EndedRetention: endedJobRetention,
+		MaxWorkerConns: opts.MaxWorkerConns,
 	}, pc.node.now())
 	o.adviceQueue = newAdviceQueue(o)
 	o.starts.own = o
--- a/pool/core.go
+++ b/pool/core.go
@@ -18,6 +18,8 @@
 	MaxLease time.Duration
 	// StopTimeout is the longest time that a worker takes to stop a run.
 	StopTimeout time.Duration
+	// MaxWorkerConns is how many connections to workers the owner may have open; 0: no limit.
+	MaxWorkerConns int
 	// EndedRetention is how long the state of an ended job can be queried.
 	EndedRetention time.Duration
 }
--- a/pool/place.go
+++ b/pool/place.go
@@ -472,6 +472,9 @@
 func (c *Core) sendStart(r *run) {
 	r.startsSent++
 	w := r.worker
+	if len(w.ends) == 0 {
+		w.nextHold = c.now // an idle worker may have been polled just now
+	}
 	c.emit(Start{
 		Worker: w.ID, Addr: w.Addr, Token: c.settings.Token, Task: r.task.id(), Run: r.number,
 		Payload: r.task.step.job.Payload, DeadlineMs: c.lease(w), Checkpoint: r.task.checkpoint(), Ticket: r.ticket,
--- a/pool/worker.go
+++ b/pool/worker.go
@@ -14,6 +14,8 @@
 	// It is long enough to survive the restart of all processes, and a worker that falls
 	// silent is given up 5.4 s after the last hold.
 	leaseDuration = 5 * time.Second
+	// idlePollInterval is the time between two holds of an idle worker that don't wait for an end.
+	idlePollInterval = holdWait
 	// holdTimeout is how long the answer to a hold may take before the worker counts as
 	// silent. Workers answer within milliseconds once the wait is over.
 	holdTimeout = holdWait + 400*time.Millisecond
@@ -82,14 +84,16 @@
 	leaseExpiry time.Duration
 	holdPending bool
 	nextHold    time.Duration
-	ack         uint64
-	lastEnd     uint64
-	ends        []pendingEnd
-	runs        map[runKey]*run
-	used        Resources
-	longRunning Resources     // the part of used whose runs don't end by themselves
-	booked      Resources     // for tickets that are requested and for migrations
-	pausedUntil time.Duration // no new tasks before this time
+	// reportedNothing is set if its last answer listed neither runs nor ends.
+	reportedNothing bool
+	ack             uint64
+	lastEnd         uint64
+	ends            []pendingEnd
+	runs            map[runKey]*run
+	used            Resources
+	longRunning     Resources     // the part of used whose runs don't end by themselves
+	booked          Resources     // for tickets that are requested and for migrations
+	pausedUntil     time.Duration // no new tasks before this time
 	// reserved is the reservation of the worker for a step; nil: none.
 	reserved *reservation
 	// expectedEnds are the cached expected ends of its runs, computed at expectedEndsAt.
@@ -235,7 +239,7 @@
 	if !c.mayHaveRestarted(w) {
 		h.Ack = w.ack
 	}
-	if w.fenced {
+	if w.fenced && !c.pollsIdle(w) {
 		h.Wait = holdWait
 	}
 	if w.fenced && c.now-w.answeredAt < silentAfter {
@@ -248,6 +252,13 @@
 	c.emit(h)
 }
 
+// pollsIdle reports whether holds of the worker return at once, since it runs nothing and connections are
+// scarce: a hold that waits occupies one, and each start would need another.
+func (c *Core) pollsIdle(w *worker) bool {
+	limit := c.settings.MaxWorkerConns
+	return limit > 0 && 2*len(c.workerList) > limit && len(w.runs) == 0 && w.reportedNothing
+}
+
 // mayHaveRestarted reports whether the worker may have started again since its last answer. It counts its
 // ends anew then, and an acknowledgement would make it forget ends that nobody has read. A worker that
 // isn't listed and runs nothing isn't asked.
@@ -295,9 +306,13 @@
 	w.fenced = true
 	c.unblockTasks(w)
 	c.queueSilenceRecord(w)
+	w.reportedNothing = len(e.Active) == 0 && len(e.Ended) == 0
 	w.nextHold = c.now
-	if len(w.ends) > 0 {
+	switch {
+	case len(w.ends) > 0:
 		w.nextHold = c.now + unsavedHoldDelay
+	case c.pollsIdle(w):
+		w.nextHold = c.now + idlePollInterval
 	}
 	c.ackStoredEnds(w, c.savedSeq)
 	c.flush()
