node: an owner never goes back to an older configuration

Cause: applyConfig passed each version's queues and caps to the event loops of the pools by a goroutine of its own. Versions read together, as after an outage of the store, raced, and the older one could arrive last. Queues are passed the same way, so routes were concerned before there were caps.

The event loop now takes the newest configuration itself, so the last change that arrives has it.

--- a/node/caps_test.go
+++ b/node/caps_test.go
@@ -85,6 +85,27 @@
 	})
 }
 
+// Guards against an owner that keeps an older version's caps when several versions are read at once.
+func TestOwnerUsesTheNewestCapsOfVersionsReadTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, false, "a")
+		defer c.close()
+		c.addWorker(0)
+		time.Sleep(3 * time.Second)
+		for range 10 {
+			for limit := int64(1); limit <= 20; limit++ {
+				c.setCaps(limit)
+			}
+			time.Sleep(3 * time.Second)
+			for _, p := range c.members["a"].node.Dump(c.ctx).Pools {
+				for _, r := range p.Caps {
+					assert.Equal(t, r.Level[organisation.CPU], int64(20_000), "pool %d, version %d", p.Pool, c.config.Version)
+				}
+			}
+		}
+	})
+}
+
 // Guards against an organisation that exceeds its cap, or waits for ever, while the owners of two pools
 // are killed, paused or cut off, responses of the store are lost, orders are late, and caps change.
 func TestRandomHistoriesWithCaps(t *testing.T) {
--- a/node/node.go
+++ b/node/node.go
@@ -206,11 +206,12 @@
 	for _, service := range cfg.Services {
 		n.ensureController(ctx, partOf(service, n.opts.Parts))
 	}
-	queues := cfg.Queues()
 	for _, pc := range n.allControllers() {
 		go pc.send(ctx, func() {
+			// Versions that follow closely on each other may arrive here in any order.
+			cfg := n.config.Load()
 			if pc.own != nil && pc.own.loaded {
-				pc.own.step(pool.QueuesChanged{Queues: queues})
+				pc.own.step(pool.QueuesChanged{Queues: cfg.Queues()})
 				pc.own.setOrganisations(cfg)
 				pc.own.requestConfiguredQueues(cfg)
 				pc.own.passWorkerList() // the set of services may have changed
