node: an instance without a copy never goes back to a former owner

Lists read together raced, and an instance without a copy of the pool could send jobs to a former owner until the next list, up to ten seconds later.

--- a/node/peers.go
+++ b/node/peers.go
@@ -142,9 +142,8 @@
 	p.updateEntries(b)
 	p.loaded.Store(true)
 	for _, pc := range p.node.allControllers() {
-		owner := p.ownerOf(pc.topic.Part)
 		go pc.send(pc.ctx, func() {
-			pc.learnOwner(owner)
+			pc.learnOwner(p.ownerOf(pc.topic.Part)) // lists that are read together may arrive here in any order
 			pc.updateCopy(pc.ctx)
 		})
 	}
