node: test of crashing jobs of one organisation beside sound ones of others

The sound ones end, the others are given up after their crashes, and nothing stays counted under a cap.

Also: the function that gives up records which the owner may store sooner is named for that.

--- a/node/claiming.go
+++ b/node/claiming.go
@@ -224,7 +224,7 @@
 	}
 	if e.err != nil {
 		pc.log.Warn().Err(e.err).Uint64("epoch", e.claim.Epoch).Msg("pool.claim_failed")
-		pc.refuseDirectWithOwner()
+		pc.leaveDirectToOwner()
 		return
 	}
 	if pc.replica.claim.Epoch > e.claim.Epoch {
--- a/node/crash_test.go
+++ b/node/crash_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/knapweedweir/knapweedweir/node"
+	"github.com/knapweedweir/knapweedweir/organisation"
 	"github.com/knapweedweir/knapweedweir/pool"
 	"github.com/knapweedweir/knapweedweir/standin/machines"
 )
@@ -86,6 +87,54 @@
 	}
 }
 
+// Guards against a noisy neighbour whose jobs crash their workers: sound jobs of other organisations end,
+// the crashing ones are given up, and what was lost with a worker doesn't stay counted under a cap.
+func TestCrashingJobsOfOneOrganisationLeaveOthersAlone(t *testing.T) {
+	for _, advised := range []bool{false, true} {
+		for _, ownerLost := range []bool{false, true} {
+			t.Run(fmt.Sprintf("advised %t, owner lost %t", advised, ownerLost), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					c := newCrashCluster(t, advised)
+					defer c.close()
+					c.setCaps(12, 24)
+					time.Sleep(3 * time.Second)
+					submit := func(id, org, payload string) {
+						assert.Assert(t, c.submit(pool.Job{ID: id, Organisation: org, Payload: payload, Steps: []pool.StepSpec{crashStep(2)}}, c.anyMember))
+					}
+					for n := range 4 {
+						submit(jobID(200+n), "o0", machines.CrashingWork(10*time.Second, 0, 500*time.Millisecond))
+					}
+					if ownerLost {
+						time.AfterFunc(2*time.Second, func() { c.kill(c.owner()) })
+					}
+					for n := range 20 {
+						submit(jobID(100+n), "o1", machines.Work(2*time.Second, false, false))
+						time.Sleep(200 * time.Millisecond)
+					}
+					time.Sleep(90 * time.Second)
+					assertState := func(id, org string, want pool.State) {
+						state, verdict := c.anyMember().node.StateFor(c.ctx, org, machines.Service, id)
+						assert.Equal(t, verdict, node.Accepted)
+						assert.Equal(t, state, want, c.logs.linesContaining(id))
+					}
+					for n := range 4 {
+						assertState(jobID(200+n), "o0", pool.Failed)
+					}
+					for n := range 20 {
+						assertState(jobID(100+n), "o1", pool.Completed)
+					}
+					for _, p := range c.anyMember().node.Dump(c.ctx).Pools {
+						for _, r := range p.Caps {
+							assert.Equal(t, r.Used, organisation.Amounts{}, "%s uses its cap, and nothing runs", r.Organisation)
+						}
+					}
+					c.check()
+				})
+			})
+		}
+	}
+}
+
 // Guards against crashes that are forgotten when the pool's owner, or all instances, end right
 // after them. Only one is noticed by the owner whose start caused it: the first, the second after
 // nobody has noticed the first, or none.
--- a/node/direct.go
+++ b/node/direct.go
@@ -33,7 +33,7 @@
 // beyond all timeouts, and retries kept it there.
 func (pc *poolController) storeDirect(ctx context.Context, s *submission) {
 	pc.directPending = append(pc.directPending, s)
-	pc.refuseDirectWithOwner()
+	pc.leaveDirectToOwner()
 	pc.appendDirect(ctx)
 }
 
@@ -120,15 +120,15 @@
 		}
 		pc.directPending = append(pc.directPending, s)
 	}
-	pc.refuseDirectWithOwner()
+	pc.leaveDirectToOwner()
 	pc.directMinOffset = grown.End
 	if pc.replica.next < pc.directMinOffset {
 		pc.wakeReader()
 	}
 }
 
-// refuseDirectWithOwner gives up the records that the pool's owner may store sooner.
-func (pc *poolController) refuseDirectWithOwner() {
+// leaveDirectToOwner gives up the records that the pool's owner may store sooner.
+func (pc *poolController) leaveDirectToOwner() {
 	pc.directPending = slices.DeleteFunc(pc.directPending, func(s *submission) bool {
 		err := pc.directRefusal(s)
 		if err != nil {
