node: a job that moves to another pool is compared with that pool's owner

Each attempt there said that the owner had changed, and the next round began at once, without end.

The epoch is taken from the pool that is asked, and a round begins without a pause only if a newer owner is known than before, so rounds end with the owners.

--- a/node/intake.go
+++ b/node/intake.go
@@ -253,7 +253,7 @@
 	in := intake{part: part, record: rec, queue: queue}
 rounds:
 	for {
-		in.ownerEpoch = n.ownerEpoch(ctx, part)
+		in.ownerEpoch = n.ownerEpoch(ctx, in.part)
 		for _, store := range []func(context.Context, intake) error{n.storeViaOwner, n.storeWithoutOwner, n.storeViaPeer} {
 			if in.inDoubt && n.hasRead(in) {
 				return Accepted, 0
@@ -272,7 +272,7 @@
 			switch {
 			case errors.Is(err, errOtherOrganisation):
 				return OtherOrganisation, 0
-			case errors.Is(err, errOwnerChanged) && ctx.Err() == nil:
+			case errors.Is(err, errOwnerChanged) && n.ownerEpoch(ctx, in.part) > in.ownerEpoch:
 				continue rounds
 			}
 			var overload *OverloadError
