pool, organisation: weight and shares of caps have names of their own

A newcomer met two things under one name: the share of a cap that a pool holds, and the share of the jobs that an organisation's weight allows. The second is called by the weight now (`WeightBucket`, `beyondWeight`); a job refused for it has `scarce` "weight" in `job.refused` and the counter `refusals`, and kwctl says "beyond its organisation's weight". The wire's `Foreign`, a second name of "other organisation", is called that too, and the ended jobs whose records are still to be removed `pendingDrops`.

--- a/cmd/kwctl/room.go
+++ b/cmd/kwctl/room.go
@@ -232,7 +232,7 @@
 	pool.AdviceBottleneck:   "for want of answers of the advice service",
 	pool.StartsBottleneck:   "for want of starts by the owner",
 	pool.DelayBottleneck:    "by the wait that is seen in its queue",
-	pool.ShareBottleneck:    "beyond its organisation's share while jobs wait",
+	pool.WeightBottleneck:   "beyond its organisation's weight while jobs wait",
 }
 
 // detailsText returns why a job was refused.
--- a/node/intake.go
+++ b/node/intake.go
@@ -222,7 +222,7 @@
 		switch {
 		case r.ComeBack > 0:
 			return &OverloadError{RetryAfter: r.ComeBack}
-		case r.Foreign:
+		case r.OtherOrganisation:
 			return errOtherOrganisation
 		case r.Moved != nil:
 			return &MovedError{To: *r.Moved}
--- a/node/service.go
+++ b/node/service.go
@@ -87,8 +87,8 @@
 		ComeBack time.Duration
 		// NotOpen means that the pool doesn't accept jobs of the queue yet.
 		NotOpen bool
-		// Foreign means that another organisation has submitted a job with this ID.
-		Foreign bool
+		// OtherOrganisation means that another organisation has submitted a job with this ID.
+		OtherOrganisation bool
 		// Moved is set if a newer configuration routes the queue to another service.
 		Moved *QueueRef
 	}
@@ -260,8 +260,8 @@
 	if kind, id := pool.ParseKey(a.Record.Key); kind == pool.JobRecord {
 		if known, org := s.n.knownJob(withTimeout(context.Background(), peerTimeout), a.Part, id); known {
 			// A sender without a copy can't detect a repeated request.
-			r.Foreign = !mayAccess(organisationOfRecord(a.Record), org)
-			r.Stored = !r.Foreign
+			r.OtherOrganisation = !mayAccess(organisationOfRecord(a.Record), org)
+			r.Stored = !r.OtherOrganisation
 			return nil
 		}
 	}
--- a/pool/admission.go
+++ b/pool/admission.go
@@ -57,8 +57,8 @@
 	CapacityBottleneck Bottleneck = "room"
 	AdviceBottleneck   Bottleneck = "advice"
 	StartsBottleneck   Bottleneck = "starts"
-	// ShareBottleneck: the job is beyond its organisation's share, and the pool can't keep up.
-	ShareBottleneck Bottleneck = "share"
+	// WeightBottleneck: the job is beyond its organisation's weight, and the pool can't keep up.
+	WeightBottleneck Bottleneck = "weight"
 	// DelayBottleneck: the queue's steps wait that long at present, whatever the cause.
 	DelayBottleneck Bottleneck = "delay"
 )
@@ -86,8 +86,8 @@
 	stored     bool // and counted by the next refresh
 	admittedAt time.Duration
 	entry      backlogEntry
-	// beyondShare is set if the job is beyond its organisation's share.
-	beyondShare bool
+	// beyondWeight is set if the job is beyond its organisation's weight.
+	beyondWeight bool
 }
 
 // firstTry is the first submission of a job that was refused.
@@ -157,8 +157,8 @@
 	a := c.estimateAdmission(&j, q, entry, runTime)
 	beyond := false
 	if !a.Refused {
-		if beyond = c.takeShare(&j, c.now); beyond {
-			a = c.refuseBeyondShare(&j, q, runTime)
+		if beyond = c.countTowardsWeight(&j, c.now); beyond {
+			a = c.refuseBeyondWeight(&j, q, runTime)
 		}
 	}
 	if a.Refused {
@@ -167,7 +167,7 @@
 		h.recordRefusal(&j, c.unixMs, a)
 		return a
 	}
-	h.admitted = append(h.admitted, admittedJob{job: j.ID, admittedAt: c.now, entry: entry, beyondShare: beyond})
+	h.admitted = append(h.admitted, admittedJob{job: j.ID, admittedAt: c.now, entry: entry, beyondWeight: beyond})
 	c.recordInflow(entry)
 	return a
 }
--- a/pool/advice.go
+++ b/pool/advice.go
@@ -126,7 +126,7 @@
 	c.emit(Advise{
 		Step: s.id, Workers: names, Cost: terms.cost(len(names)), Priority: u.priority,
 		InTimeUntil: c.atUnix(u.due - s.remainingPathMs), WorthUntil: c.atUnix(u.worthUntil - s.remainingPathMs), Lasting: s.spec.LongRunning,
-		BeyondShare: s.job.beyondShare && !s.spec.LongRunning,
+		BeyondWeight: s.job.beyondWeight && !s.spec.LongRunning,
 	})
 }
 
--- a/pool/core.go
+++ b/pool/core.go
@@ -110,7 +110,7 @@
 	policyVersion int
 	deposed       bool
 	ended         []*job // ended jobs, oldest first
-	undropped     []*job // ended jobs whose stored records aren't removed yet
+	pendingDrops  []*job // ended jobs whose stored records aren't removed yet
 	waves         waves
 	admission     admissionState
 	orgs          organisations
@@ -262,7 +262,7 @@
 	c.reachVerdicts()
 	c.forgetWorkers()
 	c.forgetCrashes()
-	c.dropUndropped()
+	c.dropPending()
 	c.forgetJobs()
 	c.replan = true
 }
--- a/pool/events.go
+++ b/pool/events.go
@@ -275,15 +275,15 @@
 	InTimeUntil, WorthUntil time.Duration
 	// Lasting marks steps that run until their job is cancelled. They are never late.
 	Lasting bool
-	// BeyondShare marks steps of jobs that were submitted beyond their organisation's share.
-	BeyondShare bool
+	// BeyondWeight marks steps of jobs that were submitted beyond their organisation's weight.
+	BeyondWeight bool
 }
 
 // TierAt returns the tier of the job if the answer arrives at the given time.
 func (a Advise) TierAt(now time.Duration) Tier {
 	switch {
-	case a.BeyondShare && now <= a.WorthUntil:
-		return BeyondShare
+	case a.BeyondWeight && now <= a.WorthUntil:
+		return BeyondWeight
 	case a.Lasting || now <= a.InTimeUntil:
 		return OnTime
 	case now <= a.WorthUntil:
--- a/pool/organisations.go
+++ b/pool/organisations.go
@@ -33,8 +33,8 @@
 	// use is what the runs of each organisation's tasks use, urgent the same by priority.
 	use    map[string]organisation.Amounts
 	urgent map[string]*urgentUse
-	// shares tell which jobs are within their organisations' weights.
-	shares map[string]*organisation.Share
+	// weights tell which jobs are within their organisations' weights.
+	weights map[string]*organisation.WeightBucket
 	// inheritedUse is what a predecessor's runs may use that this owner doesn't know of, as of this
 	// pass.
 	inheritedUse map[string]organisation.Amounts
@@ -53,7 +53,7 @@
 
 func newOrganisations(pool int) organisations {
 	return organisations{
-		ledger: quota.New(pool), use: map[string]organisation.Amounts{}, urgent: map[string]*urgentUse{}, shares: map[string]*organisation.Share{},
+		ledger: quota.New(pool), use: map[string]organisation.Amounts{}, urgent: map[string]*urgentUse{}, weights: map[string]*organisation.WeightBucket{},
 		heldBack: map[string][organisation.Resources]bool{}, waiting: map[string]*step{},
 	}
 }
--- a/pool/records.go
+++ b/pool/records.go
@@ -213,7 +213,7 @@
 		return nil
 	}
 	if c.mayHaveRuns(j) {
-		c.undropped = append(c.undropped, j)
+		c.pendingDrops = append(c.pendingDrops, j)
 		return nil
 	}
 	j.recordsDropped = true
@@ -230,11 +230,11 @@
 	return j.Organisation != "" && (j.runs > 0 || (j.inherited && !c.inheritedChecked))
 }
 
-// dropUndropped removes the records of ended jobs that had runs when their final state was saved.
-func (c *Core) dropUndropped() {
-	undropped := c.undropped
-	c.undropped = nil
-	for _, j := range undropped {
+// dropPending removes the records of ended jobs that had runs when their final state was saved.
+func (c *Core) dropPending() {
+	jobs := c.pendingDrops
+	c.pendingDrops = nil
+	for _, j := range jobs {
 		c.otherRecords = append(c.otherRecords, c.dropRecords(j)...)
 	}
 }
--- a/pool/state.go
+++ b/pool/state.go
@@ -15,8 +15,8 @@
 	storedState State
 	started     bool
 	dirty       bool
-	// beyondShare is set if the job was submitted beyond its organisation's weight.
-	beyondShare bool
+	// beyondWeight is set if the job was submitted beyond its organisation's weight.
+	beyondWeight bool
 	// savedIn is the sequence number of the newest save that holds the job's progress.
 	savedIn uint64
 	runs    int // that may exist
@@ -138,9 +138,9 @@
 	}
 	j := &job{Job: e.Job, inherited: e.Inherited, state: Queued, storedState: Queued}
 	if admitted := c.admission.markStored(j.ID); admitted != nil {
-		j.beyondShare = admitted.beyondShare
+		j.beyondWeight = admitted.beyondWeight
 	} else {
-		j.beyondShare = c.takeShare(&j.Job, c.atUnix(min(c.unixMs, j.AcceptedMs)))
+		j.beyondWeight = c.countTowardsWeight(&j.Job, c.atUnix(min(c.unixMs, j.AcceptedMs)))
 	}
 	if e.Inherited {
 		j.firstRun = c.settings.Generation * runsPerOwner
@@ -216,7 +216,7 @@
 	if e.Progress.State.Ended() {
 		j.state, j.storedState, j.givenUp = e.Progress.State, e.Progress.State, e.Progress.GivenUp
 		c.endJob(j)
-		c.undropped = append(c.undropped, j)
+		c.pendingDrops = append(c.pendingDrops, j)
 		return
 	}
 	for _, sp := range e.Progress.Steps {
--- a/pool/urgency.go
+++ b/pool/urgency.go
@@ -15,8 +15,8 @@
 const (
 	OnTime Tier = iota
 	PastDue
-	// BeyondShare is the tier of jobs beyond their organisations' shares that can still earn value.
-	BeyondShare
+	// BeyondWeight is the tier of jobs beyond their organisations' weights that can still earn value.
+	BeyondWeight
 	Worthless
 )
 
@@ -51,8 +51,8 @@
 	}
 	earliestEnd := c.unixMs + s.remainingPathMs
 	switch {
-	case s.job.beyondShare && earliestEnd <= u.worthUntil:
-		u.tier = BeyondShare
+	case s.job.beyondWeight && earliestEnd <= u.worthUntil:
+		u.tier = BeyondWeight
 	case earliestEnd > u.worthUntil:
 		u.tier = Worthless
 	case earliestEnd > u.due:
--- a/pool/share_test.go
+++ b/pool/weight_test.go
@@ -10,8 +10,8 @@
 	"github.com/knapweedweir/knapweedweir/organisation"
 )
 
-// newShareRig returns a rig with organisations of weight 1 without caps.
-func newShareRig(t *testing.T) *rig {
+// newWeightRig returns a rig with organisations of weight 1 without caps.
+func newWeightRig(t *testing.T) *rig {
 	r := newOwnerRig(t)
 	r.step(OrganisationsChanged{Organisations: map[string]organisation.Organisation{
 		"noisy": {Name: "noisy", Weight: 1}, "quiet": {Name: "quiet", Weight: 1}}})
@@ -33,9 +33,9 @@
 }
 
 // Pattern: noisy neighbour. One organisation submits many jobs at once; another one's job that comes
-// later starts before those beyond the noisy one's share.
-func TestJobsBeyondAShareComeAfterThoseWithinOne(t *testing.T) {
-	r := newShareRig(t)
+// later starts before those beyond the noisy one's weight.
+func TestJobsBeyondAWeightComeAfterThoseWithinOne(t *testing.T) {
+	r := newWeightRig(t)
 	for n := range 14 {
 		r.admit("noisy", fmt.Sprintf("n%02d", n))
 	}
@@ -48,10 +48,10 @@
 	assert.Equal(t, starts[0].Task.Job, "q")
 }
 
-// Pattern: noisy neighbour. While jobs wait, those beyond a share are refused, with the time in which the
-// weight makes up for them; jobs within a share aren't. Without a wait nothing is refused.
-func TestJobsBeyondAShareAreRefusedFirst(t *testing.T) {
-	r := newShareRig(t)
+// Pattern: noisy neighbour. While jobs wait, those beyond a weight are refused, with the time in which the
+// weight makes up for them; jobs within a weight aren't. Without a wait nothing is refused.
+func TestJobsBeyondAWeightAreRefusedFirst(t *testing.T) {
+	r := newWeightRig(t)
 	for n := range 12 {
 		assert.Assert(t, !r.admit("noisy", fmt.Sprintf("n%02d", n)).Refused, "there is free capacity")
 	}
@@ -62,17 +62,17 @@
 	r.advance(800 * time.Millisecond)
 	a := r.admit("noisy", "more")
 	assert.Assert(t, a.Refused)
-	assert.Equal(t, a.Bottleneck, ShareBottleneck)
-	assert.Assert(t, a.RetryAfter > 5*time.Second, "seven jobs beyond the share at one a second: %v", a.RetryAfter)
+	assert.Equal(t, a.Bottleneck, WeightBottleneck)
+	assert.Assert(t, a.RetryAfter > 5*time.Second, "seven jobs beyond the weight at one a second: %v", a.RetryAfter)
 	r.advance(time.Second)
 	assert.Assert(t, !r.admit("quiet", "within").Refused)
 }
 
-// Guards against jobs of callers without an organisation that count as beyond a share.
-func TestJobsWithoutAnOrganisationAreWithinTheirShare(t *testing.T) {
-	r := newShareRig(t)
+// Guards against jobs of callers without an organisation that count as beyond a weight.
+func TestJobsWithoutAnOrganisationAreBeyondNoWeight(t *testing.T) {
+	r := newWeightRig(t)
 	for n := range 40 {
 		r.admit("", fmt.Sprintf("j%02d", n))
-		assert.Assert(t, !r.core.jobs[fmt.Sprintf("j%02d", n)].beyondShare)
+		assert.Assert(t, !r.core.jobs[fmt.Sprintf("j%02d", n)].beyondWeight)
 	}
 }
