--- a/cmd/kw-node/main.go
+++ b/cmd/kw-node/main.go
@@ -77,7 +77,9 @@
 	}
 	store := platform.NewStore(set.Store.Address)
 	store.PartsPerTopic = set.Store.Parts
-	n := node.New(forNode, p.Log, store, platform.NewWorkers(forNode.MaxWorkerConns),
+	workers := platform.NewWorkers()
+	workers.LimitConns(forNode.MaxWorkerConns, p.Log)
+	n := node.New(forNode, p.Log, store, workers,
 		platform.NewAdvisor(set.Advice), platform.Directory{})
 	p.AddLoop(n.Run)
 	p.AddLoop(func(ctx context.Context) error { return tuneGC(ctx, n) })
