cmd/kwctl: the test's configuration is written by the stand-in

The names of the users' pages stood in a test outside platform/. The stand-in's EncodeConfig writes the configuration as operators do; the checks of the test are as they were.

--- a/cmd/kwctl/organisations_test.go
+++ b/cmd/kwctl/organisations_test.go
@@ -11,6 +11,7 @@
 	"github.com/knapweedweir/knapweedweir/daemon"
 	"github.com/knapweedweir/knapweedweir/node"
 	"github.com/knapweedweir/knapweedweir/organisation"
+	"github.com/knapweedweir/knapweedweir/platform/wirestand"
 	"github.com/knapweedweir/knapweedweir/pool"
 )
 
@@ -40,10 +41,13 @@
 
 // Guards against a check that accepts what instances reject, and against keys in its output.
 func TestOrganisationsCheckNamesThePlace(t *testing.T) {
-	const config = `{"version":7,"routes":[],"services":[{"name":"s"}],"tenants":[{"name":"one","apiKeys":["verysecret"],"weight":3,"cap":{"cpu":8000}},{"name":"two","apiKeys":["%KEY"],"weight":0,"cap":{}}]}`
 	file := filepath.Join(t.TempDir(), "config.json")
 	check := func(key string) result {
-		assert.NilError(t, os.WriteFile(file, []byte(strings.Replace(config, "%KEY", key, 1)), 0o600))
+		config := wirestand.EncodeConfig(&node.Config{Version: 7, Services: []string{"s"}}, []organisation.Entry{
+			{Organisation: organisation.Organisation{Name: "one", Weight: 3, Cap: organisation.Amounts{organisation.CPU: 8000}}, Keys: []string{"verysecret"}},
+			{Organisation: organisation.Organisation{Name: "two"}, Keys: []string{key}},
+		})
+		assert.NilError(t, os.WriteFile(file, config, 0o600))
 		return kwctl(t, "", "", "organisations", "check", file)
 	}
 	r := check("another")
