--- a/organisation/quota/ledger.go
+++ b/organisation/quota/ledger.go
@@ -42,10 +42,10 @@
 	if r.Organisation == "" {
 		return errors.New("quota: organisation: missing")
 	}
-	for _, totals := range []map[int]Shares{r.Given, r.Received} {
+	for name, totals := range map[string]map[int]Shares{"given to": r.Given, "received from": r.Received} {
 		for pool, total := range totals {
 			if pool < 0 || total != largest(total, Shares{}) {
-				return errors.Errorf("quota: organisation %q: a negative total or pool", r.Organisation)
+				return errors.Errorf("quota: organisation %q: %v %s pool %d: must not be negative", r.Organisation, total, name, pool)
 			}
 		}
 	}
