--- a/pool/organisations_test.go
+++ b/pool/organisations_test.go
@@ -59,6 +59,25 @@
 	assert.Equal(t, len(r.acceptStarts()), 1, "the end of a task frees the cap for one")
 }
 
+// Guards against a start without an answer that isn't counted: it may be carried out late, beside the one
+// that takes its place under the cap.
+func TestStartsWithoutAnAnswerCountTowardsTheCap(t *testing.T) {
+	r := newOwnerRig(t)
+	r.setCap(2)
+	r.submitFor("o", "j1", smallStep(2))
+	first := takeActions[Start](r)
+	assert.Equal(t, len(first), 2)
+	for _, s := range first {
+		r.step(StartAnswered{Worker: s.Worker, Task: s.Task, Run: s.Run, Outcome: NoAnswer})
+	}
+	r.submitFor("o", "j2", smallStep(1))
+	r.advance(300 * time.Millisecond)
+	for _, s := range takeActions[Start](r) {
+		assert.Equal(t, s.Task.Job, "j1", "the cap of two cores is used up by what may run")
+	}
+	assert.DeepEqual(t, r.core.usedBy("o"), organisation.Amounts{organisation.CPU: 2000, organisation.Mem: 200})
+}
+
 // Guards against a start before it is known which share of the caps the pool holds.
 func TestNothingStartsBeforeTheSharesAreKnown(t *testing.T) {
 	r := newOwnerRig(t)
