organisation, pool, node: the shares of caps aren't called quotas too

The package that divides caps among pools, its events, its calls between owners and its records were named quota, which is the older scheduler's word for the limit of a team and a second name of a cap here. Tests of organisation, pool and node on caps, organisations and keys pass.

--- a/node/owner.go
+++ b/node/owner.go
@@ -213,7 +213,7 @@
 		o.step(pool.Tick{UnixMs: time.Now().UnixMilli()})
 		o.updateCrashMetrics(o.core.CrashCounts())
 		o.startBinding()
-		o.exchangeQuota()
+		o.exchangeCapShares()
 	}
 	o.pc.node.metrics.startWindow.Update(float64(o.pc.node.startWindow.Size()))
 	if now := o.pc.node.now(); !o.heartbeatPending && now-o.lastHeartbeat > heartbeatInterval {
--- a/node/replica.go
+++ b/node/replica.go
@@ -268,13 +268,13 @@
 	case pool.SilentRecord:
 		e := pool.SilenceStored{Worker: id}
 		return eventIfValid(e, decodeList(rec.Value, &e.Tasks))
-	case pool.QuotaRecord:
-		e := pool.QuotaStored{}
+	case pool.CapShareRecord:
+		e := pool.CapShareStored{}
 		if err := json.Unmarshal(rec.Value, &e.Record); err != nil {
-			return nil, errors.Wrap(err, "quota")
+			return nil, errors.Wrap(err, "cap share")
 		}
-		if pool.QuotaKey(e.Record.Organisation) != rec.Key {
-			return nil, errors.New("quota: the organisation doesn't match the key")
+		if pool.CapShareKey(e.Record.Organisation) != rec.Key {
+			return nil, errors.New("cap share: the organisation doesn't match the key")
 		}
 		return eventIfValid(e, e.Record.Check())
 	case pool.QueueRecord:
--- a/organisation/quota/ledger.go
+++ b/organisation/capshare/ledger.go
@@ -1,4 +1,4 @@
-// Package quota divides the caps of organisations among the pools whose owners start their tasks.
+// Package capshare divides the caps of organisations among the pools whose owners start their tasks.
 //
 // A cap holds over all pools, but each pool's owner decides alone what it starts. So each pool holds
 // a share of each cap, and its owner keeps what runs within it. Shares are fractions of the cap, so
@@ -11,7 +11,7 @@
 // what is stored. The receiver adds what it is told. An old or repeated message thus never adds
 // anything, a giver's successor knows all that may have been told, and neither clocks nor the order
 // of messages matter.
-package quota
+package capshare
 
 import (
 	"maps"
@@ -40,12 +40,12 @@
 // Check returns an error if the record is invalid.
 func (r Record) Check() error {
 	if r.Organisation == "" {
-		return errors.New("quota: organisation: missing")
+		return errors.New("cap share: organisation: missing")
 	}
 	for name, totals := range map[string]map[int]Shares{"given to": r.Given, "received from": r.Received} {
 		for pool, total := range totals {
 			if pool < 0 || total != largest(total, Shares{}) {
-				return errors.Errorf("quota: organisation %q: %v %s pool %d: must not be negative", r.Organisation, total, name, pool)
+				return errors.Errorf("cap share: organisation %q: %v %s pool %d: must not be negative", r.Organisation, total, name, pool)
 			}
 		}
 	}
--- a/organisation/quota/ledger_test.go
+++ b/organisation/capshare/ledger_test.go
@@ -1,4 +1,4 @@
-package quota
+package capshare
 
 import (
 	"fmt"
--- a/pool/capreport.go
+++ b/pool/capreport.go
@@ -6,7 +6,7 @@
 	"slices"
 
 	"github.com/knapweedweir/knapweedweir/organisation"
-	"github.com/knapweedweir/knapweedweir/organisation/quota"
+	"github.com/knapweedweir/knapweedweir/organisation/capshare"
 )
 
 // CapReport is the state of an organisation's cap in one pool, for operators. The amounts are in
@@ -36,7 +36,7 @@
 		}
 		r := CapReport{Organisation: name, Weight: o.Weight, Cap: o.Cap, Level: c.orgs.ledger.Level(name), Used: c.orgs.use[name], MayBeUsed: c.orgs.inheritedUse[name]}
 		for res, held := range c.orgs.ledger.Held(name) {
-			r.Share[res] = float64(held) / quota.Whole
+			r.Share[res] = float64(held) / capshare.Whole
 			if r.Level[res] == math.MaxInt64 {
 				r.Level[res] = 0
 			}
--- a/pool/caps.go
+++ b/pool/caps.go
@@ -39,8 +39,8 @@
 	return -1, 0
 }
 
-// resetQuotaWaits begins a pass over all waiting steps.
-func (c *Core) resetQuotaWaits(takenOver bool) {
+// resetCapWaits begins a pass over all waiting steps.
+func (c *Core) resetCapWaits(takenOver bool) {
 	c.estimateInheritedUse(takenOver)
 	clear(c.orgs.waiting)
 	clear(c.orgs.heldBack)
--- a/pool/quotaexchange.go
+++ b/pool/capshareexchange.go
@@ -4,25 +4,25 @@
 	"time"
 
 	"github.com/knapweedweir/knapweedweir/organisation"
-	"github.com/knapweedweir/knapweedweir/organisation/quota"
+	"github.com/knapweedweir/knapweedweir/organisation/capshare"
 )
 
-// quotaExchangeInterval is the time between two exchanges of shares with the owners of other pools, and
-// shortQuotaExchangeInterval that while tasks wait for a cap here.
+// capShareExchangeInterval is the time between two exchanges of shares with the owners of other pools, and
+// shortCapShareExchangeInterval that while tasks wait for a cap here.
 const (
-	quotaExchangeInterval      = time.Second
-	shortQuotaExchangeInterval = 150 * time.Millisecond
+	capShareExchangeInterval      = time.Second
+	shortCapShareExchangeInterval = 150 * time.Millisecond
 )
 
-func (c *Core) quotaRootKnown(e QuotaRootKnown) {
+func (c *Core) capShareRootKnown(e CapShareRootKnown) {
 	if e.Pool == c.settings.Pool {
 		c.orgs.ledger.SetRoot()
 		c.replan, c.retryAllSteps = true, true
 	}
 }
 
-// quotaOffered takes what another pool gives, and gives it what it needs more.
-func (c *Core) quotaOffered(e QuotaOffered) {
+// capShareOffered takes what another pool gives, and gives it what it needs more.
+func (c *Core) capShareOffered(e CapShareOffered) {
 	if e.Offer.From == c.settings.Pool {
 		return
 	}
@@ -34,20 +34,20 @@
 	}
 }
 
-// quotaRecords returns the records of changed shares for a save.
-func (c *Core) quotaRecords() (records []Record) {
+// capShareRecords returns the records of changed shares for a save.
+func (c *Core) capShareRecords() (records []Record) {
 	for _, r := range c.orgs.ledger.Changes(c.saveSeq) {
-		records = append(records, Record{Key: QuotaKey(r.Organisation), Value: Encode(r)})
+		records = append(records, Record{Key: CapShareKey(r.Organisation), Value: Encode(r)})
 	}
 	return records
 }
 
-// QuotaExchangeDue reports whether an offer is to be sent to the owners of other pools now.
-func (c *Core) QuotaExchangeDue(now time.Duration) bool {
+// CapShareExchangeDue reports whether an offer is to be sent to the owners of other pools now.
+func (c *Core) CapShareExchangeDue(now time.Duration) bool {
 	o := &c.orgs
-	interval := quotaExchangeInterval
+	interval := capShareExchangeInterval
 	if len(o.waiting) > 0 {
-		interval = shortQuotaExchangeInterval
+		interval = shortCapShareExchangeInterval
 	}
 	if !c.hasCaps() || (now-o.exchangedAt < interval && !o.exchangeSoon) {
 		return false
@@ -65,8 +65,8 @@
 	return false
 }
 
-// QuotaOffer returns the message to the owner of another pool.
-func (c *Core) QuotaOffer(to int) quota.Offer {
+// CapShareOffer returns the message to the owner of another pool.
+func (c *Core) CapShareOffer(to int) capshare.Offer {
 	return c.orgs.ledger.Offer(to, c.totalCapacity(), c.organisationDemands())
 }
 
@@ -82,16 +82,16 @@
 // organisationDemands returns what the organisations use and want in this pool. They want no more than
 // the pool has free capacity for, since they would keep it from other pools without using it; but
 // always enough for the step that waits for the cap.
-func (c *Core) organisationDemands() map[string]quota.Demand {
+func (c *Core) organisationDemands() map[string]capshare.Demand {
 	c.estimateInheritedUse(c.takeoverComplete())
-	demands := map[string]quota.Demand{}
+	demands := map[string]capshare.Demand{}
 	waiting := c.waitingByOrganisation()
 	free := c.freeCapacity()
 	for name := range c.orgs.byName {
 		if !c.orgs.ledger.IsLimited(name) {
 			continue
 		}
-		d := quota.Demand{Use: c.usedBy(name)}
+		d := capshare.Demand{Use: c.usedBy(name)}
 		if s := c.orgs.waiting[name]; s != nil && s.remaining > 0 && !s.job.state.Ended() {
 			d.Unit, d.SinceMs = s.unitOfCap(), max(1, s.job.AcceptedMs, s.job.DueMs(s.id.K))
 		}
--- a/pool/core.go
+++ b/pool/core.go
@@ -191,12 +191,12 @@
 		c.replan = true
 	case OrganisationsChanged:
 		c.organisationsChanged(e)
-	case QuotaRootKnown:
-		c.quotaRootKnown(e)
-	case QuotaStored:
+	case CapShareRootKnown:
+		c.capShareRootKnown(e)
+	case CapShareStored:
 		c.orgs.ledger.Restore(e.Record)
-	case QuotaOffered:
-		c.quotaOffered(e)
+	case CapShareOffered:
+		c.capShareOffered(e)
 	case WorkersListed:
 		c.listWorkers(e.Workers)
 		c.listedAsOf = e.AsOf
@@ -289,7 +289,7 @@
 	// The save includes all other changes so far, so that an end that a worker listed before
 	// it fell silent is stored no later than its silence record.
 	save.Records = append(save.Records, c.silenceRecords()...)
-	save.Records = append(save.Records, c.quotaRecords()...)
+	save.Records = append(save.Records, c.capShareRecords()...)
 	save.Records = append(save.Records, c.otherRecords...)
 	c.otherRecords = nil
 	if c.trackedChanged {
--- a/pool/organisations.go
+++ b/pool/organisations.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/knapweedweir/knapweedweir/organisation"
-	"github.com/knapweedweir/knapweedweir/organisation/quota"
+	"github.com/knapweedweir/knapweedweir/organisation/capshare"
 )
 
 // OrganisationsChanged replaces the organisations.
@@ -12,24 +12,24 @@
 	Organisations map[string]organisation.Organisation
 }
 
-// QuotaRootKnown reports which pool held all shares of all caps at first.
-type QuotaRootKnown struct{ Pool int }
+// CapShareRootKnown reports which pool held all shares of all caps at first.
+type CapShareRootKnown struct{ Pool int }
 
-// QuotaStored restores the pool's shares of a cap as a predecessor stored them.
-type QuotaStored struct{ Record quota.Record }
+// CapShareStored restores the pool's shares of a cap as a predecessor stored them.
+type CapShareStored struct{ Record capshare.Record }
 
-// QuotaOffered is a message from the owner of another pool.
-type QuotaOffered struct{ Offer quota.Offer }
+// CapShareOffered is a message from the owner of another pool.
+type CapShareOffered struct{ Offer capshare.Offer }
 
 func (OrganisationsChanged) event() {}
-func (QuotaRootKnown) event()       {}
-func (QuotaStored) event()          {}
-func (QuotaOffered) event()         {}
+func (CapShareRootKnown) event()    {}
+func (CapShareStored) event()       {}
+func (CapShareOffered) event()      {}
 
 // organisations is what an owner knows about the organisations and their caps.
 type organisations struct {
 	byName map[string]organisation.Organisation
-	ledger *quota.Ledger
+	ledger *capshare.Ledger
 	// use is what the runs of each organisation's tasks use, urgent the same by priority.
 	use    map[string]organisation.Amounts
 	urgent map[string]*urgentUse
@@ -53,7 +53,7 @@
 
 func newOrganisations(pool int) organisations {
 	return organisations{
-		ledger: quota.New(pool), use: map[string]organisation.Amounts{}, urgent: map[string]*urgentUse{}, weights: map[string]*organisation.WeightBucket{},
+		ledger: capshare.New(pool), use: map[string]organisation.Amounts{}, urgent: map[string]*urgentUse{}, weights: map[string]*organisation.WeightBucket{},
 		heldBack: map[string][organisation.Resources]bool{}, waiting: map[string]*step{},
 	}
 }
--- a/pool/organisations_test.go
+++ b/pool/organisations_test.go
@@ -7,14 +7,14 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/knapweedweir/knapweedweir/organisation"
-	"github.com/knapweedweir/knapweedweir/organisation/quota"
+	"github.com/knapweedweir/knapweedweir/organisation/capshare"
 )
 
 // setCap gives organisation o a cap in cores; the pool holds all of it.
 func (r *rig) setCap(cores int64) {
 	r.step(OrganisationsChanged{Organisations: map[string]organisation.Organisation{
 		"o": {Name: "o", Cap: organisation.Amounts{organisation.CPU: 1000 * cores}}}})
-	r.step(QuotaRootKnown{Pool: 0})
+	r.step(CapShareRootKnown{Pool: 0})
 }
 
 func (r *rig) submitFor(org, id string, steps ...StepSpec) {
@@ -86,10 +86,10 @@
 	next.step(OrganisationsChanged{Organisations: r.core.orgs.byName})
 	next.submitFor("o", "j", smallStep(4))
 	assert.Equal(t, len(next.acceptStarts()), 0)
-	next.step(QuotaRootKnown{Pool: 9})
+	next.step(CapShareRootKnown{Pool: 9})
 	assert.Equal(t, len(next.acceptStarts()), 0, "another pool is the root")
-	next.step(QuotaOffered{Offer: quota.Offer{From: 9, Accounts: map[string]quota.Account{
-		"o": {Given: quota.Shares{organisation.CPU: quota.Whole / 5 * 2}}}}})
+	next.step(CapShareOffered{Offer: capshare.Offer{From: 9, Accounts: map[string]capshare.Account{
+		"o": {Given: capshare.Shares{organisation.CPU: capshare.Whole / 5 * 2}}}}})
 	next.advance(100 * time.Millisecond)
 	assert.Equal(t, len(next.acceptStarts()), 2)
 }
@@ -193,8 +193,8 @@
 	r.setCap(6)
 	old := Job{ID: "j1", Organisation: "o", Queue: "q", Service: "s", Payload: "p", Steps: []StepSpec{smallStep(4)}}
 	r.core.Step(r.now, JobStored{Job: old, Inherited: true})
-	r.core.Step(r.now, QuotaOffered{Offer: quota.Offer{From: 9, Accounts: map[string]quota.Account{
-		"o": {Demand: quota.Demand{Want: organisation.Amounts{organisation.CPU: 6000}}}}}})
+	r.core.Step(r.now, CapShareOffered{Offer: capshare.Offer{From: 9, Accounts: map[string]capshare.Account{
+		"o": {Demand: capshare.Demand{Want: organisation.Amounts{organisation.CPU: 6000}}}}}})
 	assert.Equal(t, r.core.orgs.ledger.Level("o")[organisation.CPU], int64(4000))
 }
 
--- a/pool/place.go
+++ b/pool/place.go
@@ -83,7 +83,7 @@
 	c.sortByUrgency(waiting)
 	c.measureFreeCapacity()
 	c.resetReservations()
-	c.resetQuotaWaits(takenOver)
+	c.resetCapWaits(takenOver)
 	for _, s := range waiting {
 		c.placeStep(s)
 	}
--- a/pool/records.go
+++ b/pool/records.go
@@ -19,7 +19,7 @@
 	wavePrefix     = "w/"
 	silentPrefix   = "s/"
 	queuePrefix    = "q/"
-	quotaPrefix    = "u/"
+	capSharePrefix = "u/"
 	// OwnerKey holds the claim of the pool's owner.
 	OwnerKey = "owner"
 	// TrackedWorkersKey holds the workers on which the owner may have started tasks.
@@ -45,8 +45,8 @@
 // QueueKey returns the key that records whether the pool accepts jobs of a queue.
 func QueueKey(queue string) string { return queuePrefix + shortened(queue) }
 
-// QuotaKey returns the key of the pool's shares of an organisation's cap.
-func QuotaKey(organisation string) string { return quotaPrefix + shortened(organisation) }
+// CapShareKey returns the key of the pool's shares of an organisation's cap.
+func CapShareKey(organisation string) string { return capSharePrefix + shortened(organisation) }
 
 // shortened returns a name, or its hash if the name is too long for a key.
 func shortened(name string) string {
@@ -71,7 +71,7 @@
 	WaveRecord
 	SilentRecord
 	QueueRecord
-	QuotaRecord
+	CapShareRecord
 )
 
 // ParseWave returns the wave number in the key of a wave.
@@ -97,8 +97,8 @@
 		return SilentRecord, key[len(silentPrefix):]
 	case strings.HasPrefix(key, queuePrefix):
 		return QueueRecord, key[len(queuePrefix):]
-	case strings.HasPrefix(key, quotaPrefix):
-		return QuotaRecord, key[len(quotaPrefix):]
+	case strings.HasPrefix(key, capSharePrefix):
+		return CapShareRecord, key[len(capSharePrefix):]
 	case strings.HasPrefix(key, cancelPrefix):
 		return CancelRecord, key[len(cancelPrefix):]
 	}
