node: passes of placement use a quarter of an owner's time, and advice lanes are agreed

Two causes: an owner under load spends its processor time on passes of placement, one after each batch of events; and each owner reserves instances for cheap advice requests in an order of its own, so that requests of 1.7 s from another owner occupied them.

node/planpace lets the next pass begin four times the length of the last one after its start, and a timer makes it if no event comes. node/advicelane ranks the instances by a hash of their addresses: a third is reserved for cheap requests, by all owners alike, and late jobs' expensive requests use two of those or a twelfth of all.

--- a/node/advicequeue.go
+++ b/node/advicequeue.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/knapweedweir/knapweedweir/node/advicelane"
 	"github.com/knapweedweir/knapweedweir/pool"
 )
 
@@ -16,10 +17,6 @@
 	maxAdviceTries = 3
 	// busyCallerPause is how long an instance that was busy with another request is not used.
 	busyCallerPause = 60 * time.Millisecond
-	// cheapReserveDivisor is the number of other instances of which one is reserved for cheap
-	// requests. With 10 s of expensive requests a second, of 0.7 s and more each, those of small
-	// jobs waited until one of 32 instances had completed an expensive request: 4 s.
-	cheapReserveDivisor = 3
 	// peerAddrsTTL is how long the cached list of peer addresses is used.
 	peerAddrsTTL = 50 * time.Millisecond
 	// thisInstance stands for this instance in the list of callers.
@@ -36,12 +33,15 @@
 	// instances, listing them for each request takes longer than the request itself.
 	peerAddrs   []string
 	peerAddrsAt time.Duration
+	// lanes holds peerAddrs by lane.
+	lanes [advicelane.Lanes][]string
 }
 
 type adviceCaller struct {
-	busy      bool
-	expensive bool          // the current request is expensive, and uses no reserved instance
-	until     time.Duration // the instance isn't used before this time
+	busy  bool
+	until time.Duration // the instance isn't used before this time
+	// failed is set if the newest request through the instance failed.
+	failed bool
 }
 
 func newAdviceQueue(o *ownership) *adviceQueue {
@@ -56,10 +56,20 @@
 		if q.own.pc.topic.Part%2 == 1 {
 			slices.Reverse(q.peerAddrs) // spreads the pools' requests over the instances
 		}
+		q.assignLanes()
 	}
 	return q.peerAddrs
 }
 
+func (q *adviceQueue) assignLanes() {
+	q.lanes = [advicelane.Lanes][]string{}
+	lanes := advicelane.Assign(q.peerAddrs)
+	for _, addr := range q.peerAddrs {
+		l := lanes[addr]
+		q.lanes[l] = append(q.lanes[l], addr)
+	}
+}
+
 func (q *adviceQueue) add(a pool.Advise) {
 	q.enqueue(pool.NewAdviceRequest(a))
 }
@@ -86,23 +96,19 @@
 		if next.IsExpensive() {
 			addr = expensiveAddr
 		}
-		c := q.callers[addr]
-		c.busy, c.expensive = true, next.IsExpensive() && class == pool.AnyRequest
+		q.callers[addr].busy = true
 		go q.request(addr, next)
 	}
 }
 
 // expensiveClass returns which expensive requests may be sent now, and through which instance.
 func (q *adviceQueue) expensiveClass() (pool.SendClass, string) {
-	addr, free := q.firstIdle(q.callersOf(pool.AnyRequest))
-	peers := len(q.peers())
-	switch {
-	case !free:
-		return pool.CheapOnly, ""
-	case peers > 0 && q.expensiveInFlight() >= peers-peers/cheapReserveDivisor:
-		return pool.CheapOrLate, addr
+	for _, class := range [...]pool.SendClass{pool.AnyRequest, pool.CheapOrLate} {
+		if addr, free := q.firstIdle(q.callersOf(class)); free {
+			return class, addr
+		}
 	}
-	return pool.AnyRequest, addr
+	return pool.CheapOnly, ""
 }
 
 // callersOf returns the instances that may send the requests of a class, in the order in which they
@@ -111,18 +117,30 @@
 // 0.33 s for one in ten).
 func (q *adviceQueue) callersOf(class pool.SendClass) []string {
 	peers := q.peers()
-	if class != pool.CheapOnly && slices.ContainsFunc(peers, q.isUsable) {
+	switch {
+	case class == pool.CheapOnly:
+		return slices.Concat([]string{thisInstance}, q.lanes[advicelane.CheapOnly], q.lanes[advicelane.CheapOrLate], q.lanes[advicelane.Any])
+	case !slices.ContainsFunc(peers, q.reachesService):
+		return append([]string{thisInstance}, peers...)
+	case !slices.ContainsFunc(q.lanes[advicelane.Any], q.reachesService):
 		return peers
+	case class == pool.CheapOrLate:
+		return q.lanes[advicelane.CheapOrLate]
 	}
-	return append([]string{thisInstance}, peers...)
+	return q.lanes[advicelane.Any]
 }
 
 // isUsable reports whether the last request through an instance has neither failed nor found it
-// busy just now. If only this instance can reach the advice service, callersOf must include it:
-// expensive requests failed at all others for as long as that lasted, and the gangs that needed
-// them never began.
+// busy just now.
 func (q *adviceQueue) isUsable(addr string) bool { return q.own.pc.node.now() >= q.caller(addr).until }
 
+// reachesService reports whether the last request through an instance hasn't failed just now. If only
+// this instance can reach the advice service, callersOf must include it: expensive requests failed at all
+// others for as long as that lasted, and the gangs that needed them never began.
+func (q *adviceQueue) reachesService(addr string) bool {
+	return !q.caller(addr).failed || q.isUsable(addr)
+}
+
 // firstIdle returns the first usable instance that has no request of this owner in flight.
 func (q *adviceQueue) firstIdle(order []string) (string, bool) {
 	for _, addr := range order {
@@ -142,16 +160,6 @@
 	return c
 }
 
-func (q *adviceQueue) expensiveInFlight() int {
-	n := 0
-	for _, c := range q.callers {
-		if c.busy && c.expensive {
-			n++
-		}
-	}
-	return n
-}
-
 // request sends a request to the advice service through an instance.
 func (q *adviceQueue) request(addr string, a pool.AdviceRequest) {
 	n := q.own.pc.node
@@ -167,7 +175,7 @@
 
 func (q *adviceQueue) handleAnswer(addr string, a pool.AdviceRequest, r AdviseReply) {
 	c := q.callers[addr]
-	c.busy = false
+	c.busy, c.failed = false, r.Answer.Failed && !r.Busy
 	now := q.own.pc.node.now()
 	if r.Busy {
 		c.until = now + busyCallerPause
--- a/node/advicequeue_internal_test.go
+++ b/node/advicequeue_internal_test.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
+	"github.com/knapweedweir/knapweedweir/node/advicelane"
 	"github.com/knapweedweir/knapweedweir/pool"
 )
 
@@ -42,7 +43,7 @@
 			break
 		}
 		assert.Assert(t, addr != thisInstance)
-		q.callers[addr].busy, q.callers[addr].expensive = true, true
+		q.callers[addr].busy = true
 		expensive++
 	}
 	assert.Equal(t, expensive, 4)
@@ -63,7 +64,7 @@
 	for addr, c := range q.callers {
 		c.busy = false
 		if addr != thisInstance {
-			c.until = now + failedCallerPause // as after a failed request
+			c.until, c.failed = now+failedCallerPause, true // as after a failed request
 		}
 	}
 	class, addr := q.expensiveClass()
@@ -81,7 +82,7 @@
 	}
 	for range 4 {
 		_, addr := q.expensiveClass()
-		q.callers[addr].busy, q.callers[addr].expensive = true, true
+		q.callers[addr].busy = true
 	}
 	for range 2 {
 		class, addr := q.expensiveClass()
@@ -95,3 +96,28 @@
 	assert.Assert(t, ok)
 	assert.Equal(t, addr, thisInstance)
 }
+
+// Guards against head-of-line blocking across pools: an owner with more expensive requests than
+// instances, late ones included, must leave those alone that another owner uses for cheap ones.
+func TestExpensiveRequestsNeverUseTheCheapLane(t *testing.T) {
+	n := New(Settings{Name: "self", PeerAddr: "self", Now: func() time.Duration { return time.Hour }}, zerolog.Nop(), nil, nil, nil, nil)
+	for i := range 43 {
+		name := fmt.Sprintf("p%d", i)
+		n.peers.byKey[name] = peerEntry{name: name, Addr: name}
+	}
+	q := newAdviceQueue(&ownership{ctx: t.Context(), pc: newPoolController(context.Background(), n, 0)})
+	q.caller("p7").until = time.Hour + busyCallerPause // found busy just now, which is no failure
+	used := map[string]bool{}
+	for {
+		class, addr := q.expensiveClass()
+		if class == pool.CheapOnly {
+			break
+		}
+		used[addr] = true
+		q.callers[addr].busy = true
+	}
+	for _, addr := range q.lanes[advicelane.CheapOnly] {
+		assert.Assert(t, !used[addr], addr)
+	}
+	assert.Assert(t, len(q.lanes[advicelane.CheapOnly]) >= 10)
+}
--- a/node/owner.go
+++ b/node/owner.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/knapweedweir/knapweedweir/node/planpace"
 	"github.com/knapweedweir/knapweedweir/pool"
 )
 
@@ -28,12 +29,6 @@
 	// endedJobRetention is how long the state of an ended job can be queried. Clients guarantee
 	// their own callers two minutes.
 	endedJobRetention = 120 * time.Second
-	// longPlanDuration is the duration above which a plan delays the next one, and planPauseFactor
-	// the multiple of it that must pass from the start of the plan to that of the next. Plans take
-	// 0.1 ms, but longer with hundreds of jobs waiting after seconds without an owner; an owner
-	// that only plans neither renews leases nor processes the ends of tasks.
-	longPlanDuration = 2 * time.Millisecond
-	planPauseFactor  = 4
 	// workerListPause is the minimum pause between two reads of the list of workers.
 	workerListPause = 250 * time.Millisecond
 	// workerListWait is how long a read of the list of workers waits for a change. The list is known
@@ -83,8 +78,9 @@
 	sequence      uint64
 	saves         *saveQueue
 	lastHeartbeat time.Duration
-	// nextPlanAt is the earliest time of the next plan.
-	nextPlanAt       time.Duration
+	pace          planpace.Pacer
+	// planScheduled is set while a planDue event is on its way.
+	planScheduled    bool
 	heartbeatPending bool
 	workers          map[string]pool.WorkerInfo
 	adviceQueue      *adviceQueue
@@ -233,6 +229,8 @@
 
 func (o *ownership) handle(ev any) {
 	switch e := ev.(type) {
+	case planDue:
+		o.planScheduled = false // the pool's loop plans after each event
 	case batch:
 		o.applyWorkerList(e)
 	case saveDone:
@@ -331,22 +329,36 @@
 	}
 }
 
-// plan makes the core start waiting tasks, unless the last plan took long. It plans only as many
-// starts as the start window admits, so that an urgent start isn't queued behind starts decided
-// earlier.
+// planDue is the event that the pause after a plan is over.
+type planDue struct{}
+
+// plan makes the core start waiting tasks, or schedules that while the last plan is too recent. It plans
+// only as many starts as the start window admits, so that an urgent start isn't queued behind starts
+// decided earlier.
 func (o *ownership) plan() {
 	o.starts.send()
 	start := o.pc.node.now()
 	available := o.pc.node.startWindow.Available(start)
-	if start < o.nextPlanAt || available == 0 || len(o.starts.waiting) > 0 {
+	if available == 0 || len(o.starts.waiting) > 0 {
+		return
+	}
+	if wait := o.pace.Wait(start); wait > 0 {
+		o.schedulePlan(wait)
 		return
 	}
 	for _, a := range o.core.PlanWithin(start, available) {
 		o.execute(a)
 	}
-	if took := o.pc.node.now() - start; took > longPlanDuration {
-		o.nextPlanAt = start + took*planPauseFactor
+	o.pace.Done(start, o.pc.node.now())
+}
+
+// schedulePlan causes a plan after the given time.
+func (o *ownership) schedulePlan(after time.Duration) {
+	if o.planScheduled || !o.core.NeedsPlan() {
+		return
 	}
+	o.planScheduled = true
+	time.AfterFunc(after, func() { o.send(planDue{}) })
 }
 
 func (o *ownership) execute(a pool.Action) {
--- a/pool/core.go
+++ b/pool/core.go
@@ -171,6 +171,9 @@
 	return c.actions
 }
 
+// NeedsPlan reports whether anything has changed since the last plan that may let tasks start.
+func (c *Core) NeedsPlan() bool { return c.replan }
+
 // ReportLag tells the core that events arrive faster than they are handled.
 func (c *Core) ReportLag(now time.Duration) { c.laggedAt = max(c.laggedAt, now) }
 
