pool: a pass goes over steps that may wait and over workers that have changed

Each placement pass went over the steps of all jobs and measured all workers.

Steps of which a task may wait are kept in a list (pool/waitlist.go). Events add a step where it becomes ready, a run is removed, or a task is unblocked; a pass drops those that only an event can make wait again. The workers' free capacity is kept (pool/freecapacity.go): a pass measures the workers that have changed, and all of them when the list of workers changes or when time may change which workers accept tasks. That the takeover is complete isn't recomputed either.

The rig of package pool compares both with a full scan after each event and each pass. TestWorkerThatFailsSeveralJobsIsAvoided sets a worker's pause directly and now reports that, as events do.

--- a/pool/advice.go
+++ b/pool/advice.go
@@ -66,12 +66,14 @@
 func (c *Core) book(s *step, w *worker) {
 	need := s.spec.Reserved()
 	w.booked = w.booked.Plus(need)
+	c.freeChanged(w)
 	s.booked = append(s.booked, booking{worker: w, need: need})
 }
 
 func (c *Core) unbook(s *step) {
 	for _, b := range s.booked {
 		b.worker.booked = b.worker.booked.Minus(b.need)
+		c.freeChanged(b.worker)
 	}
 	s.booked = nil
 	for _, p := range s.pendingLoads {
--- a/pool/core.go
+++ b/pool/core.go
@@ -91,6 +91,10 @@
 	// of tasks.
 	runtimeRatios    map[string]float64
 	availableWorkers []availableWorker // workers that accept new tasks in this pass
+	capacity         freeCapacity
+	waitList         waitList
+	storedJobs       int  // number of jobs stored so far
+	takenOver        bool // see takeoverComplete
 	// startBudget is the number of bytes of starts that this pass may still send.
 	startBudget int
 	// candidateBuffer and unknownBuffer hold lists of workers, and are reused so that they
--- a/pool/crashes.go
+++ b/pool/crashes.go
@@ -247,7 +247,8 @@
 		}
 		c.verdicts = c.verdicts[1:]
 		t := v.task
-		t.awaitsVerdict, t.step.noneWaitingBefore = false, 0
+		t.awaitsVerdict = false
+		c.mayWait(t.step)
 		if len(t.crashes) == 0 || !t.isCause() {
 			continue // a run has proven itself, or the worker has turned out to be alive
 		}
--- a/pool/drain.go
+++ b/pool/drain.go
@@ -27,8 +27,8 @@
 func (c *Core) migrateFromDraining() {
 	var steps []*step // in a deterministic order
 	var migrating map[*step][]*run
-	for _, w := range c.workerList {
-		if !w.Draining || !w.listed || !w.fenced || w.silent || !w.hasRunsToMigrate() {
+	for _, w := range c.capacity.draining {
+		if !w.fenced || w.silent || !w.hasRunsToMigrate() {
 			continue
 		}
 		if migrating == nil {
@@ -122,17 +122,19 @@
 	s := r.task.step
 	r.migrationBooking = &booking{worker: w, need: r.need}
 	w.booked = w.booked.Plus(r.need)
+	c.freeChanged(w)
 	s.migrationBookings = append(s.migrationBookings, r.migrationBooking)
 	c.stop(r, "its worker is draining")
 }
 
 // releaseMigrationBooking cancels the booking for the task of a migrating run.
-func (r *run) releaseMigrationBooking() {
+func (c *Core) releaseMigrationBooking(r *run) {
 	if r.migrationBooking == nil {
 		return
 	}
 	w, s := r.migrationBooking.worker, r.task.step
 	w.booked = w.booked.Minus(r.migrationBooking.need)
+	c.freeChanged(w)
 	s.migrationBookings = slices.DeleteFunc(s.migrationBookings, func(b *booking) bool { return b == r.migrationBooking })
 	r.migrationBooking = nil
 }
--- a/pool/maintenance.go
+++ b/pool/maintenance.go
@@ -84,6 +84,7 @@
 		return true
 	}
 	w.inMaintenance = true
+	c.workersChanged()
 	if len(w.runs) == 0 {
 		return true
 	}
@@ -165,6 +166,7 @@
 func (c *Core) resumePlacement(m *waveMachine) {
 	if w := c.workers[m.worker]; w != nil {
 		w.inMaintenance = false
+		c.workersChanged()
 	}
 	c.replan, c.retryAllSteps = true, true
 }
--- a/pool/place.go
+++ b/pool/place.go
@@ -21,14 +21,15 @@
 // twice. The takeover is complete once each worker has either answered under this owner's token,
 // after which it rejects the predecessor, or its longest possible lease has expired.
 func (c *Core) takeoverComplete() bool {
-	if !c.listed {
-		return false
+	if !c.listed || c.takenOver {
+		return c.takenOver
 	}
 	for _, w := range c.workerList {
 		if w.inherited && !w.fenced && !w.runsKnown && c.now < w.leaseExpiry {
 			return false
 		}
 	}
+	c.takenOver = true
 	return true
 }
 
@@ -55,27 +56,18 @@
 	retryAll := c.retryAllSteps || c.reservationsDue()
 	c.retryAllSteps = false
 	var exhausted []*job
-	for _, j := range c.activeJobs {
-		if j.inherited && !takenOver {
-			continue
-		}
-		for _, occ := range j.occurrences {
-			if occ.remaining == 0 {
-				continue
-			}
-			for _, s := range occ.steps {
-				switch {
-				case !c.canPlace(s) || !s.anyWaiting(c.now):
-				case c.isExhausted(s):
-					exhausted = append(exhausted, j)
-				case c.now < s.retryPlacementAt && !retryAll:
-					c.replan = true // retry with the next event
-				default:
-					waiting = append(waiting, s)
-				}
-			}
+	for _, s := range c.waitList.waitingSteps() {
+		switch {
+		case s.job.inherited && !takenOver, !c.canPlace(s) || !s.anyWaiting(c.now):
+		case c.isExhausted(s):
+			exhausted = append(exhausted, s.job)
+		case c.now < s.retryPlacementAt && !retryAll:
+			c.replan = true // retry with the next event
+		default:
+			waiting = append(waiting, s)
 		}
 	}
+	c.waitList.dropIdle()
 	for _, j := range exhausted {
 		c.failJob(j, failedTooOften)
 	}
@@ -106,13 +98,16 @@
 	return slices.ContainsFunc(s.tasks, func(t *task) bool { return t.isWaiting(c.now) && len(t.failed) >= attempts })
 }
 
+// noneWaiting is a step's noneWaitingBefore while only an event can make one of its tasks wait.
+const noneWaiting = time.Duration(math.MaxInt64)
+
 // anyWaiting reports whether a task of the step could be started now. It caches a negative result
 // in noneWaitingBefore, so that the tasks of fully running steps aren't scanned in each pass.
 func (s *step) anyWaiting(now time.Duration) bool {
 	if now < s.noneWaitingBefore {
 		return false
 	}
-	s.noneWaitingBefore = math.MaxInt64
+	s.noneWaitingBefore = noneWaiting
 	for _, t := range s.tasks {
 		if t.isWaiting(now) {
 			s.noneWaitingBefore = 0
@@ -136,32 +131,6 @@
 	return list
 }
 
-// availableWorker is a worker that accepts new tasks in this pass.
-type availableWorker struct {
-	*worker
-	// free is its free capacity when it was last measured in this pass, an upper bound afterwards.
-	free Resources
-}
-
-// measureFreeCapacity collects the workers that accept new tasks, the most free capacity on any of
-// them by resource, and the smallest capacity by resource. Most passes come while the pool is full:
-// steps that need more than is free anywhere are skipped at once, and so are steps that are small
-// on every worker when workers are reserved for large ones.
-func (c *Core) measureFreeCapacity() {
-	c.availableWorkers, c.largestFree, c.smallestCapacity = c.availableWorkers[:0], Resources{}, Resources{}
-	for _, w := range c.workerList {
-		if !w.listed || w.Draining || w.inMaintenance || !c.acceptsTasks(w) {
-			continue
-		}
-		free := w.free()
-		w.availableIndex = len(c.availableWorkers)
-		c.availableWorkers = append(c.availableWorkers, availableWorker{worker: w, free: free})
-		c.largestFree = c.largestFree.largest(free)
-		c.smallestCapacity = Resources{CPU: minNonzero(c.smallestCapacity.CPU, w.Capacity.CPU), Mem: minNonzero(c.smallestCapacity.Mem, w.Capacity.Mem),
-			GPU: minNonzero(c.smallestCapacity.GPU, w.Capacity.GPU)}
-	}
-}
-
 // updateFreeCapacity updates the results of measureFreeCapacity after capacity of the picked
 // workers was taken or booked. It recomputes c.largestFree only if one of them had the most free
 // capacity of some resource.
@@ -171,16 +140,12 @@
 		picked := &c.availableWorkers[w.availableIndex]
 		before, now := picked.free, w.free()
 		picked.free = now
-		largestReduced = largestReduced || now.CPU < before.CPU && before.CPU == c.largestFree.CPU ||
-			now.Mem < before.Mem && before.Mem == c.largestFree.Mem || now.GPU < before.GPU && before.GPU == c.largestFree.GPU
+		largestReduced = largestReduced || before.reducesLargest(now, c.largestFree)
 	}
 	if !largestReduced {
 		return
 	}
-	c.largestFree = Resources{}
-	for i := range c.availableWorkers {
-		c.largestFree = c.largestFree.largest(c.availableWorkers[i].free)
-	}
+	c.findLargestFree()
 }
 
 // minNonzero returns the smaller of two amounts, ignoring an amount of 0.
--- a/pool/rig_test.go
+++ b/pool/rig_test.go
@@ -35,7 +35,9 @@
 
 func (r *rig) step(ev Event) {
 	r.actions = append(r.actions, r.core.Step(r.now, ev)...)
+	checkIncremental(r.t, r.core)
 	r.actions = append(r.actions, r.core.Plan(r.now)...)
+	checkIncremental(r.t, r.core)
 	if _, ok := ev.(WorkersListed); ok {
 		r.confirmSaves() // until the workers are stored as tracked, they get no tasks
 	}
--- a/pool/run.go
+++ b/pool/run.go
@@ -127,6 +127,7 @@
 	w := r.worker
 	w.runs[runKey{r.task.id(), r.number}] = r
 	w.used = w.used.Plus(r.need)
+	c.freeChanged(w)
 	r.priority = c.policy(r.task.step).Priority
 	c.countUse(r, 1)
 	r.task.step.job.runs++
@@ -149,8 +150,9 @@
 		return
 	}
 	delete(w.runs, key)
-	r.releaseMigrationBooking()
+	c.releaseMigrationBooking(r)
 	w.used = w.used.Minus(r.need)
+	c.freeChanged(w)
 	c.countUse(r, -1)
 	r.task.step.job.runs--
 	if r.task.step.spec.LongRunning {
@@ -164,7 +166,7 @@
 	}
 	if r.task.run == r {
 		r.task.run = nil
-		r.task.step.noneWaitingBefore = 0
+		c.mayWait(r.task.step)
 	}
 	c.replan = true
 }
--- a/pool/silence.go
+++ b/pool/silence.go
@@ -70,6 +70,7 @@
 		if w.silence.removalSave != 0 && w.silence.removalSave <= seq {
 			w.silence.removalSave, w.silence.stored = 0, false
 			c.replan = true
+			c.workersChanged()
 		}
 	}
 }
@@ -96,6 +97,8 @@
 		w = c.newWorker(WorkerInfo{ID: e.Worker})
 	}
 	w.silence.stored, w.runsKnown = true, true
+	c.takenOver = false // below, runsKnown may become false again
+	c.workersChanged()
 	w.silent, w.silentSince = true, c.now
 	for _, id := range e.Tasks {
 		t := c.task(id.TaskID)
@@ -123,7 +126,7 @@
 	for _, t := range w.silence.blockedTasks {
 		if t.blockedBy == w {
 			t.blockedBy = nil
-			t.step.noneWaitingBefore = 0
+			c.mayWait(t.step)
 			c.replan = true
 		}
 	}
--- a/pool/startstop.go
+++ b/pool/startstop.go
@@ -61,6 +61,7 @@
 		c.removeWorker(w)
 		return nil
 	}
+	c.freeChanged(w)
 	return w
 }
 
--- a/pool/state.go
+++ b/pool/state.go
@@ -25,6 +25,8 @@
 	endedAt        time.Duration
 	// firstRun is the first run number that this owner may use.
 	firstRun int
+	// storedAs is the job's position in the order in which the jobs were stored.
+	storedAs int
 	created  int // occurrences that have become due
 	// givenUp is the task because of which the job has failed; nil: none.
 	givenUp *GivenUp
@@ -58,8 +60,10 @@
 	delayRecorded bool
 	notBefore     time.Duration
 	// noneWaitingBefore is the earliest time at which a task can wait again; 0: unknown. It is
-	// reset when a run ends and when a silent worker's tasks are unblocked.
+	// reset by Core.mayWait.
 	noneWaitingBefore time.Duration
+	// inWaitList is set while Core.waitList includes the step.
+	inWaitList bool
 	// retryPlacementAt is when placement of the step is tried again.
 	retryPlacementAt time.Duration
 	booked           []booking
@@ -146,6 +150,8 @@
 		j.firstRun = c.settings.Generation * runsPerOwner
 		c.orgs.inheritedUseAt = -inheritedUseInterval // the estimate has to include its tasks
 	}
+	c.storedJobs++
+	j.storedAs = c.storedJobs
 	c.jobs[j.ID] = j
 	c.activeJobs = append(c.activeJobs, j)
 	c.createDueOccurrences(j)
@@ -182,6 +188,7 @@
 		}
 		s.ready = true
 		s.readySince = c.now
+		c.mayWait(s)
 		c.replan = true
 	}
 }
--- a/pool/worker.go
+++ b/pool/worker.go
@@ -63,6 +63,9 @@
 	// availableIndex is the worker's index in Core.availableWorkers, valid only while it is listed
 	// there.
 	availableIndex int
+	// isAvailable is set if the worker accepted new tasks when free capacity was last measured, freeChanged
+	// if it may have changed since.
+	isAvailable, freeChanged bool
 	// pendingCPU is the CPU demand attributed to the worker by unanswered advice requests, in
 	// thousandths of a core.
 	pendingCPU int
@@ -118,6 +121,7 @@
 	c.workers[info.ID] = w
 	c.workerList = append(c.workerList, w)
 	c.workersSeen++
+	c.workersChanged()
 	return w
 }
 
@@ -158,6 +162,7 @@
 	}
 	c.watchInheritedSuspects()
 	c.listed = true
+	c.workersChanged()
 	c.replan = true
 }
 
@@ -185,6 +190,7 @@
 		}
 		c.trackedWorkers[h.ID] = h
 		w.tracked = true
+		c.workersChanged()
 		w.incarnation = max(w.incarnation, h.Born)
 	}
 }
@@ -194,6 +200,7 @@
 	for _, w := range c.workerList {
 		if !w.tracked && w.trackedSave != 0 && w.trackedSave <= c.savedSeq {
 			w.tracked = true
+			c.workersChanged()
 			c.replan, c.retryAllSteps = true, true
 		}
 	}
@@ -328,6 +335,7 @@
 	c.emit(WorkerRemoved{Worker: w.ID})
 	delete(c.workers, w.ID)
 	c.workerList = slices.DeleteFunc(c.workerList, func(o *worker) bool { return o == w })
+	c.workersChanged()
 	if _, ok := c.trackedWorkers[w.ID]; ok {
 		delete(c.trackedWorkers, w.ID)
 		c.trackedChanged = true
--- a/pool/worker_test.go
+++ b/pool/worker_test.go
@@ -44,6 +44,7 @@
 	r.answerHold("bad", nil)
 	r.answerHold("good", nil)
 	r.core.workers["good"].pausedUntil = r.now + time.Hour // so that both jobs go to the bad worker
+	r.core.workersChanged()
 	var ended []EndedRun
 	for n, id := range []string{"j1", "j2"} {
 		r.submitJob(id, smallStep(1))
@@ -55,6 +56,7 @@
 		takeActions[Start](r)
 	}
 	r.core.workers["good"].pausedUntil = 0
+	r.core.workersChanged()
 	r.core.workers["good"].answeredAt = r.now
 	r.submitJob("j3", smallStep(1))
 	for _, s := range r.acceptStarts() {
