node: calls to workers release their timers, and counters of decisions are cached

An owner's goroutines for starts, stops and holds left their timers to the timeout: each start kept a context among the children of the ownership's for 250 ms and started a goroutine when it ended. And each decision looked up a tagged scope by a map of tags and a counter in it.

The calls cancel their contexts when they return. Counters of decisions are looked up once for each event (node/counters.go).

--- a/node/follow.go
+++ b/node/follow.go
@@ -180,7 +180,8 @@
 }
 
 // withTimeout returns a context that needs no cancel call, as it releases its timer when it ends.
-// Callers are done with it long before the timeout.
+// Callers are done with it long before the timeout. For calls that are made
+// hundreds of times a second it costs too much: a timer that lasts until the timeout and a goroutine at its end.
 func withTimeout(ctx context.Context, d time.Duration) context.Context {
 	ctx, cancel := context.WithTimeout(ctx, d)
 	context.AfterFunc(ctx, cancel)
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -25,6 +25,8 @@
 	appendLatency  tally.Histogram
 	appendFailures tally.Counter
 	stepWait       tally.Histogram
+	// decisions are the counters of decisions by event.
+	decisions eventCounters
 	// startWindow is the limit on the bytes of starts in flight.
 	startWindow tally.Gauge
 }
@@ -32,6 +34,7 @@
 func newMetrics(scope tally.Scope) *metrics {
 	return &metrics{
 		scope:          scope,
+		decisions:      eventCounters{scope: scope},
 		submitLatency:  scope.Histogram("submit_latency", latencyBuckets),
 		appendLatency:  scope.Histogram("store_append_latency", latencyBuckets),
 		appendFailures: scope.Counter("store_append_failures"),
@@ -43,7 +46,7 @@
 
 // recordDecision counts a decision of a core.
 func (m *metrics) recordDecision(d pool.LogEntry) {
-	m.scope.Tagged(map[string]string{"event": strings.ReplaceAll(d.Event, ".", "_")}).Counter("decisions").Inc(1)
+	m.decisions.get(d.Event).Inc(1)
 	if d.Waited > 0 && d.Task != nil {
 		m.stepWait.RecordDuration(d.Waited)
 	}
--- a/node/owner.go
+++ b/node/owner.go
@@ -57,7 +57,9 @@
 			return
 		}
 	}
-	answer := o.pc.node.workers.Hold(withTimeout(o.ctx, timeout), h)
+	ctx, cancel := context.WithTimeout(o.ctx, timeout)
+	answer := o.pc.node.workers.Hold(ctx, h)
+	cancel()
 	if answer.Unreadable != nil {
 		o.pc.node.unreadable.report(sourceHolds, h.Worker, noOffset, answer.Unreadable)
 	}
@@ -370,11 +372,17 @@
 		o.starts.add(a)
 	case pool.Stop:
 		go func() {
-			out := w.Stop(withTimeout(o.ctx, commandTimeout), a)
+			ctx, cancel := context.WithTimeout(o.ctx, commandTimeout)
+			out := w.Stop(ctx, a)
+			cancel()
 			o.send(pool.StopAnswered{Worker: a.Worker, Born: a.Born, Task: a.Task, Run: a.Run, Outcome: out})
 		}()
 	case pool.Pace:
-		go func() { w.Pace(withTimeout(o.ctx, commandTimeout), a) }()
+		go func() {
+			ctx, cancel := context.WithTimeout(o.ctx, commandTimeout)
+			w.Pace(ctx, a)
+			cancel()
+		}()
 	case pool.Advise:
 		o.adviceQueue.add(a)
 	case pool.Save:
--- a/node/startqueue.go
+++ b/node/startqueue.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"time"
 
 	"github.com/knapweedweir/knapweedweir/node/congestion"
@@ -58,7 +59,9 @@
 func (o *ownership) sendStart(s pool.Start) {
 	n := o.pc.node
 	start := n.now()
-	out := n.workers.Start(withTimeout(o.ctx, commandTimeout), s)
+	ctx, cancel := context.WithTimeout(o.ctx, commandTimeout)
+	out := n.workers.Start(ctx, s)
+	cancel()
 	if now := n.now(); out == pool.NoAnswer {
 		n.startWindow.Failed(now, s.Size())
 	} else {
