pool: the sorted list of a worker's runs is kept until the runs change

Each tick, of which there are 20 a second, and each answered hold sorted the runs of each worker anew, and a hold's answer was put into a map to find the runs that it doesn't list. A worker keeps the sorted list now, and a run notes the newest list that names it.

The rig compares the kept lists after each event too.

--- a/pool/incremental_test.go
+++ b/pool/incremental_test.go
@@ -13,6 +13,11 @@
 	t.Helper()
 	checkWaitList(t, c)
 	checkFreeCapacity(t, c)
+	for _, w := range c.workerList {
+		kept := w.sortedRuns()
+		w.sorted = nil
+		assert.Assert(t, slices.Equal(kept, w.sortedRuns()), "the kept list of the runs on %s is outdated", w.ID)
+	}
 }
 
 // checkWaitList compares the steps with waiting tasks that a pass finds with those of a scan of all jobs.
--- a/pool/run.go
+++ b/pool/run.go
@@ -54,6 +54,7 @@
 	usage           int
 	// progressAt is when percent last changed.
 	progressAt time.Duration
+	listedIn   int  // the worker's newest list of runs that includes it, see worker.lists
 	resumed    bool // from a checkpoint, so its duration tells little about the task's
 	pace       int  // of a best-effort task, in percent
 	// migrationBooking is the booking for its task on another worker, to be used once this run
@@ -64,11 +65,13 @@
 // syncActiveRuns takes over the runs that a worker reports. It adopts those of a predecessor
 // and stops those that aren't wanted.
 func (c *Core) syncActiveRuns(w *worker, e HoldAnswered) {
+	w.lists++
 	for _, a := range e.Active {
 		r := w.runs[runKey{a.Task, a.Run}]
 		if r == nil {
 			r = c.adopt(w, a)
 		}
+		r.listedIn = w.lists
 		if r.phase != running {
 			c.confirmRun(r)
 			r.answeredAt = c.now
@@ -126,6 +129,7 @@
 func (c *Core) addRun(r *run) {
 	w := r.worker
 	w.runs[runKey{r.task.id(), r.number}] = r
+	w.sorted = nil
 	w.used = w.used.Plus(r.need)
 	c.freeChanged(w)
 	r.priority = c.policy(r.task.step).Priority
@@ -150,6 +154,7 @@
 		return
 	}
 	delete(w.runs, key)
+	w.sorted = nil
 	c.releaseMigrationBooking(r)
 	w.used = w.used.Minus(r.need)
 	c.freeChanged(w)
@@ -178,12 +183,8 @@
 	if e.Truncated || e.Unreadable != nil {
 		return
 	}
-	active := map[runKey]bool{}
-	for _, a := range e.Active {
-		active[runKey{a.Task, a.Run}] = true
-	}
 	for _, r := range w.sortedRuns() {
-		if active[runKey{r.task.id(), r.number}] || r.phase == starting || r.phase == planned {
+		if r.listedIn == w.lists || r.phase == starting || r.phase == planned {
 			continue
 		}
 		if r.phase == unconfirmed {
@@ -216,7 +217,12 @@
 }
 
 // sortedRuns returns the worker's runs in a deterministic order.
+// The list is kept until the runs change, since each tick and each answered hold goes over the runs. The
+// caller must not modify it, but may add and remove runs while it goes over it.
 func (w *worker) sortedRuns() []*run {
+	if w.sorted != nil {
+		return w.sorted
+	}
 	list := make([]*run, 0, len(w.runs))
 	for _, r := range w.runs {
 		list = append(list, r)
--- a/pool/worker.go
+++ b/pool/worker.go
@@ -93,6 +93,8 @@
 	lastEnd         uint64
 	ends            []pendingEnd
 	runs            map[runKey]*run
+	sorted          []*run // see sortedRuns; nil: the runs have changed
+	lists           int    // number of lists of its runs that it has answered
 	used            Resources
 	longRunning     Resources     // the part of used whose runs don't end by themselves
 	booked          Resources     // for tickets that are requested and for migrations
