--- a/pool/incremental_history_test.go
+++ b/pool/incremental_history_test.go
@@ -51,6 +51,7 @@
 		h.step(TrackedWorkersStored{Workers: []TrackedWorker{{ID: "w0", Addr: "w0:1", Service: "s", Born: 1}, {ID: "gone", Addr: "gone:1", Service: "s", Born: 1}}})
 		h.step(SilenceStored{Worker: "gone", Tasks: []SilentTask{{TaskID: taskID("old", 1)}}})
 	}
+	h.storeAway = h.oneIn(2) // the workers are stored as tracked only after they have answered
 	h.step(WorkersListed{Workers: h.workers, AsOf: h.now})
 }
 
@@ -122,7 +123,12 @@
 		}
 		h.step(e)
 	}
+	var later []Action
 	for _, hold := range takeActions[Hold](h.rig) {
+		if h.oneIn(4) {
+			later = append(later, hold)
+			continue
+		}
 		i := slices.IndexFunc(h.workers, func(w WorkerInfo) bool { return w.ID == hold.Worker })
 		if i < 0 || h.oneIn(12) {
 			h.step(HoldAnswered{Worker: hold.Worker, SentAt: hold.SentAt, Outcome: NoAnswer})
@@ -131,4 +137,5 @@
 		h.ended[hold.Worker] = slices.DeleteFunc(slices.Clone(h.ended[hold.Worker]), func(x EndedRun) bool { return x.Number <= hold.Ack })
 		h.step(HoldAnswered{Worker: hold.Worker, SentAt: hold.SentAt, ClockMs: h.now.Milliseconds(), Born: h.workers[i].Born, Active: h.active[hold.Worker], Ended: h.ended[hold.Worker]})
 	}
+	h.actions = append(h.actions, later...)
 }
