pool: started jobs past their objectives and organisations within their shares go first

Cause: a job that slipped past its objective waited behind all on-time jobs of every priority, and no organisation's share counted in the order of steps and advice requests.

Steps and requests are ordered by the value that can still be earned, priority, the excess over the organisation's share, started jobs past their objectives, and the due time.

--- a/pool/advice.go
+++ b/pool/advice.go
@@ -125,11 +125,17 @@
 	s.advice.requestedAt, s.advice.cost = c.now, terms.cost(len(names))
 	s.advice.pending, s.advice.requested = true, true
 	u := c.urgencyOf(s)
-	c.emit(Advise{
+	a := Advise{
 		Step: s.id, Workers: names, Cost: terms.cost(len(names)), Priority: u.priority,
 		InTimeUntil: c.atUnix(u.due - s.remainingPathMs), WorthUntil: c.atUnix(u.worthUntil - s.remainingPathMs), Lasting: s.spec.LongRunning,
 		BeyondWeight: s.job.beyondWeight && !s.spec.LongRunning,
-	})
+		Organisation: c.flowOf(s.job), Started: s.occ.started,
+	}
+	a.Weight = c.relativeWeight(a.Organisation)
+	if a.Started {
+		a.Work = s.occ.remainingWork()
+	}
+	c.emit(a)
 }
 
 // atUnix converts Unix milliseconds to a time on the owner's clock.
--- a/pool/advicequeue.go
+++ b/pool/advicequeue.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/knapweedweir/knapweedweir/pool/fairshare"
 )
 
 const (
@@ -30,6 +32,9 @@
 	// maxSentKept is how many sent requests the lists may hold in addition to as many as wait.
 	// Removing them one at a time would scan all requests each time.
 	maxSentKept = 64
+	// maxUrgencyLists is the number of lists from which on empty ones are dropped, since organisations come
+	// and go. Twenty organisations with requests of two priorities, early and late ones, have 80.
+	maxUrgencyLists = 100
 )
 
 // AdviceRequest is a request to the advice service that waits for an instance to send it.
@@ -71,6 +76,8 @@
 	cheap, expensive limitList
 	count            int
 	pendingCost      time.Duration // total cost of all waiting requests
+	// clock ranks the organisations by the service that their requests got.
+	clock fairshare.Clock
 }
 
 // limitList holds requests of one kind sorted by their limits.
@@ -98,12 +105,20 @@
 	AnyRequest
 )
 
-// urgencyList holds the waiting requests of one tier, priority and kind, sorted by due time.
+// urgencyKey tells which list a request is in.
+type urgencyKey struct {
+	tier         Tier
+	priority     int
+	expensive    bool
+	organisation string
+	overdue      bool
+}
+
+// urgencyList holds the waiting requests of one tier, priority, kind and organisation: those of
+// started jobs past their objectives sorted by remaining work, all others by due time.
 type urgencyList struct {
-	tier      Tier
-	priority  int
-	expensive bool
-	list      []*queuedRequest
+	urgencyKey
+	list []*queuedRequest
 }
 
 type queuedRequest struct {
@@ -123,11 +138,16 @@
 		w.limit = l.sentCost + (1+maxOvertakingFactor)*q.pendingCost + time.Duration(max(1, q.Instances))*minOvertakingWork
 	} else {
 		q.addSentCost(w.class, -w.Cost)
+		q.clock.Refund(w.Organisation, w.Cost.Seconds())
 	}
+	q.clock.Wait(w.Organisation, w.Weight)
 	q.count++
 	q.pendingCost += w.Cost
 	at, _ := slices.BinarySearchFunc(l.list, w, func(x, y *queuedRequest) int { return compareEqualBefore(x.limit, y.limit) })
 	l.list = slices.Insert(l.list, at, w)
+	if len(q.lists) >= maxUrgencyLists {
+		q.lists = slices.DeleteFunc(q.lists, func(l *urgencyList) bool { return len(l.list) == 0 })
+	}
 	q.enqueue(w, now)
 }
 
@@ -149,22 +169,42 @@
 
 // enqueue adds a request to the list of its job's current tier.
 func (q *AdviceQueue) enqueue(w *queuedRequest, now time.Duration) {
-	l := q.urgencyListFor(w.TierAt(now+w.Cost), w.Priority, w.IsExpensive())
-	at, _ := slices.BinarySearchFunc(l.list, w, func(x, y *queuedRequest) int { return compareEqualBefore(x.InTimeUntil, y.InTimeUntil) })
+	l := q.urgencyListFor(w.keyAt(now))
+	at, _ := slices.BinarySearchFunc(l.list, w, func(x, y *queuedRequest) int {
+		if l.compare(x, y) <= 0 {
+			return -1
+		}
+		return 1
+	})
 	l.list = slices.Insert(l.list, at, w)
 }
 
-func (q *AdviceQueue) urgencyListFor(tier Tier, priority int, expensive bool) *urgencyList {
+// keyAt returns the key of the list that a request belongs to now.
+func (w *queuedRequest) keyAt(now time.Duration) urgencyKey {
+	tier := w.TierAt(now + w.Cost)
+	return urgencyKey{tier: tier, priority: w.Priority, expensive: w.IsExpensive(), organisation: w.Organisation,
+		overdue: w.Started && !w.isOnTimeAt(now+w.Cost) && tier != Worthless}
+}
+
+// compare orders two requests that belong to the list, or to others with equal overdue.
+func (l *urgencyList) compare(a, b *queuedRequest) int {
+	if l.overdue && a.Work != b.Work {
+		return cmp.Compare(a.Work, b.Work)
+	}
+	return cmp.Compare(a.InTimeUntil, b.InTimeUntil)
+}
+
+func (q *AdviceQueue) urgencyListFor(key urgencyKey) *urgencyList {
 	for _, l := range q.lists {
-		if l.tier == tier && l.priority == priority && l.expensive == expensive {
+		if l.urgencyKey == key {
 			return l
 		}
 	}
-	l := &urgencyList{tier: tier, priority: priority, expensive: expensive}
-	q.lists = append(q.lists, l)
-	slices.SortFunc(q.lists, func(a, b *urgencyList) int {
-		return cmp.Or(cmp.Compare(a.tier, b.tier), cmp.Compare(a.priority, b.priority))
+	l := &urgencyList{urgencyKey: key}
+	at, _ := slices.BinarySearchFunc(q.lists, l, func(a, b *urgencyList) int {
+		return cmp.Or(cmp.Compare(a.tier, b.tier), cmp.Compare(a.priority, b.priority), -1)
 	})
+	q.lists = slices.Insert(q.lists, at, l)
 	return l
 }
 
@@ -208,7 +248,7 @@
 // firstLate returns the expensive request that is nearest to its limit, if its job is late.
 func (q *AdviceQueue) firstLate(now time.Duration) *queuedRequest {
 	w := q.expensive.first()
-	if w == nil || w.TierAt(now+w.Cost) == OnTime {
+	if w == nil || w.TierAt(now+w.Cost) == OnTime && w.isOnTimeAt(now+w.Cost) {
 		return nil
 	}
 	return w
@@ -216,6 +256,7 @@
 
 func (q *AdviceQueue) markSent(w *queuedRequest, class SendClass) {
 	w.sent = true
+	q.clock.Serve(w.Organisation, w.Cost.Seconds())
 	q.count--
 	q.pendingCost -= w.Cost
 	if class == CheapOrLate && !w.IsExpensive() {
@@ -271,7 +312,7 @@
 		l := q.lists[i]
 		for len(l.list) > 0 {
 			w := l.list[0]
-			if !w.sent && w.TierAt(now+w.Cost) == l.tier {
+			if !w.sent && w.keyAt(now) == l.urgencyKey {
 				break
 			}
 			l.list = popFront(l.list)
@@ -284,6 +325,7 @@
 
 func (q *AdviceQueue) mostUrgent(expensive bool) *queuedRequest {
 	var first *urgencyList
+	var firstExcess float64
 	for _, l := range q.lists {
 		if len(l.list) == 0 || l.expensive && !expensive {
 			continue
@@ -291,8 +333,8 @@
 		if first != nil && (l.tier != first.tier || l.priority != first.priority) {
 			break
 		}
-		if first == nil || l.list[0].InTimeUntil < first.list[0].InTimeUntil {
-			first = l
+		if excess := q.clock.Excess(l.organisation); first == nil || compareHeads(l, first, excess, firstExcess) < 0 {
+			first, firstExcess = l, excess
 		}
 	}
 	if first == nil {
@@ -300,3 +342,9 @@
 	}
 	return first.list[0]
 }
+
+// compareHeads orders the first requests of two lists of equal tier and priority: by the shares of their
+// organisations, then those of overdue jobs, then as within a list.
+func compareHeads(a, b *urgencyList, excessA, excessB float64) int {
+	return cmp.Or(cmp.Compare(excessA, excessB), compareTrueFirst(a.overdue, b.overdue), a.compare(a.list[0], b.list[0]))
+}
--- a/pool/core.go
+++ b/pool/core.go
@@ -118,6 +118,7 @@
 	waves         waves
 	admission     admissionState
 	orgs          organisations
+	shares        shares
 	actions       []Action
 }
 
--- a/pool/events.go
+++ b/pool/events.go
@@ -277,14 +277,25 @@
 	Lasting bool
 	// BeyondWeight marks steps of jobs that were submitted beyond their organisation's weight.
 	BeyondWeight bool
+	// Organisation submitted the job; empty: none that is configured. Weight is its weight relative to the
+	// mean one.
+	Organisation string
+	Weight       float64
+	// Started is set if a task of the job has started, and Work the remaining work of such a job in
+	// core-seconds by its estimate.
+	Started bool
+	Work    float64
 }
 
+// isOnTimeAt reports whether the job can meet its objective if the answer arrives at the given time.
+func (a Advise) isOnTimeAt(now time.Duration) bool { return a.Lasting || now <= a.InTimeUntil }
+
 // TierAt returns the tier of the job if the answer arrives at the given time.
 func (a Advise) TierAt(now time.Duration) Tier {
 	switch {
 	case a.BeyondWeight && now <= a.WorthUntil:
 		return BeyondWeight
-	case a.Lasting || now <= a.InTimeUntil:
+	case a.isOnTimeAt(now) || a.Started && now <= a.WorthUntil:
 		return OnTime
 	case now <= a.WorthUntil:
 		return PastDue
--- a/pool/records.go
+++ b/pool/records.go
@@ -293,6 +293,7 @@
 	for i, t := range s.tasks {
 		if p.All || (i < len(p.Done) && p.Done[i] == '1') {
 			s.markDone(t)
+			s.occ.started = true
 		}
 		t.failed = p.Failed[i]
 		s.maxFailures = max(s.maxFailures, len(t.failed))
--- a/pool/run.go
+++ b/pool/run.go
@@ -134,6 +134,7 @@
 	c.freeChanged(w)
 	r.priority = c.policy(r.task.step).Priority
 	c.countUse(r, 1)
+	c.countStart(r.task.step)
 	r.task.step.job.runs++
 	if r.task.step.spec.LongRunning {
 		w.longRunning = w.longRunning.Plus(r.need)
--- a/pool/state.go
+++ b/pool/state.go
@@ -35,6 +35,8 @@
 type occurrence struct {
 	steps     []*step
 	remaining int // steps that aren't done
+	// started is set once a run of one of its tasks has existed.
+	started bool
 }
 
 type step struct {
@@ -59,6 +61,8 @@
 	// delayRecorded is set once the step's wait is counted in its queue's delays.
 	delayRecorded bool
 	notBefore     time.Duration
+	// turnAt is when the step last had its turn among those that can't earn anything any more.
+	turnAt time.Duration
 	// noneWaitingBefore is the earliest time at which a task can wait again; 0: unknown. It is
 	// reset by Core.mayWait.
 	noneWaitingBefore time.Duration
