--- a/node/metrics.go
+++ b/node/metrics.go
@@ -47,6 +47,12 @@
 // recordDecision counts a decision of a core.
 func (m *metrics) recordDecision(d pool.LogEntry) {
 	m.decisions.get(d.Event).Inc(1)
+	if d.Share > 0 {
+		// The organisations are those of the configuration.
+		scope := m.scope.Tagged(map[string]string{"organisation": d.Organisation})
+		scope.Gauge("organisation_used").Update(d.Used)
+		scope.Gauge("organisation_share").Update(d.Share)
+	}
 	if d.Waited > 0 && d.Task != nil {
 		m.stepWait.RecordDuration(d.Waited)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -342,6 +342,9 @@
 	if d.Crashes > 0 {
 		e = e.Int("crashes", d.Crashes)
 	}
+	if d.Share > 0 {
+		e = e.Str("organisation", d.Organisation).Float64("used", d.Used).Float64("share", d.Share)
+	}
 	if d.Waited > 0 {
 		e = e.Dur("waited", d.Waited)
 	}
--- a/pool/events.go
+++ b/pool/events.go
@@ -341,6 +341,10 @@
 	// Waited is how long the task's step had been ready at a start or an advice request, or
 	// how long the request took at its answer.
 	Waited time.Duration
+	// Organisation is the one that an entry is about; empty: jobs without one. Used is the fraction of the
+	// pool that it uses or claims, and Share its share by weight.
+	Organisation string
+	Used, Share  float64
 }
 
 func (Hold) action()          {}
--- a/pool/share.go
+++ b/pool/share.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -217,3 +219,45 @@
 	}
 	return o.remainingWork() <= nearlyDoneShare*all
 }
+
+// shareWait sums up the waiting steps of an organisation.
+type shareWait struct {
+	steps  int
+	oldest *step
+}
+
+// logShares logs for each organisation with steps that have waited for long its use, its share and what the
+// oldest of them waits for.
+func (c *Core) logShares(takenOver bool) {
+	if len(c.orgs.byName) == 0 {
+		return
+	}
+	waits := map[string]*shareWait{}
+	for _, j := range c.activeJobs {
+		for _, occ := range j.occurrences {
+			for _, s := range occ.steps {
+				if s.ready && s.remaining > 0 && c.now-s.readySince >= minLoggedWait {
+					w := waits[c.flowOf(j)]
+					if w == nil {
+						w = &shareWait{oldest: s}
+						waits[c.flowOf(j)] = w
+					}
+					w.steps++
+					if s.readySince < w.oldest.readySince {
+						w.oldest = s
+					}
+				}
+			}
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(waits)) {
+		w := waits[name]
+		reason := c.waitReason(w.oldest, takenOver)
+		if reason == "" {
+			continue
+		}
+		used, share := c.shares.capacity.Use(name)
+		c.emit(LogEntry{Event: "organisation.share", Job: w.oldest.job.ID, Organisation: name, Used: used, Share: share, Steps: w.steps,
+			Reason: fmt.Sprintf("waits for %s; its organisation has claimed %.2f of the room, its share is %.2f", reason, used, share), Waited: c.now - w.oldest.readySince})
+	}
+}
--- a/pool/waiting.go
+++ b/pool/waiting.go
@@ -45,6 +45,7 @@
 		return
 	}
 	c.waitingLoggedAt = c.now
+	c.logShares(takenOver)
 	waits := map[string]waitSummary{}
 	for _, j := range c.activeJobs {
 		for _, occ := range j.occurrences {
