pool, node, kwctl: admission by an organisation's cap and by started jobs, and turns for refused callers

Admission considered no organisation's cap: jobs that waited for it for minutes were accepted, and their waits refused other organisations' jobs. Started jobs that were late counted as no work, so newer ones were accepted beside them. Refused callers came back in no order, and newcomers overtook them. Jobs beyond a weight could be accepted while another organisation's job within its weight was refused.

A job is judged by the cap's level in this pool, the idle shares that other pools reported, the runs under it and the organisation's work ahead. It is refused (scarce=cap) if it can't earn anything any more and its organisation and queue are seen to wait for the cap. The ready steps of an organisation's started jobs count ahead of its new jobs, late ones too. Waits for a cap, and of jobs beyond a weight, no longer refuse others. Retry-After is the caller's turn in the return schedule; work of callers whose turn is near counts for organisations' newcomers. A job beyond its weight is refused while one within another's weight is refused in its queue. Jobs without an organisation are judged as before. Figures: log fields, kwctl room (column RETURNING) and kwctl why. pool/experiment knows organisations and callers that obey Retry-After.

Callers hear turns that are one job apart in the order of their first tries, in place of delays with jitter.

Changed tests: cmd/kwctl/room_test.go expects the new column; pool/admission_test.go and pool/admissionreport_test.go use the bounds of pool/returns, where they have moved.

--- a/cmd/kwctl/room.go
+++ b/cmd/kwctl/room.go
@@ -16,7 +16,9 @@
 
 	"github.com/knapweedweir/knapweedweir/daemon"
 	"github.com/knapweedweir/knapweedweir/node"
+	"github.com/knapweedweir/knapweedweir/organisation"
 	"github.com/knapweedweir/knapweedweir/pool"
+	"github.com/knapweedweir/knapweedweir/pool/returns"
 )
 
 func (c *console) roomCommand() *command {
@@ -33,7 +35,8 @@
 			"A row is what the queue's next job finds: the work ahead of it that can still be in time, the\n" +
 			"cores that work it off, and how long it would wait for room, for advice and for starts, beside\n" +
 			"the wait that is seen; SCARCE is the longest. HANDED_IN is the work handed in of late over the\n" +
-			"room. REFUSES and RETURN_MS tell what a job like the queue's newest would be told now."}
+			"room. REFUSES and RETURN_MS tell what a job like the queue's newest would be told now,\n" +
+			"RETURNING how many callers of refused jobs hold a turn."}
 }
 
 // nodeDump holds the fields of a kw-node's dump that kwctl uses.
@@ -170,7 +173,7 @@
 	for _, q := range p.Queues {
 		rows = append(rows, queueRow(q))
 	}
-	return c.table(nil, "QUEUE PRIORITY NOT_BEGUN AHEAD_CORE_S ROOM_CORES ROOM_MS ADVICE_MS STARTS_MS DELAY_MS SCARCE HANDED_IN REFUSES RETURN_MS", rows)
+	return c.table(nil, "QUEUE PRIORITY NOT_BEGUN AHEAD_CORE_S ROOM_CORES ROOM_MS ADVICE_MS STARTS_MS DELAY_MS SCARCE HANDED_IN REFUSES RETURN_MS RETURNING", rows)
 }
 
 // remotePoolText returns the owner of a pool whose owner was not asked.
@@ -185,7 +188,7 @@
 func queueRow(q pool.QueueAdmission) []string {
 	row := []string{q.Queue, fmt.Sprint(q.Priority), fmt.Sprint(q.NotStarted)}
 	if q.NoEstimateReason != "" {
-		return append(row, "-", "-", "-", "-", "-", "-", "-", "-", "no: "+q.NoEstimateReason, "-")
+		return append(row, "-", "-", "-", "-", "-", "-", "-", "-", "no: "+q.NoEstimateReason, "-", "-")
 	}
 	row = append(row, fmt.Sprintf("%.1f", q.WorkAhead.Cores), fmt.Sprintf("%.1f", q.CapacityRate.Cores))
 	for _, by := range []pool.Bottleneck{pool.CapacityBottleneck, pool.AdviceBottleneck, pool.StartsBottleneck, pool.DelayBottleneck} {
@@ -198,7 +201,7 @@
 	case q.RefusesNewest:
 		refuses, retryAfter = "yes", fmt.Sprint(q.NewestJob.RetryAfterMillis)
 	}
-	return append(row, orDash(string(q.Bottleneck)), fmt.Sprintf("%.2f", q.OfferedLoad), refuses, retryAfter)
+	return append(row, orDash(string(q.Bottleneck)), fmt.Sprintf("%.2f", q.OfferedLoad), refuses, retryAfter, fmt.Sprint(q.Returning))
 }
 
 // printRefusals prints the reasons for each refusal of one job.
@@ -232,9 +235,21 @@
 	pool.AdviceBottleneck:   "for want of answers of the advice service",
 	pool.StartsBottleneck:   "for want of starts by the owner",
 	pool.DelayBottleneck:    "by the wait that is seen in its queue",
+	pool.CapBottleneck:      "for its organisation's cap",
 	pool.WeightBottleneck:   "beyond its organisation's weight while jobs wait",
 }
 
+// standingTexts are the texts for how a refused caller stood with the return schedule.
+var standingTexts = map[string]string{returns.Early.String(): "it came before its turn, which stays", returns.Due.String(): "it came at its turn and keeps its place"}
+
+// capCores returns the cores that a cap allows here.
+func capCores(c *pool.CapEstimate) string {
+	if c.Level[organisation.CPU] == 0 {
+		return "no limit of cores"
+	}
+	return fmt.Sprintf("%.1f cores", float64(c.Level[organisation.CPU])/1000)
+}
+
 // detailsText returns why a job was refused.
 func detailsText(g pool.EstimateDetails) string {
 	var b strings.Builder
@@ -243,6 +258,17 @@
 	if g.SinceFirstTryMillis > 0 {
 		fmt.Fprintf(&b, " less the %d since its first try", g.SinceFirstTryMillis)
 	}
-	fmt.Fprintf(&b, "; %.1f core-seconds ahead at %.1f cores; come back in %d ms", g.BacklogCoreSeconds, g.CapacityCores, g.RetryAfterMillis)
+	fmt.Fprintf(&b, "; %.1f core-seconds ahead at %.1f cores", g.BacklogCoreSeconds, g.CapacityCores)
+	if g.PromisedCoreSeconds > 0 {
+		fmt.Fprintf(&b, ", %.1f of them promised to returning callers", g.PromisedCoreSeconds)
+	}
+	if g.Cap != nil {
+		fmt.Fprintf(&b, "; cap: %s, %.1f cores in use, %.1f core-seconds ahead, fits in %d ms", capCores(g.Cap), float64(g.Cap.Used[organisation.CPU])/1000,
+			g.Cap.AheadCoreSeconds, g.Cap.WaitMillis)
+	}
+	fmt.Fprintf(&b, "; come back in %d ms", g.RetryAfterMillis)
+	if text := standingTexts[g.Standing]; text != "" {
+		fmt.Fprintf(&b, " (%s)", text)
+	}
 	return b.String()
 }
--- a/cmd/kwctl/room_test.go
+++ b/cmd/kwctl/room_test.go
@@ -28,7 +28,7 @@
 				{Queue: "maps", Priority: 2, NoEstimateReason: "no worker of its service is listed, or all are leaving"},
 				{Queue: "quotes", Priority: 0, NotStarted: 106, WorkAhead: pool.ResourceAmounts{Cores: 488}, CapacityRate: pool.ResourceAmounts{Cores: 832},
 					WaitMillis: map[pool.Bottleneck]int64{pool.CapacityBottleneck: 3392, pool.AdviceBottleneck: 40, pool.DelayBottleneck: 210}, Bottleneck: pool.CapacityBottleneck,
-					OfferedLoad: 3.408, OverloadThreshold: 1.5, NewestJob: &refusedQuote, RefusesNewest: true, RefusedAgoMillis: &ago},
+					OfferedLoad: 3.408, OverloadThreshold: 1.5, NewestJob: &refusedQuote, RefusesNewest: true, Returning: 14, RefusedAgoMillis: &ago},
 				{Queue: "reports", Priority: 1, CapacityRate: pool.ResourceAmounts{Cores: 416}, WaitMillis: map[pool.Bottleneck]int64{pool.CapacityBottleneck: 0, pool.AdviceBottleneck: 0, pool.StartsBottleneck: 0, pool.DelayBottleneck: 0}},
 			},
 			Refusals: []pool.Refusal{{Job: "b244", Queue: "quotes", AtUnixMillis: 1767348010500, EstimateDetails: refusedQuote}},
@@ -54,10 +54,10 @@
 	assert.DeepEqual(t, rows(r.out), []string{
 		"pool 1 is owned by edge-2, as edge-1 knows; ask it for its head room",
 		"pool 3, owned by edge-1 under epoch 77",
-		"QUEUE PRIORITY NOT_BEGUN AHEAD_CORE_S ROOM_CORES ROOM_MS ADVICE_MS STARTS_MS DELAY_MS SCARCE HANDED_IN REFUSES RETURN_MS",
-		"maps 2 0 - - - - - - - - no: no worker of its service is listed, or all are leaving -",
-		"quotes 0 106 488.0 832.0 3392 40 0 210 room 3.41 yes 1661",
-		"reports 1 0 0.0 416.0 0 0 0 0 - 0.00 - -",
+		"QUEUE PRIORITY NOT_BEGUN AHEAD_CORE_S ROOM_CORES ROOM_MS ADVICE_MS STARTS_MS DELAY_MS SCARCE HANDED_IN REFUSES RETURN_MS RETURNING",
+		"maps 2 0 - - - - - - - - no: no worker of its service is listed, or all are leaving - -",
+		"quotes 0 106 488.0 832.0 3392 40 0 210 room 3.41 yes 1661 14",
+		"reports 1 0 0.0 416.0 0 0 0 0 - 0.00 - - 0",
 	})
 }
 
--- a/cmd/kwctl/why.go
+++ b/cmd/kwctl/why.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/knapweedweir/knapweedweir/organisation"
 	"github.com/knapweedweir/knapweedweir/pool"
 )
 
@@ -65,12 +66,23 @@
 	SinceFirstTry      float64         `json:"since_first_try,omitempty"`
 	BacklogCoreSeconds float64         `json:"ahead_core_s,omitempty"`
 	CapacityCores      float64         `json:"room_cores,omitempty"`
+	Caller             string          `json:"caller,omitempty"`
+	PromisedCoreSecs   float64         `json:"promised_core_s,omitempty"`
+	CapCores           float64         `json:"cap_cores,omitempty"`
+	CapUsedCores       float64         `json:"cap_used_cores,omitempty"`
+	CapAheadCoreSecs   float64         `json:"cap_ahead_core_s,omitempty"`
+	CapWait            *int64          `json:"cap_wait,omitempty"`
 	// RetryAfter is also in the log line of the caller's request.
 	RetryAfter float64 `json:"come_back,omitempty"`
 }
 
 func (g refusalDetails) text() string {
-	return detailsText(pool.EstimateDetails{Bottleneck: g.Bottleneck, WaitMillis: int64(g.Wait), RunTimeMillis: int64(g.RunTime), LimitMillis: int64(g.Limit),
+	var limit *pool.CapEstimate
+	if g.CapWait != nil {
+		limit = &pool.CapEstimate{AheadCoreSeconds: g.CapAheadCoreSecs, WaitMillis: *g.CapWait}
+		limit.Level[organisation.CPU], limit.Used[organisation.CPU] = int64(g.CapCores*1000), int64(g.CapUsedCores*1000)
+	}
+	return detailsText(pool.EstimateDetails{Cap: limit, Standing: g.Caller, PromisedCoreSeconds: g.PromisedCoreSecs, Bottleneck: g.Bottleneck, WaitMillis: int64(g.Wait), RunTimeMillis: int64(g.RunTime), LimitMillis: int64(g.Limit),
 		SinceFirstTryMillis: int64(g.SinceFirstTry), BacklogCoreSeconds: g.BacklogCoreSeconds, CapacityCores: g.CapacityCores, RetryAfterMillis: int64(g.RetryAfter)})
 }
 
--- a/cmd/kwctl/why_test.go
+++ b/cmd/kwctl/why_test.go
@@ -61,3 +61,15 @@
 	})
 	assert.Assert(t, strings.Contains(kwctl(t, "", log, "why", "-o", "json", "0be0").out, `"scarce": "delay"`))
 }
+
+// Guards against a refusal by an organisation's cap whose line doesn't say what the cap allows, and against
+// turns that aren't explained.
+func TestWhyExplainsACapAndATurn(t *testing.T) {
+	const log = `{"id":"edge-1","pool":0,"job":"0be0","queue":"quotes","scarce":"cap","wait":9000,"runs":122,"limit":433,"ahead_core_s":48.26,"room_cores":22400,"come_back":9000,"caller":"due","promised_core_s":3.5,"cap_cores":12,"cap_used_cores":11.5,"cap_ahead_core_s":100,"cap_wait":9000,"epoch":107211,"time":"2026-01-02T10:00:01Z","message":"job.refused"}
+`
+	r := kwctl(t, "", log, "why", "0be0")
+	assert.Equal(t, r.status, exitOK, r.errs)
+	assert.Assert(t, strings.Contains(r.out, "for its organisation's cap: would wait 9000 ms"), r.out)
+	assert.Assert(t, strings.Contains(r.out, "3.5 of them promised to returning callers; cap: 12.0 cores, 11.5 cores in use, 100.0 core-seconds ahead, fits in 9000 ms; "+
+		"come back in 9000 ms (it came at its turn and keeps its place)"), r.out)
+}
--- a/node/admission.go
+++ b/node/admission.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/knapweedweir/knapweedweir/organisation"
 	"github.com/knapweedweir/knapweedweir/pool"
 )
 
@@ -14,7 +15,7 @@
 // OverloadError means that a job was refused since it can't be served in time. Nothing of it was
 // stored in any way.
 type OverloadError struct {
-	// RetryAfter is the time until capacity for the job is expected.
+	// RetryAfter is the time until the caller's turn: capacity for the job is expected then.
 	RetryAfter time.Duration
 }
 
@@ -58,7 +59,12 @@
 // logRefusal logs and counts a refusal with the figures that it is based on.
 func (o *ownership) logRefusal(j *pool.Job, a pool.Admission) {
 	o.pc.node.metrics.recordRefusal(j, a.Bottleneck)
-	o.pc.log.Info().Str("job", j.ID).Str("queue", j.Queue).Str("scarce", string(a.Bottleneck)).Dur("wait", a.Wait).Dur("runs", a.RunTime).
+	line := o.pc.log.Info().Str("job", j.ID).Str("queue", j.Queue).Str("scarce", string(a.Bottleneck)).Dur("wait", a.Wait).Dur("runs", a.RunTime).
 		Dur("limit", a.Limit).Dur("since_first_try", a.SinceFirstTry).Float64("ahead_core_s", a.BacklogCoreSeconds).Float64("room_cores", a.CapacityCores).
-		Dur("come_back", a.RetryAfter).Str("organisation", j.Organisation).Uint64("epoch", o.claim.Epoch).Msg("job.refused")
+		Dur("come_back", a.RetryAfter).Str("caller", a.Standing.String()).Float64("promised_core_s", a.PromisedCoreSeconds).Dur("age", a.BacklogAge)
+	if a.Cap != nil {
+		line = line.Float64("cap_cores", float64(a.Cap.Level[organisation.CPU])/1000).Float64("cap_used_cores", float64(a.Cap.Used[organisation.CPU])/1000).
+			Float64("cap_ahead_core_s", a.Cap.AheadCoreSeconds).Int64("cap_wait", a.Cap.WaitMillis)
+	}
+	line.Str("organisation", j.Organisation).Uint64("epoch", o.claim.Epoch).Msg("job.refused")
 }
--- a/organisation/weight.go
+++ b/organisation/weight.go
@@ -17,7 +17,7 @@
 // it is within the weight. All jobs of an organisation without a weight are beyond it.
 func (b *WeightBucket) Take(weight int, at time.Duration) bool {
 	b.refill(weight, at)
-	if b.used+1 > max(1, float64(weight)*weightBurst.Seconds()) || weight <= 0 {
+	if !b.within(weight) {
 		b.excess++
 		return false
 	}
@@ -25,6 +25,17 @@
 	return true
 }
 
+// Within reports whether a job submitted at a time, which is not before that of the last call, would be
+// within the weight. It changes nothing.
+func (b WeightBucket) Within(weight int, at time.Duration) bool {
+	b.refill(weight, at) // of the copy
+	return b.within(weight)
+}
+
+func (b *WeightBucket) within(weight int) bool {
+	return b.used+1 <= max(1, float64(weight)*weightBurst.Seconds()) && weight > 0
+}
+
 // Recovery returns how long the weight takes to make up for the jobs beyond it, if no more are
 // submitted; 0: there is no weight.
 func (b *WeightBucket) Recovery(weight int) time.Duration {
--- a/organisation/weight_test.go
+++ b/organisation/weight_test.go
@@ -35,3 +35,15 @@
 	assert.Assert(t, !new(WeightBucket).Take(0, 0), "nothing is within no weight")
 	assert.Assert(t, new(WeightBucket).Take(1, 0))
 }
+
+// Guards against a look at the weight that uses it up, and against an answer that differs from Take's.
+func TestWithinChangesNothing(t *testing.T) {
+	var b WeightBucket
+	for n := range 40 {
+		at := time.Duration(n) * 100 * time.Millisecond
+		before := b
+		within := b.Within(3, at)
+		assert.Equal(t, b, before)
+		assert.Equal(t, b.Take(3, at), within)
+	}
+}
--- a/pool/admission.go
+++ b/pool/admission.go
@@ -1,10 +1,12 @@
 package pool
 
 import (
-	"hash/fnv"
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/knapweedweir/knapweedweir/pool/capload"
+	"github.com/knapweedweir/knapweedweir/pool/returns"
 )
 
 // Admission control refuses a job at submission if it can't be served in time. If it were accepted,
@@ -37,15 +39,6 @@
 	// the queue doesn't switch between accepting and refusing whenever a task ends.
 	resumeFactor = 0.9
 	resumeWindow = time.Second
-	// maxFirstTries and firstTryRetention bound the memory of refused jobs' first submissions;
-	// callers retry for 3 s.
-	maxFirstTries     = 4096
-	firstTryRetention = 10 * time.Second
-	// minRetryAfter and maxRetryAfter bound the retry delay before jitter.
-	minRetryAfter = time.Second
-	maxRetryAfter = 30 * time.Second
-	// retryJitter is the span over which retries are spread, as a multiple of the retry delay.
-	retryJitter = 0.75
 )
 
 // Bottleneck is the resource that a job would wait for longest.
@@ -61,14 +54,18 @@
 	WeightBottleneck Bottleneck = "weight"
 	// DelayBottleneck: the queue's steps wait that long at present, whatever the cause.
 	DelayBottleneck Bottleneck = "delay"
+	// CapBottleneck: the organisation's cap over all pools.
+	CapBottleneck Bottleneck = "cap"
 )
 
 // Admission is the decision on a submitted job.
 type Admission struct {
 	Refused    bool
 	Bottleneck Bottleneck
-	// RetryAfter is the time until capacity is expected for it.
+	// RetryAfter is the time until the caller's turn: capacity is expected for its job then.
 	RetryAfter time.Duration
+	// Standing is how the caller stood with the return schedule when it came.
+	Standing returns.Standing
 	// Estimated is set if there was an estimate; the fields below explain it.
 	Estimated bool
 	// Wait is the estimated wait for the bottleneck, RunTime the estimated run time after it, and
@@ -76,8 +73,17 @@
 	Wait, RunTime, Limit time.Duration
 	// SinceFirstTry is the time since the first submission, which is taken off Limit.
 	SinceFirstTry time.Duration
+	// Excess is how much too late the job would end by the estimate, with its safety factor.
+	Excess time.Duration
+	// Takes is the time for which the bottleneck processes the job.
+	Takes time.Duration
 	// BacklogCoreSeconds is the work ahead of the job, and CapacityCores the cores that process it.
-	BacklogCoreSeconds, CapacityCores float64
+	// PromisedCoreSeconds is the part of the work ahead that is promised to callers of refused jobs.
+	BacklogCoreSeconds, CapacityCores, PromisedCoreSeconds float64
+	// Cap explains the estimate for the organisation's cap; nil without one.
+	Cap *CapEstimate
+	// BacklogAge is the age of the summary of what waits and runs.
+	BacklogAge time.Duration
 }
 
 // admittedJob is a job that was accepted since the last refresh of the backlog or isn't stored yet.
@@ -90,12 +96,6 @@
 	beyondWeight bool
 }
 
-// firstTry is the first submission of a job that was refused.
-type firstTry struct {
-	job string
-	at  time.Duration
-}
-
 // admissionState holds what admission estimates are based on.
 type admissionState struct {
 	updatedAt time.Duration
@@ -103,13 +103,18 @@
 	backlog   []backlogEntry
 	profiles  map[string]*capacityProfile // by service
 	// admitted is in the order of acceptance.
-	admitted     []admittedJob
-	firstTryMs   map[string]int64
-	firstTries   []firstTry
-	lastRefused  map[string]time.Duration // by queue: time of its last refusal
-	delays       map[string]*delays       // by queue
-	ages         map[string]*ages         // by queue: of the steps that still wait
-	answeredCost map[int]*meter           // cost of the answered advice requests, by priority
+	admitted []admittedJob
+	// returns tells when the callers of refused jobs come back.
+	returns     *returns.Schedule[refusedWork]
+	lastRefused map[string]time.Duration // by queue: time of its last refusal
+	// lastShort is, by queue, when a job within its weight was last refused for what the pool lacks.
+	lastShort map[string]time.Duration
+	delays    map[waitClass]*delays
+	ages      map[waitClass]*ages      // of the steps that still wait
+	capLoads  map[string]*capload.Load // by organisation
+	// capWaits is the longest time that a step has waited so far while its organisation's cap is used up.
+	capWaits     map[capWaitClass]time.Duration
+	answeredCost map[int]*meter // cost of the answered advice requests, by priority
 	inflow       []*inflow
 	offeredWork  map[string]*inflow // by service: all jobs submitted, refused ones included
 	starts       meter
@@ -130,7 +135,7 @@
 }
 
 func newAdmissionState() admissionState {
-	return admissionState{firstTryMs: map[string]int64{}, offeredWork: map[string]*inflow{}, allowedByQueue: map[string]allowedCounts{}, answeredCost: map[int]*meter{}, delays: map[string]*delays{}, lastRefused: map[string]time.Duration{}, newestJob: map[string]*Job{}}
+	return admissionState{returns: returns.New[refusedWork](), lastShort: map[string]time.Duration{}, offeredWork: map[string]*inflow{}, allowedByQueue: map[string]allowedCounts{}, answeredCost: map[int]*meter{}, delays: map[waitClass]*delays{}, lastRefused: map[string]time.Duration{}, newestJob: map[string]*Job{}}
 }
 
 // Admit decides whether a submitted job can be served in time. Jobs that are known already are
@@ -150,28 +155,52 @@
 		return Admission{}
 	}
 	entry, runTime := c.newBacklogEntry(&j, q)
-	if _, again := h.firstTryMs[j.ID]; !again {
+	if _, again := h.returns.FirstTry(j.ID); !again {
 		c.recordOffered(entry)
 	}
 	h.recordNewest(j)
-	a := c.estimateAdmission(&j, q, entry, runTime)
-	beyond := false
-	if !a.Refused {
-		if beyond = c.countTowardsWeight(&j, c.now); beyond {
-			a = c.refuseBeyondWeight(&j, q, runTime)
-		}
-	}
+	a := c.judge(&j, q, entry, runTime)
 	if a.Refused {
-		c.recordFirstTry(j.ID)
+		a.RetryAfter = h.returns.Refuse(c.now, c.returnRequest(&j, &entry, a))
 		h.lastRefused[j.Queue] = c.now
+		if a.isForWantOfPool() && !entry.beyondWeight {
+			h.lastShort[j.Queue] = c.now
+		}
 		h.recordRefusal(&j, c.unixMs, a)
 		return a
 	}
-	h.admitted = append(h.admitted, admittedJob{job: j.ID, admittedAt: c.now, entry: entry, beyondWeight: beyond})
+	h.returns.Accept(c.now, j.ID)
+	c.countTowardsWeight(&j, c.now)
+	h.admitted = append(h.admitted, admittedJob{job: j.ID, admittedAt: c.now, entry: entry, beyondWeight: entry.beyondWeight})
 	c.recordInflow(entry)
 	return a
 }
 
+// judge decides on a job and, if it is refused, says what its caller's turn would be. It changes nothing.
+func (c *Core) judge(j *Job, q Queue, entry backlogEntry, runTime time.Duration) Admission {
+	a := c.estimateAdmission(j, q, entry, runTime)
+	if !a.Refused && a.Estimated {
+		c.estimateCap(j, &entry, &a)
+	}
+	if !a.Refused && entry.beyondWeight {
+		if b := c.refuseBeyondWeight(j, q, &entry, runTime); b.Refused {
+			a = b
+		}
+	}
+	a.Standing, _ = c.admission.returns.Standing(c.now, j.ID)
+	a.BacklogAge = c.now - c.admission.updatedAt
+	if a.Refused {
+		a.RetryAfter = c.admission.returns.Preview(c.now, c.returnRequest(j, &entry, a))
+	}
+	return a
+}
+
+// isForWantOfPool reports whether the pool couldn't serve the job in time, so that it isn't its
+// organisation's weight or cap that it was refused for.
+func (a *Admission) isForWantOfPool() bool {
+	return a.Bottleneck != CapBottleneck && a.Bottleneck != WeightBottleneck
+}
+
 func (j *Job) hasNoFixedEnd() bool {
 	for i := range j.Steps {
 		if j.Steps[i].LongRunning || j.Steps[i].Fills {
@@ -186,12 +215,14 @@
 func (c *Core) newBacklogEntry(j *Job, q Queue) (backlogEntry, time.Duration) {
 	ratio := c.estimateRatio(j.Queue)
 	runTime := time.Duration(float64(j.criticalPathMs(0))*ratio) * time.Millisecond
-	entry := backlogEntry{service: j.Service, priority: q.Priority, due: c.firstSubmittedMs(j) + objectiveMs(q, j.criticalPathMs(0))}
+	entry := backlogEntry{service: j.Service, queue: j.Queue, organisation: j.Organisation, priority: q.Priority,
+		due: c.firstSubmittedMs(j) + objectiveMs(q, j.criticalPathMs(0)), beyondWeight: c.isBeyondWeight(j)}
 	for i := range j.Steps {
 		s := &j.Steps[i]
 		each := time.Duration(float64(s.EstimateMs)*ratio) * time.Millisecond
 		entry.demand.addTasks(s.Reserved(), s.Count, each)
 		entry.demand.starts += float64(s.Count)
+		entry.unit = largestAmounts(entry.unit, s.countedUse().Times(int64(s.atOnce())))
 		if q.Advice != nil {
 			entry.demand.advice += c.adviceCost(q)
 		}
@@ -209,8 +240,8 @@
 
 // firstSubmittedMs returns when the job was first submitted, as far as that is remembered.
 func (c *Core) firstSubmittedMs(j *Job) int64 {
-	if first, known := c.admission.firstTryMs[j.ID]; known {
-		return first
+	if first, known := c.admission.returns.FirstTry(j.ID); known {
+		return c.unixMs - (c.now - first).Milliseconds()
 	}
 	return j.AcceptedMs
 }
@@ -242,7 +273,10 @@
 	}
 	rate := c.availableRate(entry, profile.fullRate)
 	rate.advice = c.adviceRate(entry.priority)
-	ahead, rest := c.workAhead(entry)
+	// The caller's estimate is as wrong in the objective as in the run time.
+	objective := time.Duration(q.Slack*float64(runTime)) + q.Target
+	promised := c.promisedWork(j.ID, &entry, objective)
+	ahead, rest := c.workAhead(&entry, promised)
 	wait, bottleneck := profile.timeToProcess(ahead, rate)
 	end, endBottleneck := profile.timeToProcess(ahead.plus(entry.demand), rate)
 	if rest.workerShare > 0 {
@@ -256,42 +290,29 @@
 	if end > wait+runTime {
 		bottleneck = endBottleneck
 	}
-	if observed := time.Duration(j.criticalPathSteps()) * h.delays[j.Queue].mean(c.now); observed > wait {
+	if observed := time.Duration(j.criticalPathSteps()) * h.meanDelay(c.now, waitClass{j.Queue, entry.beyondWeight}); observed > wait {
 		wait, bottleneck = observed, DelayBottleneck
 	}
-	// The caller's estimate is as wrong in the objective as in the run time.
-	objective := time.Duration(q.Slack*float64(runTime)) + q.Target
 	a := Admission{
-		Estimated: true, Bottleneck: bottleneck, Wait: wait, RunTime: max(runTime, end-wait), BacklogCoreSeconds: ahead.cpu / 1000, CapacityCores: rate.cpu / 1000,
+		Estimated: true, Takes: entry.demand.timeAt(rate), PromisedCoreSeconds: coreSecondsOf(promised), Bottleneck: bottleneck, Wait: wait, RunTime: max(runTime, end-wait), BacklogCoreSeconds: ahead.cpu / 1000, CapacityCores: rate.cpu / 1000,
 		Limit: objective,
 	}
 	a.SinceFirstTry = max(0, time.Duration(c.unixMs-c.firstSubmittedMs(j))*time.Millisecond)
 	limit := a.Limit - a.SinceFirstTry
-	if last, ok := h.lastRefused[j.Queue]; ok && c.now-last < resumeWindow {
+	if last, ok := h.lastShort[j.Queue]; ok && c.now-last < resumeWindow {
 		limit = time.Duration(resumeFactor * float64(limit))
 	}
 	excess := time.Duration(waitSafetyFactor*float64(a.Wait)) + a.RunTime - limit
+	a.Excess = excess
 	firstTasksWait, _ := profile.timeToProcess(entry.demand.scaled(firstTasksShare), rate)
 	overload := c.offeredLoad(entry.service, profile) >= overloadThreshold || firstTasksWait+a.RunTime > limit
-	a.Refused = excess > 0 && overload && a.Wait >= time.Duration(minWaitShare*float64(a.Limit)) && h.observedWait(c.now, j.Queue) >= time.Duration(minWaitShare*float64(a.Limit))
-	if a.Refused {
-		a.RetryAfter = addRetryJitter(j.ID, c.now, min(max(excess, minRetryAfter), maxRetryAfter))
-	}
+	a.Refused = excess > 0 && overload && a.Wait >= time.Duration(minWaitShare*float64(a.Limit)) && h.observedWait(c.now, waitClass{j.Queue, entry.beyondWeight}) >= time.Duration(minWaitShare*float64(a.Limit))
 	return a
 }
 
-// addRetryJitter extends a retry delay by a share that differs from job to job. Callers that return
-// at the same time would be refused together again.
-func addRetryJitter(job string, now, after time.Duration) time.Duration {
-	f := fnv.New32a()
-	_, _ = f.Write([]byte(job)) // a hash never returns an error
-	share := float64((f.Sum32()+uint32(now/time.Millisecond))%1000) / 1000
-	return after + time.Duration(retryJitter*share*float64(after))
-}
-
-// workAhead returns the work that is processed before a job: waiting work that is more urgent. Jobs
-// that are past due come after it.
-func (c *Core) workAhead(entry backlogEntry) (all demand, rest nonGangWork) {
+// workAhead returns the work that is processed before a job: waiting work that comes before it, and what
+// is promised to callers of refused jobs.
+func (c *Core) workAhead(entry *backlogEntry, promised []backlogEntry) (all demand, rest nonGangWork) {
 	h := &c.admission
 	for _, priority := range slices.Sorted(maps.Keys(h.pendingRequestCost)) {
 		if priority <= entry.priority {
@@ -304,11 +325,12 @@
 		if !x.comesBefore(entry) {
 			return
 		}
-		all.add(x.demand)
+		work := x.workBefore(entry)
+		all.add(work)
 		if x.unusableShare > 0 {
 			rest.workerShare = min(rest.workerShare, x.unusableShare)
 		} else {
-			rest.demand.add(x.demand)
+			rest.demand.add(work)
 		}
 	}
 	for i := range h.backlog {
@@ -317,6 +339,9 @@
 	for i := range h.admitted {
 		add(&h.admitted[i].entry)
 	}
+	for i := range promised {
+		add(&promised[i])
+	}
 	return all, rest
 }
 
@@ -327,10 +352,6 @@
 	workerShare float64
 }
 
-func (x *backlogEntry) comesBefore(o backlogEntry) bool {
-	return x.service == o.service && (x.priority < o.priority || (x.priority == o.priority && x.due <= o.due))
-}
-
 // availableRate returns the rate at which the pool processes work like the job's: its full rate
 // without what more urgent queues demand.
 func (c *Core) availableRate(entry backlogEntry, rate demand) demand {
@@ -358,19 +379,6 @@
 	h.inflow[i].work.add(entry.demand)
 }
 
-// recordFirstTry records when a job was first submitted: its limit runs from then on.
-func (c *Core) recordFirstTry(job string) {
-	h := &c.admission
-	if _, known := h.firstTryMs[job]; !known {
-		h.firstTryMs[job] = c.unixMs
-		h.firstTries = append(h.firstTries, firstTry{job: job, at: c.now})
-	}
-	for len(h.firstTries) > 0 && (len(h.firstTries) > maxFirstTries || c.now-h.firstTries[0].at > firstTryRetention) {
-		delete(h.firstTryMs, h.firstTries[0].job)
-		h.firstTries = h.firstTries[1:]
-	}
-}
-
 // criticalPathSteps returns the number of steps on the longest path through the job's step graph.
 func (j *Job) criticalPathSteps() int {
 	depth := make([]int, len(j.Steps))
--- a/pool/admission_test.go
+++ b/pool/admission_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/knapweedweir/knapweedweir/pool/returns"
 )
 
 // newFullRig returns a rig with one worker of 4 cores that has been known for seconds. Four
@@ -50,7 +52,7 @@
 	assert.Assert(t, a.Refused)
 	assert.Equal(t, a.Bottleneck, CapacityBottleneck)
 	assert.Assert(t, a.Wait > a.Limit, "%v, %v", a.Wait, a.Limit)
-	assert.Assert(t, a.RetryAfter >= minRetryAfter && a.RetryAfter <= 2*maxRetryAfter, "%v", a.RetryAfter)
+	assert.Assert(t, a.RetryAfter >= returns.MinPause && a.RetryAfter <= 2*returns.MaxPause, "%v", a.RetryAfter)
 }
 
 // Guards against equal retry times for callers that are refused at the same moment: they would
--- a/pool/admissionreport.go
+++ b/pool/admissionreport.go
@@ -28,13 +28,22 @@
 	BacklogCoreSeconds  float64    `json:"aheadCoreSeconds"`
 	CapacityCores       float64    `json:"roomCores"`
 	RetryAfterMillis    int64      `json:"comeBackMillis,omitempty"`
+	// Standing is how the caller stood with the return schedule: new, early or due.
+	Standing string `json:"standing,omitempty"`
+	// PromisedCoreSeconds is the part of the work ahead that is promised to callers of refused jobs.
+	PromisedCoreSeconds float64 `json:"promisedCoreSeconds,omitempty"`
+	// Cap is the estimate for the organisation's cap; nil without one.
+	Cap *CapEstimate `json:"cap,omitempty"`
+	// BacklogAgeMillis is the age of the summary that the estimate is based on.
+	BacklogAgeMillis int64 `json:"ageMillis,omitempty"`
 }
 
 // Details returns the details of the estimate.
 func (a Admission) Details() EstimateDetails {
 	return EstimateDetails{Bottleneck: a.Bottleneck, WaitMillis: a.Wait.Milliseconds(), RunTimeMillis: a.RunTime.Milliseconds(),
 		LimitMillis: a.Limit.Milliseconds(), SinceFirstTryMillis: a.SinceFirstTry.Milliseconds(),
-		BacklogCoreSeconds: a.BacklogCoreSeconds, CapacityCores: a.CapacityCores, RetryAfterMillis: a.RetryAfter.Milliseconds()}
+		BacklogCoreSeconds: a.BacklogCoreSeconds, CapacityCores: a.CapacityCores, RetryAfterMillis: a.RetryAfter.Milliseconds(),
+		Standing: a.Standing.String(), PromisedCoreSeconds: a.PromisedCoreSeconds, Cap: a.Cap, BacklogAgeMillis: a.BacklogAge.Milliseconds()}
 }
 
 // Refusal is a job that was refused.
@@ -88,6 +97,8 @@
 	// refused.
 	NewestJob     *EstimateDetails `json:"newest,omitempty"`
 	RefusesNewest bool             `json:"refuses"`
+	// Returning counts the callers of the queue's refused jobs that hold a place in the return schedule.
+	Returning int `json:"returning"`
 	// RefusedAgoMillis is the time since the queue's last refusal; nil without one.
 	RefusedAgoMillis *int64 `json:"refusedAgoMillis,omitempty"`
 }
@@ -114,7 +125,7 @@
 func (c *Core) queueAdmission(name string, q Queue) QueueAdmission {
 	h := &c.admission
 	o := QueueAdmission{Queue: name, Service: q.Service, Priority: q.Priority, NotStarted: c.Pending(name), OverloadThreshold: overloadThreshold,
-		NoEstimateReason: c.noEstimateReason(q.Service)}
+		NoEstimateReason: c.noEstimateReason(q.Service), Returning: c.returningTo(name)}
 	if at, refused := h.lastRefused[name]; refused {
 		ago := (c.now - at).Milliseconds()
 		o.RefusedAgoMillis = &ago
@@ -123,10 +134,10 @@
 		return o
 	}
 	profile := h.profiles[q.Service]
-	nextEntry := backlogEntry{service: q.Service, priority: q.Priority, due: math.MaxInt64}
+	nextEntry := backlogEntry{service: q.Service, queue: name, priority: q.Priority, due: math.MaxInt64}
 	rate := c.availableRate(nextEntry, profile.fullRate)
 	rate.advice = c.adviceRate(q.Priority)
-	ahead, rest := c.workAhead(nextEntry)
+	ahead, rest := c.workAhead(&nextEntry, nil)
 	o.WorkAhead, o.CapacityRate = ahead.amounts(), rate.amounts()
 	o.OfferedLoad = c.offeredLoad(q.Service, profile)
 	waits := shorterWaits(profile.timesByBottleneck(ahead, rate), profile.timesByBottleneck(rest.demand.scaled(1/rest.workerShare), rate))
@@ -135,7 +146,7 @@
 		steps = j.criticalPathSteps()
 		o.estimateNewest(c, *j, q)
 	}
-	waits[DelayBottleneck] = time.Duration(steps) * h.delays[name].mean(c.now)
+	waits[DelayBottleneck] = time.Duration(steps) * h.meanDelay(c.now, waitClass{queue: name})
 	o.WaitMillis = map[Bottleneck]int64{}
 	for _, bottleneck := range []Bottleneck{CapacityBottleneck, AdviceBottleneck, StartsBottleneck, DelayBottleneck} {
 		o.WaitMillis[bottleneck] = waits[bottleneck].Milliseconds()
@@ -150,7 +161,7 @@
 func (o *QueueAdmission) estimateNewest(c *Core, j Job, q Queue) {
 	j.ID, j.AcceptedMs = "", c.unixMs
 	entry, runTime := c.newBacklogEntry(&j, q)
-	a := c.estimateAdmission(&j, q, entry, runTime)
+	a := c.judge(&j, q, entry, runTime)
 	details := a.Details()
 	o.NewestJob, o.RefusesNewest = &details, a.Refused
 }
--- a/pool/admissionreport_test.go
+++ b/pool/admissionreport_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/knapweedweir/knapweedweir/pool/returns"
 )
 
 // queueReport returns the admission report of the only queue.
@@ -29,7 +31,7 @@
 	assert.Equal(t, o.Bottleneck, CapacityBottleneck)
 	assert.Assert(t, o.WaitMillis[CapacityBottleneck] > o.NewestJob.LimitMillis, "%v, %v", o.WaitMillis, o.NewestJob)
 	assert.Assert(t, o.RefusesNewest)
-	assert.Assert(t, o.NewestJob.RetryAfterMillis >= minRetryAfter.Milliseconds())
+	assert.Assert(t, o.NewestJob.RetryAfterMillis >= returns.MinPause.Milliseconds())
 	assert.Equal(t, *o.RefusedAgoMillis, int64(0))
 }
 
--- a/pool/capshareexchange.go
+++ b/pool/capshareexchange.go
@@ -26,6 +26,7 @@
 	if e.Offer.From == c.settings.Pool {
 		return
 	}
+	c.recordIdleShares(e.Offer)
 	if c.orgs.ledger.Handle(e.Offer, c.totalCapacity(), c.organisationDemands()) {
 		c.replan, c.retryAllSteps = true, true
 	}
--- a/pool/demand.go
+++ b/pool/demand.go
@@ -1,6 +1,10 @@
 package pool
 
-import "time"
+import (
+	"time"
+
+	"github.com/knapweedweir/knapweedweir/organisation"
+)
 
 // demand is an amount of work for each resource that can be a bottleneck.
 type demand struct {
@@ -39,12 +43,20 @@
 // bottlenecks names the amounts of a demand.
 var bottlenecks = [...]Bottleneck{CapacityBottleneck, CapacityBottleneck, CapacityBottleneck, AdviceBottleneck, StartsBottleneck}
 
-// backlogEntry is the remaining demand of one accepted job.
+// backlogEntry is the remaining demand of one job.
 type backlogEntry struct {
-	service  string
-	priority int
-	due      int64
-	demand   demand
+	service, queue, organisation string
+	priority                     int
+	due                          int64
+	// started is set if a task of the job has started, beyondWeight if the job is beyond its
+	// organisation's weight.
+	started, beyondWeight bool
+	demand                demand
+	// ready is the part of demand whose steps are ready, and late is set if the job is past its objective.
+	ready demand
+	late  bool
+	// unit is the largest amount that its tasks need at once under a cap, or one of its gangs.
+	unit organisation.Amounts
 	// unusableShare is the share of the workers that a gang can't use because the advice service
 	// forbids them.
 	unusableShare float64
--- a/pool/experiment/callers.go
+++ b/pool/experiment/callers.go
@@ -9,7 +9,7 @@
 
 const (
 	// maxTries is how often a caller submits a job at most. After each try but the last it pauses
-	// for retryDelay, or up to half as long again. It ignores the retry time that it was given.
+	// for retryDelay, or up to half as long again, or until the time that it was given.
 	maxTries   = 5
 	retryDelay = 700 * time.Millisecond
 	// outageHoldTime is how long a submission blocks before it fails while the store accepts no
@@ -24,32 +24,40 @@
 	j.AcceptedMs = sim.unixMs()
 	switch {
 	case sim.workload.Outage.down(sim.now - simulationStart):
-		sim.schedule(outageHoldTime, func() { sim.retry(j, try) })
-	case sim.refuses(j):
-		sim.retry(j, try)
+		sim.schedule(outageHoldTime, func() { sim.retry(j, try, 0) })
 	default:
+		if refused, after := sim.refuses(j); refused {
+			sim.retry(j, try, after)
+			return
+		}
 		sim.schedule(appendDelay, func() { sim.send(pool.JobStored{Job: j.Job}) })
 	}
 }
 
-func (sim *simulation) refuses(j *plannedJob) bool {
+// refuses reports whether a job is refused, and when its caller is told to return, if it is told.
+func (sim *simulation) refuses(j *plannedJob) (refused bool, after time.Duration) {
 	a := sim.workload.Admission
 	if a.MinDensity > 0 && sim.workload.inBurst(j.at) && j.density() < a.MinDensity {
-		return true
+		return true, 0
 	}
 	if !a.ByEstimate {
-		return false
+		return false, 0
 	}
 	started := time.Now()
 	answer := sim.core.Admit(sim.now, j.Job)
 	sim.result.CoreTime += time.Since(started)
-	return answer.Refused
+	return answer.Refused, answer.RetryAfter
 }
 
 // retry schedules the next try of a refused caller, while tries and time are left.
-func (sim *simulation) retry(j *plannedJob, try int) {
+func (sim *simulation) retry(j *plannedJob, try int, after time.Duration) {
 	pause := retryDelay + time.Duration(sim.random("pause", j.ID, try)*float64(retryDelay)/2)
-	if try == maxTries || sim.now+pause > simulationStart+j.at+callerTimeout {
+	last := j.at + callerTimeout
+	if sim.workload.ObeysRetryAfter && after > 0 {
+		pause = (after + time.Second - 1).Truncate(time.Second) // the wire has whole seconds
+		last = j.at + lateLimitFactor*j.objective
+	}
+	if try == maxTries || sim.now+pause > simulationStart+last {
 		sim.result.Queues[j.kind.Name].Refused++
 		sim.result.JobOutcomes[j.ID] = Refused
 		return
--- a/pool/experiment/refuse_test.go
+++ b/pool/experiment/refuse_test.go
@@ -60,3 +60,17 @@
 		assert.Equal(t, r.Count(Refused), 0)
 	}
 }
+
+// Pattern: noisy neighbour. One of three organisations sends 7.5 times its usual jobs for 7 s. Guards against
+// an admission that refuses the others' jobs for that, or lets them wait for it.
+func TestNoisyOrganisationCostsTheOthersLittle(t *testing.T) {
+	earned := func(l Workload) (quiet float64) {
+		l.Admission.ByEstimate = true
+		r := Simulate(l, 1)
+		return (r.Queues["quote-north"].Share() + r.Queues["quote-south"].Share()) / 2
+	}
+	calm := Tenants()
+	calm.Bursts = nil
+	with, without := earned(Tenants()), earned(calm)
+	assert.Assert(t, with >= without-0.02, "quiet organisations earn %.3f beside a noisy one, %.3f without", with, without)
+}
--- a/pool/experiment/run.go
+++ b/pool/experiment/run.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/knapweedweir/knapweedweir/organisation"
 	"github.com/knapweedweir/knapweedweir/pool"
 )
 
@@ -106,6 +107,10 @@
 	sim.core = pool.New(pool.Settings{Token: 1, MaxLease: 10 * time.Second, StopTimeout: 200 * time.Millisecond, EndedRetention: time.Minute}, sim.now)
 	sim.send(pool.Tick{UnixMs: sim.unixMs()})
 	sim.send(pool.QueuesChanged{Queues: load.queues()})
+	if organisations := load.organisations(); len(organisations) > 0 {
+		sim.send(pool.OrganisationsChanged{Organisations: organisations})
+		sim.send(pool.CapShareRootKnown{Pool: 0})
+	}
 	sim.send(pool.WorkersListed{Workers: sim.addWorkers()})
 	for _, j := range load.generateJobs(rng) {
 		sim.jobs[j.ID] = j
@@ -142,12 +147,20 @@
 func (l *Workload) queues() map[string]pool.Queue {
 	queues := map[string]pool.Queue{}
 	for _, k := range l.Kinds {
-		queues[k.Name] = pool.Queue{Name: k.Name, Service: "s", Priority: k.Priority, Attempts: 4, Slack: k.Slack, Target: k.Target,
+		queues[k.queue()] = pool.Queue{Name: k.queue(), Service: "s", Priority: k.Priority, Attempts: 4, Slack: k.Slack, Target: k.Target,
 			Advice: &pool.AdviceTerms{Decision: k.Decision, PerWorker: k.PerWorker, Validity: ticketValidity}}
 	}
 	return queues
 }
 
+func (l *Workload) organisations() map[string]organisation.Organisation {
+	byName := map[string]organisation.Organisation{}
+	for _, o := range l.Organisations {
+		byName[o.Name] = o
+	}
+	return byName
+}
+
 // addWorkers creates the workers. On every third one, runs take 1.3 times as long.
 func (sim *simulation) addWorkers() []pool.WorkerInfo {
 	var list []pool.WorkerInfo
--- a/pool/experiment/workload.go
+++ b/pool/experiment/workload.go
@@ -1,17 +1,22 @@
 package experiment
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
 	"time"
 
+	"github.com/knapweedweir/knapweedweir/organisation"
 	"github.com/knapweedweir/knapweedweir/pool"
 )
 
 // JobKind is one kind of job in a workload.
 type JobKind struct {
-	Name           string
+	Name string
+	// Queue is the queue of the jobs; empty: it is named like the kind. Organisation submits them.
+	Queue, Organisation string
+
 	Priority       int
 	ArrivalsPerSec float64
 	// Steps, Width, CPU (thousandths of a core), Mem (MB) and RunTime are means. All but Steps are
@@ -35,6 +40,8 @@
 	Decision, PerWorker time.Duration
 }
 
+func (k *JobKind) queue() string { return cmp.Or(k.Queue, k.Name) }
+
 // Burst multiplies the arrivals of a kind for a while; an empty kind stands for all.
 type Burst struct {
 	Kind         string
@@ -44,10 +51,12 @@
 
 // Workload describes the jobs and the environment of a pool.
 type Workload struct {
-	Kinds    []JobKind
-	Bursts   []Burst
-	Workers  int
-	Capacity pool.Resources
+	Kinds   []JobKind
+	Bursts  []Burst
+	Workers int
+	// Organisations are those of the kinds. The pool holds all of their caps.
+	Organisations []organisation.Organisation
+	Capacity      pool.Resources
 	// Instances is the number of instances that send advice requests.
 	Instances int
 	Duration  time.Duration
@@ -59,6 +68,8 @@
 	Outage Outage
 	// Admission selects the jobs that are refused.
 	Admission Admission
+	// ObeysRetryAfter is set if callers of refused jobs return at the time that they were told.
+	ObeysRetryAfter bool
 }
 
 // WorkerLoss removes a share of the workers.
@@ -231,7 +242,7 @@
 }
 
 func (l *Workload) generateJob(rng *rand.Rand, k *JobKind, at time.Duration, n int) *plannedJob {
-	j := &plannedJob{at: at, kind: k, Job: pool.Job{ID: fmt.Sprintf("%016x", n+1), Queue: k.Name, Service: "s", Payload: "p"}}
+	j := &plannedJob{at: at, kind: k, Job: pool.Job{ID: fmt.Sprintf("%016x", n+1), Organisation: k.Organisation, Queue: k.queue(), Service: "s", Payload: "p"}}
 	steps := 1
 	for float64(steps) < k.Steps+2 && rng.Float64() < (k.Steps-1)/k.Steps*float64(steps) {
 		steps++
--- a/pool/meter.go
+++ b/pool/meter.go
@@ -62,6 +62,13 @@
 	}
 }
 
+// waitClass is a class of steps whose waits are observed together. Jobs beyond a weight come after those
+// within one, which mustn't be refused because the others wait.
+type waitClass struct {
+	queue        string
+	beyondWeight bool
+}
+
 // delays are the waits of a queue's steps, from when they become ready to their start.
 type delays struct{ sum, count meter }
 
@@ -86,12 +93,12 @@
 	if s.job.inherited || s.spec.LongRunning {
 		return
 	}
-	h := &c.admission
-	if h.delays[s.job.Queue] == nil {
-		h.delays[s.job.Queue] = &delays{}
+	h, class := &c.admission, waitClass{s.job.Queue, s.job.beyondWeight}
+	if h.delays[class] == nil {
+		h.delays[class] = &delays{}
 	}
-	h.delays[s.job.Queue].sum.count(c.now, (c.now - s.readySince).Seconds())
-	h.delays[s.job.Queue].count.count(c.now, 1)
+	h.delays[class].sum.count(c.now, (c.now - s.readySince).Seconds())
+	h.delays[class].count.count(c.now, 1)
 }
 
 // ages sums how long a queue's waiting steps have waited so far.
@@ -105,19 +112,32 @@
 	a.steps++
 }
 
-func (h *admissionState) ageOf(queue string) *ages {
-	if h.ages[queue] == nil {
-		h.ages[queue] = &ages{}
+func (h *admissionState) ageOf(queue string, beyondWeight bool) *ages {
+	class := waitClass{queue, beyondWeight}
+	if h.ages[class] == nil {
+		h.ages[class] = &ages{}
+	}
+	return h.ages[class]
+}
+
+// meanDelay returns the mean wait of the steps that started recently, of the jobs that a job in the
+// class doesn't come before.
+func (h *admissionState) meanDelay(now time.Duration, class waitClass) time.Duration {
+	mean := h.delays[waitClass{queue: class.queue}].mean(now)
+	if class.beyondWeight {
+		mean = max(mean, h.delays[class].mean(now))
 	}
-	return h.ages[queue]
+	return mean
 }
 
-// observedWait returns the observed wait of a queue's steps: that of steps that started
+// observedWait returns the observed wait that a job in the class finds: that of steps that started
 // recently, or that of steps that still wait if it is longer.
-func (h *admissionState) observedWait(now time.Duration, queue string) time.Duration {
-	seen := h.delays[queue].mean(now)
-	if a := h.ages[queue]; a != nil {
-		seen = max(seen, a.sum/time.Duration(a.steps))
+func (h *admissionState) observedWait(now time.Duration, class waitClass) time.Duration {
+	seen := h.meanDelay(now, class)
+	for _, beyond := range []bool{false, class.beyondWeight} {
+		if a := h.ages[waitClass{class.queue, beyond}]; a != nil {
+			seen = max(seen, a.sum/time.Duration(a.steps))
+		}
 	}
 	return seen
 }
--- a/pool/organisations.go
+++ b/pool/organisations.go
@@ -5,6 +5,7 @@
 
 	"github.com/knapweedweir/knapweedweir/organisation"
 	"github.com/knapweedweir/knapweedweir/organisation/capshare"
+	"github.com/knapweedweir/knapweedweir/pool/capload"
 )
 
 // OrganisationsChanged replaces the organisations.
@@ -46,7 +47,9 @@
 	heldBack map[string][organisation.Resources]bool
 	// waiting are the steps that wait for a cap as of the last pass, the most urgent one of each
 	// organisation.
-	waiting      map[string]*step
+	waiting map[string]*step
+	// idle is what other pools reported that they don't use of the caps.
+	idle         capload.Idle
 	exchangedAt  time.Duration
 	exchangeSoon bool // other pools can be told of new gifts
 }
--- a/standin/cmd/kw-pool-load/main.go
+++ b/standin/cmd/kw-pool-load/main.go
@@ -22,12 +22,13 @@
 	factor := flag.Float64("load", 1, "arrivals of all kinds, as a multiple")
 	overload := flag.Float64("overload", 0, "in place of the burst, so many times as many of all kinds, with losses of workers and an outage of the store")
 	refuse := flag.Bool("refuse", false, "refuse what can't be in time by the core's estimate")
+	obey := flag.Bool("obey", false, "callers of refused jobs return when they were told")
 	bounds := flag.Bool("bounds", false, "compare refusing with accepting all and with the best cut-off by true worth for true work")
 	length := flag.Duration("for", 4*time.Second, "how long the burst is")
-	shape := flag.String("shape", "wholesaler", "the load: wholesaler, grown (350 workers and 900 starts a second), desk, large-desk (792 workers), inspection")
+	shape := flag.String("shape", "wholesaler", "the load: wholesaler, grown (350 workers and 900 starts a second), desk, large-desk (792 workers), inspection, tenants (three organisations)")
 	flag.Parse()
 	shapes := map[string]func() experiment.Workload{"wholesaler": experiment.Wholesaler, "grown": experiment.WholesalerGrown,
-		"desk": experiment.OrderDesk, "large-desk": experiment.LargeDesk, "inspection": experiment.Inspection}
+		"desk": experiment.OrderDesk, "large-desk": experiment.LargeDesk, "inspection": experiment.Inspection, "tenants": experiment.Tenants}
 	newLoad, known := shapes[*shape]
 	if !known {
 		fmt.Fprintln(os.Stderr, "kw-pool-load: no such shape:", *shape)
@@ -37,7 +38,9 @@
 	for i := range load.Kinds {
 		load.Kinds[i].ArrivalsPerSec *= *factor
 	}
-	load.Bursts = []experiment.Burst{{Kind: *of, At: 15 * time.Second, Duration: *length, Factor: *burst}}
+	if len(load.Bursts) == 0 {
+		load.Bursts = []experiment.Burst{{Kind: *of, At: 15 * time.Second, Duration: *length, Factor: *burst}}
+	}
 	if *overload > 0 {
 		load = load.WithOverload(*overload)
 	}
@@ -45,7 +48,7 @@
 		printBounds(load, *plays)
 		return
 	}
-	load.Admission.ByEstimate = *refuse
+	load.Admission.ByEstimate, load.ObeysRetryAfter = *refuse, *obey
 	print(load, simulate(load, *plays))
 }
 
