pool/experiment: workers of uneven speed

All simulated tasks of a step ran equally long, and workers differed by 1.3 at most, so that nothing showed what a model of their speeds earns. kw-pool-load -uneven runs a quarter of the workers at half speed, the others at 0.72 to 1.71 times the typical run time, and lets tasks of one step vary by 25 %; it prints the 90 % run time of jobs too. Without the flag, all results are as before. Callers see no change.

--- a/pool/experiment/run.go
+++ b/pool/experiment/run.go
@@ -148,7 +148,7 @@
 	return queues
 }
 
-// addWorkers creates the workers. On every third one, runs take 1.3 times as long.
+// addWorkers creates the workers.
 func (sim *simulation) addWorkers() []pool.WorkerInfo {
 	var list []pool.WorkerInfo
 	for n := range sim.workload.Workers {
@@ -164,10 +164,6 @@
 	if generation > 0 {
 		id += fmt.Sprintf("-%d", generation)
 	}
-	slowdown := 1.0
-	if slot%3 == 2 {
-		slowdown = 1.3
-	}
-	sim.workers[id] = &worker{id: id, slowdown: slowdown}
+	sim.workers[id] = &worker{id: id, slowdown: sim.workload.slowdown(slot)}
 	return pool.WorkerInfo{ID: id, Addr: id, Service: "s", Rack: fmt.Sprint("r", slot/6), Capacity: sim.workload.Capacity}
 }
--- a/pool/experiment/simulation.go
+++ b/pool/experiment/simulation.go
@@ -5,6 +5,7 @@
 	"container/heap"
 	"fmt"
 	"hash/fnv"
+	"math"
 	"slices"
 	"time"
 
@@ -258,7 +259,7 @@
 // startRun places a run on a worker. Its work begins at once, that of a gang once all members
 // are placed.
 func (sim *simulation) startRun(w *worker, s pool.Start, j *plannedJob, spec *pool.StepSpec) {
-	r := &run{start: s, spec: spec, duration: time.Duration(float64(j.runTimes[s.Task.Step]) * w.slowdown)}
+	r := &run{start: s, spec: spec, duration: time.Duration(float64(j.runTimes[s.Task.Step]) * w.slowdown * sim.taskFactor(s.Task))}
 	if s.Checkpoint != "" {
 		_, _ = fmt.Sscan(s.Checkpoint, &r.priorWork) // written by endRun
 		r.duration = max(0, r.duration-r.priorWork) + restoreDelay
@@ -291,6 +292,16 @@
 	}
 }
 
+// taskFactor returns the run time of a task relative to the mean of its step.
+func (sim *simulation) taskFactor(t pool.TaskID) float64 {
+	spread := sim.workload.TaskSpread
+	if spread == 0 {
+		return 1
+	}
+	normal := math.Sqrt2 * math.Erfinv(2*sim.random("factor", t.Job, t.Step, t.Ordinal)-1)
+	return math.Exp(min(max(normal, -4), 4)*spread - spread*spread/2)
+}
+
 // gangMember is a member of a gang and its worker.
 type gangMember struct {
 	worker *worker
--- a/pool/experiment/workload.go
+++ b/pool/experiment/workload.go
@@ -57,6 +57,12 @@
 	WorkerLosses []WorkerLoss
 	// Outage is the time in which the store accepts no writes.
 	Outage Outage
+	// Slowdowns are the relative run times on the workers, by slot, and repeated for more workers; nil
+	// stands for 1.3 on every third worker.
+	Slowdowns []float64
+	// TaskSpread is the spread of the run times of a step's tasks, as the shape of a lognormal
+	// distribution.
+	TaskSpread float64
 	// Admission selects the jobs that are refused.
 	Admission Admission
 }
@@ -91,6 +97,31 @@
 	return l
 }
 
+// unevenSlowdowns are those of the customs deployment: a quarter of the workers runs at half speed, the
+// others take 0.72 to 1.71 times the typical time.
+var unevenSlowdowns = []float64{1.22, 2, 0.72, 1.47, 0.97, 2, 1.71, 0.84, 1.30, 2, 1.05, 1.59, 0.78, 2, 1.38, 1.13}
+
+// unevenTaskSpread is the spread of the run times of one step there, 15 to 30 %.
+const unevenTaskSpread = 0.25
+
+// WithUnevenWorkers gives the workers and the tasks of a step different speeds. It leaves the pool
+// about 0.85 of its capacity.
+func (l Workload) WithUnevenWorkers() Workload {
+	l.Slowdowns, l.TaskSpread = unevenSlowdowns, unevenTaskSpread
+	return l
+}
+
+// slowdown returns the relative run time on the worker in a slot.
+func (l *Workload) slowdown(slot int) float64 {
+	switch {
+	case len(l.Slowdowns) > 0:
+		return l.Slowdowns[slot%len(l.Slowdowns)]
+	case slot%3 == 2:
+		return 1.3
+	}
+	return 1
+}
+
 // inBurst reports whether a burst is in progress at a time.
 func (l *Workload) inBurst(at time.Duration) bool {
 	for _, b := range l.Bursts {
--- a/standin/cmd/kw-pool-load/main.go
+++ b/standin/cmd/kw-pool-load/main.go
@@ -25,6 +25,7 @@
 	bounds := flag.Bool("bounds", false, "compare refusing with accepting all and with the best cut-off by true worth for true work")
 	length := flag.Duration("for", 4*time.Second, "how long the burst is")
 	shape := flag.String("shape", "wholesaler", "the load: wholesaler, grown (350 workers and 900 starts a second), desk, large-desk (792 workers), inspection")
+	uneven := flag.Bool("uneven", false, "a quarter of the workers at half speed, the others at 0.72 to 1.71 times the typical run time, and tasks of one step that differ")
 	flag.Parse()
 	shapes := map[string]func() experiment.Workload{"wholesaler": experiment.Wholesaler, "grown": experiment.WholesalerGrown,
 		"desk": experiment.OrderDesk, "large-desk": experiment.LargeDesk, "inspection": experiment.Inspection}
@@ -37,6 +38,9 @@
 	for i := range load.Kinds {
 		load.Kinds[i].ArrivalsPerSec *= *factor
 	}
+	if *uneven {
+		load = load.WithUnevenWorkers()
+	}
 	load.Bursts = []experiment.Burst{{Kind: *of, At: 15 * time.Second, Duration: *length, Factor: *burst}}
 	if *overload > 0 {
 		load = load.WithOverload(*overload)
@@ -83,7 +87,7 @@
 // print prints a row for each queue and one for all.
 func print(load experiment.Workload, results []experiment.Result) {
 	t := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "queue\tjobs\tearned\tin time\tlate\tp50 s\tp95 s\t")
+	fmt.Fprintln(t, "queue\tjobs\tearned\tin time\tlate\tp50 s\tp90 s\tp95 s\t")
 	for _, k := range load.Kinds {
 		var jobs, inTime, late int
 		var shares float64
@@ -95,8 +99,8 @@
 			took = append(took, q.Durations...)
 		}
 		slices.Sort(took)
-		fmt.Fprintf(t, "%s\t%d\t%.4f\t%.3f\t%.3f\t%.2f\t%.2f\t\n", k.Name, jobs, shares/float64(len(results)),
-			float64(inTime)/float64(jobs), float64(late)/float64(jobs), took[len(took)/2].Seconds(), took[len(took)*95/100].Seconds())
+		fmt.Fprintf(t, "%s\t%d\t%.4f\t%.3f\t%.3f\t%.2f\t%.2f\t%.2f\t\n", k.Name, jobs, shares/float64(len(results)),
+			float64(inTime)/float64(jobs), float64(late)/float64(jobs), took[len(took)/2].Seconds(), took[len(took)*90/100].Seconds(), took[len(took)*95/100].Seconds())
 	}
 	mean, square := 0.0, 0.0
 	var all experiment.Result
@@ -111,7 +115,7 @@
 		all.OverCapacityStarts += r.OverCapacityStarts
 		all.CoreTime += r.CoreTime
 	}
-	fmt.Fprintf(t, "all\t\t%.4f\t\t\t\t\t\n", mean)
+	fmt.Fprintf(t, "all\t\t%.4f\t\t\t\t\t\t\n", mean)
 	_ = t.Flush() // a failed write to standard output can't be reported
 	fmt.Printf("standard error of a play's share %.4f; in use %.3f; thrown away %.0f core-seconds; a play has %d starts and %d questions of %.0f s; beyond a worker's room %d; deciding took %.0f us a start\n",
 		math.Sqrt(max(0, square-mean*mean)/float64(max(1, len(results)-1))), all.Utilization, all.WastedCoreSeconds, all.Starts/len(results), all.AdviceRequests/len(results), all.AdviceTime.Seconds(), all.OverCapacityStarts, float64(all.CoreTime.Microseconds())/float64(max(1, all.Starts)))
