--- a/pool/pick.go
+++ b/pool/pick.go
@@ -82,8 +82,15 @@
 func (c *Core) pickAmong(s *step, n int, candidates []*worker) []*worker {
 	c.speedPreference = c.speedWeight(s)
 	if s.spec.Gang {
-		candidates = c.ofSimilarSpeed(s, n, candidates)
+		if picks := c.pickBest(s, n, c.ofSimilarSpeed(s, n, candidates)); len(picks) == n {
+			return picks
+		}
 	}
+	return c.pickBest(s, n, candidates)
+}
+
+// pickBest is like pickAmong for the weight of speed that is set.
+func (c *Core) pickBest(s *step, n int, candidates []*worker) []*worker {
 	need := s.spec.Reserved()
 	scored := c.scored[:0]
 	for i, w := range candidates {
