--- a/pool/reserve.go
+++ b/pool/reserve.go
@@ -9,7 +9,7 @@
 // Large tasks, and gangs, whose members need capacity at the same time, would starve while small
 // tasks keep every worker partly utilized: each gap that opens goes to a small task first. So
 // workers are reserved for the most urgent steps of that kind. Until such a step is expected to
-// start, other tasks may be backfilled if they will almost certainly have ended by then.
+// start, other tasks may be backfilled if most tasks like them would have ended by then.
 //
 // All workers that a gang may use are reserved for it, not only those where slots are expected
 // first: run times are known so roughly that it starts sooner on whichever slots become free first.
@@ -29,10 +29,6 @@
 	// caughtUpAfter is how long an owner must have kept up with its events to count as no longer
 	// behind.
 	caughtUpAfter = 2 * time.Second
-	// backfillSafetyFactor multiplies the expected run time of a task that is backfilled on a
-	// reserved worker. With 1 the earned value was 0.006 to 0.013 lower, because a task that runs
-	// longer than expected delays a whole gang.
-	backfillSafetyFactor = 2
 )
 
 // reservation reserves a worker for a step.
@@ -187,7 +183,7 @@
 	if r == nil || r.step == s || r.step.job.state.Ended() || r.step.remaining == 0 || s.hasBooked(w) || c.overridesReservation(s, r.step) {
 		return false
 	}
-	return c.now+backfillSafetyFactor*c.expectedRuntime(s) > r.at
+	return c.now+c.runtimeQuantile(s, w, backfillShare) > r.at
 }
 
 // overridesReservation reports whether a step may use a worker reserved for another step: if its
--- a/pool/speeds.go
+++ b/pool/speeds.go
@@ -16,21 +16,23 @@
 	slownessMaxAge = 100 * time.Millisecond
 	// maxCachedQueues is the number of queues for which a worker's slowness is cached.
 	maxCachedQueues = 16
-	// A step is tight while the time left is at most tightSlack times its remaining critical path at
-	// typical speed, and has slack from ampleSlack on.
+	// A step is tight while the time left is at most tightSlack times its remaining critical path at typical speed, and has
+	// slack from ampleSlack on.
 	tightSlack = 2
 	ampleSlack = 4
-	// tightWeight is the weight of a worker's slowness in the placement score of tight steps. It falls to
-	// 0 for steps with slack. With 1 in place of 2 or 3, short jobs on uneven workers earned 0.62 in
-	// place of 0.68 or more (kw-pool-load -shape desk -uneven -load 0.85, 8 plays).
+	// tightWeight and slackWeight are the weights of a worker's slowness in the placement score of tight
+	// steps and of those with slack, and change linearly in between.
 	tightWeight = 3
+	slackWeight = -0.1
 	// requestWeight is the weight of the same when workers are chosen for an advice request, relative to
 	// that in the score.
 	requestWeight = 0.5
 	// gangTolerance is how much slower a gang's workers may be than the slowest of the fastest workers
-	// that can hold the gang. On few large workers of uneven speed, 0.15 earned 0.903 and 0.5 0.888
-	// (kw-pool-load -shape inspection -uneven -load 0.85, 8 plays).
+	// that can hold the gang.
 	gangTolerance = 0.15
+	// backfillShare is the share of tasks that have ended by their expected time when they are backfilled
+	// on a reserved worker.
+	backfillShare = 0.9
 )
 
 // cachedSlowness is a worker's slowness in a queue as of a time.
@@ -96,11 +98,24 @@
 	return time.Duration(float64(typical) * c.slowness(w, s.job.Queue))
 }
 
+// runtimeQuantile returns the run time on a worker that a share of the tasks like the step's doesn't
+// exceed.
+func (c *Core) runtimeQuantile(s *step, w *worker, share float64) time.Duration {
+	if s.spec.LongRunning || s.spec.Fills {
+		return unbounded
+	}
+	typical := time.Duration(0)
+	if mean := s.meanRuntime(); mean > 0 {
+		typical = c.runtimes.StepQuantile(s.job.Queue, mean, share)
+	} else {
+		typical = c.runtimes.Quantile(s.job.Queue, s.estimate(), share)
+	}
+	return time.Duration(float64(typical) * c.slowness(w, s.job.Queue))
+}
+
 // speedWeight returns the weight of a worker's slowness in the placement score of a step. Steps whose
-// jobs have little time left for the rest of their critical path get the fast workers, and the others
-// what these leave. A negative weight for steps with slack, which leads them to slow workers, earned
-// 0.002 to 0.006 less on few large workers (kw-pool-load -shape inspection, 24 plays).
-// Time counts up to the objective, or once that is past, as long as the job has any value.
+// jobs have little time left for the rest of their critical path get the fast workers. The others
+// leave them these. Time counts up to the objective, or once that is past, as long as the job has any value.
 func (c *Core) speedWeight(s *step) float64 {
 	if s.spec.LongRunning || s.spec.Fills {
 		return 0
@@ -111,7 +126,8 @@
 	}
 	path := c.expectedRuntime(s) + c.runtimes.Mean(s.job.Queue, s.longestPath()-s.estimate())
 	slack := float64(end-c.unixMs) / max(1, float64(path.Milliseconds()))
-	return tightWeight * min(max((ampleSlack-slack)/(ampleSlack-tightSlack), 0), 1)
+	share := min(max((slack-tightSlack)/(ampleSlack-tightSlack), 0), 1)
+	return tightWeight + share*(slackWeight-tightWeight)
 }
 
 // longestPath returns the declared run time of the longest chain of steps that starts with this one.
--- a/pool/speeds_test.go
+++ b/pool/speeds_test.go
@@ -47,7 +47,7 @@
 }
 
 // Load pattern: straggling workers. Guards against tight jobs on slow workers, against jobs with slack
-// that go past a slow worker to the fast ones that tight jobs need, and against gangs that one slow worker holds up.
+// on the fast ones that tight jobs need, and against gangs that one slow worker holds up.
 func TestPlacementOnStragglingWorkers(t *testing.T) {
 	for _, c := range []struct {
 		name     string
@@ -79,7 +79,7 @@
 	}
 }
 
-// Guards against estimated ends that take a slow worker for a typical one.
+// Guards against estimated ends, and times for backfilling, that take a slow worker for a typical one.
 func TestRunTimesOnASlowWorker(t *testing.T) {
 	r := newSpeedRig(2, 1, 1, 1)
 	s := r.step(1, time.Second, false)
@@ -89,6 +89,7 @@
 		slow, typ time.Duration
 	}{
 		{"mean", r.expectedRuntimeOn(s, slow), r.expectedRuntimeOn(s, typical)},
+		{"quantile", r.runtimeQuantile(s, slow, 0.9), r.runtimeQuantile(s, typical, 0.9)},
 		{"end", r.expectedRemaining(&run{task: &task{step: &step{job: s.job, spec: s.spec, occ: &occurrence{}}}, worker: slow, answeredAt: r.now}),
 			r.expectedRemaining(&run{task: &task{step: &step{job: s.job, spec: s.spec, occ: &occurrence{}}}, worker: typical, answeredAt: r.now})},
 	} {
