--- a/pool/admission.go
+++ b/pool/admission.go
@@ -275,7 +275,7 @@
 	rate.advice = c.adviceRate(entry.priority)
 	// The caller's estimate is as wrong in the objective as in the run time.
 	objective := time.Duration(q.Slack*float64(runTime)) + q.Target
-	promised := c.promisedWork(j.ID, &entry, objective)
+	promised := c.promisedWork(j.ID, &entry)
 	ahead, rest := c.workAhead(&entry, promised)
 	wait, bottleneck := profile.timeToProcess(ahead, rate)
 	end, endBottleneck := profile.timeToProcess(ahead.plus(entry.demand), rate)
--- a/pool/returnturns.go
+++ b/pool/returnturns.go
@@ -40,17 +40,19 @@
 	return a.Excess
 }
 
-// promisedWork returns the work of refused jobs whose callers have a place before a job's caller, and
-// whose turn has come or comes within the given time. It counts by the share of callers that came back
-// at their turns of late. Jobs without an organisation are admitted without regard to it: with it, a pool
-// without organisations earned 0.55 in place of 0.64 of what was offered at three times the usual jobs.
-func (c *Core) promisedWork(job string, entry *backlogEntry, within time.Duration) (list []backlogEntry) {
+// promisedWork returns the work of refused jobs whose callers have a place before a job's caller: those within
+// their organisations' weights whose turn has come. It counts by the share of callers that came back
+// at their turns of late. With later turns, and with jobs beyond a weight, up to two thirds of the work ahead of
+// a job was that of callers who were refused again themselves, and free capacity stayed unused. Jobs without an organisation
+// are admitted without regard to it: with it, a pool without organisations earned 0.55 in place of 0.64 of what was
+// offered at three times the usual jobs.
+func (c *Core) promisedWork(job string, entry *backlogEntry) (list []backlogEntry) {
 	if entry.organisation == "" {
 		return nil
 	}
 	share := c.admission.returns.ReturnShare()
-	c.admission.returns.Promised(c.now, job, within, func(w *refusedWork) {
-		if !w.forWantOfPool {
+	c.admission.returns.Promised(c.now, job, 0, func(w *refusedWork) {
+		if !w.forWantOfPool || w.beyondWeight {
 			return // neither a weight nor a cap keeps the pool's capacity for it
 		}
 		x := w.backlogEntry
