node: longer histories with stragglers

Change: histories with stragglers last 25 s longer after the faults. All others are as before.

Callers: no change.

--- a/node/history_test.go
+++ b/node/history_test.go
@@ -113,6 +113,10 @@
 // stragglerHistoriesInterval: for this many plain histories, one with steps that permit copies is simulated.
 const stragglerHistoriesInterval = 3
 
+// stragglerRecovery is how much longer such histories last: three steps of stragglers take up to 24 s, and may begin after
+// the 33 s that a quarantined task has waited (seed 425).
+const stragglerRecovery = 25 * time.Second
+
 // crashHistoriesInterval: for this many plain histories, one with crashing tasks and one with workers
 // that restart under their IDs are simulated.
 const crashHistoriesInterval = 10
@@ -191,6 +195,9 @@
 	c.injectFaults()
 	c.endFaults()
 	time.Sleep(recoveryPeriod)
+	if c.stragglers {
+		time.Sleep(stragglerRecovery)
+	}
 	c.check()
 	c.checkShares()
 	unfinished := c.world.Referee.Unfinished()
