scenario/soak: every second job permits copies

The soak had no steps that permit copies, so that nothing played copies on real processes beside faults from outside. Whether a job permits them follows from its ID, so that the other draws of a seed stay as they are; the referee permits two runs of a task only there.

Callers see no change: stand-ins and tests only.

--- a/scenario/soak/callers.go
+++ b/scenario/soak/callers.go
@@ -75,11 +75,16 @@
 		if i > 0 && rng.IntN(3) > 0 {
 			s.After = []int{i - 1}
 		}
+		s.Speculative = permitsCopies(j.ID)
 		j.Steps = append(j.Steps, s)
 	}
 	return j
 }
 
+// permitsCopies reports whether the steps of a job permit copies: those of every second job. It follows from
+// the ID, so that the other draws of a seed stay as they are.
+func permitsCopies(job string) bool { return job[len(job)-1] < '8' }
+
 // caller uses its connection to one instance until that instance is gone, and then chooses
 // another. It ignores requests to close the connection: a process that shuts down answers
 // on its open connections until it ends.
