--- a/pool/waitlist.go
+++ b/pool/waitlist.go
@@ -24,8 +24,7 @@
 	c.waitList.added = append(c.waitList.added, s)
 }
 
-// waitingSteps returns the steps of which a task may be waiting. The caller may drop steps from it with
-// keepWaiting.
+// waitingSteps returns the steps of which a task may be waiting, by when their jobs were stored.
 func (l *waitList) waitingSteps() []*step {
 	if len(l.added) > 0 {
 		slices.SortFunc(l.added, compareStored)
