review: accepted jobs aren't run once most machines have left

Each machine gets one call at a time from the advice service. With one machine left the calls fall behind, and admission doesn't count requests whose answers come too late, so nearly all jobs are still accepted.

It takes the place of the crash loop's case, whose rule broke by the gap of case 1; that one stays in the stand-in without a folder.

--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -19,8 +19,9 @@
 
 var cases = map[int]scenario{
 	1: {machines: 3, runners: 3, cpu: 64000, mem: 262144, play: restartOfAll},
-	2: {machines: 3, runners: 12, cpu: 64000, mem: 262144, play: crashLoop},
 	3: {machines: 3, runners: 8, cpu: 16000, mem: 32768, play: droppedRoute},
+	// 4 has no folder, see REPORT.md.
+	4: {machines: 3, runners: 12, cpu: 64000, mem: 262144, play: crashLoop},
 }
 
 const (
