node: show the size of appends and which record the store refuses

The logs said only that appends fail: neither the record that had grown nor the store's limits were shown, so that "the store is away", "one record is too large" and "the whole append is too large" looked the same.

The owner now logs append.refused with the size of the append, its largest record and both limits, at most once a second for each append. The metrics store_append_bytes and largest_record_bytes (by kind of key) show growth before a limit is reached. Keys hold IDs of jobs and workers and names of queues and organisations, no secrets; values aren't logged.

The limits come from the platform's settings (recordBytes, requestBytes), and the stand-in store enforces them.

--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -148,6 +148,7 @@
 	return node.New(node.Settings{
 		Name: m.name, PeerAddr: m.name, Parts: 4, MaxLease: machines.MaxLease, StopTimeout: machines.StopTime,
 		Now: func() time.Duration { return base + time.Since(began) + time.Hour }, Dial: dial, Cores: m.cores, LinkRate: cmp.Or(m.linkRate, c.linkRate), Copies: c.copies,
+		MaxRecord: c.world.MaxRecord, MaxAppend: c.world.MaxAppend,
 	}, zerolog.New(&c.logs).With().Str("id", m.name).Logger().Hook(c), store, workers, m.view, m.view)
 }
 
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -18,12 +18,19 @@
 	100 * time.Millisecond, 200 * time.Millisecond, 500 * time.Millisecond, time.Second, 2 * time.Second, 5 * time.Second,
 }
 
+// minRecordedSize is the size in bytes from which records are recorded by kind.
+const minRecordedSize = 16 << 10
+
+// sizeBuckets are the buckets of the histograms of sizes in bytes, from a heartbeat to the largest append.
+var sizeBuckets = tally.MustMakeExponentialValueBuckets(256, 4, 8)
+
 // metrics are the counters and histograms of an instance.
 type metrics struct {
 	scope          tally.Scope
 	submitLatency  tally.Histogram
 	appendLatency  tally.Histogram
 	appendFailures tally.Counter
+	appendBytes    tally.Histogram
 	stepWait       tally.Histogram
 	// decisions are the counters of decisions by event.
 	decisions eventCounters
@@ -38,6 +45,7 @@
 		submitLatency:  scope.Histogram("submit_latency", latencyBuckets),
 		appendLatency:  scope.Histogram("store_append_latency", latencyBuckets),
 		appendFailures: scope.Counter("store_append_failures"),
+		appendBytes:    scope.Histogram("store_append_bytes", sizeBuckets),
 		stepWait:       scope.Histogram("step_wait", latencyBuckets),
 
 		startWindow: scope.Gauge("start_window_bytes"),
@@ -102,7 +110,7 @@
 func (s timedStore) Append(ctx context.Context, to Topic, records []pool.Record, writer *Writer) (int64, error) {
 	start := time.Now()
 	offset, err := s.Store.Append(ctx, to, records, writer)
-	s.metrics.recordAppend(time.Since(start), err)
+	s.metrics.recordAppend(records, time.Since(start), err)
 	return offset, err
 }
 
@@ -110,14 +118,26 @@
 func (s timedStore) AppendAt(ctx context.Context, to Topic, records []pool.Record, at int64) (int64, error) {
 	start := time.Now()
 	offset, err := s.Store.AppendAt(ctx, to, records, at)
-	s.metrics.recordAppend(time.Since(start), err)
+	s.metrics.recordAppend(records, time.Since(start), err)
 	return offset, err
 }
 
-func (m *metrics) recordAppend(took time.Duration, err error) {
+func (m *metrics) recordAppend(records []pool.Record, took time.Duration, err error) {
+	size := sizeOf(records)
+	m.appendBytes.RecordValue(float64(size.bytes))
+	m.recordLargest(size)
 	if err != nil {
 		m.appendFailures.Inc(1)
 		return
 	}
 	m.appendLatency.RecordDuration(took)
 }
+
+// recordLargest records the size of an append's largest record by the kind of its key.
+func (m *metrics) recordLargest(size appendSize) {
+	if size.largestBytes < minRecordedSize {
+		return
+	}
+	kind, _ := pool.ParseKey(size.largestKey)
+	m.scope.Tagged(map[string]string{"kind": kind.String()}).Gauge("largest_record_bytes").Update(float64(size.largestBytes))
+}
--- a/node/node.go
+++ b/node/node.go
@@ -47,6 +47,9 @@
 	// Visibility is the time after its acceptance within which every instance knows a job; 0:
 	// defaultVisibility.
 	Visibility time.Duration
+	// MaxRecord is the size of the largest record that the store accepts, and MaxAppend that of the
+	// largest append, in bytes; 0: 256 KiB and 2 MiB.
+	MaxRecord, MaxAppend int
 }
 
 // Dialer connects to an instance.
@@ -102,6 +105,12 @@
 	if opts.Copies <= 0 {
 		opts.Copies = defaultCopies
 	}
+	if opts.MaxRecord <= 0 {
+		opts.MaxRecord = defaultMaxRecord
+	}
+	if opts.MaxAppend <= 0 {
+		opts.MaxAppend = defaultMaxAppend
+	}
 	if opts.Metrics == nil {
 		opts.Metrics = tally.NoopScope
 	}
--- a/node/saves.go
+++ b/node/saves.go
@@ -174,6 +174,8 @@
 	done     chan struct{}   // closed when this append has its outcome
 	certain  bool            // every attempt was answered
 	latency  time.Duration   // of the newest attempt
+	// refusalLoggedAt is when a refusal of this append was last logged; 0: never.
+	refusalLoggedAt time.Duration
 }
 
 // saveLoop appends the queued saves, each time all that have been added since the last append.
@@ -373,6 +375,7 @@
 	offset, err := o.pc.node.store.Append(ctx, o.pc.topic, records,
 		&Writer{Name: "owner", Epoch: o.claim.Epoch, Sequence: f.sequence})
 	f.latency = o.pc.node.now() - start
+	o.logRefusedAppend(f, records, err)
 	if !errors.As(err, new(SequenceError)) { // which doesn't show whether the store accepts appends
 		o.setAppendsFailing(err != nil)
 	}
--- a/pool/events.go
+++ b/pool/events.go
@@ -309,6 +309,12 @@
 	Value []byte
 }
 
+// RecordOverhead is the number of bytes that an append takes for each record, in addition to its size.
+const RecordOverhead = 4
+
+// Size returns the size of the record as the store counts it, in bytes: with the length of its key.
+func (r Record) Size() int { return 1 + len(r.Key) + len(r.Value) }
+
 // Save stores records atomically and after every earlier Save.
 type Save struct {
 	Seq     uint64
--- a/pool/records.go
+++ b/pool/records.go
@@ -74,6 +74,11 @@
 	CapShareRecord
 )
 
+// String returns the kind's name in metrics.
+func (k KeyKind) String() string {
+	return [...]string{"other", "job", "progress", "cancellation", "owner", "tracked_workers", "wave", "silence", "queue", "cap_share"}[k]
+}
+
 // ParseWave returns the wave number in the key of a wave.
 func ParseWave(key string) (int, bool) {
 	_, suffix := ParseKey(key)
--- a/standin/machines/store.go
+++ b/standin/machines/store.go
@@ -236,12 +236,12 @@
 
 // Append implements node.Store.
 func (v *View) Append(ctx context.Context, to node.Topic, records []pool.Record, writer *node.Writer) (int64, error) {
-	return v.append(ctx, to, func(st *stream) (int64, error) { return st.append(records, writer) })
+	return v.append(ctx, to, records, func(st *stream) (int64, error) { return st.append(records, writer) })
 }
 
 // AppendAt implements node.Store.
 func (v *View) AppendAt(ctx context.Context, to node.Topic, records []pool.Record, at int64) (int64, error) {
-	return v.append(ctx, to, func(st *stream) (int64, error) {
+	return v.append(ctx, to, records, func(st *stream) (int64, error) {
 		if st.end() != at {
 			return 0, node.EndError{End: st.end()}
 		}
@@ -249,11 +249,14 @@
 	})
 }
 
-func (v *View) append(ctx context.Context, to node.Topic, put func(*stream) (int64, error)) (int64, error) {
+func (v *View) append(ctx context.Context, to node.Topic, records []pool.Record, put func(*stream) (int64, error)) (int64, error) {
 	executed, answered, err := v.applyFault(ctx)
 	if !executed {
 		return 0, err
 	}
+	if !v.w.acceptsSize(records) {
+		return 0, node.ErrRefused
+	}
 	if v.StoreFault() == StoreLate && v.w.Chance(lossProbability) {
 		late := time.Second + time.Duration(v.w.IntN(5000))*time.Millisecond
 		time.AfterFunc(late, func() {
@@ -361,6 +364,56 @@
 	return err
 }
 
+// acceptsSize reports whether the store accepts an append of this size.
+func (w *World) acceptsSize(records []pool.Record) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	total := 0
+	for _, r := range records {
+		w.largestRecord = max(w.largestRecord, r.Size())
+		total += pool.RecordOverhead + r.Size()
+		if r.Size() > w.MaxRecord {
+			w.refusedSizes++
+			return false
+		}
+	}
+	w.largestAppend = max(w.largestAppend, total)
+	w.bytesAppended += total
+	if total > w.MaxAppend {
+		w.refusedSizes++
+		return false
+	}
+	return true
+}
+
+// SetMaxRecord changes the size of the largest record that the store accepts, in bytes.
+func (w *World) SetMaxRecord(bytes int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.MaxRecord = bytes
+}
+
+// SizesRefused returns how many appends were refused because of their size or that of a record.
+func (w *World) SizesRefused() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.refusedSizes
+}
+
+// BytesAppended returns the total size of the appends.
+func (w *World) BytesAppended() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.bytesAppended
+}
+
+// LargestSizes returns the sizes of the largest record and of the largest append that instances have sent, in bytes.
+func (w *World) LargestSizes() (record, total int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.largestRecord, w.largestAppend
+}
+
 // pause waits. It returns false if the context ends first.
 func pause(ctx context.Context, d time.Duration) bool {
 	select {
--- a/standin/machines/world.go
+++ b/standin/machines/world.go
@@ -37,6 +37,9 @@
 	gangTimeout = 3 * time.Second
 	// pageSize is small, so that tests read several pages.
 	pageSize = 40
+	// maxRecord and maxAppend are the limits of the store unless a test lowers them, in bytes.
+	maxRecord = 256 << 10
+	maxAppend = 2 << 20
 	// unlistDelay is how long the list keeps a worker that has crashed.
 	unlistDelay = 4500 * time.Millisecond
 )
@@ -71,7 +74,11 @@
 	// readsDoneAt is when the reads queued so far will have been transferred.
 	readsDoneAt time.Time
 	bytesRead   int
-	Referee     *Referee
+	// MaxRecord and MaxAppend are the sizes of the largest record and of the largest append that the store
+	// accepts, in bytes.
+	MaxRecord, MaxAppend                                      int
+	refusedSizes, bytesAppended, largestRecord, largestAppend int
+	Referee                                                   *Referee
 }
 
 // New returns a world whose random choices follow a seed.
@@ -80,6 +87,7 @@
 		rand: rand.New(rand.NewPCG(seed, 1)), startedAt: time.Now(), store: newStore(),
 		workers: map[string]*worker{}, listeners: map[string]*pipeListener{},
 		views: map[string]*View{}, PageSize: pageSize,
+		MaxRecord: maxRecord, MaxAppend: maxAppend,
 	}
 	w.Referee = newReferee(w)
 	return w
