node: keep appends within the store's limit

Callers: when more is queued than the store takes in one request (requestBytes), all of it is refused at each attempt. The owner's appends fail until it loses the pool, its callers' jobs are refused, and the next owner's first append has the same size.

Cause: saveLoop put everything that had been queued into the next append, and appendDirect all callers' records, whatever their size.

An append now takes the oldest saves up to 512 KiB, or the store's limit if that is lower; a save of the core that is larger is cut, and confirmed with its last piece. The rest follows in the order in which it was queued. The core's saves may be cut anywhere: ends are acknowledged, and planned runs started, only once the whole save is stored.

TestJobsThatArriveTogetherFitIntoAppends plays 30 jobs at once on a slow store with appends of 4 KiB. Before: "a job was not accepted". After: all are accepted and completed, and the store refuses no append for its size.

--- a/node/backlog_bench_test.go
+++ b/node/backlog_bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -105,7 +106,8 @@
 				id := jobName("n", n)
 				s := newSubmission(pool.Record{Key: pool.JobKey(id), Value: pool.Encode(benchJob(id))})
 				o.submit(s)
-				for _, save := range o.saves.take() {
+				saves, _ := o.saves.take(math.MaxInt)
+				for _, save := range saves {
 					o.handleSaveDone(saveDone{pendingSave: save})
 				}
 				if err := <-s.stored; err != nil {
--- a/node/direct.go
+++ b/node/direct.go
@@ -54,7 +54,13 @@
 	if at == pc.claimOffset {
 		at++
 	}
-	for _, s := range pc.directPending {
+	room := pc.node.appendLimit()
+	for len(pc.directPending) > 0 {
+		s := pc.directPending[0]
+		if room -= pool.RecordOverhead + s.record.Size(); room < 0 && len(records) > 0 {
+			break // the others follow in the next append
+		}
+		pc.directPending = pc.directPending[1:]
 		if !pc.acceptsDirect(s) {
 			s.stored <- errQueueNotOpen
 			continue
@@ -65,7 +71,6 @@
 			records = append(records, s.record)
 		}
 	}
-	pc.directPending = nil
 	if len(records) == 0 {
 		return
 	}
--- /dev/null
+++ b/node/largejobs_test.go
@@ -0,0 +1,66 @@
+package node_test
+
+import (
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/knapweedweir/knapweedweir/pool"
+	"github.com/knapweedweir/knapweedweir/standin/machines"
+)
+
+// newSmallStoreCluster returns a cluster of three instances whose store accepts only small records and
+// appends, with six large workers in one rack, of labelledKind, and two in another.
+func newSmallStoreCluster(t *testing.T, maxRecord, maxAppend int) *cluster {
+	c := newCluster(t, 1, false)
+	c.world.MaxRecord, c.world.MaxAppend = maxRecord, maxAppend
+	c.world.ReuseIDs(1)
+	for _, name := range []string{"a", "b", "c"} {
+		c.join(name, 1)
+	}
+	for n := range 8 {
+		kind, rack := labelledKind, "r0"
+		if n >= 6 {
+			kind, rack = "b", "r1"
+		}
+		c.world.AddWorker(pool.Resources{CPU: 16000, Mem: 16000}, kind, rack)
+	}
+	time.Sleep(3 * time.Second)
+	return c
+}
+
+// assertAllEnded fails the test if a rule was broken, an accepted job hasn't ended, or the store refused an
+// append because of its size.
+func (c *cluster) assertAllEnded() {
+	c.t.Helper()
+	c.check()
+	for _, job := range c.world.Referee.Unfinished() {
+		c.t.Errorf("LOST: job %s was accepted and never ended", job)
+	}
+	assert.Equal(c.t, c.world.SizesRefused(), 0, c.logs.linesContaining(`"append.refused"`))
+}
+
+// Guards against jobs that are all refused since together they are too large for an append.
+func TestJobsThatArriveTogetherFitIntoAppends(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newSmallStoreCluster(t, 4<<10, 4<<10)
+		defer c.close()
+		c.world.SlowAppends(100 * time.Millisecond)
+		payload := machines.Work(time.Second, false, false) + " " + strings.Repeat("x", 1000)
+		accepted := make(chan bool, 30)
+		for n := range cap(accepted) {
+			go func() {
+				j := pool.Job{ID: jobID(n), Payload: payload, Steps: []pool.StepSpec{{Count: 2, Need: pool.Resources{CPU: 100, Mem: 10}}}}
+				accepted <- c.submit(j, c.anyMember)
+			}()
+		}
+		for range cap(accepted) {
+			assert.Assert(t, <-accepted, "a job was not accepted")
+		}
+		time.Sleep(30 * time.Second)
+		c.assertAllEnded()
+	})
+}
--- a/node/owner.go
+++ b/node/owner.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -130,7 +131,8 @@
 func (o *ownership) close() {
 	o.cancel()
 	o.updateCrashMetrics(0, 0) // the next owner reports them
-	for _, s := range o.saves.take() {
+	waiting, _ := o.saves.take(math.MaxInt)
+	for _, s := range waiting {
 		answerAll(s.waiting, errNotOwner)
 	}
 }
--- a/node/recordsize.go
+++ b/node/recordsize.go
@@ -12,10 +12,17 @@
 	// defaultMaxRecord and defaultMaxAppend apply if the settings name no limits of the store.
 	defaultMaxRecord = 256 << 10
 	defaultMaxAppend = 2 << 20
+	// preferredAppend is the size in bytes up to which records are put into one append, even if the store
+	// accepts more: other appends to the stream wait for it, and it has to be answered within appendTimeout.
+	preferredAppend = 512 << 10
 	// refusalLogInterval is the minimum time between two log lines about the same refused append.
 	refusalLogInterval = time.Second
 )
 
+// appendLimit returns the size of the largest append that this instance sends, in bytes. A single record may
+// exceed it.
+func (n *Node) appendLimit() int { return min(preferredAppend, n.opts.MaxAppend) }
+
 // appendSize describes an append for logs and metrics.
 type appendSize struct {
 	records, bytes int
--- a/node/saves.go
+++ b/node/saves.go
@@ -39,6 +39,9 @@
 	heartbeat
 	intakeSave
 	queueSave
+	// partialSave is the beginning of a save that is too large for one append. The rest, of the save's own
+	// kind, follows in later appends.
+	partialSave
 )
 
 // saveDone reports that the store holds a save, or why it never will. The field certain is set if
@@ -68,15 +71,48 @@
 	}
 }
 
-// take removes and returns all waiting saves, except for records that their callers have withdrawn.
-func (q *saveQueue) take() []pendingSave {
+// take removes and returns the oldest waiting saves, as many as fit into an append of maxBytes, and reports
+// whether there are more. A save that doesn't fit is cut: a part of its records is returned, the rest
+// remains the oldest save. At least one record is returned whatever its size. Records that their callers
+// have withdrawn are dropped.
+func (q *saveQueue) take(maxBytes int) (batch []pendingSave, more bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	batch := slices.DeleteFunc(q.waiting, func(s pendingSave) bool {
-		return s.kind == intakeSave && !s.waiting[0].take()
-	})
+	room := maxBytes
+	for len(q.waiting) > 0 {
+		s := &q.waiting[0]
+		fitting := s.recordsWithin(room)
+		if fitting == 0 && len(batch) == 0 && len(s.records) > 0 {
+			fitting = 1
+		}
+		if fitting == 0 && len(s.records) > 0 {
+			return batch, true
+		}
+		if s.kind == intakeSave && !s.waiting[0].take() {
+			q.waiting = q.waiting[1:]
+			continue
+		}
+		taken := s.records[:fitting]
+		room -= sizeOf(taken).bytes
+		if fitting < len(s.records) {
+			s.records = s.records[fitting:]
+			return append(batch, pendingSave{kind: partialSave, records: taken}), true
+		}
+		batch = append(batch, *s)
+		q.waiting = q.waiting[1:]
+	}
 	q.waiting = nil
-	return batch
+	return batch, false
+}
+
+// recordsWithin returns how many of the save's records, from the first on, fit into maxBytes.
+func (s *pendingSave) recordsWithin(maxBytes int) int {
+	for i := range s.records {
+		if maxBytes -= pool.RecordOverhead + s.records[i].Size(); maxBytes < 0 {
+			return i
+		}
+	}
+	return len(s.records)
 }
 
 // submit stores a caller's record, in one append together with all others that arrive while the
@@ -160,7 +196,7 @@
 		o.heartbeatPending = false
 	case intakeSave:
 		o.intakeStored(e.pendingSave)
-	case queueSave:
+	case queueSave, partialSave:
 	default:
 		o.step(pool.Saved{Seq: e.seq})
 	}
@@ -178,9 +214,9 @@
 	refusalLoggedAt time.Duration
 }
 
-// saveLoop appends the queued saves, each time all that have been added since the last append.
-// Otherwise callers' records and ends of tasks would be stored alternately, and each would wait
-// twice as long on a slow store, where an append takes 156 ms.
+// saveLoop appends the queued saves, each time all that have been added since the last append, up to
+// the limit of an append. With fewer of them in an append, callers' records and ends of tasks would be
+// stored alternately, and each would wait twice as long on a slow store, where an append takes 156 ms.
 func (o *ownership) saveLoop() {
 	a := appender{own: o, completed: make(chan *inFlightAppend, maxAppendsInFlight), probes: make(chan time.Duration, 1)}
 	first := make(chan struct{})
@@ -273,8 +309,8 @@
 }
 
 func (a *appender) send() {
-	a.waiting = false
-	batch := a.own.saves.take()
+	var batch []pendingSave
+	batch, a.waiting = a.own.saves.take(a.own.pc.node.appendLimit())
 	if len(batch) == 0 {
 		return
 	}
--- a/node/start_bench_test.go
+++ b/node/start_bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"syscall"
 	"testing"
 	"time"
@@ -53,7 +54,8 @@
 			o.step(pool.HoldAnswered{Worker: w.ID, SentAt: now, ClockMs: unixMs(), Ended: ends[w.ID]})
 			delete(ends, w.ID)
 		}
-		for _, s := range o.saves.take() {
+		saves, _ := o.saves.take(math.MaxInt)
+		for _, s := range saves {
 			o.step(pool.Saved{Seq: s.seq})
 		}
 	}
--- a/pool/events.go
+++ b/pool/events.go
@@ -315,7 +315,8 @@
 // Size returns the size of the record as the store counts it, in bytes: with the length of its key.
 func (r Record) Size() int { return 1 + len(r.Key) + len(r.Value) }
 
-// Save stores records atomically and after every earlier Save.
+// Save stores records after those of every earlier Save. If they don't fit into one append, they are stored in
+// several, in their order.
 type Save struct {
 	Seq     uint64
 	Records []Record
