pool: keep a job's progress in records that the store accepts

With one rack of six workers lost for 4.5 s under a job of 3,500 tasks the pool of the whole service stops.

Cause: a job's progress was one record, whatever its size. The store's refusal of that record is repeated with all later saves behind it, and the next owner builds the same record. Ruled out: the total of the append (447,000 of 2,097,152 bytes) and an outage of the store.

Once the progress exceeds a record, it is stored in parts: one record for at most 32 tasks, fewer if the store takes smaller records, and a save holds only the parts that have changed. What a task may add is bounded: 15 crashes (the oldest outages go first), 100 failed runs or the queue's attempts, the newest failed run alone for tasks that last, checkpoints of 1 KiB. Finished occurrences are a number. The job's own record says that there are parts and repeats which tasks are done. The order of the records makes each beginning of a save a state that can be restored. A job whose progress doesn't fit all the same fails alone, with that reason.

Rolling upgrades: as long as the progress fits into a record, it is stored as before. An older version ignores the keys of parts. It reads which tasks are done, and starts counting crashes, attempts and checkpoints anew; of a repeated job it doesn't know the finished occurrences and runs them again. Both only concern jobs that it can't record at all. Once it has written the job's record, the parts don't count any more and are removed.

Evidence: TestRackLossUnderALargeJobDoesNotStopItsPool and TestFailuresOfLongRunningTasksTakeNoMoreSpace fail without the change (the large job is "running" a minute later; 300 failures take more space than 200).

--- a/node/largejobs_test.go
+++ b/node/largejobs_test.go
@@ -1,6 +1,7 @@
 package node_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -43,6 +44,38 @@
 	assert.Equal(c.t, c.world.SizesRefused(), 0, c.logs.linesContaining(`"append.refused"`))
 }
 
+// Guards against a large job whose progress outgrows a record once a rack is lost under it, so that
+// nothing of its pool is stored any more.
+func TestRackLossUnderALargeJobDoesNotStopItsPool(t *testing.T) {
+	for _, kill := range []bool{false, true} {
+		t.Run(fmt.Sprintf("owner killed %t", kill), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				c := newSmallStoreCluster(t, 16<<10, 128<<10)
+				defer c.close()
+				large := pool.StepSpec{Count: 500, Need: pool.Resources{CPU: 100, Mem: 10}, EstimateMs: 8000, Label: labelledKind}
+				c.submitJob(jobID(1), machines.Work(8*time.Second, false, false), large)
+				time.Sleep(4 * time.Second)
+				c.world.Restart(4500*time.Millisecond, c.world.Rack("r0")...)
+				for n := range 20 {
+					c.submitJob(jobID(100+n), machines.Work(time.Second, false, false), crashStep(4))
+					time.Sleep(time.Second)
+					if kill && n%6 == 5 {
+						c.kill("a")
+						c.kill("b")
+						time.Sleep(500 * time.Millisecond)
+						c.restart("a")
+						c.restart("b")
+					}
+				}
+				time.Sleep(60 * time.Second)
+				c.assertState(jobID(1), pool.Completed)
+				c.assertAllEnded()
+			})
+		})
+	}
+}
+
 // Guards against jobs that are all refused since together they are too large for an append.
 func TestJobsThatArriveTogetherFitIntoAppends(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/node/owner.go
+++ b/node/owner.go
@@ -114,7 +114,7 @@
 	opts := pc.node.opts
 	o.core = pool.New(pool.Settings{
 		Pool: pc.topic.Part, Token: c.Epoch, Generation: c.Generation, MaxLease: opts.MaxLease, StopTimeout: opts.StopTimeout, EndedRetention: endedJobRetention,
-		MaxWorkerConns: opts.MaxWorkerConns,
+		MaxWorkerConns: opts.MaxWorkerConns, MaxRecord: opts.MaxRecord,
 	}, pc.node.now())
 	o.adviceQueue = newAdviceQueue(o)
 	o.starts.own = o
@@ -153,27 +153,37 @@
 		o.setOrganisations(cfg)
 		o.requestConfiguredQueues(cfg)
 	}
-	var later []pool.Event
+	o.loadRecords()
+	close(o.ready)
+	o.sendWaves()
+	o.passWorkerList()
+}
+
+// loadRecords passes the records of the copy to the core: first the jobs, then their progress, its parts, and
+// what refers to tasks.
+func (o *ownership) loadRecords() {
+	phases := make([][]pool.Event, 4)
 	for _, rec := range o.pc.replica.inOrder() {
 		ev, err := decodeEvent(rec.Record, fromStore)
-		switch {
-		case err != nil:
+		if err != nil {
 			o.pc.reportBadRecord(rec, err)
-		case ev == nil:
+			continue
+		}
+		switch ev.(type) {
+		case nil:
+		case pool.JobStored:
+			phases[0] = append(phases[0], ev)
+		case pool.ProgressStored:
+			phases[1] = append(phases[1], ev)
+		case pool.ProgressPartStored:
+			phases[2] = append(phases[2], ev)
 		default:
-			if _, isJob := ev.(pool.JobStored); isJob {
-				o.step(ev)
-			} else {
-				later = append(later, ev)
-			}
+			phases[3] = append(phases[3], ev)
 		}
 	}
-	for _, ev := range later {
+	for _, ev := range slices.Concat(phases...) {
 		o.step(ev)
 	}
-	close(o.ready)
-	o.sendWaves()
-	o.passWorkerList()
 }
 
 // applyRecords passes new records to the core. The owner reads its own records too; they are
--- a/node/replica.go
+++ b/node/replica.go
@@ -94,10 +94,11 @@
 	return nil, err
 }
 
-// Prefixes and suffix of the JSON that pool.Encode produces for jobs and progress.
+// Prefixes and suffix of the JSON that pool.Encode produces for jobs, progress and its parts.
 var (
 	jobPrefix      = []byte(`{"id":"`)
 	progressPrefix = []byte(`{"s":"`)
+	partPrefix     = []byte(`{"t":[{`)
 	recordSuffix   = []byte(`}`)
 	// negativeNumber never occurs in valid progress, whose numbers count from 0.
 	negativeNumber = []byte(`:-`)
@@ -118,6 +119,8 @@
 		return ok && len(rest) > len(id) && string(rest[:len(id)]) == id && rest[len(id)] == '"'
 	case pool.ProgressRecord:
 		return bytes.HasPrefix(rec.Value, progressPrefix) && !bytes.Contains(rec.Value, negativeNumber)
+	case pool.ProgressPartRecord:
+		return bytes.HasPrefix(rec.Value, partPrefix) && !bytes.Contains(rec.Value, negativeNumber)
 	}
 	return false
 }
@@ -256,6 +259,16 @@
 			return nil, errors.Wrap(err, "progress")
 		}
 		return eventIfValid(e, e.Progress.Check())
+	case pool.ProgressPartRecord:
+		e := pool.ProgressPartStored{}
+		var ok bool
+		if e.Job, e.Part, ok = pool.ParseProgressPart(id); !ok {
+			return nil, errors.Errorf("progress part %q", id)
+		}
+		if err := json.Unmarshal(rec.Value, &e.ProgressPart); err != nil {
+			return nil, errors.Wrap(err, "progress part")
+		}
+		return eventIfValid(e, e.Check())
 	case pool.CancelRecord:
 		return pool.CancelStored{Job: id}, nil
 	case pool.WaveRecord:
--- a/pool/core.go
+++ b/pool/core.go
@@ -22,6 +22,8 @@
 	StopTimeout time.Duration
 	// MaxWorkerConns is how many connections to workers the owner may have open; 0: no limit.
 	MaxWorkerConns int
+	// MaxRecord is the size of the largest record that the store accepts, in bytes; 0: no limit.
+	MaxRecord int
 	// EndedRetention is how long the state of an ended job can be queried.
 	EndedRetention time.Duration
 }
@@ -195,6 +197,8 @@
 		c.addJob(e)
 	case ProgressStored:
 		c.restore(e)
+	case ProgressPartStored:
+		c.restorePart(e)
 	case CancelStored:
 		c.cancelJob(e.Job)
 	case QueuesChanged:
@@ -292,9 +296,9 @@
 	c.saveSeq++
 	save := Save{Seq: c.saveSeq}
 	for _, j := range c.dirty {
+		save.Records = append(save.Records, c.progressRecords(j)...)
 		j.dirty = false
 		j.savedIn = c.saveSeq
-		save.Records = append(save.Records, Record{Key: ProgressKey(j.ID), Value: Encode(j.progress())})
 		save.Records = append(save.Records, c.dropRecords(j)...)
 	}
 	jobs := c.dirty
--- a/pool/crashes.go
+++ b/pool/crashes.go
@@ -193,6 +193,7 @@
 	early := l.running && l.lived <= earlyLife
 	t.crashes = append(t.crashes, Crash{Worker: w.id, Born: w.born, Run: l.number, LivedMs: l.lived.Milliseconds(), Early: early, Outage: outage && !early, Doubtful: l.doubtful,
 		Isolated: l.isolated && l.running && !outage && (w.confirmed || t.onLastStart())})
+	t.dropOldOutages()
 	t.crashedAt = c.now
 	c.suspects[t] = true
 	c.crashesChanged(t, wasQuarantined)
@@ -202,6 +203,18 @@
 	}
 }
 
+// dropOldOutages limits the number of a task's crashes: many outages in a row tell no more about the task than
+// a few. Others than outages are few, as the task is given up.
+func (t *task) dropOldOutages() {
+	for len(t.crashes) > maxKeptCrashes {
+		i := slices.IndexFunc(t.crashes, func(x Crash) bool { return x.Outage })
+		if i < 0 {
+			return
+		}
+		t.crashes = slices.Delete(slices.Clone(t.crashes), i, i+1)
+	}
+}
+
 // crashesChanged makes the next save hold the task's crashes, and quarantines the task if they ask for it.
 func (c *Core) crashesChanged(t *task, wasQuarantined bool) {
 	c.markDirty(t.step.job)
--- a/pool/ends.go
+++ b/pool/ends.go
@@ -12,6 +12,9 @@
 // setCheckpoint stores a task's newest checkpoint. A gang's checkpoint is shared by all
 // members.
 func (t *task) setCheckpoint(checkpoint string) {
+	if len(checkpoint) > maxCheckpoint {
+		checkpoint = ""
+	}
 	if t.step.spec.Gang {
 		t = t.step.tasks[0]
 	}
@@ -133,13 +136,28 @@
 	if slices.Contains(t.failed, number) {
 		return
 	}
-	t.failed = append(t.failed, number)
+	attempts := c.queues[s.job.Queue].Attempts
+	t.recordFailure(number, attempts)
 	s.maxFailures = max(s.maxFailures, len(t.failed))
-	if attempts := c.queues[s.job.Queue].Attempts; !s.spec.LongRunning && attempts > 0 && len(t.failed) >= attempts {
+	if !s.spec.LongRunning && attempts > 0 && len(t.failed) >= attempts {
 		c.failJob(s.job, failedTooOften)
 	}
 }
 
+// recordFailure adds a failed run. Tasks that run until their job is cancelled may fail any number of times,
+// and of their failures only the newest is kept.
+func (t *task) recordFailure(number, attempts int) {
+	keep := max(maxKeptFailures, attempts)
+	if t.step.spec.LongRunning {
+		keep = 1
+	}
+	t.failed = append(t.failed, number)
+	if excess := len(t.failed) - keep; excess > 0 {
+		slices.Sort(t.failed)
+		t.failed = slices.Clone(t.failed[excess:])
+	}
+}
+
 // stopGang stops the remaining members of a gang's run, since they can only run together.
 func (c *Core) stopGang(s *step, reason string) {
 	for _, m := range s.tasks {
--- /dev/null
+++ b/pool/parts_test.go
@@ -0,0 +1,317 @@
+package pool
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// storedJob is what the store holds of a job's progress, by key.
+type storedJob map[string]string
+
+func (s storedJob) apply(records []Record) {
+	for _, r := range records {
+		if len(r.Value) == 0 {
+			delete(s, r.Key)
+		} else {
+			s[r.Key] = string(r.Value)
+		}
+	}
+}
+
+// partsSettings are those of a core whose records hold the progress of two tasks.
+var partsSettings = Settings{MaxRecord: 2 * maxTaskProgress, EndedRetention: time.Minute}
+
+// repeatedJob has occurrences of a step of single tasks and a gang.
+func repeatedJob() Job {
+	gang := smallStep(5)
+	gang.Gang, gang.After = true, []int{0}
+	steps := []StepSpec{smallStep(43), gang}
+	return Job{ID: "a/b", Queue: "q", Service: "s", Payload: "p", Steps: steps, Repeat: 4, IntervalMs: 1}
+}
+
+// restoredJob returns the job as a new owner restores it from the store.
+func (s storedJob) restoredJob(t *testing.T, spec Job) (*Core, *job) {
+	c := New(partsSettings, time.Hour)
+	c.unixMs = 1_000_000
+	c.addJob(JobStored{Job: spec, Inherited: true})
+	if value, ok := s[ProgressKey(spec.ID)]; ok {
+		var p Progress
+		assert.NilError(t, json.Unmarshal([]byte(value), &p))
+		assert.NilError(t, p.Check())
+		c.restore(ProgressStored{Job: spec.ID, Progress: p})
+	}
+	keys := slices.Sorted(maps.Keys(s))
+	slices.Reverse(keys) // the order of the parts doesn't matter
+	for _, key := range keys {
+		if kind, suffix := ParseKey(key); kind == ProgressPartRecord {
+			e := ProgressPartStored{}
+			var ok bool
+			e.Job, e.Part, ok = ParseProgressPart(suffix)
+			assert.Assert(t, ok, key)
+			assert.NilError(t, json.Unmarshal([]byte(s[key]), &e.ProgressPart))
+			assert.NilError(t, e.Check())
+			c.restorePart(e)
+		}
+	}
+	return c, c.jobs[spec.ID]
+}
+
+// changeTasks changes the progress of some tasks at random. More and more of them are done.
+func changeTasks(rng *rand.Rand, j *job) {
+	for _, occ := range j.occurrences {
+		for _, s := range occ.steps {
+			for i, t := range s.tasks {
+				switch n := rng.IntN(20); {
+				case t.done:
+				case n == 0 && s.spec.Gang:
+					for _, m := range s.tasks {
+						s.markDone(m)
+					}
+				case !s.spec.Gang && (n == 0 || n < 6 && s.id.K == 0):
+					s.markDone(t)
+				case n == 1 && (i == 0 || !s.spec.Gang):
+					t.failed = append(t.failed, len(t.failed)+1)
+				case n == 2 && (i == 0 || !s.spec.Gang):
+					t.newestCheckpoint = fmt.Sprint("checkpoint ", rng.IntN(100))
+				case n > 12 && len(t.crashes) < minSingleCrashes:
+					t.crashes = append(t.crashes, Crash{Worker: strings.Repeat("w", 150), Run: len(t.crashes) + 1, Outage: true})
+				case n == 4:
+					t.crashes, t.uncounted = nil, false
+				case n == 5:
+					t.uncounted = true
+				}
+			}
+		}
+	}
+}
+
+// doneTasks returns the done tasks of a job.
+func doneTasks(j *job) map[TaskID]bool {
+	done := map[TaskID]bool{}
+	for _, occ := range j.occurrences {
+		for _, s := range occ.steps {
+			for _, t := range s.tasks {
+				if t.done {
+					done[t.id()] = true
+				}
+			}
+		}
+	}
+	return done
+}
+
+// assertBetween fails the test unless what was restored is done in the newer state, and includes what was
+// done in the older one.
+func assertBetween(t *testing.T, older, restored, newer map[TaskID]bool) {
+	t.Helper()
+	for id := range older {
+		assert.Assert(t, restored[id], "task %v was stored as done and isn't restored", id)
+	}
+	for id := range restored {
+		assert.Assert(t, newer[id], "task %v is restored as done", id)
+	}
+}
+
+// Guards against progress in parts of which a new owner restores something else than was stored: after
+// each save, after any of its appends, and by a version that doesn't read parts. That version misses only
+// finished occurrences.
+func TestProgressInPartsIsRestored(t *testing.T) {
+	for seed := range uint64(40) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		stored, spec := storedJob{}, repeatedJob()
+		c, j := stored.restoredJob(t, spec)
+		inParts := false
+		for range 12 {
+			before := doneTasks(j)
+			changeTasks(rng, j)
+			after := doneTasks(j)
+			records := c.progressRecords(j)
+			for _, r := range records {
+				assert.Assert(t, c.fits(r), "%s has %d bytes", r.Key, r.Size())
+			}
+			for range 3 {
+				n := rng.IntN(len(records))
+				partly := maps.Clone(stored)
+				partly.apply(records[:n])
+				_, restored := partly.restoredJob(t, spec)
+				assertBetween(t, before, doneTasks(restored), after)
+				older, _ := partly.legacyJob(t, spec)
+				legacyBefore := maps.Clone(before)
+				maps.DeleteFunc(legacyBefore, func(id TaskID, _ bool) bool { return id.K < j.finishedBefore })
+				assertBetween(t, legacyBefore, doneTasks(older), after)
+			}
+			stored.apply(records)
+			inParts = inParts || j.inParts
+			next, restored := stored.restoredJob(t, spec)
+			assert.DeepEqual(t, restored.progress(), j.progress())
+			if rng.IntN(2) == 0 {
+				c, j = next, restored
+			}
+			if rng.IntN(4) == 0 { // an instance of an older version owns the pool for a while
+				older, legacy := stored.legacyJob(t, spec)
+				changeTasks(rng, older)
+				stored.apply([]Record{{Key: ProgressKey(spec.ID), Value: legacy(older)}})
+				c, j = stored.restoredJob(t, spec)
+				assert.DeepEqual(t, doneTasks(j), doneTasks(older))
+			}
+		}
+		j.state = Completed
+		stored.apply(c.progressRecords(j))
+		assert.DeepEqual(t, slices.Collect(maps.Keys(stored)), []string{ProgressKey(spec.ID)})
+		assert.Assert(t, inParts, "seed %d never stores parts", seed)
+	}
+}
+
+// legacyStep has the fields of a StepProgress that versions without parts know.
+type legacyStep struct {
+	K       int             `json:"k,omitempty"`
+	Step    int             `json:"i"`
+	Done    string          `json:"d,omitempty"`
+	All     bool            `json:"all,omitempty"`
+	Failed  map[int][]int   `json:"f,omitempty"`
+	Saved   map[int]string  `json:"c,omitempty"`
+	Crashes map[int][]Crash `json:"x,omitempty"`
+}
+
+// legacyProgress has the fields of a Progress that versions without parts know.
+type legacyProgress struct {
+	State State        `json:"s"`
+	Steps []legacyStep `json:"t,omitempty"`
+}
+
+// legacyJob returns the job as a version without parts restores it, and how that version stores it.
+func (s storedJob) legacyJob(t *testing.T, spec Job) (*job, func(*job) []byte) {
+	c := New(Settings{EndedRetention: time.Minute}, time.Hour)
+	c.unixMs = 1_000_000
+	c.addJob(JobStored{Job: spec, Inherited: true})
+	if value, ok := s[ProgressKey(spec.ID)]; ok {
+		var known legacyProgress
+		assert.NilError(t, json.Unmarshal([]byte(value), &known))
+		var p Progress
+		assert.NilError(t, json.Unmarshal(Encode(known), &p))
+		c.restore(ProgressStored{Job: spec.ID, Progress: p})
+	}
+	return c.jobs[spec.ID], func(j *job) []byte {
+		var known legacyProgress
+		assert.NilError(t, json.Unmarshal(Encode(j.progress()), &known))
+		return Encode(known)
+	}
+}
+
+// Guards against a task that runs until its job is cancelled and fails again and again, so that its failures
+// outgrow a record.
+func TestFailuresOfLongRunningTasksTakeNoMoreSpace(t *testing.T) {
+	r := newRig(t, newWorkerInfo("w1"))
+	r.answerHold("w1", nil)
+	step := smallStep(1)
+	step.LongRunning = true
+	r.submitJob("j", step)
+	size := 0
+	for n := range 300 {
+		starts := r.acceptStarts()
+		assert.Equal(t, len(starts), 1, "after %d failures", n)
+		end := EndedRun{Number: uint64(n + 1), Task: starts[0].Task, Run: starts[0].Run, How: RunFailed}
+		r.answerHold("w1", nil, end)
+		r.advance(saveInterval)
+		for _, s := range takeActions[Save](r) {
+			for _, rec := range s.Records {
+				if n >= 200 && size == 0 {
+					size = rec.Size()
+				}
+				assert.Assert(t, n < 200 || rec.Size() <= size, "%d bytes after %d failures, %d after 200", rec.Size(), n, size)
+			}
+			r.step(Saved{Seq: s.Seq})
+		}
+		r.advance(time.Second)
+	}
+	assert.Assert(t, size > 0, "nothing was stored")
+	state, _ := r.core.JobState("j")
+	assert.Equal(t, state, Running)
+}
+
+// Guards against a job whose finished occurrences outgrow a record.
+func TestFinishedOccurrencesTakeNoMoreSpace(t *testing.T) {
+	c := New(partsSettings, time.Hour)
+	c.unixMs = 1_000_000_000
+	c.addJob(JobStored{Job: Job{ID: "j", Queue: "q", Steps: []StepSpec{smallStep(1), smallStep(2)}, Repeat: 5000, IntervalMs: 1}})
+	j := c.jobs["j"]
+	stored, largest := storedJob{}, 0
+	for k, occ := range j.occurrences {
+		for _, s := range occ.steps {
+			for _, x := range s.tasks {
+				s.markDone(x)
+			}
+		}
+		if k%50 != 0 || k == 0 {
+			continue
+		}
+		stored.apply(c.progressRecords(j))
+		total := 0
+		for key, value := range stored {
+			total += len(key) + len(value)
+		}
+		largest = max(largest, total)
+	}
+	assert.Assert(t, largest <= 2*partsSettings.MaxRecord, "%d bytes", largest)
+	_, restored := stored.restoredJob(t, j.Job)
+	assert.Equal(t, restored.firstUnfinished(), 4951)
+}
+
+// Guards against outages that outgrow a record: each rack that is lost under a task adds a crash.
+func TestOutagesUnderATaskTakeNoMoreSpace(t *testing.T) {
+	x := &task{}
+	for n := range 3 * maxKeptCrashes {
+		x.crashes = append(x.crashes, Crash{Worker: fmt.Sprint("w", n), Run: n + 1, Outage: n != 1})
+		x.dropOldOutages()
+	}
+	assert.Equal(t, len(x.crashes), maxKeptCrashes)
+	assert.Equal(t, x.outages(), maxKeptCrashes-1)
+	assert.Assert(t, x.isQuarantined())
+}
+
+// Guards against a pool that stops since the progress of one job can't be stored even in parts.
+func TestJobWhoseProgressCantBeStoredFailsAlone(t *testing.T) {
+	r := newRig(t, newWorkerInfo("w1"))
+	r.core.settings.MaxRecord = 400
+	r.answerHold("w1", nil)
+	r.submitJob("large", smallStep(1))
+	r.submitJob("small", smallStep(1))
+	starts := r.acceptStarts()
+	assert.Equal(t, len(starts), 2)
+	r.core.jobs["large"].occurrences[0].steps[0].tasks[0].newestCheckpoint = strings.Repeat("x", 500)
+	r.answerHold("w1", nil, EndedRun{Number: 1, Task: starts[0].Task, Run: 1, How: RunFailed}, EndedRun{Number: 2, Task: starts[1].Task, Run: 1, How: Done})
+	r.advance(saveInterval)
+	r.confirmSaves()
+	for id, want := range map[string]State{"large": Failed, "small": Completed} {
+		state, _ := r.core.JobState(id)
+		assert.Equal(t, state, want, id)
+	}
+}
+
+// Guards against a part that doesn't fit into a record although each of its tasks is bounded.
+func TestProgressOfATaskIsBounded(t *testing.T) {
+	s := &step{spec: &StepSpec{}, id: StepID{K: 1 << 30, Step: 1 << 30}, remaining: 1}
+	x := &task{step: s}
+	s.tasks = []*task{x}
+	const largest = 1 << 40
+	crash := Crash{Worker: strings.Repeat("w", MaxWorkerID), Born: largest, Run: largest, LivedMs: maxBlamedLife.Milliseconds(), Early: true, Outage: true, Doubtful: true, Isolated: true}
+	for n := range 2 * maxKeptFailures {
+		x.recordFailure(largest+n, 3)
+		x.crashes = append(x.crashes, crash)
+		x.dropOldOutages()
+	}
+	x.inheritedRun, x.uncounted = crash, true
+	x.setCheckpoint(strings.Repeat("c", maxCheckpoint))
+	p, _ := s.taskProgress(0, 1)
+	assert.Assert(t, len(Encode(p)) < maxTaskProgress, "%d bytes", len(Encode(p)))
+	x.setCheckpoint(strings.Repeat("c", maxCheckpoint+1))
+	assert.Equal(t, x.newestCheckpoint, "")
+}
--- a/pool/records.go
+++ b/pool/records.go
@@ -1,9 +1,11 @@
 package pool
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"maps"
 	"slices"
 	"strings"
 
@@ -20,6 +22,8 @@
 	silentPrefix   = "s/"
 	queuePrefix    = "q/"
 	capSharePrefix = "u/"
+	// progressPartPrefix must not begin with another prefix: older versions would take the record for theirs.
+	progressPartPrefix = "t/"
 	// OwnerKey holds the claim of the pool's owner.
 	OwnerKey = "owner"
 	// TrackedWorkersKey holds the workers on which the owner may have started tasks.
@@ -42,6 +46,9 @@
 // store limits keys to 255 bytes.
 const maxNameInKey = 200
 
+// MaxWorkerID is the maximum length of a worker's ID, which is part of a key, in bytes.
+const MaxWorkerID = maxNameInKey
+
 // QueueKey returns the key that records whether the pool accepts jobs of a queue.
 func QueueKey(queue string) string { return queuePrefix + shortened(queue) }
 
@@ -72,11 +79,12 @@
 	SilentRecord
 	QueueRecord
 	CapShareRecord
+	ProgressPartRecord
 )
 
 // String returns the kind's name in metrics.
 func (k KeyKind) String() string {
-	return [...]string{"other", "job", "progress", "cancellation", "owner", "tracked_workers", "wave", "silence", "queue", "cap_share"}[k]
+	return [...]string{"other", "job", "progress", "cancellation", "owner", "tracked_workers", "wave", "silence", "queue", "cap_share", "progress_part"}[k]
 }
 
 // ParseWave returns the wave number in the key of a wave.
@@ -104,6 +112,8 @@
 		return QueueRecord, key[len(queuePrefix):]
 	case strings.HasPrefix(key, capSharePrefix):
 		return CapShareRecord, key[len(capSharePrefix):]
+	case strings.HasPrefix(key, progressPartPrefix):
+		return ProgressPartRecord, key[len(progressPartPrefix):]
 	case strings.HasPrefix(key, cancelPrefix):
 		return CancelRecord, key[len(cancelPrefix):]
 	}
@@ -138,16 +148,23 @@
 	GivenUp *GivenUp `json:"g,omitempty"`
 	// Organisation is the job's once it has ended, since its specification is removed then.
 	Organisation string `json:"o,omitempty"`
+	// InParts is set if the progress is in records of its own, see ProgressPart. Steps then only repeats
+	// which tasks are done, as far as there was room.
+	InParts bool `json:"ip,omitempty"`
+	// FinishedBefore is the first occurrence that isn't finished, if InParts is set.
+	FinishedBefore int `json:"fb,omitempty"`
 }
 
 // StepProgress is the stored progress of a step of which a run has ended, or may have ended.
 type StepProgress struct {
 	K    int `json:"k,omitempty"`
 	Step int `json:"i"`
-	// Done holds a 1 for each task that is done. It is set only while some tasks are done and
-	// others aren't; All replaces it.
+	// Done holds a 1 for each task that is done, beginning with the task From. All replaces it if all tasks
+	// of the step are done.
 	Done string `json:"d,omitempty"`
-	All  bool   `json:"all,omitempty"`
+	// From is the ordinal of the first task in Done. It is 0 unless the progress is in parts.
+	From int  `json:"b,omitempty"`
+	All  bool `json:"all,omitempty"`
 	// Failed holds the numbers of the failed runs by task; entry 0 holds those of a gang.
 	Failed map[int][]int `json:"f,omitempty"`
 	// Saved holds the newest checkpoint by task; entry 0 holds that of a gang.
@@ -174,13 +191,33 @@
 		return errors.New("progress: unknown state")
 	}
 	for _, s := range p.Steps {
-		if s.K < 0 || s.Step < 0 {
-			return errors.New("progress: negative occurrence or step number")
+		if err := s.check(); err != nil {
+			return err
+		}
+	}
+	if p.FinishedBefore < 0 {
+		return errors.New("progress: negative number of occurrences")
+	}
+	return nil
+}
+
+// Check returns an error if the part is invalid.
+func (p ProgressPart) Check() error {
+	for _, s := range p.Steps {
+		if err := s.check(); err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
+func (p StepProgress) check() error {
+	if p.K < 0 || p.Step < 0 || p.From < 0 {
+		return errors.New("progress: negative occurrence, step or task number")
+	}
+	return nil
+}
+
 // Encode returns the stored form of a value of this package.
 func Encode(v any) []byte {
 	data, err := json.Marshal(v)
@@ -245,19 +282,46 @@
 }
 
 func (s *step) progress() (StepProgress, bool) {
+	if s.remaining == 0 {
+		return s.doneProgress()
+	}
+	return s.taskProgress(0, len(s.tasks))
+}
+
+// doneProgress returns which tasks of the step are done, and whether any is.
+func (s *step) doneProgress() (StepProgress, bool) {
 	p := StepProgress{K: s.id.K, Step: s.id.Step}
 	if s.remaining == 0 {
 		p.All = true
 		return p, true
 	}
-	done := make([]byte, len(s.tasks))
-	any := false
-	for i, t := range s.tasks {
-		done[i] = '0'
+	p.Done = doneString(s.tasks)
+	return p, p.Done != ""
+}
+
+// doneString returns a 1 for each task that is done and a 0 for each other one; empty: none is done.
+func doneString(tasks []*task) string {
+	done := bytes.Repeat([]byte{'0'}, len(tasks))
+	for i, t := range tasks {
 		if t.done {
 			done[i] = '1'
-			any = true
 		}
+	}
+	if !bytes.Contains(done, []byte{'1'}) {
+		return ""
+	}
+	return string(done)
+}
+
+// taskProgress returns the progress of the tasks with ordinals from one to before another, and whether
+// there is any.
+func (s *step) taskProgress(from, to int) (StepProgress, bool) {
+	p := StepProgress{K: s.id.K, Step: s.id.Step, Done: doneString(s.tasks[from:to])}
+	if p.Done != "" {
+		p.From = from
+	}
+	for i := from; i < to; i++ {
+		t := s.tasks[i]
 		if len(t.failed) > 0 {
 			if p.Failed == nil {
 				p.Failed = map[int][]int{}
@@ -271,38 +335,72 @@
 			p.Saved[i] = t.newestCheckpoint
 		}
 		if t.isSuspect() && !t.done {
-			if len(t.crashes) > 0 {
-				if p.Crashes == nil {
-					p.Crashes = map[int][]Crash{}
-				}
-				p.Crashes[i] = t.crashes
-			}
-			if t.uncounted {
-				p.Uncounted = append(p.Uncounted, i)
-			}
-			if run := t.suspectedRun(); run.Worker != "" {
-				if p.Suspected == nil {
-					p.Suspected = map[int]Crash{}
-				}
-				p.Suspected[i] = run
-			}
+			p.addSuspect(i, t)
+		}
+	}
+	return p, p.Done != "" || p.Failed != nil || p.Saved != nil || p.Crashes != nil || p.Uncounted != nil
+}
+
+// addSuspect adds the crashes of workers under a task.
+func (p *StepProgress) addSuspect(ordinal int, t *task) {
+	if len(t.crashes) > 0 {
+		if p.Crashes == nil {
+			p.Crashes = map[int][]Crash{}
+		}
+		p.Crashes[ordinal] = t.crashes
+	}
+	if t.uncounted {
+		p.Uncounted = append(p.Uncounted, ordinal)
+	}
+	if run := t.suspectedRun(); run.Worker != "" {
+		if p.Suspected == nil {
+			p.Suspected = map[int]Crash{}
+		}
+		p.Suspected[ordinal] = run
+	}
+}
+
+// restoreSteps restores the progress of steps, and creates the occurrences that it is about.
+func (c *Core) restoreSteps(j *job, steps []StepProgress) {
+	j.started = j.started || slices.ContainsFunc(steps, StepProgress.anyStarted)
+	for _, sp := range steps {
+		c.createOccurrencesBefore(j, sp.K+1)
+		if sp.K < len(j.occurrences) && sp.Step < len(j.occurrences[sp.K].steps) {
+			c.restoreStep(j.occurrences[sp.K].steps[sp.Step], sp)
 		}
 	}
-	if any {
-		p.Done = string(done)
+	if j.state.Ended() {
+		return // a task was given up
+	}
+	for _, sp := range steps {
+		if sp.K < len(j.occurrences) {
+			c.markReadySteps(j.occurrences[sp.K])
+		}
+	}
+	c.completeIfDone(j)
+}
+
+// createOccurrencesBefore creates the occurrences before one that a predecessor has created.
+func (c *Core) createOccurrencesBefore(j *job, k int) {
+	for j.created < min(k, j.Occurrences()) {
+		c.createOccurrence(j)
 	}
-	return p, any || p.Failed != nil || p.Saved != nil || p.Crashes != nil || p.Uncounted != nil
 }
 
 func (c *Core) restoreStep(s *step, p StepProgress) {
-	for i, t := range s.tasks {
-		if p.All || (i < len(p.Done) && p.Done[i] == '1') {
-			s.markDone(t)
-			s.occ.started = true
+	s.restoreDone(p)
+	for _, i := range p.ordinals() {
+		if i < 0 || i >= len(s.tasks) {
+			continue
+		}
+		t := s.tasks[i]
+		if numbers, ok := p.Failed[i]; ok {
+			t.failed = numbers
+			s.maxFailures = max(s.maxFailures, len(t.failed))
+		}
+		if checkpoint, ok := p.Saved[i]; ok {
+			t.newestCheckpoint = checkpoint
 		}
-		t.failed = p.Failed[i]
-		s.maxFailures = max(s.maxFailures, len(t.failed))
-		t.newestCheckpoint = p.Saved[i]
 		c.restoreCrashes(t, p.Crashes[i], slices.Contains(p.Uncounted, i))
 		if x, any := p.Suspected[i]; any && !t.done {
 			t.inheritedRun = x
@@ -310,3 +408,28 @@
 		}
 	}
 }
+
+// restoreDone marks the tasks that are done. Those of a gang are done together, but a part may hold only some
+// of them.
+func (s *step) restoreDone(p StepProgress) {
+	if p.All || (s.spec.Gang && strings.Contains(p.Done, "1")) {
+		p.From, p.Done = 0, strings.Repeat("1", len(s.tasks))
+	}
+	for i, done := range []byte(p.Done) {
+		if at := p.From + i; done == '1' && at < len(s.tasks) {
+			s.markDone(s.tasks[at])
+			s.occ.started = true
+		}
+	}
+}
+
+// ordinals returns the tasks about which there is more than whether they are done, in ascending order.
+func (p StepProgress) ordinals() []int {
+	list := slices.Clone(p.Uncounted)
+	list = slices.AppendSeq(list, maps.Keys(p.Failed))
+	list = slices.AppendSeq(list, maps.Keys(p.Saved))
+	list = slices.AppendSeq(list, maps.Keys(p.Crashes))
+	list = slices.AppendSeq(list, maps.Keys(p.Suspected))
+	slices.Sort(list)
+	return slices.Compact(list)
+}
--- a/pool/state.go
+++ b/pool/state.go
@@ -1,9 +1,6 @@
 package pool
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 type job struct {
 	Job
@@ -28,6 +25,12 @@
 	// storedAs is the job's position in the order in which the jobs were stored.
 	storedAs int
 	created  int // occurrences that have become due
+	// inParts is set once the job's progress is stored in parts, and parts holds the stored ones. If inParts
+	// isn't set, they have to be removed.
+	inParts bool
+	parts   map[int][]byte
+	// finishedBefore is the result of the last call of firstUnfinished.
+	finishedBefore int
 	// givenUp is the task because of which the job has failed; nil: none.
 	givenUp *GivenUp
 }
@@ -230,28 +233,26 @@
 		c.restoreEnded(e)
 		return
 	}
-	j.started = slices.ContainsFunc(e.Progress.Steps, StepProgress.anyStarted)
 	if e.Progress.State.Ended() {
 		j.state, j.storedState, j.givenUp = e.Progress.State, e.Progress.State, e.Progress.GivenUp
 		c.endJob(j)
 		c.pendingDrops = append(c.pendingDrops, j)
 		return
 	}
-	for _, sp := range e.Progress.Steps {
-		for j.created <= sp.K && j.created < j.Occurrences() {
-			c.createOccurrence(j)
-		}
-		if sp.K < len(j.occurrences) && sp.Step < len(j.occurrences[sp.K].steps) {
-			c.restoreStep(j.occurrences[sp.K].steps[sp.Step], sp)
+	j.inParts = e.Progress.InParts
+	c.restoreFinished(j, e.Progress.FinishedBefore)
+	c.restoreSteps(j, e.Progress.Steps)
+}
+
+// restoreFinished restores that all occurrences before one are finished.
+func (c *Core) restoreFinished(j *job, before int) {
+	c.createOccurrencesBefore(j, before)
+	for _, occ := range j.occurrences[:min(before, len(j.occurrences))] {
+		for _, s := range occ.steps {
+			c.restoreStep(s, StepProgress{All: true})
 		}
 	}
-	if j.state.Ended() {
-		return // a task was given up
-	}
-	for _, occ := range j.occurrences {
-		c.markReadySteps(occ)
-	}
-	c.completeIfDone(j)
+	j.started = j.started || before > 0
 }
 
 // restoreEnded restores a job of which the store holds only the final state. Without it, the
