pool: keep the lists of workers and of silent tasks within a record

A silence record that doesn't fit is removed instead. A successor then waits for the worker's answer or its longest lease, as for a worker that fell silent together with the owner, and logs how many tasks that delays.

Whatever else would exceed a record is logged (record.unstorable) and left out of its save, so that it can't stop the pool. No known record can.

TestSilenceOfAWorkerWithManyTasksIsNotStored covers the other list.

--- a/node/largejobs_test.go
+++ b/node/largejobs_test.go
@@ -97,3 +97,26 @@
 		c.assertAllEnded()
 	})
 }
+
+// Guards against a pool with so many workers that the list of those in use outgrows a record, so that
+// nothing of the pool is stored any more.
+func TestListOfManyWorkersDoesNotStopItsPool(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newSmallStoreCluster(t, 2<<10, 64<<10)
+		defer c.close()
+		for n := range 120 {
+			c.world.AddWorker(pool.Resources{CPU: 4000, Mem: 4000}, "b", fmt.Sprintf("r%d", 2+n%4))
+		}
+		time.Sleep(3 * time.Second)
+		for n := range 10 {
+			c.submitJob(jobID(n), machines.Work(2*time.Second, false, false), crashStep(9))
+			c.kill("a")
+			c.world.Crash(c.world.Workers()[10+n])
+			time.Sleep(time.Second)
+			c.restart("a")
+			time.Sleep(2 * time.Second)
+		}
+		time.Sleep(30 * time.Second)
+		c.assertAllEnded()
+	})
+}
--- a/node/replica.go
+++ b/node/replica.go
@@ -294,7 +294,7 @@
 		_, err := decodeQueueState(rec)
 		return nil, err
 	case pool.TrackedWorkersRecord:
-		var e pool.TrackedWorkersStored
+		e := pool.TrackedWorkersStored{Part: id}
 		if err := decodeList(rec.Value, &e.Workers); err != nil {
 			return nil, err
 		}
--- a/pool/core.go
+++ b/pool/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/knapweedweir/knapweedweir/pool/runtimes"
@@ -55,9 +56,10 @@
 	workers        map[string]*worker
 	workerList     []*worker // in the order in which they were first seen
 	trackedWorkers map[string]TrackedWorker
-	suspects       map[*task]bool  // tasks under which workers have crashed, or may have and that run
-	crashedWorkers []crashedWorker // the recent ones
-	verdicts       []verdict       // oldest first
+	trackedParts   map[string][]byte // the stored parts of the list of tracked workers
+	suspects       map[*task]bool    // tasks under which workers have crashed, or may have and that run
+	crashedWorkers []crashedWorker   // the recent ones
+	verdicts       []verdict         // oldest first
 	// inheritedSuspects are the tasks of which a predecessor stored a run, until the workers are listed.
 	inheritedSuspects []*task
 	plannedRuns       []*run // oldest first
@@ -217,7 +219,7 @@
 		c.listWorkers(e.Workers)
 		c.listedAsOf = e.AsOf
 	case TrackedWorkersStored:
-		c.inheritWorkers(e.Workers)
+		c.inheritWorkers(e)
 	case SilenceStored:
 		c.silenceStored(e)
 	case HoldAnswered:
@@ -311,8 +313,9 @@
 	c.otherRecords = nil
 	if c.trackedChanged {
 		c.trackedChanged = false
-		save.Records = append(save.Records, Record{Key: TrackedWorkersKey, Value: Encode(c.trackedWorkerList())})
+		save.Records = append(save.Records, c.trackedRecords()...)
 	}
+	save.Records = slices.DeleteFunc(save.Records, c.isUnstorable)
 	if len(save.Records) == 0 {
 		c.saveSeq--
 		return
@@ -325,19 +328,6 @@
 	c.emit(save)
 }
 
-func (c *Core) trackedWorkerList() []TrackedWorker {
-	list := []TrackedWorker{}
-	for _, w := range c.workerList {
-		if h, ok := c.trackedWorkers[w.ID]; ok {
-			list = append(list, h)
-			if w.trackedSave == 0 {
-				w.trackedSave = c.saveSeq
-			}
-		}
-	}
-	return list
-}
-
 func (c *Core) saved(seq uint64) {
 	c.savedSeq = max(c.savedSeq, seq)
 	for len(c.pendingSaves) > 0 && c.pendingSaves[0].seq <= seq {
--- a/pool/events.go
+++ b/pool/events.go
@@ -51,7 +51,11 @@
 
 // TrackedWorkersStored restores the list of workers on which a predecessor may have started
 // tasks.
-type TrackedWorkersStored struct{ Workers []TrackedWorker }
+type TrackedWorkersStored struct {
+	Workers []TrackedWorker
+	// Part is the part of the list that Workers is; empty: the list isn't in parts.
+	Part string
+}
 
 // SilenceStored restores a predecessor's silence record: the only tasks that may run on a
 // silent worker.
--- a/pool/parts.go
+++ b/pool/parts.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"maps"
 	"slices"
 	"strconv"
@@ -62,6 +63,16 @@
 	return c.settings.MaxRecord <= 0 || r.Size() <= c.settings.MaxRecord
 }
 
+// isUnstorable reports whether the store would refuse a record at each attempt. It is logged and has to be left
+// out of its save, as the save and all later ones would be refused with it.
+func (c *Core) isUnstorable(r Record) bool {
+	if c.fits(r) {
+		return false
+	}
+	c.emit(LogEntry{Event: "record.unstorable", Reason: fmt.Sprintf("%s: %d bytes, and a record may have %d", r.Key, r.Size(), c.settings.MaxRecord)})
+	return true
+}
+
 // tasksPerPart returns the number of tasks of a part.
 func (c *Core) tasksPerPart() int {
 	if c.settings.MaxRecord <= 0 {
--- a/pool/parts_test.go
+++ b/pool/parts_test.go
@@ -296,6 +296,32 @@
 	}
 }
 
+// Guards against a silence record that outgrows a record of the store. Without one, a successor waits for all
+// that may run there.
+func TestSilenceOfAWorkerWithManyTasksIsNotStored(t *testing.T) {
+	info := newWorkerInfo("w1")
+	info.Capacity = Resources{CPU: 40_000, Mem: 80_000}
+	r := newRig(t, info)
+	r.core.settings.MaxRecord = 1000
+	r.answerHold("w1", nil)
+	r.submitJob("j", smallStep(30))
+	assert.Equal(t, len(r.acceptStarts()), 30)
+	r.now += 2 * time.Second
+	r.failHolds("w1")
+	r.advance(saveInterval)
+	found := false
+	for _, s := range takeActions[Save](r) {
+		for _, rec := range s.Records {
+			assert.Assert(t, rec.Size() <= 1000, "%s has %d bytes", rec.Key, rec.Size())
+			if rec.Key == SilentKey("w1") {
+				found = true
+				assert.Equal(t, len(rec.Value), 0)
+			}
+		}
+	}
+	assert.Assert(t, found, "a former silence record isn't removed")
+}
+
 // Guards against a part that doesn't fit into a record although each of its tasks is bounded.
 func TestProgressOfATaskIsBounded(t *testing.T) {
 	s := &step{spec: &StepSpec{}, id: StepID{K: 1 << 30, Step: 1 << 30}, remaining: 1}
--- a/pool/records.go
+++ b/pool/records.go
@@ -28,6 +28,8 @@
 	OwnerKey = "owner"
 	// TrackedWorkersKey holds the workers on which the owner may have started tasks.
 	TrackedWorkersKey = "held"
+	// trackedPartPrefix is that of the keys that hold the workers if they don't fit into one record.
+	trackedPartPrefix = "held/"
 )
 
 // JobKey returns the key of a submitted job.
@@ -100,6 +102,8 @@
 		return OwnerRecord, ""
 	case key == TrackedWorkersKey:
 		return TrackedWorkersRecord, ""
+	case strings.HasPrefix(key, trackedPartPrefix):
+		return TrackedWorkersRecord, key[len(trackedPartPrefix):]
 	case strings.HasPrefix(key, jobPrefix):
 		return JobRecord, key[len(jobPrefix):]
 	case strings.HasPrefix(key, progressPrefix):
--- a/pool/silence.go
+++ b/pool/silence.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"fmt"
 	"slices"
 	"time"
 )
@@ -56,7 +57,14 @@
 		w.silence.unsaved = false
 		if w.silent {
 			w.silence.stored, w.silence.removalSave = true, 0
-			records = append(records, Record{Key: SilentKey(w.ID), Value: Encode(w.runningTasks())})
+			r := Record{Key: SilentKey(w.ID), Value: Encode(w.runningTasks())}
+			if !c.fits(r) {
+				// Without a record, a successor waits for the worker's answer or its longest lease.
+				c.emit(LogEntry{Event: "silence.not_stored", Worker: w.ID, Runs: len(w.runs),
+					Reason: fmt.Sprintf("%d bytes, and a record may have %d", r.Size(), c.settings.MaxRecord)})
+				r.Value = nil
+			}
+			records = append(records, r)
 			continue
 		}
 		w.silence.removalSave = c.saveSeq
--- a/pool/worker.go
+++ b/pool/worker.go
@@ -180,8 +180,14 @@
 	}
 }
 
-func (c *Core) inheritWorkers(list []TrackedWorker) {
-	for _, h := range list {
+func (c *Core) inheritWorkers(e TrackedWorkersStored) {
+	if e.Part != "" {
+		if c.trackedParts == nil {
+			c.trackedParts = map[string][]byte{}
+		}
+		c.trackedParts[e.Part] = Encode(e.Workers)
+	}
+	for _, h := range e.Workers {
 		w := c.workers[h.ID]
 		if w == nil {
 			w = c.newWorker(WorkerInfo{ID: h.ID})
