node, platform: refuse a job that the store can't hold

Callers: a job whose record exceeds the store's limit was answered with 503 again and again, and each attempt took the jobs of other callers in the same append with it. A job whose steps have more tasks than a record has bytes was accepted, although what is done of it can't be kept in one record.

The size of a job's record and the bytes that the state of its tasks takes are computed at acceptance. If it may be stored already, by an older version, the store decides: accepted, or in doubt. A record that a peer of an older version asks to be stored is refused before it joins an append.

TestJobTooLargeToBeStoredIsRefused: a payload that grows beyond the limit as JSON, and 4,100 tasks with records of 4 KiB; nothing of them is stored, and a repeated request for a stored one is accepted.

--- a/node/intake.go
+++ b/node/intake.go
@@ -28,6 +28,8 @@
 	CantTell
 	// OtherOrganisation means that another organisation has submitted a job with the same ID.
 	OtherOrganisation
+	// TooLarge means that the job was not stored, as the store can't hold it or its progress.
+	TooLarge
 )
 
 const (
@@ -64,6 +66,8 @@
 	// RetryAfter is the time until capacity for the job is expected, if it was refused for lack of
 	// capacity; its verdict is NotRun then. Otherwise it is 0.
 	RetryAfter time.Duration
+	// Reason says why the job is too large, if the verdict is TooLarge.
+	Reason string
 }
 
 // Submit is SubmitJob for callers that don't need to know when to retry.
@@ -74,17 +78,34 @@
 	queue := n.queueRef(&j)
 	part := partOf(j.Service, n.opts.Parts)
 	start := time.Now()
-	v, retryAfter := Accepted, time.Duration(0)
-	if known, org := n.knownJob(ctx, part, j.ID); !known {
-		v, retryAfter = n.persist(ctx, part, pool.Record{Key: pool.JobKey(j.ID), Value: pool.Encode(j)}, queue)
-	} else if !mayAccess(j.Organisation, org) {
-		v = OtherOrganisation
+	rec := pool.Record{Key: pool.JobKey(j.ID), Value: pool.Encode(j)}
+	v, retryAfter, reason := Accepted, time.Duration(0), ""
+	if known, org := n.knownJob(ctx, part, j.ID); known {
+		if !mayAccess(j.Organisation, org) {
+			v = OtherOrganisation
+		}
+	} else if err := j.CheckSize(rec.Size(), n.opts.MaxRecord); err != nil {
+		v, reason = n.refuseTooLarge(ctx, &j), err.Error()
+	} else {
+		v, retryAfter = n.persist(ctx, part, rec, queue)
 	}
 	took := time.Since(start)
 	n.metrics.recordSubmission(j.Organisation, v, took)
 	n.log.Info().Str("job", j.ID).Str("queue", j.Queue).Str("organisation", j.Organisation).Int("pool", part).Int64("version", n.configVersion()).
-		Int64("at_ms", j.AcceptedMs).Dur("took", took).Stringer("verdict", v).Dur("come_back", retryAfter).Msg("job.submitted")
-	return SubmitResult{Verdict: v, RetryAfter: retryAfter}
+		Int64("at_ms", j.AcceptedMs).Dur("took", took).Stringer("verdict", v).Dur("come_back", retryAfter).Str("reason", reason).Msg("job.submitted")
+	return SubmitResult{Verdict: v, RetryAfter: retryAfter, Reason: reason}
+}
+
+// refuseTooLarge returns the verdict on a job that is too large to be stored. An older version of this program
+// may have stored it, and the caller may repeat its request.
+func (n *Node) refuseTooLarge(ctx context.Context, j *pool.Job) Verdict {
+	switch _, v := n.StateFor(ctx, j.Organisation, j.Service, j.ID); v {
+	case NoSuchJob:
+		return TooLarge
+	case Accepted:
+		return Accepted
+	}
+	return Unknown
 }
 
 // knowsJob reports whether a job is known to be stored, in any pool. Callers repeat requests that
@@ -120,6 +141,10 @@
 // stored.
 var errOtherOrganisation = errors.Wrap(ErrRefused, "the ID is that of a job of another organisation")
 
+// errRecordTooLarge means that the store would refuse a record at each attempt, and with it all others in its
+// append. Only instances of an older version ask for one to be stored.
+var errRecordTooLarge = errors.Wrap(ErrRefused, "the record is too large")
+
 // intake is a record that is to be stored for a caller.
 type intake struct {
 	part   int
@@ -157,6 +182,9 @@
 // and never will be. Otherwise each caller would use up its time in an outage, and none could be
 // told for certain that nothing was stored, although nearly all records were not.
 func (pc *poolController) storeAndWait(ctx context.Context, r intake, store func(context.Context, *submission)) error {
+	if r.record.Size() > pc.node.opts.MaxRecord {
+		return errRecordTooLarge
+	}
 	s := newSubmission(r.record)
 	s.inDoubt, s.ownerEpoch = r.inDoubt, r.ownerEpoch
 	waiting := withTimeout(ctx, slowOwnerTimeout)
@@ -464,5 +492,5 @@
 
 // String names a verdict in logs.
 func (v Verdict) String() string {
-	return [...]string{"accepted", "not run", "unknown", "no such job", "can't tell", "other organisation"}[v]
+	return [...]string{"accepted", "not run", "unknown", "no such job", "can't tell", "other organisation", "too large"}[v]
 }
--- a/node/largejobs_test.go
+++ b/node/largejobs_test.go
@@ -1,6 +1,7 @@
 package node_test
 
 import (
+	"context"
 	"fmt"
 	"strings"
 	"testing"
@@ -9,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/knapweedweir/knapweedweir/node"
 	"github.com/knapweedweir/knapweedweir/pool"
 	"github.com/knapweedweir/knapweedweir/standin/machines"
 )
@@ -120,3 +122,30 @@
 		c.assertAllEnded()
 	})
 }
+
+// Guards against a job that is accepted although the store can't hold it, or its progress.
+func TestJobTooLargeToBeStoredIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newSmallStoreCluster(t, 4<<10, 64<<10)
+		defer c.close()
+		n := c.members["a"].node
+		for id, j := range map[string]pool.Job{
+			jobID(1): {Payload: strings.Repeat("<", 1000), Steps: []pool.StepSpec{{Count: 1}}}, // six bytes each as stored
+			jobID(2): {Payload: "1 false false", Steps: []pool.StepSpec{{Count: 3000}, {Count: 1100}}},
+		} {
+			j.ID, j.Queue, j.Service = id, queueName, machines.Service
+			ctx, cancel := context.WithTimeout(c.ctx, 3*time.Second)
+			result := n.SubmitJob(ctx, j)
+			cancel()
+			assert.Equal(t, result.Verdict, node.TooLarge)
+			assert.Assert(t, strings.Contains(result.Reason, "bytes to store"), result.Reason)
+			_, verdict := n.State(c.ctx, machines.Service, id)
+			assert.Equal(t, verdict, node.NoSuchJob)
+		}
+		// An older version of this program may have stored such a job, and its caller repeats the request.
+		j := pool.Job{ID: jobID(3), Queue: queueName, Service: machines.Service, Payload: strings.Repeat("<", 1000), Steps: []pool.StepSpec{{Count: 1, Need: pool.Resources{CPU: 1}}}}
+		c.world.Put(grindingPool, pool.JobKey(j.ID), pool.Encode(j))
+		c.world.Referee.Submitted(j, 3)
+		assert.Equal(t, n.Submit(c.ctx, j), node.Accepted)
+	})
+}
--- a/node/owner.go
+++ b/node/owner.go
@@ -300,6 +300,9 @@
 	if rec.Unreadable != nil {
 		return pool.WorkerInfo{}, rec.Unreadable
 	}
+	if len(rec.Key) > pool.MaxWorkerID {
+		return pool.WorkerInfo{}, errors.Errorf("the ID has %d bytes, and at most %d are possible", len(rec.Key), pool.MaxWorkerID)
+	}
 	return o.pc.node.directory.DecodeWorker(rec.Record)
 }
 
--- a/pool/parts.go
+++ b/pool/parts.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strconv"
 	"strings"
+
+	"github.com/pkg/errors"
 )
 
 // The store limits the size of a record. The progress of a job with many tasks can exceed it: for each
@@ -221,3 +223,23 @@
 		c.restoreSteps(j, e.Steps)
 	}
 }
+
+// stepProgressSize is the size in bytes that the stored progress of a step takes in addition to one byte for
+// each task.
+const stepProgressSize = 48
+
+// CheckSize returns an error if the store can't hold the job or its progress, given the size of the job's
+// record and of the largest record, in bytes. Which tasks of an occurrence are done must fit into one record.
+func (j *Job) CheckSize(size, maxRecord int) error {
+	if size > maxRecord {
+		return errors.Errorf("the job takes %d bytes to store, and at most %d are possible", size, maxRecord)
+	}
+	progress := len(ProgressKey(j.ID)) + partedMargin
+	for i := range j.Steps {
+		progress += stepProgressSize + j.Steps[i].Count
+	}
+	if progress > maxRecord {
+		return errors.Errorf("steps: the progress of all their tasks takes %d bytes to store, and at most %d are possible", progress, maxRecord)
+	}
+	return nil
+}
