pool: read all ends of a worker before a takeover is complete

Cause: a worker lists at most 500 of its ends in an answer; the others follow once these are acknowledged. A new owner took the first answer for everything that a predecessor had started there: holdAnswered set the worker as fenced, and takeoverComplete counted it. Tasks whose ends came later counted as never run and were started, before their ends were read and acknowledged. Only removeVanishedRuns heeded Truncated. Ruled out: lapsed leases (2 s of 6 s) and lost acknowledgements (each end is acknowledged after it is stored).

A worker is now reconciled once an answer under the new owner's token isn't truncated. Until then its inherited tasks wait, those of a predecessor's silence record stay blocked, and no silence record replaces the predecessor's: it would hide the ends that haven't been read from the next owner. A worker that falls silent meanwhile is waited for until its longest lease, or until the list of machines shows that it is gone; one that starts again has lost its ends, and its first full answer counts. New jobs don't wait, and nothing changes for a worker with fewer than 500 ends.

The histories couldn't find this: the stand-in listed all ends at once, and its referee checked starts after an acknowledged end, not starts before an end that is acknowledged later. Both are added.

--- a/pool/place.go
+++ b/pool/place.go
@@ -19,13 +19,14 @@
 // takeoverComplete reports whether this owner knows everything that a predecessor may have started.
 // Until then a task of an inherited job may run unnoticed, and starting it again would run it
 // twice. The takeover is complete once each worker has either answered under this owner's token,
-// after which it rejects the predecessor, or its longest possible lease has expired.
+// after which it rejects the predecessor, and has listed all its ends, or its longest possible lease
+// has expired.
 func (c *Core) takeoverComplete() bool {
 	if !c.listed || c.takenOver {
 		return c.takenOver
 	}
 	for _, w := range c.workerList {
-		if w.inherited && !w.fenced && !w.runsKnown && c.now < w.leaseExpiry {
+		if w.inherited && !w.reconciled && !w.runsKnown && c.now < w.leaseExpiry {
 			return false
 		}
 	}
--- a/pool/silence.go
+++ b/pool/silence.go
@@ -35,9 +35,10 @@
 }
 
 // queueSilenceRecord makes the next save write the worker's silence record, or remove it if the
-// worker isn't silent any more.
+// worker isn't silent any more. Before the worker has listed all its ends, a record would hide the
+// tasks of those that haven't been read, and a predecessor's record still holds.
 func (c *Core) queueSilenceRecord(w *worker) {
-	if !w.fenced || (!w.silent && !w.silence.stored) {
+	if !w.reconciled || (!w.silent && !w.silence.stored) {
 		w.silence.unsaved = false
 		return
 	}
@@ -157,6 +158,9 @@
 	return nil
 }
 
+// mayBeGone reports whether inherited tasks may wait for the worker and it doesn't answer.
+func (w *worker) mayBeGone() bool { return w.inherited && !w.reconciled && (w.silent || !w.fenced) }
+
 // waitsForInheritedWorkers reports whether inherited tasks wait for workers that may be gone:
 // all of them, or those in a silence record.
 func (c *Core) waitsForInheritedWorkers() bool {
@@ -164,7 +168,7 @@
 		return false
 	}
 	for _, w := range c.workerList {
-		if w.inherited && !w.fenced && c.now < w.leaseExpiry && (!w.runsKnown || len(w.silence.blockedTasks) > 0) {
+		if w.mayBeGone() && c.now < w.leaseExpiry && (!w.runsKnown || len(w.silence.blockedTasks) > 0) {
 			return true
 		}
 	}
@@ -185,7 +189,7 @@
 		}
 	}
 	for _, w := range c.workerList {
-		if !w.inherited || w.fenced || !services[w.Service] || c.now >= w.leaseExpiry {
+		if !w.mayBeGone() || !services[w.Service] || c.now >= w.leaseExpiry {
 			continue
 		}
 		isUp, found := up[w.ID]
--- a/pool/worker.go
+++ b/pool/worker.go
@@ -60,6 +60,10 @@
 	tracked       bool
 	inMaintenance bool // its machine is evacuated for maintenance
 	fenced        bool // it has answered under this owner's token
+	// reconciled is set once it has listed all its ends to this owner. An answer may hold only some of them,
+	// and the others follow once these are stored and acknowledged. What a predecessor started there isn't
+	// known before.
+	reconciled bool
 	// availableIndex is the worker's index in Core.availableWorkers, valid only while it is listed
 	// there.
 	availableIndex int
@@ -318,7 +322,13 @@
 	c.clearProvenRuns(w)
 	c.adjustPace(w)
 	w.fenced = true
-	c.unblockTasks(w)
+	if !e.Truncated && !w.reconciled {
+		w.reconciled = true
+		c.replan, c.retryAllSteps = true, true
+	}
+	if w.reconciled {
+		c.unblockTasks(w)
+	}
 	c.queueSilenceRecord(w)
 	w.reportedNothing = len(e.Active) == 0 && len(e.Ended) == 0
 	w.nextHold = c.now
--- a/standin/machines/crash.go
+++ b/standin/machines/crash.go
@@ -205,3 +205,15 @@
 		w.updateWorkerList()
 	})
 }
+
+// CutOff makes a worker unreachable for a time. It goes on running.
+func (w *World) CutOff(id string, d time.Duration) {
+	w.setUnreachable(id, true)
+	time.AfterFunc(d, func() { w.setUnreachable(id, false) })
+}
+
+func (w *World) setUnreachable(id string, unreachable bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.workers[id].unreachable = unreachable
+}
--- a/standin/machines/referee.go
+++ b/standin/machines/referee.go
@@ -45,6 +45,7 @@
 	cancelling   bool
 	done         map[pool.TaskID]bool
 	acknowledged map[pool.TaskID]time.Time // when the end as done was acknowledged
+	lastStart    map[pool.TaskID]time.Time // when a run of the task last started
 	failures     map[pool.TaskID]int       // runs whose failure was acknowledged
 	// failedRuns are the failed runs, acknowledged or not.
 	failedRuns map[pool.TaskID]map[int]bool
@@ -69,7 +70,7 @@
 	r.w.mu.Lock()
 	defer r.w.mu.Unlock()
 	if r.jobs[j.ID] == nil {
-		r.jobs[j.ID] = &jobRecord{Job: j, attempts: attempts, done: map[pool.TaskID]bool{}, acknowledged: map[pool.TaskID]time.Time{}, failures: map[pool.TaskID]int{}, failedRuns: map[pool.TaskID]map[int]bool{},
+		r.jobs[j.ID] = &jobRecord{Job: j, attempts: attempts, done: map[pool.TaskID]bool{}, acknowledged: map[pool.TaskID]time.Time{}, lastStart: map[pool.TaskID]time.Time{}, failures: map[pool.TaskID]int{}, failedRuns: map[pool.TaskID]map[int]bool{},
 			crashes: map[pool.TaskID]int{}, startsAfterCrashes: map[pool.TaskID]int{},
 			lostRuns: map[pool.TaskID]int{}}
 	}
@@ -178,6 +179,7 @@
 	if !j.shownCompleted.IsZero() && time.Since(j.shownCompleted) > r.maxStartAfterEnd()-time.Second {
 		r.finding("TWICE", "%v started on %s %v after its job was shown as completed", s.Task, x.id, time.Since(j.shownCompleted))
 	}
+	j.lastStart[s.Task] = time.Now()
 	r.checkCrashes(j, s, sender)
 	r.checkOrder(j, s)
 	r.checkExclusive(x, j, s)
@@ -296,18 +298,32 @@
 
 // endAcknowledged records that the owner has acknowledged an end, so that the worker
 // discards it.
-func (r *Referee) endAcknowledged(_ *worker, e pool.EndedRun) {
+func (r *Referee) endAcknowledged(x *worker, e pool.EndedRun) {
 	j := r.jobs[e.Task.Job]
 	switch e.How {
 	case pool.Done:
 		if _, known := j.acknowledged[e.Task]; !known {
 			j.acknowledged[e.Task] = time.Now()
 		}
+		r.checkStartsSince(x, j, e)
 	case pool.RunFailed:
 		j.failures[gangTask(j, e.Task)]++
 	}
 }
 
+// checkStartsSince checks that a task wasn't started between its end as done and the acknowledgement of that
+// end. It may be if the worker's lease has lapsed meanwhile: the owner then counts on nothing there.
+func (r *Referee) checkStartsSince(x *worker, j *jobRecord, e pool.EndedRun) {
+	ended, known := x.endedAt[e.Number]
+	if !known || maxRuns(&j.Steps[e.Task.Step]) > 1 || x.lapsedAt.After(ended) {
+		return
+	}
+	if started := j.lastStart[e.Task]; started.After(ended) {
+		r.finding("TWICE", "%v was started again %v after its end as done on %s, which was acknowledged %v later",
+			e.Task, started.Sub(ended), x.id, time.Since(started))
+	}
+}
+
 // runLost is called for each run that ends because its worker has crashed. It checks
 // nothing.
 func (r *Referee) runLost(_ *worker, lost *run) {
--- a/standin/machines/worker.go
+++ b/standin/machines/worker.go
@@ -43,6 +43,8 @@
 	lease        time.Time
 	runs         []*run
 	ends         []pool.EndedRun
+	endedAt      map[uint64]time.Time // of each end, by its number
+	lapsedAt     time.Time            // when the lease was last over
 	endCount     uint64
 	newestEnded  map[pool.TaskID]int // the newest stopped or ended run of each task
 	tickets      map[string]time.Time
@@ -78,7 +80,7 @@
 
 func newWorker(w *World, id string, capacity pool.Resources, kind, rack string) *worker {
 	return &worker{w: w, id: id, capacity: capacity, fullCapacity: capacity, kind: kind, rack: rack, alive: true, startedAt: time.Now(),
-		newestEnded: map[pool.TaskID]int{}, tickets: map[string]time.Time{}, ended: make(chan struct{})}
+		endedAt: map[uint64]time.Time{}, newestEnded: map[pool.TaskID]int{}, tickets: map[string]time.Time{}, ended: make(chan struct{})}
 }
 
 func (x *worker) info() pool.WorkerInfo {
@@ -261,7 +263,8 @@
 	for _, r := range x.runs {
 		answer.Active = append(answer.Active, pool.ActiveRun{Task: r.task, Run: r.number, Checkpoint: r.checkpoint, Percent: r.progress()})
 	}
-	answer.Ended = slices.Clone(x.ends)
+	answer.Ended = slices.Clone(x.ends[:min(len(x.ends), x.w.EndsPerAnswer)])
+	answer.Truncated = len(answer.Ended) >= x.w.EndsPerAnswer // more may have ended
 	return len(x.ends) > 0 || h.Wait == 0, x.ended
 }
 
@@ -285,6 +288,9 @@
 		return
 	}
 	now := time.Now()
+	if now.After(x.lease) {
+		x.lapsedAt = now
+	}
 	if len(x.runs) > 0 && now.After(x.lease) {
 		for _, r := range slices.Clone(x.runs) {
 			x.end(r, pool.LeaseExpired)
@@ -336,6 +342,7 @@
 		e.Checkpoint = "saved"
 	}
 	x.ends = append(x.ends, e)
+	x.endedAt[e.Number] = time.Now()
 	x.w.Referee.ended(x, r, e)
 	close(x.ended)
 	x.ended = make(chan struct{})
--- a/standin/machines/world.go
+++ b/standin/machines/world.go
@@ -37,6 +37,8 @@
 	gangTimeout = 3 * time.Second
 	// pageSize is small, so that tests read several pages.
 	pageSize = 40
+	// endsPerAnswer is the number of ended runs in an answer of a worker unless a test lowers it.
+	endsPerAnswer = 500
 	// maxRecord and maxAppend are the limits of the store unless a test lowers them, in bytes.
 	maxRecord = 256 << 10
 	maxAppend = 2 << 20
@@ -74,6 +76,8 @@
 	// readsDoneAt is when the reads queued so far will have been transferred.
 	readsDoneAt time.Time
 	bytesRead   int
+	// EndsPerAnswer is the number of ended runs that a worker lists in one answer.
+	EndsPerAnswer int
 	// MaxRecord and MaxAppend are the sizes of the largest record and of the largest append that the store
 	// accepts, in bytes.
 	MaxRecord, MaxAppend                                      int
@@ -87,7 +91,7 @@
 		rand: rand.New(rand.NewPCG(seed, 1)), startedAt: time.Now(), store: newStore(),
 		workers: map[string]*worker{}, listeners: map[string]*pipeListener{},
 		views: map[string]*View{}, PageSize: pageSize,
-		MaxRecord: maxRecord, MaxAppend: maxAppend,
+		EndsPerAnswer: endsPerAnswer, MaxRecord: maxRecord, MaxAppend: maxAppend,
 	}
 	w.Referee = newReferee(w)
 	return w
