pool: don't take runs beyond the first ends of a new incarnation for lost

Cause: starts may reach the new incarnation before the owner has heard of it. Its first answer then lists some of their ends. formerRuns took every other run that the worker had accepted for one of the former incarnation, counted a crash under its task, and dropped it, so that it was started elsewhere; its end was listed next. That an accepted start was executed by the former incarnation is known only if that one has listed the run.

While the answer is truncated, runs that no answer has listed stay. They end with their entry in a later part, or removeVanishedRuns drops them once a full answer lacks them. Such a run of the former incarnation then doesn't count as a crash under its task.

TestRunsBeyondTheFirstEndsOfANewIncarnationAreNotLost failed before.

--- a/pool/incarnation.go
+++ b/pool/incarnation.go
@@ -68,13 +68,17 @@
 }
 
 // formerRuns returns the runs that the answer of a new incarnation shows to have ended with the former
-// one. A start that has no answer yet may be on its way to the new one.
+// one. A start that has no answer yet may be on its way to the new one. If the answer lists only some of
+// the ends, a run that no answer has listed may be among the others; removeVanishedRuns decides later.
 func (w *worker) formerRuns(e *HoldAnswered) []*run {
 	var list []*run
 	for _, r := range w.sortedRuns() {
 		key := runKey{r.task.id(), r.number}
 		isListed := slices.ContainsFunc(e.Active, func(a ActiveRun) bool { return runKey{a.Task, a.Run} == key }) ||
 			slices.ContainsFunc(e.Ended, func(x EndedRun) bool { return runKey{x.Task, x.Run} == key })
+		if e.Truncated && r.listedIn == 0 {
+			continue
+		}
 		if !isListed && r.phase != starting && r.phase != planned && e.SentAt >= r.answeredAt+vanishedGrace {
 			list = append(list, r)
 		}
--- a/pool/takeover_test.go
+++ b/pool/takeover_test.go
@@ -146,3 +146,34 @@
 	}
 	assert.DeepEqual(t, started, []int{5})
 }
+
+// Guards against runs that ended on a worker that has just started again, that are beyond the first part of its
+// ends, and that are taken for those of its former incarnation: their tasks run again.
+func TestRunsBeyondTheFirstEndsOfANewIncarnationAreNotLost(t *testing.T) {
+	info, other := newWorkerInfo("w1"), newWorkerInfo("w2")
+	info.Born, info.Capacity = 100, Resources{CPU: 6000, Mem: 8000}
+	r := newRig(t, info)
+	r.partOfEnds("w1", nil)
+	r.submitJob("j", smallStep(5))
+	var ends []EndedRun
+	for n, s := range r.acceptStarts() { // the new incarnation has got them
+		ends = append(ends, EndedRun{Number: uint64(n + 1), Task: s.Task, Run: s.Run, How: Done})
+	}
+	assert.Equal(t, len(ends), 5)
+	r.step(WorkersListed{Workers: []WorkerInfo{info, other}})
+	r.advance(500 * time.Millisecond)
+	r.failHolds("w1")
+	r.partOfEnds("w2", nil)
+	r.answerPart("w1", 200, true, ends[:2]...)
+	for range 3 {
+		r.advance(saveInterval)
+		r.confirmSaves()
+	}
+	started := r.startedOrdinals()
+	r.answerPart("w1", 200, false, ends[2:]...)
+	r.advance(time.Second)
+	r.confirmSaves()
+	assert.DeepEqual(t, append(started, r.startedOrdinals()...), []int(nil))
+	state, _ := r.core.JobState("j")
+	assert.Equal(t, state, Completed)
+}
