pool: release what is booked on a removed worker without a crash

Cause: when another incarnation answers at a worker's address, the worker is removed while it is still listed. A step that waits for advice keeps its bookings there. Once they are released, the worker counts as changed and available, with its former index into the list of available workers. That index is beyond the list or belongs to another worker, whose free capacity was then replaced.

A removed worker isn't listed and isn't available any more.

TestCapacityBookedOnARemovedWorkerIsReleased panicked before.

--- a/pool/worker.go
+++ b/pool/worker.go
@@ -351,6 +351,7 @@
 func (c *Core) removeWorker(w *worker) {
 	c.emit(WorkerRemoved{Worker: w.ID})
 	delete(c.workers, w.ID)
+	w.listed, w.isAvailable = false, false // bookings may still refer to it
 	c.runtimes.Forget(w.ID)
 	c.workerList = slices.DeleteFunc(c.workerList, func(o *worker) bool { return o == w })
 	c.workersChanged()
