node, scenario/soak: search for large jobs and long lists of ends

An append that the store refuses for its size is a finding.

kw-soak -large-jobs adds jobs of 1,800 tasks on the workers of one rack, so that over 500 end on each, and records of 24 KiB; -older BINARY runs every second process with an older version.

--- a/scenario/soak/kw-soak/main.go
+++ b/scenario/soak/kw-soak/main.go
@@ -29,8 +29,10 @@
 	moves := flag.Bool("moves", false, "send the queue to another service and back all the while")
 	crashes := flag.Bool("crashes", true, "tasks that crash their workers, workers that start again, and capacity that shrinks")
 	organisations := flag.Bool("organisations", true, "organisations with keys and caps that change")
+	largeJobs := flag.Bool("large-jobs", false, "jobs of many tasks, and a store with low limits")
+	older := flag.String("older", "", "an older version of the program, which every second process runs")
 	flag.Parse()
-	if err := runSeeds(*first, *seeds, *atOnce, *dir, soak.Options{Binary: *binary, FaultTime: *faultTime, RecoveryTime: 40 * time.Second, Instances: *instances, Workers: *workers, EarlySIGHUP: !*sighupEach, SIGHUPEach: *sighupEach, Moves: *moves, Crashes: *crashes, Organisations: *organisations}); err != nil {
+	if err := runSeeds(*first, *seeds, *atOnce, *dir, soak.Options{Binary: *binary, FaultTime: *faultTime, RecoveryTime: 40 * time.Second, Instances: *instances, Workers: *workers, EarlySIGHUP: !*sighupEach, SIGHUPEach: *sighupEach, Moves: *moves, Crashes: *crashes, Organisations: *organisations, LargeJobs: *largeJobs, OlderBinary: *older}); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
--- a/scenario/soak/soak.go
+++ b/scenario/soak/soak.go
@@ -44,6 +44,12 @@
 	// Crashes adds tasks that crash their workers, workers and racks that start again, half of the
 	// workers under the ID that they had, and capacity that shrinks.
 	Crashes bool
+	// LargeJobs adds jobs of many tasks, of which more end on a worker than an answer lists, and lowers the
+	// store's limits.
+	LargeJobs bool
+	// OlderBinary is the path of an older version of the program, which every second instance runs; empty:
+	// none does.
+	OlderBinary string
 	// Organisations makes organisations with keys and caps submit the jobs.
 	Organisations bool
 }
@@ -116,6 +122,9 @@
 	if r.Moves {
 		go r.moveQueue(ctx)
 	}
+	if r.LargeJobs {
+		callers.Go(func() { r.submitLargeJobs(ctx, &callers) })
+	}
 	if r.Crashes {
 		callers.Go(func() { r.injectCrashes(ctx, &callers) })
 	}
@@ -129,6 +138,9 @@
 	defer r.mu.Unlock()
 	r.report.Accepted = len(r.accepted)
 	r.report.Findings = append(r.report.Findings, r.world.Referee.Findings...)
+	if n := r.world.SizesRefused(); n > 0 && r.OlderBinary == "" {
+		r.report.Findings = append(r.report.Findings, fmt.Sprintf("SIZE: the store refused %d appends because of their size", n))
+	}
 	for _, job := range r.world.Referee.Unfinished() {
 		r.report.Findings = append(r.report.Findings, fmt.Sprintf("LOST: job %s was accepted and has not ended", job))
 	}
@@ -171,6 +183,9 @@
 	r.world.Advised = r.Seed%2 == 0
 	r.world.Referee.OrdersMayBeLost = true
 	r.world.PageSize = pageSize
+	if r.LargeJobs {
+		r.world.MaxRecord, r.world.MaxAppend = largeJobsMaxRecord, largeJobsMaxAppend
+	}
 	q := pool.Queue{Name: queue, Service: machines.Service, Attempts: maxAttempts, Slack: 2, Target: time.Second}
 	if r.world.Advised {
 		q.Advice = &pool.AdviceTerms{Decision: 20 * time.Millisecond, PerWorker: time.Millisecond, Validity: 1500 * time.Millisecond}
@@ -221,6 +236,9 @@
 	i = &instance{binary: r.Binary, dir: r.Dir, earlySIGHUP: r.EarlySIGHUP, sighupEach: r.SIGHUPEach, onUnexpectedEnd: func(name string, s *os.ProcessState) {
 		r.finding("END: %s ended by itself: %v", name, s)
 	}}
+	if r.OlderBinary != "" && n%2 == 1 {
+		i.binary = r.OlderBinary
+	}
 	if i.store, err = newProxy(store); err != nil {
 		return nil, err
 	}
@@ -228,7 +246,11 @@
 		return nil, err
 	}
 	i.config = wirestand.Instance{Name: fmt.Sprintf("i%d", n), Callers: addrs[0], Ready: addrs[1], Peers: addrs[2], Metrics: addrs[3],
-		Store: i.store.addr(), Advice: advice, HoldMaxMs: machines.MaxLease.Milliseconds(), StopMs: machines.StopTime.Milliseconds()}
+		Store: i.store.addr(), Advice: advice, HoldMaxMs: machines.MaxLease.Milliseconds(), StopMs: machines.StopTime.Milliseconds(),
+		MaxRecord: r.world.MaxRecord, MaxAppend: r.world.MaxAppend}
+	if r.LargeJobs {
+		i.config.MaxFiles = largeJobsMaxFiles
+	}
 	return i, nil
 }
 
--- a/scenario/soak/soak_test.go
+++ b/scenario/soak/soak_test.go
@@ -71,6 +71,12 @@
 	})
 }
 
+// Guards against records and appends beyond the store's limits, and against acting on the first 500 ends of a
+// worker, while processes are killed and workers crash.
+func TestSoakWithLargeJobs(t *testing.T) {
+	runSeeds(t, []Options{{Seed: 30, Instances: 3, Workers: 10, FaultTime: 15 * time.Second, LargeJobs: true}})
+}
+
 func runSeeds(t *testing.T, seeds []Options) {
 	t.Helper()
 	binary := filepath.Join(t.TempDir(), "kw-node")
