--- a/pool/parts.go
+++ b/pool/parts.go
@@ -12,9 +12,9 @@
 )
 
 // The store limits the size of a record. The progress of a job with many tasks can exceed it: for each
-// task there may be failed runs, a checkpoint, and crashes of workers. Such progress is split into parts,
-// each about the same few tasks, so that no record outgrows the limit whatever happens to the job's tasks,
-// and a save holds only the parts that have changed. Versions of this program that don't read parts ignore
+// task there may be failed runs, a checkpoint, and crashes of workers. Such progress is split into parts
+// of a fixed number of tasks, so that no record outgrows the limit whatever happens to the job's tasks, and
+// a save holds only the parts that have changed. Versions of this program that don't read parts ignore
 // their keys.
 
 const (
@@ -89,7 +89,7 @@
 	if !j.state.Ended() && !j.inParts {
 		r := Record{Key: ProgressKey(j.ID), Value: Encode(j.progress())}
 		if c.fits(r) {
-			return append(j.dropParts(), r)
+			return append(j.dropParts(), r) // an owner of an older version may have left parts behind
 		}
 	}
 	if !j.state.Ended() {
@@ -139,17 +139,19 @@
 		return nil, false
 	}
 	j.parts = parts
-	if !j.inParts {
-		// The parts count once the job's record says so. Those that a former owner has left must be gone
-		// by then.
-		j.inParts = true
-		return slices.Concat(changed, removed, []Record{main}), true
+	if j.inParts {
+		// The job's record names the finished occurrences before the parts leave them out.
+		return slices.Concat([]Record{main}, changed, removed), true
 	}
-	return slices.Concat([]Record{main}, changed, removed), true
+	// The parts count once the job's record says so. Those that a former owner has left must be gone by then.
+	j.inParts = true
+	c.logJob("progress.split", j, fmt.Sprintf("into %d parts, since a record may have %d bytes", len(parts), c.settings.MaxRecord))
+	return slices.Concat(changed, removed, []Record{main}), true
 }
 
 // progressParts returns the parts of the job's progress, by number. The tasks of all occurrences are
-// numbered; each part holds as many as given. Occurrences before the first unfinished one are in no part.
+// numbered consecutively, and each part holds tasksPerPart of them. Occurrences before the first unfinished
+// one are in no part.
 func (j *job) progressParts(tasksPerPart int) map[int]ProgressPart {
 	parts := map[int]ProgressPart{}
 	tasks := 0
--- a/pool/trackedworkers.go
+++ b/pool/trackedworkers.go
@@ -16,9 +16,10 @@
 // stored in parts from then on. Versions that don't read parts know only the workers that the platform lists.
 func (c *Core) trackedRecords() []Record {
 	list := c.trackedWorkerList()
-	single := Record{Key: TrackedWorkersKey, Value: Encode(list)}
-	if len(c.trackedParts) == 0 && c.fits(single) {
-		return []Record{single}
+	if len(c.trackedParts) == 0 {
+		if single := (Record{Key: TrackedWorkersKey, Value: Encode(list)}); c.fits(single) {
+			return []Record{single}
+		}
 	}
 	parts := map[string][]TrackedWorker{}
 	for _, t := range list {
