--- a/node/owner.go
+++ b/node/owner.go
@@ -162,7 +162,7 @@
 // loadRecords passes the records of the copy to the core: first the jobs, then their progress, its parts, and
 // what refers to tasks.
 func (o *ownership) loadRecords() {
-	phases := make([][]pool.Event, 4)
+	var jobs, progress, parts, others []pool.Event
 	for _, rec := range o.pc.replica.inOrder() {
 		ev, err := decodeEvent(rec.Record, fromStore)
 		if err != nil {
@@ -172,16 +172,16 @@
 		switch ev.(type) {
 		case nil:
 		case pool.JobStored:
-			phases[0] = append(phases[0], ev)
+			jobs = append(jobs, ev)
 		case pool.ProgressStored:
-			phases[1] = append(phases[1], ev)
+			progress = append(progress, ev)
 		case pool.ProgressPartStored:
-			phases[2] = append(phases[2], ev)
+			parts = append(parts, ev)
 		default:
-			phases[3] = append(phases[3], ev)
+			others = append(others, ev)
 		}
 	}
-	for _, ev := range slices.Concat(phases...) {
+	for _, ev := range slices.Concat(jobs, progress, parts, others) {
 		o.step(ev)
 	}
 }
--- a/standin/machines/store.go
+++ b/standin/machines/store.go
@@ -368,22 +368,15 @@
 func (w *World) acceptsSize(records []pool.Record) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	total := 0
+	total, accepted := 0, true
 	for _, r := range records {
-		w.largestRecord = max(w.largestRecord, r.Size())
 		total += pool.RecordOverhead + r.Size()
-		if r.Size() > w.MaxRecord {
-			w.refusedSizes++
-			return false
-		}
+		accepted = accepted && r.Size() <= w.MaxRecord
 	}
-	w.largestAppend = max(w.largestAppend, total)
-	w.bytesAppended += total
-	if total > w.MaxAppend {
+	if accepted = accepted && total <= w.MaxAppend; !accepted {
 		w.refusedSizes++
-		return false
 	}
-	return true
+	return accepted
 }
 
 // SetMaxRecord changes the size of the largest record that the store accepts, in bytes.
@@ -400,20 +393,6 @@
 	return w.refusedSizes
 }
 
-// BytesAppended returns the total size of the appends.
-func (w *World) BytesAppended() int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.bytesAppended
-}
-
-// LargestSizes returns the sizes of the largest record and of the largest append that instances have sent, in bytes.
-func (w *World) LargestSizes() (record, total int) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.largestRecord, w.largestAppend
-}
-
 // pause waits. It returns false if the context ends first.
 func pause(ctx context.Context, d time.Duration) bool {
 	select {
--- a/standin/machines/world.go
+++ b/standin/machines/world.go
@@ -80,9 +80,9 @@
 	EndsPerAnswer int
 	// MaxRecord and MaxAppend are the sizes of the largest record and of the largest append that the store
 	// accepts, in bytes.
-	MaxRecord, MaxAppend                                      int
-	refusedSizes, bytesAppended, largestRecord, largestAppend int
-	Referee                                                   *Referee
+	MaxRecord, MaxAppend int
+	refusedSizes         int // appends that were refused because of their size or that of a record
+	Referee              *Referee
 }
 
 // New returns a world whose random choices follow a seed.
