pool: count a crash whose worker's next incarnation lists its ends in parts

Callers: a task that crashes its workers may be started once more than the three starts after its third crash (BUDGET), as one of its crashes isn't counted. A fault of: a run that the former incarnation may have had stays until a full list of ends lacks it, and was then dropped as vanished, without a crash under its task.

The run now remembers how it was lost if it was the former incarnation's. A full list that lacks it counts the crash, with the outage judged by the crashes at that time; an answer that lists it drops the memory.

TestCrashBeforeAPartOfTheEndsCounts: 0 crashes before, 1 after.

--- a/pool/crashes.go
+++ b/pool/crashes.go
@@ -117,18 +117,25 @@
 		w.silentSince = c.now
 	}
 	for _, r := range runs {
-		if r.isOrphan() || r.phase == planned || r.endsByStop() {
-			continue
-		}
-		lived := max(0, w.answeredAt-r.startedAt)
-		if r.adopted {
-			lived += unknownLife
+		if r.countsIfLost() {
+			w.lost = append(w.lost, w.lostRun(r))
 		}
-		w.lost = append(w.lost, lostRun{task: r.task, number: r.number, lived: lived,
-			running: r.phase == running, doubtful: r.phase != running, isolated: r.quarantined && r.startedAt >= w.isolation.since && w.isolation.isActive(w.silentSince)})
 	}
 }
 
+// countsIfLost reports whether the run's loss with its worker may say something about its task.
+func (r *run) countsIfLost() bool { return !r.isOrphan() && r.phase != planned && !r.endsByStop() }
+
+// lostRun returns the run as lost when the worker fell silent.
+func (w *worker) lostRun(r *run) lostRun {
+	lived := max(0, w.answeredAt-r.startedAt)
+	if r.adopted {
+		lived += unknownLife
+	}
+	return lostRun{task: r.task, number: r.number, lived: lived,
+		running: r.phase == running, doubtful: r.phase != running, isolated: r.quarantined && r.startedAt >= w.isolation.since && w.isolation.isActive(w.silentSince)}
+}
+
 // endsByStop reports whether the run was active and must end, so that its end says nothing about the task.
 func (r *run) endsByStop() bool { return r.stopping && r.phase == running }
 
@@ -142,7 +149,7 @@
 	if w.mayHaveRunUnknownTasks() {
 		c.uncountedCrashes++
 	}
-	crash := crashedWorker{id: w.ID, born: w.incarnation, rack: w.Rack, at: w.silentSince, explained: w.fellSilentInIsolation(), confirmed: confirmed}
+	crash := w.crash(confirmed)
 	outage := w.hasKnownSilence() && c.isOutage(crash, false)
 	isolated := slices.ContainsFunc(lost, func(l lostRun) bool { return l.isolated })
 	// The list of workers may still name a worker that has ended, so that it ends again. A new
@@ -163,11 +170,21 @@
 	c.emit(LogEntry{Event: "worker.crashed", Worker: w.ID, Runs: len(lost), Reason: reason})
 	for _, l := range lost {
 		if !isolated || l.isolated {
-			c.recordCrash(crash, l, outage && (!l.task.onLastStart() || c.isOutage(crash, true)))
+			c.recordCrash(crash, l, outage && c.excuses(crash, l))
 		}
 	}
 }
 
+// crash describes the crash of the worker's incarnation.
+func (w *worker) crash(confirmed bool) crashedWorker {
+	return crashedWorker{id: w.ID, born: w.incarnation, rack: w.Rack, at: w.silentSince, explained: w.fellSilentInIsolation(), confirmed: confirmed}
+}
+
+// excuses reports whether the outage of which a crash was part excuses the task of a lost run.
+func (c *Core) excuses(crash crashedWorker, l lostRun) bool {
+	return !l.task.onLastStart() || c.isOutage(crash, true)
+}
+
 // recordCrash counts a crash for one task. If the task seems to be the cause, it is given up once a
 // crash of other workers at the same time would have been noticed too.
 func (c *Core) recordCrash(w crashedWorker, l lostRun, outage bool) {
--- a/pool/incarnation.go
+++ b/pool/incarnation.go
@@ -41,8 +41,13 @@
 func (c *Core) workerRestarted(w *worker, e *HoldAnswered) {
 	c.emit(LogEntry{Event: "worker.restarted", Worker: w.ID, Runs: len(w.runs),
 		Reason: fmt.Sprintf("incarnation %d after %d, last end %d, acknowledged %d", e.Born, w.incarnation, w.lastEnd, w.ack)})
-	ended := w.formerRuns(e)
+	ended, undecided := w.formerRuns(e)
 	c.rememberLostRuns(w, ended)
+	for _, r := range undecided {
+		if r.countsIfLost() && !w.Draining && !w.inMaintenance {
+			r.former = &formerRun{worker: w.crash(true), lost: w.lostRun(r)}
+		}
+	}
 	c.workerCrashed(w, true)
 	w.incarnation = e.Born
 	w.restarts++
@@ -67,23 +72,30 @@
 	c.replan, c.retryAllSteps = true, true
 }
 
+// formerRun is a run as it was lost if it ended with the former incarnation of its worker.
+type formerRun struct {
+	worker crashedWorker
+	lost   lostRun
+}
+
 // formerRuns returns the runs that the answer of a new incarnation shows to have ended with the former
 // one. A start that has no answer yet may be on its way to the new one. If the answer lists only some of
-// the ends, a run that no answer has listed may be among the others; removeVanishedRuns decides later.
-func (w *worker) formerRuns(e *HoldAnswered) []*run {
-	var list []*run
+// the ends, a run that no answer has listed may be among the others: it is undecided, until
+// removeVanishedRuns finds that a full answer lacks it.
+func (w *worker) formerRuns(e *HoldAnswered) (ended, undecided []*run) {
 	for _, r := range w.sortedRuns() {
 		key := runKey{r.task.id(), r.number}
 		isListed := slices.ContainsFunc(e.Active, func(a ActiveRun) bool { return runKey{a.Task, a.Run} == key }) ||
 			slices.ContainsFunc(e.Ended, func(x EndedRun) bool { return runKey{x.Task, x.Run} == key })
-		if e.Truncated && r.listedIn == 0 {
-			continue
-		}
-		if !isListed && r.phase != starting && r.phase != planned && e.SentAt >= r.answeredAt+vanishedGrace {
-			list = append(list, r)
+		switch {
+		case isListed || r.phase == starting || r.phase == planned || e.SentAt < r.answeredAt+vanishedGrace:
+		case e.Truncated && r.listedIn == 0:
+			undecided = append(undecided, r)
+		default:
+			ended = append(ended, r)
 		}
 	}
-	return list
+	return ended, undecided
 }
 
 // blockLateStart makes sure that a run which ended with the former incarnation isn't started again by a
--- a/pool/run.go
+++ b/pool/run.go
@@ -57,6 +57,9 @@
 	listedIn   int  // the worker's newest list of runs that includes it, see worker.lists
 	resumed    bool // from a checkpoint, so its duration tells little about the task's
 	pace       int  // of a best-effort task, in percent
+	// former is set if the run may have been lost with the worker's former incarnation, which is known
+	// only once the present one has listed all its ends.
+	former *formerRun
 	// migrationBooking is the booking for its task on another worker, to be used once this run
 	// has stopped.
 	migrationBooking *booking
@@ -71,7 +74,7 @@
 		if r == nil {
 			r = c.adopt(w, a)
 		}
-		r.listedIn = w.lists
+		r.listedIn, r.former = w.lists, nil
 		if r.phase != running {
 			c.confirmRun(r)
 			r.answeredAt = c.now
@@ -203,6 +206,9 @@
 		} else if e.SentAt < r.answeredAt+vanishedGrace || (r.stopping && e.SentAt < max(r.stopConfirmedAt, r.answeredAt)+c.settings.StopTimeout) {
 			continue
 		}
+		if f := r.former; f != nil {
+			c.recordCrash(f.worker, f.lost, c.isOutage(f.worker, false) && c.excuses(f.worker, f.lost))
+		}
 		c.logRun("run.vanished", r, "the worker neither runs it nor lists its end")
 		c.removeRun(r)
 	}
--- a/pool/takeover_test.go
+++ b/pool/takeover_test.go
@@ -177,3 +177,31 @@
 	state, _ := r.core.JobState("j")
 	assert.Equal(t, state, Completed)
 }
+
+// Guards against a task that crashes its worker and isn't counted, since the worker's next incarnation lists its
+// ends in parts.
+func TestCrashBeforeAPartOfTheEndsCounts(t *testing.T) {
+	info := newWorkerInfo("w1")
+	info.Born = 100
+	r := newRig(t, info)
+	r.partOfEnds("w1", nil)
+	r.submitJob("j", smallStep(3))
+	starts := r.acceptStarts()
+	assert.Equal(t, len(starts), 3)
+	r.advance(500 * time.Millisecond)
+	r.failHolds("w1")
+	end := func(n int) EndedRun {
+		return EndedRun{Number: uint64(n), Task: starts[n].Task, Run: starts[n].Run, How: Done}
+	}
+	r.answerPart("w1", 200, true, end(1))
+	r.advance(saveInterval)
+	r.confirmSaves()
+	r.answerPart("w1", 200, false, end(2))
+	tasks := r.core.jobs["j"].occurrences[0].steps[0].tasks
+	assert.Equal(t, len(tasks[0].crashes), 1, "the task was lost with the former incarnation")
+	assert.Equal(t, tasks[0].crashes[0].Born, int64(100))
+	assert.Assert(t, tasks[0].run == nil || tasks[0].run.phase == planned)
+	for _, x := range tasks[1:] {
+		assert.Assert(t, x.done && len(x.crashes) == 0)
+	}
+}
