pool: an older version starts nothing of a repeated job that it can't read

Callers, during a rolling upgrade: an older version that takes over a pool runs the finished occurrences of a repeated job again (TWICE), if the job's progress had outgrown a record under the newer one. It doesn't read how many are finished. The difference was stated and not safe.

The done tasks stay in the progress record as older versions write them, until that record takes an eighth of the limit. Then the job's specification names the finished occurrences, and moves its queue to a field that older versions don't read. They know no policy for the empty name, so they take over what runs, note its ends, and start nothing. What they store and the specification together have all done tasks for the next newer owner.

Two more of the same design: the size of the parts is in their keys and in the progress record, so that a changed limit of the store splits a job anew in a safe order (it could lose what parts of the former size held, if an owner ended between two appends); and the largest record leaves room for its length in the largest append.

--- a/node/node.go
+++ b/node/node.go
@@ -111,6 +111,7 @@
 	if opts.MaxAppend <= 0 {
 		opts.MaxAppend = defaultMaxAppend
 	}
+	opts.MaxRecord = min(opts.MaxRecord, opts.MaxAppend-pool.RecordOverhead)
 	if opts.Metrics == nil {
 		opts.Metrics = tally.NoopScope
 	}
--- a/node/replica.go
+++ b/node/replica.go
@@ -246,8 +246,9 @@
 	switch kind {
 	case pool.JobRecord:
 		e := pool.JobStored{Inherited: from == fromStore}
-		if err := json.Unmarshal(rec.Value, &e.Job); err != nil {
-			return nil, errors.Wrap(err, "job")
+		var err error
+		if e.Job, err = pool.DecodeJob(rec.Value); err != nil {
+			return nil, err
 		}
 		if e.Job.ID != id {
 			return nil, errors.New("job: the ID doesn't match the key")
@@ -262,8 +263,8 @@
 	case pool.ProgressPartRecord:
 		e := pool.ProgressPartStored{}
 		var ok bool
-		if e.Job, e.Part, ok = pool.ParseProgressPart(id); !ok {
-			return nil, errors.Errorf("progress part %q", id)
+		if e.Job, e.ID, ok = pool.ParseProgressPart(id); !ok {
+			return nil, errors.Errorf("progress part: %q names no job, size and number", id)
 		}
 		if err := json.Unmarshal(rec.Value, &e.ProgressPart); err != nil {
 			return nil, errors.Wrap(err, "progress part")
--- a/pool/job.go
+++ b/pool/job.go
@@ -104,6 +104,10 @@
 	Repeat     int   `json:"n,omitempty"`
 	FirstRunMs int64 `json:"fr,omitempty"`
 	IntervalMs int64 `json:"iv,omitempty"`
+	// FinishedBefore is the first occurrence that may not be finished. HiddenQueue is the queue of a job whose
+	// record hides it from older versions: Queue is empty in the store then, and set by DecodeJob.
+	FinishedBefore int    `json:"fb,omitempty"`
+	HiddenQueue    string `json:"hq,omitempty"`
 }
 
 // MaxTasks limits the tasks of one step. The largest known step has 84.
@@ -116,7 +120,7 @@
 	if len(j.Steps) == 0 {
 		return errors.New("steps: at least one is needed")
 	}
-	if j.Repeat < 0 || j.FirstRunMs < 0 || j.IntervalMs < 0 {
+	if j.Repeat < 0 || j.FirstRunMs < 0 || j.IntervalMs < 0 || j.FinishedBefore < 0 {
 		return errors.New("occurrences: an amount below 0")
 	}
 	for i := range j.Steps {
--- a/pool/parts.go
+++ b/pool/parts.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"cmp"
+	"encoding/json"
 	"fmt"
 	"maps"
 	"slices"
@@ -36,28 +38,39 @@
 	Steps []StepProgress `json:"t"`
 }
 
+// PartID identifies a part of a job's progress. Tasks is the number of tasks of each part. Parts of another
+// size than the job's Progress names are left over.
+type PartID struct{ Tasks, Number int }
+
+func comparePartIDs(a, b PartID) int {
+	return cmp.Or(cmp.Compare(a.Tasks, b.Tasks), cmp.Compare(a.Number, b.Number))
+}
+
 // ProgressPartStored restores a part of a job's progress. It must follow the job's ProgressStored.
 type ProgressPartStored struct {
-	Job  string
-	Part int
+	Job string
+	ID  PartID
 	ProgressPart
 }
 
 func (ProgressPartStored) event() {}
 
 // ProgressPartKey returns the key of a part of a job's progress.
-func ProgressPartKey(job string, part int) string {
-	return progressPartPrefix + job + "/" + strconv.Itoa(part)
+func ProgressPartKey(job string, id PartID) string {
+	return fmt.Sprintf("%s%s/%d/%d", progressPartPrefix, job, id.Tasks, id.Number)
 }
 
-// ParseProgressPart returns the job and the number of a part from its key without the prefix.
-func ParseProgressPart(suffix string) (job string, part int, ok bool) {
-	at := strings.LastIndexByte(suffix, '/')
-	if at < 0 {
-		return "", 0, false
+// ParseProgressPart returns the job and the part from a key without its prefix.
+func ParseProgressPart(suffix string) (job string, id PartID, ok bool) {
+	fields := strings.Split(suffix, "/")
+	if len(fields) < 3 {
+		return "", PartID{}, false
 	}
-	part, err := strconv.Atoi(suffix[at+1:])
-	return suffix[:at], part, err == nil && part >= 0
+	n := len(fields) - 2
+	var tasksErr, numberErr error
+	id.Tasks, tasksErr = strconv.Atoi(fields[n])
+	id.Number, numberErr = strconv.Atoi(fields[n+1])
+	return strings.Join(fields[:n], "/"), id, tasksErr == nil && numberErr == nil && id.Tasks > 0 && id.Number >= 0
 }
 
 // fits reports whether the store accepts a record.
@@ -86,15 +99,18 @@
 // progressRecords returns the records that store what has changed in a job's progress. They may be stored
 // in several appends, in this order: whatever precedes a missing append is a state that can be restored.
 func (c *Core) progressRecords(j *job) []Record {
-	if !j.state.Ended() && !j.inParts {
+	if !j.state.Ended() && j.tasksPerPart == 0 {
 		r := Record{Key: ProgressKey(j.ID), Value: Encode(j.progress())}
 		if c.fits(r) {
-			return append(j.dropParts(), r) // an owner of an older version may have left parts behind
+			// An owner of an older version may have left parts behind.
+			return slices.Concat(j.specRecords(j.compactedBefore > 0), j.dropParts(), []Record{r})
 		}
 	}
 	if !j.state.Ended() {
-		if records, ok := c.partRecords(j); ok {
-			return records
+		for _, size := range [...]int{j.tasksPerPart, c.tasksPerPart()} {
+			if records, ok := c.partRecords(j, size); ok {
+				return records
+			}
 		}
 		c.failJob(j, "its progress is too large to be stored")
 	}
@@ -105,48 +121,61 @@
 // dropParts returns the records that remove the stored parts of a job's progress.
 func (j *job) dropParts() []Record {
 	var records []Record
-	for _, n := range slices.Sorted(maps.Keys(j.parts)) {
-		records = append(records, Record{Key: ProgressPartKey(j.ID, n)})
+	for _, id := range j.storedParts() {
+		records = append(records, Record{Key: ProgressPartKey(j.ID, id)})
 	}
 	j.parts = nil
 	return records
 }
 
-// partRecords returns the records that store a job's progress in parts, and false if one of them is too
-// large.
-func (c *Core) partRecords(j *job) ([]Record, bool) {
-	var changed, removed []Record
-	parts := map[int][]byte{}
-	for n, part := range j.progressParts(c.tasksPerPart()) {
-		parts[n] = Encode(part)
+func (j *job) storedParts() []PartID {
+	return slices.SortedFunc(maps.Keys(j.parts), comparePartIDs)
+}
+
+// partRecords returns the records that store a job's progress in parts of the given number of tasks, and false
+// if one of them is too large.
+func (c *Core) partRecords(j *job, size int) ([]Record, bool) {
+	if size == 0 {
+		return nil, false
+	}
+	parts := map[PartID][]byte{}
+	for n, part := range j.progressParts(size) {
+		parts[PartID{Tasks: size, Number: n}] = Encode(part)
 	}
-	for _, n := range slices.Sorted(maps.Keys(parts)) {
-		r := Record{Key: ProgressPartKey(j.ID, n), Value: parts[n]}
+	var changed, leftOver, removed []Record
+	for _, id := range slices.SortedFunc(maps.Keys(parts), comparePartIDs) {
+		r := Record{Key: ProgressPartKey(j.ID, id), Value: parts[id]}
 		if !c.fits(r) {
 			return nil, false
 		}
-		if !bytes.Equal(r.Value, j.parts[n]) {
+		if !bytes.Equal(r.Value, j.parts[id]) {
 			changed = append(changed, r)
 		}
 	}
-	for _, n := range slices.Sorted(maps.Keys(j.parts)) {
-		if _, ok := parts[n]; !ok {
-			removed = append(removed, Record{Key: ProgressPartKey(j.ID, n)})
+	for _, id := range j.storedParts() {
+		r := Record{Key: ProgressPartKey(j.ID, id)}
+		switch _, kept := parts[id]; {
+		case kept:
+		case id.Tasks == size && j.tasksPerPart != size:
+			leftOver = append(leftOver, r)
+		default:
+			removed = append(removed, r)
 		}
 	}
-	main := Record{Key: ProgressKey(j.ID), Value: Encode(c.partedProgress(j))}
-	if !c.fits(main) {
+	spec, progress := c.summaryRecords(j, size)
+	if !c.fits(progress) {
 		return nil, false
 	}
 	j.parts = parts
-	if j.inParts {
-		// The job's record names the finished occurrences before the parts leave them out.
-		return slices.Concat([]Record{main}, changed, removed), true
+	if j.tasksPerPart == size {
+		// The progress record names the finished occurrences before the parts leave them out.
+		return slices.Concat(spec, []Record{progress}, changed, removed), true
 	}
-	// The parts count once the job's record says so. Those that a former owner has left must be gone by then.
-	j.inParts = true
-	c.logJob("progress.split", j, fmt.Sprintf("into %d parts, since a record may have %d bytes", len(parts), c.settings.MaxRecord))
-	return slices.Concat(changed, removed, []Record{main}), true
+	// The parts count once the progress record names their size. Those that a former owner has left must be gone
+	// by then, and those of another size count until then.
+	j.tasksPerPart = size
+	c.logJob("progress.split", j, fmt.Sprintf("into %d parts of %d tasks, since a record may have %d bytes", len(parts), size, c.settings.MaxRecord))
+	return slices.Concat(spec, changed, leftOver, []Record{progress}, removed), true
 }
 
 // progressParts returns the parts of the job's progress, by number. The tasks of all occurrences are
@@ -183,30 +212,80 @@
 	return j.finishedBefore
 }
 
-// partedProgress returns the progress of a job whose progress is in parts. It repeats which tasks are done,
-// as far as the record has room: versions that don't read parts must not run them again.
-func (c *Core) partedProgress(j *job) Progress {
-	p := Progress{State: j.state, InParts: true, FinishedBefore: j.firstUnfinished()}
-	room := c.settings.MaxRecord - len(ProgressKey(j.ID)) - len(Encode(p)) - partedMargin
-	for k := p.FinishedBefore; k < len(j.occurrences); k++ {
+// summaryRecords returns the progress record of a job whose progress is in parts of a size, and the record of the
+// job's specification if it changes. The former repeats which tasks are done for versions that don't read parts.
+// Of a repeated job these would outgrow it, so the specification then names the finished occurrences. As older
+// versions don't read that either, it hides the job's queue from them: they start nothing of a job whose queue
+// they don't know.
+func (c *Core) summaryRecords(j *job, size int) (spec []Record, progress Record) {
+	p, complete := c.summary(j, size)
+	if before := j.firstUnfinished(); before > j.compactedBefore && (!complete || c.isLargeSummary(p)) {
+		j.compactedBefore, j.hidden = before, false
+		p, complete = c.summary(j, size)
+	}
+	return j.specRecords(j.compactedBefore > 0 || !complete), Record{Key: ProgressKey(j.ID), Value: Encode(p)}
+}
+
+// specRecords returns the record of the job's specification with its queue hidden, if it has to be and isn't yet.
+func (j *job) specRecords(hide bool) []Record {
+	if j.hidden || !hide {
+		return nil
+	}
+	j.hidden = true
+	spec := j.Job
+	spec.Queue, spec.HiddenQueue, spec.FinishedBefore = "", j.Queue, j.compactedBefore
+	return []Record{{Key: JobKey(j.ID), Value: Encode(spec)}}
+}
+
+// isLargeSummary reports whether a job's progress record takes so much that its finished occurrences are
+// compacted, as each save repeats it.
+func (c *Core) isLargeSummary(p Progress) bool {
+	return c.settings.MaxRecord > 0 && len(Encode(p)) > c.settings.MaxRecord/summaryRatio
+}
+
+// summary returns the progress of a job whose progress is in parts of a size, with the done tasks as far as the
+// record has room, and whether all are included.
+func (c *Core) summary(j *job, size int) (p Progress, complete bool) {
+	p = Progress{State: j.state, TasksPerPart: size, FinishedBefore: j.firstUnfinished()}
+	room := c.settings.MaxRecord - len(ProgressKey(j.ID)) - len(Encode(p)) - summaryMargin
+	for k := j.compactedBefore; k < len(j.occurrences); k++ {
 		for _, s := range j.occurrences[k].steps {
 			done, any := s.doneProgress()
 			if !any {
 				continue
 			}
 			if room -= len(Encode(done)) + 1; room < 0 && c.settings.MaxRecord > 0 {
-				return p
+				return p, false
 			}
 			p.Steps = append(p.Steps, done)
 		}
 	}
-	return p
+	return p, true
 }
 
-// partedMargin is what the list of steps itself takes in a record, in bytes.
-const partedMargin = 64
+const (
+	// summaryMargin is what the list of steps itself takes in a progress record, in bytes.
+	summaryMargin = 64
+	// summaryRatio is the ratio of the largest record to the progress record from which finished occurrences
+	// are compacted.
+	summaryRatio = 8
+	// hiddenMargin is what hiding its queue adds to a job's record, in bytes.
+	hiddenMargin = 48
+)
+
+// DecodeJob decodes a stored job.
+func DecodeJob(value []byte) (Job, error) {
+	var j Job
+	if err := json.Unmarshal(value, &j); err != nil {
+		return Job{}, errors.Wrap(err, "job")
+	}
+	if j.HiddenQueue != "" {
+		j.Queue = j.HiddenQueue
+	}
+	return j, nil
+}
 
-// restorePart restores a part of a job's progress. Parts that the job's record doesn't announce, or whose
+// restorePart restores a part of a job's progress. Parts that the progress record doesn't announce, or whose
 // job has ended, are removed.
 func (c *Core) restorePart(e ProgressPartStored) {
 	j := c.jobs[e.Job]
@@ -214,14 +293,14 @@
 	case j == nil:
 		return // its record can't be read; a later owner may be able to
 	case j.state.Ended():
-		c.otherRecords = append(c.otherRecords, Record{Key: ProgressPartKey(e.Job, e.Part)})
+		c.otherRecords = append(c.otherRecords, Record{Key: ProgressPartKey(e.Job, e.ID)})
 		return
 	}
 	if j.parts == nil {
-		j.parts = map[int][]byte{}
+		j.parts = map[PartID][]byte{}
 	}
-	j.parts[e.Part] = Encode(e.ProgressPart)
-	if j.inParts {
+	j.parts[e.ID] = Encode(e.ProgressPart)
+	if j.tasksPerPart == e.ID.Tasks {
 		c.restoreSteps(j, e.Steps)
 	}
 }
@@ -233,10 +312,10 @@
 // CheckSize returns an error if the store can't hold the job or its progress, given the size of the job's
 // record and of the largest record, in bytes. Which tasks of an occurrence are done must fit into one record.
 func (j *Job) CheckSize(size, maxRecord int) error {
-	if size > maxRecord {
+	if size += len(j.Queue) + hiddenMargin; size > maxRecord {
 		return errors.Errorf("the job takes %d bytes to store, and at most %d are possible", size, maxRecord)
 	}
-	progress := len(ProgressKey(j.ID)) + partedMargin
+	progress := len(ProgressKey(j.ID)) + summaryMargin
 	for i := range j.Steps {
 		progress += stepProgressSize + j.Steps[i].Count
 	}
--- a/pool/records.go
+++ b/pool/records.go
@@ -152,10 +152,10 @@
 	GivenUp *GivenUp `json:"g,omitempty"`
 	// Organisation is the job's once it has ended, since its specification is removed then.
 	Organisation string `json:"o,omitempty"`
-	// InParts is set if the progress is in records of its own, see ProgressPart. Steps then only repeats
-	// which tasks are done, as far as there was room.
-	InParts bool `json:"ip,omitempty"`
-	// FinishedBefore is the first occurrence that isn't finished, if InParts is set.
+	// TasksPerPart is the number of tasks of each ProgressPart; 0: the progress isn't in parts. If it is, Steps
+	// only repeats which tasks are done, as far as there was room.
+	TasksPerPart int `json:"ps,omitempty"`
+	// FinishedBefore is the first occurrence that isn't finished, if the progress is in parts.
 	FinishedBefore int `json:"fb,omitempty"`
 }
 
@@ -199,8 +199,8 @@
 			return err
 		}
 	}
-	if p.FinishedBefore < 0 {
-		return errors.New("progress: negative number of occurrences")
+	if p.FinishedBefore < 0 || p.TasksPerPart < 0 {
+		return errors.New("progress: negative number of occurrences or tasks")
 	}
 	return nil
 }
--- a/pool/state.go
+++ b/pool/state.go
@@ -25,10 +25,14 @@
 	// storedAs is the job's position in the order in which the jobs were stored.
 	storedAs int
 	created  int // occurrences that have become due
-	// inParts is set once the job's progress is stored in parts, and parts holds the stored ones. If inParts
-	// isn't set, they have to be removed.
-	inParts bool
-	parts   map[int][]byte
+	// tasksPerPart is the number of tasks of each part once the job's progress is stored in parts, and parts
+	// holds the stored ones. Those of another size have to be removed.
+	tasksPerPart int
+	parts        map[PartID][]byte
+	// hidden is set once the job's stored specification hides its queue. It then names the occurrences before
+	// compactedBefore as finished, and the progress record leaves them out; see Core.summaryRecords.
+	hidden          bool
+	compactedBefore int
 	// finishedBefore is the result of the last call of firstUnfinished.
 	finishedBefore int
 	// givenUp is the task because of which the job has failed; nil: none.
@@ -151,8 +155,13 @@
 }
 
 func (c *Core) addJob(e JobStored) {
-	if _, known := c.jobs[e.Job.ID]; known {
-		return // a caller submitted it twice
+	if known := c.jobs[e.Job.ID]; known != nil {
+		// A caller submitted it twice. Its record has replaced one that hides the job's queue.
+		if known.hidden && e.Job.HiddenQueue == "" && !known.state.Ended() {
+			known.hidden = false
+			c.markDirty(known)
+		}
+		return
 	}
 	j := &job{Job: e.Job, inherited: e.Inherited, state: Queued, storedState: Queued}
 	if admitted := c.admission.markStored(j.ID); admitted != nil {
@@ -169,6 +178,8 @@
 	c.jobs[j.ID] = j
 	c.activeJobs = append(c.activeJobs, j)
 	c.createDueOccurrences(j)
+	j.hidden, j.compactedBefore = j.HiddenQueue != "", j.FinishedBefore
+	c.restoreFinished(j, j.FinishedBefore)
 	c.replan = true
 }
 
@@ -239,7 +250,7 @@
 		c.pendingDrops = append(c.pendingDrops, j)
 		return
 	}
-	j.inParts = e.Progress.InParts
+	j.tasksPerPart = e.Progress.TasksPerPart
 	c.restoreFinished(j, e.Progress.FinishedBefore)
 	c.restoreSteps(j, e.Progress.Steps)
 }
--- a/pool/trackedworkers.go
+++ b/pool/trackedworkers.go
@@ -23,7 +23,8 @@
 	}
 	parts := map[string][]TrackedWorker{}
 	for _, t := range list {
-		parts[trackedPart(t.ID)] = append(parts[trackedPart(t.ID)], t)
+		part := trackedPart(t.ID)
+		parts[part] = append(parts[part], t)
 	}
 	if c.trackedParts == nil {
 		c.trackedParts = map[string][]byte{}
