pool: don't encode a list of workers that can't fit into a record

Cause: the whole list was encoded to see that it doesn't fit, and then again in parts. A list whose workers can't fit by their number goes into parts at once.

--- a/pool/trackedworkers.go
+++ b/pool/trackedworkers.go
@@ -12,11 +12,14 @@
 // into one record. With 17,000 workers, a part has about 270 and takes 25 KB.
 const trackedPartCount = 64
 
+// minTrackedWorkerSize is what a worker takes in the list at least, in bytes.
+const minTrackedWorkerSize = len(`{"id":"","a":"","s":""}`)
+
 // trackedRecords returns the records that store the tracked workers. A list that has outgrown a record is
 // stored in parts from then on. Versions that don't read parts know only the workers that the platform lists.
 func (c *Core) trackedRecords() []Record {
 	list := c.trackedWorkerList()
-	if len(c.trackedParts) == 0 {
+	if len(c.trackedParts) == 0 && (c.settings.MaxRecord <= 0 || len(list)*minTrackedWorkerSize <= c.settings.MaxRecord) {
 		if single := (Record{Key: TrackedWorkersKey, Value: Encode(list)}); c.fits(single) {
 			return []Record{single}
 		}
