--- a/review/standin-2/handover.go
+++ b/review/standin-2/handover.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"os"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -10,7 +12,7 @@
 const (
 	machines     = 7
 	deskRunners  = 35
-	timedJobs    = 400
+	timedJobs    = 400  // unless the variable JOBS says otherwise
 	timedEvery   = 1000 // milliseconds
 	timedRepeats = 110
 	consumers    = 10
@@ -27,13 +29,17 @@
 	w.configure(1, []string{desk}, quoteRoute(desk))
 	w.addNodes(machines)
 	settle()
+	jobs := timedJobs
+	if n, err := strconv.Atoi(os.Getenv("JOBS")); err == nil && n > 0 {
+		jobs = n
+	}
 	first := time.Now().Add(4 * time.Second).UnixMilli()
 	var submitted sync.WaitGroup
 	for c := range consumers {
 		submitted.Go(func() {
-			for n := c; n < timedJobs; n += consumers {
+			for n := c; n < jobs; n += consumers {
 				w.mustSubmit("/quote/"+fmt.Sprintf("%016x", 1+n), job{Spec: "work 300", RepeatCount: timedRepeats, IntervalMs: timedEvery,
-					FirstRunMs: first + int64(n)*timedEvery/timedJobs, Steps: []step{{Count: 1, CPU: taskCPU, MemMB: 64, EstimateMs: 300}}})
+					FirstRunMs: first + int64(n*timedEvery/jobs), Steps: []step{{Count: 1, CPU: taskCPU, MemMB: 64, EstimateMs: 300}}})
 			}
 		})
 	}
