standin/machines: findings about second starts name the order

What callers saw: rule TWICE, of which nothing says which of its sentences broke. The referee's findings didn't either: whether a start was carried out late, which instance had sent it under which token, and how old the incarnations of both workers were.

The referee now gets with each start who sent it and when, and says both, with the run and the token, in every finding about a second start.

--- a/standin/machines/referee.go
+++ b/standin/machines/referee.go
@@ -161,8 +161,8 @@
 }
 
 // started checks a start. It returns the job, or nil if no caller submitted it.
-func (r *Referee) started(x *worker, s pool.Start, sender string) *jobRecord {
-	j := r.jobs[s.Task.Job]
+func (r *Referee) started(x *worker, s pool.Start, o order) *jobRecord {
+	j, sender := r.jobs[s.Task.Job], o.sender
 	if j == nil || s.Payload != j.Payload {
 		r.finding("UNASKED", "%s started %v, which no caller sent", sender, s.Task)
 		return nil
@@ -180,12 +180,12 @@
 		r.finding("DRAIN", "%v started on %s, which has drained for %v", s.Task, x.id, time.Since(x.drainsAt))
 	}
 	if !j.shownCompleted.IsZero() && time.Since(j.shownCompleted) > r.maxStartAfterEnd()-time.Second {
-		r.finding("TWICE", "%v started on %s %v after its job was shown as completed", s.Task, x.id, time.Since(j.shownCompleted))
+		r.finding("TWICE", "%v started on %s %v after its job was shown as completed (%s)", s.Task, x.id, time.Since(j.shownCompleted), o.describe(s))
 	}
 	j.lastStart[s.Task] = time.Now()
 	r.checkCrashes(j, s, sender)
 	r.checkOrder(j, s)
-	r.checkExclusive(x, j, s)
+	r.checkExclusive(x, j, s, o)
 	r.checkCapacity(x, j, s)
 	r.checkCap(j, s)
 	if !j.Steps[s.Task.Step].LongRunning && j.failures[gangTask(j, s.Task)] >= j.attempts {
@@ -245,19 +245,24 @@
 	return 1
 }
 
-func (r *Referee) checkExclusive(x *worker, j *jobRecord, s pool.Start) {
+// describe says which order it is, for a finding about a second start.
+func (o order) describe(s pool.Start) string {
+	return fmt.Sprintf("run %d, sent %v before by %s with token %d", s.Run, time.Since(o.sentAt).Round(time.Millisecond), o.sender, s.Token)
+}
+
+func (r *Referee) checkExclusive(x *worker, j *jobRecord, s pool.Start, o order) {
 	limit := maxRuns(&j.Steps[s.Task.Step])
 	if at, acknowledged := j.acknowledged[s.Task]; acknowledged && (limit == 1 || time.Since(at) > r.maxStartAfterEnd()) {
-		r.finding("TWICE", "%v started again on %s, %v, after its end was noted", s.Task, x.id, x.age())
+		r.finding("TWICE", "%v started again on %s, %s, after its end was noted (%s)", s.Task, x.id, x.age(), o.describe(s))
 	}
 	running := 0
 	for _, other := range r.w.order {
-		for _, o := range other.runs {
-			if other.alive && o.task == s.Task {
+		for _, run := range other.runs {
+			if other.alive && run.task == s.Task {
 				if running++; running < limit && other != x {
 					continue
 				}
-				r.finding("TWICE", "%v started on %s while it runs on %s", s.Task, x.id, other.id)
+				r.finding("TWICE", "%v started on %s, %s, while run %d is active on %s, %s (%s)", s.Task, x.id, x.age(), run.number, other.id, other.age(), o.describe(s))
 			}
 		}
 	}
@@ -337,8 +342,8 @@
 		return
 	}
 	if started := j.lastStart[e.Task]; started.After(ended) {
-		r.finding("TWICE", "%v was started again %v after its end as done on %s, which was acknowledged %v later",
-			e.Task, started.Sub(ended), x.id, time.Since(started))
+		r.finding("TWICE", "run %d of %v ended as done on %s, a run was started %v later, and the end acknowledged %v after that",
+			e.Run, e.Task, x.id, started.Sub(ended), time.Since(started))
 	}
 }
 
--- a/standin/machines/view.go
+++ b/standin/machines/view.go
@@ -178,13 +178,14 @@
 
 // Start implements node.Workers.
 func (v *View) Start(ctx context.Context, s pool.Start) pool.Outcome {
-	x := v.deliver(ctx, s.Worker, func(x *worker) { x.start(s, v.name) })
+	o := order{sender: v.name, sentAt: time.Now()}
+	x := v.deliver(ctx, s.Worker, func(x *worker) { x.start(s, o) })
 	if x == nil {
 		return pool.NoAnswer
 	}
 	v.w.mu.Lock()
 	defer v.w.mu.Unlock()
-	return x.start(s, v.name)
+	return x.start(s, o)
 }
 
 // Stop implements node.Workers.
--- a/standin/machines/worker.go
+++ b/standin/machines/worker.go
@@ -179,7 +179,13 @@
 	return nil
 }
 
-func (x *worker) start(s pool.Start, sender string) pool.Outcome {
+// order says who sent a call to a worker, and when.
+type order struct {
+	sender string
+	sentAt time.Time
+}
+
+func (x *worker) start(s pool.Start, o order) pool.Outcome {
 	if !x.alive {
 		return x.outcomeAfterCrash()
 	}
@@ -203,7 +209,7 @@
 		}
 	}
 	x.extendLease(s.DeadlineMs)
-	job := x.w.Referee.started(x, s, sender)
+	job := x.w.Referee.started(x, s, o)
 	if job == nil {
 		return pool.Rejected
 	}
