pool, node: a late start beside the task's next run, shown by tests that fail

Cause, as suspected: a run with a start without an answer is lost once its worker's lease has expired, and its task starts elsewhere. The worker then starts again under its ID. It has seen no fencing token, and its clock is behind the start's deadline, so it carries the late start out, beside the next run.

TestLateStartFindsNoOtherRunOfItsTask plays it with whole instances: 40 % of the orders of a second late, half of the workers down for 7 s (10 s where the owner is lost with them), each late order reaching its worker as soon as that has started again, at most 11.5 s after it was sent. TestLostRunWithALateStartIsNotRepeatedElsewhere shows it at the core.

--- a/standin/machines/view.go
+++ b/standin/machines/view.go
@@ -167,6 +167,8 @@
 	defer w.mu.Unlock()
 	y := w.workers[x.id]
 	switch {
+	case w.LateOrdersAwaitRestarts && y != nil && !y.alive && !y.replaced:
+		afterFunc(tickInterval, func() { w.deliverLate(x, late) })
 	case y == x || y == nil || !w.LateOrdersOutliveWorkers:
 		late(x)
 	case w.LateOrdersAwaitHolds && y.alive && !y.heldTwice:
--- a/standin/machines/world.go
+++ b/standin/machines/world.go
@@ -81,6 +81,8 @@
 	// LateOrdersOutliveWorkers makes an order that is late reach the worker's next incarnation, if that starts
 	// again under the ID.
 	LateOrdersOutliveWorkers bool
+	// LateOrdersAwaitRestarts makes such an order reach a worker that is down as soon as it has started again.
+	LateOrdersAwaitRestarts bool
 	// LateOrdersAwaitHolds makes such an order wait until an owner has had an incarnation's answer to a hold
 	// and has sent another one. Before, the order can't be refused: the incarnation has seen no fencing token.
 	LateOrdersAwaitHolds bool
