pool: a run that a late start may bring to life isn't repeated elsewhere

Cause: when a worker's lease expires, all its runs were taken for over. One with a start without an answer isn't: the call may be carried out up to 12 s after it was sent, by the worker's next incarnation, which has seen no fencing token and whose clock is behind the start's deadline. blockLateStart guards against that only for runs that are still known when that incarnation first answers. The class of the fault: what is known to hold for one incarnation (its lease) was applied to a call that may reach another.

Fix: such a run stays, and its worker is called, until the call can't be carried out any more; once the next incarnation answers, it is fenced and has to confirm a stop, as before. A silence record says which runs these are, and a successor starts their tasks no sooner either. lateCallPeriod is 12 s, the longest delay of a call, instead of 30 s; it is counted from when the call was given up, so not less than from its sending.

Ruled out: an owner that renews the lease (the runs' starts and the late orders carry one token).

What it doesn't cover: a start without an answer whose run ended on its worker in another way than as done, before that worker starts again; workers that a new owner has never reached and that no silence record names.

--- a/pool/fencing.go
+++ b/pool/fencing.go
@@ -9,10 +9,10 @@
 // one before. The first call with it makes the incarnation refuse all that was sent to a former one; until
 // then, nothing can.
 
-// lateCallPeriod is how long a call without an answer may still be carried out. The token of a removed worker
+// lateCallPeriod is how long a call without an answer may still be carried out: 12 s at most. The token of a removed worker
 // is kept that long, in case it comes back, and for good once it was raised: the worker may come back without
 // having started again.
-const lateCallPeriod = 30 * time.Second
+const lateCallPeriod = 12 * time.Second
 
 // workerFencing is how a worker's fencing token follows its incarnations.
 type workerFencing struct {
@@ -39,6 +39,13 @@
 	return w.unansweredStartAt != 0 && c.now-w.unansweredStartAt < lateCallPeriod
 }
 
+// mayStartLate reports whether a start of the run without an answer may still be carried out. That its worker's
+// lease has expired doesn't prevent it: the worker may have started again, with a clock that the start's
+// deadline is ahead of.
+func (c *Core) mayStartLate(r *run) bool {
+	return r.unansweredAt != 0 && c.now-r.unansweredAt < lateCallPeriod
+}
+
 // fenceFormerIncarnation raises the worker's token if the incarnation is a newer one than was known. An owner
 // that has used up its tokens gives the pool up: the next claim's are higher.
 func (c *Core) fenceFormerIncarnation(w *worker, born int64) {
--- a/pool/maintenance.go
+++ b/pool/maintenance.go
@@ -135,7 +135,7 @@
 		case OK:
 			m.accepted, m.since = true, c.now
 			if w := c.workers[m.worker]; w != nil {
-				c.loseRuns(w, "its machine is down for maintenance")
+				c.loseRuns(w, w.sortedRuns(), "its machine is down for maintenance")
 			}
 		case Stale:
 			c.machineDone(wv, m)
--- a/pool/records.go
+++ b/pool/records.go
@@ -140,6 +140,9 @@
 	// and had to stop.
 	Unconfirmed bool `json:",omitempty"`
 	Stopping    bool `json:",omitempty"`
+	// LateStart is set if a start of it that had no answer may still be carried out. That may also be so if it is
+	// unconfirmed.
+	LateStart bool `json:",omitempty"`
 	// Lost is set if the task can't run there any more. It counts if the worker has crashed.
 	Lost bool `json:",omitempty"`
 }
--- a/pool/run.go
+++ b/pool/run.go
@@ -34,6 +34,8 @@
 	priority   int // of its queue when it was started or adopted
 	phase      phase
 	startsSent int
+	// unansweredAt is when a start of it was last found to have no answer; 0: never.
+	unansweredAt time.Duration
 	ticket     string
 	// planSave is the save after which a planned run is started, plannedFor the worker's incarnation
 	// when it was planned.
@@ -221,9 +223,15 @@
 	}
 }
 
-// loseRuns removes all runs of a worker.
-func (c *Core) loseRuns(w *worker, reason string) {
-	for _, r := range w.sortedRuns() {
+// expiredRuns returns the runs of a worker whose lease has expired, without those that a late start may yet
+// bring to life.
+func (c *Core) expiredRuns(w *worker) []*run {
+	return slices.DeleteFunc(slices.Clone(w.sortedRuns()), c.mayStartLate)
+}
+
+// loseRuns removes runs that have ended with their worker or its lease.
+func (c *Core) loseRuns(w *worker, runs []*run, reason string) {
+	for _, r := range runs {
 		if r.phase == planned {
 			c.dropPlanned(r)
 			continue
@@ -232,7 +240,7 @@
 		c.removeRun(r)
 	}
 	if w.silent {
-		c.queueSilenceRecord(w) // nothing runs there any more
+		c.queueSilenceRecord(w) // these don't run there any more
 	}
 }
 
--- a/pool/silence.go
+++ b/pool/silence.go
@@ -59,7 +59,7 @@
 		w.silence.unsaved = false
 		if w.silent {
 			w.silence.stored, w.silence.removalSave = true, 0
-			r := Record{Key: SilentKey(w.ID), Value: Encode(w.runningTasks())}
+			r := Record{Key: SilentKey(w.ID), Value: Encode(c.runningTasks(w))}
 			if !c.fits(r) {
 				// Without a record, a successor waits for the worker's answer or its longest lease.
 				c.emit(LogEntry{Event: "silence.not_stored", Worker: w.ID, Runs: len(w.runs),
@@ -89,11 +89,11 @@
 }
 
 // runningTasks returns the tasks that the worker may run, and those that it may have run when it crashed.
-func (w *worker) runningTasks() []SilentTask {
+func (c *Core) runningTasks(w *worker) []SilentTask {
 	list := []SilentTask{}
 	for _, r := range w.sortedRuns() {
 		if r.phase != planned {
-			list = append(list, SilentTask{TaskID: r.task.id(), Unconfirmed: r.phase != running, Stopping: r.endsByStop()})
+			list = append(list, SilentTask{TaskID: r.task.id(), Unconfirmed: r.phase != running, Stopping: r.endsByStop(), LateStart: c.mayStartLate(r)})
 		}
 	}
 	for _, l := range w.lost {
@@ -123,6 +123,9 @@
 			if t.blockedBy == nil {
 				t.blockedBy = w
 			}
+			if id.Unconfirmed || id.LateStart {
+				t.notBefore = c.now + lateCallPeriod
+			}
 			w.silence.blockedTasks = append(w.silence.blockedTasks, t)
 			if !id.Stopping && !t.done {
 				w.lost = append(w.lost, lostRun{task: t, lived: unknownLife, doubtful: id.Unconfirmed})
--- a/pool/startstop.go
+++ b/pool/startstop.go
@@ -57,7 +57,7 @@
 	case outcome == WrongIncarnation:
 		c.rememberLostRuns(w, w.sortedRuns())
 		c.workerCrashed(w, true)
-		c.loseRuns(w, "another incarnation of the worker answered")
+		c.loseRuns(w, w.sortedRuns(), "another incarnation of the worker answered")
 		c.removeWorker(w)
 		return nil
 	}
@@ -107,7 +107,7 @@
 }
 
 func (c *Core) retryStart(r *run) {
-	r.worker.unansweredStartAt = c.now
+	r.worker.unansweredStartAt, r.unansweredAt = c.now, c.now
 	if r.startsSent < maxStartTries && !r.stopping && r.worker.used.Within(r.worker.Capacity) {
 		c.sendStart(r)
 		return
--- a/pool/worker.go
+++ b/pool/worker.go
@@ -225,9 +225,9 @@
 // tickWorker carries out what is due for a worker.
 func (c *Core) tickWorker(w *worker) {
 	if c.now >= w.leaseExpiry {
-		if len(w.runs) > 0 {
-			c.rememberLostRuns(w, w.sortedRuns())
-			c.loseRuns(w, "lease expired")
+		if expired := c.expiredRuns(w); len(expired) > 0 {
+			c.rememberLostRuns(w, expired)
+			c.loseRuns(w, expired, "lease expired")
 		}
 		c.unblockTasks(w)
 	}
