pool: another worker at a wrong address ends no runs

A worker whose entry, for a while, names the address of another worker, or a new owner that calls the address of an outdated record, got the answer that another incarnation is there (421). The core took that for the end of the worker: all its runs were lost at once and started elsewhere, while it ran them under a lease of up to 5 s. At a takeover it also counted as known.

Cause: the answer was applied to the worker by its ID, whatever address had been called. The stored list of workers kept the address of the first entry, also when the worker had started again elsewhere under its ID.

Fix: the answers name the address that was called. It says that the worker has ended only if that is its present address and, as far as is known, the one where it last answered or where the predecessor called it. Otherwise the call counts as one without an answer, so that the lease decides; a start is refused. The stored list follows the address at which the worker answers.

Why it holds: an address has one worker at a time, so a worker that has answered there and is still listed there has ended if another answers. Ruled out: an empty address means that the caller doesn't know it and is treated as before; node always sets it.

--- a/node/owner.go
+++ b/node/owner.go
@@ -61,7 +61,7 @@
 	ctx, cancel := context.WithTimeout(o.ctx, timeout)
 	answer := o.pc.node.workers.Hold(ctx, h)
 	cancel()
-	answer.Token = h.Token
+	answer.Token, answer.Addr = h.Token, h.Addr
 	if answer.Unreadable != nil {
 		o.pc.node.unreadable.report(sourceHolds, h.Worker, noOffset, answer.Unreadable)
 	}
@@ -419,7 +419,7 @@
 			ctx, cancel := context.WithTimeout(o.ctx, commandTimeout)
 			out := w.Stop(ctx, a)
 			cancel()
-			o.send(pool.StopAnswered{Worker: a.Worker, Born: a.Born, Token: a.Token, Task: a.Task, Run: a.Run, Outcome: out})
+			o.send(pool.StopAnswered{Worker: a.Worker, Addr: a.Addr, Born: a.Born, Token: a.Token, Task: a.Task, Run: a.Run, Outcome: out})
 		}()
 	case pool.Pace:
 		go func() {
--- a/node/startqueue.go
+++ b/node/startqueue.go
@@ -67,5 +67,5 @@
 	} else {
 		n.startWindow.Answered(now, now-start, s.Size())
 	}
-	o.send(pool.StartAnswered{Worker: s.Worker, Token: s.Token, Task: s.Task, Run: s.Run, Outcome: out})
+	o.send(pool.StartAnswered{Worker: s.Worker, Addr: s.Addr, Token: s.Token, Task: s.Task, Run: s.Run, Outcome: out})
 }
--- a/pool/events.go
+++ b/pool/events.go
@@ -138,6 +138,7 @@
 // HoldAnswered is the answer to a Hold.
 type HoldAnswered struct {
 	Worker  string
+	Addr    string // as in the Hold; empty: unknown
 	Token   uint64 // as in the Hold; 0: unknown
 	SentAt  time.Duration
 	Outcome Outcome
@@ -156,6 +157,7 @@
 // StartAnswered is the answer to a Start.
 type StartAnswered struct {
 	Worker  string
+	Addr    string // as in the Start; empty: unknown
 	Token   uint64 // as in the Start; 0: unknown
 	Task    TaskID
 	Run     int
@@ -165,6 +167,7 @@
 // StopAnswered is the answer to a Stop.
 type StopAnswered struct {
 	Worker  string
+	Addr    string // as in the Stop; empty: unknown
 	Born    int64  // as in the Stop
 	Token   uint64 // as in the Stop; 0: unknown
 	Task    TaskID
--- a/pool/incarnation.go
+++ b/pool/incarnation.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -25,14 +26,14 @@
 		c.workerRestarted(w, e)
 	}
 	w.incarnation = e.Born
-	c.trackIncarnation(w)
 	return true
 }
 
-// trackIncarnation stores which incarnation of the worker may run tasks.
+// trackIncarnation stores which incarnation of the worker may run tasks, and where.
 func (c *Core) trackIncarnation(w *worker) {
-	if h, ok := c.trackedWorkers[w.ID]; ok && h.Born != w.incarnation {
-		h.Born = w.incarnation
+	addr := cmp.Or(w.answeredAddr, w.Addr)
+	if h, ok := c.trackedWorkers[w.ID]; ok && (h.Born != w.incarnation || h.Addr != addr) {
+		h.Born, h.Addr = w.incarnation, addr
 		c.trackedWorkers[w.ID] = h
 		c.trackedChanged = true
 	}
--- a/pool/startstop.go
+++ b/pool/startstop.go
@@ -31,7 +31,7 @@
 }
 
 func (c *Core) stopAnswered(e StopAnswered) {
-	w := c.answeringWorker(e.Worker, e.Token, e.Outcome)
+	w := c.answeringWorker(e.Worker, e.Addr, e.Token, e.Outcome)
 	if w == nil || e.Born != w.incarnation {
 		return // a former incarnation's confirmation says nothing about this one
 	}
@@ -44,8 +44,8 @@
 
 // answeringWorker returns the worker that answered, or nil if there is nothing left to do there
 // according to the answer: this owner was replaced, or another incarnation of the worker answered
-// and all runs of this one are gone.
-func (c *Core) answeringWorker(id string, token uint64, outcome Outcome) *worker {
+// at its address and all runs of this one are gone.
+func (c *Core) answeringWorker(id, addr string, token uint64, outcome Outcome) *worker {
 	c.watchInheritedSuspects()
 	w := c.workers[id]
 	switch {
@@ -54,7 +54,7 @@
 	case outcome == Fenced && !c.isOutdated(w, token):
 		c.depose("worker " + w.ID + " has seen a newer owner")
 		return nil
-	case outcome == WrongIncarnation:
+	case outcome == WrongIncarnation && w.isKnownAt(addr):
 		c.rememberLostRuns(w, w.sortedRuns())
 		c.workerCrashed(w, true)
 		c.loseRuns(w, "another incarnation of the worker answered")
@@ -65,11 +65,18 @@
 	return w
 }
 
+// isKnownAt reports whether the worker is at an address unless it has ended. A list entry, or the record of a
+// predecessor, may name one where it has never been or isn't any more: that another worker answers there says
+// nothing about it.
+func (w *worker) isKnownAt(addr string) bool {
+	return addr == "" || addr == w.Addr && (w.answeredAddr == "" || addr == w.answeredAddr)
+}
+
 func (c *Core) startAnswered(e StartAnswered) {
 	if e.Outcome == WrongIncarnation {
 		c.dropUnsentRun(e)
 	}
-	w := c.answeringWorker(e.Worker, e.Token, e.Outcome)
+	w := c.answeringWorker(e.Worker, e.Addr, e.Token, e.Outcome)
 	if w == nil {
 		return
 	}
@@ -97,7 +104,7 @@
 // can't be the reason why the addressed one has ended.
 func (c *Core) dropUnsentRun(e StartAnswered) {
 	w := c.workers[e.Worker]
-	if w == nil {
+	if w == nil || !w.isKnownAt(e.Addr) {
 		return
 	}
 	if r := w.runs[runKey{e.Task, e.Run}]; r != nil && r.startsSent == 1 && r.phase == starting {
@@ -123,7 +130,7 @@
 	switch why {
 	case InvalidTicket:
 		r.task.step.advice.dropTicket(w)
-	case NoRoom, DeadlinePassed:
+	case NoRoom, DeadlinePassed, WrongIncarnation:
 		w.pausedUntil = c.now + retryDelay
 	case Unhealthy:
 		w.pausedUntil = c.now + unhealthyPause
--- a/pool/worker.go
+++ b/pool/worker.go
@@ -121,6 +121,8 @@
 	exclusiveFailures map[string]bool
 	// slowness holds the latest results of Core.slowness.
 	slowness []cachedSlowness
+	// answeredAddr is the address where it last answered, or where a predecessor called it; empty: unknown.
+	answeredAddr string
 }
 
 func (c *Core) newWorker(info WorkerInfo) *worker {
@@ -204,6 +206,7 @@
 		if !w.listed {
 			w.Addr, w.Service = h.Addr, h.Service
 		}
+		w.answeredAddr = h.Addr
 		c.trackedWorkers[h.ID] = h
 		w.tracked = true
 		c.workersChanged()
@@ -290,7 +293,7 @@
 }
 
 func (c *Core) holdAnswered(e HoldAnswered) {
-	w := c.answeringWorker(e.Worker, e.Token, e.Outcome)
+	w := c.answeringWorker(e.Worker, e.Addr, e.Token, e.Outcome)
 	if w == nil {
 		return
 	}
@@ -321,6 +324,8 @@
 	if w.silent || !w.fenced {
 		c.replan, c.retryAllSteps = true, true
 	}
+	w.answeredAddr = cmp.Or(e.Addr, w.answeredAddr)
+	c.trackIncarnation(w)
 	w.silent = false
 	w.takeLostRuns()
 	w.answeredAt = c.now
