pool: an entry with a wrong incarnation is dropped once it is disproved

An entry of the list of workers under a live worker's key with a born that is much too large was taken over. From then on the worker's true entries, with a lower one, were ignored, so it got no tasks; its ends were never acknowledged, as it counted as started again; and its later incarnations got calls without a higher token, so that the owner's first call to them didn't make them refuse late starts.

Cause: an incarnation that is named in the list was believed whatever the worker itself says.

Fix: a worker that answers a hold as an earlier incarnation, where the hold was sent after the entry was read, disproves the entry. Such an entry is ignored; the next one counts whichever incarnation it names, ends are acknowledged, and the token follows the incarnation that answers.

Why it holds: incarnations follow each other, so the answer to a call that was sent after a later one had begun can't be from an earlier one. An answer to a call that was sent before doesn't count (TestNoAcknowledgementToAWorkerThatMayHaveRestarted). Ruled out: taking over any entry with a lower incarnation, since the list may lag behind; raising the token with each copy of the wrong entry, since an owner has 256.

--- a/pool/incarnation.go
+++ b/pool/incarnation.go
@@ -15,6 +15,10 @@
 // checkIncarnation handles the incarnation that a hold's answer names, and reports whether the answer
 // is from the newest one.
 func (c *Core) checkIncarnation(w *worker, e *HoldAnswered) bool {
+	if e.Born != 0 && e.Born >= w.incarnation && e.Born < w.Born && e.SentAt > w.bornListedAt {
+		// It has answered after its entry named a later one.
+		w.bornWrong, w.fencing.born = true, w.incarnation
+	}
 	switch {
 	case e.Born == 0 || e.Born == w.incarnation:
 		return true
--- a/pool/worker.go
+++ b/pool/worker.go
@@ -123,6 +123,9 @@
 	slowness []cachedSlowness
 	// answeredAddr is the address where it last answered, or where a predecessor called it; empty: unknown.
 	answeredAddr string
+	// bornListedAt is when its entry first named its incarnation. bornWrong is set if there has never been such a one.
+	bornListedAt time.Duration
+	bornWrong    bool
 }
 
 func (c *Core) newWorker(info WorkerInfo) *worker {
@@ -157,9 +160,15 @@
 			c.retractCrash(info.ID, info.Born)
 		}
 		w.listed = true
-		if info.Born < w.Born || (info.Born < w.incarnation && info.Born != 0) {
+		if w.bornWrong && info.Born == w.Born {
+			continue // about no incarnation
+		}
+		if (info.Born < w.Born && !w.bornWrong) || (info.Born < w.incarnation && info.Born != 0) {
 			continue // about a former incarnation, or about none that is named
 		}
+		if info.Born != w.Born {
+			w.bornListedAt, w.bornWrong = c.now, false
+		}
 		if info.Born > w.incarnation && w.incarnation != 0 {
 			w.nextHold = c.now // it has started again
 		}
@@ -289,7 +298,7 @@
 // ends anew then, and an acknowledgement would make it forget ends that nobody has read. A worker that
 // isn't listed and runs nothing isn't asked.
 func (c *Core) mayHaveRestarted(w *worker) bool {
-	return w.silent || c.now-w.answeredAt >= minRestartTime || w.Born > w.incarnation
+	return w.silent || c.now-w.answeredAt >= minRestartTime || (w.Born > w.incarnation && !w.bornWrong)
 }
 
 func (c *Core) holdAnswered(e HoldAnswered) {
