pool: a machine without a named worker may host any of them

At a takeover a silent worker's lease counts as over if the list of machines shows that its incarnation has ended. An entry of a machine that is up but names no worker made the worker there count as gone after two lists, and of two entries that name a worker the last one decided. Its tasks were started elsewhere while it could run them.

Fix: such a machine may host any worker of its service, so none of them counts as gone; a worker counts as down only if no entry says up.

Evidence: both new lines of TestInheritedJobsDoNotWaitForEndedIncarnations were red before, each alone (one start instead of none). Ruled out: marking such an entry as unreadable, since a list with unreadable entries is partial for waves too.

--- a/pool/silence.go
+++ b/pool/silence.go
@@ -181,7 +181,12 @@
 	for _, m := range machines {
 		services[m.Service] = true
 		if m.Worker != "" {
-			up[m.Worker] = m.Up
+			up[m.Worker] = up[m.Worker] || m.Up // should two machines name it
+		}
+	}
+	for _, m := range machines {
+		if m.Up && m.Worker == "" {
+			services[m.Service] = false // it may host any worker of the service
 		}
 	}
 	for _, w := range c.workerList {
--- a/pool/silence_test.go
+++ b/pool/silence_test.go
@@ -139,6 +139,9 @@
 	assert.Equal(t, len(takeOver(3).acceptStarts()), 0, "empty machine list")
 	other := MachineInfo{ID: "m9", Service: "other", Up: true, Worker: "x"}
 	assert.Equal(t, len(takeOver(3, other).acceptStarts()), 0, "the list has no machine of this service")
+	unnamed := MachineInfo{ID: "m2", Service: "s", Up: true}
+	assert.Equal(t, len(takeOver(2, living, down, unnamed).acceptStarts()), 0, "a machine that is up may host any worker")
+	assert.Equal(t, len(takeOver(2, living, silent, MachineInfo{ID: "m3", Service: "s", Worker: "upkept"}).acceptStarts()), 0, "listed twice")
 }
 
 // Guards against the use of a machine list that was requested before the workers were known. It
