--- a/pool/incarnation.go
+++ b/pool/incarnation.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -14,6 +15,10 @@
 // checkIncarnation handles the incarnation that a hold's answer names, and reports whether the answer
 // is from the newest one.
 func (c *Core) checkIncarnation(w *worker, e *HoldAnswered) bool {
+	if e.Born != 0 && e.Born >= w.incarnation && e.Born < w.Born && e.SentAt > w.bornListedAt {
+		// It has answered after its entry named a later one.
+		w.bornWrong, w.fencing.born = true, w.incarnation
+	}
 	switch {
 	case e.Born == 0 || e.Born == w.incarnation:
 		return true
@@ -25,14 +30,14 @@
 		c.workerRestarted(w, e)
 	}
 	w.incarnation = e.Born
-	c.trackIncarnation(w)
 	return true
 }
 
-// trackIncarnation stores which incarnation of the worker may run tasks.
+// trackIncarnation stores which incarnation of the worker may run tasks, and where.
 func (c *Core) trackIncarnation(w *worker) {
-	if h, ok := c.trackedWorkers[w.ID]; ok && h.Born != w.incarnation {
-		h.Born = w.incarnation
+	addr := cmp.Or(w.answeredAddr, w.Addr)
+	if h, ok := c.trackedWorkers[w.ID]; ok && (h.Born != w.incarnation || h.Addr != addr) {
+		h.Born, h.Addr = w.incarnation, addr
 		c.trackedWorkers[w.ID] = h
 		c.trackedChanged = true
 	}
