--- a/standin/machines/invalidentries.go
+++ b/standin/machines/invalidentries.go
@@ -55,7 +55,34 @@
 	w.store.put(WorkersTopic, pool.Record{Key: id, Value: invalidEntries[kind%len(invalidEntries)](info)})
 }
 
-// Restore undoes PutInvalidEntry: it writes the worker's own entry again, or removes the
+// PutChangedEntry replaces a live worker's entry by one of another writer that describes a usable worker, but
+// not this one.
+func (w *World) PutChangedEntry(id string, change func(*pool.WorkerInfo)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	x := w.workers[id]
+	if x == nil || !x.alive {
+		return // its own entry is removed soon
+	}
+	if x.invalidSince.IsZero() {
+		x.invalidSince = time.Now()
+	}
+	info := x.info()
+	change(&info)
+	w.store.put(WorkersTopic, pool.Record{Key: id, Value: pool.Encode(info)})
+}
+
+// workerAt returns the worker at an address; nil: there is none.
+func (w *World) workerAt(addr string) *worker {
+	for _, x := range w.workers {
+		if x.addr() == addr {
+			return x
+		}
+	}
+	return nil
+}
+
+// Restore undoes PutInvalidEntry and PutChangedEntry: it writes the worker's own entry again, or removes the
 // entry if there is no such worker.
 func (w *World) Restore(id string) {
 	w.mu.Lock()
--- a/standin/machines/view.go
+++ b/standin/machines/view.go
@@ -136,15 +136,20 @@
 	return decodeWorker(r)
 }
 
-// deliver sends an order over the network. It returns the worker if the order arrives now
-// and its answer will arrive too; late is called if the order arrives later. An order that is late is
-// lost if the worker crashes before.
-func (v *View) deliver(ctx context.Context, id string, late func(*worker)) *worker {
+// deliver sends an order to a worker's address over the network. It returns the worker at that address if
+// the order arrives now and its answer will arrive too; late is called if the order arrives later. An order
+// that is late is lost if the worker crashes before.
+func (v *View) deliver(ctx context.Context, id, addr string, late func(*worker)) *worker {
 	if !pause(ctx, networkDelay) {
 		return nil
 	}
 	v.w.mu.Lock()
 	x := v.w.workers[id]
+	if x != nil && addr != "" && addr != x.addr() {
+		if x = v.w.workerAt(addr); x != nil {
+			late = nil // it does nothing for another worker's order
+		}
+	}
 	alive := x != nil && (x.alive || x.replaced) && !x.unreachable
 	lateOrders := v.w.lateOrders
 	v.w.mu.Unlock()
@@ -179,10 +184,13 @@
 // Start implements node.Workers.
 func (v *View) Start(ctx context.Context, s pool.Start) pool.Outcome {
 	o := order{sender: v.name, sentAt: time.Now()}
-	x := v.deliver(ctx, s.Worker, func(x *worker) { x.start(s, o) })
+	x := v.deliver(ctx, s.Worker, s.Addr, func(x *worker) { x.start(s, o) })
 	if x == nil {
 		return pool.NoAnswer
 	}
+	if x.id != s.Worker {
+		return pool.WrongIncarnation
+	}
 	v.w.mu.Lock()
 	defer v.w.mu.Unlock()
 	return x.start(s, o)
@@ -190,10 +198,13 @@
 
 // Stop implements node.Workers.
 func (v *View) Stop(ctx context.Context, s pool.Stop) pool.Outcome {
-	x := v.deliver(ctx, s.Worker, func(x *worker) { x.stop(s) })
+	x := v.deliver(ctx, s.Worker, s.Addr, func(x *worker) { x.stop(s) })
 	if x == nil {
 		return pool.NoAnswer
 	}
+	if x.id != s.Worker {
+		return pool.WrongIncarnation
+	}
 	v.w.mu.Lock()
 	defer v.w.mu.Unlock()
 	return x.stop(s)
@@ -201,10 +212,13 @@
 
 // Pace implements node.Workers.
 func (v *View) Pace(ctx context.Context, p pool.Pace) pool.Outcome {
-	x := v.deliver(ctx, p.Worker, nil)
+	x := v.deliver(ctx, p.Worker, p.Addr, nil)
 	if x == nil {
 		return pool.NoAnswer
 	}
+	if x.id != p.Worker {
+		return pool.WrongIncarnation
+	}
 	v.w.mu.Lock()
 	defer v.w.mu.Unlock()
 	return x.pace(p)
@@ -213,10 +227,14 @@
 // Hold implements node.Workers.
 func (v *View) Hold(ctx context.Context, h pool.Hold) pool.HoldAnswered {
 	answer := pool.HoldAnswered{Worker: h.Worker, SentAt: h.SentAt, Outcome: pool.NoAnswer}
-	x := v.deliver(ctx, h.Worker, nil)
+	x := v.deliver(ctx, h.Worker, h.Addr, nil)
 	if x == nil {
 		return answer
 	}
+	if x.id != h.Worker {
+		answer.Outcome = pool.WrongIncarnation
+		return answer
+	}
 	v.w.mu.Lock()
 	x.heldTwice = x.heldTwice || x.holdAnswered
 	v.w.mu.Unlock()
--- a/standin/machines/worker.go
+++ b/standin/machines/worker.go
@@ -86,12 +86,16 @@
 		endedAt: map[uint64]time.Time{}, newestEnded: map[pool.TaskID]int{}, tickets: map[string]time.Time{}, ended: make(chan struct{})}
 }
 
-func (x *worker) info() pool.WorkerInfo {
-	addr := x.id
+// addr returns the worker's address.
+func (x *worker) addr() string {
 	if x.w.AddrOf != nil {
-		addr = x.w.AddrOf(x.id)
+		return x.w.AddrOf(x.id)
 	}
-	return pool.WorkerInfo{ID: x.id, Born: x.startedAt.UnixMilli(), Addr: addr, Service: x.service, Zone: "z", Rack: x.rack, Kind: x.kind,
+	return x.id
+}
+
+func (x *worker) info() pool.WorkerInfo {
+	return pool.WorkerInfo{ID: x.id, Born: x.startedAt.UnixMilli(), Addr: x.addr(), Service: x.service, Zone: "z", Rack: x.rack, Kind: x.kind,
 		Labels: []string{x.kind, x.rack}, Capacity: x.capacity, Draining: !x.drainsAt.IsZero()}
 }
 
