pool: a predecessor may renew leases as long after the takeover where workers grant 6 s

What callers saw: nothing yet; found by reading for rule TWICE (a task that runs twice beside a takeover). Cause: maxInheritedLease took the longest lease that workers grant for a bound of lease plus renewals, so a site that grants 6 s left the predecessor 1 s for its last renewals, not predecessorRenewalTime: one that renews a lease between 1 s and 1.5 s after the takeover, on a worker that its successor does not reach, kept a task alive for longer than the successor waited. Evidence: TestInheritedLeasesAreCountedFromTheFirstAnswer failed before: the task was started 6.45 s after the claim, where renewal and lease take 6.5 s. Ruled out: a shorter lease by the worker limit; an owner asks for 5 s, which all sites grant. Result: at sites that grant 6 s, inherited jobs wait for a worker that has left 0.52 s longer by the formula (6.945 s after 6.43 s), as they did where 10 s are granted. TestInheritedJobsWaitOnlyForRequestedLeases passes.

--- /dev/null
+++ b/pool/inheritedlease_test.go
@@ -0,0 +1,56 @@
+package pool
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// newCutOffTakeover returns a new owner with an inherited job of one task, and three workers that its
+// predecessor knows, of which none has answered the new owner for the given time.
+func newCutOffTakeover(t *testing.T, cutOff time.Duration) *rig {
+	r := newRig(t)
+	r.step(JobStored{Inherited: true, Job: Job{ID: "j", Queue: "q", Service: "s", Payload: "p", Steps: []StepSpec{smallStep(1)}}})
+	r.step(TrackedWorkersStored{Workers: []TrackedWorker{{ID: "w1", Addr: "w1:1", Service: "s"}, {ID: "w2", Addr: "w2:1", Service: "s"}, {ID: "w3", Addr: "w3:1", Service: "s"}}})
+	r.step(WorkersListed{Workers: []WorkerInfo{newWorkerInfo("w1"), newWorkerInfo("w2"), newWorkerInfo("w3")}})
+	for end := r.now + cutOff; r.now < end; {
+		r.failHolds("w1")
+		r.failHolds("w2")
+		r.failHolds("w3")
+		r.advance(50 * time.Millisecond)
+		assert.Equal(r.t, len(takeActions[Start](r)), 0, "a task is started while no worker answers")
+	}
+	return r
+}
+
+// answerIfHeld answers a worker's hold if there is one.
+func (r *rig) answerIfHeld(worker string) {
+	if slices.ContainsFunc(r.actions, func(a Action) bool { h, ok := a.(Hold); return ok && h.Worker == worker }) {
+		r.answerHold(worker, nil)
+	}
+}
+
+// Guards against a new owner that starts tasks elsewhere while they run under a lease that its predecessor has renewed
+// after the takeover.
+func TestInheritedLeasesAreCountedFromTheFirstAnswer(t *testing.T) {
+	for _, cutOff := range []time.Duration{0} {
+		t.Run(cutOff.String(), func(t *testing.T) {
+			r := newCutOffTakeover(t, cutOff)
+			first := r.now
+			var starts []Start
+			for len(starts) == 0 && r.now < first+8*time.Second {
+				r.answerIfHeld("w2")
+				r.failHolds("w1")
+				r.failHolds("w3")
+				r.advance(50 * time.Millisecond)
+				r.confirmSaves()
+				starts = takeActions[Start](r)
+			}
+			assert.Equal(t, len(starts), 1, "the inherited task isn't started")
+			assert.Equal(t, starts[0].Worker, "w2")
+			assert.Assert(t, r.now-first > leaseDuration+predecessorRenewalTime, "started %v after the first answer, and it may run on w1 or w3", r.now-first)
+		})
+	}
+}
--- a/pool/silence.go
+++ b/pool/silence.go
@@ -9,7 +9,7 @@
 
 // A new owner doesn't know which tasks its predecessor started, so it asks every worker. While
 // one of them is silent, any task of an inherited job (one stored before the takeover) might run
-// there unnoticed, and all of these jobs would have to wait for the longest lease, 6.4 s.
+// there unnoticed, and all of these jobs would have to wait for the longest lease, 6.9 s.
 // Therefore an owner stores a silence record when a worker falls silent: the list of tasks that
 // the worker may run. It starts nothing more there until that record is removed. A successor
 // then delays only the tasks in the record. A worker that falls silent at the same time as the
--- a/pool/worker.go
+++ b/pool/worker.go
@@ -140,7 +140,7 @@
 // site, delayed all inherited jobs by 10.5 s after each restart of all processes if one worker
 // had left, which made half of a day's large jobs late.
 func (c *Core) maxInheritedLease() time.Duration {
-	longest := min(leaseDuration+predecessorRenewalTime, c.settings.MaxLease)
+	longest := min(leaseDuration, c.settings.MaxLease) + predecessorRenewalTime
 	return time.Duration(float64(longest)*clockDriftFactor) + leaseExpiryMargin
 }
 
