pool: count inherited leases from the first worker's answer

What callers saw: rule TWICE may break at a takeover. The task of an owner that is cut off from the store and its peers ran a second time on another worker. Cause: a new owner counted its predecessor's leases from its claim and allowed the predecessor 1.5 s of further renewals, as the first worker that both reach deposes it. An owner that reaches no worker (its links are cut, or it is stopped right after its claim) deposes nobody, and the predecessor renews all leases for as long. Once the first worker answered, the new owner took all other workers' leases for over and started their tasks there. Fixed: until a worker has answered under the owner's token, nothing of a listed worker is over (nothing could be started either); from then on, the leases are counted. Workers that have left the list are counted from then, as nobody may answer. Left: a predecessor that reaches none of the workers that its successor reaches isn't deposed by them.

--- a/pool/core.go
+++ b/pool/core.go
@@ -86,6 +86,7 @@
 	otherRecords         []Record      // other records to save: removals of expired keys, progress of waves
 	saveSeq              uint64
 	savedSeq             uint64
+	firstAnswered        bool          // a worker has answered under this owner's token
 	listed               bool          // the list of workers has arrived at least once
 	listedAsOf           time.Duration // see WorkersListed
 	lastSave             time.Duration
--- a/pool/inheritedlease_test.go
+++ b/pool/inheritedlease_test.go
@@ -32,10 +32,10 @@
 	}
 }
 
-// Guards against a new owner that starts tasks elsewhere while they run under a lease that its predecessor has renewed
-// after the takeover.
+// Guards against a new owner that reaches no worker for longer than its predecessor's leases and, once one answers,
+// starts tasks that run elsewhere: until then nothing has deposed the predecessor, which has gone on renewing its leases.
 func TestInheritedLeasesAreCountedFromTheFirstAnswer(t *testing.T) {
-	for _, cutOff := range []time.Duration{0} {
+	for _, cutOff := range []time.Duration{0, 3 * time.Second, 7 * time.Second, 20 * time.Second} {
 		t.Run(cutOff.String(), func(t *testing.T) {
 			r := newCutOffTakeover(t, cutOff)
 			first := r.now
@@ -54,3 +54,14 @@
 		})
 	}
 }
+
+// Guards against a takeover that is delayed once all workers have answered, however late.
+func TestTakeoverIsCompleteOnceAllWorkersHaveAnswered(t *testing.T) {
+	r := newCutOffTakeover(t, 20*time.Second)
+	for _, id := range []string{"w1", "w2", "w3"} {
+		assert.Equal(t, len(takeActions[Start](r)), 0)
+		r.answerIfHeld(id)
+		r.confirmSaves()
+	}
+	assert.Equal(t, len(takeActions[Start](r)), 1)
+}
--- a/pool/worker.go
+++ b/pool/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -30,9 +31,9 @@
 	// firstContactRetryDelay replaces retryDelay until a new owner has its first answer from a
 	// worker, since all inherited jobs wait for it, and for a worker that may get late starts, see fencing.
 	firstContactRetryDelay = 50 * time.Millisecond
-	// predecessorRenewalTime is how long a predecessor may go on renewing leases after a
-	// takeover. It calls each worker once per second, and is deposed by the first worker that
-	// both owners reach.
+	// predecessorRenewalTime is how long a predecessor may go on renewing leases after the first
+	// worker has answered its successor. It calls each worker once per second, and is deposed by
+	// the first worker that both owners reach.
 	predecessorRenewalTime = 1500 * time.Millisecond
 	// clockDriftFactor allows for a worker's clock that runs up to 2 % slower than ours, and
 	// for up to 1 % by which our estimate of it may be ahead.
@@ -90,7 +91,8 @@
 	unansweredStartAt time.Duration
 	clockMs           int64
 	clockReadAt       time.Duration
-	// leaseExpiry is when all runs that were ever sent there are certainly over.
+	// leaseExpiry is when all runs that were ever sent there are certainly over; never: not before
+	// the predecessor is deposed.
 	leaseExpiry time.Duration
 	holdPending bool
 	nextHold    time.Duration
@@ -125,7 +127,10 @@
 
 func (c *Core) newWorker(info WorkerInfo) *worker {
 	w := &worker{WorkerInfo: info, index: c.workersSeen, runs: map[runKey]*run{}, inherited: !c.listed, firstSeenAt: c.now, pace: fullPace}
-	w.leaseExpiry = max(c.now, c.startedAt) + c.maxInheritedLease()
+	w.leaseExpiry = never
+	if c.firstAnswered {
+		w.leaseExpiry = c.now + c.maxInheritedLease()
+	}
 	c.restoreToken(w)
 	c.workers[info.ID] = w
 	c.workerList = append(c.workerList, w)
@@ -134,9 +139,23 @@
 	return w
 }
 
-// maxInheritedLease returns how long a predecessor's leases may last after a new owner's claim.
-// A predecessor grants the same lease as this owner, and renews it until a worker that has seen
-// the new owner rejects it. Using the longest lease that workers grant instead, 10 s at one
+// never is the leaseExpiry of listed workers until the first of them answers. Before, nothing has
+// deposed the predecessor, and nothing can be started.
+const never = time.Duration(math.MaxInt64)
+
+// boundInheritedLeases bounds the predecessor's leases once the first worker has answered, and those on
+// workers that have left the list.
+func (c *Core) boundInheritedLeases() {
+	for _, w := range c.workerList {
+		if c.firstAnswered || !w.listed {
+			w.leaseExpiry = min(w.leaseExpiry, c.now+c.maxInheritedLease())
+		}
+	}
+}
+
+// maxInheritedLease returns how long a predecessor's leases may last after the first worker has
+// answered. A predecessor grants the same lease as this owner, and renews it until a worker that has
+// seen the new owner rejects it. Using the longest lease that workers grant instead, 10 s at one
 // site, delayed all inherited jobs by 10.5 s after each restart of all processes if one worker
 // had left, which made half of a day's large jobs late.
 func (c *Core) maxInheritedLease() time.Duration {
@@ -170,6 +189,9 @@
 		}
 		c.tickWorker(w)
 	}
+	if !c.firstAnswered {
+		c.boundInheritedLeases()
+	}
 	c.watchInheritedSuspects()
 	c.listed = true
 	c.workersChanged()
@@ -314,6 +336,10 @@
 		c.tickWorker(w)
 		return
 	}
+	if !c.firstAnswered {
+		c.firstAnswered = true
+		c.boundInheritedLeases()
+	}
 	if !c.checkIncarnation(w, &e) {
 		c.tickWorker(w) // the answer is late, and lists what a former incarnation ran
 		return
--- a/standin/machines/view.go
+++ b/standin/machines/view.go
@@ -18,7 +18,8 @@
 	// faultEnds is closed when the store's fault changes.
 	faultEnds   chan struct{}
 	delay       time.Duration
-	partitioned bool // from the workers
+	partitioned bool            // from the workers
+	unreachable map[string]bool // workers that it can't reach
 	// faultFreeSince is the end of the instance's last fault.
 	faultFreeSince time.Time
 }
@@ -105,10 +106,22 @@
 	return v.delay
 }
 
-func (v *View) isPartitioned() bool {
+// PartitionWorker starts a network partition between the instance and one worker, or ends it.
+func (v *View) PartitionWorker(id string, partitioned bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.partitioned
+	if v.unreachable == nil {
+		v.unreachable = map[string]bool{}
+	}
+	v.unreachable[id] = partitioned
+	v.faultFreeSince = time.Now()
+}
+
+// reaches reports whether there is no network partition between the instance and a worker.
+func (v *View) reaches(id string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return !v.partitioned && !v.unreachable[id]
 }
 
 // ConfigTopic implements node.Directory.
@@ -148,7 +161,7 @@
 	alive := x != nil && (x.alive || x.replaced) && !x.unreachable
 	lateOrders := v.w.lateOrders
 	v.w.mu.Unlock()
-	if !alive || v.isPartitioned() {
+	if !alive || !v.reaches(id) {
 		<-ctx.Done()
 		return nil
 	}
--- a/standin/machines/world.go
+++ b/standin/machines/world.go
@@ -322,3 +322,10 @@
 	defer w.mu.Unlock()
 	return slices.ContainsFunc(w.order, func(x *worker) bool { return x.alive && x.kind == kind })
 }
+
+// Runs returns the number of runs that are active on a worker.
+func (w *World) Runs(id string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.workers[id].runs)
+}
