pool: stop a gang's later run once an earlier one is listed as done

What callers saw: rule TWICE in random histories with stopped instances: a gang's start was sent again 0.25 s after its end as done was stored. Cause: a single task's other runs are stopped when one is done, a gang's weren't. A gang whose runs were lost (an owner that was stopped for longer than its leases) and started again, and of which the worker then lists the first run as done, went on with the second one; a start of it without an answer was even sent again. Evidence: TestRunOfAGangIsStoppedOnceAnEarlierOneIsDone failed before (no stop). Ruled out: the end acknowledged before the restart; it was listed 66 ms after the second run was started. Why it holds: only members with another run number are stopped; those of the run that is done end by themselves.

--- a/pool/ends.go
+++ b/pool/ends.go
@@ -115,6 +115,9 @@
 		s.doneRun = number
 		for _, m := range s.tasks {
 			s.markDone(m)
+			if m.run != nil && m.run.number != number {
+				c.stop(m.run, "the task is done")
+			}
 		}
 	} else {
 		s.markDone(t)
--- a/pool/gang_test.go
+++ b/pool/gang_test.go
@@ -207,3 +207,42 @@
 	}
 	assert.Equal(t, started, 120)
 }
+
+// Guards against a run of a gang that goes on, or is still sent, after an earlier one that had counted as lost is listed as done.
+func TestRunOfAGangIsStoppedOnceAnEarlierOneIsDone(t *testing.T) {
+	r := newRig(t, newWorkerInfo("w1"))
+	r.answerHold("w1", nil)
+	next := smallStep(1)
+	next.After = []int{0}
+	r.submitJob("j", gangStep(2, 1000, time.Second), next)
+	first := r.acceptStarts()
+	assert.Equal(t, len(first), 2)
+	var again []Start
+	for end := r.now + 10*time.Second; len(again) == 0 && r.now < end; {
+		r.step(WorkersListed{Workers: []WorkerInfo{newWorkerInfo("w1"), newWorkerInfo("w2")}})
+		r.failHolds("w1")
+		r.answerIfHeld("w2")
+		r.advance(50 * time.Millisecond)
+		r.confirmSaves()
+		again = takeActions[Start](r)
+	}
+	assert.Equal(t, len(again), 2, "the gang isn't started again")
+	var ends []EndedRun
+	for n, s := range first {
+		ends = append(ends, EndedRun{Number: uint64(n + 1), Task: s.Task, Run: s.Run, How: Done})
+	}
+	r.advance(retryDelay)
+	r.answerHold("w1", nil, ends...)
+	stopped := map[TaskID]bool{}
+	for _, s := range takeActions[Stop](r) {
+		assert.Equal(t, s.Run, again[0].Run)
+		stopped[s.Task] = true
+	}
+	assert.Equal(t, len(stopped), 2, "the second run isn't stopped")
+	for _, s := range again {
+		r.step(StartAnswered{Worker: s.Worker, Task: s.Task, Run: s.Run, Outcome: NoAnswer})
+	}
+	for _, s := range takeActions[Start](r) {
+		assert.Assert(t, s.Task.Step != 0, "the gang's start is sent again after its end as done")
+	}
+}
