pool, node: the log tells starts that are carried out late from those sent twice

What was missing: of a task that ran twice, the log of an owner showed run.start and run.lost, but neither that a start had no answer nor which incarnation of the worker a line is about; and nothing of calls that another worker had answered.

Now each line about a run names the worker's incarnation, start.unanswered says how often the start was sent, and worker.misdirected which address another worker answered at, once a minute for each worker. The epoch was there already.

--- a/node/node.go
+++ b/node/node.go
@@ -344,6 +344,9 @@
 	if d.Worker != "" || d.Task != nil {
 		e = e.Str("worker", d.Worker)
 	}
+	if d.Incarnation != 0 {
+		e = e.Int64("incarnation", d.Incarnation)
+	}
 	if d.Workers > 0 {
 		e = e.Int("workers", d.Workers)
 	}
--- a/pool/core.go
+++ b/pool/core.go
@@ -258,14 +258,14 @@
 
 func (c *Core) logRun(event string, r *run, reason string) {
 	id := r.task.id()
-	c.emit(LogEntry{Event: event, Job: id.Job, Task: &id, Run: r.number, Worker: r.worker.ID, Reason: reason})
+	c.emit(LogEntry{Event: event, Job: id.Job, Task: &id, Run: r.number, Worker: r.worker.ID, Incarnation: r.worker.incarnation, Reason: reason})
 }
 
 // logLostRun logs the loss of a run, and how many workers have crashed in a row under its task.
 func (c *Core) logLostRun(r *run, reason string) {
 	r.task.lostRun = true
 	id := r.task.id()
-	c.emit(LogEntry{Event: "run.lost", Job: id.Job, Task: &id, Run: r.number, Worker: r.worker.ID, Reason: reason, Crashes: len(r.task.crashes)})
+	c.emit(LogEntry{Event: "run.lost", Job: id.Job, Task: &id, Run: r.number, Worker: r.worker.ID, Incarnation: r.worker.incarnation, Reason: reason, Crashes: len(r.task.crashes)})
 }
 
 // logTask logs an event about a task and the crashes under it.
--- a/pool/ends.go
+++ b/pool/ends.go
@@ -69,7 +69,7 @@
 		t.takeCheckpoint(r, x.Checkpoint)
 	}
 	j := t.step.job
-	c.emit(LogEntry{Event: "run.ended", Job: j.ID, Task: &x.Task, Run: x.Run, Worker: w.ID, Reason: x.How.String()})
+	c.emit(LogEntry{Event: "run.ended", Job: j.ID, Task: &x.Task, Run: x.Run, Worker: w.ID, Incarnation: w.incarnation, Reason: x.How.String()})
 	if j.state.Ended() {
 		// The job's final state may not be stored yet. If the end was acknowledged before,
 		// the worker would forget it, and a successor that doesn't know it would run the task
--- a/pool/events.go
+++ b/pool/events.go
@@ -345,6 +345,8 @@
 	Task   *TaskID
 	Run    int
 	Worker string
+	// Incarnation is that of the worker, see WorkerInfo.Born; 0: unknown.
+	Incarnation int64
 	// Workers is the number of workers that an advice request lists, or that its answer
 	// allows.
 	Workers int
--- a/pool/place.go
+++ b/pool/place.go
@@ -433,7 +433,7 @@
 	s, id := r.task.step, r.task.id()
 	c.admission.starts.count(c.now, 1)
 	c.recordDelay(s)
-	c.emit(LogEntry{Event: "run.start", Job: id.Job, Task: &id, Run: r.number, Worker: r.worker.ID, Waited: c.now - s.readySince})
+	c.emit(LogEntry{Event: "run.start", Job: id.Job, Task: &id, Run: r.number, Worker: r.worker.ID, Incarnation: r.worker.incarnation, Waited: c.now - s.readySince})
 	c.sendStart(r)
 }
 
--- a/pool/startstop.go
+++ b/pool/startstop.go
@@ -1,6 +1,9 @@
 package pool
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 const (
 	// stopRetryInterval is the time after which an unanswered stop is sent again.
@@ -8,6 +11,8 @@
 	// maxStartTries is how often an unanswered start is sent before the run is stopped instead.
 	// Sending a start again is harmless: a worker executes a run only once.
 	maxStartTries = 3
+	// misdirectedLogInterval is the minimum time between two log lines about calls to a worker at a wrong address.
+	misdirectedLogInterval = time.Minute
 )
 
 // stop tells a run's worker to stop it.
@@ -60,6 +65,10 @@
 		c.loseRuns(w, w.sortedRuns(), "another incarnation of the worker answered")
 		c.removeWorker(w)
 		return nil
+	case outcome == WrongIncarnation && (w.misdirectedLoggedAt == 0 || c.now-w.misdirectedLoggedAt >= misdirectedLogInterval):
+		w.misdirectedLoggedAt = c.now
+		c.emit(LogEntry{Event: "worker.misdirected", Worker: w.ID, Incarnation: w.incarnation, Runs: len(w.runs),
+			Reason: fmt.Sprintf("another worker answered at %s; it last answered at %s", addr, w.answeredAddr)})
 	}
 	c.freeChanged(w)
 	return w
@@ -115,6 +124,7 @@
 
 func (c *Core) retryStart(r *run) {
 	r.worker.unansweredStartAt, r.unansweredAt = c.now, c.now
+	c.logRun("start.unanswered", r, fmt.Sprintf("sent %d times", r.startsSent))
 	if r.startsSent < maxStartTries && !r.stopping && r.worker.used.Within(r.worker.Capacity) {
 		c.sendStart(r)
 		return
--- a/pool/worker.go
+++ b/pool/worker.go
@@ -128,6 +128,8 @@
 	// bornListedAt is when its entry first named its incarnation. bornWrong is set if there has never been such a one.
 	bornListedAt time.Duration
 	bornWrong    bool
+	// misdirectedLoggedAt is when a call that another worker had answered was last logged; 0: never.
+	misdirectedLoggedAt time.Duration
 }
 
 func (c *Core) newWorker(info WorkerInfo) *worker {
