scenario/soak: partitions of owners

What soak lacked: all instances reached a worker through one proxy and each other through none, so that no instance could be cut off from single workers or from the others, as on real machines.

Each instance now has a view of the platform, and proxies to every worker, the other instances and the store, of its own. -owner-faults replaces the usual faults: the present owner is paused twice (0.3 to 8 s, and again right after it has resumed), cut off from the store while the others are cut off from some workers, or left alone with half of the workers. Jobs run for longer than a lease.

The logs show the cause of TestIsolatedOwnerStopsRenewing: i1 is alone with w21 and fourteen other workers, i3 claims the pool and starts the task again 6.53 s later, while i1 renews the lease on w21 until the run ends there as done.

Ruled out: no worker starts again in these runs, and no order is late.

--- a/scenario/soak/faults.go
+++ b/scenario/soak/faults.go
@@ -47,7 +47,7 @@
 	r.recordFault("all restarted in turn, each %v, the store slower by %v", rollInterval, storeSlowdown)
 	for n := 0; r.world.Since() < r.FaultTime && ctx.Err() == nil; n++ {
 		i := r.instances[n%len(r.instances)]
-		r.wire.View().RecordFault()
+		r.disturbed()
 		go func() {
 			if n%3 == 0 {
 				i.kill()
@@ -111,7 +111,7 @@
 	f := fault(1 + rng.IntN(int(faultCount)-1))
 	kind, worker := rng.IntN(2*faultKinds), rng.IntN(1<<20)
 	// The guarantees with a time limit hold only for instances without faults.
-	r.wire.View().RecordFault()
+	r.disturbed()
 	what := i.config.Name
 	switch kind {
 	case 0, 1:
@@ -181,7 +181,7 @@
 		r.slowStore(slowdown)
 		defer r.slowStore(-slowdown)
 		for n := 0; n < count && r.world.Since() < r.FaultTime && ctx.Err() == nil; n++ {
-			r.wire.View().RecordFault()
+			r.disturbed()
 			go do(r.instances[(first+n)%len(r.instances)])
 			sleep(ctx, interval)
 		}
@@ -197,7 +197,9 @@
 	r.changes.Lock()
 	defer r.changes.Unlock()
 	r.storeDelay += by
-	r.wire.View().SlowStore(r.storeDelay)
+	for _, i := range r.instances {
+		i.access.wire.View().SlowStore(r.storeDelay)
+	}
 }
 
 // drawAction draws the action for injectInTurn.
@@ -235,16 +237,18 @@
 		r.addWorker(pick)
 		return id + " crashed"
 	}
-	r.mu.Lock()
-	p := r.workers[id]
-	r.mu.Unlock()
-	p.set(f)
-	r.runAfter(ctx, duration, func() { p.set(noFault) })
+	set := func(f fault) {
+		for _, i := range r.instances {
+			r.setFaults(i.access.workers, []string{id}, f)
+		}
+	}
+	set(f)
+	r.runAfter(ctx, duration, func() { set(noFault) })
 	return fmt.Sprintf("%s: fault %d", id, f)
 }
 
 func (r *run) restart(i *instance) {
-	r.wire.View().RecordFault()
+	r.disturbed()
 	if err := i.start(); err != nil {
 		r.finding("START: %v", err)
 	}
--- a/scenario/soak/kw-soak/main.go
+++ b/scenario/soak/kw-soak/main.go
@@ -34,8 +34,9 @@
 	removals := flag.Bool("removals", false, "configurations that lack the queue or its service")
 	lateOrders := flag.Bool("late-orders-outlive-workers", false, "orders that are late reach a worker that has started again under its ID")
 	older := flag.String("older", "", "an older version of the program, which every second process runs")
+	ownerFaults := flag.Bool("owner-faults", false, "owners paused, and cut off from the store and the others while these are cut off from some workers")
 	flag.Parse()
-	if err := runSeeds(*first, *seeds, *atOnce, *dir, soak.Options{Binary: *binary, FaultTime: *faultTime, RecoveryTime: 40 * time.Second, Instances: *instances, Workers: *workers, EarlySIGHUP: !*sighupEach, SIGHUPEach: *sighupEach, Moves: *moves, Crashes: *crashes, Organisations: *organisations, LargeJobs: *largeJobs, OlderBinary: *older, RepeatedJobs: *repeated, Removals: *removals, LateOrdersOutliveWorkers: *lateOrders}); err != nil {
+	if err := runSeeds(*first, *seeds, *atOnce, *dir, soak.Options{Binary: *binary, FaultTime: *faultTime, RecoveryTime: 40 * time.Second, Instances: *instances, Workers: *workers, EarlySIGHUP: !*sighupEach, SIGHUPEach: *sighupEach, Moves: *moves, Crashes: *crashes, Organisations: *organisations, LargeJobs: *largeJobs, OlderBinary: *older, RepeatedJobs: *repeated, Removals: *removals, LateOrdersOutliveWorkers: *lateOrders, OwnerFaults: *ownerFaults}); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
--- a/scenario/soak/process.go
+++ b/scenario/soak/process.go
@@ -37,6 +37,7 @@
 	config  wirestand.Instance
 	binary  string
 	dir     string
+	access  *access
 	store   *proxy
 	callers *proxy
 
--- a/scenario/soak/soak.go
+++ b/scenario/soak/soak.go
@@ -49,6 +49,9 @@
 	LateOrdersOutliveWorkers bool
 	// RepeatedJobs adds jobs of many occurrences.
 	RepeatedJobs bool
+	// OwnerFaults replaces the usual faults of instances: owners are paused, and cut off from the store and the other
+	// instances while these are cut off from some workers.
+	OwnerFaults bool
 	// Crashes adds tasks that crash their workers, workers and racks that start again, half of the
 	// workers under the ID that they had, and capacity that shrinks.
 	Crashes bool
@@ -94,7 +97,7 @@
 	wire      *wirestand.Server
 	instances []*instance
 	ports     []*cell.Block
-	workers   map[string]*proxy // guarded by mu
+	peerAddrs []string
 	route     node.Route
 	// changes is held while the world is changed, which in turn acquires mu.
 	changes sync.Mutex
@@ -112,7 +115,7 @@
 
 // Run runs one seed.
 func Run(ctx context.Context, o Options) (Report, error) {
-	r := &run{Options: o, world: machines.New(o.Seed), workers: map[string]*proxy{}, keysRemoved: map[int64]time.Time{}}
+	r := &run{Options: o, world: machines.New(o.Seed), keysRemoved: map[int64]time.Time{}}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer r.close()
@@ -129,6 +132,9 @@
 	keyRNG := r.newRand(8)
 	watchers.Go(func() { r.probeKeys(queryCtx, keyRNG) })
 	go r.injectInvalidEntries(ctx)
+	if r.OwnerFaults {
+		callers.Go(func() { r.submitLongJobs(ctx, &callers) })
+	}
 	if r.Moves {
 		go r.moveQueue(ctx)
 	}
@@ -144,7 +150,11 @@
 	if r.Crashes {
 		callers.Go(func() { r.injectCrashes(ctx, &callers) })
 	}
-	r.injectFaults(ctx)
+	if r.OwnerFaults {
+		r.injectOwnerFaults(ctx)
+	} else {
+		r.injectFaults(ctx)
+	}
 	r.clearFaults()
 	callers.Wait()
 	r.awaitJobEnds(ctx)
@@ -196,7 +206,6 @@
 // start starts the world and the instances, and waits until they are ready.
 func (r *run) start(ctx context.Context) error {
 	r.wire = wirestand.New(r.world)
-	r.wire.Between = r.between
 	r.world.Advised = r.Seed%2 == 0
 	r.world.Referee.OrdersMayBeLost = true
 	r.world.PageSize = pageSize
@@ -214,13 +223,16 @@
 	for n := range r.Workers {
 		r.addWorker(n)
 	}
-	store, advice := r.wire.Store(), r.wire.Advice()
+	advice := r.wire.Advice()
 	addrs, err := r.claimPorts()
 	if err != nil {
 		return err
 	}
 	for n := range r.Instances {
-		i, err := r.newInstance(n, addrs[n*portsPerInstance:], store, advice)
+		r.peerAddrs = append(r.peerAddrs, addrs[n*portsPerInstance+2])
+	}
+	for n := range r.Instances {
+		i, err := r.newInstance(n, addrs[n*portsPerInstance:], advice)
 		if err != nil {
 			return err
 		}
@@ -250,14 +262,17 @@
 	return addrs, nil
 }
 
-func (r *run) newInstance(n int, addrs []string, store, advice string) (i *instance, err error) {
+func (r *run) newInstance(n int, addrs []string, advice string) (i *instance, err error) {
 	i = &instance{binary: r.Binary, dir: r.Dir, earlySIGHUP: r.EarlySIGHUP, sighupEach: r.SIGHUPEach, onUnexpectedEnd: func(name string, s *os.ProcessState) {
 		r.finding("END: %s ended by itself: %v", name, s)
 	}}
 	if r.OlderBinary != "" && n%2 == 1 {
 		i.binary = r.OlderBinary
 	}
-	if i.store, err = newProxy(store); err != nil {
+	if i.access, err = r.newAccess(fmt.Sprintf("i%d", n), addrs[2]); err != nil {
+		return nil, err
+	}
+	if i.store, err = newProxy(i.access.store.addr()); err != nil {
 		return nil, err
 	}
 	if i.callers, err = newProxy(addrs[0]); err != nil {
@@ -280,18 +295,6 @@
 	r.world.AddWorkerTo(service, pool.Resources{CPU: 8000, Mem: 16000, GPU: n % 3 * 4}, []string{"a", "b"}[n%2], fmt.Sprintf("r%d", n%3))
 }
 
-// between starts a proxy in front of a worker and returns its address.
-func (r *run) between(worker, addr string) string {
-	p, err := newProxy(addr)
-	if err != nil {
-		panic(err) // no free port
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.workers[worker] = p
-	return p.addr()
-}
-
 func (r *run) clearFaults() {
 	for _, i := range r.instances {
 		i.signal(syscall.SIGCONT)
@@ -303,11 +306,7 @@
 	}
 	r.world.SetLateOrders(0)
 	r.world.RestoreAll()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, p := range r.workers {
-		p.set(noFault)
-	}
+	r.heal()
 }
 
 // awaitJobEnds waits until all accepted jobs have ended.
@@ -326,6 +325,8 @@
 		i.end()
 		i.store.close()
 		i.callers.close()
+		i.access.store.close()
+		i.access.wire.Close()
 	}
 	if r.wire != nil {
 		r.wire.Close()
@@ -335,8 +336,12 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, p := range r.workers {
-		p.close()
+	for _, i := range r.instances {
+		for _, list := range []map[string]*proxy{i.access.workers, i.access.peers} {
+			for _, p := range list {
+				p.close()
+			}
+		}
 	}
 }
 
