pool, node: an owner renews leases only while its ownership is confirmed

No order was late and no worker had started again.

Cause: a partition leaves the owner with some workers, but without the store and its peers. Another instance claims the pool, doesn't reach these workers, and starts their tasks elsewhere once their leases must have expired. It allowed for 1.5 s of renewals after its claim, but nothing made the former owner stop: it renewed without limit. The class: a check (the claim) that stands for what holds later.

Fix: an owner grants leases, with holds and with starts, only within 1.5 s of when its ownership was last confirmed, counted from the sending of the call that confirmed it: an append of its epoch that the store accepted, or, as the store may be away for all, answers of most of the other instances (of nine at most) that they know of no newer claim. One that knows a newer claim deposes it. Leases then end before the successor counts them as over. It also holds for an owner that was stopped for seconds and goes on.

A test changed: in TestTasksOfAPredecessorRunOnceIfItsSuccessorReachesNoWorker the predecessor, alone with the workers, went on renewing, and the task had to be started once. It doesn't any more, so that its leases lapse first. A third instance now confirms it, as in an outage of the store; all checks are as before, and it fails as before without the fix that it guards.

Left: an owner that most instances confirm, all of them cut off from the store, beside one that isn't and claims.

--- a/node/claiming.go
+++ b/node/claiming.go
@@ -89,6 +89,7 @@
 type claimResult struct {
 	claim  claim
 	offset int64
+	sentAt time.Duration
 	// ranges is what was read from the stream for the claim, in order.
 	ranges []streamRange
 	err    error
@@ -117,6 +118,7 @@
 		result := claimResult{claim: c}
 		if result.ranges, result.err = pc.checkBeforeClaim(ctx, next, old, rank); result.err == nil {
 			var own streamRange
+			result.sentAt = pc.node.now()
 			own, result.err = pc.storeClaim(ctx, c)
 			result.offset, result.ranges = own.from, append(result.ranges, own)
 		}
@@ -249,7 +251,7 @@
 	pc.ownerSeenAt = pc.node.now()
 	pc.replica.claim = e.claim
 	pc.readsInfrequently.Store(false)
-	pc.own = newOwnership(ctx, pc, e.claim, e.offset)
+	pc.own = newOwnership(ctx, pc, e.claim, e.offset, e.sentAt)
 	pc.wakeReader() // read up to the claim; the core is loaded then
 	pc.node.setOwned(pc.topic.Part, e.claim)
 	pc.log.Info().Uint64("epoch", e.claim.Epoch).Int64("offset", e.offset).Msg("pool.owned")
--- a/node/owner.go
+++ b/node/owner.go
@@ -102,6 +102,7 @@
 	// streamEnd is the end of the stream after the newest append.
 	streamEnd   atomic.Int64
 	appendsOKAt time.Duration // time of the last successful append, as far as is known
+	confirmed   confirmation
 	queues      queueTable
 	// rootSought is set once the root of the shares of caps is being looked up.
 	rootSought  bool
@@ -110,15 +111,17 @@
 	ready chan struct{}
 }
 
-func newOwnership(ctx context.Context, pc *poolController, c claim, offset int64) *ownership {
+func newOwnership(ctx context.Context, pc *poolController, c claim, offset int64, claimedAt time.Duration) *ownership {
 	o := &ownership{pc: pc, claim: c, offset: offset, saves: newSaveQueue(), workers: map[string]pool.WorkerInfo{}, keptServices: map[string]bool{},
 		firstHoldSlots: make(chan struct{}, maxConcurrentFirstHolds), queues: newQueueTable(), ready: make(chan struct{})}
 	o.ctx, o.cancel = context.WithCancel(ctx)
 	o.streamEnd.Store(offset + 1)
+	o.confirmed.confirm(claimedAt)
 	opts := pc.node.opts
 	o.core = pool.New(pool.Settings{
 		Pool: pc.topic.Part, Token: c.Epoch, Tokens: tokensPerEpoch, Generation: c.Generation, MaxLease: opts.MaxLease, StopTimeout: opts.StopTimeout, EndedRetention: endedJobRetention,
 		MaxWorkerConns: opts.MaxWorkerConns, MaxRecord: opts.MaxRecord, MaxMemory: opts.MaxMemory,
+		NeedsConfirmation: true,
 	}, pc.node.now())
 	o.adviceQueue = newAdviceQueue(o)
 	o.starts.own = o
@@ -230,6 +233,7 @@
 		o.listNeededWorkers()
 		o.exchangeCapShares()
 	}
+	o.seekConfirmation()
 	o.pc.node.metrics.startWindow.Update(float64(o.pc.node.startWindow.Size()))
 	if now := o.pc.node.now(); !o.heartbeatPending && now-o.lastHeartbeat > heartbeatInterval {
 		o.heartbeatPending = true
@@ -370,6 +374,7 @@
 }
 
 func (o *ownership) step(ev pool.Event) {
+	o.core.Confirm(o.confirmed.time())
 	for _, a := range o.core.Step(o.pc.node.now(), ev) {
 		o.execute(a)
 	}
@@ -392,6 +397,7 @@
 		o.schedulePlan(wait)
 		return
 	}
+	o.core.Confirm(o.confirmed.time())
 	for _, a := range o.core.PlanWithin(start, available) {
 		o.execute(a)
 	}
--- a/node/predecessor_test.go
+++ b/node/predecessor_test.go
@@ -12,10 +12,11 @@
 	"github.com/knapweedweir/knapweedweir/standin/machines"
 )
 
-// newRunningTask returns a cluster of two instances, of which the second learns nothing from the first, three workers and
-// a task that runs. It returns the owner, the other instance, the worker on which the task runs and another one.
+// newRunningTask returns a cluster of three instances, of which the owner's successor learns nothing from the others,
+// three workers and a task that runs. The third instance doesn't reach the store, and so confirms the owner for good. It
+// returns the owner, its successor, the worker on which the task runs and another one.
 func newRunningTask(t *testing.T) (c *cluster, owner, successor, busy, idle string) {
-	c = newCluster(t, 1, false, "a", "b")
+	c = newCluster(t, 1, false, "a", "b", "c")
 	for range 3 {
 		c.world.AddWorker(pool.Resources{CPU: 8000, Mem: 8000}, "x", "r1")
 	}
@@ -36,6 +37,11 @@
 		}
 	}
 	assert.Assert(t, busy != "", "the task isn't started")
+	for _, name := range c.names() {
+		if name != owner && name != successor {
+			c.members[name].view.SetStore(machines.StoreSilent)
+		}
+	}
 	c.world.DropIncoming(owner)
 	c.world.DropIncoming(successor)
 	return c, owner, successor, busy, idle
--- a/node/saves.go
+++ b/node/saves.go
@@ -421,6 +421,7 @@
 	}
 	if err == nil {
 		o.recordStreamEnd(offset + int64(len(records)))
+		o.confirmed.confirm(start)
 	}
 	return err
 }
--- a/node/service.go
+++ b/node/service.go
@@ -111,6 +111,13 @@
 	}
 	// OwnerArgs asks whether an instance works as a pool's owner.
 	OwnerArgs struct{ Part int }
+	// ConfirmArgs asks whether a newer claim than that of an epoch is known.
+	ConfirmArgs struct {
+		Part  int
+		Epoch uint64
+	}
+	// ConfirmReply answers that.
+	ConfirmReply struct{ Newer bool }
 	// LifeReply identifies the replying process. Works means that it owns the pool in question and
 	// that the store accepts its appends.
 	LifeReply struct {
--- a/pool/core.go
+++ b/pool/core.go
@@ -28,6 +28,9 @@
 	MaxRecord int
 	// MaxMemory is the memory that the process may use, in bytes; 0: unknown.
 	MaxMemory int64
+	// NeedsConfirmation is set if the owner may be replaced without noticing: leases are renewed and tasks started
+	// only while Core.Confirm has confirmed the ownership.
+	NeedsConfirmation bool
 	// EndedRetention is how long the state of an ended job can be queried.
 	EndedRetention time.Duration
 }
@@ -86,6 +89,7 @@
 	otherRecords         []Record      // other records to save: removals of expired keys, progress of waves
 	saveSeq              uint64
 	savedSeq             uint64
+	confirmedAt          time.Duration // see Confirm
 	firstAnswered        bool          // a worker has answered under this owner's token
 	listed               bool          // the list of workers has arrived at least once
 	listedAsOf           time.Duration // see WorkersListed
@@ -195,6 +199,15 @@
 	return c.actions
 }
 
+// Confirm reports that there was no newer owner at a time: the call that has shown this was sent then.
+func (c *Core) Confirm(at time.Duration) { c.confirmedAt = max(c.confirmedAt, at) }
+
+// isConfirmed reports whether leases may be granted. A successor allows for those that are granted for
+// predecessorRenewalTime after its claim, which can't precede the newest confirmation.
+func (c *Core) isConfirmed() bool {
+	return !c.settings.NeedsConfirmation || c.now-c.confirmedAt < predecessorRenewalTime
+}
+
 // NeedsPlan reports whether anything has changed since the last plan that may let tasks start.
 func (c *Core) NeedsPlan() bool { return c.replan }
 
@@ -286,6 +299,7 @@
 	for _, w := range c.workerList {
 		c.tickWorker(w)
 	}
+	c.startPlanned()
 	c.runWaves()
 	c.reachVerdicts()
 	c.forgetWorkers()
--- a/pool/place.go
+++ b/pool/place.go
@@ -48,6 +48,9 @@
 
 // placeTasks starts the tasks that can be started, most urgent steps first.
 func (c *Core) placeTasks() {
+	if !c.isConfirmed() {
+		return // until the next tick
+	}
 	waiting := c.waiting[:0]
 	takenOver := c.takeoverComplete()
 	if takenOver && !c.inheritedChecked {
--- a/pool/startstop.go
+++ b/pool/startstop.go
@@ -125,7 +125,7 @@
 func (c *Core) retryStart(r *run) {
 	r.worker.unansweredStartAt, r.unansweredAt = c.now, c.now
 	c.logRun("start.unanswered", r, fmt.Sprintf("sent %d times", r.startsSent))
-	if r.startsSent < maxStartTries && !r.stopping && r.worker.used.Within(r.worker.Capacity) {
+	if r.startsSent < maxStartTries && !r.stopping && c.isConfirmed() && r.worker.used.Within(r.worker.Capacity) {
 		c.sendStart(r)
 		return
 	}
--- a/pool/worker.go
+++ b/pool/worker.go
@@ -31,9 +31,8 @@
 	// firstContactRetryDelay replaces retryDelay until a new owner has its first answer from a
 	// worker, since all inherited jobs wait for it, and for a worker that may get late starts, see fencing.
 	firstContactRetryDelay = 50 * time.Millisecond
-	// predecessorRenewalTime is how long a predecessor may go on renewing leases after the first
-	// worker has answered its successor. It calls each worker once per second, and is deposed by
-	// the first worker that both owners reach.
+	// predecessorRenewalTime is how long a predecessor may go on renewing leases after it was replaced: until
+	// its ownership isn't confirmed any more, or a worker that its successor has reached refuses its call.
 	predecessorRenewalTime = 1500 * time.Millisecond
 	// clockDriftFactor allows for a worker's clock that runs up to 2 % slower than ours, and
 	// for up to 1 % by which our estimate of it may be ahead.
@@ -301,7 +300,7 @@
 	if w.fenced && !c.pollsIdle(w) {
 		h.Wait = holdWait
 	}
-	if w.fenced && c.now-w.answeredAt < silentAfter {
+	if w.fenced && c.now-w.answeredAt < silentAfter && c.isConfirmed() {
 		h.DeadlineMs = c.lease(w)
 	}
 	if w.silent {
