node: end a read of the newest records if its pages lead back

Callers saw: nothing yet. If the store's pages of newest records lead back to an earlier key, a reader never ends, keeps all records of each page in memory and reads without a pause; the instance doesn't become ready. Cause: readNewest followed each page; package platform only refused a page that ends at the very key after which it was requested. Passed before, as a guard: TestClaimWithTooLargeNumbers (epochs and generations of up to 64 bits in a record in place of the owner's claim). Why it holds: each key begins a page at most once, else the read is an error and is retried with the follower's pauses.

--- a/node/follow.go
+++ b/node/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 )
 
@@ -144,6 +145,7 @@
 	asked := f.now()
 	b := batch{reset: true, next: -1, askedAt: asked}
 	after := ""
+	read := map[string]bool{} // the keys after which pages began
 	for {
 		page, more, end, err := f.store.Newest(withTimeout(ctx, newestTimeout), f.topic, after)
 		if err != nil {
@@ -159,7 +161,10 @@
 			b.asOf = asked
 			return b
 		}
-		after = page[len(page)-1].Key
+		if after = page[len(page)-1].Key; read[after] {
+			return batch{err: errors.New("the pages of newest records lead back to earlier ones"), askedAt: asked}
+		}
+		read[after] = true
 	}
 }
 
--- a/node/odd_entry_test.go
+++ b/node/odd_entry_test.go
@@ -156,3 +156,33 @@
 		c.check()
 	})
 }
+
+// Guards against a pool that gets no owner any more, because a record in place of the owner's claim names the
+// largest epoch or generation: the next ones would be 0, or lower.
+func TestClaimWithTooLargeNumbers(t *testing.T) {
+	for _, value := range []string{`{"node":"x","addr":"x","life":1,"epoch":18446744073709551615,"gen":1}`, `{"node":"x","addr":"x","life":1,"epoch":65537,"gen":9223372036854775807}`,
+		`{"node":"x","addr":"x","life":1,"epoch":65537,"gen":-9223372036854775808}`, `{"node":"x","addr":"x","life":9223372036854775807,"epoch":9223372036854775807,"gen":281474976710656}`} {
+		t.Run(value, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, 1, false, "a", "b")
+				defer c.close()
+				c.world.AddWorker(pool.Resources{CPU: 4000, Mem: 8000}, "x", "r1")
+				time.Sleep(3 * time.Second)
+				any := func() *member { return c.up()[0] }
+				assert.Assert(t, c.submit(jobWithTasks(1, 2, 8*time.Second), any))
+				time.Sleep(time.Second)
+				c.putRecord("keyed.pools", "owner", value)
+				time.Sleep(2 * time.Second)
+				c.kill("a")
+				c.kill("b")
+				c.restart("a")
+				c.restart("b")
+				time.Sleep(15 * time.Second)
+				assert.Assert(t, c.submit(jobWithTasks(2, 2, time.Second), any))
+				time.Sleep(5 * time.Second)
+				assert.DeepEqual(t, c.world.Referee.Unfinished(), []string(nil))
+				c.check()
+			})
+		})
+	}
+}
