node: test that many odd entries that change don't fill the log

Guards against a log filled by entries of other writers under 200 keys, each rewritten 24 times in two minutes with other bytes, of up to 19 KB, with keys that aren't UTF-8, beside an odd configuration; and against instances that stop following the list.

--- a/node/odd_entry_test.go
+++ b/node/odd_entry_test.go
@@ -186,3 +186,34 @@
 		})
 	}
 }
+
+// Guards against a log that is filled by entries of other writers under many keys that change all the time, or
+// by long lines about large ones, and against instances that stop following the list meanwhile.
+func TestManyOddEntriesThatChangeDoNotFillTheLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, false, "a", "b")
+		defer c.close()
+		time.Sleep(3 * time.Second)
+		const rounds = 24
+		for round := range rounds {
+			for key := range 200 {
+				id := fmt.Sprint("stranger-", key, strings.Repeat("\xff", key%200))
+				c.world.Put(machines.WorkersTopic, id, []byte(`{"ID":`+strings.Repeat("9", 1000*(key%20))+strings.Repeat("[", round)))
+				c.world.Put(machines.ConfigTopic, "config", []byte(strings.Repeat("[", key+round)))
+			}
+			if round == rounds/2 {
+				c.world.AddWorker(pool.Resources{CPU: 4000, Mem: 8000}, "x", "r1")
+			}
+			time.Sleep(5 * time.Second)
+		}
+		assert.Assert(t, c.submit(jobWithTasks(1, 4, time.Second), func() *member { return c.up()[0] }))
+		time.Sleep(3 * time.Second)
+		assert.DeepEqual(t, c.world.Referee.Unfinished(), []string(nil))
+		lines := c.countEvents("entry.unreadable")
+		assert.Assert(t, lines >= 1 && lines <= 2*3*20, "%d lines of two instances in two minutes", lines)
+		for line := range strings.SplitSeq(c.logs.linesContaining(`"entry.unreadable"`), "\n") {
+			assert.Assert(t, len(line) <= 2500, "%d bytes in a line", len(line))
+		}
+		c.check()
+	})
+}
