scenario/soak: entries that name another worker's address or a later incarnation

kw-soak -changed-entries makes half of the other writers' entries usable ones that aren't the worker's own. Off by default, since it finds the fault that TestChangedEntryOfAWorkerWithTasks shows.

--- a/scenario/soak/faults.go
+++ b/scenario/soak/faults.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/knapweedweir/knapweedweir/pool"
 	"github.com/knapweedweir/knapweedweir/standin/machines"
 )
 
@@ -74,12 +75,27 @@
 		}
 		workers := r.world.Workers()
 		id := workers[pick%len(workers)]
-		r.world.PutInvalidEntry(id, kind)
+		if r.ChangedEntries && kind%2 == 0 {
+			other := workers[(pick+1)%len(workers)]
+			r.world.PutChangedEntry(id, func(info *pool.WorkerInfo) { changeEntry(info, kind/2, r.world.AddrOf(other)) })
+		} else {
+			r.world.PutInvalidEntry(id, kind)
+		}
 		r.runAfter(ctx, duration, func() { r.world.Restore(id) })
 		r.recordFault("%s: entry %d of another writer, %v", id, kind, duration)
 	}
 }
 
+// changeEntry makes a worker's entry one that isn't its own.
+func changeEntry(info *pool.WorkerInfo, kind int, otherAddr string) {
+	if kind%3 != 0 {
+		info.Addr = otherAddr
+	}
+	if kind%3 != 1 {
+		info.Born += time.Hour.Milliseconds()
+	}
+}
+
 // moveQueue keeps writing configurations; each second one moves the queue to another service.
 // It has a random source of its own, as injectInvalidEntries has.
 func (r *run) moveQueue(ctx context.Context) {
--- a/scenario/soak/kw-soak/main.go
+++ b/scenario/soak/kw-soak/main.go
@@ -33,9 +33,10 @@
 	repeated := flag.Bool("repeated-jobs", true, "jobs of many occurrences")
 	removals := flag.Bool("removals", false, "configurations that lack the queue or its service")
 	lateOrders := flag.Bool("late-orders-outlive-workers", false, "orders that are late reach a worker that has started again under its ID")
+	changedEntries := flag.Bool("changed-entries", false, "entries under workers' IDs that name another worker's address or a later incarnation")
 	older := flag.String("older", "", "an older version of the program, which every second process runs")
 	flag.Parse()
-	if err := runSeeds(*first, *seeds, *atOnce, *dir, soak.Options{Binary: *binary, FaultTime: *faultTime, RecoveryTime: 40 * time.Second, Instances: *instances, Workers: *workers, EarlySIGHUP: !*sighupEach, SIGHUPEach: *sighupEach, Moves: *moves, Crashes: *crashes, Organisations: *organisations, LargeJobs: *largeJobs, OlderBinary: *older, RepeatedJobs: *repeated, Removals: *removals, LateOrdersOutliveWorkers: *lateOrders}); err != nil {
+	if err := runSeeds(*first, *seeds, *atOnce, *dir, soak.Options{Binary: *binary, FaultTime: *faultTime, RecoveryTime: 40 * time.Second, Instances: *instances, Workers: *workers, EarlySIGHUP: !*sighupEach, SIGHUPEach: *sighupEach, Moves: *moves, Crashes: *crashes, Organisations: *organisations, LargeJobs: *largeJobs, OlderBinary: *older, RepeatedJobs: *repeated, Removals: *removals, ChangedEntries: *changedEntries, LateOrdersOutliveWorkers: *lateOrders}); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
--- a/scenario/soak/soak.go
+++ b/scenario/soak/soak.go
@@ -44,6 +44,8 @@
 	// Removals makes configurations remove the queue, or its service too, and bring them back throughout the
 	// run.
 	Removals bool
+	// ChangedEntries makes some of the other writers' entries those of another worker, or of a later incarnation.
+	ChangedEntries bool
 	// LateOrdersOutliveWorkers makes orders that are late reach a worker that has started again under its ID, and
 	// workers do so all the while. It needs Crashes.
 	LateOrdersOutliveWorkers bool
