--- a/node/fuzz_internal_test.go
+++ b/node/fuzz_internal_test.go
@@ -74,3 +74,39 @@
 		}
 	})
 }
+
+// FuzzBinding decodes the bindings of queues to pools.
+func FuzzBinding(f *testing.F) {
+	for _, value := range []string{`{"queue":"q","version":3,"service":"s","parts":[1]}`, `{"queue":"q","version":-1,"service":"s","parts":[1]}`, `{"queue":"q","service":"s","parts":[]}`,
+		`{"queue":"q","service":"s","parts":[4]}`, `{"queue":"q","service":"s","parts":[9223372036854775807,-1]}`, `{"queue":"q","version":1e400}`, "null", "[]", "\x00", "[[[["} {
+		f.Add([]byte(value))
+	}
+	f.Fuzz(func(t *testing.T, value []byte) {
+		const parts = 4
+		b, err := decodeBinding(Stored{Record: pool.Record{Key: pool.QueueKey("q"), Value: value}}, parts)
+		if err != nil {
+			return
+		}
+		if b.Queue != "q" || b.Service == "" || b.Version < 0 || b.part() < 0 || b.part() >= parts {
+			t.Fatalf("invalid binding accepted: %+v", b)
+		}
+		for _, p := range b.former() {
+			if p < 0 || p >= parts || p == b.part() {
+				t.Fatalf("invalid former part: %+v", b)
+			}
+		}
+	})
+}
+
+// FuzzClaim decodes records in place of the claim of an owner.
+func FuzzClaim(f *testing.F) {
+	for _, value := range []string{`{"node":"a","addr":"a:1","life":1,"epoch":65537,"gen":1}`, `{"node":"a","epoch":18446744073709551615,"gen":-1}`, `{"node":"a","epoch":0}`, `{"node":5,"epoch":1}`, "null", "[[[["} {
+		f.Add([]byte(value))
+	}
+	f.Fuzz(func(t *testing.T, value []byte) {
+		c, err := decodeClaim(value)
+		if (c == nil) != (err != nil) || err == nil && (c.Node == "" || c.Epoch == 0) {
+			t.Fatalf("want either a claim or an error: %+v, %v", c, err)
+		}
+	})
+}
--- a/node/odd_entry_test.go
+++ b/node/odd_entry_test.go
@@ -48,14 +48,17 @@
 func TestChangedEntryOfAWorkerWithTasks(t *testing.T) {
 	for name, change := range map[string]func(c *cluster, other string, info *pool.WorkerInfo){
 		"another worker's address": func(_ *cluster, other string, info *pool.WorkerInfo) { info.Addr = other },
-		"an address of nobody":     func(_ *cluster, _ string, info *pool.WorkerInfo) { info.Addr = "nobody" },
-		"a later incarnation":      func(_ *cluster, _ string, info *pool.WorkerInfo) { info.Born += time.Hour.Milliseconds() },
-		"the largest incarnation":  func(_ *cluster, _ string, info *pool.WorkerInfo) { info.Born = 1 << 42 },
-		"an earlier incarnation":   func(_ *cluster, _ string, info *pool.WorkerInfo) { info.Born = 1 },
-		"no incarnation":           func(_ *cluster, _ string, info *pool.WorkerInfo) { info.Born = 0 },
-		"another service":          func(_ *cluster, _ string, info *pool.WorkerInfo) { info.Service = "nobody's" },
-		"no capacity":              func(_ *cluster, _ string, info *pool.WorkerInfo) { info.Capacity = pool.Resources{} },
-		"draining":                 func(_ *cluster, _ string, info *pool.WorkerInfo) { info.Draining = true },
+		"another worker's address, and a later incarnation": func(_ *cluster, other string, info *pool.WorkerInfo) {
+			info.Addr, info.Born = other, info.Born+time.Second.Milliseconds()
+		},
+		"an address of nobody":    func(_ *cluster, _ string, info *pool.WorkerInfo) { info.Addr = "nobody" },
+		"a later incarnation":     func(_ *cluster, _ string, info *pool.WorkerInfo) { info.Born += time.Hour.Milliseconds() },
+		"the largest incarnation": func(_ *cluster, _ string, info *pool.WorkerInfo) { info.Born = 1 << 42 },
+		"an earlier incarnation":  func(_ *cluster, _ string, info *pool.WorkerInfo) { info.Born = 1 },
+		"no incarnation":          func(_ *cluster, _ string, info *pool.WorkerInfo) { info.Born = 0 },
+		"another service":         func(_ *cluster, _ string, info *pool.WorkerInfo) { info.Service = "nobody's" },
+		"no capacity":             func(_ *cluster, _ string, info *pool.WorkerInfo) { info.Capacity = pool.Resources{} },
+		"draining":                func(_ *cluster, _ string, info *pool.WorkerInfo) { info.Draining = true },
 	} {
 		for _, takeover := range []bool{false, true} {
 			title := name
@@ -67,6 +70,32 @@
 	}
 }
 
+// Guards against tasks that are started elsewhere while their worker runs them, because the first entry under
+// its ID named another worker's address and the next owner still calls it there.
+func TestFirstEntryOfAWorkerNamesAnotherAddress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, false, "a", "b", "c")
+		defer c.close()
+		size := pool.Resources{CPU: 4000, Mem: 8000}
+		other := c.world.AddWorker(size, "x", "r1")
+		time.Sleep(3 * time.Second)
+		changed := c.world.AddWorker(size, "x", "r1")
+		c.world.PutChangedEntry(changed, func(info *pool.WorkerInfo) { info.Addr = other })
+		time.Sleep(2 * time.Second)
+		c.world.Restore(changed)
+		time.Sleep(8 * time.Second)
+		assert.Assert(t, c.submit(jobWithTasks(1, 8, 10*time.Second), func() *member { return c.up()[0] }))
+		time.Sleep(time.Second)
+		assert.Equal(t, c.world.Running(changed), 4)
+		c.world.AddWorker(size, "x", "r1") // has room for tasks that seem to be lost
+		time.Sleep(time.Second)
+		c.kill(c.owner())
+		time.Sleep(35 * time.Second)
+		assert.DeepEqual(t, c.world.Referee.Unfinished(), []string(nil))
+		c.check()
+	})
+}
+
 // Guards against a worker whose later reports are ignored, because an entry of another writer under its ID has
 // named a later incarnation than its own: tasks would be placed on it while it drains.
 func TestReportsAreUsedAfterAnEntryOfALaterIncarnation(t *testing.T) {
