pool: format run.go

What was seen: gofmt -l lists pool/run.go on. Cause: a longer field name was added in without the alignment of the next one. No change of behaviour.

--- a/pool/run.go
+++ b/pool/run.go
@@ -36,7 +36,7 @@
 	startsSent int
 	// unansweredAt is when a start of it was last found to have no answer; 0: never.
 	unansweredAt time.Duration
-	ticket     string
+	ticket       string
 	// planSave is the save after which a planned run is started, plannedFor the worker's incarnation
 	// when it was planned.
 	planSave   uint64
