pool: a task of a silence record starts once its worker has answered

After a takeover, a task of which a predecessor's silence record says that a start may come late waited 12 s from the claim, also if its worker answered the new owner at once. A lasting task that may not be without a run for 9 s, and each short silence of a worker beside a change of owners, would pay for it. Cause: the wait was put into the task when the record was read, whatever the worker says later. A worker that has answered has seen the new owner's token and refuses all calls of the predecessor. Fix: the record keeps which tasks these are; they wait for late starts only if they are unblocked without an answer of the worker. Evidence: TestTaskOfASilenceRecordStartsOnceItsWorkerHasAnswered failed before (no start within a second of the answer). Ruled out: keeping the tasks blocked until then, which delays the count of the worker's crash for the record's other tasks. Why it holds: the incarnation that answers a hold refuses lower tokens from then on. Left: it crashes, and a later one gets the predecessor's start before it gets a call of the new owner, as for any run that was adopted.

--- a/pool/latestart_test.go
+++ b/pool/latestart_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -51,3 +52,60 @@
 		})
 	}
 }
+
+// Guards against a task in a silence record that waits for a late start although its worker has answered the new
+// owner, and refuses all calls of the predecessor from then on.
+func TestTaskOfASilenceRecordStartsOnceItsWorkerHasAnswered(t *testing.T) {
+	r := newRig(t)
+	r.step(JobStored{Job: Job{ID: "j", Queue: "q", Service: "s", Steps: []StepSpec{smallStep(1)}}, Inherited: true})
+	r.step(TrackedWorkersStored{Workers: []TrackedWorker{{ID: "w1", Addr: "w1:1", Service: "s"}, {ID: "w2", Addr: "w2:1", Service: "s"}}})
+	r.step(SilenceStored{Worker: "w1", Tasks: []SilentTask{{TaskID: taskID("j", 0), Unconfirmed: true, LateStart: true}}})
+	r.step(WorkersListed{Workers: []WorkerInfo{newWorkerInfo("w1"), newWorkerInfo("w2")}})
+	r.advance(50 * time.Millisecond)
+	r.answerHold("w2", nil)
+	assert.Equal(t, len(takeActions[Start](r)), 0, "the task may run on w1")
+	r.answerHold("w1", nil)
+	var starts []Start
+	for end := r.now + time.Second; len(starts) == 0 && r.now < end; {
+		r.advance(50 * time.Millisecond)
+		r.confirmSaves()
+		starts = takeActions[Start](r)
+	}
+	assert.Equal(t, len(starts), 1, "the task waits for a call that w1 refuses")
+}
+
+// Guards against a new owner that starts a task of a silence record while a late start may bring it to life on the next
+// incarnation of its worker, which has left the list of workers.
+func TestTaskOfASilenceRecordWaitsForALateStart(t *testing.T) {
+	r := newRig(t)
+	claimed := r.now
+	r.step(JobStored{Job: Job{ID: "j", Queue: "q", Service: "s", Steps: []StepSpec{smallStep(2)}}, Inherited: true})
+	r.step(TrackedWorkersStored{Workers: []TrackedWorker{{ID: "w1", Addr: "w1:1", Service: "s"}, {ID: "w2", Addr: "w2:1", Service: "s"}}})
+	r.step(SilenceStored{Worker: "w1", Tasks: []SilentTask{{TaskID: taskID("j", 0), Stopping: true, LateStart: true}, {TaskID: taskID("j", 1), Stopping: true}}})
+	r.step(WorkersListed{Workers: []WorkerInfo{newWorkerInfo("w2")}})
+	r.advance(50 * time.Millisecond)
+	startedAt := map[int]time.Duration{}
+	var active []ActiveRun
+	for len(startedAt) < 2 && r.now < claimed+20*time.Second {
+		r.failHolds("w1")
+		for i := range active {
+			active[i].Percent = int((r.now - claimed) / time.Second) // it doesn't stall
+		}
+		if slices.ContainsFunc(r.actions, isHoldOf("w2")) {
+			r.answerHold("w2", active)
+		}
+		r.advance(50 * time.Millisecond)
+		r.confirmSaves()
+		for _, s := range r.acceptStarts() {
+			startedAt[s.Task.Ordinal] = r.now - claimed
+			active = append(active, ActiveRun{Task: s.Task, Run: s.Run})
+		}
+	}
+	assert.Assert(t, startedAt[0] >= lateCallPeriod && startedAt[0] < lateCallPeriod+time.Second, "started after %v", startedAt[0])
+	assert.Assert(t, startedAt[1] > leaseDuration && startedAt[1] < lateCallPeriod-2*time.Second, "started after %v", startedAt[1])
+}
+
+// isHoldOf returns whether an action is a hold of a worker.
+func isHoldOf(worker string) func(Action) bool {
+	return func(a Action) bool { h, ok := a.(Hold); return ok && h.Worker == worker }
+}
--- a/pool/silence.go
+++ b/pool/silence.go
@@ -31,8 +31,9 @@
 	stored      bool   // the store may hold it
 	removalSave uint64 // save that removes it; 0: none
 	// blockedTasks are the tasks in a predecessor's record, which may run on the worker
-	// unnoticed.
-	blockedTasks []*task
+	// unnoticed, and lateTasks those of them that a late start may bring to life until lateUntil.
+	blockedTasks, lateTasks []*task
+	lateUntil               time.Duration
 }
 
 // queueSilenceRecord makes the next save write the worker's silence record, or remove it if the
@@ -124,7 +125,7 @@
 				t.blockedBy = w
 			}
 			if id.Unconfirmed || id.LateStart {
-				t.notBefore = c.now + lateCallPeriod
+				w.silence.lateTasks, w.silence.lateUntil = append(w.silence.lateTasks, t), c.now+lateCallPeriod
 			}
 			w.silence.blockedTasks = append(w.silence.blockedTasks, t)
 			if !id.Stopping && !t.done {
@@ -135,9 +136,12 @@
 }
 
 // unblockTasks unblocks the tasks of a predecessor's silence record, unless another silent worker may run them
-// too.
-func (c *Core) unblockTasks(w *worker) {
+// too. If this one hasn't answered, it doesn't refuse the predecessor's late starts.
+func (c *Core) unblockTasks(w *worker, answered bool) {
 	for _, t := range w.silence.blockedTasks {
+		if !answered && slices.Contains(w.silence.lateTasks, t) {
+			t.notBefore = max(t.notBefore, w.silence.lateUntil)
+		}
 		if t.blockedBy == w {
 			t.blockedBy = c.otherBlocker(t, w)
 			c.mayWait(t.step)
--- a/pool/worker.go
+++ b/pool/worker.go
@@ -263,7 +263,7 @@
 			c.rememberLostRuns(w, expired)
 			c.loseRuns(w, expired, "lease expired")
 		}
-		c.unblockTasks(w)
+		c.unblockTasks(w, false)
 	}
 	for _, r := range w.sortedRuns() {
 		if r.stopping && r.stopConfirmedAt == 0 && c.now-r.stopSentAt >= stopRetryInterval {
@@ -377,7 +377,7 @@
 		c.replan, c.retryAllSteps = true, true
 	}
 	if w.reconciled {
-		c.unblockTasks(w)
+		c.unblockTasks(w, true)
 	}
 	c.queueSilenceRecord(w)
 	w.reportedNothing = len(e.Active) == 0 && len(e.Ended) == 0
@@ -413,7 +413,7 @@
 	if w.silence.stored {
 		c.otherRecords = append(c.otherRecords, Record{Key: SilentKey(w.ID)})
 	}
-	c.unblockTasks(w)
+	c.unblockTasks(w, false)
 	c.replan = true
 }
 
