pool: leases aren't over on a worker that was off the list for a moment

Cause: until the first worker answers a new owner, nothing of a listed worker is over, as nothing has deposed the predecessor. A worker that left the list was counted from then, and still was when it was listed again. An owner that reaches no worker while an entry expires, or can't be read for a moment, took its leases for over as soon as another worker answered, although the predecessor goes on renewing them. Fix: before the first answer, a worker that is listed again is treated as any listed one. Evidence: TestInheritedLeasesOfAWorkerThatIsListedAgain failed before (a task started elsewhere 50 ms after the first answer) and passes. Ruled out: a longer wait if nothing of this happens: once a worker has answered, or while none has left, nothing changes. Left: a worker that stays off the list until another one answers is counted from when it left.

--- a/pool/inheritedlease_test.go
+++ b/pool/inheritedlease_test.go
@@ -65,3 +65,29 @@
 	}
 	assert.Equal(t, len(takeActions[Start](r)), 1)
 }
+
+// Guards against a new owner that reaches no worker, and that takes the leases of one for over which left the list for a
+// moment: nothing has deposed the predecessor, which goes on renewing them.
+func TestInheritedLeasesOfAWorkerThatIsListedAgain(t *testing.T) {
+	r := newCutOffTakeover(t, time.Second)
+	all := []WorkerInfo{newWorkerInfo("w1"), newWorkerInfo("w2"), newWorkerInfo("w3")}
+	r.step(WorkersListed{Workers: all[1:]})
+	r.advance(time.Second)
+	r.step(WorkersListed{Workers: all})
+	for end := r.now + 20*time.Second; r.now < end; {
+		r.failHolds("w1")
+		r.failHolds("w2")
+		r.failHolds("w3")
+		r.advance(50 * time.Millisecond)
+	}
+	r.step(WorkersListed{Workers: all})
+	first := r.now
+	for r.now < first+leaseDuration+predecessorRenewalTime {
+		r.answerIfHeld("w2")
+		r.answerIfHeld("w3")
+		r.failHolds("w1")
+		r.advance(50 * time.Millisecond)
+		r.confirmSaves()
+		assert.Equal(t, len(takeActions[Start](r)), 0, "started %v after the first answer, and it may run on w1", r.now-first)
+	}
+}
--- a/pool/worker.go
+++ b/pool/worker.go
@@ -149,11 +149,13 @@
 const never = time.Duration(math.MaxInt64)
 
 // boundInheritedLeases bounds the predecessor's leases once the first worker has answered, and those on
-// workers that have left the list.
+// workers that have left the list, unless they are listed again.
 func (c *Core) boundInheritedLeases() {
 	for _, w := range c.workerList {
 		if c.firstAnswered || !w.listed {
 			w.leaseExpiry = min(w.leaseExpiry, c.now+c.maxInheritedLease())
+		} else {
+			w.leaseExpiry = never
 		}
 	}
 }
