pool: a start isn't sent again to a worker that has been silent for long

Cause: a worker that has been silent for long gets no new lease with a hold, but a start that had no answer was sent again with one, however long ago the worker last answered. An owner that was stopped while a start was in transit renewed the leases of all runs there, and started the run, as the first thing after it went on, although a successor may have counted them as over. Fix: the second condition holds for both. Evidence: TestStartIsNotSentAgainOnceItsWorkerHasBeenSilentForLong failed before (sent after 8 s, with a lease of 5 s more). go test ./pool passes (one run, 96 s). Ruled out: fewer retries in usual operation: a start is sent to workers that answered within 1.9 s, and the first retry follows 0.25 s later. Left: an answer that was in transit while the owner was stopped counts from its arrival, so the owner starts tasks on that worker until the first worker that has seen a successor answers.

--- a/pool/latestart_test.go
+++ b/pool/latestart_test.go
@@ -109,3 +109,14 @@
 func isHoldOf(worker string) func(Action) bool {
 	return func(a Action) bool { h, ok := a.(Hold); return ok && h.Worker == worker }
 }
+
+// Guards against an owner that was stopped and that renews, with a start that it sends again, the leases of a worker that
+// has been silent for longer than a successor waits for it.
+func TestStartIsNotSentAgainOnceItsWorkerHasBeenSilentForLong(t *testing.T) {
+	r, start := newTwoWorkerRig(t)
+	r.now += leaseDuration + 3*time.Second
+	r.step(StartAnswered{Worker: start.Worker, Token: start.Token, Task: start.Task, Run: start.Run, Outcome: NoAnswer})
+	for _, s := range takeActions[Start](r) {
+		t.Errorf("sent to %s with a lease up to %d ms of its clock", s.Worker, s.DeadlineMs)
+	}
+}
--- a/pool/startstop.go
+++ b/pool/startstop.go
@@ -114,8 +114,10 @@
 }
 
 func (c *Core) retryStart(r *run) {
-	r.worker.unansweredStartAt, r.unansweredAt = c.now, c.now
-	if r.startsSent < maxStartTries && !r.stopping && r.worker.used.Within(r.worker.Capacity) {
+	w := r.worker
+	w.unansweredStartAt, r.unansweredAt = c.now, c.now
+	// A start renews the leases as a hold does, see there.
+	if r.startsSent < maxStartTries && !r.stopping && c.now-w.answeredAt < silentAfter && w.used.Within(w.Capacity) {
 		c.sendStart(r)
 		return
 	}
