--- a/pool/worker.go
+++ b/pool/worker.go
@@ -150,11 +150,13 @@
 const never = time.Duration(math.MaxInt64)
 
 // boundInheritedLeases bounds the predecessor's leases once the first worker has answered, and those on
-// workers that have left the list.
+// workers that have left the list, unless they are listed again.
 func (c *Core) boundInheritedLeases() {
 	for _, w := range c.workerList {
 		if c.firstAnswered || !w.listed {
 			w.leaseExpiry = min(w.leaseExpiry, c.now+c.maxInheritedLease())
+		} else {
+			w.leaseExpiry = never
 		}
 	}
 }
@@ -264,7 +266,7 @@
 			c.rememberLostRuns(w, expired)
 			c.loseRuns(w, expired, "lease expired")
 		}
-		c.unblockTasks(w)
+		c.unblockTasks(w, false)
 	}
 	for _, r := range w.sortedRuns() {
 		if r.stopping && r.stopConfirmedAt == 0 && c.now-r.stopSentAt >= stopRetryInterval {
@@ -289,9 +291,12 @@
 	return c.clock(w) + length.Milliseconds()
 }
 
-// hold sends a hold, which lists the worker's runs and renews its leases. A worker that has
-// been silent for long gets no new lease: each would delay the time at which its runs are
-// certainly over, so that the tasks of a dead worker would never run again.
+// mayRenew reports whether calls may renew the worker's leases. A worker that has been silent for long gets no
+// new lease: each would delay the time at which its runs are certainly over, so that the tasks of a dead worker
+// would never run again.
+func (c *Core) mayRenew(w *worker) bool { return c.isConfirmed() && c.now-w.answeredAt < silentAfter }
+
+// hold sends a hold, which lists the worker's runs and renews its leases.
 func (c *Core) hold(w *worker) {
 	h := Hold{Worker: w.ID, Addr: w.Addr, Born: cmp.Or(w.incarnation, w.Born), Token: c.token(w), SentAt: c.now}
 	if !c.mayHaveRestarted(w) {
@@ -300,7 +305,7 @@
 	if w.fenced && !c.pollsIdle(w) {
 		h.Wait = holdWait
 	}
-	if w.fenced && c.now-w.answeredAt < silentAfter && c.isConfirmed() {
+	if w.fenced && c.mayRenew(w) {
 		h.DeadlineMs = c.lease(w)
 	}
 	if w.silent {
@@ -378,7 +383,7 @@
 		c.replan, c.retryAllSteps = true, true
 	}
 	if w.reconciled {
-		c.unblockTasks(w)
+		c.unblockTasks(w, true)
 	}
 	c.queueSilenceRecord(w)
 	w.reportedNothing = len(e.Active) == 0 && len(e.Ended) == 0
@@ -414,7 +419,7 @@
 	if w.silence.stored {
 		c.otherRecords = append(c.otherRecords, Record{Key: SilentKey(w.ID)})
 	}
-	c.unblockTasks(w)
+	c.unblockTasks(w, false)
 	c.replan = true
 }
 
