pool: a worker that starts again after its host's clock was set back counts as restarted

What callers saw: nothing yet; found by a trial of clocks that jump. Such a worker got no task any more, and its owner called it without a pause (200 holds in 200 events). A late start for its former incarnation wasn't refused either, as the token wasn't raised: one more way for a task to run twice. Cause: incarnations are ordered by the Unix time of their start, and one with an earlier start counts as a former one. After a clock was set back, the answers and entries of the newer incarnation were dropped for good. Fixed: an answer that names an earlier start, to a hold that was sent 2.8 s or more after the known incarnation's last answer, is from a newer incarnation: answers are at most 1.4 s late. Until then the worker is called every 200 ms. Evidence: TestWorkerThatStartsAgainAfterItsClockWasSetBack failed before (no start in 10 s). Ruled out: a double run by this alone: the former incarnation's runs were lost after their lease, and the new one got none. Why it holds: late news of a former incarnation is still ignored (TestLateNewsOfAFormerIncarnationIsIgnored).

--- a/pool/incarnation.go
+++ b/pool/incarnation.go
@@ -11,14 +11,21 @@
 // known of the former incarnation may be applied to it. The incarnation is named by its start, which
 // the worker reports in the list of workers and with its lists of runs.
 
+// clockSetBackAfter is the time without an answer of the known incarnation after which one that names an
+// earlier start is a newer one, whose host's clock was set back. An answer is at most holdTimeout late.
+const clockSetBackAfter = 2 * holdTimeout
+
 // checkIncarnation handles the incarnation that a hold's answer names, and reports whether the answer
 // is from the newest one.
 func (c *Core) checkIncarnation(w *worker, e *HoldAnswered) bool {
 	switch {
 	case e.Born == 0 || e.Born == w.incarnation:
 		return true
-	case e.Born < w.incarnation:
+	case e.Born < w.incarnation && e.SentAt < w.answeredAt+clockSetBackAfter:
+		w.nextHold = c.now + retryDelay
 		return false
+	case e.Born < w.incarnation:
+		w.fencing.born = min(w.fencing.born, e.Born-1)
 	}
 	c.fenceFormerIncarnation(w, e.Born)
 	if w.incarnation != 0 {
--- a/pool/worker.go
+++ b/pool/worker.go
@@ -179,7 +179,8 @@
 			c.retractCrash(info.ID, info.Born)
 		}
 		w.listed = true
-		if info.Born < w.Born || (info.Born < w.incarnation && info.Born != 0) {
+		isKnown := info.Born == w.incarnation && info.Born != 0
+		if !isKnown && (info.Born < w.Born || (info.Born < w.incarnation && info.Born != 0)) {
 			continue // about a former incarnation, or about none that is named
 		}
 		if info.Born > w.incarnation && w.incarnation != 0 {
