node, standin/machines: histories with stopped instances, single cut links and slow worker clocks

Histories had killed instances but none that is stopped and goes on: its calls, answers, timers and queued events come seconds late, beside a successor's. View.Pause holds back the calls of an instance and their answers; an order that it had begun is sent after the pause although its time is over, as a process that was stopped between check and write does. PartitionWorker cuts one link, ClockError makes workers' clocks 2 % slow or fast.

--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -201,9 +201,30 @@
 	if m.stop != nil {
 		m.stop()
 		m.stop = nil
+		m.view.Kill()
 	}
 }
 
+// pause stops an instance's process for a while: it calls nobody and handles nothing.
+func (c *cluster) pause(name string, d time.Duration) {
+	c.mu.Lock()
+	m := c.members[name]
+	running, n := m.stop != nil, m.node
+	c.mu.Unlock()
+	if !running {
+		return
+	}
+	resumed := m.view.Pause()
+	n.StallPools(resumed)
+	go func() {
+		select {
+		case <-time.After(d):
+			m.view.Resume()
+		case <-resumed: // it has been killed
+		}
+	}()
+}
+
 func (c *cluster) names() []string {
 	var list []string
 	for name := range c.members {
--- /dev/null
+++ b/node/export_test.go
@@ -0,0 +1,8 @@
+package node
+
+// StallPools makes the instance handle nothing of its pools until the channel is closed, as if its process was stopped.
+func (n *Node) StallPools(until <-chan struct{}) {
+	for _, pc := range n.allControllers() {
+		go pc.send(pc.ctx, func() { <-until })
+	}
+}
--- a/node/predecessor_test.go
+++ b/node/predecessor_test.go
@@ -76,3 +76,27 @@
 		c.checkRunsOnce(successor)
 	})
 }
+
+// Guards against an owner that is stopped, goes on after another instance has taken over, and renews the leases of a worker
+// that its successor doesn't reach for longer than the successor waits.
+func TestTasksOfAStoppedPredecessorRunOnce(t *testing.T) {
+	for _, stopped := range []time.Duration{2500 * time.Millisecond, 3500 * time.Millisecond, 4500 * time.Millisecond, 4900 * time.Millisecond} {
+		t.Run(stopped.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c, owner, successor, busy, _ := newRunningTask(t)
+				defer c.close()
+				c.members[successor].view.PartitionWorker(busy, true)
+				c.pause(owner, stopped)
+				time.Sleep(12 * time.Second)
+				assert.Assert(t, c.members[successor].node.OwnsAny())
+				c.members[successor].view.PartitionWorker(busy, false)
+				time.Sleep(30 * time.Second)
+				c.check()
+				if t.Failed() {
+					t.Log(c.logs.linesContaining(`"pool.`))
+					t.Log(c.logs.linesContaining(jobID(1)))
+				}
+			})
+		})
+	}
+}
--- a/standin/machines/store.go
+++ b/standin/machines/store.go
@@ -259,6 +259,8 @@
 }
 
 func (v *View) append(ctx context.Context, to node.Topic, records []pool.Record, put func(*stream) (int64, error)) (int64, error) {
+	v.awaitResume()
+	defer v.awaitResume()
 	executed, answered, err := v.applyFault(ctx)
 	if !executed {
 		return 0, err
@@ -291,6 +293,8 @@
 
 // Newest implements node.Store.
 func (v *View) Newest(ctx context.Context, from node.Topic, after string) ([]node.Stored, bool, int64, error) {
+	v.awaitResume()
+	defer v.awaitResume()
 	if executed, answered, err := v.applyFault(ctx); !executed || !answered {
 		return nil, false, 0, orInDoubt(err)
 	}
@@ -318,6 +322,8 @@
 
 // Read implements node.Store.
 func (v *View) Read(ctx context.Context, from node.Topic, offset int64, wait time.Duration) ([]node.Stored, int64, error) {
+	v.awaitResume()
+	defer v.awaitResume()
 	if executed, answered, err := v.applyFault(ctx); !executed || !answered {
 		return nil, 0, orInDoubt(err)
 	}
--- a/standin/machines/view.go
+++ b/standin/machines/view.go
@@ -20,6 +20,9 @@
 	delay       time.Duration
 	partitioned bool            // from the workers
 	unreachable map[string]bool // workers that it can't reach
+	// resumed is closed at the end of a pause of the instance's process; nil: it isn't paused.
+	resumed chan struct{}
+	kills   int // how often the process has been killed
 	// faultFreeSince is the end of the instance's last fault.
 	faultFreeSince time.Time
 }
@@ -45,7 +48,7 @@
 func (v *View) faultFreeFor() time.Duration {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.fault != StoreUp || v.delay != 0 || v.partitioned {
+	if v.fault != StoreUp || v.delay != 0 || v.partitioned || v.resumed != nil {
 		return 0
 	}
 	return time.Since(v.faultFreeSince)
@@ -58,6 +61,54 @@
 	v.faultFreeSince = time.Now()
 }
 
+// Pause holds back all calls of the instance and the answers to them, as if its process was stopped, until Resume or
+// Kill.
+func (v *View) Pause() (resumed <-chan struct{}) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.resumed == nil {
+		v.resumed = make(chan struct{})
+	}
+	v.faultFreeSince = time.Now()
+	return v.resumed
+}
+
+// Resume ends a pause.
+func (v *View) Resume() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.resumed != nil {
+		close(v.resumed)
+		v.resumed, v.faultFreeSince = nil, time.Now()
+	}
+}
+
+// Kill drops the calls that a pause has held back.
+func (v *View) Kill() {
+	v.mu.Lock()
+	v.kills++
+	v.mu.Unlock()
+	v.Resume()
+}
+
+// awaitResume waits until the instance isn't paused. It reports whether it has waited, and whether the process has been
+// killed meanwhile.
+func (v *View) awaitResume() (waited, killed bool) {
+	v.mu.Lock()
+	before := v.kills
+	v.mu.Unlock()
+	for {
+		v.mu.Lock()
+		resumed, kills := v.resumed, v.kills
+		v.mu.Unlock()
+		if resumed == nil {
+			return waited, kills != before
+		}
+		<-resumed
+		waited = true
+	}
+}
+
 // SetStore sets the fault of the store for the instance.
 func (v *View) SetStore(f StoreFault) {
 	v.mu.Lock()
@@ -151,8 +202,15 @@
 
 // deliver sends an order over the network. It returns the worker if the order arrives now
 // and its answer will arrive too; late is called if the order arrives later. An order that is late is
-// lost if the worker crashes before.
-func (v *View) deliver(ctx context.Context, id string, late func(*worker)) *worker {
+// lost if the worker crashes before. An order that a pause of the instance has held back is sent after it, although its
+// time is over, and held is called then.
+func (v *View) deliver(ctx context.Context, id string, late, held func(*worker)) *worker {
+	if waited, killed := v.awaitResume(); waited && ctx.Err() != nil {
+		if !killed && v.reaches(id) {
+			afterFunc(networkDelay, func() { v.w.deliverHeld(id, held) })
+		}
+		return nil
+	}
 	if !pause(ctx, networkDelay) {
 		return nil
 	}
@@ -173,6 +231,15 @@
 	return x
 }
 
+// deliverHeld delivers an order that a pause of its sender has held back.
+func (w *World) deliverHeld(id string, held func(*worker)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if x := w.workers[id]; x != nil && x.alive && !x.unreachable {
+		held(x)
+	}
+}
+
 // deliverLate delivers an order that is late, to the worker's newest incarnation if it may outlive that for
 // which it was meant.
 func (w *World) deliverLate(x *worker, late func(*worker)) {
@@ -191,8 +258,10 @@
 
 // Start implements node.Workers.
 func (v *View) Start(ctx context.Context, s pool.Start) pool.Outcome {
+	defer v.awaitResume()
 	o := order{sender: v.name, sentAt: time.Now()}
-	x := v.deliver(ctx, s.Worker, func(x *worker) { x.start(s, o) })
+	late := func(x *worker) { x.start(s, o) }
+	x := v.deliver(ctx, s.Worker, late, late)
 	if x == nil {
 		return pool.NoAnswer
 	}
@@ -203,7 +272,9 @@
 
 // Stop implements node.Workers.
 func (v *View) Stop(ctx context.Context, s pool.Stop) pool.Outcome {
-	x := v.deliver(ctx, s.Worker, func(x *worker) { x.stop(s) })
+	defer v.awaitResume()
+	late := func(x *worker) { x.stop(s) }
+	x := v.deliver(ctx, s.Worker, late, late)
 	if x == nil {
 		return pool.NoAnswer
 	}
@@ -214,7 +285,8 @@
 
 // Pace implements node.Workers.
 func (v *View) Pace(ctx context.Context, p pool.Pace) pool.Outcome {
-	x := v.deliver(ctx, p.Worker, nil)
+	defer v.awaitResume()
+	x := v.deliver(ctx, p.Worker, nil, func(x *worker) { x.pace(p) })
 	if x == nil {
 		return pool.NoAnswer
 	}
@@ -225,8 +297,9 @@
 
 // Hold implements node.Workers.
 func (v *View) Hold(ctx context.Context, h pool.Hold) pool.HoldAnswered {
+	defer v.awaitResume()
 	answer := pool.HoldAnswered{Worker: h.Worker, SentAt: h.SentAt, Outcome: pool.NoAnswer}
-	x := v.deliver(ctx, h.Worker, nil)
+	x := v.deliver(ctx, h.Worker, nil, func(x *worker) { x.hold(h, &pool.HoldAnswered{}) })
 	if x == nil {
 		return answer
 	}
@@ -263,6 +336,8 @@
 // Advise implements node.Advisor. The names of step and worker determine whether a worker
 // may run a step.
 func (v *View) Advise(ctx context.Context, a pool.Advise) pool.Advised {
+	v.awaitResume()
+	defer v.awaitResume()
 	answer := pool.Advised{Step: a.Step, Asked: a.Workers, Validity: ticketValidity}
 	if !pause(ctx, a.Cost) {
 		answer.Failed = true
--- a/standin/machines/worker.go
+++ b/standin/machines/worker.go
@@ -96,10 +96,12 @@
 }
 
 // clock returns the worker's own clock, in milliseconds. It starts anew with each incarnation.
-func (x *worker) clock() int64 { return time.Since(x.startedAt).Milliseconds() + 1000 }
+func (x *worker) clock() int64 {
+	return int64(float64(time.Since(x.startedAt).Milliseconds())*x.w.clockRate(x.id)) + 1000
+}
 
 func (x *worker) at(clockMs int64) time.Time {
-	return x.startedAt.Add(time.Duration(clockMs-1000) * time.Millisecond)
+	return x.startedAt.Add(time.Duration(float64(clockMs-1000) / x.w.clockRate(x.id) * float64(time.Millisecond)))
 }
 
 // Work returns the payload of a job whose tasks take the given time. Poisoned tasks fail
@@ -162,7 +164,7 @@
 		return
 	}
 	until := x.at(deadlineMs)
-	if latest := time.Now().Add(MaxLease); until.After(latest) {
+	if latest := time.Now().Add(time.Duration(float64(MaxLease) / x.w.clockRate(x.id))); until.After(latest) {
 		until = latest
 	}
 	if until.After(x.lease) {
--- a/standin/machines/world.go
+++ b/standin/machines/world.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"fmt"
+	"hash/fnv"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -88,7 +89,10 @@
 	// accepts, in bytes.
 	MaxRecord, MaxAppend int
 	refusedSizes         int // appends that were refused because of their size or that of a record
-	Referee              *Referee
+	// ClockError is by how much the workers' clocks run slower or faster at most, as a share. Each
+	// worker's clock is as far off as possible, in one direction.
+	ClockError float64
+	Referee    *Referee
 }
 
 // New returns a world whose random choices follow a seed.
@@ -329,3 +333,16 @@
 	defer w.mu.Unlock()
 	return len(w.workers[id].runs)
 }
+
+// clockRate returns how fast a worker's clock runs; 1: as fast as all others.
+func (w *World) clockRate(id string) float64 {
+	if w.ClockError == 0 {
+		return 1
+	}
+	h := fnv.New32a()
+	_, _ = fmt.Fprint(h, id) // a hash never fails to write
+	if h.Sum32()%2 == 0 {
+		return 1 - w.ClockError
+	}
+	return 1 + w.ClockError
+}
