pool: a task isn't started while a second run of it is being stopped

Cause: a run that an owner adopts beside the task's own one has to stop, but its task didn't know it, so it counted as without a run once its own was gone.

Fix: such a run becomes the task's own when that is gone, until it has ended.

Evidence: TestTaskWaitsUntilASecondRunHasStopped was red before (a start while the second run is listed as active). The tests of ./pool about copies, gangs, runs, takeovers and the incremental state pass.

Why it holds: all runs that the owner knows of a task hold back its next start now, its own, its copy and those to be stopped; they are forgotten only by their end or with their worker, as before. Ruled out: late starts of the same run number, since the successor's numbers are higher.

--- a/pool/copies.go
+++ b/pool/copies.go
@@ -54,11 +54,25 @@
 		return false
 	case t.run:
 		t.run, t.copy = t.copy, nil
+		if surplus := c.surplusRuns[t]; t.run == nil && len(surplus) > 0 {
+			t.run = surplus[0]
+			c.dropSurplus(t, t.run)
+		}
 		return t.run == nil
 	}
+	c.dropSurplus(t, r)
 	return false
 }
 
+// dropSurplus notes that a run isn't active any more beside the task's own, or is the task's own from now on.
+func (c *Core) dropSurplus(t *task, r *run) {
+	if left := slices.DeleteFunc(c.surplusRuns[t], func(x *run) bool { return x == r }); len(left) > 0 {
+		c.surplusRuns[t] = left
+	} else {
+		delete(c.surplusRuns, t)
+	}
+}
+
 // stopRuns stops the runs of a task.
 func (c *Core) stopRuns(t *task, reason string) {
 	for _, r := range [...]*run{t.run, t.copy} {
--- a/pool/core.go
+++ b/pool/core.go
@@ -66,6 +66,7 @@
 	unclaimed      unclaimedEnds
 	orphans        int               // number of runs whose task is unknown
 	trackedParts   map[string][]byte // the stored parts of the list of tracked workers
+	surplusRuns    map[*task][]*run  // that are active beside a task's own and have to stop
 	suspects       map[*task]bool    // tasks under which workers have crashed, or may have and that run
 	crashedWorkers []crashedWorker   // the recent ones
 	verdicts       []verdict         // oldest first
@@ -155,6 +156,7 @@
 		workers:        map[string]*worker{},
 		trackedWorkers: map[string]TrackedWorker{},
 		suspects:       map[*task]bool{},
+		surplusRuns:    map[*task][]*run{},
 		runtimes:       runtimes.New(),
 		admission:      newAdmissionState(),
 		orgs:           newOrganisations(set.Pool),
--- a/pool/run.go
+++ b/pool/run.go
@@ -118,6 +118,9 @@
 	c.addRun(r)
 	if t.done || t.step.job.state.Ended() || (t.run != nil && !c.adoptsCopy(t, r)) {
 		c.logRun("run.unwanted", r, "its task is unknown, done or has another run")
+		if t.run != nil {
+			c.surplusRuns[t] = append(c.surplusRuns[t], r)
+		}
 		c.stop(r, "unwanted")
 		return r
 	}
