pool: a planned run gives way to one that is active

Cause: a run that is only planned, since the store has to hold it first, counted as the task's run when a worker listed an active one.

Fix: the planned run is dropped, and the active one becomes the task's own.

Evidence: TestPlannedRunGivesWayToAnActiveOne was red before (a start while the task is listed as active). The other tests of ./pool pass.

Why it holds: a planned run isn't sent before startPlanned, which skips those that were dropped. Gangs: the other planned members are dropped there, as they aren't complete any more. Ruled out: refusing in startPlanned alone, as the active run would have been stopped without need.

--- a/pool/run.go
+++ b/pool/run.go
@@ -109,6 +109,9 @@
 		// has stopped, the worker counts as full.
 		t = &task{step: &step{id: StepID{a.Task.Job, a.Task.K, a.Task.Step}, spec: &StepSpec{}, job: &job{state: Cancelled}}, ordinal: a.Task.Ordinal, done: true}
 	}
+	if t.run != nil && t.run.phase == planned && !t.done {
+		c.dropPlanned(t.run)
+	}
 	r.task = t
 	r.need = t.step.spec.Reserved()
 	if r.isOrphan() {
--- a/pool/surplusrun_test.go
+++ b/pool/surplusrun_test.go
@@ -36,3 +36,30 @@
 	r.advance(100 * time.Millisecond)
 	assert.Equal(t, len(r.acceptStarts()), 1)
 }
+
+// Guards against a planned run that is started although a worker turns out to run the task already: an earlier owner's
+// late start has begun there.
+func TestPlannedRunGivesWayToAnActiveOne(t *testing.T) {
+	r := newRig(t, newWorkerInfo("w1"), newWorkerInfo("w2"))
+	r.answerHold("w1", nil)
+	r.answerHold("w2", nil)
+	r.submitJob("j", smallStep(1))
+	starts := r.acceptStarts()
+	assert.Equal(t, len(starts), 1)
+	crashed, other := starts[0].Worker, "w1"
+	if crashed == other {
+		other = "w2"
+	}
+	r.storeAway = true
+	r.step(HoldAnswered{Worker: crashed, Outcome: WrongIncarnation}) // the next run is planned
+	task := r.core.task(starts[0].Task)
+	r.advance(100 * time.Millisecond)
+	assert.Assert(t, task.run != nil && task.run.phase == planned)
+	late := ActiveRun{Task: starts[0].Task, Run: 2001}
+	r.answerHold(other, []ActiveRun{late})
+	r.storeAway = false
+	r.advance(100 * time.Millisecond)
+	r.confirmSaves()
+	assert.Equal(t, len(takeActions[Start](r)), 0, "the task is active already")
+	assert.Assert(t, task.run != nil && task.run.number == late.Run && !task.run.stopping)
+}
