pool: no run elsewhere while a late start may reach a new incarnation

A start has no answer; its run ends as failed by a second sending, or its stop is confirmed, so the owner forgets it and starts the task elsewhere.

Cause: that a start is still on its way was known only while its run was. After a restart, the first hold with the raised token waited for an end, so that the owner learnt of such a run only a second later.

Fix: a worker keeps, for 12 s, the tasks of which a start to it had no answer. While it is silent, or has answered as a new incarnation but not yet under the raised token, none of these tasks is started, and after 0.4 s a run elsewhere is stopped. While it answers, they run anywhere as before. A hold with a raised token doesn't wait. Tasks that last are left out, since they must be started again soon after their worker is lost, and so are tasks that may have copies.

Evidence: TestRunElsewhereStopsWhenALateStartMayReachANewIncarnation was red without the guard.

Ruled out: to place the next run on the same worker, as one that fails everything would use up the attempts; to hold each next run back for 12 s.

--- a/pool/core.go
+++ b/pool/core.go
@@ -286,6 +286,7 @@
 	}
 	for _, w := range c.workerList {
 		c.tickWorker(w)
+		c.guardLateStarts(w)
 	}
 	c.runWaves()
 	c.reachVerdicts()
