--- a/pool/fencing.go
+++ b/pool/fencing.go
@@ -39,13 +39,6 @@
 	return w.unansweredStartAt != 0 && c.now-w.unansweredStartAt < lateCallPeriod
 }
 
-// mayStartLate reports whether a start of the run without an answer may still be carried out. That its worker's
-// lease has expired doesn't prevent it: the worker may have started again, with a clock that the start's
-// deadline is ahead of.
-func (c *Core) mayStartLate(r *run) bool {
-	return r.unansweredAt != 0 && c.now-r.unansweredAt < lateCallPeriod
-}
-
 // fenceFormerIncarnation raises the worker's token if the incarnation is a newer one than was known. An owner
 // that has used up its tokens gives the pool up: the next claim's are higher.
 func (c *Core) fenceFormerIncarnation(w *worker, born int64) {
--- a/pool/run.go
+++ b/pool/run.go
@@ -111,6 +111,9 @@
 		// has stopped, the worker counts as full.
 		t = &task{step: &step{id: StepID{a.Task.Job, a.Task.K, a.Task.Step}, spec: &StepSpec{}, job: &job{state: Cancelled}}, ordinal: a.Task.Ordinal, done: true}
 	}
+	if t.run != nil && t.run.phase == planned && !t.done {
+		c.dropPlanned(t.run)
+	}
 	r.task = t
 	r.need = t.step.spec.Reserved()
 	if r.isOrphan() {
@@ -120,6 +123,9 @@
 	c.addRun(r)
 	if t.done || t.step.job.state.Ended() || (t.run != nil && !c.adoptsCopy(t, r)) {
 		c.logRun("run.unwanted", r, "its task is unknown, done or has another run")
+		if t.run != nil {
+			c.surplusRuns[t] = append(c.surplusRuns[t], r)
+		}
 		c.stop(r, "unwanted")
 		return r
 	}
--- a/pool/silence.go
+++ b/pool/silence.go
@@ -124,7 +124,7 @@
 			if t.blockedBy == nil {
 				t.blockedBy = w
 			}
-			if id.Unconfirmed || id.LateStart {
+			if (id.Unconfirmed || id.LateStart) && t.step.spec.waitsForLateStarts() {
 				w.silence.lateTasks, w.silence.lateUntil = append(w.silence.lateTasks, t), c.now+lateCallPeriod
 			}
 			w.silence.blockedTasks = append(w.silence.blockedTasks, t)
--- a/pool/worker.go
+++ b/pool/worker.go
@@ -134,6 +134,10 @@
 	bornWrong    bool
 	// misdirectedLoggedAt is when a call that another worker had answered was last logged; 0: never.
 	misdirectedLoggedAt time.Duration
+	// lateStarts are the starts that it may still carry out.
+	lateStarts []lateStart
+	// seenToken is the newest token under which it has answered; 0: unknown.
+	seenToken uint64
 }
 
 func (c *Core) newWorker(info WorkerInfo) *worker {
@@ -320,8 +324,8 @@
 	if w.fenced && c.mayRenew(w) {
 		h.DeadlineMs = c.lease(w)
 	}
-	if w.silent {
-		h.Wait = 0
+	if w.silent || c.isOutdated(w, w.seenToken) {
+		h.Wait = 0 // a late start may have reached it before this token does
 	}
 	w.holdPending = true
 	c.emit(h)
@@ -378,6 +382,7 @@
 		c.replan, c.retryAllSteps = true, true
 	}
 	w.answeredAddr = cmp.Or(e.Addr, w.answeredAddr)
+	w.seenToken = max(w.seenToken, e.Token)
 	c.trackIncarnation(w)
 	w.silent = false
 	w.takeLostRuns()
@@ -438,7 +443,7 @@
 // forgetWorkers removes workers that have left and can't run anything any more.
 func (c *Core) forgetWorkers() {
 	for _, w := range slices.Clone(c.workerList) {
-		if !w.listed && len(w.runs) == 0 && c.leaseOver(w) {
+		if !w.listed && len(w.runs) == 0 && len(w.lateStarts) == 0 && c.leaseOver(w) {
 			if w.silent {
 				c.workerCrashed(w, false)
 			}
