pool: the first hold with a raised token doesn't wait for an end

Cause: the next hold, with the raised token, makes the incarnation refuse late starts, but it waited up to a second for an end, so its list came that late.

Fix: until a worker has answered under its present token, holds don't wait.

Evidence: TestFirstHoldWithARaisedTokenDoesNotWait was red before (it waits 1 s). Tests of fencing, incarnations and idle polling pass.

What is left: starts in the few milliseconds until that answer, and a late start that arrives before the first hold.

--- a/pool/fencing_test.go
+++ b/pool/fencing_test.go
@@ -165,3 +165,20 @@
 	assert.Assert(t, r.core.IsDeposed())
 	assert.Equal(t, len(takeActions[Deposed](r)), 1)
 }
+
+// Guards against an owner that learns only a second later what a worker runs that has started again: a late start may
+// have reached it before the raised token did, and the task was started elsewhere meanwhile.
+func TestFirstHoldWithARaisedTokenDoesNotWait(t *testing.T) {
+	r, _ := newBornRig(t, 1)
+	answer := func(born int64) Hold {
+		h := r.takeHold("w1")
+		r.step(HoldAnswered{Worker: "w1", Token: h.Token, SentAt: h.SentAt, Born: born, ClockMs: r.now.Milliseconds()})
+		return h
+	}
+	before := answer(100)
+	assert.Equal(t, answer(200).Token, before.Token)
+	raised := answer(200)
+	assert.Assert(t, raised.Token > before.Token)
+	assert.Equal(t, raised.Wait, time.Duration(0))
+	assert.Equal(t, answer(200).Wait, holdWait)
+}
--- a/pool/worker.go
+++ b/pool/worker.go
@@ -126,6 +126,8 @@
 	// bornListedAt is when its entry first named its incarnation. bornWrong is set if there has never been such a one.
 	bornListedAt time.Duration
 	bornWrong    bool
+	// seenToken is the newest token under which it has answered; 0: unknown.
+	seenToken uint64
 }
 
 func (c *Core) newWorker(info WorkerInfo) *worker {
@@ -280,8 +282,8 @@
 	if w.fenced && c.now-w.answeredAt < silentAfter {
 		h.DeadlineMs = c.lease(w)
 	}
-	if w.silent {
-		h.Wait = 0
+	if w.silent || c.isOutdated(w, w.seenToken) {
+		h.Wait = 0 // a late start may have reached it before this token does
 	}
 	w.holdPending = true
 	c.emit(h)
@@ -334,6 +336,7 @@
 		c.replan, c.retryAllSteps = true, true
 	}
 	w.answeredAddr = cmp.Or(e.Addr, w.answeredAddr)
+	w.seenToken = max(w.seenToken, e.Token)
 	c.trackIncarnation(w)
 	w.silent = false
 	w.takeLostRuns()
