pool: acknowledge ends only to an incarnation that has just been proved to be the newest

What callers saw: rule TWICE in a history with stopped instances and workers that start again under their IDs: two tasks of a job that were done, and whose ends were acknowledged, were started again 1.3 s later (run.vanished). Cause: a worker that starts again counts its ends anew, so a hold carries an acknowledgement only within 150 ms of the worker's last answer. That time was counted from when the answer was handled. An owner that was stopped, or lagged behind its events, handled an answer of the former incarnation seconds late, started tasks on the next one without knowing it, and its acknowledgement of the former one's ends made the next one forget as many ends that nobody had read. The runs were then neither listed as active nor as ended, so they ran again. Fixed: the time is counted from when the answer was received, and from when its hold was sent if no event was handled for 150 ms since. A hold that is sent 150 ms late loses its acknowledgement. Cost: one more hold after such an answer. What is left: a process that is stopped between the check and the write.

--- a/node/owner.go
+++ b/node/owner.go
@@ -58,10 +58,13 @@
 			return
 		}
 	}
+	if o.pc.node.now()-h.SentAt >= pool.MinRestartTime {
+		h.Ack = 0 // it may reach the worker's next incarnation
+	}
 	ctx, cancel := context.WithTimeout(o.ctx, timeout)
 	answer := o.pc.node.workers.Hold(ctx, h)
 	cancel()
-	answer.Token = h.Token
+	answer.Token, answer.ReceivedAt = h.Token, o.pc.node.now()
 	if answer.Unreadable != nil {
 		o.pc.node.unreadable.report(sourceHolds, h.Worker, noOffset, answer.Unreadable)
 	}
--- a/node/pauses_history_test.go
+++ b/node/pauses_history_test.go
@@ -24,6 +24,34 @@
 	}
 }
 
+// pauseRegressionSeeds are seeds whose history with pauses and workers that restart under their IDs once violated a guarantee,
+// each with the cause.
+var pauseRegressionSeeds = map[uint64]string{
+	874: "an owner that went on after a stop acknowledged ends to the next incarnation of a worker",
+}
+
+// Guards against anything that an owner takes for new after it was stopped, while the worker has started again.
+func TestRandomHistoriesWithPausesAndRestarts(t *testing.T) {
+	for seed := range pauseRegressionSeeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) { runHistoryWithPausesAndRestarts(t, seed) })
+		})
+	}
+}
+
+func runHistoryWithPausesAndRestarts(t *testing.T, seed uint64) {
+	c := newCluster(t, seed, seed%2 == 0)
+	c.world.ClockError = []float64{0, maxClockError}[seed/2%2]
+	runHistoryOf(c, seed, 0, func(c *cluster) {
+		c.world.ReuseIDs([]float64{1, 0.5}[seed%2])
+		c.world.LateOrdersOutliveWorkers, c.world.LateOrdersAwaitHolds = true, true
+		c.world.SetLateOrders(0.06)
+		go c.injectCrashes(rand.New(rand.NewPCG(seed, 7)))
+		c.injectPauses(rand.New(rand.NewPCG(seed, 9)))
+	})
+}
+
 const (
 	// pauseHistoriesInterval: for this many plain histories, one with pauses is simulated.
 	pauseHistoriesInterval = 10
--- a/pool/events.go
+++ b/pool/events.go
@@ -137,10 +137,12 @@
 
 // HoldAnswered is the answer to a Hold.
 type HoldAnswered struct {
-	Worker  string
-	Token   uint64 // as in the Hold; 0: unknown
-	SentAt  time.Duration
-	Outcome Outcome
+	Worker string
+	Token  uint64 // as in the Hold; 0: unknown
+	SentAt time.Duration
+	// ReceivedAt is when the answer arrived; 0: just now.
+	ReceivedAt time.Duration
+	Outcome    Outcome
 	// Born is the incarnation that answered; 0: unknown.
 	Born    int64
 	ClockMs int64
--- a/pool/ownpause_test.go
+++ b/pool/ownpause_test.go
@@ -65,3 +65,26 @@
 	state, _ := r.core.JobState("j")
 	assert.Equal(t, state, Completed)
 }
+
+// Guards against an acknowledgement that reaches a worker's next incarnation and makes it forget ends that nobody has read: the
+// answer of the former one was handled late, as the owner was stopped or had much to do.
+func TestAnswerThatIsHandledLateAllowsNoAcknowledgement(t *testing.T) {
+	for _, stopped := range []bool{true, false} {
+		r, _ := newBornRig(t, 1)
+		hold := r.takeHold("w1")
+		received := r.now
+		if stopped {
+			r.sleep(2 * time.Second)
+			received = r.now // it was read from the connection after the stop
+		} else {
+			r.advance(500 * time.Millisecond)
+		}
+		end := EndedRun{Number: 5, Task: taskID("j", 0), Run: 1, How: Done}
+		r.step(HoldAnswered{Worker: "w1", SentAt: hold.SentAt, ReceivedAt: received, Born: 100, ClockMs: r.now.Milliseconds(), Ended: []EndedRun{end}})
+		r.confirmSaves()
+		r.advance(saveInterval)
+		r.confirmSaves()
+		assert.Equal(t, r.answerAs(100, nil, end).Ack, uint64(0), "stopped %t", stopped)
+		assert.Equal(t, r.answerAs(100, nil).Ack, uint64(5), "stopped %t", stopped)
+	}
+}
--- a/pool/worker.go
+++ b/pool/worker.go
@@ -23,9 +23,9 @@
 	// unsavedHoldDelay is the delay between holds while ends wait to be stored, since a hold
 	// would return the same ends at once.
 	unsavedHoldDelay = 250 * time.Millisecond
-	// minRestartTime is how long a worker takes at least to crash and start again. A hold that is sent
+	// MinRestartTime is how long a worker takes at least to crash and start again. A hold that is sent
 	// later after the worker's last answer may reach the next incarnation.
-	minRestartTime = 150 * time.Millisecond
+	MinRestartTime = 150 * time.Millisecond
 	// retryDelay is the delay after a hold without an answer.
 	retryDelay = 200 * time.Millisecond
 	// firstContactRetryDelay replaces retryDelay until a new owner has its first answer from a
@@ -103,6 +103,7 @@
 	nextHold    time.Duration
 	// reportedNothing is set if its last answer listed neither runs nor ends.
 	reportedNothing bool
+	provenAt        time.Duration // when the known incarnation was certainly the newest: answers may be handled late
 	ack             uint64
 	lastEnd         uint64
 	ends            []pendingEnd
@@ -320,7 +321,7 @@
 // ends anew then, and an acknowledgement would make it forget ends that nobody has read. A worker that
 // isn't listed and runs nothing isn't asked.
 func (c *Core) mayHaveRestarted(w *worker) bool {
-	return w.silent || c.now-w.answeredAt >= minRestartTime || w.Born > w.incarnation
+	return w.silent || c.now-w.provenAt >= MinRestartTime || w.Born > w.incarnation
 }
 
 func (c *Core) holdAnswered(e HoldAnswered) {
@@ -362,6 +363,10 @@
 	w.silent = false
 	w.takeLostRuns()
 	w.answeredAt = c.now
+	w.provenAt = cmp.Or(e.ReceivedAt, c.now)
+	if e.SentAt < c.interruptedAt {
+		w.provenAt = e.SentAt
+	}
 	w.clockMs, w.clockReadAt = e.ClockMs, c.now
 	c.syncActiveRuns(w, e)
 	c.processEnds(w, e)
