pool, platform: a start without a connection isn't taken for one that may come late

A lasting task may not be without a run for 9 s. Cause: package platform reported all calls without an answer alike. Stops and holds are reported as before. Evidence: TestStartThatWasNotSentIsRepeatedElsewhereAtOnce failed with the outcome that was reported before, and without the new case in startRefused (sent to the same worker). Ruled out: that the transport sends a request, then fails to connect again and reports that: without GetBody it doesn't send a body twice. Left: a worker that has lost power refuses nothing, so starts to it until it is found to be silent, up to 1.4 s, still wait for 12 s.

--- a/node/startqueue.go
+++ b/node/startqueue.go
@@ -62,7 +62,7 @@
 	ctx, cancel := context.WithTimeout(o.ctx, commandTimeout)
 	out := n.workers.Start(ctx, s)
 	cancel()
-	if now := n.now(); out == pool.NoAnswer {
+	if now := n.now(); out == pool.NoAnswer || out == pool.NotSent {
 		n.startWindow.Failed(now, s.Size())
 	} else {
 		n.startWindow.Answered(now, now-start, s.Size())
--- a/pool/events.go
+++ b/pool/events.go
@@ -90,11 +90,13 @@
 	Unhealthy
 	// Rejected: the worker considers the call malformed.
 	Rejected
+	// NotSent: there was no connection, so the start can't be carried out.
+	NotSent
 )
 
 // String returns the name of an outcome for logs.
 func (o Outcome) String() string {
-	return [...]string{"ok", "no answer", "fenced", "other life", "old", "late", "no room", "bad ticket", "unhealthy", "rejected"}[o]
+	return [...]string{"ok", "no answer", "fenced", "other life", "old", "late", "no room", "bad ticket", "unhealthy", "rejected", "not sent"}[o]
 }
 
 // ActiveRun is an entry of a worker's list of active runs.
--- a/pool/latestart_test.go
+++ b/pool/latestart_test.go
@@ -120,3 +120,14 @@
 		t.Errorf("sent to %s with a lease up to %d ms of its clock", s.Worker, s.DeadlineMs)
 	}
 }
+
+// Guards against a task that waits for its worker's lease and for late starts although no start of it was ever sent, as the
+// worker's process is gone.
+func TestStartThatWasNotSentIsRepeatedElsewhereAtOnce(t *testing.T) {
+	r, start := newTwoWorkerRig(t)
+	r.step(StartAnswered{Worker: start.Worker, Token: start.Token, Task: start.Task, Run: start.Run, Outcome: NotSent})
+	r.loseWorker(start.Worker, 500*time.Millisecond)
+	starts := takeActions[Start](r)
+	assert.Equal(t, len(starts), 1)
+	assert.Assert(t, starts[0].Worker != start.Worker)
+}
--- a/pool/startstop.go
+++ b/pool/startstop.go
@@ -142,7 +142,7 @@
 	switch why {
 	case InvalidTicket:
 		r.task.step.advice.dropTicket(w)
-	case NoRoom, DeadlinePassed, WrongIncarnation:
+	case NoRoom, DeadlinePassed, WrongIncarnation, NotSent:
 		w.pausedUntil = c.now + retryDelay
 	case Unhealthy:
 		w.pausedUntil = c.now + unhealthyPause
