pool: test that the stored address of a worker follows it

What callers saw: nothing; says that the stored list of workers follows the address at which a worker answers, and no test failed without it (tests of ./pool named Address, Moved and Tracked, with the comparison of addresses removed). The new test passes on the code as it is and fails without that (the address of the former incarnation is stored).

--- a/pool/wrongaddress_test.go
+++ b/pool/wrongaddress_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 
@@ -108,3 +109,28 @@
 		r.actions = append(r.actions, h)
 	}
 }
+
+// Guards against a successor that calls a worker at the address of its former incarnation, where another worker says that it
+// has ended.
+func TestStoredAddressFollowsTheWorker(t *testing.T) {
+	r := newRig(t, bornWorker(100))
+	r.answerCalls("w1", bornWorker(100).Addr, nil)
+	moved := bornWorker(200)
+	moved.Addr = "w1:2"
+	r.step(WorkersListed{Workers: []WorkerInfo{moved}})
+	r.advance(50 * time.Millisecond)
+	takeActions[Save](r)
+	for range 2 { // the first call was sent before
+		for _, h := range takeActions[Hold](r) {
+			r.step(HoldAnswered{Worker: "w1", Addr: "w1:2", Token: h.Token, SentAt: h.SentAt, Born: 200, ClockMs: 1})
+		}
+		r.advance(saveInterval)
+	}
+	var stored []TrackedWorker
+	for _, rec := range r.savedRecords() {
+		if rec.Key == TrackedWorkersKey {
+			assert.NilError(t, json.Unmarshal(rec.Value, &stored))
+		}
+	}
+	assert.DeepEqual(t, stored, []TrackedWorker{{ID: "w1", Addr: "w1:2", Service: "s", Born: 200}})
+}
