node: test of owners that reach different workers

A case of the isolated owner that the review proposed: the owner reaches one worker, its successor all others, and nothing confirms the owner.

--- a/node/predecessor_test.go
+++ b/node/predecessor_test.go
@@ -106,3 +106,31 @@
 		})
 	}
 }
+
+// Guards against a new owner that starts tasks elsewhere while they run on a worker that only its predecessor reaches,
+// which nothing else reaches: no worker that both reach deposes that one.
+func TestTasksOfAPredecessorRunOnceIfTheOwnersReachDifferentWorkers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, owner, successor, busy, _ := newRunningTask(t)
+		defer c.close()
+		for _, name := range c.names() {
+			c.world.DropIncoming(name)
+		}
+		for _, id := range c.world.Workers() {
+			if id == busy {
+				c.members[successor].view.PartitionWorker(id, true)
+			} else {
+				c.members[owner].view.PartitionWorker(id, true)
+			}
+		}
+		c.members[owner].view.SetStore(machines.StoreSilent)
+		time.Sleep(15 * time.Second)
+		assert.Assert(t, c.members[successor].node.OwnsAny())
+		c.members[successor].view.PartitionWorker(busy, false)
+		c.members[owner].view.SetStore(machines.StoreUp)
+		time.Sleep(40 * time.Second)
+		c.check()
+		state, _ := c.state(jobID(1), c.members[successor])
+		assert.Equal(t, state, pool.Completed)
+	})
+}
