pool: take back the guard that stops runs elsewhere because of late starts

A failed try: stopped a task's run elsewhere once a worker fell silent that might still get a late start of the task. It also throws work away whenever such a worker is silent for 0.4 s.

What stays of that commit: the first hold with a raised token doesn't wait, and runs of tasks that last, or may have copies, aren't kept for late starts. What that leaves is open: a start without an answer whose run ended as failed or stopped, and starts of a former owner, which the present one doesn't know.

--- a/pool/core.go
+++ b/pool/core.go
@@ -313,7 +313,6 @@
 	}
 	for _, w := range c.workerList {
 		c.tickWorker(w)
-		c.guardLateStarts(w)
 	}
 	c.startPlanned()
 	c.runWaves()
--- a/pool/fencing.go
+++ b/pool/fencing.go
@@ -39,6 +39,17 @@
 	return w.unansweredStartAt != 0 && c.now-w.unansweredStartAt < lateCallPeriod
 }
 
+// waitsForLateStarts reports whether tasks of the step are held back while a start of them may be carried out late.
+// Those that last have to be started again soon after their worker is lost, and those that permit copies may run twice.
+func (s *StepSpec) waitsForLateStarts() bool { return !s.LongRunning && !s.permitsCopies() }
+
+// mayStartLate reports whether a start of the run without an answer may still be carried out. That its worker's
+// lease has expired doesn't prevent it: the worker may have started again, with a clock that the start's
+// deadline is ahead of.
+func (c *Core) mayStartLate(r *run) bool {
+	return r.unansweredAt != 0 && c.now-r.unansweredAt < lateCallPeriod && r.task.step.spec.waitsForLateStarts()
+}
+
 // fenceFormerIncarnation raises the worker's token if the incarnation is a newer one than was known. An owner
 // that has used up its tokens gives the pool up: the next claim's are higher.
 func (c *Core) fenceFormerIncarnation(w *worker, born int64) {
--- a/pool/startstop.go
+++ b/pool/startstop.go
@@ -99,7 +99,6 @@
 		c.confirmRun(r)
 		r.task.step.job.started = true
 	case NoAnswer:
-		c.noteLateStart(r)
 		c.retryStart(r)
 	case Stale:
 		// The run was there and has ended: either its end is listed, or it is found to have
--- a/pool/worker.go
+++ b/pool/worker.go
@@ -135,8 +135,6 @@
 	bornWrong    bool
 	// misdirectedLoggedAt is when a call that another worker had answered was last logged; 0: never.
 	misdirectedLoggedAt time.Duration
-	// lateStarts are the starts that it may still carry out.
-	lateStarts []lateStart
 	// seenToken is the newest token under which it has answered; 0: unknown.
 	seenToken uint64
 }
@@ -448,7 +446,7 @@
 // forgetWorkers removes workers that have left and can't run anything any more.
 func (c *Core) forgetWorkers() {
 	for _, w := range slices.Clone(c.workerList) {
-		if !w.listed && len(w.runs) == 0 && len(w.lateStarts) == 0 && c.leaseOver(w) {
+		if !w.listed && len(w.runs) == 0 && c.leaseOver(w) {
 			if w.silent {
 				c.workerCrashed(w, false)
 			}
