node: confirm an ownership as soon as most instances have answered, and log it

What was missing: the others' answers counted only once all of them were there or their calls had timed out, 0.7 s, so that in an outage of the store beside a lost instance an owner was without confirmation for some 0.2 s of each 1.7 s, by the intervals (not measured). And the log didn't say when an owner wasn't confirmed.

Now the ownership is confirmed with the first majority of answers, from when they were asked, and pool.unconfirmed and pool.confirmed are logged with the age of the newest confirmation. The tests of ./node named Isolated, LeasesAre, OwnerIsDeposed, Predecessor and Outage pass.

--- a/node/confirmation.go
+++ b/node/confirmation.go
@@ -53,6 +53,21 @@
 	}()
 }
 
+// logConfirmation logs when the ownership ceases to be confirmed, and when it is again.
+func (o *ownership) logConfirmation() {
+	unconfirmed := !o.core.IsConfirmed()
+	if unconfirmed == o.unconfirmed {
+		return
+	}
+	o.unconfirmed = unconfirmed
+	event := "pool.confirmed"
+	if unconfirmed {
+		event = "pool.unconfirmed"
+	}
+	o.pc.log.Info().Uint64("epoch", o.claim.Epoch).Dur("age", o.pc.node.now()-o.confirmed.time()).Msg(event)
+}
+
+// askForConfirmation asks the other instances once. One that knows of a newer claim ends the ownership.
 func (o *ownership) askForConfirmation(ctx context.Context) {
 	sent := o.pc.node.now()
 	list := o.pc.node.peers.others()
@@ -63,7 +78,13 @@
 		go func() { replies <- o.askPeer(ctx, p) }()
 	}
 	confirming := 1 // this instance
-	for range list {
+	for n := 0; ; n++ {
+		if 2*confirming > len(list)+1 {
+			o.confirmed.confirm(sent)
+		}
+		if n == len(list) {
+			return
+		}
 		switch <-replies {
 		case noNewerClaim:
 			confirming++
@@ -76,9 +97,6 @@
 			return
 		}
 	}
-	if 2*confirming > len(list)+1 {
-		o.confirmed.confirm(sent)
-	}
 }
 
 type confirmReply int
--- a/node/owner.go
+++ b/node/owner.go
@@ -106,6 +106,8 @@
 	streamEnd   atomic.Int64
 	appendsOKAt time.Duration // time of the last successful append, as far as is known
 	confirmed   confirmation
+	// unconfirmed is set while the ownership isn't confirmed, as last logged.
+	unconfirmed bool
 	queues      queueTable
 	// rootSought is set once the root of the shares of caps is being looked up.
 	rootSought  bool
@@ -237,6 +239,7 @@
 		o.exchangeCapShares()
 	}
 	o.seekConfirmation()
+	o.logConfirmation()
 	o.pc.node.metrics.startWindow.Update(float64(o.pc.node.startWindow.Size()))
 	if now := o.pc.node.now(); !o.heartbeatPending && now-o.lastHeartbeat > heartbeatInterval {
 		o.heartbeatPending = true
--- a/pool/core.go
+++ b/pool/core.go
@@ -217,9 +217,9 @@
 // Confirm reports that there was no newer owner at a time: the call that has shown this was sent then.
 func (c *Core) Confirm(at time.Duration) { c.confirmedAt = max(c.confirmedAt, at) }
 
-// isConfirmed reports whether leases may be granted. A successor allows for those that are granted for
+// IsConfirmed reports whether leases may be granted. A successor allows for those that are granted for
 // predecessorRenewalTime after its claim, which can't precede the newest confirmation.
-func (c *Core) isConfirmed() bool {
+func (c *Core) IsConfirmed() bool {
 	return !c.settings.NeedsConfirmation || c.now-c.confirmedAt < predecessorRenewalTime
 }
 
--- a/pool/fencing.go
+++ b/pool/fencing.go
@@ -9,7 +9,7 @@
 // one before. The first call with it makes the incarnation refuse all that was sent to a former one; until
 // then, nothing can.
 
-// lateCallPeriod is how long a call without an answer may still be carried out: 12 s at most. The token of a removed worker
+// lateCallPeriod is how long a call without an answer may still be carried out. The token of a removed worker
 // is kept that long, in case it comes back, and for good once it was raised: the worker may come back without
 // having started again.
 const lateCallPeriod = 12 * time.Second
--- a/pool/place.go
+++ b/pool/place.go
@@ -48,7 +48,7 @@
 
 // placeTasks starts the tasks that can be started, most urgent steps first.
 func (c *Core) placeTasks() {
-	if !c.isConfirmed() {
+	if !c.IsConfirmed() {
 		return // until the next tick
 	}
 	waiting := c.waiting[:0]
--- a/pool/planned.go
+++ b/pool/planned.go
@@ -20,7 +20,7 @@
 
 // startPlanned sends the starts of the planned runs that the store now holds.
 func (c *Core) startPlanned() {
-	for c.isConfirmed() && len(c.plannedRuns) > 0 && c.plannedRuns[0].planSave <= c.savedSeq {
+	for c.IsConfirmed() && len(c.plannedRuns) > 0 && c.plannedRuns[0].planSave <= c.savedSeq {
 		r := c.plannedRuns[0]
 		c.plannedRuns = c.plannedRuns[1:]
 		if !r.isPlanned() {
--- a/pool/worker.go
+++ b/pool/worker.go
@@ -309,7 +309,7 @@
 // mayRenew reports whether calls may renew the worker's leases. A worker that has been silent for long gets no
 // new lease: each would delay the time at which its runs are certainly over, so that the tasks of a dead worker
 // would never run again.
-func (c *Core) mayRenew(w *worker) bool { return c.isConfirmed() && c.now-w.answeredAt < silentAfter }
+func (c *Core) mayRenew(w *worker) bool { return c.IsConfirmed() && c.now-w.answeredAt < silentAfter }
 
 // hold sends a hold, which lists the worker's runs and renews its leases.
 func (c *Core) hold(w *worker) {
