--- a/node/confirmation.go
+++ b/node/confirmation.go
@@ -60,11 +60,12 @@
 		return
 	}
 	o.unconfirmed = unconfirmed
-	event := "pool.confirmed"
+	entry := o.pc.log.Info().Uint64("epoch", o.claim.Epoch).Dur("age", o.pc.node.now()-o.confirmed.time())
 	if unconfirmed {
-		event = "pool.unconfirmed"
+		entry.Msg("pool.unconfirmed")
+	} else {
+		entry.Msg("pool.confirmed")
 	}
-	o.pc.log.Info().Uint64("epoch", o.claim.Epoch).Dur("age", o.pc.node.now()-o.confirmed.time()).Msg(event)
 }
 
 // askForConfirmation asks the other instances once. One that knows of a newer claim ends the ownership.
