--- a/node/claiming.go
+++ b/node/claiming.go
@@ -254,7 +254,7 @@
 	pc.own = newOwnership(ctx, pc, e.claim, e.offset, e.sentAt)
 	pc.wakeReader() // read up to the claim; the core is loaded then
 	pc.node.setOwned(pc.topic.Part, e.claim)
-	pc.log.Info().Uint64("epoch", e.claim.Epoch).Int64("offset", e.offset).Msg("pool.owned")
+	pc.log.Info().Uint64("epoch", e.claim.Epoch).Int64("offset", e.offset).Int("generation", e.claim.Generation).Msg("pool.owned")
 }
 
 // applyRange applies records that were read or stored outside the follower, if there is no gap
--- a/node/confirmation.go
+++ b/node/confirmation.go
@@ -79,16 +79,24 @@
 		go func() { replies <- o.askPeer(ctx, p) }()
 	}
 	confirming := 1 // this instance
+	withoutCopy, oldestRead := 0, time.Duration(0)
 	for n := 0; ; n++ {
 		if 2*confirming > len(list)+1 {
 			o.confirmed.confirm(sent)
 		}
 		if n == len(list) {
+			o.pc.log.Info().Uint64("epoch", o.claim.Epoch).Int("asked", len(list)).Int("confirming", confirming).Int("without_copy", withoutCopy).
+				Dur("oldest_read", oldestRead).Msg("pool.confirmation")
 			return
 		}
-		switch <-replies {
+		r := <-replies
+		switch r.result {
 		case noNewerClaim:
 			confirming++
+			if r.readAge < 0 {
+				withoutCopy++
+			}
+			oldestRead = max(oldestRead, r.readAge)
 		case newerClaim:
 			o.pc.send(ctx, func() {
 				if o.pc.own == o {
@@ -100,33 +108,49 @@
 	}
 }
 
-type confirmReply int
+type confirmResult int
 
 const (
-	noReply confirmReply = iota
+	noReply confirmResult = iota
 	noNewerClaim
 	newerClaim
 )
 
+type confirmReply struct {
+	result  confirmResult
+	readAge time.Duration // as in ConfirmReply
+}
+
 func (o *ownership) askPeer(ctx context.Context, p peerEntry) confirmReply {
 	r := new(ConfirmReply) // not shared: a late response is still written to it
 	err := o.pc.node.peers.call(ctx, p.Addr, "Confirm", ConfirmArgs{Part: o.pc.topic.Part, Epoch: o.claim.Epoch}, r, peerTimeout)
 	switch {
 	case err == nil && r.Newer:
-		return newerClaim
-	case err == nil, errors.As(err, new(rpc.ServerError)): // a busy instance, or one of an older version, is there too
-		return noNewerClaim
+		return confirmReply{newerClaim, r.ReadAge}
+	case err == nil:
+		return confirmReply{noNewerClaim, r.ReadAge}
+	case errors.As(err, new(rpc.ServerError)): // a busy instance, or one of an older version, is there too
+		return confirmReply{noNewerClaim, noCopyAge}
 	}
-	return noReply
+	return confirmReply{result: noReply}
 }
 
+// noCopyAge is the ConfirmReply.ReadAge of an instance without a copy of the pool.
+const noCopyAge = time.Duration(-1)
+
 // Confirm replies whether this instance knows of a newer claim of a pool.
 func (s Peer) Confirm(a ConfirmArgs, r *ConfirmReply) error {
+	r.ReadAge = noCopyAge
 	pc := s.n.controller(a.Part)
 	if pc == nil {
 		return nil
 	}
-	return pc.do(withTimeout(context.Background(), aliveTimeout), func() { r.Newer = pc.replica.claim.Epoch > a.Epoch })
+	return pc.do(withTimeout(context.Background(), aliveTimeout), func() {
+		r.Newer = pc.replica.claim.Epoch > a.Epoch
+		if pc.copyLoaded {
+			r.ReadAge = s.n.now() - pc.lastReadAt
+		}
+	})
 }
 
 // others returns the entries of the other instances whose processes aren't known to have ended.
--- a/node/service.go
+++ b/node/service.go
@@ -117,7 +117,11 @@
 		Epoch uint64
 	}
 	// ConfirmReply answers that.
-	ConfirmReply struct{ Newer bool }
+	ConfirmReply struct {
+		Newer bool
+		// ReadAge is how long ago the store last answered a read for the copy of the pool; negative: there is no copy.
+		ReadAge time.Duration
+	}
 	// LifeReply identifies the replying process. Works means that it owns the pool in question and
 	// that the store accepts its appends.
 	LifeReply struct {
