node, standin/machines: an owner behind a partition with most instances, red

On this code each case of 14 and 20 s shows 24 tasks started beside runs of the other side, at 3, 9 and 40 instances: the successor claims 1.6 s after the cut, starts them 7 s later, and the owner is confirmed all the while. In the log, 8 of 9 instances confirm it with reads that are up to 13 s old, and of 40 seven of the eight that confirm it have no copy of the pool.

The stand-in gains links between instances that can be cut in one direction; what is sent over them arrives when the cut ends.

--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -133,7 +133,7 @@
 	}
 	m.view.RecordFault()
 	var store node.Store = m.view
-	dial := c.world.Dial
+	var dial node.Dialer = c.world.DialFrom(name)
 	if c.storeAndDialer != nil {
 		store, dial = c.storeAndDialer(m)
 	}
--- a/standin/machines/world.go
+++ b/standin/machines/world.go
@@ -56,6 +56,7 @@
 	workers   map[string]*worker
 	order     []*worker
 	listeners map[string]*pipeListener
+	links     links
 	views     map[string]*View
 	// Advised is set if the steps of queues need advice.
 	Advised bool
@@ -254,6 +255,11 @@
 
 // Dial connects to an instance.
 func (w *World) Dial(addr string, timeout time.Duration) (net.Conn, error) {
+	return w.dial(addr, timeout, func(c net.Conn) net.Conn { return c })
+}
+
+// dial connects to an instance, which gets its end of the connection from wrap.
+func (w *World) dial(addr string, timeout time.Duration, wrap func(net.Conn) net.Conn) (net.Conn, error) {
 	w.mu.Lock()
 	l := w.listeners[addr]
 	w.mu.Unlock()
@@ -266,7 +272,7 @@
 	}
 	here, there := net.Pipe()
 	select {
-	case l.conns <- there:
+	case l.conns <- wrap(there):
 		return here, nil
 	case <-l.closed:
 		return nil, fmt.Errorf("dial %s: %w", addr, syscall.ECONNREFUSED)
