pool, node: a successor waits until a majority of its predecessor's electors know its claim

A partition with the owner, two thirds of the instances and some workers on one side and the store on the other: most instances confirm the owner for good, as none of them can read the claim of its successor, which starts the tasks of the workers that it doesn't reach 7 s after the claim.

Cause: two authorities, the store for claims and most instances for confirmation, whose decisions needn't meet. The claim alone counted as the end of the predecessor's confirmations.

The owner's record now names up to nine elector processes. An ownership is confirmed by an accepted append or by a majority of exactly these. A new owner informs the electors of each former owner of its claim (NoteClaim), and counts inherited leases only once a majority of them know it or have ended: any two majorities share a process, so nothing confirms the former owner any more. Until then it uses the workers that it reaches and takes no run on others for lost. An elector is a process: one that starts again knows nothing of what it was told, and isn't one until the owner's record names it. Votes of electors whose entries among the instances haven't been accepted for 30 s count only if all electors vote, so that a new owner needn't wait for those that are gone for good, and an outage of the store for all stops nobody.

newRunningTask cuts the third instance off from the successor: its precondition, an instance that confirms the owner for good, doesn't hold for one that the successor reaches and tells. The checks are the same.

--- a/node/claiming.go
+++ b/node/claiming.go
@@ -87,7 +87,7 @@
 
 // claimResult is the result of a claim.
 type claimResult struct {
-	claim  claim
+	claim  ownerRecord
 	offset int64
 	sentAt time.Duration
 	// ranges is what was read from the stream for the claim, in order.
@@ -107,10 +107,11 @@
 func (pc *poolController) claim(ctx context.Context, reason string, rank int) {
 	old := pc.replica.claim
 	generation := pc.nextGeneration()
-	c := claim{
+	c := ownerRecord{claim: claim{
 		Node: pc.node.opts.Name, Addr: pc.node.opts.PeerAddr, Life: pc.node.incarnation,
 		Epoch: newEpoch(generation), Generation: int(generation),
-	}
+	}, Electors: pc.chooseElectors(nil)}
+	c.Former = pc.replica.formerOwners(c.Epoch)
 	pc.claiming = true
 	next := pc.replica.next
 	pc.log.Info().Str("reason", reason).Str("before", old.Node).Uint64("epoch", c.Epoch).Msg("pool.claim")
@@ -131,7 +132,7 @@
 // It did the same with all later appends of the two owners: it kept one of each two and
 // acknowledged both, so jobs were accepted that were not stored. The record that is read back shows
 // whose claim was stored.
-func (pc *poolController) storeClaim(ctx context.Context, c claim) (streamRange, error) {
+func (pc *poolController) storeClaim(ctx context.Context, c ownerRecord) (streamRange, error) {
 	offset, err := pc.node.store.Append(withTimeout(ctx, appendTimeout), pc.topic,
 		[]pool.Record{{Key: pool.OwnerKey, Value: pool.Encode(c)}}, &Writer{Name: "owner", Epoch: c.Epoch})
 	if err != nil {
@@ -145,7 +146,7 @@
 	if err != nil || len(own.records) == 0 {
 		return streamRange{}, ErrInDoubt // if it is read later, it is handled as a claim that took effect late
 	}
-	if kept, err := checkRecord(own.records[0]); err != nil || kept == nil || *kept != c {
+	if kept, err := checkRecord(own.records[0]); err != nil || kept == nil || kept.claim != c.claim {
 		return streamRange{}, errClaimedByOther
 	}
 	return own, nil
@@ -239,7 +240,7 @@
 		pc.leaveDirectToOwner()
 		return
 	}
-	if pc.replica.claim.Epoch > e.claim.Epoch {
+	if max(pc.replica.claim.Epoch, pc.node.claims.epoch(pc.topic.Part)) > e.claim.Epoch {
 		return // another instance was faster
 	}
 	// A new owner that knows the stream up to its claim starts without another read of the store.
@@ -249,12 +250,14 @@
 	pc.claimAt = 0
 	pc.successor = ""
 	pc.ownerSeenAt = pc.node.now()
-	pc.replica.claim = e.claim
+	pc.replica.claim = e.claim.claim
+	pc.node.claims.note(pc.topic.Part, e.claim.Epoch)
 	pc.readsInfrequently.Store(false)
 	pc.own = newOwnership(ctx, pc, e.claim, e.offset, e.sentAt)
 	pc.wakeReader() // read up to the claim; the core is loaded then
-	pc.node.setOwned(pc.topic.Part, e.claim)
-	pc.log.Info().Uint64("epoch", e.claim.Epoch).Int64("offset", e.offset).Int("generation", e.claim.Generation).Msg("pool.owned")
+	pc.node.setOwned(pc.topic.Part, e.claim.claim)
+	pc.log.Info().Uint64("epoch", e.claim.Epoch).Int64("offset", e.offset).Int("generation", e.claim.Generation).
+		Int("electors", len(e.claim.Electors)).Int("former", len(e.claim.Former)).Msg("pool.owned")
 }
 
 // applyRange applies records that were read or stored outside the follower, if there is no gap
--- a/node/confirmation.go
+++ b/node/confirmation.go
@@ -2,31 +2,27 @@
 
 import (
 	"context"
-	"math/rand/v2"
-	"net/rpc"
+	"slices"
 	"sync/atomic"
 	"time"
-
-	"github.com/pkg/errors"
 )
 
-// A network partition may leave an owner with some workers, but without the store and the other instances. Another
-// instance then claims the pool, and starts the tasks of workers that it doesn't reach elsewhere once their leases
-// must have expired. So an owner renews leases and starts tasks only while its ownership is confirmed: the store has
-// just accepted an append of its epoch, or, as the store may be unavailable to all, most other instances answer
-// that they know of no newer claim.
+// A network partition may leave an owner with some workers, but without the store. Another instance then claims the pool,
+// and starts the tasks of workers that it doesn't reach elsewhere once their leases must have expired. So an owner renews
+// leases and starts tasks only while its ownership is confirmed: the store has just accepted an append of its epoch, or,
+// as the store may be unavailable to all, most electors answer that they know of no newer claim.
 
-const (
-	// confirmDelay is the time without an accepted append after which the other instances are asked.
-	confirmDelay = 2 * heartbeatInterval
-	// maxConfirmingPeers limits how many instances are asked at a time, in a random selection.
-	maxConfirmingPeers = 9
-)
+// confirmDelay is the time without an accepted append after which the electors are asked.
+const confirmDelay = 2 * heartbeatInterval
 
 // confirmation is when an ownership was last confirmed.
 type confirmation struct {
-	at     atomic.Int64 // when the call was sent that confirmed it
-	asking atomic.Bool
+	at atomic.Int64 // when the call was sent that confirmed it
+	// byElectors is when the calls were last sent by which the electors confirmed it.
+	byElectors atomic.Int64
+	asking     atomic.Bool
+	// last is the result of the newest round of calls to the electors; nil: there was none.
+	last atomic.Pointer[confirmRound]
 }
 
 func (c *confirmation) time() time.Duration { return time.Duration(c.at.Load()) }
@@ -41,7 +37,7 @@
 	}
 }
 
-// seekConfirmation asks the other instances if the store hasn't confirmed the ownership for a while.
+// seekConfirmation asks the electors if the store hasn't confirmed the ownership for a while.
 func (o *ownership) seekConfirmation() {
 	if o.pc.node.now()-o.confirmed.time() < confirmDelay || o.confirmed.asking.Swap(true) {
 		return
@@ -53,115 +49,128 @@
 	}()
 }
 
-// logConfirmation logs when the ownership ceases to be confirmed, and when it is again.
+// confirmedBy is what an ownership is confirmed by.
+type confirmedBy string
+
+const (
+	byStore    confirmedBy = "store"
+	byElectors confirmedBy = "electors"
+	byNothing  confirmedBy = "nothing"
+)
+
+// logConfirmation logs when the ownership ceases to be confirmed, and when it is confirmed again or by something else.
 func (o *ownership) logConfirmation() {
-	unconfirmed := !o.core.IsConfirmed()
-	if unconfirmed == o.unconfirmed {
+	at := o.confirmed.at.Load()
+	by := byStore
+	switch {
+	case !o.core.IsConfirmed():
+		by = byNothing
+	case at == o.confirmed.byElectors.Load():
+		by = byElectors
+	}
+	if by == o.confirmedBy {
 		return
 	}
-	o.unconfirmed = unconfirmed
-	entry := o.pc.log.Info().Uint64("epoch", o.claim.Epoch).Dur("age", o.pc.node.now()-o.confirmed.time())
-	if unconfirmed {
+	o.confirmedBy = by
+	entry := o.pc.log.Info().Uint64("epoch", o.claim.Epoch).Str("by", string(by)).Dur("age", o.pc.node.now()-time.Duration(at))
+	if r := o.confirmed.last.Load(); r != nil && by != byStore {
+		entry = entry.Int("electors", r.electors).Int("voted", r.voted).Int("expired", r.expired).Int("silent", r.silent)
+	}
+	if by == byNothing {
 		entry.Msg("pool.unconfirmed")
 	} else {
 		entry.Msg("pool.confirmed")
 	}
 }
 
-// askForConfirmation asks the other instances once. One that knows of a newer claim ends the ownership.
+// vote is an elector's answer.
+type vote struct {
+	// expired is set if the elector's entry hasn't been renewed for voteDuration. Its vote counts only with those of all
+	// other electors.
+	expired bool
+}
+
+// isConfirmedBy reports whether the votes of electors confirm an ownership.
+func isConfirmedBy(electors []elector, votes map[elector]vote) bool {
+	valid, all := 0, true
+	for _, e := range electors {
+		v, voted := votes[e]
+		all = all && voted
+		if voted && !v.expired {
+			valid++
+		}
+	}
+	return all || valid >= majority(len(electors))
+}
+
+// confirmRound counts the replies to a round of calls to the electors.
+type confirmRound struct{ electors, voted, expired, silent int }
+
+// askForConfirmation asks the electors once. One that knows of a newer claim ends the ownership.
 func (o *ownership) askForConfirmation(ctx context.Context) {
-	sent := o.pc.node.now()
-	list := o.pc.node.peers.others()
-	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	list = list[:min(len(list), maxConfirmingPeers)]
-	replies := make(chan confirmReply, len(list))
-	for _, p := range list {
-		go func() { replies <- o.askPeer(ctx, p) }()
+	n := o.pc.node
+	sent, self := n.now(), n.self()
+	lists := o.electorate.inForce(sent)
+	votes := map[elector]vote{self: {expired: n.peers.announceAge() >= voteDuration}}
+	electors := slices.Concat(lists...)
+	slices.SortFunc(electors, compareElectors)
+	electors = slices.DeleteFunc(slices.Compact(electors), func(e elector) bool { return e == self })
+	replies := make(chan confirmReply, len(electors))
+	for _, e := range electors {
+		go func() { replies <- o.askElector(ctx, e) }()
 	}
-	confirming := 1 // this instance
-	withoutCopy, oldestRead := 0, time.Duration(0)
-	for n := 0; ; n++ {
-		if 2*confirming > len(list)+1 {
+	for asked := 0; ; asked++ {
+		if !slices.ContainsFunc(lists, func(l []elector) bool { return !isConfirmedBy(l, votes) }) {
+			o.confirmed.byElectors.Store(int64(sent))
 			o.confirmed.confirm(sent)
 		}
-		if n == len(list) {
-			o.pc.log.Info().Uint64("epoch", o.claim.Epoch).Int("asked", len(list)).Int("confirming", confirming).Int("without_copy", withoutCopy).
-				Dur("oldest_read", oldestRead).Msg("pool.confirmation")
-			return
+		if asked == len(electors) {
+			break
 		}
 		r := <-replies
-		switch r.result {
-		case noNewerClaim:
-			confirming++
-			if r.readAge < 0 {
-				withoutCopy++
-			}
-			oldestRead = max(oldestRead, r.readAge)
-		case newerClaim:
+		switch {
+		case r.newer:
 			o.pc.send(ctx, func() {
 				if o.pc.own == o {
 					o.pc.dropOwnership("another instance knows a newer claim")
 				}
 			})
 			return
+		case r.voted:
+			votes[r.elector] = r.vote
 		}
 	}
+	o.confirmed.last.Store(countVotes(votes, len(electors)+1))
 }
 
-type confirmResult int
-
-const (
-	noReply confirmResult = iota
-	noNewerClaim
-	newerClaim
-)
+func countVotes(votes map[elector]vote, electors int) *confirmRound {
+	r := confirmRound{electors: electors, voted: len(votes), silent: electors - len(votes)}
+	for _, v := range votes {
+		if v.expired {
+			r.expired++
+		}
+	}
+	return &r
+}
 
 type confirmReply struct {
-	result  confirmResult
-	readAge time.Duration // as in ConfirmReply
+	elector elector
+	vote
+	voted, newer bool
 }
 
-func (o *ownership) askPeer(ctx context.Context, p peerEntry) confirmReply {
+// askElector asks an elector. The answer of another process in its place is no vote.
+func (o *ownership) askElector(ctx context.Context, e elector) confirmReply {
 	r := new(ConfirmReply) // not shared: a late response is still written to it
-	err := o.pc.node.peers.call(ctx, p.Addr, "Confirm", ConfirmArgs{Part: o.pc.topic.Part, Epoch: o.claim.Epoch}, r, peerTimeout)
-	switch {
-	case err == nil && r.Newer:
-		return confirmReply{newerClaim, r.ReadAge}
-	case err == nil:
-		return confirmReply{noNewerClaim, r.ReadAge}
-	case errors.As(err, new(rpc.ServerError)): // a busy instance, or one of an older version, is there too
-		return confirmReply{noNewerClaim, noCopyAge}
+	if err := o.pc.node.peers.callInstance(ctx, e.Node, "Confirm", ConfirmArgs{Part: o.pc.topic.Part, Epoch: o.claim.Epoch}, r); err != nil {
+		return confirmReply{elector: e}
 	}
-	return confirmReply{result: noReply}
+	return confirmReply{elector: e, voted: r.Life == e.Life && !r.Newer, newer: r.Newer, vote: vote{expired: r.AnnounceAge >= voteDuration}}
 }
 
-// noCopyAge is the ConfirmReply.ReadAge of an instance without a copy of the pool.
-const noCopyAge = time.Duration(-1)
-
 // Confirm replies whether this instance knows of a newer claim of a pool.
 func (s Peer) Confirm(a ConfirmArgs, r *ConfirmReply) error {
-	r.ReadAge = noCopyAge
-	pc := s.n.controller(a.Part)
-	if pc == nil {
-		return nil
-	}
-	return pc.do(withTimeout(context.Background(), aliveTimeout), func() {
-		r.Newer = pc.replica.claim.Epoch > a.Epoch
-		if pc.copyLoaded {
-			r.ReadAge = s.n.now() - pc.lastReadAt
-		}
-	})
-}
-
-// others returns the entries of the other instances whose processes aren't known to have ended.
-func (p *peers) others() []peerEntry {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var list []peerEntry
-	for _, e := range p.byKey {
-		if e.name != p.node.opts.Name && e.Addr != p.node.opts.PeerAddr && !p.gone[process{e.name, e.Life}] {
-			list = append(list, e)
-		}
-	}
-	return list
+	r.Life, r.AnnounceAge = s.n.incarnation, s.n.peers.announceAge()
+	r.Newer = s.n.claims.epoch(a.Part) > a.Epoch
+	return nil
 }
--- /dev/null
+++ b/node/electors.go
@@ -0,0 +1,207 @@
+package node
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+)
+
+// While the store doesn't confirm an ownership, the pool's electors do: a few processes of instances that the owner's
+// record in the store names. Most of them have to answer the owner that they know of no newer claim. A new owner takes its
+// predecessor for replaced once so many of the predecessor's electors know the new claim, or have ended, that the others
+// are no majority. Any two majorities of one list share a process, so after that nothing confirms the predecessor.
+//
+// Electors are processes and not instances: a process that starts again knows nothing of the claims that it was told.
+
+const (
+	// maxElectors limits the electors of a pool, the owner included.
+	maxElectors = 9
+	// electorCheckInterval is how often an owner looks for electors that have to be replaced.
+	electorCheckInterval = time.Second
+	// electorChangePeriod is how long the former electors have to confirm an ownership too, after the store has
+	// accepted others: a new owner may have read the owner's record right before.
+	electorChangePeriod = 10 * time.Second
+	// voteDuration is how long after its last accepted entry among the instances the answer of an elector counts unless
+	// all electors answer. It is three times announceInterval.
+	voteDuration = 3 * announceInterval
+	// voteExpiry is how long after the newest entry that was read of an elector a new owner takes its answer for
+	// without effect: longer than voteDuration by clocks of different rates, and by the age of the entries that the
+	// store returns.
+	voteExpiry = voteDuration*103/100 + 5*time.Second
+	// maxListedElectors bounds the electors in an owner's record, in case another program has written it.
+	maxListedElectors = 64
+)
+
+// elector is a process of an instance, as owners' records name it.
+type elector struct {
+	Node string `json:"n"`
+	Life int64  `json:"l"`
+}
+
+func compareElectors(a, b elector) int {
+	return cmp.Or(cmp.Compare(a.Node, b.Node), cmp.Compare(a.Life, b.Life))
+}
+
+// majority returns how many of n electors are most of them.
+func majority(n int) int { return n/2 + 1 }
+
+// formerOwner is an owner that its electors may still confirm.
+type formerOwner struct {
+	claim
+	Electors []elector `json:"electors"`
+}
+
+// ownerRecord is the record of a pool's owner in the store.
+type ownerRecord struct {
+	claim
+	// Electors confirm the ownership while the store doesn't; empty: the owner is of an older version.
+	Electors []elector `json:"electors,omitempty"`
+	// Former are the earlier owners that may still be confirmed.
+	Former []formerOwner `json:"former,omitempty"`
+}
+
+// electorList is a list of electors, and since when the store is known to hold it.
+type electorList struct {
+	electors []elector
+	stored   bool
+	storedAt time.Duration
+}
+
+// electorate holds the electors of an ownership and the former owners that aren't known to be over.
+type electorate struct {
+	mu    sync.Mutex
+	lists []electorList // oldest first; those before the newest are in force for a while
+	// version is that of the newest list: the number of lists that there were.
+	version int
+	former  []formerOwner
+}
+
+func newElectorate(electors []elector, former []formerOwner, storedAt time.Duration) *electorate {
+	return &electorate{lists: []electorList{{electors: electors, stored: true, storedAt: storedAt}}, version: 1, former: former}
+}
+
+// record returns the owner's record and the version of the electors in it.
+func (e *electorate) record(c claim) (ownerRecord, int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return ownerRecord{claim: c, Electors: e.lists[len(e.lists)-1].electors, Former: e.former}, e.version
+}
+
+// newest returns the newest list, and whether the store is known to hold it.
+func (e *electorate) newest() ([]elector, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	l := e.lists[len(e.lists)-1]
+	return l.electors, l.stored
+}
+
+// replace makes the next record name other electors.
+func (e *electorate) replace(electors []elector) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.lists = append(e.lists, electorList{electors: electors})
+	e.version++
+}
+
+// markStored records that the store holds the electors of a version.
+func (e *electorate) markStored(version int, now time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	i := len(e.lists) - 1 - (e.version - version)
+	if i >= 0 && !e.lists[i].stored {
+		e.lists[i].stored, e.lists[i].storedAt = true, now
+	}
+}
+
+// inForce returns the lists of which each has to confirm the ownership: all that a new owner may find in the store.
+func (e *electorate) inForce(now time.Duration) [][]elector {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for len(e.lists) > 1 && e.lists[1].stored && now-e.lists[1].storedAt > electorChangePeriod {
+		e.lists = e.lists[1:]
+	}
+	var lists [][]elector
+	for _, l := range e.lists {
+		lists = append(lists, l.electors)
+	}
+	return lists
+}
+
+// removeFormer removes a former owner that is over, and returns how many are left.
+func (e *electorate) removeFormer(epoch uint64) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.former = slices.DeleteFunc(slices.Clone(e.former), func(f formerOwner) bool { return f.Epoch == epoch })
+	return len(e.former)
+}
+
+// setFormer sets the former owners.
+func (e *electorate) setFormer(list []formerOwner) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.former = list
+}
+
+// self returns this process as an elector.
+func (n *Node) self() elector { return elector{n.opts.Name, n.incarnation} }
+
+// chooseElectors returns the electors of the pool while this instance owns it: the present ones that still run, as far as
+// is known, and the instances that come next as owners.
+func (pc *poolController) chooseElectors(present []elector) []elector {
+	electors := []elector{pc.node.self()}
+	for _, e := range present {
+		if e != electors[0] && len(electors) < maxElectors && pc.node.peers.mayVote(e) {
+			electors = append(electors, e)
+		}
+	}
+	list := pc.node.peers.alive()
+	slices.SortStableFunc(list, func(a, b peerEntry) int {
+		if pc.candidate(a).before(pc.candidate(b)) {
+			return -1
+		}
+		return 1 // names are unique
+	})
+	for _, p := range list {
+		e := elector{p.name, p.Life}
+		if len(electors) < maxElectors && pc.node.peers.mayVote(e) && !slices.Contains(electors, e) {
+			electors = append(electors, e)
+		}
+	}
+	return electors
+}
+
+// updateElectors replaces electors that have ended or left.
+func (o *ownership) updateElectors() {
+	now := o.pc.node.now()
+	present, stored := o.electorate.newest()
+	if !stored || now-o.electorsCheckedAt < electorCheckInterval || o.appendsFailing {
+		return
+	}
+	o.electorsCheckedAt = now
+	if next := o.pc.chooseElectors(present); !slices.Equal(next, present) {
+		o.electorate.replace(next)
+		o.lastHeartbeat = 0 // the next tick stores them
+	}
+}
+
+// newestClaims holds the highest epoch of a claim of each pool that this process was told of or has read.
+type newestClaims struct {
+	mu     sync.Mutex
+	epochs map[int]uint64 // by part
+}
+
+func (c *newestClaims) note(part int, epoch uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.epochs == nil {
+		c.epochs = map[int]uint64{}
+	}
+	c.epochs[part] = max(c.epochs[part], epoch)
+}
+
+func (c *newestClaims) epoch(part int) uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.epochs[part]
+}
--- /dev/null
+++ b/node/electors_internal_test.go
@@ -0,0 +1,117 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func testElectors(lives ...int64) (list []elector) {
+	for i, life := range lives {
+		list = append(list, elector{fmt.Sprint(i), life})
+	}
+	return list
+}
+
+// Guards against a minority that confirms an ownership, and against votes that have expired and decide beside silent electors.
+func TestVotesThatConfirmAnOwnership(t *testing.T) {
+	for _, c := range []struct {
+		electors, valid, expired int
+		want                     bool
+	}{
+		{1, 1, 0, true}, {1, 0, 1, true}, {2, 1, 0, false}, {2, 2, 0, true}, {3, 1, 0, false}, {3, 2, 0, true}, {3, 1, 1, false},
+		{3, 0, 3, true}, {3, 1, 2, true}, {4, 2, 0, false}, {4, 2, 1, false}, {4, 2, 2, true}, {9, 4, 4, false}, {9, 5, 0, true}, {9, 0, 9, true},
+	} {
+		electors := testElectors(make([]int64, c.electors)...)
+		votes := map[elector]vote{{"other", 1}: {}}
+		for i, e := range electors[:c.valid+c.expired] {
+			votes[e] = vote{expired: i >= c.valid}
+		}
+		assert.Equal(t, isConfirmedBy(electors, votes), c.want, "%+v", c)
+	}
+}
+
+// Guards against a confirmation by electors that a new owner doesn't find in the store yet, or doesn't any more.
+func TestElectorsInForceWhileTheyChange(t *testing.T) {
+	first, second, third := testElectors(1), testElectors(2), testElectors(3)
+	e := newElectorate(first, nil, time.Second)
+	assert.DeepEqual(t, e.inForce(time.Hour), [][]elector{first})
+	e.replace(second)
+	_, version := e.record(claim{})
+	assert.DeepEqual(t, e.inForce(time.Hour), [][]elector{first, second})
+	e.replace(third)
+	e.markStored(version, time.Hour)
+	assert.DeepEqual(t, e.inForce(time.Hour+electorChangePeriod), [][]elector{first, second, third})
+	assert.DeepEqual(t, e.inForce(time.Hour+electorChangePeriod+1), [][]elector{second, third})
+	_, stored := e.newest()
+	assert.Assert(t, !stored)
+	e.markStored(version, 2*time.Hour) // a late answer about the former list
+	_, version = e.record(claim{})
+	e.markStored(version, 2*time.Hour)
+	assert.DeepEqual(t, e.inForce(3*time.Hour), [][]elector{third})
+}
+
+// Guards against a former owner that counts as over while a majority of its electors may confirm it, and against one that
+// never does although most have ended for good.
+func TestWhenAFormerOwnerIsOver(t *testing.T) {
+	const now = time.Hour
+	for _, c := range []struct {
+		name             string
+		knowing, expired int
+		gaveUp           bool
+		waited           time.Duration
+		want             bool
+	}{
+		{"nothing is known", 0, 0, false, 0, false},
+		{"its process has given up", 0, 0, true, 0, true},
+		{"a minority knows", 4, 0, false, 0, false},
+		{"a minority knows, for long", 4, 0, false, time.Hour, false},
+		{"most know", 5, 0, false, 0, true},
+		{"some know, others have expired", 1, 4, false, 0, true},
+		{"too few have expired", 1, 3, false, 0, false},
+		{"all have expired", 0, 9, false, electorsLostTimeout, false},
+		{"all have expired, for long", 0, 9, false, electorsLostTimeout + 1, true},
+		{"most have expired, for long", 0, 8, false, electorsLostTimeout + 1, false},
+	} {
+		electors := testElectors(make([]int64, 9)...)
+		p := &peers{renewedAt: map[string]time.Duration{}, asOf: now, node: &Node{opts: Settings{Now: func() time.Duration { return now }}}}
+		d := deposition{peers: p, began: now - max(c.waited, 2*voteExpiry), knowing: map[elector]bool{}, noLongerOwners: map[elector]bool{electors[8]: c.gaveUp}}
+		for i, e := range electors {
+			d.knowing[e] = i < c.knowing
+			p.renewedAt[e.Node] = now
+			if i >= c.knowing && i < c.knowing+c.expired {
+				p.renewedAt[e.Node] = now - voteExpiry - 1
+			}
+		}
+		over, _ := d.isOver(formerOwner{claim: claim{Node: electors[8].Node, Life: electors[8].Life}, Electors: electors})
+		assert.Equal(t, over, c.want, c.name)
+	}
+}
+
+// Guards against a former owner that a new one doesn't wait for, as an owner between them has claimed and not outlived it.
+func TestFormerOwnersOfFormerOwners(t *testing.T) {
+	r := newReplica()
+	record := func(epoch uint64, former ...formerOwner) ownerRecord {
+		return ownerRecord{claim: claim{Node: fmt.Sprint(epoch), Epoch: epoch}, Electors: testElectors(int64(epoch)), Former: former}
+	}
+	assert.Equal(t, len(r.formerOwners(100)), 0)
+	first, second := record(1), record(2, formerOwner{claim{Node: "1", Epoch: 1}, testElectors(7)})
+	r.keepOwner(second)
+	assertFormer(t, r.formerOwners(3), formerOwner{second.claim, second.Electors}, second.Former[0])
+	r.keepOwner(first) // its newest record
+	assertFormer(t, r.formerOwners(3), formerOwner{second.claim, second.Electors}, formerOwner{first.claim, first.Electors})
+	assertFormer(t, r.formerOwners(2), formerOwner{first.claim, first.Electors})
+	r.keepOwner(ownerRecord{claim: claim{Node: "older version", Epoch: 5}})
+	assert.Equal(t, len(r.formerOwners(6)), 0)
+	for epoch := uint64(10); epoch < 100; epoch++ {
+		r.keepOwner(record(epoch))
+	}
+	assert.Equal(t, len(r.owners), maxKeptOwners)
+}
+
+func assertFormer(t *testing.T, got []formerOwner, want ...formerOwner) {
+	t.Helper()
+	assert.Equal(t, fmt.Sprintf("%+v", got), fmt.Sprintf("%+v", want))
+}
--- a/node/fuzz_internal_test.go
+++ b/node/fuzz_internal_test.go
@@ -104,7 +104,7 @@
 		f.Add([]byte(value))
 	}
 	f.Fuzz(func(t *testing.T, value []byte) {
-		c, err := decodeClaim(value)
+		c, err := decodeOwnerRecord(value)
 		if (c == nil) != (err != nil) || err == nil && (c.Node == "" || c.Epoch == 0) {
 			t.Fatalf("want either a claim or an error: %+v, %v", c, err)
 		}
--- a/node/node.go
+++ b/node/node.go
@@ -91,6 +91,7 @@
 	mu          sync.Mutex
 	controllers map[int]*poolController
 	inUse       inUseList
+	claims      newestClaims
 	ownedParts  map[int]claim
 	owners      map[int]string // address of each pool's owner, as last read
 	// pendingInitialReads counts the initial reads of the store that are not complete: of each
--- a/node/owner.go
+++ b/node/owner.go
@@ -106,8 +106,11 @@
 	streamEnd   atomic.Int64
 	appendsOKAt time.Duration // time of the last successful append, as far as is known
 	confirmed   confirmation
-	// unconfirmed is set while the ownership isn't confirmed, as last logged.
-	unconfirmed bool
+	electorate  *electorate
+	// electorsCheckedAt is when electors that had to be replaced were last looked for.
+	electorsCheckedAt time.Duration
+	// confirmedBy is what the ownership is confirmed by, as last logged.
+	confirmedBy confirmedBy
 	queues      queueTable
 	// rootSought is set once the root of the shares of caps is being looked up.
 	rootSought  bool
@@ -116,8 +119,8 @@
 	ready chan struct{}
 }
 
-func newOwnership(ctx context.Context, pc *poolController, c claim, offset int64, claimedAt time.Duration) *ownership {
-	o := &ownership{pc: pc, claim: c, offset: offset, saves: newSaveQueue(), workers: map[string]pool.WorkerInfo{}, keptServices: map[string]bool{},
+func newOwnership(ctx context.Context, pc *poolController, c ownerRecord, offset int64, claimedAt time.Duration) *ownership {
+	o := &ownership{pc: pc, claim: c.claim, electorate: newElectorate(c.Electors, c.Former, claimedAt), confirmedBy: byStore, offset: offset, saves: newSaveQueue(), workers: map[string]pool.WorkerInfo{}, keptServices: map[string]bool{},
 		firstHoldSlots: make(chan struct{}, maxConcurrentFirstHolds), queues: newQueueTable(), ready: make(chan struct{})}
 	o.ctx, o.cancel = context.WithCancel(ctx)
 	o.streamEnd.Store(offset + 1)
@@ -126,7 +129,7 @@
 	o.core = pool.New(pool.Settings{
 		Pool: pc.topic.Part, Token: c.Epoch, Tokens: tokensPerEpoch, Generation: c.Generation, MaxLease: opts.MaxLease, StopTimeout: opts.StopTimeout, EndedRetention: endedJobRetention,
 		MaxWorkerConns: opts.MaxWorkerConns, MaxRecord: opts.MaxRecord, MaxMemory: opts.MaxMemory,
-		NeedsConfirmation: true,
+		NeedsConfirmation: true, HasPredecessors: true,
 	}, pc.node.now())
 	o.adviceQueue = newAdviceQueue(o)
 	o.starts.own = o
@@ -166,6 +169,7 @@
 		o.requestConfiguredQueues(cfg)
 	}
 	o.loadRecords()
+	o.startDeposition()
 	close(o.ready)
 	o.sendWaves()
 	o.passWorkerList()
@@ -238,6 +242,7 @@
 		o.listNeededWorkers()
 		o.exchangeCapShares()
 	}
+	o.updateElectors()
 	o.seekConfirmation()
 	o.logConfirmation()
 	o.pc.node.metrics.startWindow.Update(float64(o.pc.node.startWindow.Size()))
@@ -266,6 +271,8 @@
 		o.handleSaveDone(e)
 	case bindResult:
 		o.handleBindResult(e)
+	case formerOwnerOver:
+		o.handleFormerOwnerOver(e)
 	case pool.Event:
 		o.step(e)
 		o.starts.send()
--- a/node/peers.go
+++ b/node/peers.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math"
 	"net/rpc"
 	"slices"
 	"sync"
@@ -77,6 +78,12 @@
 	gone  map[process]bool // processes known to have ended
 	// maxima holds the highest Cores and LinkRate of all entries. updateEntries computes it.
 	maxima peerEntry
+	// renewedAt is when each instance's newest entry was read, and asOf a time such that all entries are known that were
+	// stored before.
+	renewedAt map[string]time.Duration
+	asOf      time.Duration
+	// announcedAt is when the newest entry of this instance was sent that the store has accepted; 0: there is none.
+	announcedAt atomic.Int64
 	// loaded is set once the list has been read.
 	loaded atomic.Bool
 	// changed wakes announce after a change of this instance's entry.
@@ -90,7 +97,7 @@
 }
 
 func newPeers(n *Node) *peers {
-	return &peers{node: n, byKey: map[string]peerEntry{}, conns: map[string]*peerConn{}, gone: map[process]bool{},
+	return &peers{node: n, byKey: map[string]peerEntry{}, conns: map[string]*peerConn{}, gone: map[process]bool{}, renewedAt: map[string]time.Duration{},
 		changed: make(chan struct{}, 1)}
 }
 
@@ -110,11 +117,13 @@
 func (p *peers) announce(ctx context.Context) {
 	for ctx.Err() == nil && !p.node.stopping.Load() {
 		entry := pool.Record{Key: p.node.opts.Name, Value: pool.Encode(p.self())}
+		sent := p.node.now()
 		_, err := p.node.store.Append(withTimeout(ctx, appendTimeout), Topic{Name: peersTopicName}, []pool.Record{entry}, nil)
 		if err != nil {
 			sleep(ctx, readRetryPause)
 			continue
 		}
+		p.announcedAt.Store(int64(sent))
 		waitFor(ctx, announceInterval, p.changed)
 	}
 }
@@ -186,7 +195,9 @@
 			continue
 		}
 		p.byKey[rec.Key] = e
+		p.renewedAt[rec.Key] = p.node.now()
 	}
+	p.asOf = max(p.asOf, b.asOf)
 	p.maxima = peerEntry{}
 	for _, e := range p.byKey {
 		p.maxima.Cores, p.maxima.LinkRate = max(p.maxima.Cores, e.Cores), max(p.maxima.LinkRate, e.LinkRate)
@@ -244,6 +255,40 @@
 	return p.byKey[old.node].Life > old.incarnation // an incarnation is the process's start time
 }
 
+// mayVote reports whether a process can be an elector: it is the newest one of its instance, isn't known to have ended,
+// and has renewed its entry lately.
+func (p *peers) mayVote(e elector) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.byKey[e.Node].Life == e.Life && !p.gone[process{e.Node, e.Life}] && p.asOf-p.renewedAt[e.Node] < voteDuration
+}
+
+// voteExpired reports whether an elector has certainly not renewed its entry for voteDuration, nor since the given time.
+func (p *peers) voteExpired(e elector, since time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.asOf-max(p.renewedAt[e.Node], since) > voteExpiry
+}
+
+// announceAge returns how long ago this instance's newest accepted entry was sent.
+func (p *peers) announceAge() time.Duration {
+	if at := p.announcedAt.Load(); at != 0 {
+		return p.node.now() - time.Duration(at)
+	}
+	return math.MaxInt64
+}
+
+// callInstance is call with the instance's name.
+func (p *peers) callInstance(ctx context.Context, name, method string, args, reply any) error {
+	p.mu.Lock()
+	addr := p.byKey[name].Addr
+	p.mu.Unlock()
+	if addr == "" {
+		return errors.Wrapf(errPeerUnreachable, "instance %s isn't listed", name)
+	}
+	return p.call(ctx, addr, method, args, reply, peerTimeout)
+}
+
 // addrs returns the addresses of the other instances that are not known to be down.
 func (p *peers) addrs() []string {
 	var list []string
--- a/node/poolcontroller.go
+++ b/node/poolcontroller.go
@@ -308,6 +308,9 @@
 func (pc *poolController) applyClaim() {
 	c := pc.replica.claim
 	pc.node.setOwner(pc.topic.Part, c.Addr)
+	if pc.copyLoaded { // before, it is only a hint
+		pc.node.claims.note(pc.topic.Part, c.Epoch)
+	}
 	if c.Addr != pc.node.opts.PeerAddr {
 		pc.successor = ""
 	}
--- a/node/predecessor_test.go
+++ b/node/predecessor_test.go
@@ -13,8 +13,8 @@
 )
 
 // newRunningTask returns a cluster of three instances, of which the owner's successor learns nothing from the others,
-// three workers and a task that runs. The third instance doesn't reach the store, and so confirms the owner for good. It
-// returns the owner, its successor, the worker on which the task runs and another one.
+// three workers and a task that runs. The third instance reaches neither the store nor the successor, and so confirms the
+// owner for good. It returns the owner, its successor, the worker on which the task runs and another one.
 func newRunningTask(t *testing.T) (c *cluster, owner, successor, busy, idle string) {
 	c = newCluster(t, 1, false, "a", "b", "c")
 	for range 3 {
@@ -40,6 +40,7 @@
 	for _, name := range c.names() {
 		if name != owner && name != successor {
 			c.members[name].view.SetStore(machines.StoreSilent)
+			c.world.CutLink(successor, name, true)
 		}
 	}
 	c.world.DropIncoming(owner)
--- a/node/replica.go
+++ b/node/replica.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"cmp"
 	"encoding/json"
+	"maps"
 	"slices"
 
 	"github.com/pkg/errors"
@@ -29,10 +30,17 @@
 	// nonexistent.
 	invalid map[string]bool
 	claim   claim
-	next    int64
+	// owners holds the newest record of each of the latest owners, by epoch.
+	owners map[uint64]ownerRecord
+	next   int64
 }
 
-func newReplica() *replica { return &replica{records: map[string]Stored{}, invalid: map[string]bool{}} }
+// maxKeptOwners is the number of owners whose records a copy keeps.
+const maxKeptOwners = 16
+
+func newReplica() *replica {
+	return &replica{records: map[string]Stored{}, invalid: map[string]bool{}, owners: map[uint64]ownerRecord{}}
+}
 
 // apply adds a batch and returns the records that are new. An invalid record is passed to bad, and
 // the previous record of its key stays: it must not replace an accepted job or the progress of its
@@ -70,23 +78,52 @@
 			continue
 		}
 		r.records[rec.Key] = rec
+		if c != nil {
+			r.keepOwner(*c)
+		}
 		if c != nil && c.Epoch >= r.claim.Epoch {
-			r.claim = *c
+			r.claim = c.claim
 		}
 	}
 	r.next = max(r.next, b.next)
 	return fresh
 }
 
-// checkRecord returns an error if a record is invalid, and the claim in it if it is one.
-func checkRecord(rec Stored) (*claim, error) {
+// keepOwner keeps the newest record of an owner.
+func (r *replica) keepOwner(c ownerRecord) {
+	r.owners[c.Epoch] = c
+	if len(r.owners) > maxKeptOwners {
+		delete(r.owners, slices.Min(slices.Collect(maps.Keys(r.owners))))
+	}
+}
+
+// formerOwners returns the owners before an epoch that may still be confirmed, the newest first. Owners of older versions
+// name no electors and aren't among them.
+func (r *replica) formerOwners(epoch uint64) []formerOwner {
+	var newest ownerRecord
+	for e, o := range r.owners {
+		if e < epoch && e > newest.Epoch {
+			newest = o
+		}
+	}
+	list := append([]formerOwner{{newest.claim, newest.Electors}}, newest.Former...)
+	for i, f := range list {
+		if o, ok := r.owners[f.Epoch]; ok {
+			list[i].Electors = o.Electors
+		}
+	}
+	return slices.DeleteFunc(list, func(f formerOwner) bool { return len(f.Electors) == 0 })
+}
+
+// checkRecord returns an error if a record is invalid, and the owner's record in it if it is one.
+func checkRecord(rec Stored) (*ownerRecord, error) {
 	switch {
 	case rec.Unreadable != nil:
 		return nil, rec.Unreadable
 	case len(rec.Value) == 0:
 		return nil, nil
 	case rec.Key == pool.OwnerKey:
-		return decodeClaim(rec.Value)
+		return decodeOwnerRecord(rec.Value)
 	case looksWellFormed(rec.Record):
 		return nil, nil
 	}
@@ -125,14 +162,22 @@
 	return false
 }
 
-func decodeClaim(value []byte) (*claim, error) {
-	var c claim
+func decodeOwnerRecord(value []byte) (*ownerRecord, error) {
+	var c ownerRecord
 	if err := json.Unmarshal(value, &c); err != nil {
 		return nil, errors.Wrap(err, "claim")
 	}
 	if c.Node == "" || c.Epoch == 0 {
 		return nil, errors.New("claim: missing instance or epoch")
 	}
+	if len(c.Electors) > maxListedElectors || len(c.Former) > maxListedElectors {
+		return nil, errors.Errorf("claim: over %d electors or former owners", maxListedElectors)
+	}
+	for _, f := range c.Former {
+		if f.Epoch >= c.Epoch || len(f.Electors) > maxListedElectors {
+			return nil, errors.New("claim: invalid former owner")
+		}
+	}
 	return &c, nil
 }
 
--- a/node/saves.go
+++ b/node/saves.go
@@ -30,6 +30,8 @@
 	seq     uint64 // sequence number of a core's save
 	records []pool.Record
 	waiting []*submission
+	// electors is the version of the electors in a heartbeat.
+	electors int
 }
 
 type saveKind int
@@ -198,6 +200,7 @@
 	switch e.kind {
 	case heartbeat:
 		o.heartbeatPending = false
+		o.electorate.markStored(e.electors, o.pc.node.now())
 	case intakeSave:
 		o.intakeStored(e.pendingSave)
 	case queueSave, partialSave:
@@ -456,5 +459,6 @@
 
 // heartbeatSave is a record that shows that the owner is alive.
 func (o *ownership) heartbeatSave() pendingSave {
-	return pendingSave{kind: heartbeat, records: []pool.Record{{Key: pool.OwnerKey, Value: pool.Encode(o.claim)}}}
+	rec, electors := o.electorate.record(o.claim)
+	return pendingSave{kind: heartbeat, records: []pool.Record{{Key: pool.OwnerKey, Value: pool.Encode(rec)}}, electors: electors}
 }
--- a/node/service.go
+++ b/node/service.go
@@ -119,8 +119,21 @@
 	// ConfirmReply answers that.
 	ConfirmReply struct {
 		Newer bool
-		// ReadAge is how long ago the store last answered a read for the copy of the pool; negative: there is no copy.
-		ReadAge time.Duration
+		// Life identifies the replying process; 0: it is of an older version, and no elector.
+		Life int64
+		// AnnounceAge is how long ago the entry of the instance was sent that the store has accepted last.
+		AnnounceAge time.Duration
+	}
+	// NoteClaimArgs informs an instance of a stored claim.
+	NoteClaimArgs struct {
+		Part  int
+		Epoch uint64
+	}
+	// NoteClaimReply confirms that the replying process confirms no older claim any more.
+	NoteClaimReply struct {
+		Life int64
+		// NotOwner means that the process doesn't own the pool by an older claim.
+		NotOwner bool
 	}
 	// LifeReply identifies the replying process. Works means that it owns the pool in question and
 	// that the store accepts its appends.
--- a/pool/core.go
+++ b/pool/core.go
@@ -31,6 +31,8 @@
 	// NeedsConfirmation is set if the owner may be replaced without noticing: leases are renewed and tasks started
 	// only while Core.Confirm has confirmed the ownership.
 	NeedsConfirmation bool
+	// HasPredecessors is set if former owners may grant leases until Core.EndPredecessors reports that they are over.
+	HasPredecessors bool
 	// EndedRetention is how long the state of an ended job can be queried.
 	EndedRetention time.Duration
 }
@@ -94,6 +96,7 @@
 	savedSeq             uint64
 	confirmedAt          time.Duration // see Confirm
 	firstAnswered        bool          // a worker has answered under this owner's token
+	predecessorsOver     bool          // see EndPredecessors
 	listed               bool          // the list of workers has arrived at least once
 	listedAsOf           time.Duration // see WorkersListed
 	lastSave             time.Duration
@@ -156,7 +159,7 @@
 // New returns the core of a pool's new owner.
 func New(set Settings, now time.Duration) *Core {
 	return &Core{
-		settings: set, now: now, startedAt: now,
+		settings: set, now: now, startedAt: now, predecessorsOver: !set.HasPredecessors,
 		queues:         map[string]Queue{},
 		jobs:           map[string]*job{},
 		jobsByService:  map[string]int{},
@@ -218,11 +221,20 @@
 func (c *Core) Confirm(at time.Duration) { c.confirmedAt = max(c.confirmedAt, at) }
 
 // IsConfirmed reports whether leases may be granted. A successor allows for those that are granted for
-// predecessorRenewalTime after its claim, which can't precede the newest confirmation.
+// predecessorRenewalTime after it knows that the ownership can't be confirmed any more.
 func (c *Core) IsConfirmed() bool {
 	return !c.settings.NeedsConfirmation || c.now-c.confirmedAt < predecessorRenewalTime
 }
 
+// EndPredecessors reports that former owners grant no leases any more, except for predecessorRenewalTime from now on.
+func (c *Core) EndPredecessors(now time.Duration) {
+	c.setTime(now)
+	if !c.predecessorsOver {
+		c.predecessorsOver = true
+		c.boundInheritedLeases()
+	}
+}
+
 // NeedsPlan reports whether anything has changed since the last plan that may let tasks start.
 func (c *Core) NeedsPlan() bool { return c.replan }
 
--- a/pool/incarnation.go
+++ b/pool/incarnation.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"fmt"
 	"slices"
-	"time"
 )
 
 // A worker may start again under the ID that it had. The new incarnation runs nothing, has seen no
@@ -76,7 +75,7 @@
 	w.lastEnd, w.ack, w.ends = 0, 0, nil
 	// A start or hold that was meant for the former incarnation may have renewed the lease by that
 	// one's clock, up to the longest lease.
-	w.leaseExpiry = max(w.leaseExpiry, c.now+time.Duration(float64(c.settings.MaxLease)*clockDriftFactor)+leaseExpiryMargin)
+	c.extendLease(w, c.settings.MaxLease)
 	w.pausedUntil, w.slowness, w.exclusiveFailures = 0, nil, nil
 	w.pace, w.paceAt = fullPace, 0
 	w.isolation, w.reserved = isolation{}, nil
--- a/pool/inheritedlease_test.go
+++ b/pool/inheritedlease_test.go
@@ -91,3 +91,51 @@
 		assert.Equal(t, len(takeActions[Start](r)), 0, "started %v after the first answer, and it may run on w1", r.now-first)
 	}
 }
+
+// Guards against a new owner that starts inherited tasks elsewhere while a former owner, which its electors still confirm,
+// renews their leases on a worker that only that one reaches.
+func TestInheritedLeasesAreCountedFromTheEndOfFormerOwners(t *testing.T) {
+	r := newCutOffTakeover(t, 0)
+	r.core.predecessorsOver = false
+	wait := func(d time.Duration) (starts []Start) {
+		for end := r.now + d; r.now < end && len(starts) == 0; {
+			r.answerIfHeld("w2")
+			r.answerIfHeld("w3")
+			r.failHolds("w1")
+			r.step(WorkersListed{Workers: []WorkerInfo{newWorkerInfo("w2"), newWorkerInfo("w3")}}) // w1's entry has expired
+			r.advance(50 * time.Millisecond)
+			r.confirmSaves()
+			starts = takeActions[Start](r)
+		}
+		return starts
+	}
+	assert.Equal(t, len(wait(time.Minute)), 0, "the inherited task is started while it may run on w1")
+	r.core.EndPredecessors(r.now)
+	over := r.now
+	assert.Equal(t, len(wait(8*time.Second)), 1, "the inherited task isn't started")
+	assert.Assert(t, r.now-over > leaseDuration+predecessorRenewalTime, "started %v after the last confirmation", r.now-over)
+}
+
+// Guards against a lease that counts as over too soon, since former owners have ended right after the worker's restart.
+func TestEndOfFormerOwnersKeepsLeasesOfThisOwner(t *testing.T) {
+	r := newRig(t, newWorkerInfo("w1"))
+	r.core.predecessorsOver = false
+	r.answerHold("w1", nil)
+	w := r.core.workers["w1"]
+	assert.Equal(t, w.leaseExpiry, never)
+	r.core.extendLease(w, 10*time.Second)
+	r.core.EndPredecessors(r.now)
+	assert.Assert(t, w.leaseExpiry-r.now >= 10*time.Second, "%v", w.leaseExpiry-r.now)
+}
+
+// Guards against runs on a machine that is down which are held for active as long as former owners may be.
+func TestWorkersOfMachinesThatAreDownAreOverBesideFormerOwners(t *testing.T) {
+	r := newCutOffTakeover(t, 0)
+	r.core.predecessorsOver = false
+	w := r.core.workers["w1"]
+	r.core.expireWorker(w)
+	r.step(WorkersListed{Workers: []WorkerInfo{newWorkerInfo("w1"), newWorkerInfo("w2"), newWorkerInfo("w3")}})
+	assert.Assert(t, r.core.leaseOver(w))
+	r.answerHold("w1", nil)
+	assert.Assert(t, !w.isOver)
+}
--- a/pool/worker.go
+++ b/pool/worker.go
@@ -35,8 +35,7 @@
 	// firstContactRetryDelay replaces retryDelay until a new owner has its first answer from a
 	// worker, since all inherited jobs wait for it, and for a worker that may get late starts, see fencing.
 	firstContactRetryDelay = 50 * time.Millisecond
-	// predecessorRenewalTime is how long a predecessor may go on renewing leases after it was replaced: until
-	// its ownership isn't confirmed any more, or a worker that its successor has reached refuses its call.
+	// predecessorRenewalTime is how long a confirmation of an ownership lets the owner grant leases.
 	predecessorRenewalTime = 1500 * time.Millisecond
 	// clockDriftFactor allows for a worker's clock that runs up to 2 % slower than ours, and
 	// for up to 1 % by which our estimate of it may be ahead.
@@ -102,6 +101,8 @@
 	// leaseExpiry is when all runs that were ever sent there are certainly over; never: not before
 	// the predecessor is deposed.
 	leaseExpiry time.Duration
+	grantedEnd  time.Duration // when the leases are over that this owner's calls have granted
+	isOver      bool          // no running machine hosts it; it hasn't answered since
 	holdPending bool
 	nextHold    time.Duration
 	// reportedNothing is set if its last answer listed neither runs nor ends.
@@ -146,7 +147,7 @@
 func (c *Core) newWorker(info WorkerInfo) *worker {
 	w := &worker{WorkerInfo: info, index: c.workersSeen, runs: map[runKey]*run{}, inherited: !c.listed, firstSeenAt: c.now, pace: fullPace}
 	w.leaseExpiry = never
-	if c.firstAnswered {
+	if c.boundsInheritedLeases() {
 		w.leaseExpiry = c.now + c.maxInheritedLease()
 	}
 	c.restoreToken(w)
@@ -157,25 +158,29 @@
 	return w
 }
 
-// never is the leaseExpiry of listed workers until the first of them answers. Before, nothing has
-// deposed the predecessor, and nothing can be started.
+// never is the leaseExpiry of workers while former owners may renew leases.
 const never = time.Duration(math.MaxInt64)
 
-// boundInheritedLeases bounds the predecessor's leases once the first worker has answered, and those on
-// workers that have left the list, unless they are listed again.
+// boundsInheritedLeases reports whether it is known until when former owners grant leases: none of them can be confirmed
+// any more, and a worker has answered, without which owners of older versions may renew the leases of all.
+func (c *Core) boundsInheritedLeases() bool { return c.predecessorsOver && c.firstAnswered }
+
+// boundInheritedLeases bounds the leases of former owners as soon as that is possible. Those on workers that have left the
+// list don't wait for a worker's answer, unless they are listed again.
 func (c *Core) boundInheritedLeases() {
 	for _, w := range c.workerList {
-		if c.firstAnswered || !w.listed {
-			w.leaseExpiry = min(w.leaseExpiry, c.now+c.maxInheritedLease())
-		} else {
+		switch {
+		case w.isOver:
+		case c.boundsInheritedLeases(), c.predecessorsOver && !w.listed:
+			w.leaseExpiry = min(w.leaseExpiry, max(w.grantedEnd, c.now+c.maxInheritedLease()))
+		default:
 			w.leaseExpiry = never
 		}
 	}
 }
 
-// maxInheritedLease returns how long a predecessor's leases may last after the first worker has
-// answered. A predecessor grants the same lease as this owner, and renews it until a worker that has
-// seen the new owner rejects it. Using the longest lease that workers grant instead, 10 s at one
+// maxInheritedLease returns how long a predecessor's leases may last once it can't be confirmed any more.
+// A predecessor grants the same lease as this owner. Using the longest lease that workers grant instead, 10 s at one
 // site, delayed all inherited jobs by 10.5 s after each restart of all processes if one worker
 // had left, which made half of a day's large jobs late.
 func (c *Core) maxInheritedLease() time.Duration {
@@ -216,7 +221,7 @@
 		}
 		c.tickWorker(w)
 	}
-	if !c.firstAnswered {
+	if !c.boundsInheritedLeases() {
 		c.boundInheritedLeases()
 	}
 	c.watchInheritedSuspects()
@@ -305,11 +310,16 @@
 // lease returns the end of a lease that starts now, on the worker's clock.
 func (c *Core) lease(w *worker) int64 {
 	length := min(leaseDuration, c.settings.MaxLease)
-	expiry := c.now + time.Duration(float64(length)*clockDriftFactor) + leaseExpiryMargin
-	w.leaseExpiry = max(w.leaseExpiry, expiry)
+	c.extendLease(w, length)
 	return c.clock(w) + length.Milliseconds()
 }
 
+// extendLease notes that the worker may have a lease of a length from now on.
+func (c *Core) extendLease(w *worker, length time.Duration) {
+	w.grantedEnd = max(w.grantedEnd, c.now+time.Duration(float64(length)*clockDriftFactor)+leaseExpiryMargin)
+	w.leaseExpiry = max(w.leaseExpiry, w.grantedEnd)
+}
+
 // mayRenew reports whether calls may renew the worker's leases. A worker that has been silent for long gets no
 // new lease: each would delay the time at which its runs are certainly over, so that the tasks of a dead worker
 // would never run again.
@@ -387,7 +397,7 @@
 	w.answeredAddr = cmp.Or(e.Addr, w.answeredAddr)
 	w.seenToken = max(w.seenToken, e.Token)
 	c.trackIncarnation(w)
-	w.silent = false
+	w.silent, w.isOver = false, false
 	w.takeLostRuns()
 	w.answeredAt = c.now
 	w.provenAt = c.now
