node: former owners with outdated electors after a reset of a copy, red

A copy that was reset may have missed that owner's later records, while the owner between has read them: the new owner then counts on a majority of electors of which the former owner needs none any more.

--- a/node/electors_internal_test.go
+++ b/node/electors_internal_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/knapweedweir/knapweedweir/pool"
 )
 
 func testElectors(lives ...int64) (list []elector) {
@@ -115,3 +117,18 @@
 	t.Helper()
 	assert.Equal(t, fmt.Sprintf("%+v", got), fmt.Sprintf("%+v", want))
 }
+
+// Guards against a new owner that asks electors which its predecessor's predecessor had before: the copy has missed the
+// record that named the later ones, and reads them in the record of the owner between them.
+func TestFormerOwnersAfterACopyWasReset(t *testing.T) {
+	first, second := testElectors(1), testElectors(2)
+	record := func(offset int64, c ownerRecord) Stored {
+		return Stored{Offset: offset, Record: pool.Record{Key: pool.OwnerKey, Value: pool.Encode(c)}}
+	}
+	a, b := claim{Node: "a", Addr: "a", Epoch: 1}, claim{Node: "b", Addr: "b", Epoch: 2}
+	r := newReplica()
+	bad := func(_ Stored, err error) { assert.NilError(t, err) }
+	r.apply(batch{records: []Stored{record(0, ownerRecord{claim: a, Electors: first})}, next: 1}, bad)
+	r.apply(batch{reset: true, records: []Stored{record(9, ownerRecord{claim: b, Electors: first, Former: []formerOwner{{a, second}}})}, next: 10}, bad)
+	assertFormer(t, r.formerOwners(3), formerOwner{b, first}, formerOwner{a, second})
+}
