node: an owner that was told of a newer claim doesn't vote for itself

NoteClaim notes the claim and ends the ownership on the pool's goroutine within 250 ms. With that goroutine busy for longer the ownership stayed and counted its own vote, while its successor counts the process among the electors that know.

The round of calls looks at what the process was told before it votes, and gives the pool up.

--- a/node/confirmation.go
+++ b/node/confirmation.go
@@ -109,6 +109,10 @@
 // askForConfirmation asks the electors once. One that knows of a newer claim ends the ownership.
 func (o *ownership) askForConfirmation(ctx context.Context) {
 	n := o.pc.node
+	if n.claims.epoch(o.pc.topic.Part) > o.claim.Epoch {
+		o.giveUp(ctx, "this instance was told of a newer claim")
+		return
+	}
 	sent, self := n.now(), n.self()
 	lists := o.electorate.inForce(sent)
 	votes := map[elector]vote{self: {expired: n.peers.announceAge() >= voteDuration}}
@@ -130,11 +134,7 @@
 		r := <-replies
 		switch {
 		case r.newer:
-			o.pc.send(ctx, func() {
-				if o.pc.own == o {
-					o.pc.dropOwnership("another instance knows a newer claim")
-				}
-			})
+			o.giveUp(ctx, "another instance knows a newer claim")
 			return
 		case r.voted:
 			votes[r.elector] = r.vote
@@ -143,6 +143,15 @@
 	o.confirmed.last.Store(countVotes(votes, len(electors)+1))
 }
 
+// giveUp ends the ownership.
+func (o *ownership) giveUp(ctx context.Context, reason string) {
+	o.pc.send(ctx, func() {
+		if o.pc.own == o {
+			o.pc.dropOwnership(reason)
+		}
+	})
+}
+
 func countVotes(votes map[elector]vote, electors int) *confirmRound {
 	r := confirmRound{electors: electors, voted: len(votes), silent: electors - len(votes)}
 	for _, v := range votes {
