node: former owners as the newest owner's record names them after a copy was reset

A copy that is read anew may have missed records of a former owner. Its older record, which the copy kept, replaced the electors that the owner between them had stored, so a successor asked electors which no longer decide.

A reset drops the owners' records that were read before.

--- a/node/replica.go
+++ b/node/replica.go
@@ -50,6 +50,7 @@
 		if r.isStale(b) {
 			return nil
 		}
+		clear(r.owners) // later records of these owners may have been missed
 		for _, key := range r.missingFrom(b.records) {
 			delete(r.records, key)
 			delete(r.invalid, key)
