node: votes that have expired are over for good

An elector is now an instance with a voter number that its entry announces. A process whose votes have expired takes a new number before an entry of it can be accepted again, and only once the store answers it: in an outage for all it remains the elector that it was, and unanimous electors go on confirming. Instances of older versions may be named by their process and never vote.

A reply to NoteClaim counts only with the instance's name, since an address may have passed to another instance, and a new owner stores at once which former owners it has found in the stream.

--- a/node/confirmation.go
+++ b/node/confirmation.go
@@ -113,9 +113,11 @@
 		o.giveUp(ctx, "this instance was told of a newer claim")
 		return
 	}
-	sent, self := n.now(), n.self()
+	sent := n.now()
 	lists := o.electorate.inForce(sent)
-	votes := map[elector]vote{self: {expired: n.peers.announceAge() >= voteDuration}}
+	voter, age := n.peers.ownVote()
+	self := elector{n.opts.Name, voter}
+	votes := map[elector]vote{self: {expired: age >= voteDuration}}
 	electors := slices.Concat(lists...)
 	slices.SortFunc(electors, compareElectors)
 	electors = slices.DeleteFunc(slices.Compact(electors), func(e elector) bool { return e == self })
@@ -174,12 +176,12 @@
 	if err := o.pc.node.peers.callInstance(ctx, e.Node, "Confirm", ConfirmArgs{Part: o.pc.topic.Part, Epoch: o.claim.Epoch}, r); err != nil {
 		return confirmReply{elector: e}
 	}
-	return confirmReply{elector: e, voted: r.Life == e.Life && !r.Newer, newer: r.Newer, vote: vote{expired: r.AnnounceAge >= voteDuration}}
+	return confirmReply{elector: e, voted: r.Voter == e.Voter && !r.Newer, newer: r.Newer, vote: vote{expired: r.AnnounceAge >= voteDuration}}
 }
 
 // Confirm replies whether this instance knows of a newer claim of a pool.
 func (s Peer) Confirm(a ConfirmArgs, r *ConfirmReply) error {
-	r.Life, r.AnnounceAge = s.n.incarnation, s.n.peers.announceAge()
+	r.Voter, r.AnnounceAge = s.n.peers.ownVote()
 	r.Newer = s.n.claims.epoch(a.Part) > a.Epoch
 	return nil
 }
--- a/node/deposition.go
+++ b/node/deposition.go
@@ -15,14 +15,15 @@
 	peers   *peers
 	began   time.Duration
 	pending []formerOwner
-	// knowing holds the processes that know the new claim, or have ended; noLongerOwners those that in addition
-	// don't own the pool by an older claim.
-	knowing, noLongerOwners map[elector]bool
+	// knowing holds the electors that know the new claim, or have been replaced, and gaveUp the former owners'
+	// processes that don't own the pool any more.
+	knowing map[elector]bool
+	gaveUp  map[process]bool
 }
 
 // deposeFormer informs the electors of former owners of this instance's claim until none of these owners can be confirmed.
 func (o *ownership) deposeFormer(former []formerOwner) {
-	d := deposition{peers: o.pc.node.peers, began: o.pc.node.now(), pending: former, knowing: map[elector]bool{}, noLongerOwners: map[elector]bool{}}
+	d := deposition{peers: o.pc.node.peers, began: o.pc.node.now(), pending: former, knowing: map[elector]bool{}, gaveUp: map[process]bool{}}
 	for {
 		d.round(o)
 		if len(d.pending) == 0 || o.ctx.Err() != nil {
@@ -32,56 +33,66 @@
 	}
 }
 
-// round asks each process once that may matter.
+// round asks each instance once that may matter.
 func (d *deposition) round(o *ownership) {
+	self := NoteClaimReply{Instance: d.peers.node.opts.Name, Life: d.peers.node.incarnation, Voter: d.peers.voter.Load(), NotOwner: true}
+	d.apply(self)
 	d.reportOver(o)
-	asked := d.unasked()
-	replies := make(chan func(), len(asked))
-	for _, e := range asked {
-		go func() { replies <- d.inform(o.ctx, o, e) }()
+	asked := d.unsettled()
+	replies := make(chan NoteClaimReply, len(asked))
+	for _, name := range asked {
+		go func() { replies <- d.inform(o.ctx, o, name) }()
 	}
 	for range asked {
 		if len(d.pending) == 0 {
 			return
 		}
-		(<-replies)()
+		d.apply(<-replies)
 		d.reportOver(o)
 	}
 }
 
-// unasked returns the processes of pending former owners and of their electors that aren't known to know the claim.
-func (d *deposition) unasked() []elector {
-	var list []elector
-	add := func(e elector, settled map[elector]bool) {
-		if !settled[e] && !slices.Contains(list, e) {
-			list = append(list, e)
-		}
-	}
+// unsettled returns the instances of pending former owners and of their electors that aren't known to know the claim.
+func (d *deposition) unsettled() []string {
+	var list []string
 	for _, f := range d.pending {
-		add(elector{f.Node, f.Life}, d.noLongerOwners)
+		list = append(list, f.Node) // it may still own the pool
 		for _, e := range f.Electors {
-			add(e, d.knowing)
+			if !d.knows(e) {
+				list = append(list, e.Node)
+			}
 		}
 	}
-	return list
+	slices.Sort(list)
+	return slices.Compact(list)
 }
 
-// inform sends the claim to a process and returns how its reply changes d.
-func (d *deposition) inform(ctx context.Context, o *ownership, e elector) func() {
-	noteAs := func(knows, notOwner bool) func() {
-		return func() { d.knowing[e], d.noLongerOwners[e] = d.knowing[e] || knows, d.noLongerOwners[e] || notOwner }
-	}
-	if e.Node == d.peers.node.opts.Name || d.peers.hasRestarted(process{e.Node, e.Life}) {
-		return noteAs(true, true) // this process, or one that has ended
-	}
+// inform sends the claim to an instance. Without a reply the result names no instance.
+func (d *deposition) inform(ctx context.Context, o *ownership, name string) NoteClaimReply {
 	r := new(NoteClaimReply) // not shared: a late response is still written to it
-	if err := d.peers.callInstance(ctx, e.Node, "NoteClaim", NoteClaimArgs{Part: o.pc.topic.Part, Epoch: o.claim.Epoch}, r); err != nil {
-		return noteAs(false, false)
+	if d.peers.callInstance(ctx, name, "NoteClaim", NoteClaimArgs{Part: o.pc.topic.Part, Epoch: o.claim.Epoch}, r) != nil || r.Instance != name {
+		return NoteClaimReply{} // nobody, or another instance that has got the address
+	}
+	return *r
+}
+
+// apply notes the reply of an instance.
+func (d *deposition) apply(r NoteClaimReply) {
+	for _, f := range d.pending {
+		if p := (process{f.Node, f.Life}); r.Instance == f.Node && (r.Life > f.Life || r.Life == f.Life && r.NotOwner) {
+			d.gaveUp[p] = true
+		}
+		for _, e := range f.Electors {
+			if r.Instance == e.Node && r.Voter >= e.Voter {
+				d.knowing[e] = true
+			}
+		}
 	}
-	ended := r.Life != e.Life // another process has its address
-	return noteAs(true, r.NotOwner || ended)
 }
 
+// knows reports whether an elector knows the new claim, or has been replaced.
+func (d *deposition) knows(e elector) bool { return d.knowing[e] || d.peers.hasReplaced(e) }
+
 // reportOver removes the former owners that can't be confirmed any more.
 func (d *deposition) reportOver(o *ownership) {
 	d.pending = slices.DeleteFunc(d.pending, func(f formerOwner) bool {
@@ -97,13 +108,13 @@
 
 // isOver reports whether a former owner can't be confirmed any more, and why.
 func (d *deposition) isOver(f formerOwner) (over bool, reason string) {
-	if d.noLongerOwners[elector{f.Node, f.Life}] {
+	if owner := (process{f.Node, f.Life}); d.gaveUp[owner] || d.peers.hasRestarted(owner) {
 		return true, "its process has given the pool up"
 	}
 	knowing, expired := 0, 0
 	for _, e := range f.Electors {
 		switch {
-		case d.knowing[e]:
+		case d.knows(e):
 			knowing++
 		case d.peers.voteExpired(e, d.began):
 			expired++
@@ -140,13 +151,14 @@
 		o.core.EndPredecessors(o.pc.node.now())
 		return
 	}
+	o.lastHeartbeat = 0 // the claim may name other former owners
 	go o.deposeFormer(slices.Clone(former))
 }
 
 // NoteClaim informs this instance of a claim. It ends an older ownership of its own.
 func (s Peer) NoteClaim(a NoteClaimArgs, r *NoteClaimReply) error {
 	s.n.claims.note(a.Part, a.Epoch)
-	r.Life = s.n.incarnation
+	r.Instance, r.Life, r.Voter = s.n.opts.Name, s.n.incarnation, s.n.peers.voter.Load()
 	pc := s.n.controller(a.Part)
 	if pc == nil {
 		r.NotOwner = true
--- a/node/electors.go
+++ b/node/electors.go
@@ -12,7 +12,9 @@
 // predecessor for replaced once so many of the predecessor's electors know the new claim, or have ended, that the others
 // are no majority. Any two majorities of one list share a process, so after that nothing confirms the predecessor.
 //
-// Electors are processes and not instances: a process that starts again knows nothing of the claims that it was told.
+// Electors are processes and not instances: a process that starts again knows nothing of the claims that it was told. One
+// that the store hasn't accepted an entry of for voteDuration goes on as another elector, so that a successor needn't
+// wait for it: its former votes are over for good.
 
 const (
 	// maxElectors limits the electors of a pool, the owner included.
@@ -36,11 +38,12 @@
 // elector is a process of an instance, as owners' records name it.
 type elector struct {
 	Node string `json:"n"`
-	Life int64  `json:"l"`
+	// Voter is the peerEntry.Voter of the process; for instances of older versions, which never vote, its Life.
+	Voter int64 `json:"v"`
 }
 
 func compareElectors(a, b elector) int {
-	return cmp.Or(cmp.Compare(a.Node, b.Node), cmp.Compare(a.Life, b.Life))
+	return cmp.Or(cmp.Compare(a.Node, b.Node), cmp.Compare(a.Voter, b.Voter))
 }
 
 // majority returns how many of n electors are most of them.
@@ -144,14 +147,14 @@
 }
 
 // self returns this process as an elector.
-func (n *Node) self() elector { return elector{n.opts.Name, n.incarnation} }
+func (n *Node) self() elector { return elector{n.opts.Name, n.peers.voter.Load()} }
 
 // chooseElectors returns the electors of the pool while this instance owns it: the present ones that still run, as far as
 // is known, and the instances that come next as owners.
 func (pc *poolController) chooseElectors(present []elector) []elector {
 	electors := []elector{pc.node.self()}
 	for _, e := range present {
-		if e != electors[0] && len(electors) < maxElectors && pc.node.peers.mayVote(e) {
+		if e.Node != electors[0].Node && len(electors) < maxElectors && pc.node.peers.mayVote(e) {
 			electors = append(electors, e)
 		}
 	}
@@ -163,7 +166,7 @@
 		return 1 // names are unique
 	})
 	for _, p := range list {
-		e := elector{p.name, p.Life}
+		e := p.elector()
 		if len(electors) < maxElectors && pc.node.peers.mayVote(e) && !slices.Contains(electors, e) {
 			electors = append(electors, e)
 		}
--- a/node/electors_internal_test.go
+++ b/node/electors_internal_test.go
@@ -78,8 +78,8 @@
 		{"most have expired, for long", 0, 8, false, electorsLostTimeout + 1, false},
 	} {
 		electors := testElectors(make([]int64, 9)...)
-		p := &peers{renewedAt: map[string]time.Duration{}, asOf: now, node: &Node{opts: Settings{Now: func() time.Duration { return now }}}}
-		d := deposition{peers: p, began: now - max(c.waited, 2*voteExpiry), knowing: map[elector]bool{}, noLongerOwners: map[elector]bool{electors[8]: c.gaveUp}}
+		p := &peers{renewedAt: map[string]time.Duration{}, byKey: map[string]peerEntry{}, asOf: now, node: &Node{opts: Settings{Now: func() time.Duration { return now }}}}
+		d := deposition{peers: p, began: now - max(c.waited, 2*voteExpiry), knowing: map[elector]bool{}, gaveUp: map[process]bool{{electors[8].Node, electors[8].Voter}: c.gaveUp}}
 		for i, e := range electors {
 			d.knowing[e] = i < c.knowing
 			p.renewedAt[e.Node] = now
@@ -87,7 +87,7 @@
 				p.renewedAt[e.Node] = now - voteExpiry - 1
 			}
 		}
-		over, _ := d.isOver(formerOwner{claim: claim{Node: electors[8].Node, Life: electors[8].Life}, Electors: electors})
+		over, _ := d.isOver(formerOwner{claim: claim{Node: electors[8].Node, Life: electors[8].Voter}, Electors: electors})
 		assert.Equal(t, over, c.want, c.name)
 	}
 }
--- a/node/peers.go
+++ b/node/peers.go
@@ -53,6 +53,8 @@
 	name string // the record's key
 	Addr string `json:"addr"`
 	Life int64  `json:"life"`
+	// Voter identifies the process as an elector; 0: it is of an older version. It is the process's Life at first.
+	Voter int64 `json:"voter,omitempty"`
 	// Cores is the machine's processor share, in cores.
 	Cores float64 `json:"power"`
 	// LinkRate is the machine's network bandwidth, in bytes per second; 0: unknown.
@@ -84,6 +86,9 @@
 	asOf      time.Duration
 	// announcedAt is when the newest entry of this instance was sent that the store has accepted; 0: there is none.
 	announcedAt atomic.Int64
+	voter       atomic.Int64 // see peerEntry.Voter
+	// voterSince is since when this process votes as that elector. It belongs to announce.
+	voterSince time.Duration
 	// loaded is set once the list has been read.
 	loaded atomic.Bool
 	// changed wakes announce after a change of this instance's entry.
@@ -97,8 +102,11 @@
 }
 
 func newPeers(n *Node) *peers {
-	return &peers{node: n, byKey: map[string]peerEntry{}, conns: map[string]*peerConn{}, gone: map[process]bool{}, renewedAt: map[string]time.Duration{},
+	p := &peers{node: n, byKey: map[string]peerEntry{}, conns: map[string]*peerConn{}, gone: map[process]bool{}, renewedAt: map[string]time.Duration{},
 		changed: make(chan struct{}, 1)}
+	p.voter.Store(n.incarnation)
+	p.voterSince = n.now()
+	return p
 }
 
 func (p *peers) run(ctx context.Context) {
@@ -111,13 +119,17 @@
 // self returns this instance's entry.
 func (p *peers) self() peerEntry {
 	opts := p.node.opts
-	return peerEntry{name: opts.Name, Addr: opts.PeerAddr, Life: p.node.incarnation, Cores: opts.Cores, LinkRate: opts.LinkRate, Pools: p.node.ownedPools()}
+	return peerEntry{name: opts.Name, Addr: opts.PeerAddr, Life: p.node.incarnation, Voter: p.voter.Load(), Cores: opts.Cores, LinkRate: opts.LinkRate, Pools: p.node.ownedPools()}
 }
 
 func (p *peers) announce(ctx context.Context) {
 	for ctx.Err() == nil && !p.node.stopping.Load() {
-		entry := pool.Record{Key: p.node.opts.Name, Value: pool.Encode(p.self())}
+		if !p.renewVoter(ctx) {
+			sleep(ctx, maxReadRetryPause)
+			continue
+		}
 		sent := p.node.now()
+		entry := pool.Record{Key: p.node.opts.Name, Value: pool.Encode(p.self())}
 		_, err := p.node.store.Append(withTimeout(ctx, appendTimeout), Topic{Name: peersTopicName}, []pool.Record{entry}, nil)
 		if err != nil {
 			sleep(ctx, readRetryPause)
@@ -128,6 +140,23 @@
 	}
 }
 
+// renewVoter makes this process another elector if its votes have expired: a successor may take them for over, so an entry
+// that is accepted later must not make them count again. In an outage of the store that affects all, the process stays the
+// elector that it was, and renewVoter returns false.
+func (p *peers) renewVoter(ctx context.Context) bool {
+	now := p.node.now()
+	if now-max(p.voterSince, time.Duration(p.announcedAt.Load())) < voteDuration {
+		return true
+	}
+	if _, _, _, err := p.node.store.Newest(withTimeout(ctx, storeProbeTimeout), Topic{Name: peersTopicName}, ""); err != nil {
+		return false
+	}
+	p.voterSince = now
+	p.voter.Store(max(p.voter.Load()+1, time.Now().UnixNano()))
+	p.node.log.Info().Dur("age", p.announceAge()).Msg("elector.replaced")
+	return true
+}
+
 // announceNow makes announce write this instance's entry without waiting for the next interval.
 func (p *peers) announceNow() {
 	select {
@@ -223,7 +252,7 @@
 	if slices.ContainsFunc(e.Pools, func(o ownedPool) bool { return o.Part < 0 || o.Epoch == 0 || o.Generation < 0 }) {
 		return e, errors.New("entry of an instance with an invalid pool")
 	}
-	if rec.Key == "" || e.Addr == "" || e.Life <= 0 || e.Cores < 0 || e.Cores > maxPlausibleCores || e.LinkRate < 0 || e.LinkRate > maxPlausibleLinkRate {
+	if rec.Key == "" || e.Addr == "" || e.Life <= 0 || e.Voter < 0 || e.Cores < 0 || e.Cores > maxPlausibleCores || e.LinkRate < 0 || e.LinkRate > maxPlausibleLinkRate {
 		return e, errors.New("invalid entry of an instance")
 	}
 	return e, nil
@@ -260,7 +289,18 @@
 func (p *peers) mayVote(e elector) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.byKey[e.Node].Life == e.Life && !p.gone[process{e.Node, e.Life}] && p.asOf-p.renewedAt[e.Node] < voteDuration
+	entry := p.byKey[e.Node]
+	return entry.elector() == e && !p.gone[process{e.Node, entry.Life}] && p.asOf-p.renewedAt[e.Node] < voteDuration
+}
+
+// elector returns the process of an entry as an elector.
+func (e peerEntry) elector() elector { return elector{e.name, cmp.Or(e.Voter, e.Life)} }
+
+// hasReplaced reports whether an instance lists a later elector than the given one.
+func (p *peers) hasReplaced(e elector) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.byKey[e.Node].elector().Voter > e.Voter
 }
 
 // voteExpired reports whether an elector has certainly not renewed its entry for voteDuration, nor since the given time.
@@ -278,6 +318,12 @@
 	return math.MaxInt64
 }
 
+// ownVote returns as what this process votes, and the age of its newest accepted entry.
+func (p *peers) ownVote() (voter int64, age time.Duration) {
+	age = p.announceAge() // first: the entry of a later elector may be accepted in between
+	return p.voter.Load(), age
+}
+
 // callInstance is call with the instance's name.
 func (p *peers) callInstance(ctx context.Context, name, method string, args, reply any) error {
 	p.mu.Lock()
