node: votes last for five minutes without the store

What callers would have seen: an outage of the store in which one of nine electors died stopped the owner after 30 s, and with it the leases of all tasks of its pool.

The time for which the votes of most electors count without the store is a choice between two waits: of an owner in an outage with deaths, which then stops all its tasks, and of a successor after most electors and the owner are gone for good, whose inherited tasks wait if a worker can't be reached. The second does less harm and is rarer: an owner replaces electors that are silent for 30 s. So the votes last 5 min; electors that all answer confirm without a limit as before.

--- a/node/deposition.go
+++ b/node/deposition.go
@@ -8,7 +8,7 @@
 
 // electorsLostTimeout is how long a new owner waits for a predecessor none of whose electors can be reached, and none of
 // which is known to have ended.
-const electorsLostTimeout = 5 * time.Minute
+const electorsLostTimeout = 2 * voteDuration
 
 // deposition finds out when former owners can't be confirmed any more.
 type deposition struct {
--- a/node/electors.go
+++ b/node/electors.go
@@ -25,8 +25,11 @@
 	// accepted others: a new owner may have read the owner's record right before.
 	electorChangePeriod = 10 * time.Second
 	// voteDuration is how long after its last accepted entry among the instances the answer of an elector counts unless
-	// all electors answer. It is three times announceInterval.
-	voteDuration = 3 * announceInterval
+	// all electors answer. An outage of the store in which electors die stops the owner after that time, and a new owner
+	// waits that long if most electors are gone for good.
+	voteDuration = 5 * time.Minute
+	// maxElectorSilence is the time without a new entry after which an owner names another elector.
+	maxElectorSilence = 3 * announceInterval
 	// voteExpiry is how long after the newest entry that was read of an elector a new owner takes its answer for
 	// without effect: longer than voteDuration by clocks of different rates, and by the age of the entries that the
 	// store returns.
--- a/node/peers.go
+++ b/node/peers.go
@@ -290,7 +290,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	entry := p.byKey[e.Node]
-	return entry.elector() == e && !p.gone[process{e.Node, entry.Life}] && p.asOf-p.renewedAt[e.Node] < voteDuration
+	return entry.elector() == e && !p.gone[process{e.Node, entry.Life}] && p.asOf-p.renewedAt[e.Node] < maxElectorSilence
 }
 
 // elector returns the process of an entry as an elector.
