node: the newest owner is known after a copy was reset without news

What callers saw: nothing yet; found by reading. An instance whose copy was read anew knew no owner before its claim if the newest record of that one was the record that it had read already, for example because that owner is cut off from the store. It waited for nobody: the former owner, which its electors confirm, and the new one both granted leases.

Cause: a reset drops the owners' records, and records that aren't newer than the copy's are passed over.

TestFormerOwnersAfterAResetWithoutNews: red on, passes.

--- a/node/electors_internal_test.go
+++ b/node/electors_internal_test.go
@@ -132,3 +132,15 @@
 	r.apply(batch{reset: true, records: []Stored{record(9, ownerRecord{claim: b, Electors: first, Former: []formerOwner{{a, second}}})}, next: 10}, bad)
 	assertFormer(t, r.formerOwners(3), formerOwner{b, first}, formerOwner{a, second})
 }
+
+// Guards against a new owner that knows no former owner, as its copy was reset and the newest record of that one is the one
+// that it has read before.
+func TestFormerOwnersAfterAResetWithoutNews(t *testing.T) {
+	a, b := ownerRecord{claim: claim{Node: "a", Addr: "a", Epoch: 1}, Electors: testElectors(1)}, claim{Node: "b", Addr: "b", Epoch: 2}
+	r := newReplica()
+	bad := func(_ Stored, err error) { assert.NilError(t, err) }
+	stored := Stored{Offset: 3, Record: pool.Record{Key: pool.OwnerKey, Value: pool.Encode(a)}}
+	r.apply(batch{records: []Stored{stored}, next: 4}, bad)
+	r.apply(batch{reset: true, records: []Stored{stored}, next: 4}, bad)
+	assertFormer(t, r.formerOwners(b.Epoch), formerOwner{a.claim, a.Electors})
+}
--- a/node/replica.go
+++ b/node/replica.go
@@ -86,6 +86,11 @@
 			r.claim = c.claim
 		}
 	}
+	if newest, ok := r.records[pool.OwnerKey]; b.reset && ok {
+		if c, err := checkRecord(newest); err == nil && c != nil {
+			r.keepOwner(*c) // it may have been known before
+		}
+	}
 	r.next = max(r.next, b.next)
 	return fresh
 }
