node: former owners that a claim doesn't name are waited for

What callers saw: nothing yet; found by reading. An instance names former owners in its claim as far as it has read them, and again with its first heartbeat, once it has read up to its claim. The owner that isn't waited for may be confirmed by its electors, and grants leases beside the new one.

Owners' records now say whether their list is complete (field complete). Until one that is, all owners that were read count, and if there is none, those that the claim itself names. An owner of an older version ends the list, as before.

TestFormerOwnersAfterAResetAtTheClaim, TestFormerOwnersThatHaveClaimedAtTheSameTime: red on, pass. Not covered: a copy that is reset when the store holds the claim only, of an owner that hadn't read its predecessor's newest electors.

--- a/node/deposition.go
+++ b/node/deposition.go
@@ -147,11 +147,11 @@
 func (o *ownership) startDeposition() {
 	former := o.pc.replica.formerOwners(o.claim.Epoch)
 	o.electorate.setFormer(former)
+	o.lastHeartbeat = 0 // the claim may name other former owners
 	if len(former) == 0 {
 		o.core.EndPredecessors(o.pc.node.now())
 		return
 	}
-	o.lastHeartbeat = 0 // the claim may name other former owners
 	go o.deposeFormer(slices.Clone(former))
 }
 
--- a/node/electors.go
+++ b/node/electors.go
@@ -65,6 +65,9 @@
 	Electors []elector `json:"electors,omitempty"`
 	// Former are the earlier owners that may still be confirmed.
 	Former []formerOwner `json:"former,omitempty"`
+	// FormerComplete is set once the owner has read all that was stored before its claim: Former then holds all earlier
+	// owners that may still be confirmed. An instance that claims may not have read the newest claims.
+	FormerComplete bool `json:"complete,omitempty"`
 }
 
 // electorList is a list of electors, and since when the store is known to hold it.
@@ -81,6 +84,8 @@
 	// version is that of the newest list: the number of lists that there were.
 	version int
 	former  []formerOwner
+	// complete is ownerRecord.FormerComplete.
+	complete bool
 }
 
 func newElectorate(electors []elector, former []formerOwner, storedAt time.Duration) *electorate {
@@ -91,7 +96,7 @@
 func (e *electorate) record(c claim) (ownerRecord, int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return ownerRecord{claim: c, Electors: e.lists[len(e.lists)-1].electors, Former: e.former}, e.version
+	return ownerRecord{claim: c, Electors: e.lists[len(e.lists)-1].electors, Former: e.former, FormerComplete: e.complete}, e.version
 }
 
 // newest returns the newest list, and whether the store is known to hold it.
@@ -142,11 +147,11 @@
 	return len(e.former)
 }
 
-// setFormer sets the former owners.
+// setFormer sets the former owners, as far as all that was stored before the claim tells.
 func (e *electorate) setFormer(list []formerOwner) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.former = list
+	e.former, e.complete = list, true
 }
 
 // self returns this process as an elector.
--- a/node/electors_internal_test.go
+++ b/node/electors_internal_test.go
@@ -144,3 +144,25 @@
 	r.apply(batch{reset: true, records: []Stored{stored}, next: 4}, bad)
 	assertFormer(t, r.formerOwners(b.Epoch), formerOwner{a.claim, a.Electors})
 }
+
+// Guards against a new owner whose copy was reset at its claim, which has replaced the record of the owner before, and that
+// waits for nobody.
+func TestFormerOwnersAfterAResetAtTheClaim(t *testing.T) {
+	former := formerOwner{claim{Node: "a", Addr: "a", Epoch: 1}, testElectors(1)}
+	own := ownerRecord{claim: claim{Node: "b", Addr: "b", Epoch: 2}, Electors: testElectors(2), Former: []formerOwner{former}}
+	r := newReplica()
+	bad := func(_ Stored, err error) { assert.NilError(t, err) }
+	r.apply(batch{reset: true, records: []Stored{{Offset: 9, Record: pool.Record{Key: pool.OwnerKey, Value: pool.Encode(own)}}}, next: 10}, bad)
+	assertFormer(t, r.formerOwners(own.Epoch), former)
+}
+
+// Guards against a new owner that doesn't wait for the first of two owners that have claimed at the same time: the second
+// hadn't read that claim, and was replaced before it stored what it had read since.
+func TestFormerOwnersThatHaveClaimedAtTheSameTime(t *testing.T) {
+	r := newReplica()
+	first := ownerRecord{claim: claim{Node: "a", Epoch: 1}, Electors: testElectors(1)}
+	second := ownerRecord{claim: claim{Node: "b", Epoch: 2}, Electors: testElectors(2)}
+	r.keepOwner(first)
+	r.keepOwner(second)
+	assertFormer(t, r.formerOwners(3), formerOwner{second.claim, second.Electors}, formerOwner{first.claim, first.Electors})
+}
--- a/node/replica.go
+++ b/node/replica.go
@@ -106,13 +106,29 @@
 // formerOwners returns the owners before an epoch that may still be confirmed, the newest first. Owners of older versions
 // name no electors and aren't among them.
 func (r *replica) formerOwners(epoch uint64) []formerOwner {
-	var newest ownerRecord
-	for e, o := range r.owners {
-		if e < epoch && e > newest.Epoch {
-			newest = o
+	var list []formerOwner
+	add := func(f formerOwner) {
+		if !slices.ContainsFunc(list, func(known formerOwner) bool { return known.Epoch == f.Epoch }) {
+			list = append(list, f)
+		}
+	}
+	epochs := slices.Sorted(maps.Keys(r.owners))
+	slices.Reverse(epochs)
+	complete := false
+	for _, e := range epochs {
+		if o := r.owners[e]; e < epoch && !complete {
+			add(formerOwner{o.claim, o.Electors})
+			for _, f := range o.Former {
+				add(f)
+			}
+			complete = o.FormerComplete || len(o.Electors) == 0
+		}
+	}
+	if !complete {
+		for _, f := range r.owners[epoch].Former { // the claim itself may be all that is left in the store
+			add(f)
 		}
 	}
-	list := append([]formerOwner{{newest.claim, newest.Electors}}, newest.Former...)
 	for i, f := range list {
 		if o, ok := r.owners[f.Epoch]; ok {
 			list[i].Electors = o.Electors
