node: a round of confirmation counts from before the owner's own vote

Found by reading: the time from which a round counts was taken after the check of the claims that the process was told of. If it is told of one in between and its pool's goroutine is busy, the successor counts from that, and the owner confirms itself from a later time. No test: it takes a goroutine that is stopped between two statements.

--- a/node/confirmation.go
+++ b/node/confirmation.go
@@ -109,11 +109,11 @@
 // askForConfirmation asks the electors once. One that knows of a newer claim ends the ownership.
 func (o *ownership) askForConfirmation(ctx context.Context) {
 	n := o.pc.node
+	sent := n.now() // before the own vote: this process may be told of a newer claim right after it
 	if n.claims.epoch(o.pc.topic.Part) > o.claim.Epoch {
 		o.giveUp(ctx, "this instance was told of a newer claim")
 		return
 	}
-	sent := n.now()
 	lists := o.electorate.inForce(sent)
 	voter, age := n.peers.ownVote()
 	self := elector{n.opts.Name, voter}
