--- /dev/null
+++ b/node/confirmation_internal_test.go
@@ -0,0 +1,46 @@
+package node
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/knapweedweir/knapweedweir/pool"
+)
+
+// newConfirmableOwner returns an owner with the given electors beside its own process. Its clock is that of the test.
+func newConfirmableOwner(t *testing.T, store Store, others ...elector) (*Node, *ownership) {
+	began := time.Now()
+	n := New(Settings{Name: "self", PeerAddr: "self", Parts: 1, Now: func() time.Duration { return time.Hour + time.Since(began) }},
+		zerolog.Nop(), store, nil, nil, noWorkers{})
+	pc := newPoolController(t.Context(), n, 0)
+	n.controllers[0] = pc
+	ctx, cancel := context.WithCancel(t.Context())
+	o := &ownership{pc: pc, core: pool.New(pool.Settings{EndedRetention: time.Minute, HasPredecessors: true}, n.now()), loaded: true,
+		saves: newSaveQueue(), queues: newQueueTable(), ctx: ctx, cancel: cancel, claim: claim{Node: "self", Addr: "self", Life: n.incarnation, Epoch: 1 << 16},
+		electorate: newElectorate(append([]elector{n.self()}, others...), nil, n.now())}
+	pc.own, pc.replica.claim = o, o.claim
+	handleEvents(t, pc)
+	return n, o
+}
+
+// Guards against an owner that confirms itself although it was told of a newer claim, as its pool had no time to handle
+// that: its process counts among the electors that know the claim.
+func TestOwnerThatWasToldOfANewerClaimIsNotConfirmed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, o := newConfirmableOwner(t, idleStore{})
+		o.pc.send(t.Context(), func() { time.Sleep(3 * time.Second) })
+		r := NoteClaimReply{}
+		assert.NilError(t, Peer{n}.NoteClaim(NoteClaimArgs{Epoch: o.claim.Epoch + 1}, &r))
+		assert.Assert(t, r.Life == n.incarnation && !r.NotOwner)
+		time.Sleep(time.Second)
+		o.askForConfirmation(o.ctx)
+		assert.Equal(t, o.confirmed.time(), time.Duration(0))
+		time.Sleep(3 * time.Second)
+		assert.NilError(t, o.pc.do(t.Context(), func() { assert.Assert(t, o.pc.own == nil) }))
+	})
+}
