node: a repeated append confirms an ownership as of its first unanswered attempt

Callers may see a task run twice: an owner that loses the answer to an append, is replaced and repeats the append grants leases as if the store had just confirmed it.

The ownership was confirmed as of the last attempt. The stand-ins look at the epoch first, so only the unit test shows it.

Evidence: TestRepeatedAppendConfirmsAsOfTheFirstUnansweredAttempt, red before in three of five cases.

--- a/node/confirmation_internal_test.go
+++ b/node/confirmation_internal_test.go
@@ -6,12 +6,29 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
 	"github.com/knapweedweir/knapweedweir/pool"
 )
 
+// answeringStore answers appends with the given errors, one after the other, each after 100 ms, and then accepts them.
+type answeringStore struct {
+	idleStore
+	errors *[]error
+}
+
+func (s answeringStore) Append(context.Context, Topic, []pool.Record, *Writer) (int64, error) {
+	time.Sleep(100 * time.Millisecond)
+	if len(*s.errors) == 0 {
+		return s.end, nil
+	}
+	err := (*s.errors)[0]
+	*s.errors = (*s.errors)[1:]
+	return 0, err
+}
+
 // newConfirmableOwner returns an owner with the given electors beside its own process. Its clock is that of the test.
 func newConfirmableOwner(t *testing.T, store Store, others ...elector) (*Node, *ownership) {
 	began := time.Now()
@@ -44,3 +61,31 @@
 		assert.NilError(t, o.pc.do(t.Context(), func() { assert.Assert(t, o.pc.own == nil) }))
 	})
 }
+
+// Guards against a repeated append that confirms an ownership as of its last attempt: the store repeats the answer to the
+// first one, which may have preceded a newer claim.
+func TestRepeatedAppendConfirmsAsOfTheFirstUnansweredAttempt(t *testing.T) {
+	unanswered := errors.New("no answer")
+	for name, c := range map[string]struct {
+		errors []error
+		want   time.Duration // after the first attempt
+	}{
+		"accepted":                     {nil, 0},
+		"unanswered":                   {[]error{unanswered}, 0},
+		"refused":                      {[]error{ErrRefused}, 100*time.Millisecond + appendRetry},
+		"unanswered, refused":          {[]error{unanswered, ErrRefused}, 0},
+		"refused, unanswered, refused": {[]error{ErrRefused, unanswered, ErrRefused}, 100*time.Millisecond + appendRetry},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n, o := newConfirmableOwner(t, answeringStore{errors: &c.errors})
+				prev := make(chan struct{})
+				close(prev)
+				began := n.now()
+				o.appendUntilDone(&inFlightAppend{batch: []pendingSave{o.heartbeatSave()}, sequence: 1, prev: prev, done: make(chan struct{}), certain: true})
+				assert.Equal(t, o.confirmed.time()-began, c.want)
+				o.cancel()
+			})
+		})
+	}
+}
--- a/node/saves.go
+++ b/node/saves.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -216,7 +217,10 @@
 	prev     <-chan struct{} // closed when the previous append has its outcome
 	done     chan struct{}   // closed when this append has its outcome
 	certain  bool            // every attempt was answered
-	latency  time.Duration   // of the newest attempt
+	// unansweredFrom is when the first attempt was sent that had no answer; 0: there is none. The store answers a
+	// repetition as it answered that one, though it may have accepted a newer claim since.
+	unansweredFrom time.Duration
+	latency        time.Duration // of the newest attempt
 	// refusalLoggedAt is when a refusal of this append was last logged; 0: never.
 	refusalLoggedAt time.Duration
 }
@@ -421,10 +425,13 @@
 	o.logRefusedAppend(f, records, err)
 	if !errors.As(err, new(SequenceError)) { // which doesn't show whether the store accepts appends
 		o.setAppendsFailing(err != nil)
+		if err != nil && !errors.Is(err, ErrRefused) && f.unansweredFrom == 0 {
+			f.unansweredFrom = start
+		}
 	}
 	if err == nil {
 		o.recordStreamEnd(offset + int64(len(records)))
-		o.confirmed.confirm(start)
+		o.confirmed.confirm(cmp.Or(f.unansweredFrom, start))
 	}
 	return err
 }
