node: an owner without the store keeps its former electors in force

Callers may see a task run twice: an owner replaces its electors and loses the store, and ten seconds later the new electors alone confirm it, while a new owner that had read only the former list counts it as over.

The former electors ceased to be in force by time alone. Nothing shows then that no other instance claimed the pool within that time, knowing only them, or that the newest record in the store names the new ones: a heartbeat that waits for its append is older than one that replaces a refused append. Now the store has to accept an append that was sent ten seconds after it had accepted the new electors: a claim with the former ones would have fenced that.

Cost: electors that were replaced right before an outage of the store have to confirm the ownership too until its end.

Evidence: TestFormerElectorsStayInForceWithoutTheStore, red before.

--- a/node/confirmation.go
+++ b/node/confirmation.go
@@ -18,6 +18,8 @@
 // confirmation is when an ownership was last confirmed.
 type confirmation struct {
 	at atomic.Int64 // when the call was sent that confirmed it
+	// byStore is when the append was sent that the store has accepted last.
+	byStore atomic.Int64
 	// byElectors is when the calls were last sent by which the electors confirmed it.
 	byElectors atomic.Int64
 	asking     atomic.Bool
@@ -28,10 +30,19 @@
 func (c *confirmation) time() time.Duration { return time.Duration(c.at.Load()) }
 
 // confirm records that a call which was sent at the given time has confirmed the ownership.
-func (c *confirmation) confirm(sent time.Duration) {
+func (c *confirmation) confirm(sent time.Duration) { raise(&c.at, sent) }
+
+// confirmByStore records that the store has accepted an append that was sent at the given time.
+func (c *confirmation) confirmByStore(sent time.Duration) {
+	raise(&c.byStore, sent)
+	c.confirm(sent)
+}
+
+// raise sets a time unless it is later already.
+func raise(t *atomic.Int64, to time.Duration) {
 	for {
-		known := c.at.Load()
-		if int64(sent) <= known || c.at.CompareAndSwap(known, int64(sent)) {
+		known := t.Load()
+		if int64(to) <= known || t.CompareAndSwap(known, int64(to)) {
 			return
 		}
 	}
@@ -114,7 +125,7 @@
 		o.giveUp(ctx, "this instance was told of a newer claim")
 		return
 	}
-	lists := o.electorate.inForce(sent)
+	lists := o.electorate.inForce(time.Duration(o.confirmed.byStore.Load()))
 	voter, age := n.peers.ownVote()
 	self := elector{n.opts.Name, voter}
 	votes := map[elector]vote{self: {expired: age >= voteDuration}}
--- a/node/confirmation_internal_test.go
+++ b/node/confirmation_internal_test.go
@@ -89,3 +89,17 @@
 		})
 	}
 }
+
+// Guards against an owner that, without the store, forgets its former electors: another instance may have claimed the pool
+// right after these were replaced, when it knew only of them.
+func TestFormerElectorsStayInForceWithoutTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, o := newConfirmableOwner(t, idleStore{}, elector{"x", 1}, elector{"y", 1})
+		o.electorate.replace([]elector{n.self()})
+		_, version := o.electorate.record(o.claim)
+		o.electorate.markStored(version, n.now())
+		time.Sleep(2 * electorChangePeriod)
+		o.askForConfirmation(o.ctx)
+		assert.Equal(t, o.confirmed.time(), time.Duration(0))
+	})
+}
--- a/node/electors.go
+++ b/node/electors.go
@@ -21,8 +21,8 @@
 	maxElectors = 9
 	// electorCheckInterval is how often an owner looks for electors that have to be replaced.
 	electorCheckInterval = time.Second
-	// electorChangePeriod is how long the former electors have to confirm an ownership too, after the store has
-	// accepted others: a new owner may have read the owner's record right before.
+	// electorChangePeriod is how long after the store has accepted other electors it has to accept an append, before
+	// the former ones needn't confirm the ownership any more: a new owner may have read the owner's record right before.
 	electorChangePeriod = 10 * time.Second
 	// voteDuration is how long after its last accepted entry among the instances the answer of an elector counts unless
 	// all electors answer. An outage of the store in which electors die stops the owner after that time, and a new owner
@@ -125,11 +125,12 @@
 	}
 }
 
-// inForce returns the lists of which each has to confirm the ownership: all that a new owner may find in the store.
-func (e *electorate) inForce(now time.Duration) [][]elector {
+// inForce returns the lists of which each has to confirm the ownership: all that a new owner may have found in the store.
+// There was none when the store last accepted an append.
+func (e *electorate) inForce(accepted time.Duration) [][]elector {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for len(e.lists) > 1 && e.lists[1].stored && now-e.lists[1].storedAt > electorChangePeriod {
+	for len(e.lists) > 1 && e.lists[1].stored && accepted-e.lists[1].storedAt > electorChangePeriod {
 		e.lists = e.lists[1:]
 	}
 	var lists [][]elector
--- a/node/owner.go
+++ b/node/owner.go
@@ -124,7 +124,7 @@
 		firstHoldSlots: make(chan struct{}, maxConcurrentFirstHolds), queues: newQueueTable(), ready: make(chan struct{})}
 	o.ctx, o.cancel = context.WithCancel(ctx)
 	o.streamEnd.Store(offset + 1)
-	o.confirmed.confirm(claimedAt)
+	o.confirmed.confirmByStore(claimedAt)
 	opts := pc.node.opts
 	o.core = pool.New(pool.Settings{
 		Pool: pc.topic.Part, Token: c.Epoch, Tokens: tokensPerEpoch, Generation: c.Generation, MaxLease: opts.MaxLease, StopTimeout: opts.StopTimeout, EndedRetention: endedJobRetention,
--- a/node/saves.go
+++ b/node/saves.go
@@ -431,7 +431,7 @@
 	}
 	if err == nil {
 		o.recordStreamEnd(offset + int64(len(records)))
-		o.confirmed.confirm(cmp.Or(f.unansweredFrom, start))
+		o.confirmed.confirmByStore(cmp.Or(f.unansweredFrom, start))
 	}
 	return err
 }
