node: store the owner's record although other saves are stored all the time

Callers see jobs wait after a takeover: the owner's record goes on to name a former owner that is over, or electors that have ended, and the next owner waits for them, for half a minute or longer if they don't come back.

The next tick was to store the record as the time of the last heartbeat was set to 0. The answer to any save sets that time anew, so an owner that stores something at least each 0.3 s never stored the record again. It has a flag of its own now.

Evidence: TestOwnersRecordIsStoredBesideOtherSaves, red before for former owners and for electors.

--- a/node/deposition.go
+++ b/node/deposition.go
@@ -137,7 +137,7 @@
 
 // handleFormerOwnerOver lets the core count inherited leases once no former owner is left.
 func (o *ownership) handleFormerOwnerOver(e formerOwnerOver) {
-	o.lastHeartbeat = 0 // the next tick stores that it is over
+	o.recordChanged = true
 	if o.electorate.removeFormer(e.epoch) == 0 {
 		o.core.EndPredecessors(o.pc.node.now())
 	}
--- a/node/electors.go
+++ b/node/electors.go
@@ -193,7 +193,7 @@
 	o.electorsCheckedAt = now
 	if next := o.pc.chooseElectors(present); !slices.Equal(next, present) {
 		o.electorate.replace(next)
-		o.lastHeartbeat = 0 // the next tick stores them
+		o.recordChanged = true
 	}
 }
 
--- a/node/owner.go
+++ b/node/owner.go
@@ -85,6 +85,8 @@
 	sequence      uint64
 	saves         *saveQueue
 	lastHeartbeat time.Duration
+	// recordChanged is set until the owner's record is stored with its newest content.
+	recordChanged bool
 	pace          planpace.Pacer
 	// planScheduled is set while a planDue event is on its way.
 	planScheduled    bool
@@ -246,8 +248,8 @@
 	o.seekConfirmation()
 	o.logConfirmation()
 	o.pc.node.metrics.startWindow.Update(float64(o.pc.node.startWindow.Size()))
-	if now := o.pc.node.now(); !o.heartbeatPending && now-o.lastHeartbeat > heartbeatInterval {
-		o.heartbeatPending = true
+	if now := o.pc.node.now(); !o.heartbeatPending && (o.recordChanged || now-o.lastHeartbeat > heartbeatInterval) {
+		o.heartbeatPending, o.recordChanged = true, false
 		o.lastHeartbeat = now
 		o.saves.add(o.heartbeatSave())
 	}
