node: store the newest electors again after an older owner's record

Callers may see a task run twice: the newest record in the store names former electors, while the owner, cut off from the store, is confirmed by the new ones alone.

A refused append of callers' records becomes a heartbeat with the newest electors, and a heartbeat that was queued before they changed follows it in the stream. Both were taken for stored, and nothing stored the new ones again while other saves followed.

--- a/node/electors.go
+++ b/node/electors.go
@@ -115,14 +115,16 @@
 	e.version++
 }
 
-// markStored records that the store holds the electors of a version.
-func (e *electorate) markStored(version int, now time.Duration) {
+// markStored records that the store holds the electors of a version, and reports whether these are the newest. If they
+// aren't, the newest may be stored too, by an append before this one.
+func (e *electorate) markStored(version int, now time.Duration) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	i := len(e.lists) - 1 - (e.version - version)
 	if i >= 0 && !e.lists[i].stored {
 		e.lists[i].stored, e.lists[i].storedAt = true, now
 	}
+	return version == e.version
 }
 
 // inForce returns the lists of which each has to confirm the ownership: all that a new owner may have found in the store.
--- a/node/ownerrecord_internal_test.go
+++ b/node/ownerrecord_internal_test.go
@@ -14,6 +14,11 @@
 	for name, change := range map[string]func(o *ownership){
 		"former owner": func(o *ownership) { o.handleFormerOwnerOver(formerOwnerOver{epoch: 1}) },
 		"electors":     func(o *ownership) { o.electorsCheckedAt = 0; o.updateElectors() },
+		// A refused append became a heartbeat that names new electors, and the former heartbeat is stored after it.
+		"electors of an earlier append": func(o *ownership) {
+			o.electorate.replace([]elector{o.pc.node.self()})
+			o.electorate.markStored(2, o.pc.node.now())
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -25,7 +30,7 @@
 					o.loaded = false // the tick isn't about the core
 					o.heartbeatPending, o.lastHeartbeat, o.electorsCheckedAt = true, n.now(), n.now()+time.Minute
 					change(o)
-					o.handleSaveDone(saveDone{pendingSave: pendingSave{kind: heartbeat}}) // the record before the change
+					o.handleSaveDone(saveDone{pendingSave: pendingSave{kind: heartbeat, electors: 1}}) // the record before the change
 					for range 40 {
 						time.Sleep(tickInterval)
 						o.tick()
--- a/node/saves.go
+++ b/node/saves.go
@@ -201,7 +201,9 @@
 	switch e.kind {
 	case heartbeat:
 		o.heartbeatPending = false
-		o.electorate.markStored(e.electors, o.pc.node.now())
+		if !o.electorate.markStored(e.electors, o.pc.node.now()) {
+			o.recordChanged = true
+		}
 	case intakeSave:
 		o.intakeStored(e.pendingSave)
 	case queueSave, partialSave:
