node: an elector whose newest entry can't be read goes on to vote

Callers may see a task run twice: a new owner takes the vote of an elector for expired, though the store goes on accepting that instance's entries, and counts the former owner as over, which the elector confirms.

An unreadable or deleted entry wasn't counted as a renewal. The elector only knows that the store has accepted what it sent.

--- a/node/peers.go
+++ b/node/peers.go
@@ -80,7 +80,7 @@
 	gone  map[process]bool // processes known to have ended
 	// maxima holds the highest Cores and LinkRate of all entries. updateEntries computes it.
 	maxima peerEntry
-	// renewedAt is when each instance's newest entry was read, and asOf a time such that all entries are known that were
+	// renewedAt is when each instance's newest entry was read, readable or not, and asOf a time such that all entries are known that were
 	// stored before.
 	renewedAt map[string]time.Duration
 	asOf      time.Duration
@@ -218,6 +218,7 @@
 		p.byKey = map[string]peerEntry{}
 	}
 	for _, rec := range b.records {
+		p.renewedAt[rec.Key] = p.node.now()
 		if len(rec.Value) == 0 && rec.Unreadable == nil {
 			delete(p.byKey, rec.Key)
 			continue
@@ -231,7 +232,6 @@
 			continue
 		}
 		p.byKey[rec.Key] = e
-		p.renewedAt[rec.Key] = p.node.now()
 	}
 	p.asOf = max(p.asOf, b.asOf)
 	p.maxima = peerEntry{}
