node: find former owners behind claims that took effect late and behind records without electors

Callers may see a task run twice: a new owner counts inherited leases at once, while a former owner that it doesn't know of is confirmed by its electors behind a partition.

A new owner looked only at the newest record before its claim and at the former owners in it. These were those that the claimant had read when it decided to claim: an owner that claimed meanwhile was missing (two claims of one generation; a claim that the store carries out seconds late; a hand-over to an instance that has yet to read the owner's claim), and so were its newest electors. And a record of an older version, or of another program, names no former owners at all. Owners' records now say up to which epoch their list is complete, claims list what the check right before them has read, and a new owner goes back through the records that it has read.

Besides, a record with more than 64 former owners is invalid for every instance, the claimant included, so the pool would have no owner for good. The list ends at 64 now, and names one claim of a process and its electors only once: the process has given the others up.

The assertion that an older version's record hides the owners before it is replaced: it required the fault. It now requires both.

What is left: an instance that reads only the newest record, right after a claimant that died before its first heartbeat.

A claim that is all that is left in the store after a reset counts with the former owners it names.

--- a/node/claiming.go
+++ b/node/claiming.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -111,13 +112,16 @@
 		Node: pc.node.opts.Name, Addr: pc.node.opts.PeerAddr, Life: pc.node.incarnation,
 		Epoch: newEpoch(generation), Generation: int(generation),
 	}, Electors: pc.chooseElectors(nil)}
-	c.Former = pc.replica.formerOwners(c.Epoch)
+	known := &replica{owners: maps.Clone(pc.replica.owners)}
 	pc.claiming = true
 	next := pc.replica.next
 	pc.log.Info().Str("reason", reason).Str("before", old.Node).Uint64("epoch", c.Epoch).Msg("pool.claim")
 	go func() {
 		result := claimResult{claim: c}
 		if result.ranges, result.err = pc.checkBeforeClaim(ctx, next, old, rank); result.err == nil {
+			known.keepOwners(result.ranges)
+			c.Former, c.FormerAsOf = known.formerOwners(c.Epoch), known.newestOwner(c.Epoch)
+			result.claim = c
 			var own streamRange
 			result.sentAt = pc.node.now()
 			own, result.err = pc.storeClaim(ctx, c)
--- a/node/claimnoted_internal_test.go
+++ b/node/claimnoted_internal_test.go
@@ -14,7 +14,7 @@
 	n := &Node{opts: Settings{Name: "a", Now: func() time.Duration { return time.Second }}}
 	n.peers = newPeers(n)
 	pc := &poolController{node: n, topic: Topic{Part: 3}, events: make(chan any, 1)}
-	o := &ownership{pc: pc, claim: claim{Node: "a", Epoch: 5}, electorate: newElectorate([]elector{n.self()}, nil, 0)}
+	o := &ownership{pc: pc, claim: claim{Node: "a", Epoch: 5}, electorate: newElectorate(ownerRecord{Electors: []elector{n.self()}}, 0)}
 	n.claims.note(3, 6)
 	o.askForConfirmation(context.Background())
 	assert.Equal(t, o.confirmed.time(), time.Duration(0))
--- a/node/confirmation_internal_test.go
+++ b/node/confirmation_internal_test.go
@@ -39,7 +39,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	o := &ownership{pc: pc, core: pool.New(pool.Settings{EndedRetention: time.Minute, HasPredecessors: true}, n.now()), loaded: true,
 		saves: newSaveQueue(), queues: newQueueTable(), ctx: ctx, cancel: cancel, claim: claim{Node: "self", Addr: "self", Life: n.incarnation, Epoch: 1 << 16},
-		electorate: newElectorate(append([]elector{n.self()}, others...), nil, n.now())}
+		electorate: newElectorate(ownerRecord{Electors: append([]elector{n.self()}, others...)}, n.now())}
 	pc.own, pc.replica.claim = o, o.claim
 	handleEvents(t, pc)
 	return n, o
--- a/node/deposition.go
+++ b/node/deposition.go
@@ -146,8 +146,8 @@
 // startDeposition begins to inform the electors of former owners, as far as these are stored.
 func (o *ownership) startDeposition() {
 	former := o.pc.replica.formerOwners(o.claim.Epoch)
-	o.electorate.setFormer(former)
-	o.lastHeartbeat = 0 // the claim may name other former owners
+	o.electorate.setFormer(former, o.claim.Epoch)
+	o.recordChanged = true
 	if len(former) == 0 {
 		o.core.EndPredecessors(o.pc.node.now())
 		return
--- a/node/electors.go
+++ b/node/electors.go
@@ -65,9 +65,9 @@
 	Electors []elector `json:"electors,omitempty"`
 	// Former are the earlier owners that may still be confirmed.
 	Former []formerOwner `json:"former,omitempty"`
-	// FormerComplete is set once the owner has read all that was stored before its claim: Former then holds all earlier
-	// owners that may still be confirmed. An instance that claims may not have read the newest claims.
-	FormerComplete bool `json:"complete,omitempty"`
+	// FormerAsOf is the epoch up to which other earlier owners are over. A claim doesn't know of those that were stored
+	// after it was made.
+	FormerAsOf uint64 `json:"formerAsOf,omitempty"`
 }
 
 // electorList is a list of electors, and since when the store is known to hold it.
@@ -84,19 +84,19 @@
 	// version is that of the newest list: the number of lists that there were.
 	version int
 	former  []formerOwner
-	// complete is ownerRecord.FormerComplete.
-	complete bool
+	// formerAsOf is as in ownerRecord.
+	formerAsOf uint64
 }
 
-func newElectorate(electors []elector, former []formerOwner, storedAt time.Duration) *electorate {
-	return &electorate{lists: []electorList{{electors: electors, stored: true, storedAt: storedAt}}, version: 1, former: former}
+func newElectorate(c ownerRecord, storedAt time.Duration) *electorate {
+	return &electorate{lists: []electorList{{electors: c.Electors, stored: true, storedAt: storedAt}}, version: 1, former: c.Former, formerAsOf: c.FormerAsOf}
 }
 
 // record returns the owner's record and the version of the electors in it.
 func (e *electorate) record(c claim) (ownerRecord, int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return ownerRecord{claim: c, Electors: e.lists[len(e.lists)-1].electors, Former: e.former, FormerComplete: e.complete}, e.version
+	return ownerRecord{claim: c, Electors: e.lists[len(e.lists)-1].electors, Former: e.former, FormerAsOf: e.formerAsOf}, e.version
 }
 
 // newest returns the newest list, and whether the store is known to hold it.
@@ -150,11 +150,11 @@
 	return len(e.former)
 }
 
-// setFormer sets the former owners, as far as all that was stored before the claim tells.
-func (e *electorate) setFormer(list []formerOwner) {
+// setFormer sets the former owners, which are all that aren't known to be over up to an epoch.
+func (e *electorate) setFormer(list []formerOwner, asOf uint64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.former, e.complete = list, true
+	e.former, e.formerAsOf = list, asOf
 }
 
 // self returns this process as an elector.
--- a/node/electors_internal_test.go
+++ b/node/electors_internal_test.go
@@ -38,7 +38,7 @@
 // Guards against a confirmation by electors that a new owner doesn't find in the store yet, or doesn't any more.
 func TestElectorsInForceWhileTheyChange(t *testing.T) {
 	first, second, third := testElectors(1), testElectors(2), testElectors(3)
-	e := newElectorate(first, nil, time.Second)
+	e := newElectorate(ownerRecord{Electors: first}, time.Second)
 	assert.DeepEqual(t, e.inForce(time.Hour), [][]elector{first})
 	e.replace(second)
 	_, version := e.record(claim{})
@@ -106,7 +106,7 @@
 	assertFormer(t, r.formerOwners(3), formerOwner{second.claim, second.Electors}, formerOwner{first.claim, first.Electors})
 	assertFormer(t, r.formerOwners(2), formerOwner{first.claim, first.Electors})
 	r.keepOwner(ownerRecord{claim: claim{Node: "older version", Epoch: 5}})
-	assert.Equal(t, len(r.formerOwners(6)), 0)
+	assertFormer(t, r.formerOwners(6), formerOwner{second.claim, second.Electors}, formerOwner{first.claim, first.Electors})
 	for epoch := uint64(10); epoch < 100; epoch++ {
 		r.keepOwner(record(epoch))
 	}
--- a/node/owner.go
+++ b/node/owner.go
@@ -122,7 +122,7 @@
 }
 
 func newOwnership(ctx context.Context, pc *poolController, c ownerRecord, offset int64, claimedAt time.Duration) *ownership {
-	o := &ownership{pc: pc, claim: c.claim, electorate: newElectorate(c.Electors, c.Former, claimedAt), confirmedBy: byStore, offset: offset, saves: newSaveQueue(), workers: map[string]pool.WorkerInfo{}, keptServices: map[string]bool{},
+	o := &ownership{pc: pc, claim: c.claim, electorate: newElectorate(c, claimedAt), confirmedBy: byStore, offset: offset, saves: newSaveQueue(), workers: map[string]pool.WorkerInfo{}, keptServices: map[string]bool{},
 		firstHoldSlots: make(chan struct{}, maxConcurrentFirstHolds), queues: newQueueTable(), ready: make(chan struct{})}
 	o.ctx, o.cancel = context.WithCancel(ctx)
 	o.streamEnd.Store(offset + 1)
--- a/node/ownerrecord_internal_test.go
+++ b/node/ownerrecord_internal_test.go
@@ -23,7 +23,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				n, o := newConfirmableOwner(t, idleStore{}, elector{"x", 1})
-				o.electorate.setFormer([]formerOwner{{claim{Node: "x", Life: 1, Epoch: 1}, []elector{{"x", 1}}}})
+				o.electorate.setFormer([]formerOwner{{claim{Node: "x", Life: 1, Epoch: 1}, []elector{{"x", 1}}}}, 1)
 				before, _ := o.electorate.record(o.claim)
 				stored := false
 				assert.NilError(t, o.pc.do(t.Context(), func() {
--- a/node/replica.go
+++ b/node/replica.go
@@ -103,38 +103,73 @@
 	}
 }
 
+// keepOwners keeps the owners' records of several reads.
+func (r *replica) keepOwners(ranges []streamRange) {
+	for _, s := range ranges {
+		for _, rec := range s.records {
+			if c, err := checkRecord(rec); err == nil && c != nil {
+				r.keepOwner(*c)
+			}
+		}
+	}
+}
+
 // formerOwners returns the owners before an epoch that may still be confirmed, the newest first. Owners of older versions
 // name no electors and aren't among them.
 func (r *replica) formerOwners(epoch uint64) []formerOwner {
 	var list []formerOwner
-	add := func(f formerOwner) {
-		if !slices.ContainsFunc(list, func(known formerOwner) bool { return known.Epoch == f.Epoch }) {
-			list = append(list, f)
-		}
-	}
-	epochs := slices.Sorted(maps.Keys(r.owners))
-	slices.Reverse(epochs)
-	complete := false
-	for _, e := range epochs {
-		if o := r.owners[e]; e < epoch && !complete {
-			add(formerOwner{o.claim, o.Electors})
-			for _, f := range o.Former {
-				add(f)
+	over := uint64(0) // earlier owners up to this epoch are over unless they are in the list
+	for _, e := range slices.Backward(slices.Sorted(maps.Keys(r.owners))) {
+		o := r.owners[e]
+		if e > epoch || e <= over {
+			continue
+		}
+		earlier := o.Former
+		if e < epoch {
+			earlier = append([]formerOwner{{o.claim, o.Electors}}, earlier...)
+		}
+		for _, f := range earlier {
+			if f.Epoch > over {
+				list = append(list, r.newestElectors(f))
 			}
-			complete = o.FormerComplete || len(o.Electors) == 0
 		}
+		over = max(over, o.FormerAsOf)
 	}
-	if !complete {
-		for _, f := range r.owners[epoch].Former { // the claim itself may be all that is left in the store
-			add(f)
+	return withoutRepetitions(list)
+}
+
+// newestElectors returns a former owner with its newest electors, as far as they have been read.
+func (r *replica) newestElectors(f formerOwner) formerOwner {
+	if o, ok := r.owners[f.Epoch]; ok {
+		f.Electors = o.Electors
+	}
+	return f
+}
+
+// withoutRepetitions sorts former owners by epoch, the newest first, and drops those that needn't be waited for. A process
+// has given up each ownership before its next claim, so of several with the same electors the newest is enough.
+func withoutRepetitions(list []formerOwner) []formerOwner {
+	slices.SortFunc(list, func(a, b formerOwner) int { return cmp.Compare(b.Epoch, a.Epoch) })
+	var kept []formerOwner
+	for _, f := range list {
+		repeats := slices.ContainsFunc(kept, func(k formerOwner) bool {
+			return k.Epoch == f.Epoch || k.Node == f.Node && k.Life == f.Life && slices.Equal(k.Electors, f.Electors)
+		})
+		if len(f.Electors) > 0 && !repeats && len(kept) < maxListedElectors {
+			kept = append(kept, f)
 		}
 	}
-	for i, f := range list {
-		if o, ok := r.owners[f.Epoch]; ok {
-			list[i].Electors = o.Electors
+	return kept
+}
+
+// newestOwner returns the highest epoch of an owner before another epoch; 0: none is known.
+func (r *replica) newestOwner(before uint64) (newest uint64) {
+	for e := range r.owners {
+		if e < before {
+			newest = max(newest, e)
 		}
 	}
-	return slices.DeleteFunc(list, func(f formerOwner) bool { return len(f.Electors) == 0 })
+	return newest
 }
 
 // checkRecord returns an error if a record is invalid, and the owner's record in it if it is one.
@@ -195,6 +230,9 @@
 	if len(c.Electors) > maxListedElectors || len(c.Former) > maxListedElectors {
 		return nil, errors.Errorf("claim: over %d electors or former owners", maxListedElectors)
 	}
+	if c.FormerAsOf > c.Epoch {
+		return nil, errors.New("claim: invalid epoch of former owners")
+	}
 	for _, f := range c.Former {
 		if f.Epoch >= c.Epoch || len(f.Electors) > maxListedElectors {
 			return nil, errors.New("claim: invalid former owner")
