pool, node: an owner that only its electors confirm takes no lease for over

A partition in which the electors rightly confirm an owner without the store: its successor waits for the workers that it doesn't reach, but renews the leases of those that it does reach.

The votes of electors show that no successor counts the owner as over, not that there is none. A lease is over now once the store has accepted an append that was sent after its end, so that nobody else can have renewed it. For the same reason a worker that has started again gets tasks only once the store has accepted an append since: a successor may have reached its former incarnation and takes it for fenced.

Cost: tasks of a worker that falls silent during an outage of the store wait for its end; otherwise up to an append longer.

--- a/node/confirmation.go
+++ b/node/confirmation.go
@@ -29,6 +29,9 @@
 
 func (c *confirmation) time() time.Duration { return time.Duration(c.at.Load()) }
 
+// acceptedAt is when the append was sent that the store has accepted last.
+func (c *confirmation) acceptedAt() time.Duration { return time.Duration(c.byStore.Load()) }
+
 // confirm records that a call which was sent at the given time has confirmed the ownership.
 func (c *confirmation) confirm(sent time.Duration) { raise(&c.at, sent) }
 
@@ -125,7 +128,7 @@
 		o.giveUp(ctx, "this instance was told of a newer claim")
 		return
 	}
-	lists := o.electorate.inForce(time.Duration(o.confirmed.byStore.Load()))
+	lists := o.electorate.inForce(o.confirmed.acceptedAt())
 	voter, age := n.peers.ownVote()
 	self := elector{n.opts.Name, voter}
 	votes := map[elector]vote{self: {expired: age >= voteDuration}}
--- a/node/owner.go
+++ b/node/owner.go
@@ -389,7 +389,7 @@
 }
 
 func (o *ownership) step(ev pool.Event) {
-	o.core.Confirm(o.confirmed.time())
+	o.core.Confirm(o.confirmed.time(), o.confirmed.acceptedAt())
 	for _, a := range o.core.Step(o.pc.node.now(), ev) {
 		o.execute(a)
 	}
@@ -412,7 +412,7 @@
 		o.schedulePlan(wait)
 		return
 	}
-	o.core.Confirm(o.confirmed.time())
+	o.core.Confirm(o.confirmed.time(), o.confirmed.acceptedAt())
 	for _, a := range o.core.PlanWithin(start, available) {
 		o.execute(a)
 	}
--- a/pool/core.go
+++ b/pool/core.go
@@ -95,6 +95,7 @@
 	saveSeq              uint64
 	savedSeq             uint64
 	confirmedAt          time.Duration // see Confirm
+	acceptedAt           time.Duration // see Confirm
 	firstAnswered        bool          // a worker has answered under this owner's token
 	predecessorsOver     bool          // see EndPredecessors
 	listed               bool          // the list of workers has arrived at least once
@@ -217,8 +218,17 @@
 	return c.actions
 }
 
-// Confirm reports that there was no newer owner at a time: the call that has shown this was sent then.
-func (c *Core) Confirm(at time.Duration) { c.confirmedAt = max(c.confirmedAt, at) }
+// Confirm reports that the ownership was confirmed at a time: the calls that have shown this were sent then. The store has
+// last accepted an append that was sent at the time accepted. Nobody else had claimed the pool by then, while electors
+// may confirm an owner beside a newer one that they don't know.
+func (c *Core) Confirm(at, accepted time.Duration) {
+	c.confirmedAt, c.acceptedAt = max(c.confirmedAt, at), max(c.acceptedAt, accepted)
+}
+
+// wasOwnerAt reports whether nobody else had claimed the pool at a time.
+func (c *Core) wasOwnerAt(t time.Duration) bool {
+	return !c.settings.NeedsConfirmation || c.acceptedAt >= t
+}
 
 // IsConfirmed reports whether leases may be granted. A successor allows for those that are granted for
 // predecessorRenewalTime after it knows that the ownership can't be confirmed any more.
--- /dev/null
+++ b/pool/electorconfirmed_test.go
@@ -0,0 +1,55 @@
+package pool
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// newElectorConfirmedRig returns an owner with one job, which its electors confirm and the store doesn't from now on.
+func newElectorConfirmedRig(t *testing.T, workers ...WorkerInfo) *rig {
+	r := newRig(t, workers...)
+	r.core.settings.NeedsConfirmation = true
+	r.core.Confirm(r.now, r.now)
+	r.step(JobStored{Job: Job{ID: "j", Queue: "q", Service: "s", Payload: "p", Steps: []StepSpec{smallStep(1)}}})
+	return r
+}
+
+// advanceConfirmed advances the clock while electors confirm the owner, and a worker answers nothing.
+func (r *rig) advanceConfirmed(d time.Duration, silent string) {
+	for end := r.now + d; r.now < end; {
+		r.core.Confirm(r.now, 0)
+		r.failHolds(silent)
+		r.advance(50 * time.Millisecond)
+	}
+}
+
+// Guards against an owner that starts tasks of workers that it doesn't reach elsewhere, while a successor that its electors
+// don't know renews their leases.
+func TestLeasesEndOnlyForAnOwnerThatTheStoreConfirms(t *testing.T) {
+	r := newElectorConfirmedRig(t, newWorkerInfo("w1"))
+	r.answerHold("w1", nil)
+	start := takeActions[Start](r)
+	assert.Equal(t, len(start), 1)
+	w := r.core.workers["w1"]
+	r.advanceConfirmed(time.Minute, "w1")
+	assert.Assert(t, r.now > w.leaseExpiry && !r.core.leaseOver(w) && len(w.runs) == 1, "its run counts as lost")
+	r.core.Confirm(r.now, w.leaseExpiry)
+	r.advanceConfirmed(50*time.Millisecond, "w1")
+	assert.Equal(t, len(w.runs), 0)
+}
+
+// Guards against an owner that starts tasks on a worker that has started again, beside a successor which has reached only
+// its former incarnation and takes all workers for fenced.
+func TestRestartedWorkerGetsNoTasksBeforeTheStoreConfirmsTheOwner(t *testing.T) {
+	r := newElectorConfirmedRig(t, newWorkerInfo("w1"))
+	r.answerHold("w1", nil)
+	w := r.core.workers["w1"]
+	assert.Assert(t, r.core.acceptsTasks(w))
+	w.restartSeenAt = r.now + time.Millisecond
+	r.core.Confirm(r.now, r.now)
+	assert.Assert(t, !r.core.acceptsTasks(w))
+	r.core.Confirm(r.now, w.restartSeenAt)
+	assert.Assert(t, r.core.acceptsTasks(w))
+}
--- a/pool/incarnation.go
+++ b/pool/incarnation.go
@@ -64,6 +64,7 @@
 	c.workerCrashed(w, true)
 	w.incarnation = e.Born
 	w.restarts++
+	w.restartSeenAt = c.now
 	for _, r := range ended {
 		if r.startsSent > 1 || r.phase == unconfirmed {
 			c.blockLateStart(r)
--- a/pool/worker.go
+++ b/pool/worker.go
@@ -93,7 +93,9 @@
 	runsKnown   bool  // a predecessor's silence record lists all that may run on it
 	incarnation int64 // whose runs and ends are known here, see WorkerInfo.Born; 0: unknown
 	restarts    int   // noticed under the same ID
-	fencing     workerFencing
+	// restartSeenAt is when the last restart was noticed; 0: there was none.
+	restartSeenAt time.Duration
+	fencing       workerFencing
 	// unansweredStartAt is when a start was last found to have no answer; 0: never.
 	unansweredStartAt time.Duration
 	clockMs           int64
@@ -278,9 +280,10 @@
 }
 
 // leaseOver reports whether all runs that were ever sent to the worker are certainly over. An owner that
-// was stopped meanwhile asks first: they may have ended as done before.
+// was stopped meanwhile asks first: they may have ended as done before. One that the store doesn't confirm
+// may have a successor that renews the leases.
 func (c *Core) leaseOver(w *worker) bool {
-	return c.now >= max(w.leaseExpiry, c.resumedAt+resumeGrace)
+	return c.now >= max(w.leaseExpiry, c.resumedAt+resumeGrace) && (w.isOver || c.wasOwnerAt(w.leaseExpiry))
 }
 
 // tickWorker carries out what is due for a worker.
