pool: orders of maintenance need a confirmed ownership, and the end of former owners

Callers see more machines of a wave down at once than its limit allows: an owner that was replaced, cut off from the store and the other instances but not from the platform, goes on to order maintenance beside its successor.

Leases and starts needed a confirmed ownership, orders of maintenance didn't; and a new owner waited for 3.5 s from its claim on, however long a former owner could be confirmed.

Cost: a wave waits while the owner isn't confirmed, and until former owners are over.

Evidence: TestUnconfirmedOwnerOrdersNoMaintenance and TestSuccessorDelaysMaintenanceUntilFormerOwnersAreOver, red before.

--- a/pool/core.go
+++ b/pool/core.go
@@ -98,6 +98,7 @@
 	acceptedAt           time.Duration // see Confirm
 	firstAnswered        bool          // a worker has answered under this owner's token
 	predecessorsOver     bool          // see EndPredecessors
+	predecessorsOverAt   time.Duration // when it was reported
 	listed               bool          // the list of workers has arrived at least once
 	listedAsOf           time.Duration // see WorkersListed
 	lastSave             time.Duration
@@ -240,7 +241,7 @@
 func (c *Core) EndPredecessors(now time.Duration) {
 	c.setTime(now)
 	if !c.predecessorsOver {
-		c.predecessorsOver = true
+		c.predecessorsOver, c.predecessorsOverAt = true, c.now
 		c.boundInheritedLeases()
 	}
 }
--- a/pool/wave.go
+++ b/pool/wave.go
@@ -13,9 +13,9 @@
 const (
 	// evacuationsPerDown is how many machines are evacuated for each that may be down.
 	evacuationsPerDown = 2
-	// predecessorOrderTimeout is how long a new owner waits before it orders maintenance of a
-	// machine, since its predecessor may just have ordered the maintenance of the same
-	// machine. It is longer than the 3 s that an owner's lease lasts.
+	// predecessorOrderTimeout is how long a new owner waits, once former owners can't be confirmed any
+	// more, before it orders maintenance of a machine, since one of them may just have ordered the
+	// maintenance of the same machine. It is longer than the 3 s that an owner's lease lasts.
 	predecessorOrderTimeout = 3500 * time.Millisecond
 )
 
@@ -191,19 +191,25 @@
 		case m.phase == machineWaiting && c.now >= m.nextAttempt && c.waves.machines[m.id].Up && evacuating+down < evacuationsPerDown*wv.cap:
 			m.phase, m.since = machineEvacuating, c.now
 			evacuating++
-		case m.phase == machineEvacuating && c.evacuate(m) && down < wv.cap && c.now-c.startedAt >= predecessorOrderTimeout:
+		case m.phase == machineEvacuating && c.evacuate(m) && down < wv.cap && c.mayOrderMaintenance():
 			m.phase, m.since = machineOrdered, c.now
 			down++
 		case m.phase == machineEvacuating && c.now-m.since >= maxEvacuation:
 			c.suspendEvacuation(m)
 		}
-		if m.phase == machineOrdered && !m.orderPending && !m.accepted && c.now >= m.nextAttempt {
+		if m.phase == machineOrdered && !m.orderPending && !m.accepted && c.now >= m.nextAttempt && c.IsConfirmed() {
 			m.orderPending = true
 			c.emit(StartMaintenance{Wave: wv.Number, Machine: m.id, Token: c.settings.Token})
 		}
 	}
 }
 
+// mayOrderMaintenance reports whether no other owner's orders can take effect any more, which would count beside this
+// one's against the limit of machines that are down.
+func (c *Core) mayOrderMaintenance() bool {
+	return c.IsConfirmed() && c.predecessorsOver && c.now-max(c.startedAt, c.predecessorsOverAt) >= predecessorOrderTimeout
+}
+
 // readyPercent is the progress of a long-running task that is fully up, in percent.
 const readyPercent = 100
 
--- a/pool/wave_test.go
+++ b/pool/wave_test.go
@@ -220,3 +220,29 @@
 		assert.Equal(t, len(w.active["w0"]), 1, "answer %v", answer)
 	}
 }
+
+// Guards against an owner that orders maintenance although another instance may have replaced it, which counts the machines
+// that are down by itself.
+func TestUnconfirmedOwnerOrdersNoMaintenance(t *testing.T) {
+	w := newWaveRig(t, 1)
+	w.core.settings.NeedsConfirmation = true
+	w.step(WavesRequested{Waves: []Wave{{Number: 1, Machines: w.machineIDs(), Duration: 20 * time.Second, Cap: 1}}})
+	w.advanceAnswering(6*time.Second, func() {})
+	assert.Equal(t, len(w.maintenanceOrders), 0)
+	w.core.Confirm(w.now)
+	w.advanceAnswering(time.Second, func() {})
+	assert.Equal(t, len(w.maintenanceOrders), 1)
+}
+
+// Guards against orders beside those of a former owner that its electors still confirm.
+func TestSuccessorDelaysMaintenanceUntilFormerOwnersAreOver(t *testing.T) {
+	w := newWaveRig(t, 1)
+	w.core.predecessorsOver = false
+	w.step(WavesRequested{Waves: []Wave{{Number: 1, Machines: w.machineIDs(), Duration: 20 * time.Second, Cap: 1}}})
+	w.advanceAnswering(6*time.Second, func() {})
+	w.core.EndPredecessors(w.now)
+	w.advanceAnswering(predecessorOrderTimeout-200*time.Millisecond, func() {})
+	assert.Equal(t, len(w.maintenanceOrders), 0)
+	w.advanceAnswering(4*time.Second, func() {})
+	assert.Equal(t, len(w.maintenanceOrders), 1)
+}
