node: a new owner reaches a predecessor that has left the list of instances

Callers see jobs wait for 48 s instead of 7 s after an owner's planned stop, if there are two instances and a worker crashes at that time: its successor waits until the votes of the leaving instance expire.

The predecessor hands the pool over and removes its entry, right before the successor informs it of its claim, and an instance without an entry wasn't called. Its process still runs until it has ended, so it is called at its last address. What answers there in the place of an ended process counts as before.

--- a/node/peers.go
+++ b/node/peers.go
@@ -78,6 +78,8 @@
 	byKey map[string]peerEntry
 	conns map[string]*peerConn
 	gone  map[process]bool // processes known to have ended
+	// addrOf is each instance's newest address, also of one that has left the list: its process may still run.
+	addrOf map[string]string
 	// maxima holds the highest Cores and LinkRate of all entries. updateEntries computes it.
 	maxima peerEntry
 	// renewedAt is when each instance's newest entry was read, readable or not, and asOf a time such that all entries are known that were
@@ -102,7 +104,7 @@
 }
 
 func newPeers(n *Node) *peers {
-	p := &peers{node: n, byKey: map[string]peerEntry{}, conns: map[string]*peerConn{}, gone: map[process]bool{}, renewedAt: map[string]time.Duration{},
+	p := &peers{node: n, byKey: map[string]peerEntry{}, conns: map[string]*peerConn{}, gone: map[process]bool{}, addrOf: map[string]string{}, renewedAt: map[string]time.Duration{},
 		changed: make(chan struct{}, 1)}
 	p.voter.Store(n.incarnation)
 	p.voterSince = n.now()
@@ -231,7 +233,7 @@
 			}
 			continue
 		}
-		p.byKey[rec.Key] = e
+		p.byKey[rec.Key], p.addrOf[rec.Key] = e, e.Addr
 	}
 	p.asOf = max(p.asOf, b.asOf)
 	p.maxima = peerEntry{}
@@ -334,10 +336,10 @@
 // callInstance is call with the instance's name.
 func (p *peers) callInstance(ctx context.Context, name, method string, args, reply any) error {
 	p.mu.Lock()
-	addr := p.byKey[name].Addr
+	addr := p.addrOf[name]
 	p.mu.Unlock()
 	if addr == "" {
-		return errors.Wrapf(errPeerUnreachable, "instance %s isn't listed", name)
+		return errors.Wrapf(errPeerUnreachable, "instance %s has never been listed", name)
 	}
 	return p.call(ctx, addr, method, args, reply, peerTimeout)
 }
