pool: a worker that refuses former owners isn't waited for

A worker that has answered under the new owner's token refuses former ones, and one that has started again gets no starts from an owner that the store doesn't confirm. So its inherited leases are bounded from its first answer. TestWorkersThatRefuseFormerOwnersAreNotWaitedFor fails without that.

--- a/pool/worker.go
+++ b/pool/worker.go
@@ -174,13 +174,19 @@
 		switch {
 		case w.isOver:
 		case c.boundsInheritedLeases(), c.predecessorsOver && !w.listed:
-			w.leaseExpiry = min(w.leaseExpiry, max(w.grantedEnd, c.now+c.maxInheritedLease()))
+			c.boundInheritedLease(w)
+		case w.fenced: // see holdAnswered
 		default:
 			w.leaseExpiry = never
 		}
 	}
 }
 
+// boundInheritedLease notes that former owners renew the worker's leases no more.
+func (c *Core) boundInheritedLease(w *worker) {
+	w.leaseExpiry = min(w.leaseExpiry, max(w.grantedEnd, c.now+c.maxInheritedLease()))
+}
+
 // maxInheritedLease returns how long a predecessor's leases may last once it can't be confirmed any more.
 // A predecessor grants the same lease as this owner. Using the longest lease that workers grant instead, 10 s at one
 // site, delayed all inherited jobs by 10.5 s after each restart of all processes if one worker
@@ -414,7 +420,10 @@
 	c.checkStalledRuns(w)
 	c.clearProvenRuns(w)
 	c.adjustPace(w)
-	w.fenced = true
+	if !w.fenced {
+		w.fenced = true
+		c.boundInheritedLease(w) // it refuses former owners from now on
+	}
 	if !e.Truncated && !w.reconciled {
 		w.reconciled = true
 		c.replan, c.retryAllSteps = true, true
