node: votes last for two minutes, and lost electors are waited for longer than a partition of regions

Two waits depend on for how long votes count without the store. An owner in an outage of the store beside a dead elector stops after that time.

If no elector can be reached at all, the former owner may be confirmed by all of them. Regions lose each other for an hour now and then, so five minutes were too short: a new owner waits for 90 minutes, unless the processes start again or the workers answer.

--- a/node/deposition.go
+++ b/node/deposition.go
@@ -7,8 +7,8 @@
 )
 
 // electorsLostTimeout is how long a new owner waits for a predecessor none of whose electors can be reached, and none of
-// which is known to have ended.
-const electorsLostTimeout = 2 * voteDuration
+// which is known to have ended. It is longer than regions lose each other.
+const electorsLostTimeout = 90 * time.Minute
 
 // deposition finds out when former owners can't be confirmed any more.
 type deposition struct {
--- a/node/electors.go
+++ b/node/electors.go
@@ -27,7 +27,7 @@
 	// voteDuration is how long after its last accepted entry among the instances the answer of an elector counts unless
 	// all electors answer. An outage of the store in which electors die stops the owner after that time, and a new owner
 	// waits that long if most electors are gone for good.
-	voteDuration = 5 * time.Minute
+	voteDuration = 2 * time.Minute
 	// maxElectorSilence is the time without a new entry after which an owner names another elector.
 	maxElectorSilence = 3 * announceInterval
 	// voteExpiry is how long after the newest entry that was read of an elector a new owner takes its answer for
