node: a claim is this instance's only with the electors that it was made with

An unanswered claim that is repeated with the same epoch, once in 256, passed for the stored one although that names other electors. The record that is read back has to equal the one that was stored. By reading; no test shows it alone, TestClaimUnderAnEpochThatAnotherInstanceUsedFails covers the comparison.

--- a/node/claiming.go
+++ b/node/claiming.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"maps"
@@ -150,7 +151,7 @@
 	if err != nil || len(own.records) == 0 {
 		return streamRange{}, ErrInDoubt // if it is read later, it is handled as a claim that took effect late
 	}
-	if kept, err := checkRecord(own.records[0]); err != nil || kept == nil || kept.claim != c.claim {
+	if kept, err := checkRecord(own.records[0]); err != nil || kept == nil || !bytes.Equal(own.records[0].Value, pool.Encode(c)) {
 		return streamRange{}, errClaimedByOther
 	}
 	return own, nil
