--- a/node/deposition.go
+++ b/node/deposition.go
@@ -10,11 +10,16 @@
 // which is known to have ended. It is longer than regions lose each other.
 const electorsLostTimeout = 90 * time.Minute
 
+// formerOwnerLogInterval is how often a new owner logs for which electors it waits.
+const formerOwnerLogInterval = 5 * time.Second
+
 // deposition finds out when former owners can't be confirmed any more.
 type deposition struct {
-	peers   *peers
-	began   time.Duration
-	pending []formerOwner
+	peers *peers
+	began time.Duration
+	// loggedAt is when it was last logged for which electors the owner waits.
+	loggedAt time.Duration
+	pending  []formerOwner
 	// knowing holds the electors that know the new claim, or have been replaced, and gaveUp the former owners'
 	// processes that don't own the pool any more.
 	knowing map[elector]bool
@@ -23,16 +28,37 @@
 
 // deposeFormer informs the electors of former owners of this instance's claim until none of these owners can be confirmed.
 func (o *ownership) deposeFormer(former []formerOwner) {
-	d := deposition{peers: o.pc.node.peers, began: o.pc.node.now(), pending: former, knowing: map[elector]bool{}, gaveUp: map[process]bool{}}
+	now := o.pc.node.now()
+	d := deposition{peers: o.pc.node.peers, began: now, loggedAt: now, pending: former, knowing: map[elector]bool{}, gaveUp: map[process]bool{}}
 	for {
 		d.round(o)
 		if len(d.pending) == 0 || o.ctx.Err() != nil {
 			return
 		}
+		d.logPending(o)
 		sleep(o.ctx, heartbeatInterval)
 	}
 }
 
+// logPending logs each formerOwnerLogInterval which former owners may still be confirmed, and by which electors.
+func (d *deposition) logPending(o *ownership) {
+	now := d.peers.node.now()
+	if now-d.loggedAt < formerOwnerLogInterval {
+		return
+	}
+	d.loggedAt = now
+	for _, f := range d.pending {
+		var missing []string
+		for _, e := range f.Electors {
+			if !d.knows(e) {
+				missing = append(missing, e.Node)
+			}
+		}
+		o.pc.log.Info().Uint64("epoch", o.claim.Epoch).Str("before", f.Node).Uint64("former", f.Epoch).Int("electors", len(f.Electors)).
+			Strs("missing", missing).Dur("waited", now-d.began).Msg("pool.former_owner_pending")
+	}
+}
+
 // round asks each instance once that may matter.
 func (d *deposition) round(o *ownership) {
 	self := NoteClaimReply{Instance: d.peers.node.opts.Name, Life: d.peers.node.incarnation, Voter: d.peers.voter.Load(), NotOwner: true}
--- a/node/dump.go
+++ b/node/dump.go
@@ -35,6 +35,11 @@
 	Copied bool `json:"copied"`
 	// Owned is set if this instance is the owner. Only then are the fields below known.
 	Owned bool `json:"owned"`
+	// Electors are the instances that confirm the owner while the store doesn't.
+	Electors []string `json:"electors,omitempty"`
+	// FormerOwners are the earlier owners that may still be confirmed. Until there are none, tasks of workers that the
+	// owner doesn't reach aren't started again.
+	FormerOwners []FormerOwnerDump `json:"formerOwners,omitempty"`
 	// Unjudged says why the owner accepts all jobs at present without admission control; empty: it
 	// applies admission control.
 	Unjudged string `json:"unjudged,omitempty"`
@@ -50,6 +55,13 @@
 	Error string `json:"error,omitempty"`
 }
 
+// FormerOwnerDump is an earlier owner of a pool that its electors may still confirm.
+type FormerOwnerDump struct {
+	Owner    string   `json:"owner"`
+	Epoch    uint64   `json:"epoch"`
+	Electors []string `json:"electors"`
+}
+
 // Dump returns this instance's state for operators.
 func (n *Node) Dump(ctx context.Context) Dump {
 	d := Dump{Version: n.configVersion(), Pools: []PoolDump{}, Readers: n.readers.dump()}
@@ -77,6 +89,7 @@
 		return d
 	}
 	d.Epoch = pc.own.claim.Epoch
+	d.addElectors(pc.own.electorate)
 	if d.Unjudged = pc.own.noAdmissionReason(); pc.own.loaded {
 		report := pc.own.core.AdmissionReport(pc.node.now())
 		report.Queues = slices.DeleteFunc(report.Queues, pc.belongsToOtherPool)
@@ -87,6 +100,26 @@
 	return d
 }
 
+// addElectors adds an owner's electors and the former owners that aren't known to be over.
+func (d *PoolDump) addElectors(e *electorate) {
+	if e == nil {
+		return
+	}
+	rec, _ := e.record(claim{})
+	d.Electors = instancesOf(rec.Electors)
+	for _, f := range rec.Former {
+		d.FormerOwners = append(d.FormerOwners, FormerOwnerDump{Owner: f.Node, Epoch: f.Epoch, Electors: instancesOf(f.Electors)})
+	}
+}
+
+func instancesOf(electors []elector) []string {
+	var list []string
+	for _, e := range electors {
+		list = append(list, e.Node)
+	}
+	return list
+}
+
 // belongsToOtherPool reports whether another pool accepts a queue's jobs. A core is given all
 // queues, and would report for those that none of their workers is listed.
 func (pc *poolController) belongsToOtherPool(q pool.QueueAdmission) bool {
