node: electors whose clock was set back expire

What callers would have seen: a machine's clock is set back beyond the start of its process (a board without a battery-backed clock loses power), and the process starts again. A successor waits without end for the former process: its votes never expire, as the entries of the new process, which names a lower voter, renew those of the instance. With most electors in that state, a worker that doesn't answer holds up all inherited jobs for good (LOST).

Cause: voteExpired took the newest entry of the instance for one of the elector. An entry counts now only for the elector that it names, as far as all entries since were read and readable.

TestElectorBeforeItsClockWasSetBackExpires failed before. By reading; not played with whole instances, whose start times are of the real clock. A sole instance in that state still waits, as nobody else knows the claim (electorsLostTimeout).

--- a/node/peers.go
+++ b/node/peers.go
@@ -86,11 +86,13 @@
 	// stored before.
 	renewedAt map[string]time.Duration
 	asOf      time.Duration
+	// voterSince is since when each instance's entries that were read were all of the elector in the newest.
+	voterSince map[string]time.Duration
 	// announcedAt is when the newest entry of this instance was sent that the store has accepted; 0: there is none.
 	announcedAt atomic.Int64
 	voter       atomic.Int64 // see peerEntry.Voter
-	// voterSince is since when this process votes as that elector. It belongs to announce.
-	voterSince time.Duration
+	// ownVoterSince is since when this process votes as that elector. It belongs to announce.
+	ownVoterSince time.Duration
 	// loaded is set once the list has been read.
 	loaded atomic.Bool
 	// changed wakes announce after a change of this instance's entry.
@@ -104,10 +106,10 @@
 }
 
 func newPeers(n *Node) *peers {
-	p := &peers{node: n, byKey: map[string]peerEntry{}, conns: map[string]*peerConn{}, gone: map[process]bool{}, addrOf: map[string]string{}, renewedAt: map[string]time.Duration{},
+	p := &peers{node: n, byKey: map[string]peerEntry{}, conns: map[string]*peerConn{}, gone: map[process]bool{}, addrOf: map[string]string{}, renewedAt: map[string]time.Duration{}, voterSince: map[string]time.Duration{},
 		changed: make(chan struct{}, 1)}
 	p.voter.Store(n.incarnation)
-	p.voterSince = n.now()
+	p.ownVoterSince = n.now()
 	return p
 }
 
@@ -147,7 +149,7 @@
 
 // votesHaveExpired reports whether no entry of this process as its present elector was accepted for voteDuration.
 func (p *peers) votesHaveExpired() bool {
-	return p.node.now()-max(p.voterSince, time.Duration(p.announcedAt.Load())) >= voteDuration
+	return p.node.now()-max(p.ownVoterSince, time.Duration(p.announcedAt.Load())) >= voteDuration
 }
 
 // renewVoter makes this process another elector if its votes have expired: a successor may take them for over, so an entry
@@ -160,7 +162,7 @@
 	if _, _, _, err := p.node.store.Newest(withTimeout(ctx, storeProbeTimeout), Topic{Name: peersTopicName}, ""); err != nil {
 		return false
 	}
-	p.voterSince = p.node.now()
+	p.ownVoterSince = p.node.now()
 	p.voter.Store(max(p.voter.Load()+1, time.Now().UnixNano()))
 	p.node.log.Info().Dur("age", p.announceAge()).Msg("elector.replaced")
 	return true
@@ -231,8 +233,12 @@
 			if old, known := before[rec.Key]; known {
 				p.byKey[rec.Key] = old // the instance will write its entry again soon
 			}
+			p.voterSince[rec.Key] = p.node.now() // it may be any elector's
 			continue
 		}
+		if b.reset || before[rec.Key].elector() != e.elector() { // earlier entries weren't read, or are another elector's
+			p.voterSince[rec.Key] = p.node.now()
+		}
 		p.byKey[rec.Key], p.addrOf[rec.Key] = e, e.Addr
 	}
 	p.asOf = max(p.asOf, b.asOf)
@@ -316,7 +322,11 @@
 func (p *peers) voteExpired(e elector, since time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.asOf-max(p.renewedAt[e.Node], since) > voteExpiry
+	renewed := p.renewedAt[e.Node]
+	if entry, listed := p.byKey[e.Node]; listed && entry.elector() != e {
+		renewed = p.voterSince[e.Node] // by another process
+	}
+	return p.asOf-max(renewed, since) > voteExpiry
 }
 
 // announceAge returns how long ago this instance's newest accepted entry was sent.
