pool: only the store lets an owner use an incarnation of a worker that it hasn't known

What callers saw: nothing yet; found by the review. An owner that only its electors confirm, and that still reads the list of workers, reaches a later incarnation of a worker for the first time. Its successor may have reached the one before, and taken the worker for one that refuses former owners. Restarts were noticed only of workers that the owner had reached before.

Any incarnation that the owner has the first answer of gets tasks once the store has accepted an append since, unless a predecessor has stored it.

--- a/pool/electorconfirmed_test.go
+++ b/pool/electorconfirmed_test.go
@@ -47,9 +47,9 @@
 	r.answerHold("w1", nil)
 	w := r.core.workers["w1"]
 	assert.Assert(t, r.core.acceptsTasks(w))
-	w.restartSeenAt = r.now + time.Millisecond
+	w.incarnationSeenAt = r.now + time.Millisecond
 	r.core.Confirm(r.now, r.now)
 	assert.Assert(t, !r.core.acceptsTasks(w))
-	r.core.Confirm(r.now, w.restartSeenAt)
+	r.core.Confirm(r.now, w.incarnationSeenAt)
 	assert.Assert(t, r.core.acceptsTasks(w))
 }
--- a/pool/incarnation.go
+++ b/pool/incarnation.go
@@ -35,7 +35,7 @@
 	if w.incarnation != 0 {
 		c.workerRestarted(w, e)
 	}
-	w.incarnation = e.Born
+	w.incarnation, w.incarnationSeenAt = e.Born, c.now
 	return true
 }
 
@@ -64,7 +64,6 @@
 	c.workerCrashed(w, true)
 	w.incarnation = e.Born
 	w.restarts++
-	w.restartSeenAt = c.now
 	for _, r := range ended {
 		if r.startsSent > 1 || r.phase == unconfirmed {
 			c.blockLateStart(r)
--- a/pool/place.go
+++ b/pool/place.go
@@ -395,8 +395,8 @@
 	if w.Born != 0 && w.Born != w.incarnation {
 		return false // its capacity is that of another incarnation
 	}
-	if !c.wasOwnerAt(w.restartSeenAt) {
-		return false // a successor may have reached the former incarnation, and this one takes starts of either
+	if !c.wasOwnerAt(w.incarnationSeenAt) {
+		return false // a successor may have reached a former incarnation, and this one takes starts of either
 	}
 	return !c.listOutdated() && w.tracked && w.fenced && !w.silent && !w.silence.stored && c.now-w.answeredAt < silentAfter && c.now >= w.pausedUntil
 }
--- a/pool/worker.go
+++ b/pool/worker.go
@@ -93,9 +93,9 @@
 	runsKnown   bool  // a predecessor's silence record lists all that may run on it
 	incarnation int64 // whose runs and ends are known here, see WorkerInfo.Born; 0: unknown
 	restarts    int   // noticed under the same ID
-	// restartSeenAt is when the last restart was noticed; 0: there was none.
-	restartSeenAt time.Duration
-	fencing       workerFencing
+	// incarnationSeenAt is when this owner first had an answer of the incarnation, unless a predecessor had one.
+	incarnationSeenAt time.Duration
+	fencing           workerFencing
 	// unansweredStartAt is when a start was last found to have no answer; 0: never.
 	unansweredStartAt time.Duration
 	clockMs           int64
