--- a/node/deposition.go
+++ b/node/deposition.go
@@ -137,13 +137,16 @@
 	if owner := (process{f.Node, f.Life}); d.gaveUp[owner] || d.peers.hasRestarted(owner) {
 		return true, "its process has given the pool up"
 	}
-	knowing, expired := 0, 0
+	knowing, expired, left := 0, 0, 0
 	for _, e := range f.Electors {
 		switch {
 		case d.knows(e):
 			knowing++
 		case d.peers.voteExpired(e, d.began):
 			expired++
+			if !d.peers.isListed(e.Node) {
+				left++
+			}
 		}
 	}
 	switch enough := majority(len(f.Electors)); {
@@ -152,6 +155,8 @@
 	case knowing > 0 && knowing+expired >= enough:
 		// Without the votes that have expired it needs all electors.
 		return true, "its electors know the new claim or are silent"
+	case left == len(f.Electors):
+		return true, "all its electors have left"
 	case knowing == 0 && expired == len(f.Electors) && d.peers.node.now()-d.began > electorsLostTimeout:
 		return true, "all its electors are silent"
 	}
--- a/node/electors_internal_test.go
+++ b/node/electors_internal_test.go
@@ -62,22 +62,25 @@
 	for _, c := range []struct {
 		name             string
 		knowing, expired int
+		left             int // of those that have expired
 		gaveUp           bool
 		waited           time.Duration
 		want             bool
 	}{
-		{"nothing is known", 0, 0, false, 0, false},
-		{"its process has given up", 0, 0, true, 0, true},
-		{"a minority knows", 4, 0, false, 0, false},
-		{"a minority knows, for long", 4, 0, false, time.Hour, false},
-		{"most know", 5, 0, false, 0, true},
-		{"some know, others have expired", 1, 4, false, 0, true},
-		{"too few have expired", 1, 3, false, 0, false},
-		{"all have expired", 0, 9, false, electorsLostTimeout, false},
-		{"all have expired, for long", 0, 9, false, electorsLostTimeout + 1, true},
-		{"most have expired, for long", 0, 8, false, electorsLostTimeout + 1, false},
+		{"nothing is known", 0, 0, 0, false, 0, false},
+		{"its process has given up", 0, 0, 0, true, 0, true},
+		{"a minority knows", 4, 0, 0, false, 0, false},
+		{"a minority knows, for long", 4, 0, 0, false, time.Hour, false},
+		{"most know", 5, 0, 0, false, 0, true},
+		{"some know, others have expired", 1, 4, 0, false, 0, true},
+		{"too few have expired", 1, 3, 0, false, 0, false},
+		{"all have expired", 0, 9, 0, false, electorsLostTimeout, false},
+		{"all have expired, for long", 0, 9, 0, false, electorsLostTimeout + 1, true},
+		{"most have expired, for long", 0, 8, 0, false, electorsLostTimeout + 1, false},
+		{"all have left", 0, 9, 9, false, 0, true},
+		{"most have left", 0, 9, 8, false, 0, false},
 	} {
-		electors := testElectors(make([]int64, 9)...)
+		electors := testElectors(1, 1, 1, 1, 1, 1, 1, 1, 1)
 		p := &peers{renewedAt: map[string]time.Duration{}, byKey: map[string]peerEntry{}, asOf: now, node: &Node{opts: Settings{Now: func() time.Duration { return now }}}}
 		d := deposition{peers: p, began: now - max(c.waited, voteExpiry+1), knowing: map[elector]bool{}, gaveUp: map[process]bool{{electors[8].Node, electors[8].Voter}: c.gaveUp}}
 		for i, e := range electors {
@@ -86,6 +89,9 @@
 			if i >= c.knowing && i < c.knowing+c.expired {
 				p.renewedAt[e.Node] = now - voteExpiry - 1
 			}
+			if i >= c.knowing+c.left {
+				p.byKey[e.Node] = peerEntry{name: e.Node, Addr: e.Node, Voter: e.Voter}
+			}
 		}
 		over, _ := d.isOver(formerOwner{claim: claim{Node: electors[8].Node, Life: electors[8].Voter}, Electors: electors})
 		assert.Equal(t, over, c.want, c.name)
--- a/node/peers.go
+++ b/node/peers.go
@@ -318,6 +318,13 @@
 	return p.byKey[e.Node].elector().Voter > e.Voter
 }
 
+// isListed reports whether an instance has an entry in the list. Those that leave as planned remove theirs.
+func (p *peers) isListed(name string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.byKey[name].Addr != ""
+}
+
 // voteExpired reports whether an elector has certainly not renewed its entry for voteDuration, nor since the given time.
 func (p *peers) voteExpired(e elector, since time.Duration) bool {
 	p.mu.Lock()
