scenario/soak: partitions cut the links of instances that have not owned a pool yet

What is seen: with -owner-faults a successor reaches all workers although the fault says that it is cut off from some; the former owner ends in 50 ms ("worker w15 has seen a newer owner"), so that no task can run twice and the soak shows nothing. Cause: proxies to workers were started when an instance read the list of workers, which only owners do. A fault found no proxy to cut, and the proxies that the successor then got had none.

--- a/scenario/soak/isolation.go
+++ b/scenario/soak/isolation.go
@@ -57,6 +57,22 @@
 	return p.addr()
 }
 
+// openLinks starts the proxies between all instances and workers. An instance that owns no pool doesn't read the list of
+// workers, so that a partition would find no proxies to cut, and a successor would reach all workers.
+func (r *run) openLinks() {
+	workers := r.world.Workers()
+	for _, i := range r.instances {
+		for _, id := range workers {
+			i.access.wire.WorkerAddr(id)
+		}
+		for _, addr := range r.peerAddrs {
+			if addr != i.config.Peers {
+				r.proxyTo(i.access.peers, addr, addr)
+			}
+		}
+	}
+}
+
 // owner returns the instance that last stored something as the owner of a pool.
 func (r *run) owner() *instance {
 	return slices.MaxFunc(r.instances, func(a, b *instance) int { return a.access.wire.OwnedAt().Compare(b.access.wire.OwnedAt()) })
@@ -72,6 +88,7 @@
 		}
 		i := r.owner()
 		r.disturbed()
+		r.openLinks()
 		switch rng.IntN(3) {
 		case 0:
 			sleep(ctx, r.pauseTwice(ctx, i, rng))
