scenario/soak: a successor reaches workers by its own links

What is seen: in a partition with resets the successor reaches the workers on its predecessor's side in its first 100 ms, so that the predecessor ends at once; also with -owner-faults. Cause: an owner stores the addresses at which it has reached workers, which are those of its own proxies, and a successor calls these before it has read the list of workers. The addresses in owners' records are replaced by the reader's, as those of peers are.

--- a/scenario/soak/isolation.go
+++ b/scenario/soak/isolation.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"math/rand/v2"
+	"regexp"
 	"slices"
 	"sync"
 	"syscall"
@@ -30,18 +31,37 @@
 	if a.store, err = newProxy(a.wire.Store()); err != nil {
 		return nil, err
 	}
-	a.wire.Between = func(worker, addr string) string { return r.proxyTo(a.workers, worker, addr) }
+	a.wire.Between = func(worker, addr string) string {
+		proxied := r.proxyTo(a.workers, worker, addr)
+		r.workersByProxy.Store(proxied, worker)
+		return proxied
+	}
 	a.wire.Rewrite = func(rec pool.Record) pool.Record {
 		for _, addr := range r.peerAddrs {
 			if addr != self && bytes.Contains(rec.Value, []byte(`"`+addr+`"`)) {
 				rec.Value = bytes.ReplaceAll(rec.Value, []byte(`"`+addr+`"`), []byte(`"`+r.proxyTo(a.peers, addr, addr)+`"`))
 			}
 		}
+		rec.Value = r.replaceWorkerAddrs(rec.Value, a)
 		return rec
 	}
 	return a, nil
 }
 
+var quotedAddr = regexp.MustCompile(`"127\.0\.0\.1:\d+"`)
+
+// replaceWorkerAddrs replaces the addresses of workers in a record of an owner, which are those of the owner's proxies, by
+// those of the reader's. A successor would otherwise reach workers by its predecessor's links.
+func (r *run) replaceWorkerAddrs(value []byte, reader *access) []byte {
+	return quotedAddr.ReplaceAllFunc(value, func(quoted []byte) []byte {
+		worker, known := r.workersByProxy.Load(string(bytes.Trim(quoted, `"`)))
+		if !known {
+			return quoted
+		}
+		return []byte(`"` + reader.wire.WorkerAddr(worker.(string)) + `"`)
+	})
+}
+
 // proxyTo returns the address of the proxy to a target, which it starts if there is none.
 func (r *run) proxyTo(list map[string]*proxy, name, target string) string {
 	r.mu.Lock()
--- a/scenario/soak/isolation_test.go
+++ b/scenario/soak/isolation_test.go
@@ -7,6 +7,7 @@
 	is "gotest.tools/v3/assert/cmp"
 
 	"github.com/knapweedweir/knapweedweir/platform/wirestand"
+	"github.com/knapweedweir/knapweedweir/pool"
 	"github.com/knapweedweir/knapweedweir/standin/machines"
 )
 
@@ -22,8 +23,9 @@
 	return list
 }
 
-// Guards against partitions that leave a successor's links to workers alone, since it hadn't read the list of workers before.
-func TestLinksToWorkersExistBeforeAnInstanceOwnsAPool(t *testing.T) {
+// newUnstartedRun returns a run with two instances, which haven't been started, and three workers.
+func newUnstartedRun(t *testing.T) *run {
+	t.Helper()
 	r := &run{world: machines.New(1), peerAddrs: []string{"127.0.0.1:1", "127.0.0.1:2"}}
 	r.wire = wirestand.New(r.world)
 	t.Cleanup(r.close)
@@ -37,6 +39,12 @@
 		i.config.Peers = addr
 		r.instances = append(r.instances, i)
 	}
+	return r
+}
+
+// Guards against partitions that leave a successor's links to workers alone, since it hadn't read the list of workers before.
+func TestLinksToWorkersExistBeforeAnInstanceOwnsAPool(t *testing.T) {
+	r := newUnstartedRun(t)
 	r.openLinks()
 	for _, i := range r.instances {
 		for _, id := range r.world.Workers() {
@@ -45,3 +53,15 @@
 		assert.Assert(t, is.Len(i.access.peers, 1))
 	}
 }
+
+// Guards against a successor that reaches workers by its predecessor's links: an owner stores where it has reached workers.
+func TestOwnersRecordsLeadToTheReadersLinks(t *testing.T) {
+	r := newUnstartedRun(t)
+	r.openLinks()
+	owner, reader := r.instances[0].access, r.instances[1].access
+	stored := func(a *access) []byte {
+		return []byte(`[{"id":"w1","addr":"` + a.wire.WorkerAddr("w1") + `"},{"id":"w2","addr":"127.0.0.1:3"}]`)
+	}
+	assert.Equal(t, string(reader.wire.Rewrite(pool.Record{Key: "workers", Value: stored(owner)}).Value), string(stored(reader)))
+	assert.Equal(t, string(owner.wire.Rewrite(pool.Record{Key: "workers", Value: stored(owner)}).Value), string(stored(owner)))
+}
--- a/scenario/soak/soak.go
+++ b/scenario/soak/soak.go
@@ -106,7 +106,9 @@
 	instances []*instance
 	ports     []*cell.Block
 	peerAddrs []string
-	route     node.Route
+	// workersByProxy holds the worker that a proxy's address leads to.
+	workersByProxy sync.Map
+	route          node.Route
 	// changes is held while the world is changed, which in turn acquires mu.
 	changes sync.Mutex
 	version int64 // of the configuration
