--- a/scenario/soak/partitions.go
+++ b/scenario/soak/partitions.go
@@ -15,6 +15,8 @@
 	SplitPartitions = "split"
 	// MajorityPartitions are SplitPartitions with two thirds of the other instances beside the owner.
 	MajorityPartitions = "majority"
+	// MinorityPartitions are SplitPartitions with a third of the other instances beside the owner.
+	MinorityPartitions = "minority"
 	// StorePartitions cut the owner's side off from the store, and the other instances from its workers. The instances
 	// still reach each other.
 	StorePartitions = "store"
@@ -33,7 +35,7 @@
 )
 
 // PartitionShapes are the valid values of Options.Partitions other than the empty one.
-var PartitionShapes = append(slices.Clone(drawnShapes), MajorityPartitions, AllPartitions)
+var PartitionShapes = append(slices.Clone(drawnShapes), MajorityPartitions, MinorityPartitions, AllPartitions)
 
 // partition is a fault of some links, which ends by itself.
 type partition struct {
@@ -150,6 +152,8 @@
 	switch shape {
 	case MajorityPartitions:
 		thirds = 2
+	case MinorityPartitions:
+		thirds = 1
 	case StorePartitions:
 		thirds %= 3 // an instance that reaches the store has to be left to claim the pool
 	}
