pool: a lost task is started again only while the store confirms the owner

What callers would see: a task runs again some time after its successor has read that the lost run ended as done. The lease was over for the owner before its successor claimed the pool, and the owner, confirmed by its electors, starts the task as soon as there is room.

TestLostTasksAreStartedOnlyByAnOwnerThatTheStoreConfirms fails without it.

--- a/pool/core.go
+++ b/pool/core.go
@@ -314,7 +314,7 @@
 
 // logLostRun logs the loss of a run, and how many workers have crashed in a row under its task.
 func (c *Core) logLostRun(r *run, reason string) {
-	r.task.lostRun = true
+	r.task.lostRun, r.task.step.lostRun = true, true
 	id := r.task.id()
 	c.emit(LogEntry{Event: "run.lost", Job: id.Job, Task: &id, Run: r.number, Worker: r.worker.ID, Incarnation: r.worker.incarnation, Reason: reason, Crashes: len(r.task.crashes)})
 }
--- a/pool/electorconfirmed_test.go
+++ b/pool/electorconfirmed_test.go
@@ -53,3 +53,36 @@
 	r.core.Confirm(r.now, w.incarnationSeenAt)
 	assert.Assert(t, r.core.acceptsTasks(w))
 }
+
+// Guards against an owner that only its electors confirm and that starts a task again whose lost run had ended as done: its
+// successor may have read that end.
+func TestLostTasksAreStartedOnlyByAnOwnerThatTheStoreConfirms(t *testing.T) {
+	r := newElectorConfirmedRig(t, newWorkerInfo("w1"), newWorkerInfo("w2"))
+	w1, w2 := r.core.workers["w1"], r.core.workers["w2"]
+	w2.pausedUntil = never
+	r.answerHold("w1", nil)
+	r.answerHold("w2", nil)
+	assert.Equal(t, len(takeActions[Start](r)), 1)
+	wait := func(d time.Duration, accepted bool) {
+		for end := r.now + d; r.now < end; {
+			if accepted {
+				r.core.Confirm(r.now, r.now)
+			}
+			r.core.Confirm(r.now, 0)
+			r.answerIfHeld("w2")
+			r.failHolds("w1")
+			r.advance(50 * time.Millisecond)
+			r.confirmSaves()
+		}
+	}
+	wait(10*time.Second, true)
+	assert.Equal(t, len(w1.runs), 0)
+	wait(predecessorRenewalTime, false)
+	w2.pausedUntil = 0
+	r.core.replan, r.core.retryAllSteps = true, true
+	wait(10*time.Second, false)
+	assert.Equal(t, len(takeActions[Start](r)), 0)
+	r.core.replan, r.core.retryAllSteps = true, true
+	wait(time.Second, true)
+	assert.Equal(t, len(takeActions[Start](r)), 1)
+}
--- a/pool/place.go
+++ b/pool/place.go
@@ -43,6 +43,9 @@
 	if !c.policy(s).known {
 		return false
 	}
+	if s.lostRun && !c.wasOwnerAt(c.now-predecessorRenewalTime) {
+		return false // a successor may know the ends of lost runs
+	}
 	return !j.inherited || c.takeoverComplete()
 }
 
--- a/pool/state.go
+++ b/pool/state.go
@@ -79,6 +79,7 @@
 	// delayRecorded is set once the step's wait is counted in its queue's delays.
 	delayRecorded bool
 	notBefore     time.Duration
+	lostRun       bool // a run of a task was lost
 	// turnAt is when the step last had its turn among those that can't earn anything any more.
 	turnAt time.Duration
 	// noneWaitingBefore is the earliest time at which a task can wait again; 0: unknown. It is
