--- a/node/peers.go
+++ b/node/peers.go
@@ -82,8 +82,8 @@
 	addrOf map[string]string
 	// maxima holds the highest Cores and LinkRate of all entries. updateEntries computes it.
 	maxima peerEntry
-	// renewedAt is when each instance's newest entry was read, readable or not, and asOf a time such that all entries are known that were
-	// stored before.
+	// renewedAt is when each instance's newest entry was read, readable or not, and asOf a time such that all entries are
+	// known that were stored before.
 	renewedAt map[string]time.Duration
 	asOf      time.Duration
 	// voterSince is since when each instance's entries that were read were all of the elector in the newest.
--- a/node/replica.go
+++ b/node/replica.go
@@ -118,13 +118,15 @@
 // name no electors and aren't among them.
 func (r *replica) formerOwners(epoch uint64) []formerOwner {
 	var list []formerOwner
-	over := uint64(0) // earlier owners up to this epoch are over unless they are in the list
+	// From the newest record back: each lists the earlier owners up to its FormerAsOf that aren't over. Owners between
+	// that and the record claimed at about the same time, and have records of their own.
+	over := uint64(0) // owners up to this epoch are over unless they are in the list
 	for _, e := range slices.Backward(slices.Sorted(maps.Keys(r.owners))) {
 		o := r.owners[e]
 		if e > epoch || e <= over {
 			continue
 		}
-		earlier := o.Former
+		earlier := o.Former // of the claim itself too, which may be all that is left in the store
 		if e < epoch {
 			earlier = append([]formerOwner{{o.claim, o.Electors}}, earlier...)
 		}
