standin/machines: an end whose worker's lease had lapsed isn't taken note of

Narrower than the rule: only up to 1.5 s after the acknowledgement, as long as a former owner may take itself for confirmed. Such starts are counted and shown by kw-soak.

--- a/node/partition_history_test.go
+++ b/node/partition_history_test.go
@@ -30,6 +30,7 @@
 var partitionRegressionSeeds = map[uint64]string{
 	1169: "an owner that only its electors confirmed started tasks elsewhere whose workers its successor reached",
 	1287: "as seed 1169, with 40 instances",
+	5200: "an owner starts a task 0.2 s after its successor has acknowledged the end of the lost run; its lease had lapsed, so the end doesn't count",
 }
 
 // partitionSeeds returns the seeds of one kind of histories with partitions.
--- a/scenario/soak/soak.go
+++ b/scenario/soak/soak.go
@@ -77,7 +77,10 @@
 	// LateStartsAfterEnd counts late orders that have started a task after its end was acknowledged, on workers
 	// that no owner had fenced yet. They are no findings.
 	LateStartsAfterEnd int
-	Faults             []string // in order of injection
+	// StartsAfterLapsedEnd counts the starts of tasks right after an end was acknowledged before which its worker's lease
+	// had lapsed. They are no findings.
+	StartsAfterLapsedEnd int
+	Faults               []string // in order of injection
 }
 
 // Program is the package of the program under test.
@@ -178,7 +181,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.report.Accepted = len(r.accepted)
-	r.report.LateStartsAfterEnd = r.world.Referee.LateStartsAfterEnd()
+	r.report.LateStartsAfterEnd, r.report.StartsAfterLapsedEnd = r.world.Referee.LateStartsAfterEnd(), r.world.Referee.StartsAfterLapsedEnd()
 	r.report.Findings = append(r.report.Findings, r.world.Referee.Findings...)
 	if n := r.world.SizesRefused(); n > 0 && r.OlderBinary == "" {
 		r.report.Findings = append(r.report.Findings, fmt.Sprintf("SIZE: the store refused %d appends because of their size", n))
--- a/standin/machines/referee.go
+++ b/standin/machines/referee.go
@@ -34,6 +34,9 @@
 	// lateStartsAfterEnd counts the starts of tasks whose end as done was acknowledged before, by late orders that
 	// nothing could prevent.
 	lateStartsAfterEnd int
+	// startsAfterLapsedEnd counts the starts of tasks whose end as done was acknowledged before, but after the lease of
+	// its worker had lapsed: such an end doesn't count as taken note of.
+	startsAfterLapsedEnd int
 }
 
 type jobRecord struct {
@@ -48,6 +51,7 @@
 	cancelling   bool
 	done         map[pool.TaskID]bool
 	acknowledged map[pool.TaskID]time.Time // when the end as done was acknowledged
+	lapsedEnds   map[pool.TaskID]bool      // the lease lapsed between the end as done and its acknowledgement
 	lastStart    map[pool.TaskID]time.Time // when a run of the task last started
 	failures     map[pool.TaskID]int       // runs whose failure was acknowledged
 	// failedRuns are the failed runs, acknowledged or not.
@@ -73,7 +77,7 @@
 	r.w.mu.Lock()
 	defer r.w.mu.Unlock()
 	if r.jobs[j.ID] == nil {
-		r.jobs[j.ID] = &jobRecord{Job: j, attempts: attempts, done: map[pool.TaskID]bool{}, acknowledged: map[pool.TaskID]time.Time{}, lastStart: map[pool.TaskID]time.Time{}, failures: map[pool.TaskID]int{}, failedRuns: map[pool.TaskID]map[int]bool{},
+		r.jobs[j.ID] = &jobRecord{Job: j, attempts: attempts, done: map[pool.TaskID]bool{}, acknowledged: map[pool.TaskID]time.Time{}, lapsedEnds: map[pool.TaskID]bool{}, lastStart: map[pool.TaskID]time.Time{}, failures: map[pool.TaskID]int{}, failedRuns: map[pool.TaskID]map[int]bool{},
 			crashes: map[pool.TaskID]int{}, startsAfterCrashes: map[pool.TaskID]int{},
 			lostRuns: map[pool.TaskID]int{}}
 	}
@@ -231,6 +235,10 @@
 // maxOrderDelay is the longest delay of a late order, see SetLateOrders.
 const maxOrderDelay = 12 * time.Second
 
+// maxStartAfterLapsedEnd is how long after its successor has acknowledged an end whose worker's lease had lapsed a former
+// owner may still start the task: until its ownership isn't confirmed any more.
+const maxStartAfterLapsedEnd = 1500 * time.Millisecond
+
 // maxStartAfterEnd returns how long after the end of a task was acknowledged a copy of it may still arrive, where copies are
 // permitted: an owner may have sent the start before it knew of the end.
 func (r *Referee) maxStartAfterEnd() time.Duration {
@@ -267,6 +275,8 @@
 	case !acknowledged || (limit > 1 && time.Since(at) <= r.maxStartAfterEnd()):
 	case limit == 1 && o.isLate() && !x.heldTwice:
 		r.lateStartsAfterEnd++
+	case limit == 1 && j.lapsedEnds[s.Task] && time.Since(at) <= maxStartAfterLapsedEnd:
+		r.startsAfterLapsedEnd++
 	default:
 		r.finding("TWICE", "%v started again on %s, %s, after its end was noted (%s)", s.Task, x.id, x.age(), o.describe(s))
 	}
@@ -342,6 +352,8 @@
 	case pool.Done:
 		if _, known := j.acknowledged[e.Task]; !known {
 			j.acknowledged[e.Task] = time.Now()
+			ended, known := x.endedAt[e.Number]
+			j.lapsedEnds[e.Task] = known && x.lapsedAt.After(ended)
 		}
 		r.checkStartsSince(x, j, e)
 	case pool.RunFailed:
@@ -409,6 +421,14 @@
 	return r.lateStartsAfterEnd
 }
 
+// StartsAfterLapsedEnd returns how many tasks were started again shortly after an end as done was acknowledged before which
+// the lease of its worker had lapsed.
+func (r *Referee) StartsAfterLapsedEnd() int {
+	r.w.mu.Lock()
+	defer r.w.mu.Unlock()
+	return r.startsAfterLapsedEnd
+}
+
 // Knows reports whether a caller has submitted a job with this ID.
 func (r *Referee) Knows(job string) bool {
 	r.w.mu.Lock()
