scenario/soak: one-way cuts that always take the store and the other instances

The shape oneway-store always cuts both.

Tests: TestOneWayCutsLoseOneDirectionOfEachKind, unchanged but for the argument.

--- a/scenario/soak/partitions.go
+++ b/scenario/soak/partitions.go
@@ -22,6 +22,8 @@
 	StorePartitions = "store"
 	// OneWayPartitions lose what one side sends to the other, on some kinds of links.
 	OneWayPartitions = "oneway"
+	// OneWayStorePartitions are OneWayPartitions that always cut the links to the store and between instances.
+	OneWayStorePartitions = "oneway-store"
 	// SeriesPartitions begin a second partition around the owner at that time before the first ends.
 	SeriesPartitions = "series"
 	// AllPartitions draws the shape of each partition.
@@ -35,7 +37,7 @@
 )
 
 // PartitionShapes are the valid values of Options.Partitions other than the empty one.
-var PartitionShapes = append(slices.Clone(drawnShapes), MajorityPartitions, MinorityPartitions, AllPartitions)
+var PartitionShapes = append(slices.Clone(drawnShapes), OneWayStorePartitions, MajorityPartitions, MinorityPartitions, AllPartitions)
 
 // partition is a fault of some links, which ends by itself.
 type partition struct {
@@ -208,8 +210,11 @@
 // drawFaults draws the faults of the links between the sides, and describes them.
 func (r *run) drawFaults(rng *rand.Rand, shape string, s side) (map[*proxy]fault, string) {
 	links := r.linksAcross(s)
-	if shape == OneWayPartitions {
-		return oneWay(rng, links)
+	switch shape {
+	case OneWayPartitions:
+		return oneWay(rng, links, 0)
+	case OneWayStorePartitions:
+		return oneWay(rng, links, 1<<toStore|1<<toInstance)
 	}
 	f := []fault{stalls, resets}[rng.IntN(2)]
 	faults := map[*proxy]fault{}
@@ -221,9 +226,10 @@
 	return faults, fmt.Sprintf("fault %d", f)
 }
 
-// oneWay draws kinds of links, and for each whether what the owner's side sends is lost or what it is sent.
-func oneWay(rng *rand.Rand, links []link) (faults map[*proxy]fault, what string) {
-	kinds := 1 + rng.IntN(1<<linkKinds-1) // a set of bits
+// oneWay draws kinds of links beside the given ones, and for each whether what the owner's side sends is lost or what it is
+// sent. Kinds are a set of bits.
+func oneWay(rng *rand.Rand, links []link, always int) (faults map[*proxy]fault, what string) {
+	kinds := (1 + rng.IntN(1<<linkKinds-1)) | always
 	lostFromOwner := rng.IntN(1 << linkKinds)
 	faults = map[*proxy]fault{}
 	for _, l := range links {
--- a/scenario/soak/partitions_test.go
+++ b/scenario/soak/partitions_test.go
@@ -48,7 +48,7 @@
 	lost := map[fault]fault{stallsRequests: stallsAnswers, stallsAnswers: stallsRequests}
 	seen := map[fault]bool{}
 	for seed := range uint64(50) {
-		faults, what := oneWay(rand.New(rand.NewPCG(seed, 0)), links)
+		faults, what := oneWay(rand.New(rand.NewPCG(seed, 0)), links, 0)
 		assert.Assert(t, len(faults) > 0, what)
 		for kind := range linkKinds {
 			fromOwner, toOwner := faults[proxies[2*kind]], faults[proxies[2*kind+1]]
