--- a/cmd/kwctl/room.go
+++ b/cmd/kwctl/room.go
@@ -166,8 +166,8 @@
 	if p.Unjudged != "" {
 		c.printf("takes all jobs: %s", p.Unjudged)
 	}
-	for _, f := range p.FormerOwners {
-		c.printf("tasks of workers that it doesn't reach wait: the former owner %s (epoch %d) may be confirmed by %s", f.Owner, f.Epoch, strings.Join(f.Electors, ", "))
+	for _, f := range p.Predecessors {
+		c.printf("tasks of workers that it doesn't reach wait: the predecessor %s (epoch %d) may be confirmed by %s", f.Owner, f.Epoch, strings.Join(f.Electors, ", "))
 	}
 	if p.AdmissionReport == nil {
 		return nil
--- a/cmd/kwctl/room_test.go
+++ b/cmd/kwctl/room_test.go
@@ -83,15 +83,15 @@
 }
 
 // Guards against an operator who sees that tasks wait after a takeover, and not for whom.
-func TestRoomShowsFormerOwners(t *testing.T) {
+func TestRoomShowsPredecessors(t *testing.T) {
 	f := newFakeEntry(t)
 	d := ownersDump()
-	d.Pools = []node.PoolDump{{Pool: 3, Owner: "edge-1", Epoch: 77, Owned: true, FormerOwners: []node.FormerOwnerDump{{Owner: "edge-2", Epoch: 70, Electors: []string{"edge-2", "edge-3"}}}}}
+	d.Pools = []node.PoolDump{{Pool: 3, Owner: "edge-1", Epoch: 77, Owned: true, Predecessors: []node.PredecessorDump{{Owner: "edge-2", Epoch: 70, Electors: []string{"edge-2", "edge-3"}}}}}
 	f.answer("GET /dump", 200, d)
 	r := kwctl(t, f.addr, "", "room", f.addr)
 	assert.DeepEqual(t, rows(r.out), []string{
 		"pool 3, owned by edge-1 under epoch 77",
-		"tasks of workers that it doesn't reach wait: the former owner edge-2 (epoch 70) may be confirmed by edge-2, edge-3",
+		"tasks of workers that it doesn't reach wait: the predecessor edge-2 (epoch 70) may be confirmed by edge-2, edge-3",
 	})
 }
 
--- a/node/claiming.go
+++ b/node/claiming.go
@@ -121,7 +121,7 @@
 		result := claimResult{claim: c}
 		if result.ranges, result.err = pc.checkBeforeClaim(ctx, next, old, rank); result.err == nil {
 			known.keepOwners(result.ranges)
-			c.Former, c.FormerAsOf = known.formerOwners(c.Epoch), known.newestOwner(c.Epoch)
+			c.Predecessors, c.PredecessorsAsOf = known.predecessors(c.Epoch), known.newestOwner(c.Epoch)
 			result.claim = c
 			var own streamRange
 			result.sentAt = pc.node.now()
@@ -151,8 +151,12 @@
 	if err != nil || len(own.records) == 0 {
 		return streamRange{}, ErrInDoubt // if it is read later, it is handled as a claim that took effect late
 	}
-	if kept, err := checkRecord(own.records[0]); err != nil || kept == nil || !bytes.Equal(own.records[0].Value, pool.Encode(c)) {
+	kept, err := checkRecord(own.records[0])
+	switch {
+	case err != nil || kept == nil || kept.claim != c.claim:
 		return streamRange{}, errClaimedByOther
+	case !bytes.Equal(own.records[0].Value, pool.Encode(c)):
+		return streamRange{}, errOtherElectors
 	}
 	return own, nil
 }
@@ -179,6 +183,9 @@
 // errClaimedByOther means that another instance has claimed the pool first.
 var errClaimedByOther = errors.New("another instance has just claimed the pool")
 
+// errOtherElectors means that the store holds an earlier attempt of this claim, which names other electors or predecessors.
+var errOtherElectors = errors.New("the store holds an earlier attempt of this claim, with other electors")
+
 // errIncompleteRead means that one read didn't return all stored records. A newer claim may be
 // among the rest: an instance that had just started took the pool from an owner whose claim it had
 // not read yet.
@@ -262,7 +269,7 @@
 	pc.wakeReader() // read up to the claim; the core is loaded then
 	pc.node.setOwned(pc.topic.Part, e.claim.claim)
 	pc.log.Info().Uint64("epoch", e.claim.Epoch).Int64("offset", e.offset).Int("generation", e.claim.Generation).
-		Int("electors", len(e.claim.Electors)).Int("former", len(e.claim.Former)).Msg("pool.owned")
+		Int("electors", len(e.claim.Electors)).Int("predecessors", len(e.claim.Predecessors)).Msg("pool.owned")
 }
 
 // applyRange applies records that were read or stored outside the follower, if there is no gap
--- a/node/clockback_internal_test.go
+++ b/node/clockback_internal_test.go
@@ -18,11 +18,11 @@
 	list := func(value string) {
 		n.peers.updateEntries(batch{asOf: now, records: []Stored{{Record: pool.Record{Key: "x", Value: []byte(value)}}}})
 	}
-	list(`{"addr":"x","life":200,"voter":200}`)
+	list(`{"addr":"x","life":200,"elector":200}`)
 	former := elector{"x", 200}
 	for range 2 * voteExpiry / announceInterval {
 		now += announceInterval
-		list(`{"addr":"x","life":100,"voter":100}`)
+		list(`{"addr":"x","life":100,"elector":100}`)
 	}
 	assert.Assert(t, n.peers.voteExpired(former, 0))
 	assert.Assert(t, !n.peers.voteExpired(elector{"x", 100}, 0))
--- a/node/confirmation.go
+++ b/node/confirmation.go
@@ -17,7 +17,6 @@
 
 // confirmation is when an ownership was last confirmed.
 type confirmation struct {
-	at atomic.Int64 // when the call was sent that confirmed it
 	// byStore is when the append was sent that the store has accepted last.
 	byStore atomic.Int64
 	// byElectors is when the calls were last sent by which the electors confirmed it.
@@ -27,20 +26,14 @@
 	last atomic.Pointer[confirmRound]
 }
 
-func (c *confirmation) time() time.Duration { return time.Duration(c.at.Load()) }
+// time is when the call was sent that has confirmed the ownership last.
+func (c *confirmation) time() time.Duration {
+	return time.Duration(max(c.byStore.Load(), c.byElectors.Load()))
+}
 
 // acceptedAt is when the append was sent that the store has accepted last.
 func (c *confirmation) acceptedAt() time.Duration { return time.Duration(c.byStore.Load()) }
 
-// confirm records that a call which was sent at the given time has confirmed the ownership.
-func (c *confirmation) confirm(sent time.Duration) { raise(&c.at, sent) }
-
-// confirmByStore records that the store has accepted an append that was sent at the given time.
-func (c *confirmation) confirmByStore(sent time.Duration) {
-	raise(&c.byStore, sent)
-	c.confirm(sent)
-}
-
 // raise sets a time unless it is later already.
 func raise(t *atomic.Int64, to time.Duration) {
 	for {
@@ -72,21 +65,25 @@
 	byNothing  confirmedBy = "nothing"
 )
 
+// source returns what has confirmed the ownership last.
+func (c *confirmation) source() confirmedBy {
+	if c.byElectors.Load() > c.byStore.Load() {
+		return byElectors
+	}
+	return byStore
+}
+
 // logConfirmation logs when the ownership ceases to be confirmed, and when it is confirmed again or by something else.
 func (o *ownership) logConfirmation() {
-	at := o.confirmed.at.Load()
-	by := byStore
-	switch {
-	case !o.core.IsConfirmed():
+	by := o.confirmed.source()
+	if !o.core.IsConfirmed() {
 		by = byNothing
-	case at == o.confirmed.byElectors.Load():
-		by = byElectors
 	}
 	if by == o.confirmedBy {
 		return
 	}
 	o.confirmedBy = by
-	entry := o.pc.log.Info().Uint64("epoch", o.claim.Epoch).Str("by", string(by)).Dur("age", o.pc.node.now()-time.Duration(at))
+	entry := o.pc.log.Info().Uint64("epoch", o.claim.Epoch).Str("by", string(by)).Dur("age", o.pc.node.now()-o.confirmed.time())
 	if r := o.confirmed.last.Load(); r != nil && by != byStore {
 		entry = entry.Int("electors", r.electors).Int("voted", r.voted).Int("expired", r.expired).Int("silent", r.silent)
 	}
@@ -129,8 +126,8 @@
 		return
 	}
 	lists := o.electorate.inForce(o.confirmed.acceptedAt())
-	voter, age := n.peers.ownVote()
-	self := elector{n.opts.Name, voter}
+	id, age := n.peers.ownVote()
+	self := elector{n.opts.Name, id}
 	votes := map[elector]vote{self: {expired: age >= voteDuration}}
 	electors := slices.Concat(lists...)
 	slices.SortFunc(electors, compareElectors)
@@ -141,8 +138,7 @@
 	}
 	for asked := 0; ; asked++ {
 		if !slices.ContainsFunc(lists, func(l []elector) bool { return !isConfirmedBy(l, votes) }) {
-			o.confirmed.byElectors.Store(int64(sent))
-			o.confirmed.confirm(sent)
+			raise(&o.confirmed.byElectors, sent)
 		}
 		if asked == len(electors) {
 			break
@@ -190,12 +186,12 @@
 	if err := o.pc.node.peers.callInstance(ctx, e.Node, "Confirm", ConfirmArgs{Part: o.pc.topic.Part, Epoch: o.claim.Epoch}, r); err != nil {
 		return confirmReply{elector: e}
 	}
-	return confirmReply{elector: e, voted: r.Voter == e.Voter && !r.Newer, newer: r.Newer, vote: vote{expired: r.AnnounceAge >= voteDuration}}
+	return confirmReply{elector: e, voted: r.ElectorID == e.ID && !r.Newer, newer: r.Newer, vote: vote{expired: r.AnnounceAge >= voteDuration}}
 }
 
 // Confirm replies whether this instance knows of a newer claim of a pool.
 func (s Peer) Confirm(a ConfirmArgs, r *ConfirmReply) error {
-	r.Voter, r.AnnounceAge = s.n.peers.ownVote()
+	r.ElectorID, r.AnnounceAge = s.n.peers.ownVote()
 	r.Newer = s.n.claims.epoch(a.Part) > a.Epoch
 	return nil
 }
--- a/node/dump.go
+++ b/node/dump.go
@@ -37,9 +37,9 @@
 	Owned bool `json:"owned"`
 	// Electors are the instances that confirm the owner while the store doesn't.
 	Electors []string `json:"electors,omitempty"`
-	// FormerOwners are the earlier owners that may still be confirmed. Until there are none, tasks of workers that the
+	// Predecessors are the earlier owners that may still be confirmed. Until there are none, tasks of workers that the
 	// owner doesn't reach aren't started again.
-	FormerOwners []FormerOwnerDump `json:"formerOwners,omitempty"`
+	Predecessors []PredecessorDump `json:"predecessors,omitempty"`
 	// Unjudged says why the owner accepts all jobs at present without admission control; empty: it
 	// applies admission control.
 	Unjudged string `json:"unjudged,omitempty"`
@@ -55,8 +55,8 @@
 	Error string `json:"error,omitempty"`
 }
 
-// FormerOwnerDump is an earlier owner of a pool that its electors may still confirm.
-type FormerOwnerDump struct {
+// PredecessorDump is an earlier owner of a pool that its electors may still confirm.
+type PredecessorDump struct {
 	Owner    string   `json:"owner"`
 	Epoch    uint64   `json:"epoch"`
 	Electors []string `json:"electors"`
@@ -100,15 +100,15 @@
 	return d
 }
 
-// addElectors adds an owner's electors and the former owners that aren't known to be over.
+// addElectors adds an owner's electors and the predecessors that aren't known to be over.
 func (d *PoolDump) addElectors(e *electorate) {
 	if e == nil {
 		return
 	}
 	rec, _ := e.record(claim{})
 	d.Electors = instancesOf(rec.Electors)
-	for _, f := range rec.Former {
-		d.FormerOwners = append(d.FormerOwners, FormerOwnerDump{Owner: f.Node, Epoch: f.Epoch, Electors: instancesOf(f.Electors)})
+	for _, f := range rec.Predecessors {
+		d.Predecessors = append(d.Predecessors, PredecessorDump{Owner: f.Node, Epoch: f.Epoch, Electors: instancesOf(f.Electors)})
 	}
 }
 
--- a/node/dump_test.go
+++ b/node/dump_test.go
@@ -107,16 +107,16 @@
 	})
 }
 
-// Guards against tasks that wait for a former owner without a word of it: the log and the new owner's dump must say which
+// Guards against tasks that wait for a predecessor without a word of it: the log and the new owner's dump must say which
 // instances may still confirm that one.
-func TestDumpAndLogShowFormerOwners(t *testing.T) {
+func TestDumpAndLogShowPredecessors(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newSplitCluster(t, 9)
 		defer c.close()
 		owner := c.owner()
 		before := c.poolOf(c.members[owner])
 		assert.Equal(t, len(before.Electors), 9)
-		assert.Equal(t, len(before.FormerOwners), 0)
+		assert.Equal(t, len(before.Predecessors), 0)
 		inside := []string{owner}
 		for _, name := range c.names() {
 			if name != owner && len(inside) < 6 {
@@ -131,12 +131,12 @@
 				during = c.poolOf(m)
 			}
 		}
-		assert.Equal(t, len(during.FormerOwners), 1, "%+v", during)
-		former := during.FormerOwners[0]
+		assert.Equal(t, len(during.Predecessors), 1, "%+v", during)
+		former := during.Predecessors[0]
 		assert.Equal(t, former.Owner, owner)
 		assert.Equal(t, former.Epoch, before.Epoch)
 		assert.DeepEqual(t, former.Electors, before.Electors)
-		lines := strings.Split(c.logs.linesContaining("pool.former_owner_pending"), "\n")
+		lines := strings.Split(c.logs.linesContaining("pool.predecessor_pending"), "\n")
 		var pending struct{ Missing []string }
 		assert.NilError(t, json.Unmarshal([]byte(lines[len(lines)-1]), &pending))
 		slices.Sort(inside)
@@ -144,6 +144,6 @@
 		assert.DeepEqual(t, pending.Missing, inside)
 		c.split(inside, nil, false)
 		time.Sleep(10 * time.Second)
-		assert.Equal(t, len(c.poolOf(c.members[c.owner()]).FormerOwners), 0)
+		assert.Equal(t, len(c.poolOf(c.members[c.owner()]).Predecessors), 0)
 	})
 }
--- a/node/electorcalls_test.go
+++ b/node/electorcalls_test.go
@@ -129,7 +129,7 @@
 	maxClaimBytes   = 128
 )
 
-// assertBounded checks what an owner spends at most by the design, with the given number of former owners.
+// assertBounded checks what an owner spends at most by the design, with the given number of predecessors.
 func (e electorCost) assertBounded(t *testing.T, former int) {
 	t.Helper()
 	rounds := int(costPeriod/node.HeartbeatInterval) + 1
@@ -170,7 +170,7 @@
 }
 
 // Guards against calls that grow with the number of instances while a new owner waits for a former one.
-func TestCostOfWaitingForAFormerOwnerDoesNotGrowWithTheCluster(t *testing.T) {
+func TestCostOfWaitingForAPredecessorDoesNotGrowWithTheCluster(t *testing.T) {
 	for _, instances := range []int{9, 44, 147} {
 		t.Run(fmt.Sprint(instances), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -183,7 +183,7 @@
 						inside = append(inside, name)
 					}
 				}
-				owned, over := c.countEvents("pool.owned"), c.countEvents("pool.former_owner_over")
+				owned, over := c.countEvents("pool.owned"), c.countEvents("pool.predecessor_over")
 				c.split(inside, nil, true)
 				time.Sleep(costPeriod)
 				counter.take()
@@ -191,7 +191,7 @@
 				time.Sleep(costPeriod)
 				cost := counter.take()
 				t.Logf("%d instances, partition: %+v", instances, cost)
-				assert.Equal(t, c.countEvents("pool.former_owner_over"), over)
+				assert.Equal(t, c.countEvents("pool.predecessor_over"), over)
 				cost.assertBounded(t, 1)
 			})
 		})
--- a/node/voter_internal_test.go
+++ b/node/electorid_internal_test.go
@@ -47,8 +47,8 @@
 		go n.peers.announce(t.Context())
 		for time.Since(began) < 2*voteExpiry {
 			time.Sleep(time.Second)
-			voter, age := n.peers.ownVote()
-			assert.Assert(t, voter != first || age >= voteDuration || time.Since(began) < voteExpiry, "it votes %v after its first entry", time.Since(began))
+			id, age := n.peers.ownVote()
+			assert.Assert(t, id != first || age >= voteDuration || time.Since(began) < voteExpiry, "it votes %v after its first entry", time.Since(began))
 		}
 	})
 }
--- a/node/electors.go
+++ b/node/electors.go
@@ -41,19 +41,19 @@
 // elector is a process of an instance, as owners' records name it.
 type elector struct {
 	Node string `json:"n"`
-	// Voter is the peerEntry.Voter of the process; for instances of older versions, which never vote, its Life.
-	Voter int64 `json:"v"`
+	// ID is the peerEntry.ElectorID of the process; for instances of older versions, which never vote, its Life.
+	ID int64 `json:"id"`
 }
 
 func compareElectors(a, b elector) int {
-	return cmp.Or(cmp.Compare(a.Node, b.Node), cmp.Compare(a.Voter, b.Voter))
+	return cmp.Or(cmp.Compare(a.Node, b.Node), cmp.Compare(a.ID, b.ID))
 }
 
 // majority returns how many of n electors are most of them.
 func majority(n int) int { return n/2 + 1 }
 
-// formerOwner is an owner that its electors may still confirm.
-type formerOwner struct {
+// predecessor is an owner that its electors may still confirm.
+type predecessor struct {
 	claim
 	Electors []elector `json:"electors"`
 }
@@ -63,11 +63,11 @@
 	claim
 	// Electors confirm the ownership while the store doesn't; empty: the owner is of an older version.
 	Electors []elector `json:"electors,omitempty"`
-	// Former are the earlier owners that may still be confirmed.
-	Former []formerOwner `json:"former,omitempty"`
-	// FormerAsOf is the epoch up to which other earlier owners are over. A claim doesn't know of those that were stored
+	// Predecessors are the earlier owners that may still be confirmed.
+	Predecessors []predecessor `json:"predecessors,omitempty"`
+	// PredecessorsAsOf is the epoch up to which other earlier owners are over. A claim doesn't know of those that were stored
 	// after it was made.
-	FormerAsOf uint64 `json:"formerAsOf,omitempty"`
+	PredecessorsAsOf uint64 `json:"predecessorsAsOf,omitempty"`
 }
 
 // electorList is a list of electors, and since when the store is known to hold it.
@@ -77,26 +77,26 @@
 	storedAt time.Duration
 }
 
-// electorate holds the electors of an ownership and the former owners that aren't known to be over.
+// electorate holds the electors of an ownership and the predecessors that aren't known to be over.
 type electorate struct {
 	mu    sync.Mutex
 	lists []electorList // oldest first; those before the newest are in force for a while
 	// version is that of the newest list: the number of lists that there were.
-	version int
-	former  []formerOwner
-	// formerAsOf is as in ownerRecord.
-	formerAsOf uint64
+	version      int
+	predecessors []predecessor
+	// predecessorsAsOf is as in ownerRecord.
+	predecessorsAsOf uint64
 }
 
 func newElectorate(c ownerRecord, storedAt time.Duration) *electorate {
-	return &electorate{lists: []electorList{{electors: c.Electors, stored: true, storedAt: storedAt}}, version: 1, former: c.Former, formerAsOf: c.FormerAsOf}
+	return &electorate{lists: []electorList{{electors: c.Electors, stored: true, storedAt: storedAt}}, version: 1, predecessors: c.Predecessors, predecessorsAsOf: c.PredecessorsAsOf}
 }
 
 // record returns the owner's record and the version of the electors in it.
 func (e *electorate) record(c claim) (ownerRecord, int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return ownerRecord{claim: c, Electors: e.lists[len(e.lists)-1].electors, Former: e.former, FormerAsOf: e.formerAsOf}, e.version
+	return ownerRecord{claim: c, Electors: e.lists[len(e.lists)-1].electors, Predecessors: e.predecessors, PredecessorsAsOf: e.predecessorsAsOf}, e.version
 }
 
 // newest returns the newest list, and whether the store is known to hold it.
@@ -142,23 +142,23 @@
 	return lists
 }
 
-// removeFormer removes a former owner that is over, and returns how many are left.
-func (e *electorate) removeFormer(epoch uint64) int {
+// removePredecessor removes a predecessor that is over, and returns how many are left.
+func (e *electorate) removePredecessor(epoch uint64) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.former = slices.DeleteFunc(slices.Clone(e.former), func(f formerOwner) bool { return f.Epoch == epoch })
-	return len(e.former)
+	e.predecessors = slices.DeleteFunc(slices.Clone(e.predecessors), func(f predecessor) bool { return f.Epoch == epoch })
+	return len(e.predecessors)
 }
 
-// setFormer sets the former owners, which are all that aren't known to be over up to an epoch.
-func (e *electorate) setFormer(list []formerOwner, asOf uint64) {
+// setPredecessors sets the predecessors, which are all that aren't known to be over up to an epoch.
+func (e *electorate) setPredecessors(list []predecessor, asOf uint64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.former, e.formerAsOf = list, asOf
+	e.predecessors, e.predecessorsAsOf = list, asOf
 }
 
 // self returns this process as an elector.
-func (n *Node) self() elector { return elector{n.opts.Name, n.peers.voter.Load()} }
+func (n *Node) self() elector { return elector{n.opts.Name, n.peers.electorID.Load()} }
 
 // chooseElectors returns the electors of the pool while this instance owns it: the present ones that still run, as far as
 // is known, and the instances that come next as owners.
--- a/node/electors_internal_test.go
+++ b/node/electors_internal_test.go
@@ -55,17 +55,17 @@
 	assert.DeepEqual(t, e.inForce(3*time.Hour), [][]elector{third})
 }
 
-// Guards against a former owner that counts as over while a majority of its electors may confirm it, and against one that
+// Guards against a predecessor that counts as over while a majority of its electors may confirm it, and against one that
 // never does although most have ended for good.
-func TestWhenAFormerOwnerIsOver(t *testing.T) {
+func TestWhenAPredecessorIsOver(t *testing.T) {
 	const now = time.Hour
 	for _, c := range []struct {
-		name             string
-		knowing, expired int
-		left             int // of those that have expired
-		gaveUp           bool
-		waited           time.Duration
-		want             bool
+		name              string
+		informed, expired int
+		left              int // of those that have expired
+		resigned          bool
+		waited            time.Duration
+		want              bool
 	}{
 		{"nothing is known", 0, 0, 0, false, 0, false},
 		{"its process has given up", 0, 0, 0, true, 0, true},
@@ -82,51 +82,51 @@
 	} {
 		electors := testElectors(1, 1, 1, 1, 1, 1, 1, 1, 1)
 		p := &peers{renewedAt: map[string]time.Duration{}, byKey: map[string]peerEntry{}, asOf: now, node: &Node{opts: Settings{Now: func() time.Duration { return now }}}}
-		d := deposition{peers: p, began: now - max(c.waited, voteExpiry+1), knowing: map[elector]bool{}, gaveUp: map[process]bool{{electors[8].Node, electors[8].Voter}: c.gaveUp}}
+		d := deposition{peers: p, began: now - max(c.waited, voteExpiry+1), informed: map[elector]bool{}, resigned: map[process]bool{{electors[8].Node, electors[8].ID}: c.resigned}}
 		for i, e := range electors {
-			d.knowing[e] = i < c.knowing
+			d.informed[e] = i < c.informed
 			p.renewedAt[e.Node] = now
-			if i >= c.knowing && i < c.knowing+c.expired {
+			if i >= c.informed && i < c.informed+c.expired {
 				p.renewedAt[e.Node] = now - voteExpiry - 1
 			}
-			if i >= c.knowing+c.left {
-				p.byKey[e.Node] = peerEntry{name: e.Node, Addr: e.Node, Voter: e.Voter}
+			if i >= c.informed+c.left {
+				p.byKey[e.Node] = peerEntry{name: e.Node, Addr: e.Node, ElectorID: e.ID}
 			}
 		}
-		over, _ := d.isOver(formerOwner{claim: claim{Node: electors[8].Node, Life: electors[8].Voter}, Electors: electors})
+		over, _ := d.isOver(predecessor{claim: claim{Node: electors[8].Node, Life: electors[8].ID}, Electors: electors})
 		assert.Equal(t, over, c.want, c.name)
 	}
 }
 
-// Guards against a former owner that a new one doesn't wait for, as an owner between them has claimed and not outlived it.
-func TestFormerOwnersOfFormerOwners(t *testing.T) {
+// Guards against a predecessor that a new one doesn't wait for, as an owner between them has claimed and not outlived it.
+func TestPredecessorsOfPredecessors(t *testing.T) {
 	r := newReplica()
-	record := func(epoch uint64, former ...formerOwner) ownerRecord {
-		return ownerRecord{claim: claim{Node: fmt.Sprint(epoch), Epoch: epoch}, Electors: testElectors(int64(epoch)), Former: former}
+	record := func(epoch uint64, former ...predecessor) ownerRecord {
+		return ownerRecord{claim: claim{Node: fmt.Sprint(epoch), Epoch: epoch}, Electors: testElectors(int64(epoch)), Predecessors: former}
 	}
-	assert.Equal(t, len(r.formerOwners(100)), 0)
-	first, second := record(1), record(2, formerOwner{claim{Node: "1", Epoch: 1}, testElectors(7)})
+	assert.Equal(t, len(r.predecessors(100)), 0)
+	first, second := record(1), record(2, predecessor{claim{Node: "1", Epoch: 1}, testElectors(7)})
 	r.keepOwner(second)
-	assertFormer(t, r.formerOwners(3), formerOwner{second.claim, second.Electors}, second.Former[0])
+	assertPredecessors(t, r.predecessors(3), predecessor{second.claim, second.Electors}, second.Predecessors[0])
 	r.keepOwner(first) // its newest record
-	assertFormer(t, r.formerOwners(3), formerOwner{second.claim, second.Electors}, formerOwner{first.claim, first.Electors})
-	assertFormer(t, r.formerOwners(2), formerOwner{first.claim, first.Electors})
+	assertPredecessors(t, r.predecessors(3), predecessor{second.claim, second.Electors}, predecessor{first.claim, first.Electors})
+	assertPredecessors(t, r.predecessors(2), predecessor{first.claim, first.Electors})
 	r.keepOwner(ownerRecord{claim: claim{Node: "older version", Epoch: 5}})
-	assertFormer(t, r.formerOwners(6), formerOwner{second.claim, second.Electors}, formerOwner{first.claim, first.Electors})
+	assertPredecessors(t, r.predecessors(6), predecessor{second.claim, second.Electors}, predecessor{first.claim, first.Electors})
 	for epoch := uint64(10); epoch < 100; epoch++ {
 		r.keepOwner(record(epoch))
 	}
 	assert.Equal(t, len(r.owners), maxKeptOwners)
 }
 
-func assertFormer(t *testing.T, got []formerOwner, want ...formerOwner) {
+func assertPredecessors(t *testing.T, got []predecessor, want ...predecessor) {
 	t.Helper()
 	assert.Equal(t, fmt.Sprintf("%+v", got), fmt.Sprintf("%+v", want))
 }
 
 // Guards against a new owner that asks electors which its predecessor's predecessor had before: the copy has missed the
 // record that named the later ones, and reads them in the record of the owner between them.
-func TestFormerOwnersAfterACopyWasReset(t *testing.T) {
+func TestPredecessorsAfterACopyWasReset(t *testing.T) {
 	first, second := testElectors(1), testElectors(2)
 	record := func(offset int64, c ownerRecord) Stored {
 		return Stored{Offset: offset, Record: pool.Record{Key: pool.OwnerKey, Value: pool.Encode(c)}}
@@ -135,40 +135,40 @@
 	r := newReplica()
 	bad := func(_ Stored, err error) { assert.NilError(t, err) }
 	r.apply(batch{records: []Stored{record(0, ownerRecord{claim: a, Electors: first})}, next: 1}, bad)
-	r.apply(batch{reset: true, records: []Stored{record(9, ownerRecord{claim: b, Electors: first, Former: []formerOwner{{a, second}}})}, next: 10}, bad)
-	assertFormer(t, r.formerOwners(3), formerOwner{b, first}, formerOwner{a, second})
+	r.apply(batch{reset: true, records: []Stored{record(9, ownerRecord{claim: b, Electors: first, Predecessors: []predecessor{{a, second}}})}, next: 10}, bad)
+	assertPredecessors(t, r.predecessors(3), predecessor{b, first}, predecessor{a, second})
 }
 
-// Guards against a new owner that knows no former owner, as its copy was reset and the newest record of that one is the one
+// Guards against a new owner that knows no predecessor, as its copy was reset and the newest record of that one is the one
 // that it has read before.
-func TestFormerOwnersAfterAResetWithoutNews(t *testing.T) {
+func TestPredecessorsAfterAResetWithoutNews(t *testing.T) {
 	a, b := ownerRecord{claim: claim{Node: "a", Addr: "a", Epoch: 1}, Electors: testElectors(1)}, claim{Node: "b", Addr: "b", Epoch: 2}
 	r := newReplica()
 	bad := func(_ Stored, err error) { assert.NilError(t, err) }
 	stored := Stored{Offset: 3, Record: pool.Record{Key: pool.OwnerKey, Value: pool.Encode(a)}}
 	r.apply(batch{records: []Stored{stored}, next: 4}, bad)
 	r.apply(batch{reset: true, records: []Stored{stored}, next: 4}, bad)
-	assertFormer(t, r.formerOwners(b.Epoch), formerOwner{a.claim, a.Electors})
+	assertPredecessors(t, r.predecessors(b.Epoch), predecessor{a.claim, a.Electors})
 }
 
 // Guards against a new owner whose copy was reset at its claim, which has replaced the record of the owner before, and that
 // waits for nobody.
-func TestFormerOwnersAfterAResetAtTheClaim(t *testing.T) {
-	former := formerOwner{claim{Node: "a", Addr: "a", Epoch: 1}, testElectors(1)}
-	own := ownerRecord{claim: claim{Node: "b", Addr: "b", Epoch: 2}, Electors: testElectors(2), Former: []formerOwner{former}}
+func TestPredecessorsAfterAResetAtTheClaim(t *testing.T) {
+	former := predecessor{claim{Node: "a", Addr: "a", Epoch: 1}, testElectors(1)}
+	own := ownerRecord{claim: claim{Node: "b", Addr: "b", Epoch: 2}, Electors: testElectors(2), Predecessors: []predecessor{former}}
 	r := newReplica()
 	bad := func(_ Stored, err error) { assert.NilError(t, err) }
 	r.apply(batch{reset: true, records: []Stored{{Offset: 9, Record: pool.Record{Key: pool.OwnerKey, Value: pool.Encode(own)}}}, next: 10}, bad)
-	assertFormer(t, r.formerOwners(own.Epoch), former)
+	assertPredecessors(t, r.predecessors(own.Epoch), former)
 }
 
 // Guards against a new owner that doesn't wait for the first of two owners that have claimed at the same time: the second
 // hadn't read that claim, and was replaced before it stored what it had read since.
-func TestFormerOwnersThatHaveClaimedAtTheSameTime(t *testing.T) {
+func TestPredecessorsThatHaveClaimedAtTheSameTime(t *testing.T) {
 	r := newReplica()
 	first := ownerRecord{claim: claim{Node: "a", Epoch: 1}, Electors: testElectors(1)}
 	second := ownerRecord{claim: claim{Node: "b", Epoch: 2}, Electors: testElectors(2)}
 	r.keepOwner(first)
 	r.keepOwner(second)
-	assertFormer(t, r.formerOwners(3), formerOwner{second.claim, second.Electors}, formerOwner{first.claim, first.Electors})
+	assertPredecessors(t, r.predecessors(3), predecessor{second.claim, second.Electors}, predecessor{first.claim, first.Electors})
 }
--- a/node/expiredvotes_test.go
+++ b/node/expiredvotes_test.go
@@ -36,7 +36,7 @@
 		workers := c.world.Workers()[:2]
 		c.split(inside, workers, true)
 		time.Sleep(340 * time.Second)
-		assert.Assert(t, c.countEvents("pool.former_owner_over") > 0, "the predecessor isn't over before the votes count again")
+		assert.Assert(t, c.countEvents("pool.predecessor_over") > 0, "the predecessor isn't over before the votes count again")
 		confirmed := func() int {
 			return strings.Count(c.logs.linesContaining(`"pool.confirmed"`), former)
 		}
--- a/node/leaving_owner_test.go
+++ b/node/leaving_owner_test.go
@@ -20,7 +20,7 @@
 		c.kill(owner)
 		c.world.Crash("w1")
 		time.Sleep(10 * time.Second)
-		assert.Equal(t, c.countEvents("pool.former_owner_over"), 1)
+		assert.Equal(t, c.countEvents("pool.predecessor_over"), 1)
 		assert.Assert(t, c.countEvents("run.start") > 24, "the tasks of the worker that has crashed aren't started again")
 		time.Sleep(30 * time.Second)
 		c.check()
--- a/node/minority_test.go
+++ b/node/minority_test.go
@@ -33,10 +33,10 @@
 			c := newSplitCluster(t, 9)
 			defer c.close()
 			inside, workers := c.withOwner(few), c.world.Workers()[:3]
-			before := c.countEvents("pool.former_owner_over")
+			before := c.countEvents("pool.predecessor_over")
 			c.split(inside, workers, true)
 			time.Sleep(20 * time.Second)
-			assert.Equal(t, c.countEvents("pool.former_owner_over"), before+1)
+			assert.Equal(t, c.countEvents("pool.predecessor_over"), before+1)
 			assert.Equal(t, c.countEvents("run.start"), 48, "the tasks behind the partition aren't started again")
 			c.split(inside, workers, false)
 			time.Sleep(60 * time.Second)
--- a/node/owner.go
+++ b/node/owner.go
@@ -126,7 +126,7 @@
 		firstHoldSlots: make(chan struct{}, maxConcurrentFirstHolds), queues: newQueueTable(), ready: make(chan struct{})}
 	o.ctx, o.cancel = context.WithCancel(ctx)
 	o.streamEnd.Store(offset + 1)
-	o.confirmed.confirmByStore(claimedAt)
+	raise(&o.confirmed.byStore, claimedAt)
 	opts := pc.node.opts
 	o.core = pool.New(pool.Settings{
 		Pool: pc.topic.Part, Token: c.Epoch, Tokens: tokensPerEpoch, Generation: c.Generation, MaxLease: opts.MaxLease, StopTimeout: opts.StopTimeout, EndedRetention: endedJobRetention,
@@ -273,8 +273,8 @@
 		o.handleSaveDone(e)
 	case bindResult:
 		o.handleBindResult(e)
-	case formerOwnerOver:
-		o.handleFormerOwnerOver(e)
+	case predecessorOver:
+		o.handlePredecessorOver(e)
 	case pool.Event:
 		o.step(e)
 		o.starts.send()
--- a/node/ownerrecord_internal_test.go
+++ b/node/ownerrecord_internal_test.go
@@ -8,12 +8,12 @@
 	"gotest.tools/v3/assert"
 )
 
-// Guards against an owner whose record goes on to name former owners that are over, and electors that have ended, for as
+// Guards against an owner whose record goes on to name predecessors that are over, and electors that have ended, for as
 // long as it stores something else all the time: its successor would wait for them.
 func TestOwnersRecordIsStoredBesideOtherSaves(t *testing.T) {
 	for name, change := range map[string]func(o *ownership){
-		"former owner": func(o *ownership) { o.handleFormerOwnerOver(formerOwnerOver{epoch: 1}) },
-		"electors":     func(o *ownership) { o.electorsCheckedAt = 0; o.updateElectors() },
+		"predecessor": func(o *ownership) { o.handlePredecessorOver(predecessorOver{epoch: 1}) },
+		"electors":    func(o *ownership) { o.electorsCheckedAt = 0; o.updateElectors() },
 		// A refused append became a heartbeat that names new electors, and the former heartbeat is stored after it.
 		"electors of an earlier append": func(o *ownership) {
 			o.electorate.replace([]elector{o.pc.node.self()})
@@ -23,7 +23,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				n, o := newConfirmableOwner(t, idleStore{}, elector{"x", 1})
-				o.electorate.setFormer([]formerOwner{{claim{Node: "x", Life: 1, Epoch: 1}, []elector{{"x", 1}}}}, 1)
+				o.electorate.setPredecessors([]predecessor{{claim{Node: "x", Life: 1, Epoch: 1}, []elector{{"x", 1}}}}, 1)
 				before, _ := o.electorate.record(o.claim)
 				stored := false
 				assert.NilError(t, o.pc.do(t.Context(), func() {
@@ -38,7 +38,7 @@
 						for _, s := range batch {
 							c, err := checkRecord(Stored{Record: s.records[0]})
 							assert.NilError(t, err)
-							stored = stored || len(c.Former) != len(before.Former) || len(c.Electors) != len(before.Electors)
+							stored = stored || len(c.Predecessors) != len(before.Predecessors) || len(c.Electors) != len(before.Electors)
 						}
 						o.handleSaveDone(saveDone{pendingSave: pendingSave{kind: queueSave}})
 					}
--- a/node/partition_history_test.go
+++ b/node/partition_history_test.go
@@ -495,7 +495,7 @@
 				for len(c.world.Referee.Unfinished()) > 0 && c.world.Since() < began+5*time.Minute {
 					time.Sleep(100 * time.Millisecond)
 				}
-				t.Log(c.world.Since()-began, c.logs.linesContaining(`"pool.former_owner_over"`))
+				t.Log(c.world.Since()-began, c.logs.linesContaining(`"pool.predecessor_over"`))
 				c.check()
 				assert.DeepEqual(t, c.world.Referee.Unfinished(), []string(nil))
 			})
--- a/node/peers.go
+++ b/node/peers.go
@@ -53,8 +53,8 @@
 	name string // the record's key
 	Addr string `json:"addr"`
 	Life int64  `json:"life"`
-	// Voter identifies the process as an elector; 0: it is of an older version. It is the process's Life at first.
-	Voter int64 `json:"voter,omitempty"`
+	// ElectorID identifies the process as an elector; 0: it is of an older version. It is the process's Life at first.
+	ElectorID int64 `json:"elector,omitempty"`
 	// Cores is the machine's processor share, in cores.
 	Cores float64 `json:"power"`
 	// LinkRate is the machine's network bandwidth, in bytes per second; 0: unknown.
@@ -86,13 +86,13 @@
 	// known that were stored before.
 	renewedAt map[string]time.Duration
 	asOf      time.Duration
-	// voterSince is since when each instance's entries that were read were all of the elector in the newest.
-	voterSince map[string]time.Duration
+	// electorSince is since when each instance's entries that were read were all of the elector in the newest.
+	electorSince map[string]time.Duration
 	// announcedAt is when the newest entry of this instance was sent that the store has accepted; 0: there is none.
 	announcedAt atomic.Int64
-	voter       atomic.Int64 // see peerEntry.Voter
-	// ownVoterSince is since when this process votes as that elector. It belongs to announce.
-	ownVoterSince time.Duration
+	electorID   atomic.Int64 // see peerEntry.ElectorID
+	// ownElectorSince is since when this process votes as that elector. It belongs to announce.
+	ownElectorSince time.Duration
 	// loaded is set once the list has been read.
 	loaded atomic.Bool
 	// changed wakes announce after a change of this instance's entry.
@@ -106,10 +106,10 @@
 }
 
 func newPeers(n *Node) *peers {
-	p := &peers{node: n, byKey: map[string]peerEntry{}, conns: map[string]*peerConn{}, gone: map[process]bool{}, addrOf: map[string]string{}, renewedAt: map[string]time.Duration{}, voterSince: map[string]time.Duration{},
+	p := &peers{node: n, byKey: map[string]peerEntry{}, conns: map[string]*peerConn{}, gone: map[process]bool{}, addrOf: map[string]string{}, renewedAt: map[string]time.Duration{}, electorSince: map[string]time.Duration{},
 		changed: make(chan struct{}, 1)}
-	p.voter.Store(n.incarnation)
-	p.ownVoterSince = n.now()
+	p.electorID.Store(n.incarnation)
+	p.ownElectorSince = n.now()
 	return p
 }
 
@@ -123,12 +123,12 @@
 // self returns this instance's entry.
 func (p *peers) self() peerEntry {
 	opts := p.node.opts
-	return peerEntry{name: opts.Name, Addr: opts.PeerAddr, Life: p.node.incarnation, Voter: p.voter.Load(), Cores: opts.Cores, LinkRate: opts.LinkRate, Pools: p.node.ownedPools()}
+	return peerEntry{name: opts.Name, Addr: opts.PeerAddr, Life: p.node.incarnation, ElectorID: p.electorID.Load(), Cores: opts.Cores, LinkRate: opts.LinkRate, Pools: p.node.ownedPools()}
 }
 
 func (p *peers) announce(ctx context.Context) {
 	for ctx.Err() == nil && !p.node.stopping.Load() {
-		if !p.renewVoter(ctx) {
+		if !p.renewElectorID(ctx) {
 			sleep(ctx, maxReadRetryPause)
 			continue
 		}
@@ -149,21 +149,21 @@
 
 // votesHaveExpired reports whether no entry of this process as its present elector was accepted for voteDuration.
 func (p *peers) votesHaveExpired() bool {
-	return p.node.now()-max(p.ownVoterSince, time.Duration(p.announcedAt.Load())) >= voteDuration
+	return p.node.now()-max(p.ownElectorSince, time.Duration(p.announcedAt.Load())) >= voteDuration
 }
 
-// renewVoter makes this process another elector if its votes have expired: a successor may take them for over, so an entry
+// renewElectorID makes this process another elector if its votes have expired: a successor may take them for over, so an entry
 // that is accepted later must not make them count again. In an outage of the store that affects all, the process stays the
-// elector that it was, and renewVoter returns false.
-func (p *peers) renewVoter(ctx context.Context) bool {
+// elector that it was, and renewElectorID returns false.
+func (p *peers) renewElectorID(ctx context.Context) bool {
 	if !p.votesHaveExpired() {
 		return true
 	}
 	if _, _, _, err := p.node.store.Newest(withTimeout(ctx, storeProbeTimeout), Topic{Name: peersTopicName}, ""); err != nil {
 		return false
 	}
-	p.ownVoterSince = p.node.now()
-	p.voter.Store(max(p.voter.Load()+1, time.Now().UnixNano()))
+	p.ownElectorSince = p.node.now()
+	p.electorID.Store(max(p.electorID.Load()+1, time.Now().UnixNano()))
 	p.node.log.Info().Dur("age", p.announceAge()).Msg("elector.replaced")
 	return true
 }
@@ -233,11 +233,11 @@
 			if old, known := before[rec.Key]; known {
 				p.byKey[rec.Key] = old // the instance will write its entry again soon
 			}
-			p.voterSince[rec.Key] = p.node.now() // it may be any elector's
+			p.electorSince[rec.Key] = p.node.now() // it may be any elector's
 			continue
 		}
 		if b.reset || before[rec.Key].elector() != e.elector() { // earlier entries weren't read, or are another elector's
-			p.voterSince[rec.Key] = p.node.now()
+			p.electorSince[rec.Key] = p.node.now()
 		}
 		p.byKey[rec.Key], p.addrOf[rec.Key] = e, e.Addr
 	}
@@ -267,7 +267,7 @@
 	if slices.ContainsFunc(e.Pools, func(o ownedPool) bool { return o.Part < 0 || o.Epoch == 0 || o.Generation < 0 }) {
 		return e, errors.New("entry of an instance with an invalid pool")
 	}
-	if rec.Key == "" || e.Addr == "" || e.Life <= 0 || e.Voter < 0 || e.Cores < 0 || e.Cores > maxPlausibleCores || e.LinkRate < 0 || e.LinkRate > maxPlausibleLinkRate {
+	if rec.Key == "" || e.Addr == "" || e.Life <= 0 || e.ElectorID < 0 || e.Cores < 0 || e.Cores > maxPlausibleCores || e.LinkRate < 0 || e.LinkRate > maxPlausibleLinkRate {
 		return e, errors.New("invalid entry of an instance")
 	}
 	return e, nil
@@ -309,13 +309,13 @@
 }
 
 // elector returns the process of an entry as an elector.
-func (e peerEntry) elector() elector { return elector{e.name, cmp.Or(e.Voter, e.Life)} }
+func (e peerEntry) elector() elector { return elector{e.name, cmp.Or(e.ElectorID, e.Life)} }
 
-// hasReplaced reports whether an instance lists a later elector than the given one.
-func (p *peers) hasReplaced(e elector) bool {
+// isReplaced reports whether an instance lists a later elector than the given one.
+func (p *peers) isReplaced(e elector) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.byKey[e.Node].elector().Voter > e.Voter
+	return p.byKey[e.Node].elector().ID > e.ID
 }
 
 // isListed reports whether an instance has an entry in the list. Those that leave as planned remove theirs.
@@ -331,7 +331,7 @@
 	defer p.mu.Unlock()
 	renewed := p.renewedAt[e.Node]
 	if entry, listed := p.byKey[e.Node]; listed && entry.elector() != e {
-		renewed = p.voterSince[e.Node] // by another process
+		renewed = p.electorSince[e.Node] // by another process
 	}
 	return p.asOf-max(renewed, since) > voteExpiry
 }
@@ -345,9 +345,9 @@
 }
 
 // ownVote returns as what this process votes, and the age of its newest accepted entry.
-func (p *peers) ownVote() (voter int64, age time.Duration) {
+func (p *peers) ownVote() (id int64, age time.Duration) {
 	age = p.announceAge() // first: the entry of a later elector may be accepted in between
-	return p.voter.Load(), age
+	return p.electorID.Load(), age
 }
 
 // callInstance is call with the instance's name.
--- a/node/poolcontroller.go
+++ b/node/poolcontroller.go
@@ -351,7 +351,8 @@
 		return
 	}
 	pc.own.close()
-	pc.log.Info().Uint64("epoch", pc.own.claim.Epoch).Str("reason", reason).Msg("pool.lost")
+	pc.log.Info().Uint64("epoch", pc.own.claim.Epoch).Str("reason", reason).Str("confirmed_by", string(pc.own.confirmed.source())).
+		Dur("confirmed_age", pc.node.now()-pc.own.confirmed.time()).Msg("pool.lost")
 	pc.droppedEpoch = pc.own.claim.Epoch
 	pc.own = nil
 	pc.ownerSeenAt = pc.node.now()
--- a/node/replica.go
+++ b/node/replica.go
@@ -114,11 +114,11 @@
 	}
 }
 
-// formerOwners returns the owners before an epoch that may still be confirmed, the newest first. Owners of older versions
+// predecessors returns the owners before an epoch that may still be confirmed, the newest first. Owners of older versions
 // name no electors and aren't among them.
-func (r *replica) formerOwners(epoch uint64) []formerOwner {
-	var list []formerOwner
-	// From the newest record back: each lists the earlier owners up to its FormerAsOf that aren't over. Owners between
+func (r *replica) predecessors(epoch uint64) []predecessor {
+	var list []predecessor
+	// From the newest record back: each lists the earlier owners up to its PredecessorsAsOf that aren't over. Owners between
 	// that and the record claimed at about the same time, and have records of their own.
 	over := uint64(0) // owners up to this epoch are over unless they are in the list
 	for _, e := range slices.Backward(slices.Sorted(maps.Keys(r.owners))) {
@@ -126,35 +126,35 @@
 		if e > epoch || e <= over {
 			continue
 		}
-		earlier := o.Former // of the claim itself too, which may be all that is left in the store
+		earlier := o.Predecessors // of the claim itself too, which may be all that is left in the store
 		if e < epoch {
-			earlier = append([]formerOwner{{o.claim, o.Electors}}, earlier...)
+			earlier = append([]predecessor{{o.claim, o.Electors}}, earlier...)
 		}
 		for _, f := range earlier {
 			if f.Epoch > over {
 				list = append(list, r.newestElectors(f))
 			}
 		}
-		over = max(over, o.FormerAsOf)
+		over = max(over, o.PredecessorsAsOf)
 	}
 	return withoutRepetitions(list)
 }
 
-// newestElectors returns a former owner with its newest electors, as far as they have been read.
-func (r *replica) newestElectors(f formerOwner) formerOwner {
+// newestElectors returns a predecessor with its newest electors, as far as they have been read.
+func (r *replica) newestElectors(f predecessor) predecessor {
 	if o, ok := r.owners[f.Epoch]; ok {
 		f.Electors = o.Electors
 	}
 	return f
 }
 
-// withoutRepetitions sorts former owners by epoch, the newest first, and drops those that needn't be waited for. A process
+// withoutRepetitions sorts predecessors by epoch, the newest first, and drops those that needn't be waited for. A process
 // has given up each ownership before its next claim, so of several with the same electors the newest is enough.
-func withoutRepetitions(list []formerOwner) []formerOwner {
-	slices.SortFunc(list, func(a, b formerOwner) int { return cmp.Compare(b.Epoch, a.Epoch) })
-	var kept []formerOwner
+func withoutRepetitions(list []predecessor) []predecessor {
+	slices.SortFunc(list, func(a, b predecessor) int { return cmp.Compare(b.Epoch, a.Epoch) })
+	var kept []predecessor
 	for _, f := range list {
-		repeats := slices.ContainsFunc(kept, func(k formerOwner) bool {
+		repeats := slices.ContainsFunc(kept, func(k predecessor) bool {
 			return k.Epoch == f.Epoch || k.Node == f.Node && k.Life == f.Life && slices.Equal(k.Electors, f.Electors)
 		})
 		if len(f.Electors) > 0 && !repeats && len(kept) < maxListedElectors {
@@ -229,15 +229,15 @@
 	if c.Node == "" || c.Epoch == 0 {
 		return nil, errors.New("claim: missing instance or epoch")
 	}
-	if len(c.Electors) > maxListedElectors || len(c.Former) > maxListedElectors {
-		return nil, errors.Errorf("claim: over %d electors or former owners", maxListedElectors)
+	if len(c.Electors) > maxListedElectors || len(c.Predecessors) > maxListedElectors {
+		return nil, errors.Errorf("claim: %d electors and %d predecessors, at most %d are possible", len(c.Electors), len(c.Predecessors), maxListedElectors)
 	}
-	if c.FormerAsOf > c.Epoch {
-		return nil, errors.New("claim: invalid epoch of former owners")
+	if c.PredecessorsAsOf > c.Epoch {
+		return nil, errors.Errorf("claim of epoch %d: lists predecessors up to a later epoch, %d", c.Epoch, c.PredecessorsAsOf)
 	}
-	for _, f := range c.Former {
+	for _, f := range c.Predecessors {
 		if f.Epoch >= c.Epoch || len(f.Electors) > maxListedElectors {
-			return nil, errors.New("claim: invalid former owner")
+			return nil, errors.Errorf("claim of epoch %d: predecessor of epoch %d with %d electors", c.Epoch, f.Epoch, len(f.Electors))
 		}
 	}
 	return &c, nil
--- a/node/saves.go
+++ b/node/saves.go
@@ -433,7 +433,7 @@
 	}
 	if err == nil {
 		o.recordStreamEnd(offset + int64(len(records)))
-		o.confirmed.confirmByStore(cmp.Or(f.unansweredFrom, start))
+		raise(&o.confirmed.byStore, cmp.Or(f.unansweredFrom, start))
 	}
 	return err
 }
--- a/node/service.go
+++ b/node/service.go
@@ -119,8 +119,8 @@
 	// ConfirmReply answers that.
 	ConfirmReply struct {
 		Newer bool
-		// Voter identifies the replying process as an elector; 0: it is of an older version, and none.
-		Voter int64
+		// ElectorID identifies the replying process as an elector; 0: it is of an older version, and none.
+		ElectorID int64
 		// AnnounceAge is how long ago the entry of the instance was sent that the store has accepted last.
 		AnnounceAge time.Duration
 	}
@@ -131,9 +131,9 @@
 	}
 	// NoteClaimReply confirms that the replying process confirms no older claim any more.
 	NoteClaimReply struct {
-		// Instance, Life and Voter identify the replying process, as in its entry among the instances.
-		Instance    string
-		Life, Voter int64
+		// Instance, Life and ElectorID identify the replying process, as in its entry among the instances.
+		Instance        string
+		Life, ElectorID int64
 		// NotOwner means that the process doesn't own the pool by an older claim.
 		NotOwner bool
 	}
--- a/pool/core.go
+++ b/pool/core.go
@@ -31,7 +31,7 @@
 	// NeedsConfirmation is set if the owner may be replaced without noticing: leases are renewed and tasks started
 	// only while Core.Confirm has confirmed the ownership.
 	NeedsConfirmation bool
-	// HasPredecessors is set if former owners may grant leases until Core.EndPredecessors reports that they are over.
+	// HasPredecessors is set if predecessors may grant leases until Core.EndPredecessors reports that they are over.
 	HasPredecessors bool
 	// EndedRetention is how long the state of an ended job can be queried.
 	EndedRetention time.Duration
@@ -161,7 +161,7 @@
 // New returns the core of a pool's new owner.
 func New(set Settings, now time.Duration) *Core {
 	return &Core{
-		settings: set, now: now, startedAt: now, predecessorsOver: !set.HasPredecessors,
+		settings: set, now: now, startedAt: now, predecessorsOver: !set.HasPredecessors, predecessorsOverAt: now,
 		queues:         map[string]Queue{},
 		jobs:           map[string]*job{},
 		jobsByService:  map[string]int{},
@@ -232,12 +232,12 @@
 }
 
 // IsConfirmed reports whether leases may be granted. A successor allows for those that are granted for
-// predecessorRenewalTime after it knows that the ownership can't be confirmed any more.
+// confirmationTTL after it knows that the ownership can't be confirmed any more.
 func (c *Core) IsConfirmed() bool {
-	return !c.settings.NeedsConfirmation || c.now-c.confirmedAt < predecessorRenewalTime
+	return !c.settings.NeedsConfirmation || c.now-c.confirmedAt < confirmationTTL
 }
 
-// EndPredecessors reports that former owners grant no leases any more, except for predecessorRenewalTime from now on.
+// EndPredecessors reports that predecessors grant no leases any more, except for confirmationTTL from now on.
 func (c *Core) EndPredecessors(now time.Duration) {
 	c.setTime(now)
 	if !c.predecessorsOver {
--- a/pool/electorconfirmed_test.go
+++ b/pool/electorconfirmed_test.go
@@ -34,8 +34,8 @@
 	assert.Equal(t, len(start), 1)
 	w := r.core.workers["w1"]
 	r.advanceConfirmed(time.Minute, "w1")
-	assert.Assert(t, r.now > w.leaseExpiry && !r.core.leaseOver(w) && len(w.runs) == 1, "its run counts as lost")
-	r.core.Confirm(r.now, w.leaseExpiry)
+	assert.Assert(t, r.now > w.leaseEnd() && !r.core.leaseOver(w) && len(w.runs) == 1, "its run counts as lost")
+	r.core.Confirm(r.now, w.leaseEnd())
 	r.advanceConfirmed(50*time.Millisecond, "w1")
 	assert.Equal(t, len(w.runs), 0)
 }
@@ -47,10 +47,10 @@
 	r.answerHold("w1", nil)
 	w := r.core.workers["w1"]
 	assert.Assert(t, r.core.acceptsTasks(w))
-	w.incarnationSeenAt = r.now + time.Millisecond
+	w.incarnationMetAt = r.now + time.Millisecond
 	r.core.Confirm(r.now, r.now)
 	assert.Assert(t, !r.core.acceptsTasks(w))
-	r.core.Confirm(r.now, w.incarnationSeenAt)
+	r.core.Confirm(r.now, w.incarnationMetAt)
 	assert.Assert(t, r.core.acceptsTasks(w))
 }
 
@@ -77,7 +77,7 @@
 	}
 	wait(10*time.Second, true)
 	assert.Equal(t, len(w1.runs), 0)
-	wait(predecessorRenewalTime, false)
+	wait(confirmationTTL, false)
 	w2.pausedUntil = 0
 	r.core.replan, r.core.retryAllSteps = true, true
 	wait(10*time.Second, false)
--- a/pool/firstcontact_test.go
+++ b/pool/firstcontact_test.go
@@ -9,7 +9,7 @@
 
 // A worker that this owner has never reached starts again, after a successor which only its electors don't know has reached it.
 // Guards against an owner that starts tasks on the new incarnation, which refuses nobody, while its successor has counted the
-// worker as one that refuses former owners, and starts them elsewhere.
+// worker as one that refuses predecessors, and starts them elsewhere.
 func TestFirstAnswerOfALaterIncarnationGetsNoTasksBeforeTheStoreConfirmsTheOwner(t *testing.T) {
 	w1, w2 := newWorkerInfo("w1"), newWorkerInfo("w2")
 	w1.Born, w2.Born = 100, 100
--- a/pool/incarnation.go
+++ b/pool/incarnation.go
@@ -35,7 +35,7 @@
 	if w.incarnation != 0 {
 		c.workerRestarted(w, e)
 	}
-	w.incarnation, w.incarnationSeenAt = e.Born, c.now
+	w.incarnation, w.incarnationMetAt = e.Born, c.now
 	return true
 }
 
--- a/pool/inheritedlease_test.go
+++ b/pool/inheritedlease_test.go
@@ -50,7 +50,7 @@
 			}
 			assert.Equal(t, len(starts), 1, "the inherited task isn't started")
 			assert.Equal(t, starts[0].Worker, "w2")
-			assert.Assert(t, r.now-first > leaseDuration+predecessorRenewalTime, "started %v after the first answer, and it may run on w1 or w3", r.now-first)
+			assert.Assert(t, r.now-first > leaseDuration+confirmationTTL, "started %v after the first answer, and it may run on w1 or w3", r.now-first)
 		})
 	}
 }
@@ -82,7 +82,7 @@
 	}
 	r.step(WorkersListed{Workers: all})
 	first := r.now
-	for r.now < first+leaseDuration+predecessorRenewalTime {
+	for r.now < first+leaseDuration+confirmationTTL {
 		r.answerIfHeld("w2")
 		r.answerIfHeld("w3")
 		r.failHolds("w1")
@@ -92,9 +92,9 @@
 	}
 }
 
-// Guards against a new owner that starts inherited tasks elsewhere while a former owner, which its electors still confirm,
+// Guards against a new owner that starts inherited tasks elsewhere while a predecessor, which its electors still confirm,
 // renews their leases on a worker that only that one reaches.
-func TestInheritedLeasesAreCountedFromTheEndOfFormerOwners(t *testing.T) {
+func TestInheritedLeasesAreCountedFromTheEndOfPredecessors(t *testing.T) {
 	r := newCutOffTakeover(t, 0)
 	r.core.predecessorsOver = false
 	wait := func(d time.Duration) (starts []Start) {
@@ -113,25 +113,25 @@
 	r.core.EndPredecessors(r.now)
 	over := r.now
 	assert.Equal(t, len(wait(8*time.Second)), 1, "the inherited task isn't started")
-	assert.Assert(t, r.now-over > leaseDuration+predecessorRenewalTime, "started %v after the last confirmation", r.now-over)
+	assert.Assert(t, r.now-over > leaseDuration+confirmationTTL, "started %v after the last confirmation", r.now-over)
 }
 
-// Guards against a lease that counts as over too soon, since former owners have ended right after the worker's restart.
-func TestEndOfFormerOwnersKeepsLeasesOfThisOwner(t *testing.T) {
+// Guards against a lease that counts as over too soon, since predecessors have ended right after the worker's restart.
+func TestEndOfPredecessorsKeepsLeasesOfThisOwner(t *testing.T) {
 	r := newRig(t, newWorkerInfo("w1"), newWorkerInfo("w2"))
 	r.core.predecessorsOver = false
 	r.answerHold("w1", nil)
 	w := r.core.workers["w1"]
-	assert.Equal(t, r.core.workers["w2"].leaseExpiry, never)
+	assert.Equal(t, r.core.workers["w2"].leaseEnd(), never)
 	r.core.extendLease(w, 10*time.Second)
 	r.step(WorkersListed{Workers: []WorkerInfo{newWorkerInfo("w1"), newWorkerInfo("w2")}})
-	assert.Assert(t, w.leaseExpiry-r.now >= 10*time.Second, "%v", w.leaseExpiry-r.now)
+	assert.Assert(t, w.leaseEnd()-r.now >= 10*time.Second, "%v", w.leaseEnd()-r.now)
 	r.core.EndPredecessors(r.now)
-	assert.Assert(t, w.leaseExpiry-r.now >= 10*time.Second, "%v", w.leaseExpiry-r.now)
+	assert.Assert(t, w.leaseEnd()-r.now >= 10*time.Second, "%v", w.leaseEnd()-r.now)
 }
 
-// Guards against runs on a machine that is down which are held for active as long as former owners may be.
-func TestWorkersOfMachinesThatAreDownAreOverBesideFormerOwners(t *testing.T) {
+// Guards against runs on a machine that is down which are held for active as long as predecessors may be.
+func TestWorkersOfMachinesThatAreDownAreOverBesidePredecessors(t *testing.T) {
 	r := newCutOffTakeover(t, 0)
 	r.core.predecessorsOver = false
 	w := r.core.workers["w1"]
@@ -139,12 +139,12 @@
 	r.step(WorkersListed{Workers: []WorkerInfo{newWorkerInfo("w1"), newWorkerInfo("w2"), newWorkerInfo("w3")}})
 	assert.Assert(t, r.core.leaseOver(w))
 	r.answerHold("w1", nil)
-	assert.Assert(t, !w.isOver)
+	assert.Assert(t, !w.hostDown)
 }
 
-// Guards against tasks of a worker that has answered the new owner and crashes, which wait as long as former owners may be
+// Guards against tasks of a worker that has answered the new owner and crashes, which wait as long as predecessors may be
 // confirmed although it refused these.
-func TestWorkersThatRefuseFormerOwnersAreNotWaitedFor(t *testing.T) {
+func TestWorkersThatRefusePredecessorsAreNotWaitedFor(t *testing.T) {
 	r := newRig(t, newWorkerInfo("w1"), newWorkerInfo("w2"))
 	r.core.predecessorsOver = false
 	r.answerHold("w1", nil)
@@ -155,5 +155,5 @@
 		r.advance(50 * time.Millisecond)
 	}
 	assert.Assert(t, r.core.leaseOver(r.core.workers["w1"]))
-	assert.Assert(t, !r.core.leaseOver(r.core.workers["w2"]), "only former owners may reach it")
+	assert.Assert(t, !r.core.leaseOver(r.core.workers["w2"]), "only predecessors may reach it")
 }
--- a/pool/place.go
+++ b/pool/place.go
@@ -43,7 +43,7 @@
 	if !c.policy(s).known {
 		return false
 	}
-	if s.lostRun && !c.wasOwnerAt(c.now-predecessorRenewalTime) {
+	if s.lostRun && !c.wasOwnerAt(c.now-confirmationTTL) {
 		return false // a successor may know the ends of lost runs
 	}
 	return !j.inherited || c.takeoverComplete()
@@ -398,7 +398,7 @@
 	if w.Born != 0 && w.Born != w.incarnation {
 		return false // its capacity is that of another incarnation
 	}
-	if !c.wasOwnerAt(w.incarnationSeenAt) {
+	if !c.wasOwnerAt(w.incarnationMetAt) {
 		return false // a successor may have reached a former incarnation, and this one takes starts of either
 	}
 	return !c.listOutdated() && w.tracked && w.fenced && !w.silent && !w.silence.stored && c.now-w.answeredAt < silentAfter && c.now >= w.pausedUntil
--- a/pool/silence.go
+++ b/pool/silence.go
@@ -213,7 +213,7 @@
 }
 
 func (c *Core) expireWorker(w *worker) {
-	w.leaseExpiry, w.isOver = c.now, true
+	w.inheritedEnd, w.grantedEnd, w.hostDown = c.now, c.now, true
 	c.emit(LogEntry{Event: "worker.over", Worker: w.ID, Reason: "no running machine hosts the worker"})
 	c.tickWorker(w)
 	c.replan, c.retryAllSteps = true, true
--- a/pool/wave.go
+++ b/pool/wave.go
@@ -13,7 +13,7 @@
 const (
 	// evacuationsPerDown is how many machines are evacuated for each that may be down.
 	evacuationsPerDown = 2
-	// predecessorOrderTimeout is how long a new owner waits, once former owners can't be confirmed any
+	// predecessorOrderTimeout is how long a new owner waits, once predecessors can't be confirmed any
 	// more, before it orders maintenance of a machine, since one of them may just have ordered the
 	// maintenance of the same machine. It is longer than the 3 s that an owner's lease lasts.
 	predecessorOrderTimeout = 3500 * time.Millisecond
@@ -207,7 +207,7 @@
 // mayOrderMaintenance reports whether no other owner's orders can take effect any more, which would count beside this
 // one's against the limit of machines that are down.
 func (c *Core) mayOrderMaintenance() bool {
-	return c.IsConfirmed() && c.predecessorsOver && c.now-max(c.startedAt, c.predecessorsOverAt) >= predecessorOrderTimeout
+	return c.IsConfirmed() && c.predecessorsOver && c.now-c.predecessorsOverAt >= predecessorOrderTimeout
 }
 
 // readyPercent is the progress of a long-running task that is fully up, in percent.
--- a/pool/wave_test.go
+++ b/pool/wave_test.go
@@ -234,8 +234,8 @@
 	assert.Equal(t, len(w.maintenanceOrders), 1)
 }
 
-// Guards against orders beside those of a former owner that its electors still confirm.
-func TestSuccessorDelaysMaintenanceUntilFormerOwnersAreOver(t *testing.T) {
+// Guards against orders beside those of a predecessor that its electors still confirm.
+func TestSuccessorDelaysMaintenanceUntilPredecessorsAreOver(t *testing.T) {
 	w := newWaveRig(t, 1)
 	w.core.predecessorsOver = false
 	w.step(WavesRequested{Waves: []Wave{{Number: 1, Machines: w.machineIDs(), Duration: 20 * time.Second, Cap: 1}}})
--- a/pool/worker.go
+++ b/pool/worker.go
@@ -35,8 +35,8 @@
 	// firstContactRetryDelay replaces retryDelay until a new owner has its first answer from a
 	// worker, since all inherited jobs wait for it, and for a worker that may get late starts, see fencing.
 	firstContactRetryDelay = 50 * time.Millisecond
-	// predecessorRenewalTime is how long a confirmation of an ownership lets the owner grant leases.
-	predecessorRenewalTime = 1500 * time.Millisecond
+	// confirmationTTL is how long a confirmation of an ownership lets the owner grant leases.
+	confirmationTTL = 1500 * time.Millisecond
 	// clockDriftFactor allows for a worker's clock that runs up to 2 % slower than ours, and
 	// for up to 1 % by which our estimate of it may be ahead.
 	clockDriftFactor = 1.03
@@ -93,20 +93,19 @@
 	runsKnown   bool  // a predecessor's silence record lists all that may run on it
 	incarnation int64 // whose runs and ends are known here, see WorkerInfo.Born; 0: unknown
 	restarts    int   // noticed under the same ID
-	// incarnationSeenAt is when this owner first had an answer of the incarnation, unless a predecessor had one.
-	incarnationSeenAt time.Duration
-	fencing           workerFencing
+	// incarnationMetAt is when this owner first had an answer of the incarnation, unless a predecessor had one.
+	incarnationMetAt time.Duration
+	fencing          workerFencing
 	// unansweredStartAt is when a start was last found to have no answer; 0: never.
 	unansweredStartAt time.Duration
 	clockMs           int64
 	clockReadAt       time.Duration
-	// leaseExpiry is when all runs that were ever sent there are certainly over; never: not before
-	// the predecessor is deposed.
-	leaseExpiry time.Duration
-	grantedEnd  time.Duration // when the leases are over that this owner's calls have granted
-	isOver      bool          // no running machine hosts it; it hasn't answered since
-	holdPending bool
-	nextHold    time.Duration
+	// inheritedEnd is when the leases are over that predecessors have granted; never: they may still renew them.
+	// grantedEnd is the same for this owner's.
+	inheritedEnd, grantedEnd time.Duration
+	hostDown                 bool // no running machine hosts it; it hasn't answered since
+	holdPending              bool
+	nextHold                 time.Duration
 	// reportedNothing is set if its last answer listed neither runs nor ends.
 	reportedNothing bool
 	provenAt        time.Duration // when the known incarnation was certainly the newest: answers may be handled late
@@ -148,9 +147,9 @@
 
 func (c *Core) newWorker(info WorkerInfo) *worker {
 	w := &worker{WorkerInfo: info, index: c.workersSeen, runs: map[runKey]*run{}, inherited: !c.listed, firstSeenAt: c.now, pace: fullPace}
-	w.leaseExpiry = never
+	w.inheritedEnd = never
 	if c.boundsInheritedLeases() {
-		w.leaseExpiry = c.now + c.maxInheritedLease()
+		w.inheritedEnd = c.now + c.maxInheritedLease()
 	}
 	c.restoreToken(w)
 	c.workers[info.ID] = w
@@ -160,31 +159,31 @@
 	return w
 }
 
-// never is the leaseExpiry of workers while former owners may renew leases.
+// never is the end of leases that predecessors may renew.
 const never = time.Duration(math.MaxInt64)
 
-// boundsInheritedLeases reports whether it is known until when former owners grant leases: none of them can be confirmed
+// boundsInheritedLeases reports whether it is known until when predecessors grant leases: none of them can be confirmed
 // any more, and a worker has answered, without which owners of older versions may renew the leases of all.
 func (c *Core) boundsInheritedLeases() bool { return c.predecessorsOver && c.firstAnswered }
 
-// boundInheritedLeases bounds the leases of former owners as soon as that is possible. Those on workers that have left the
+// boundInheritedLeases bounds the leases of predecessors as soon as that is possible. Those on workers that have left the
 // list don't wait for a worker's answer, unless they are listed again.
 func (c *Core) boundInheritedLeases() {
 	for _, w := range c.workerList {
 		switch {
-		case w.isOver:
+		case w.hostDown:
 		case c.boundsInheritedLeases(), c.predecessorsOver && !w.listed:
 			c.boundInheritedLease(w)
 		case w.fenced: // see holdAnswered
 		default:
-			w.leaseExpiry = never
+			w.inheritedEnd = never
 		}
 	}
 }
 
-// boundInheritedLease notes that former owners renew the worker's leases no more.
+// boundInheritedLease notes that predecessors renew the worker's leases no more.
 func (c *Core) boundInheritedLease(w *worker) {
-	w.leaseExpiry = min(w.leaseExpiry, max(w.grantedEnd, c.now+c.maxInheritedLease()))
+	w.inheritedEnd = min(w.inheritedEnd, c.now+c.maxInheritedLease())
 }
 
 // maxInheritedLease returns how long a predecessor's leases may last once it can't be confirmed any more.
@@ -192,7 +191,7 @@
 // site, delayed all inherited jobs by 10.5 s after each restart of all processes if one worker
 // had left, which made half of a day's large jobs late.
 func (c *Core) maxInheritedLease() time.Duration {
-	longest := min(leaseDuration, c.settings.MaxLease) + predecessorRenewalTime
+	longest := min(leaseDuration, c.settings.MaxLease) + confirmationTTL
 	return time.Duration(float64(longest)*clockDriftFactor) + leaseExpiryMargin
 }
 
@@ -289,9 +288,13 @@
 // was stopped meanwhile asks first: they may have ended as done before. One that the store doesn't confirm
 // may have a successor that renews the leases.
 func (c *Core) leaseOver(w *worker) bool {
-	return c.now >= max(w.leaseExpiry, c.resumedAt+resumeGrace) && (w.isOver || c.wasOwnerAt(w.leaseExpiry))
+	end := w.leaseEnd()
+	return c.now >= max(end, c.resumedAt+resumeGrace) && (w.hostDown || c.wasOwnerAt(end))
 }
 
+// leaseEnd returns when the leases are over that any owner has granted.
+func (w *worker) leaseEnd() time.Duration { return max(w.inheritedEnd, w.grantedEnd) }
+
 // tickWorker carries out what is due for a worker.
 func (c *Core) tickWorker(w *worker) {
 	if c.leaseOver(w) {
@@ -326,7 +329,6 @@
 // extendLease notes that the worker may have a lease of a length from now on.
 func (c *Core) extendLease(w *worker, length time.Duration) {
 	w.grantedEnd = max(w.grantedEnd, c.now+time.Duration(float64(length)*clockDriftFactor)+leaseExpiryMargin)
-	w.leaseExpiry = max(w.leaseExpiry, w.grantedEnd)
 }
 
 // mayRenew reports whether calls may renew the worker's leases. A worker that has been silent for long gets no
@@ -406,7 +408,7 @@
 	w.answeredAddr = cmp.Or(e.Addr, w.answeredAddr)
 	w.seenToken = max(w.seenToken, e.Token)
 	c.trackIncarnation(w)
-	w.silent, w.isOver = false, false
+	w.silent, w.hostDown = false, false
 	w.takeLostRuns()
 	w.answeredAt = c.now
 	w.provenAt = c.now
@@ -422,7 +424,7 @@
 	c.adjustPace(w)
 	if !w.fenced {
 		w.fenced = true
-		c.boundInheritedLease(w) // it refuses former owners from now on
+		c.boundInheritedLease(w) // it refuses predecessors from now on
 	}
 	if !e.Truncated && !w.reconciled {
 		w.reconciled = true
--- a/pool/worker_test.go
+++ b/pool/worker_test.go
@@ -165,7 +165,7 @@
 		r.confirmSaves() // the task may have run on the worker that has left, so its run is stored first
 		if len(r.acceptStarts()) > 0 {
 			waited := r.now - start
-			assert.Assert(t, waited > leaseDuration+predecessorRenewalTime && waited < 7*time.Second, "waited %v", waited)
+			assert.Assert(t, waited > leaseDuration+confirmationTTL && waited < 7*time.Second, "waited %v", waited)
 			return
 		}
 	}
