node: electors that can't be reached at present are listed, too

What callers would see: the tasks of an unreached worker wait for 90 minutes.

Cause: the electors came from the instances to which no connection has just failed, as candidates for a hand-over do. An elector needs no connection now, but when the store is away. Reachable ones still come first.

TestElectorsThatCanNotBeReachedAtPresent: one elector of four is missing before.

--- a/node/electors.go
+++ b/node/electors.go
@@ -161,25 +161,28 @@
 func (n *Node) self() elector { return elector{n.opts.Name, n.peers.electorID.Load()} }
 
 // chooseElectors returns the electors of the pool while this instance owns it: the present ones that still run, as far as
-// is known, and the instances that come next as owners.
+// is known, and the instances that come next as owners, those last that can't be reached at present.
 func (pc *poolController) chooseElectors(present []elector) []elector {
+	peers := pc.node.peers
 	electors := []elector{pc.node.self()}
-	for _, e := range present {
-		if e.Node != electors[0].Node && len(electors) < maxElectors && pc.node.peers.mayVote(e) {
+	add := func(e elector) {
+		if len(electors) < maxElectors && !slices.ContainsFunc(electors, func(other elector) bool { return other.Node == e.Node }) && peers.mayVote(e) {
 			electors = append(electors, e)
 		}
 	}
-	list := pc.node.peers.alive()
-	slices.SortStableFunc(list, func(a, b peerEntry) int {
-		if pc.candidate(a).before(pc.candidate(b)) {
-			return -1
-		}
-		return 1 // names are unique
-	})
-	for _, p := range list {
-		e := p.elector()
-		if len(electors) < maxElectors && pc.node.peers.mayVote(e) && !slices.Contains(electors, e) {
-			electors = append(electors, e)
+	for _, e := range present {
+		add(e)
+	}
+	all := peers.others(func(peerEntry) bool { return true })
+	for _, list := range [][]peerEntry{peers.alive(), all} {
+		slices.SortStableFunc(list, func(a, b peerEntry) int {
+			if pc.candidate(a).before(pc.candidate(b)) {
+				return -1
+			}
+			return 1 // names are unique
+		})
+		for _, p := range list {
+			add(p.elector())
 		}
 	}
 	return electors
--- a/node/electors_internal_test.go
+++ b/node/electors_internal_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
 	"github.com/knapweedweir/knapweedweir/pool"
@@ -172,3 +173,18 @@
 	r.keepOwner(second)
 	assertPredecessors(t, r.predecessors(3), predecessor{second.claim, second.Electors}, predecessor{first.claim, first.Electors})
 }
+
+// Guards against an owner that is its only elector, as it couldn't reach the other instances when it claimed the pool: if it
+// ends for good, nobody else knows its successor's claim.
+func TestElectorsThatCanNotBeReachedAtPresent(t *testing.T) {
+	n := New(Settings{Name: "self", PeerAddr: "self", Now: func() time.Duration { return time.Hour }}, zerolog.Nop(), nil, nil, nil, nil)
+	pc := newPoolController(t.Context(), n, 0)
+	for _, name := range []string{"a", "b", "c"} {
+		n.peers.byKey[name], n.peers.renewedAt[name] = peerEntry{name: name, Addr: name, Life: 1, ElectorID: 1, Cores: 1}, time.Hour
+	}
+	n.peers.asOf = time.Hour
+	n.peers.conn("a").redialAt = 2 * time.Hour
+	electors := pc.chooseElectors(nil)
+	assert.Equal(t, len(electors), 4, "%v", electors)
+	assert.Equal(t, electors[3], elector{"a", 1}, "those that can be reached come first")
+}
--- a/node/peers.go
+++ b/node/peers.go
@@ -275,18 +275,23 @@
 
 // alive returns the other instances that are not known to be down, ordered by address.
 func (p *peers) alive() []peerEntry {
+	now := p.node.now()
+	return p.others(func(e peerEntry) bool {
+		c := p.conns[e.Addr]
+		return c == nil || now >= c.blockedUntil()
+	})
+}
+
+// others returns the other instances whose processes aren't known to have ended, ordered by address. It calls selected with p
+// locked.
+func (p *peers) others(selected func(peerEntry) bool) []peerEntry {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := p.node.now()
 	var list []peerEntry
 	for _, e := range p.byKey {
-		if e.name == p.node.opts.Name || e.Addr == p.node.opts.PeerAddr || p.gone[process{e.name, e.Life}] {
-			continue
-		}
-		if c := p.conns[e.Addr]; c != nil && now < c.blockedUntil() {
-			continue
+		if e.name != p.node.opts.Name && e.Addr != p.node.opts.PeerAddr && !p.gone[process{e.name, e.Life}] && selected(e) {
+			list = append(list, e)
 		}
-		list = append(list, e)
 	}
 	slices.SortFunc(list, func(a, b peerEntry) int { return cmp.Compare(a.Addr, b.Addr) })
 	return list
