node: a new owner waits for a predecessor of an older version, too

Whichever instances such an owner asks may confirm it as long as it runs. So it counts as over once its process has started again, or has read a newer claim, which its answer to Confirm shows, or its entry among the instances has expired or is gone. That ends the wait in a roll within a poll of the store.

--- a/node/deposition.go
+++ b/node/deposition.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"net/rpc"
 	"slices"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // electorsLostTimeout is how long a new owner waits for a predecessor none of whose electors can be reached, and none of
@@ -64,10 +67,10 @@
 	self := NoteClaimReply{Instance: d.peers.node.opts.Name, Life: d.peers.node.incarnation, ElectorID: d.peers.electorID.Load(), NotOwner: true}
 	d.apply(self)
 	d.reportOver(o)
-	asked := d.unsettled()
+	asked, older := d.unsettled(), d.older()
 	replies := make(chan NoteClaimReply, len(asked))
 	for _, name := range asked {
-		go func() { replies <- d.inform(o.ctx, o, name) }()
+		go func() { replies <- d.inform(o.ctx, o, name, older[name]) }()
 	}
 	for range asked {
 		if len(d.pending) == 0 {
@@ -93,15 +96,42 @@
 	return slices.Compact(list)
 }
 
-// inform sends the claim to an instance. Without a reply the result names no instance.
-func (d *deposition) inform(ctx context.Context, o *ownership, name string) NoteClaimReply {
+// older returns the claims of pending predecessors of older versions, by instance.
+func (d *deposition) older() map[string]claim {
+	claims := map[string]claim{}
+	for _, f := range d.pending {
+		if len(f.Electors) == 0 {
+			claims[f.Node] = f.claim
+		}
+	}
+	return claims
+}
+
+// inform sends the claim to an instance, which owned the pool by an older claim if it is of an older version. Without a reply
+// the result names no instance.
+func (d *deposition) inform(ctx context.Context, o *ownership, name string, older claim) NoteClaimReply {
 	r := new(NoteClaimReply) // not shared: a late response is still written to it
-	if d.peers.callInstance(ctx, name, "NoteClaim", NoteClaimArgs{Part: o.pc.topic.Part, Epoch: o.claim.Epoch}, r) != nil || r.Instance != name {
+	err := d.peers.callInstance(ctx, name, "NoteClaim", NoteClaimArgs{Part: o.pc.topic.Part, Epoch: o.claim.Epoch}, r)
+	switch {
+	case errors.As(err, new(rpc.ServerError)) && older.Epoch != 0:
+		return d.askOlder(ctx, o, older)
+	case err != nil || r.Instance != name:
 		return NoteClaimReply{} // nobody, or another instance that has got the address
 	}
 	return *r
 }
 
+// askOlder asks a predecessor of an older version, which can't be informed, whether it has read a newer claim than its own. It
+// gives the pool up then.
+func (d *deposition) askOlder(ctx context.Context, o *ownership, older claim) NoteClaimReply {
+	c, l := new(ConfirmReply), new(LifeReply)
+	if d.peers.callInstance(ctx, older.Node, "Confirm", ConfirmArgs{Part: o.pc.topic.Part, Epoch: older.Epoch}, c) != nil || !c.Newer ||
+		d.peers.callInstance(ctx, older.Node, "Life", Empty{}, l) != nil {
+		return NoteClaimReply{}
+	}
+	return NoteClaimReply{Instance: older.Node, Life: l.Life, NotOwner: true}
+}
+
 // apply notes the reply of an instance.
 func (d *deposition) apply(r NoteClaimReply) {
 	for _, f := range d.pending {
@@ -137,6 +167,9 @@
 	if owner := (process{f.Node, f.Life}); d.resigned[owner] || d.peers.hasRestarted(owner) {
 		return true, "its process has given the pool up"
 	}
+	if len(f.Electors) == 0 {
+		return d.isOlderOver(f)
+	}
 	informed, expired, left := 0, 0, 0
 	for _, e := range f.Electors {
 		switch {
@@ -163,6 +196,18 @@
 	return false, ""
 }
 
+// isOlderOver is isOver for a predecessor of an older version that isn't known to have given the pool up. Whichever instances
+// it asks may confirm it as long as it runs.
+func (d *deposition) isOlderOver(f predecessor) (over bool, reason string) {
+	switch {
+	case !d.peers.isListed(f.Node):
+		return true, "it names no electors, and its instance isn't listed"
+	case d.peers.voteExpired(elector{f.Node, f.Life}, d.began):
+		return true, "it names no electors, and its instance is silent"
+	}
+	return false, ""
+}
+
 // predecessorOver reports that a predecessor can't be confirmed any more.
 type predecessorOver struct{ epoch uint64 }
 
--- a/node/replica.go
+++ b/node/replica.go
@@ -114,8 +114,7 @@
 	}
 }
 
-// predecessors returns the owners before an epoch that may still be confirmed, the newest first. Owners of older versions
-// name no electors and aren't among them.
+// predecessors returns the owners before an epoch that may still be confirmed, the newest first.
 func (r *replica) predecessors(epoch uint64) []predecessor {
 	var list []predecessor
 	// From the newest record back: each lists the earlier owners up to its PredecessorsAsOf that aren't over. Owners between
@@ -157,7 +156,7 @@
 		repeats := slices.ContainsFunc(kept, func(k predecessor) bool {
 			return k.Epoch == f.Epoch || k.Node == f.Node && k.Life == f.Life && slices.Equal(k.Electors, f.Electors)
 		})
-		if len(f.Electors) > 0 && !repeats && len(kept) < maxListedElectors {
+		if f.Epoch > 0 && !repeats && len(kept) < maxListedElectors {
 			kept = append(kept, f)
 		}
 	}
