review: case 11 stays within the limit for cuts of runners

Cause: the runner was cut off for 12 s, where the site files have 5.5 s for runners. Done: a form with 5.5 s, in which the next owner starts the task on another runner at once and the late start reaches the first runner's next life behind the cut (TWICE).

--- a/review/standin-3/twice.go
+++ b/review/standin-3/twice.go
@@ -6,28 +6,23 @@
 	"time"
 
 	"github.com/knapweedweir/knapweedweir/node"
-	"github.com/knapweedweir/knapweedweir/pool"
 	"github.com/knapweedweir/knapweedweir/standin/machines"
 )
 
 const (
 	victimJob = "00000000000000c1"
-	// cutFor is how long the runner is cut off.
-	cutFor = 12 * time.Second
+	// otherTasks are started beside it, so that one late order is 1 of 21.
+	otherJob   = "00000000000000c0"
+	otherTasks = 20
+	// lateBy is how much later the start is carried out, cutFor how long its runner is cut off.
+	lateBy = 6 * time.Second
+	cutFor = 5500 * time.Millisecond
 )
 
-// caseLasting starts a task that lasts. Its first start gets no answer and is carried out 10 s later; meanwhile the runner is
-// cut off, and starts again behind the cut.
-func caseLasting(r *record, trouble bool) (int, error) {
-	return playLateStart(r, trouble, stepBody{Count: 1, CPU: 4000, Mem: 1000, EstimateMs: 2000, LongRunning: true}, "0", 10*time.Second, false)
-}
-
-// caseLate does the same to a task that runs for 8 s, and kills the owner of the pool 0.7 s after the start.
+// caseLate starts a task that runs for 8 s. Its first start gets no answer and is carried out late. The owner of the pool is killed, while
+// the tasks of another job end, so that the next owner prefers another runner for the task. Later the first runner is cut off, and crashes
+// behind the cut and starts again.
 func caseLate(r *record, trouble bool) (int, error) {
-	return playLateStart(r, trouble, stepBody{Count: 1, CPU: 4000, Mem: 1000, EstimateMs: 8000}, "8000", 11500*time.Millisecond, true)
-}
-
-func playLateStart(r *record, trouble bool, step stepBody, spec string, lateBy time.Duration, killOwner bool) (int, error) {
 	cfg := node.Config{Version: 1, Services: []string{machines.Service}, Routes: []node.Route{queue("jobs", "/jobs/", 0)}}
 	d, err := newDeployment(r, 7, cfg, func(*machines.World) {})
 	if d != nil {
@@ -38,7 +33,7 @@
 	}
 	var once sync.Once
 	hit := make(chan *runner, 1)
-	for n := range 6 {
+	for n := range 8 {
 		x, err := d.addRunner(fmt.Sprintf("i-%d", n+1), fmt.Sprintf("r-%d", n/2))
 		if err != nil {
 			return failed, err
@@ -56,8 +51,11 @@
 	time.Sleep(4 * time.Second)
 	owner := d.owner()
 	d.line("%s owns the pool", owner.name)
-	d.world.Referee.Submitted(pool.Job{ID: victimJob}, 4)
-	if !d.submit(d.instances[0], "/jobs/", victimJob, spec, step) {
+	if !d.submit(d.instances[1], "/jobs/", otherJob, "1600", stepBody{Count: otherTasks, CPU: 1000, Mem: 100, EstimateMs: 1600}) {
+		return failed, fmt.Errorf("the other job was not accepted")
+	}
+	time.Sleep(1500 * time.Millisecond)
+	if !d.submit(d.instances[0], "/jobs/", victimJob, "8000", stepBody{Count: 1, CPU: 4000, Mem: 1000, EstimateMs: 8000}) {
 		return failed, fmt.Errorf("the job was not accepted")
 	}
 	if trouble {
@@ -67,23 +65,20 @@
 		case <-time.After(5 * time.Second):
 			return failed, fmt.Errorf("no start was sent")
 		}
-		x.cutOff(cutFor)
-		if killOwner {
-			time.Sleep(700 * time.Millisecond)
-			d.line("SIGKILL to %s, which owns the pool", owner.name)
-			owner.kill()
+		time.Sleep(180 * time.Millisecond) // the tasks of the other job end 0.1 s after the start
+		d.line("SIGKILL to %s, which owns the pool", owner.name)
+		owner.kill()
+		time.Sleep(2500 * time.Millisecond)
+		if err := owner.start(); err != nil {
+			return failed, err
 		}
+		time.Sleep(1500 * time.Millisecond)
+		x.cutOff(cutFor)
 		time.Sleep(500 * time.Millisecond)
 		x.crash()
 		if err := x.report(); err != nil {
 			return failed, err
 		}
-		if killOwner {
-			time.Sleep(time.Second)
-			if err := owner.start(); err != nil {
-				return failed, err
-			}
-		}
 	}
 	time.Sleep(20 * time.Second)
 	d.line("GET: %s", d.call(d.instances[1], "GET", "/jobs/"+victimJob, "", 3*time.Second).body)
