--- a/review/standin-3/gang.go
+++ b/review/standin-3/gang.go
@@ -37,26 +37,26 @@
 		runners = append(runners, x)
 		return err
 	}
-	for n := range 5 {
+	for n := range 6 {
 		if err := add(fmt.Sprintf("i-%d", n+1), fmt.Sprintf("r-%d", n/2+1)); err != nil {
 			return failed, err
 		}
 	}
 	time.Sleep(3 * time.Second)
-	// One task on each runner of the racks r-1, r-2 and r-3, of which the last has one runner.
-	if !d.submit(d.instances[0], "/lasting/", "00000000000000d0", "0", stepBody{Count: 5, CPU: lastingCPU, Mem: 100, EstimateMs: 2000, LongRunning: true, PerRunner: 1}) {
+	// One task on each runner of the racks r-1, r-2 and r-3.
+	if !d.submit(d.instances[0], "/lasting/", "00000000000000d0", "0", stepBody{Count: 6, CPU: lastingCPU, Mem: 100, EstimateMs: 2000, LongRunning: true, PerRunner: 1}) {
 		return failed, fmt.Errorf("the job of tasks that last was not accepted")
 	}
 	time.Sleep(2 * time.Second)
 	// The rack r-4 comes later.
 	for n := range 2 {
-		if err := add(fmt.Sprintf("i-%d", n+6), "r-4"); err != nil {
+		if err := add(fmt.Sprintf("i-%d", n+7), "r-4"); err != nil {
 			return failed, err
 		}
 	}
 	time.Sleep(3 * time.Second)
 	if trouble {
-		runners[6].loseForGood()
+		runners[7].loseForGood()
 		time.Sleep(8 * time.Second) // until the system takes its runs for over
 	}
 	d.gangSizes[gangJob] = gangMembers
--- a/review/standin-3/pending.go
+++ b/review/standin-3/pending.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	pendingWorkers = 7
+	pendingWorkers = 8
 	pendingJobs    = 8
 	// visible is visible_ms and the 2 s that the rule adds.
 	visible = 5 * time.Second
