pool, node: progress records say whether a job has begun

Six instances in touch gave pending as 0 of 8 jobs that waited, while the owner was frozen. The copies also showed these jobs as running.

Cause: a copy took any progress record for that of a running job, and a job without one for a waiting one. After a takeover with a lost worker the records name tasks that may have run there, of jobs that wait. The reverse was wrong as well: a job that runs had no record until a run ended.

Fix: each progress record of a job that hasn't ended says whether a worker has confirmed a run of it, and is stored once that is so (with the next save, or after 0.5 s). Records of older versions count by what they show; a copy that can't tell, or whose owner is of an older version, refuses the count. An owner gives it only while it is confirmed. Planned runs don't count as started in estimates, and a cancelled job that never began isn't shown as running. Jobs with a hidden queue are counted.

--- a/node/history_test.go
+++ b/node/history_test.go
@@ -1,6 +1,7 @@
 package node_test
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -268,6 +269,24 @@
 	}
 }
 
+// watchPending asks each instance for the number of waiting jobs until the cluster is closed.
+func (c *cluster) watchPending() {
+	for c.ctx.Err() == nil {
+		time.Sleep(300 * time.Millisecond)
+		for _, m := range c.up() {
+			go func() {
+				stable, before := m.view.IsStable(), c.world.Referee.Waiting()
+				ctx, cancel := context.WithTimeout(c.ctx, 3*time.Second)
+				defer cancel()
+				count, known := m.node.Pending(ctx, pool.Queue{Name: queueName, Service: machines.Service})
+				if known && stable && m.view.IsStable() {
+					c.world.Referee.CountShown(m.name, count, before, c.world.Referee.Waiting())
+				}
+			}()
+		}
+	}
+}
+
 func (c *cluster) randomJob(n int) pool.Job {
 	work := time.Duration(200+c.rng.IntN(3000)) * time.Millisecond
 	j := pool.Job{ID: jobID(n), Payload: machines.Work(work, c.rng.IntN(20) == 0, c.rng.IntN(5) == 0)}
--- a/node/lookup.go
+++ b/node/lookup.go
@@ -283,7 +283,7 @@
 		return 0, false
 	}
 	if owner {
-		return count, true
+		return count, sure
 	}
 	var ownerCount int
 	if pc.askOwner(addr, func(at string) (string, error) {
@@ -389,11 +389,13 @@
 	return pc.completeAsOf != 0 && pc.node.now()-pc.completeAsOf < pc.node.maxAge()
 }
 
-// pending counts a queue's jobs that have not started; sure means that the count lacks at most
-// those that were accepted just now.
+// pending counts a queue's jobs that have not started; sure means that it is known which have, and that the count lacks at
+// most those that were accepted just now.
 func (pc *poolController) pending(queue string) (count int, owner, sure bool) {
 	if pc.owns() {
-		return pc.own.core.Pending(queue), true, pc.fresh()
+		pc.own.core.Confirm(pc.own.confirmed.time(), pc.own.confirmed.acceptedAt())
+		return pc.own.core.Pending(queue), true, pc.own.core.KnowsBegun(pc.node.now())
 	}
-	return pc.replica.pending(queue), false, pc.fresh()
+	count, known := pc.replica.pending(queue)
+	return count, false, known && pc.fresh()
 }
--- a/node/replica.go
+++ b/node/replica.go
@@ -297,20 +297,40 @@
 
 // state returns a job's state as far as it has been read from the store.
 func (r *replica) state(job string) (pool.State, bool) {
+	state, _, found := r.stateAndBegun(job)
+	return state, found
+}
+
+// stateAndBegun is like state, and also returns whether the job has begun.
+func (r *replica) stateAndBegun(job string) (state pool.State, begun pool.Begun, found bool) {
+	begun = r.begunWithoutProgress()
 	if rec, ok := r.records[pool.ProgressKey(job)]; ok {
 		var p pool.Progress
-		if json.Unmarshal(rec.Value, &p) == nil && p.State.Ended() {
-			return p.State, true // the store retains nothing else of a job that has ended
+		if json.Unmarshal(rec.Value, &p) != nil {
+			return pool.Running, pool.BegunUnknown, true
 		}
-		return pool.Running, true
-	}
-	if _, ok := r.records[pool.JobKey(job)]; !ok {
-		return "", false
+		if p.State.Ended() {
+			return p.State, pool.HasBegun, true // the store retains nothing else of a job that has ended
+		}
+		if begun = p.HasBegun(); begun != pool.NotBegun {
+			return pool.Running, begun, true
+		}
+	} else if _, ok := r.records[pool.JobKey(job)]; !ok {
+		return "", begun, false
 	}
 	if _, ok := r.records[pool.CancelKey(job)]; ok {
-		return pool.Cancelled, true
+		return pool.Cancelled, begun, true
 	}
-	return pool.Queued, true
+	return pool.Queued, begun, true
+}
+
+// begunWithoutProgress returns whether a job without a progress record has begun. An owner of an older version stores one
+// only once a run has ended.
+func (r *replica) begunWithoutProgress() pool.Begun {
+	if o, ok := r.owners[r.claim.Epoch]; ok && o.RecordsStarts {
+		return pool.NotBegun
+	}
+	return pool.BegunUnknown
 }
 
 // organisation returns the organisation that submitted a job; empty: it isn't known.
@@ -326,23 +346,28 @@
 	return stored.Organisation
 }
 
-// pending counts a queue's jobs without stored progress.
-func (r *replica) pending(queue string) int {
-	n := 0
+// pending counts a queue's jobs that have not begun, and reports whether that is known of all of them.
+func (r *replica) pending(queue string) (n int, known bool) {
+	known = true
 	for key, rec := range r.records {
 		kind, id := pool.ParseKey(key)
 		if kind != pool.JobRecord {
 			continue
 		}
-		if s, _ := r.state(id); s != pool.Queued {
+		state, begun, _ := r.stateAndBegun(id)
+		if state.Ended() || begun == pool.HasBegun {
 			continue
 		}
-		var j pool.Job
-		if json.Unmarshal(rec.Value, &j) == nil && j.Queue == queue {
+		j, err := pool.DecodeJob(rec.Value)
+		switch {
+		case err != nil || j.Queue != queue:
+		case begun == pool.BegunUnknown:
+			known = false
+		default:
 			n++
 		}
 	}
-	return n
+	return n, known
 }
 
 // inOrder returns the records in the order of their offsets.
--- a/node/service.go
+++ b/node/service.go
@@ -204,11 +204,14 @@
 	if pc == nil {
 		return errNotOwner
 	}
-	var owner bool
+	var owner, sure bool
 	err := pc.do(withTimeout(context.Background(), peerTimeout), func() {
-		r.Count, owner, _ = pc.pending(a.Queue)
+		r.Count, owner, sure = pc.pending(a.Queue)
 		r.Owner = pc.ownerAddr()
 	})
+	if err == nil && owner && !sure {
+		return errNotOwner // it may have been replaced
+	}
 	return s.replyOwner(err, owner, &r.Owner)
 }
 
--- a/pool/backlog.go
+++ b/pool/backlog.go
@@ -155,9 +155,9 @@
 	return x.demand
 }
 
-// anyStarted reports whether a task of the step runs or is done.
+// anyStarted reports whether a task of the step runs or is done. A planned run may not start.
 func (s *step) anyStarted() bool {
-	return s.remaining < len(s.tasks) || slices.ContainsFunc(s.tasks, func(t *task) bool { return t.run != nil })
+	return s.remaining < len(s.tasks) || slices.ContainsFunc(s.tasks, func(t *task) bool { return t.run != nil && t.run.phase != planned })
 }
 
 // comesBefore reports whether a job's work uses the pool's resources before another job's.
--- a/pool/core.go
+++ b/pool/core.go
@@ -83,7 +83,9 @@
 	verdicts       []verdict         // oldest first
 	// inheritedSuspects are the tasks of which a predecessor stored a run, until the workers are listed.
 	inheritedSuspects []*task
-	plannedRuns       []*run         // oldest first
+	plannedRuns       []*run // oldest first
+	begun             []*job // that have begun since the last save
+	begunSince        time.Duration
 	unrecordedStarts  []*run         // planned runs whose starts are in no save yet
 	startRecords      []*startRecord // by number
 	// uncountedCrashes is the number of inherited workers that have crashed without a silence record.
@@ -362,9 +364,14 @@
 	if len(c.pendingSaves) >= maxPendingSaves || (c.now-c.lastSave < saveInterval && !c.saveAtOnce) || c.deposed {
 		return
 	}
-	if len(c.dirty) == 0 && len(c.unrecordedStarts) == 0 && len(c.otherRecords) == 0 && len(c.silenceChanges) == 0 && !c.trackedChanged && !c.orgs.ledger.HasChanges() {
+	if len(c.begun) > 0 && c.now-c.begunSince >= begunSaveDelay {
+		c.saveBegun()
+	}
+	isBatched := c.hasChanges()
+	if !isBatched && len(c.unrecordedStarts) == 0 {
 		return
 	}
+	c.saveBegun()
 	c.saveSeq++
 	save := Save{Seq: c.saveSeq}
 	for _, j := range c.dirty {
@@ -387,7 +394,6 @@
 		c.trackedChanged = false
 		save.Records = append(save.Records, c.trackedRecords()...)
 	}
-	onlyStarts := len(save.Records) == len(starts) // they aren't batched, and delay nothing else
 	save.Records = slices.DeleteFunc(save.Records, c.isUnstorable)
 	if len(save.Records) == 0 {
 		c.saveSeq--
@@ -399,12 +405,17 @@
 	save.HoldsStarts = slices.ContainsFunc(starts, func(r Record) bool { return len(r.Value) > 0 })
 	c.pendingSaves = append(c.pendingSaves, pendingSave{seq: c.saveSeq, jobs: jobs})
 	c.saveAtOnce = false
-	if !onlyStarts {
+	if isBatched { // starts don't delay what is
 		c.lastSave = c.now
 	}
 	c.emit(save)
 }
 
+// hasChanges reports whether there is something to save that is batched.
+func (c *Core) hasChanges() bool {
+	return len(c.dirty) > 0 || len(c.otherRecords) > 0 || len(c.silenceChanges) > 0 || c.trackedChanged || c.orgs.ledger.HasChanges()
+}
+
 func (c *Core) saved(seq uint64) {
 	c.savedSeq = max(c.savedSeq, seq)
 	for len(c.pendingSaves) > 0 && c.pendingSaves[0].seq <= seq {
--- a/pool/parts.go
+++ b/pool/parts.go
@@ -269,7 +269,7 @@
 // summary returns the progress of a job whose progress is in parts of a size, with the done tasks as far as the
 // record has room, and whether all are included.
 func (c *Core) summary(j *job, size int) (p Progress, complete bool) {
-	p = Progress{State: j.state, TasksPerPart: size, FinishedBefore: j.finished.nextMissing(0), Finished: j.finished}
+	p = Progress{State: j.state, Begun: j.begunRecord(), TasksPerPart: size, FinishedBefore: j.finished.nextMissing(0), Finished: j.finished}
 	room := c.settings.MaxRecord - len(ProgressKey(j.ID)) - len(Encode(p)) - summaryMargin
 	list := j.listFinished()
 	for _, occ := range j.occurrences {
--- a/pool/place.go
+++ b/pool/place.go
@@ -460,6 +460,7 @@
 func (c *Core) sendStart(r *run) {
 	r.startsSent++
 	r.startSent()
+	r.task.step.occ.started = true
 	w := r.worker
 	if len(w.ends) == 0 {
 		w.nextHold = c.now // an idle worker may have been polled just now
--- a/pool/records.go
+++ b/pool/records.go
@@ -153,9 +153,21 @@
 	Lost bool `json:",omitempty"`
 }
 
-// Progress is the stored progress of a job.
+// Begun says whether a worker has confirmed a run of any of a job's tasks.
+type Begun int
+
+// The values of Begun.
+const (
+	BegunUnknown Begun = iota // the record is of an older version, which doesn't say
+	NotBegun
+	HasBegun
+)
+
+// Progress is the stored progress of a job. It may be stored before any task has started.
 type Progress struct {
-	State State          `json:"s"`
+	State State `json:"s"`
+	// Begun is set in all records of jobs that haven't ended.
+	Begun Begun          `json:"b,omitempty"`
 	Steps []StepProgress `json:"t,omitempty"`
 	// GivenUp is set if the job failed because a task crashes its workers.
 	GivenUp *GivenUp `json:"g,omitempty"`
@@ -194,9 +206,29 @@
 	Suspected map[int]Crash `json:"y,omitempty"`
 }
 
-// anyStarted reports whether a run of the step has started.
-func (p StepProgress) anyStarted() bool {
-	return p.All || p.Done != "" || p.Failed != nil || p.Saved != nil || p.Crashes != nil || p.Suspected != nil
+// HasBegun returns whether the job has begun, as far as the record shows. Those of older versions show it by what has
+// become of runs. A planned run, or a crash under one that no worker has confirmed, shows nothing.
+func (p Progress) HasBegun() Begun {
+	switch {
+	case p.Begun != BegunUnknown:
+		return p.Begun
+	case p.State.Ended() || len(p.Finished) > 0 || p.FinishedBefore > 0 || slices.ContainsFunc(p.Steps, StepProgress.hasBegun):
+		return HasBegun
+	}
+	return BegunUnknown
+}
+
+// hasBegun reports whether the progress shows that a run of the step was active.
+func (p StepProgress) hasBegun() bool {
+	if p.All || p.Done != "" || p.Failed != nil || p.Saved != nil {
+		return true
+	}
+	for _, crashes := range p.Crashes {
+		if slices.ContainsFunc(crashes, func(x Crash) bool { return !x.Doubtful }) {
+			return true
+		}
+	}
+	return false
 }
 
 // Check returns an error if the progress is invalid.
@@ -206,6 +238,9 @@
 	default:
 		return errors.New("progress: unknown state")
 	}
+	if p.Begun < BegunUnknown || p.Begun > HasBegun {
+		return errors.New("progress: it is unknown whether the job has begun")
+	}
 	for _, s := range p.Steps {
 		if err := s.check(); err != nil {
 			return err
@@ -250,7 +285,7 @@
 		p.GivenUp, p.Organisation = j.givenUp, j.Organisation
 		return p
 	}
-	p.Finished, p.Steps = j.finished, j.listFinished()
+	p.Begun, p.Finished, p.Steps = j.begunRecord(), j.finished, j.listFinished()
 	for _, occ := range j.occurrences {
 		for _, s := range occ.steps {
 			if sp, any := s.progress(); any {
@@ -379,7 +414,7 @@
 
 // restoreSteps restores the progress of steps, and creates the occurrences that it is about.
 func (c *Core) restoreSteps(j *job, steps []StepProgress) {
-	j.started = j.started || slices.ContainsFunc(steps, StepProgress.anyStarted)
+	j.started = j.started || (!j.saysBegun && slices.ContainsFunc(steps, StepProgress.hasBegun))
 	for _, sp := range steps {
 		if occ := c.existing(j, sp.K); occ != nil && sp.Step < len(occ.steps) {
 			c.restoreStep(occ.steps[sp.Step], sp)
--- a/pool/run.go
+++ b/pool/run.go
@@ -143,7 +143,7 @@
 	}
 	t.lastRun = max(t.lastRun, a.Run)
 	t.step.gangRun = max(t.step.gangRun, a.Run)
-	t.step.job.started = true
+	c.markBegun(t.step.job)
 	c.confirmRun(r)
 	c.logRun("run.adopted", r, "")
 	return r
@@ -161,6 +161,9 @@
 	r.priority = c.policy(r.task.step).Priority
 	c.countUse(r, 1)
 	c.countStart(r.task.step)
+	if r.adopted && r.task.step.occ != nil {
+		r.task.step.occ.started = true
+	}
 	r.task.step.job.runs++
 	if r.task.step.spec.permitsCopies() {
 		c.copies.candidates = append(c.copies.candidates, r)
--- a/pool/share.go
+++ b/pool/share.go
@@ -206,9 +206,6 @@
 
 // countStart counts a run that exists from now on.
 func (c *Core) countStart(s *step) {
-	if s.occ != nil {
-		s.occ.started = true
-	}
 	if s == c.shares.turnOf {
 		c.endTurn()
 		return
--- a/pool/startstop.go
+++ b/pool/startstop.go
@@ -106,7 +106,7 @@
 	switch e.Outcome {
 	case OK:
 		c.confirmRun(r)
-		r.task.step.job.started = true
+		c.markBegun(r.task.step.job)
 	case NoAnswer:
 		c.retryStart(r)
 	case Stale:
--- a/pool/state.go
+++ b/pool/state.go
@@ -26,7 +26,9 @@
 	// once it can't be lost with this process.
 	storedState State
 	started     bool
-	dirty       bool
+	// saysBegun is set if the stored progress said whether the job has begun.
+	saysBegun bool
+	dirty     bool
 	// savedIn is the sequence number of the newest save that holds the job's progress.
 	savedIn uint64
 	runs    int // that may exist
@@ -247,6 +249,8 @@
 		c.pendingDrops = append(c.pendingDrops, j)
 		return
 	}
+	j.saysBegun = e.Progress.Begun != BegunUnknown
+	j.started = j.started || e.Progress.HasBegun() == HasBegun
 	j.tasksPerPart = e.Progress.TasksPerPart
 	c.restoreFinished(j, slices.Clone(e.Progress.Finished).add(0, e.Progress.FinishedBefore))
 	c.restoreSteps(j, e.Progress.Steps)
@@ -371,7 +375,6 @@
 		if j.storedState.Ended() {
 			return j.storedState, true
 		}
-		return Running, true
 	}
 	if j.started {
 		return Running, true
@@ -387,6 +390,47 @@
 	return ""
 }
 
+// begunSaveDelay is how long the record that a job has begun may wait for another save. Copies may be 2 s old.
+const begunSaveDelay = 500 * time.Millisecond
+
+// markBegun notes that a worker has confirmed a run of the job. Copies of the pool learn that from its progress record.
+func (c *Core) markBegun(j *job) {
+	if j.started {
+		return
+	}
+	j.started = true
+	if j.state.Ended() {
+		return
+	}
+	if len(c.begun) == 0 {
+		c.begunSince = c.now
+	}
+	c.begun = append(c.begun, j)
+}
+
+// saveBegun makes the next save hold the progress of jobs that have begun.
+func (c *Core) saveBegun() {
+	for _, j := range c.begun {
+		if !j.state.Ended() {
+			c.markDirty(j)
+		}
+	}
+	c.begun = nil
+}
+
+func (j *job) begunRecord() Begun {
+	if j.started || len(j.finished) > 0 {
+		return HasBegun
+	}
+	return NotBegun
+}
+
+// KnowsBegun reports whether this owner knows which jobs have begun: a predecessor of an older version records that late.
+func (c *Core) KnowsBegun(now time.Duration) bool {
+	c.setTime(now)
+	return c.IsConfirmed() && (!c.settings.UnrecordedStarts || c.takeoverComplete())
+}
+
 // Pending returns the number of a queue's jobs of which no task has started.
 func (c *Core) Pending(queue string) int {
 	n := 0
--- a/standin/machines/referee.go
+++ b/standin/machines/referee.go
@@ -46,6 +46,7 @@
 	accepted     bool
 	pendingTries int // submissions without an answer yet
 	refused      int
+	acceptedAt   time.Time // when a caller was first told so
 	cancelled    time.Time // when the cancellation was acknowledged
 	// cancelling is set once a caller has requested cancellation.
 	cancelling   bool
@@ -95,7 +96,37 @@
 	} else {
 		j.answered++
 	}
-	j.accepted = j.accepted || accepted
+	if accepted && !j.accepted {
+		j.accepted, j.acceptedAt = true, time.Now()
+	}
+}
+
+// countLatency is how old the number of waiting jobs that an instance gives may be: a job is visible after 3 s, and the number
+// may be 2 s old.
+const countLatency = 5 * time.Second
+
+// Waiting returns the number of jobs that an instance without faults has to count as waiting at least: those that were
+// accepted more than countLatency ago, no task of which has started, and that nobody cancels.
+func (r *Referee) Waiting() int {
+	r.w.mu.Lock()
+	defer r.w.mu.Unlock()
+	n := 0
+	for _, j := range r.jobs {
+		if j.accepted && time.Since(j.acceptedAt) > countLatency && len(j.lastStart) == 0 && j.Repeat == 0 && !j.cancelling && !j.givenUp {
+			n++
+		}
+	}
+	return n
+}
+
+// CountShown checks the number of waiting jobs that an instance without faults gave, by the results of Waiting before and after
+// the request.
+func (r *Referee) CountShown(instance string, count, before, after int) {
+	r.w.mu.Lock()
+	defer r.w.mu.Unlock()
+	if least := min(before, after); 2*count < least {
+		r.finding("MIXED", "%s says that %d jobs wait, and at least %d do", instance, count, least)
+	}
 }
 
 // CancelRequested records that a caller is about to cancel a job: the job may end as
