pool: the number of a record of starts is bounded

What callers saw: nothing yet. Found by reading: a record of another writer under r/ and a large number makes an owner allocate a list of that length when it loads the pool.

--- a/pool/place.go
+++ b/pool/place.go
@@ -459,7 +459,7 @@
 
 func (c *Core) sendStart(r *run) {
 	r.startsSent++
-	r.startSent()
+	r.inFlight = true
 	r.task.step.occ.started = true
 	w := r.worker
 	if len(w.ends) == 0 {
--- a/pool/startrecords.go
+++ b/pool/startrecords.go
@@ -21,8 +21,13 @@
 // allows for starts that leave until startTTL after that, also of an owner that is frozen or cut off.
 const startTTL = 3 * time.Second
 
-// maxStartsPerRecord bounds the size of a record of starts.
-const maxStartsPerRecord = 500
+const (
+	// maxStartsPerRecord bounds the size of a record of starts.
+	maxStartsPerRecord = 500
+	// maxStartRecords bounds the numbers of records, in case another program has written one. At a save each 4 ms that has
+	// an unanswered start, 3,000 are in use.
+	maxStartRecords = 1 << 16
+)
 
 // StepStarts are starts of tasks of one step in a record of starts: Runs and Workers belong to the task in Tasks with the
 // same index.
@@ -59,7 +64,7 @@
 // ParseStarts returns the number of a record of starts from its key without the prefix.
 func ParseStarts(suffix string) (int, bool) {
 	n, err := strconv.Atoi(suffix)
-	return n, err == nil && n >= 0
+	return n, err == nil && n >= 0 && n < maxStartRecords
 }
 
 // startRecord is the state of a record of starts.
@@ -167,9 +172,7 @@
 	return nil
 }
 
-// startSent notes that a start is on its way, and startSettled that its newest one has been answered, or never will be.
-func (r *run) startSent() { r.inFlight = true }
-
+// startSettled notes that the run's newest start has been answered, or never will be.
 func (c *Core) startSettled(r *run, answered bool) {
 	if r.inFlight && !answered {
 		r.unansweredAt = c.now
--- a/pool/startrecords_test.go
+++ b/pool/startrecords_test.go
@@ -9,7 +9,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// takeStarts removes the pending saves and returns the starts that they record, by key.
+// takeStartRecords removes the pending saves and returns the starts that they record, by key.
 func (r *rig) takeStartRecords(into map[string][]StepStarts) (last uint64) {
 	r.t.Helper()
 	for _, s := range takeActions[Save](r) {
