--- a/scenario/soak/kw-soak/main.go
+++ b/scenario/soak/kw-soak/main.go
@@ -38,6 +38,7 @@
 	older := flag.String("older", "", "an older version of the program, which every second process runs")
 	ownerFaults := flag.Bool("owner-faults", false, "owners paused, and cut off from the store and the others while these are cut off from some workers")
 	partitions := flag.String("partitions", "", "partitions around the owner of a shape: "+strings.Join(soak.PartitionShapes, ", "))
+	forgotten := flag.Bool("forgotten-starts", false, "owners lost right after starts without an answer, and workers that carry these out once they have started again out of reach; each instance is asked for the number of waiting jobs")
 	restarted := flag.Bool("restarted-workers", false, "workers that start again under their IDs beside takeovers and cuts of the same workers")
 	longestLeases := soak.DefaultLongestLeases
 	flag.Func("longest-lease", fmt.Sprintf("longest leases of the workers, separated by commas, of which each seed selects one (default %v)", longestLeases), func(s string) (err error) {
@@ -49,7 +50,7 @@
 		fmt.Fprintf(os.Stderr, "-partitions %s: want one of %v\n", *partitions, soak.PartitionShapes)
 		os.Exit(2)
 	}
-	if err := runSeeds(*first, *seeds, *atOnce, *dir, soak.Options{Binary: *binary, FaultTime: *faultTime, RecoveryTime: 40 * time.Second, Instances: *instances, Workers: *workers, EarlySIGHUP: !*sighupEach, SIGHUPEach: *sighupEach, Moves: *moves, Crashes: *crashes, Organisations: *organisations, LargeJobs: *largeJobs, OlderBinary: *older, RepeatedJobs: *repeated, Removals: *removals, LateOrdersOutliveWorkers: *lateOrders, OwnerFaults: *ownerFaults, Partitions: *partitions, ChangedEntries: *changedEntries, RestartedWorkers: *restarted, LongestLeases: longestLeases}); err != nil {
+	if err := runSeeds(*first, *seeds, *atOnce, *dir, soak.Options{Binary: *binary, FaultTime: *faultTime, RecoveryTime: 40 * time.Second, Instances: *instances, Workers: *workers, EarlySIGHUP: !*sighupEach, SIGHUPEach: *sighupEach, Moves: *moves, Crashes: *crashes, Organisations: *organisations, LargeJobs: *largeJobs, OlderBinary: *older, RepeatedJobs: *repeated, Removals: *removals, LateOrdersOutliveWorkers: *lateOrders, OwnerFaults: *ownerFaults, Partitions: *partitions, ChangedEntries: *changedEntries, RestartedWorkers: *restarted, ForgottenStarts: *forgotten, LongestLeases: longestLeases}); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
--- a/scenario/soak/soak.go
+++ b/scenario/soak/soak.go
@@ -60,6 +60,9 @@
 	// RestartedWorkers replaces the usual faults of instances: the workers of a rack start again under their IDs, the
 	// owner is replaced, and these workers are cut off from all instances, in series that overlap.
 	RestartedWorkers bool
+	// ForgottenStarts replaces the usual faults of instances: owners are lost right after starts without an answer, workers
+	// start again out of reach and carry these out, and each instance is asked for the number of waiting jobs.
+	ForgottenStarts bool
 	// LongestLeases are the longest leases of workers of which the seed selects one; empty: DefaultLongestLeases.
 	LongestLeases []time.Duration
 	// Crashes adds tasks that crash their workers, workers and racks that start again, half of the
@@ -135,6 +138,9 @@
 	keysRemoved map[int64]time.Time
 	storeDelay  time.Duration // added to each answer of the store
 
+	// disturbedAt holds when instances were last lost or came back, by name, while ForgottenStarts is set.
+	disturbedAt sync.Map
+
 	mu       sync.Mutex
 	report   Report
 	accepted []acceptedJob // guarded by mu
@@ -152,7 +158,9 @@
 		return r.report, err
 	}
 	var callers, watchers sync.WaitGroup
-	callers.Go(func() { r.callers(ctx, &callers) })
+	if !r.ForgottenStarts { // its jobs neither fail nor are cancelled: nothing prevents a late start of a task that has
+		callers.Go(func() { r.callers(ctx, &callers) })
+	}
 	queryCtx, stopQueries := context.WithCancel(ctx)
 	for n, i := range r.instances {
 		rng := r.newRand(uint64(100 + n))
@@ -180,6 +188,14 @@
 		callers.Go(func() { r.injectCrashes(ctx, &callers) })
 	}
 	switch {
+	case r.ForgottenStarts:
+		for _, i := range r.instances {
+			watchers.Go(func() { r.watchCount(queryCtx, i) })
+		}
+		r.injectForgottenStarts(ctx, func(j pool.Job) {
+			c := r.newCaller(5000)
+			callers.Go(func() { c.submitAndAwait(ctx, j) })
+		})
 	case r.Partitions != "":
 		r.injectPartitions(ctx)
 	case r.RestartedWorkers:
@@ -245,7 +261,11 @@
 	r.world.Advised = r.Seed%2 == 0
 	r.world.Referee.OrdersMayBeLost = true
 	r.world.PageSize = pageSize
-	r.world.LateOrdersOutliveWorkers = r.LateOrdersOutliveWorkers
+	r.world.LateOrdersOutliveWorkers = r.LateOrdersOutliveWorkers || r.ForgottenStarts
+	r.world.LateOrdersAwaitRestarts = r.ForgottenStarts
+	if r.ForgottenStarts {
+		r.world.ReuseIDs(1)
+	}
 	if r.LargeJobs {
 		r.world.MaxRecord, r.world.MaxAppend = largeJobsMaxRecord, largeJobsMaxAppend
 	}
--- a/scenario/soak/soak_test.go
+++ b/scenario/soak/soak_test.go
@@ -93,6 +93,12 @@
 	runSeeds(t, []Options{{Seed: 7001, Instances: 9, Workers: 48, FaultTime: 40 * time.Second, Partitions: MajorityPartitions}})
 }
 
+// Guards against a start without an answer that is forgotten as its owner is lost, and against instances that give a wrong number
+// of waiting jobs while the owner is silent.
+func TestSoakWithForgottenStarts(t *testing.T) {
+	runSeeds(t, []Options{{Seed: 81, Instances: 5, Workers: 12, FaultTime: 40 * time.Second, ForgottenStarts: true}})
+}
+
 // slots bounds the soaks that run at a time; one after another they take nearly the time that go test allows a package.
 var slots = make(chan struct{}, 2)
 
