--- a/node/saves.go
+++ b/node/saves.go
@@ -27,6 +27,9 @@
 	// maxUrgentAppends replaces the limit of one append in flight while the store is fast and starts wait for the next:
 	// the room that they are meant for is empty meanwhile.
 	maxUrgentAppends = 2
+	// minAppendGap is the minimum time between two appends. Each takes processor time, and a busy owner would make one
+	// for each few starts.
+	minAppendGap = 8 * time.Millisecond
 )
 
 type pendingSave struct {
@@ -300,10 +303,11 @@
 // wait returns how long the next append has to wait.
 func (a *appender) wait() time.Duration {
 	switch {
-	case a.inFlight == 0:
-		return 0
-	case a.appendLatency < slowStoreLatency && a.inFlight < maxUrgentAppends && a.own.saves.isUrgent():
-		return 0
+	case a.inFlight == 0, a.appendLatency < slowStoreLatency && a.inFlight < maxUrgentAppends && a.own.saves.isUrgent():
+		if a.lastSentAt == 0 {
+			return 0
+		}
+		return max(0, a.lastSentAt+minAppendGap-a.own.pc.node.now())
 	case a.appendLatency < slowStoreLatency || a.probeLatency == 0 || a.inFlight >= maxAppendsInFlight:
 		return untilCompleted
 	}
