--- a/pool/place.go
+++ b/pool/place.go
@@ -178,7 +178,7 @@
 	if !fitsSomewhere && !c.adviceDue(s, fitsSomewhere) && !(c.reserving && c.needsReservation(s)) {
 		return
 	}
-	tasks := c.withoutLateStarts(s, s.waitingTasks(c.now))
+	tasks := c.placeLateStarts(s, s.waitingTasks(c.now))
 	if len(tasks) == 0 {
 		return
 	}
--- a/pool/startrecords.go
+++ b/pool/startrecords.go
@@ -290,9 +290,9 @@
 	return end
 }
 
-// withoutLateStarts returns the tasks that may be started on any worker. The others are started on the worker of their late
-// start if there is room. Members of a gang are started together, see pickGang.
-func (c *Core) withoutLateStarts(s *step, tasks []*task) []*task {
+// placeLateStarts starts tasks with a late start on the worker of that, if it has room, and returns the others, which any worker may
+// run. Members of a gang are started together, see pickGang.
+func (c *Core) placeLateStarts(s *step, tasks []*task) []*task {
 	if s.spec.Gang {
 		return tasks
 	}
--- a/scenario/soak/forgottenstarts.go
+++ b/scenario/soak/forgottenstarts.go
@@ -29,8 +29,8 @@
 	countRecovery = 6 * time.Second
 )
 
-// disturb notes that an instance is lost or back.
-func (r *run) disturb(i *instance) {
+// recordDisturbance notes that an instance is lost or back.
+func (r *run) recordDisturbance(i *instance) {
 	i.access.wire.View().RecordFault()
 	r.disturbedAt.Store(i.config.Name, r.world.Since())
 }
@@ -41,9 +41,9 @@
 	return r.world.Since()-at.(time.Duration) > countRecovery
 }
 
-// back starts an instance again.
-func (r *run) back(i *instance) {
-	r.disturb(i)
+// startAgain starts an instance that was killed.
+func (r *run) startAgain(i *instance) {
+	r.recordDisturbance(i)
 	if err := i.start(); err != nil {
 		r.finding("START: %v", err)
 	}
@@ -86,23 +86,23 @@
 // loseOwner kills or pauses the present owner, or kills all instances.
 func (r *run) loseOwner(ctx context.Context, rng *rand.Rand) string {
 	owner, away := r.owner(), time.Duration(300+rng.IntN(4000))*time.Millisecond
-	r.disturb(owner)
+	r.recordDisturbance(owner)
 	switch rng.IntN(4) {
 	case 0:
 		for _, i := range r.instances {
 			i.kill()
 		}
 		for _, i := range r.instances {
-			r.back(i)
+			r.startAgain(i)
 		}
 		return "all killed"
 	case 1:
 		owner.signal(syscall.SIGSTOP)
-		r.runAfter(ctx, away, func() { r.disturb(owner); owner.signal(syscall.SIGCONT) })
+		r.runAfter(ctx, away, func() { r.recordDisturbance(owner); owner.signal(syscall.SIGCONT) })
 		return fmt.Sprintf("%s, the owner, paused %v", owner.config.Name, away)
 	}
 	owner.kill()
-	r.runAfter(ctx, away, func() { r.back(owner) })
+	r.runAfter(ctx, away, func() { r.startAgain(owner) })
 	return fmt.Sprintf("%s, the owner, killed, back after %v", owner.config.Name, away)
 }
 
