scenario/soak: plain names for faults of single instances

No logic changes. What a reader met: recordDisturbance, isUndisturbed and disturbedAt beside IsStable and RecordFault of the stand-in, two names for one thing, and not the field's term. They are markUnstable, isStable and unstableAt now. go vet passes; no run of the soak since.

--- a/scenario/soak/forgottenstarts.go
+++ b/scenario/soak/forgottenstarts.go
@@ -25,25 +25,25 @@
 	laterKind = "later"
 	// countInterval is how often each instance is asked for the number of waiting jobs.
 	countInterval = 200 * time.Millisecond
-	// countRecovery is how long after it was lost or came back an instance may give a wrong number.
+	// countRecovery is how long after a fault of its own an instance may give a wrong number.
 	countRecovery = 6 * time.Second
 )
 
-// recordDisturbance notes that an instance is lost or back.
-func (r *run) recordDisturbance(i *instance) {
+// markUnstable records that an instance was killed, paused or started.
+func (r *run) markUnstable(i *instance) {
 	i.access.wire.View().RecordFault()
-	r.disturbedAt.Store(i.config.Name, r.world.Since())
+	r.unstableAt.Store(i.config.Name, r.world.Since())
 }
 
-// isUndisturbed reports whether an instance has run for countRecovery.
-func (r *run) isUndisturbed(i *instance) bool {
-	at, _ := r.disturbedAt.LoadOrStore(i.config.Name, time.Duration(0))
+// isStable reports whether an instance has run without a fault for countRecovery.
+func (r *run) isStable(i *instance) bool {
+	at, _ := r.unstableAt.LoadOrStore(i.config.Name, time.Duration(0))
 	return r.world.Since()-at.(time.Duration) > countRecovery
 }
 
 // startAgain starts an instance that was killed.
 func (r *run) startAgain(i *instance) {
-	r.recordDisturbance(i)
+	r.markUnstable(i)
 	if err := i.start(); err != nil {
 		r.finding("START: %v", err)
 	}
@@ -86,7 +86,7 @@
 // loseOwner kills or pauses the present owner, or kills all instances.
 func (r *run) loseOwner(ctx context.Context, rng *rand.Rand) string {
 	owner, away := r.owner(), time.Duration(300+rng.IntN(4000))*time.Millisecond
-	r.recordDisturbance(owner)
+	r.markUnstable(owner)
 	switch rng.IntN(4) {
 	case 0:
 		for _, i := range r.instances {
@@ -98,7 +98,7 @@
 		return "all killed"
 	case 1:
 		owner.signal(syscall.SIGSTOP)
-		r.runAfter(ctx, away, func() { r.recordDisturbance(owner); owner.signal(syscall.SIGCONT) })
+		r.runAfter(ctx, away, func() { r.markUnstable(owner); owner.signal(syscall.SIGCONT) })
 		return fmt.Sprintf("%s, the owner, paused %v", owner.config.Name, away)
 	}
 	owner.kill()
@@ -119,11 +119,11 @@
 	defer client.HTTP.CloseIdleConnections()
 	for ctx.Err() == nil {
 		sleep(ctx, countInterval)
-		undisturbed, before := r.isUndisturbed(i), r.world.Referee.Waiting()
+		stable, before := r.isStable(i), r.world.Referee.Waiting()
 		try, cancel := context.WithTimeout(ctx, callTimeout)
 		count, known := client.Pending(try, i.callers.addr())
 		cancel()
-		if known && undisturbed && r.isUndisturbed(i) {
+		if known && stable && r.isStable(i) {
 			r.world.Referee.CountShown(i.config.Name, count, before, r.world.Referee.Waiting())
 		}
 	}
--- a/scenario/soak/soak.go
+++ b/scenario/soak/soak.go
@@ -138,8 +138,8 @@
 	keysRemoved map[int64]time.Time
 	storeDelay  time.Duration // added to each answer of the store
 
-	// disturbedAt holds when instances were last lost or came back, by name, while ForgottenStarts is set.
-	disturbedAt sync.Map
+	// unstableAt holds when instances were last killed, paused or started, by name, while ForgottenStarts is set.
+	unstableAt sync.Map
 
 	mu       sync.Mutex
 	report   Report
